Announce the operators' address of each member

Cause: the operators' command asks each process what is in force there. Change: the member record carries the address of the operators' port.

--- a/rosemarydeal/core/data.py
+++ b/rosemarydeal/core/data.py
@@ -81,6 +81,7 @@
         place: Region, availability zone and upstream name.
         peer: Address of the process for messages between processes.
         entry_host: IP number on which callers reach the process.
+        admin: Address of the process for operators and metrics.
         public_key: CURVE public key of the process, in Z85.
         phase: What new work the member may get.
         slots: Requests that the upstream runs at a time.
@@ -92,6 +93,7 @@
     place: Place
     peer: Address
     entry_host: str
+    admin: Address = Address("127.0.0.1", 0)
     public_key: str = ""
     phase: MemberPhase = MemberPhase.UP
     slots: int = 1
