Place slices on members with the least movement

Cause: Nothing decided which member owns a slice, so that no process could be built on an assignment.

--- /dev/null
+++ b/features/builders_placement.py
@@ -0,0 +1,51 @@
+"""Builds fleet views and writes proposals back into them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from features.builders import member
+from rosemarydeal.policy.fleet import FleetView
+from rosemarydeal.policy.interface import ChunkRead, WriteChunk
+from rosemarydeal.policy.placement import propose
+
+__all__ = ["fleet", "settle", "written"]
+
+ZONES = ("perth-a", "perth-b", "perth-c")
+
+
+def fleet(slices: int = 192, count: int = 6, zones: int = 3, **changes) -> FleetView:
+    """Builds a view of box-office with members spread over availability zones."""
+    members = tuple(
+        member(
+            f"box-office-{number + 1}",
+            ZONES[number % zones],
+            witnesses=("w1", "w2", "w3"),
+        )
+        for number in range(count)
+    )
+    return FleetView("box-office", slices, members, {}, "box-office-1", **changes)
+
+
+def written(view: FleetView, writes: tuple[WriteChunk, ...]) -> FleetView:
+    """Applies conditional updates whose expected version still holds."""
+    chunks = dict(view.chunks)
+    for write in writes:
+        known = chunks.get(write.chunk.number)
+        if (known.version if known else 0) == write.expected_version:
+            read = ChunkRead(write.expected_version + 1, write.chunk)
+            chunks[write.chunk.number] = read
+    return replace(view, chunks=chunks)
+
+
+def settle(view: FleetView, now: float = 0.0) -> FleetView:
+    """Lets every live member propose until nobody has anything to write."""
+    for _ in range(20):
+        before = view
+        for member_ in view.live().values():
+            asked = replace(view, self_node=member_.node)
+            view = replace(written(view, propose(asked, now, 1)))
+        now += 2.0
+        if view.chunks == before.chunks:
+            return view
+    raise AssertionError("the placement does not settle")
--- /dev/null
+++ b/features/placement.feature
@@ -0,0 +1,12 @@
+Feature: Placement of slices
+
+  Scenario: First assignment is balanced and spread over availability zones
+    Given a placement of 192 slices over box-office-1..6 in 3 availability zones
+    When the placement is proposed and written
+    Then the placement owns between 32 and 32 slices per member
+    And the placement follows every owner from another availability zone
+
+  Scenario: A settled placement proposes nothing
+    Given a placement of 192 slices over box-office-1..6 in 3 availability zones
+    When the placement is proposed and written
+    Then the placement proposes nothing more
--- /dev/null
+++ b/rosemarydeal/policy/fleet.py
@@ -0,0 +1,102 @@
+"""Describes what a proposer knows of one service when it decides.
+
+The view is built by the driver from the platform's objects and the load
+reports; the placement, rebalancing and availability zone policies read it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from rosemarydeal.core import Incarnation, Member, MemberPhase, Row, SliceId
+from rosemarydeal.core.keys import SLICES_PER_CHUNK
+
+from .interface import ChunkRead
+
+__all__ = ["FleetView", "PlacementSettings"]
+
+LIVE_PHASES = frozenset({MemberPhase.UP, MemberPhase.DRAINING})
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementSettings:
+    """Tunes where slices are placed.
+
+    Attributes:
+        successors: Names that follow the owner in a row.
+        takeover_s: Seconds that each process leaves to the one ranked before it.
+    """
+
+    successors: int = 2
+    takeover_s: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """Gathers the members, chunks and loads of one service.
+
+    Attributes:
+        service: Service that the view is about.
+        slices: Number of base slices of the service.
+        members: Newest known record of each process of the service.
+        chunks: Newest known chunk objects by number.
+        self_node: Node of the process that decides.
+        loads: Smoothed load of slices in busy slots; empty when unknown.
+        settings: Tunes the placement.
+        out_zones: Availability zones that operators have taken out.
+    """
+
+    service: str
+    slices: int
+    members: tuple[Member, ...]
+    chunks: Mapping[int, ChunkRead]
+    self_node: str
+    loads: Mapping[SliceId, float] = field(default_factory=dict)
+    settings: PlacementSettings = PlacementSettings()
+    out_zones: frozenset[str] = frozenset()
+
+    @property
+    def chunk_count(self) -> int:
+        """Returns how many chunks the service's slices fill."""
+        return -(-self.slices // SLICES_PER_CHUNK)
+
+    def live(self) -> dict[Incarnation, Member]:
+        """Returns the members whose incarnation may hold rights."""
+        return {
+            member.incarnation: member
+            for member in sorted(self.members, key=lambda member: member.node)
+            if member.service == self.service and member.phase in LIVE_PHASES
+        }
+
+    def eligible(self) -> dict[Incarnation, Member]:
+        """Returns the members that may be given slices."""
+        return {
+            incarnation: member
+            for incarnation, member in self.live().items()
+            if member.phase is MemberPhase.UP
+            and member.place.availability_zone not in self.out_zones
+        }
+
+    def rows(self) -> Iterator[Row]:
+        """Yields the row of every slice; one without names where none is known."""
+        for number in range(self.chunk_count):
+            yield from self.chunk_rows(number)
+
+    def chunk_rows(self, number: int) -> Iterator[Row]:
+        """Yields the rows of one chunk, those of unknown base slices as empty."""
+        known = self.chunks.get(number)
+        rows = {row.slice: row for row in known.chunk.rows} if known else {}
+        first = number * SLICES_PER_CHUNK
+        for index in range(first, min(first + SLICES_PER_CHUNK, self.slices)):
+            base = SliceId(self.service, index)
+            rows.setdefault(base, Row(base, 0, ()))
+        for slice_id in sorted(rows):
+            yield rows[slice_id]
+
+    def weight(self, slice_id: SliceId) -> float:
+        """Returns the load of a slice, or the mean load where it is unknown."""
+        known = self.loads.get(slice_id)
+        if known is not None:
+            return known
+        return sum(self.loads.values()) / len(self.loads) if self.loads else 1.0
--- /dev/null
+++ b/rosemarydeal/policy/ledger.py
@@ -0,0 +1,114 @@
+"""Keeps count of the load that each member owns and would inherit.
+
+A loss hands a member's slices to their first successors, so that the spread
+of successors decides how balanced the service is after it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+
+from rosemarydeal.core import Incarnation, Member, Row, SliceId
+from rosemarydeal.core.keys import key_hash
+
+__all__ = ["Ledger"]
+
+
+class Ledger:
+    """Counts load per member while a proposal is being worked out."""
+
+    def __init__(self, members: Mapping[Incarnation, Member]) -> None:
+        self._members = members
+        self._owned = dict.fromkeys(members, 0.0)
+        self._inherited: dict[tuple[Incarnation, Incarnation], float] = {}
+
+    @property
+    def members(self) -> Mapping[Incarnation, Member]:
+        """Returns the members that may be given slices."""
+        return self._members
+
+    def share(self, name: Incarnation, extra: float = 0.0) -> float:
+        """Returns a member's load with some extra, per slot."""
+        return (self._owned[name] + extra) / self._members[name].slots
+
+    def mean_share(self) -> float:
+        """Returns the load per slot of all members together."""
+        slots = sum(member.slots for member in self._members.values())
+        return sum(self._owned.values()) / slots if slots else 0.0
+
+    def add_owner(self, name: Incarnation, weight: float) -> None:
+        """Counts a slice that a member owns; a negative weight takes it away."""
+        if name in self._owned:
+            self._owned[name] += weight
+
+    def add_row(self, row: Row, weight: float) -> None:
+        """Counts the owner and the first successor of a row."""
+        if row.succession:
+            self.add_owner(row.succession[0], weight)
+        if len(row.succession) > 1:
+            pair = (row.succession[0], row.succession[1])
+            self._inherited[pair] = self._inherited.get(pair, 0.0) + weight
+
+    def least_loaded(
+        self,
+        slice_id: SliceId,
+        weight: float,
+        candidates: Collection[Incarnation] | None = None,
+    ) -> Incarnation | None:
+        """Returns the member whose share stays lowest with the slice added."""
+        names = self._owned if candidates is None else candidates
+        return min(
+            names,
+            key=lambda name: (self.share(name, weight), _tie(slice_id, name)),
+            default=None,
+        )
+
+    def successors(
+        self, slice_id: SliceId, owner: Incarnation, weight: float, count: int
+    ) -> tuple[Incarnation, ...]:
+        """Chooses successors in other availability zones, evenly per owner.
+
+        Args:
+            slice_id: The slice to be followed.
+            owner: Its owner.
+            weight: Its load.
+            count: How many successors are wanted.
+
+        Returns:
+            As many names as there are members to give, best first.
+        """
+        used_zones = [self._zone(owner)] if owner in self._members else []
+        rest = [name for name in self._members if name != owner]
+        chosen: list[Incarnation] = []
+        while rest and len(chosen) < count:
+            best = min(
+                rest,
+                key=lambda name: self._cost(slice_id, owner, name, weight, used_zones),
+            )
+            rest.remove(best)
+            chosen.append(best)
+            used_zones.append(self._zone(best))
+        return tuple(chosen)
+
+    def _zone(self, name: Incarnation) -> str:
+        return self._members[name].place.availability_zone
+
+    def _cost(
+        self,
+        slice_id: SliceId,
+        owner: Incarnation,
+        name: Incarnation,
+        weight: float,
+        used_zones: list[str],
+    ) -> tuple[int, float, int]:
+        inherited = self._inherited.get((owner, name), 0.0)
+        return (
+            used_zones.count(self._zone(name)),
+            self.share(name, inherited + weight),
+            _tie(slice_id, name),
+        )
+
+
+def _tie(slice_id: SliceId, name: Incarnation) -> int:
+    """Breaks ties the same way in every process, differently per slice."""
+    return key_hash(f"{slice_id.index}/{slice_id.carved}/{name.node}")
