Add the bench harness in virtual time

Cause: Policies under load could not be measured: no clock, no fake upstream, no table.

Change: Add an event queue in virtual time, fake upstreams with slots, a queue, slowness, cold starts and loss, both workloads at their stated sizes, key distributions, results with median and spread, JSON, plots and a runner that finds scenarios by module name.

Measured result: Before, nothing to measure with.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the policy code and the data path."""
+"""Measures the policy code in virtual time with small fakes at its interfaces."""
--- /dev/null
+++ b/bench/results.py
@@ -0,0 +1,100 @@
+"""Sums the samples of all seeds up and writes them as a table and as JSON."""
+
+from __future__ import annotations
+
+import json
+import statistics
+from collections.abc import Iterable, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+__all__ = ["BenchRow", "Sample", "format_table", "quantile", "summarise", "write_json"]
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Gives one measured value of one run."""
+
+    measure: str
+    value: float
+    unit: str
+
+
+@dataclass(frozen=True, slots=True)
+class BenchRow:
+    """Gives the median of a measure over all seeds, with the spread.
+
+    Attributes:
+        measure: What was measured.
+        workload: Deployment whose sizes were used.
+        scenario: What happened.
+        variant: Which policy decided.
+        value: Median over the seeds.
+        unit: Unit of the value.
+        low: Lowest value of any seed.
+        high: Highest value of any seed.
+        seeds: Number of seeds.
+    """
+
+    measure: str
+    workload: str
+    scenario: str
+    variant: str
+    value: float
+    unit: str
+    low: float
+    high: float
+    seeds: int
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Returns the smallest value that a share of the values doesn't exceed."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def summarise(
+    workload: str, scenario: str, variant: str, runs: Iterable[Sequence[Sample]]
+) -> list[BenchRow]:
+    """Sums the samples of one variant's runs up, one row per measure."""
+    values: dict[tuple[str, str], list[float]] = {}
+    for samples in runs:
+        for sample in samples:
+            values.setdefault((sample.measure, sample.unit), []).append(sample.value)
+    return [
+        BenchRow(
+            measure,
+            workload,
+            scenario,
+            variant,
+            statistics.median(found),
+            unit,
+            min(found),
+            max(found),
+            len(found),
+        )
+        for (measure, unit), found in values.items()
+    ]
+
+
+def format_table(rows: Sequence[BenchRow]) -> str:
+    """Formats rows as a table with one line each."""
+    lines = [
+        f"{'scenario':<22}{'workload':<11}{'measure':<28}{'variant':<18}"
+        f"{'median':>11}{'low':>11}{'high':>11}  unit"
+    ]
+    ordered = sorted(rows, key=lambda row: (row.scenario, row.workload, row.measure))
+    for row in ordered:
+        lines.append(
+            f"{row.scenario:<22}{row.workload:<11}{row.measure:<28}{row.variant:<18}"
+            f"{row.value:>11.4g}{row.low:>11.4g}{row.high:>11.4g}  {row.unit}"
+        )
+    return "\n".join(lines)
+
+
+def write_json(rows: Sequence[BenchRow], path: Path) -> None:
+    """Writes rows as a JSON array."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps([asdict(row) for row in rows], indent=1) + "\n", "utf-8")
--- /dev/null
+++ b/features/steps/bench_steps.py
@@ -0,0 +1,101 @@
+"""Steps for the bench's fakes."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from bench.harness import (
+    FakeUpstream,
+    UpstreamSpec,
+    VirtualClock,
+    poisson_arrivals,
+    seeded,
+)
+
+
+def make_upstream(context, spec):
+    context.clock = VirtualClock()
+    context.upstream = FakeUpstream(context.clock, "box-office-1", "perth-a", spec)
+    context.ends = {}
+
+
+def submit(context, label):
+    def end(how):
+        context.ends[label] = (str(how), context.clock.now)
+
+    return context.upstream.submit(1.0, end)
+
+
+@given("a bench upstream with {slots:d} slots and {connections:d} connections")
+def step_upstream(context, slots, connections):
+    make_upstream(context, UpstreamSpec(slots, connections))
+
+
+@given(
+    "a bench upstream with {slots:d} slots and {connections:d} connections "
+    "that takes {cold:d} seconds to warm"
+)
+def step_cold_upstream(context, slots, connections, cold):
+    make_upstream(context, UpstreamSpec(slots, connections, cold_s=cold))
+
+
+@when("{count:d} bench jobs of 1 second arrive at once")
+def step_jobs(context, count):
+    for label in range(count):
+        submit(context, label)
+    context.clock.run(10.0)
+
+
+@when("the bench upstream turns cold and {count:d} jobs arrive")
+def step_cold_jobs(context, count):
+    context.upstream.turn_cold()
+    step_jobs(context, count)
+
+
+@when("a running bench job is cancelled while another waits")
+def step_cancel(context):
+    job = submit(context, "first")
+    submit(context, "second")
+    context.clock.run(0.5)
+    context.upstream.cancel(job)
+    context.clock.run(10.0)
+
+
+@then("the bench jobs end as {ends}")
+def step_ends(context, ends):
+    found = [context.ends[label][0] for label in sorted(context.ends)]
+    assert found == ends.split(", "), found
+
+
+@then("the last bench job ends at {moment:d} seconds")
+def step_last(context, moment):
+    assert max(when for _, when in context.ends.values()) == moment
+
+
+@then("the bench upstream was overfed {count:d} times")
+def step_overfed(context, count):
+    assert context.upstream.overfed == count, context.upstream.overfed
+
+
+@then("the waiting bench job ends 1 second later")
+def step_waiting(context):
+    assert context.ends["first"] == ("cancelled", 0.5)
+    assert context.ends["second"] == ("done", 1.5)
+
+
+@then("the bench draws the same {count:d} arrivals twice and others with another seed")
+def step_arrivals(context, count):
+    def draw(seed):
+        clock, moments = VirtualClock(), []
+        poisson_arrivals(
+            clock,
+            seeded(seed, "arrivals"),
+            lambda now: 10.0,
+            100.0,
+            lambda: moments.append(clock.now),
+        )
+        clock.run(100.0)
+        return moments[:count]
+
+    assert len(draw(1)) == count
+    assert draw(1) == draw(1) != draw(2)
