Pass on the ids of a slice's requests at a hand-over

Cause: a new owner could not tell a request that ran before a planned move from one that never ran.

Change: a peer message carries the ids with the tokens that they account for, and a gained right names the token of the owner that released it.

--- a/rosemarydeal/core/messages.py
+++ b/rosemarydeal/core/messages.py
@@ -13,6 +13,8 @@
 __all__ = [
     "ClearAsk",
     "ClearReply",
+    "KnownRequest",
+    "LedgerHandOver",
     "LoadReport",
     "Message",
     "PromiseAsk",
@@ -21,6 +23,7 @@
     "RecordsReply",
     "SliceLoad",
     "SuspectNotice",
+    "TokenRange",
     "VersionsNotice",
     "VouchAsk",
     "VouchReply",
@@ -137,6 +140,52 @@
     cleared: tuple[int, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TokenRange:
+    """Gives a closed range of fencing tokens."""
+
+    low: int
+    high: int
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRequest:
+    """Tells that a non-idempotent request ran, or may have run.
+
+    Attributes:
+        request_id: The id that the caller or the entry gave it.
+        fingerprint: Hash of what was asked.
+        age: Seconds since it ended.
+        answered: Whether its upstream answered it.
+        status: HTTP status of the answer, 0 without one.
+    """
+
+    request_id: str
+    fingerprint: int
+    age: float
+    answered: bool
+    status: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerHandOver:
+    """Passes on what the former owner of a slice knows of its requests.
+
+    Attributes:
+        slice: The slice that is handed over.
+        token: Fencing token under which the sender last served it.
+        covers: Tokens whose first tries the entries account for in full.
+        complete: Whether the entries hold every request of the whole window.
+        entries: The requests that ran or may have run.
+    """
+
+    slice: SliceId
+    token: int
+    covers: tuple[TokenRange, ...]
+    complete: bool
+    entries: tuple[KnownRequest, ...]
+
+
 Message = (
     VouchAsk
     | VouchReply
@@ -149,4 +198,5 @@
     | RecordsReply
     | LoadReport
     | SuspectNotice
+    | LedgerHandOver
 )
--- a/rosemarydeal/policy/interface.py
+++ b/rosemarydeal/policy/interface.py
@@ -172,10 +172,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RightGained:
-    """Tells the guard that it may serve a slice, with the fencing token."""
+    """Tells the guard that it may serve a slice, with the fencing token.
+
+    Attributes:
+        slice: The slice that may be served.
+        token: Fencing token; greater than any earlier owner's.
+        after_token: Token of the owner that released the slice by message
+            right before, -1 when it lapsed or is not known.
+    """
 
     slice: SliceId
     token: int
+    after_token: int = -1
 
 
 @dataclass(frozen=True, slots=True)
