Name the placement's load counts apart from the request ledger

Cause: two modules of the policy were about to share the name ledger. Change: the placement's counts become load_tally.LoadTally.

--- a/rosemarydeal/policy/ledger.py
+++ b/rosemarydeal/policy/load_tally.py
@@ -11,10 +11,10 @@
 from rosemarydeal.core import Incarnation, Member, Row, SliceId
 from rosemarydeal.core.keys import key_hash
 
-__all__ = ["Ledger"]
+__all__ = ["LoadTally"]
 
 
-class Ledger:
+class LoadTally:
     """Counts load per member while a proposal is being worked out."""
 
     def __init__(self, members: Mapping[Incarnation, Member]) -> None:
--- a/rosemarydeal/policy/placement.py
+++ b/rosemarydeal/policy/placement.py
@@ -14,7 +14,7 @@
 
 from .fleet import FleetView
 from .interface import WriteChunk
-from .ledger import Ledger
+from .load_tally import LoadTally
 
 __all__ = ["may_propose", "plan", "propose", "write_rows"]
 
@@ -92,35 +92,35 @@
     eligible = view.eligible()
     if not eligible:
         return {}
-    ledger = Ledger(eligible)
+    tally = LoadTally(eligible)
     orphans = []
     for row in view.rows():
         if row.owner in eligible:
-            ledger.add_row(row, view.weight(row.slice))
+            tally.add_row(row, view.weight(row.slice))
         else:
             orphans.append(row)
     orphans.sort(key=lambda row: (-view.weight(row.slice), row.slice))
     changed = {}
     for row in orphans:
-        changed[row.slice] = _adopt(view, ledger, row)
+        changed[row.slice] = _adopt(view, tally, row)
     for row in view.rows():
         if row.owner in eligible and _lacks_successors(view, eligible, row):
-            changed[row.slice] = _follow(view, ledger, row)
+            changed[row.slice] = _follow(view, tally, row)
     return changed
 
 
-def _adopt(view: FleetView, ledger: Ledger, row: Row) -> Row:
+def _adopt(view: FleetView, tally: LoadTally, row: Row) -> Row:
     """Gives a slice without an eligible owner to a member."""
     weight = view.weight(row.slice)
     live = view.live()
-    following = [name for name in row.succession if name in ledger.members]
+    following = [name for name in row.succession if name in tally.members]
     if row.owner is not None and row.owner not in live and following:
         owner = following[0]
     else:
-        owner = ledger.least_loaded(row.slice, weight)
-    successors = ledger.successors(row.slice, owner, weight, view.settings.successors)
+        owner = tally.least_loaded(row.slice, weight)
+    successors = tally.successors(row.slice, owner, weight, view.settings.successors)
     adopted = next_row(row, (owner, *successors))
-    ledger.add_row(adopted, weight)
+    tally.add_row(adopted, weight)
     return adopted
 
 
@@ -133,11 +133,11 @@
     return len(following) < wanted
 
 
-def _follow(view: FleetView, ledger: Ledger, row: Row) -> Row:
+def _follow(view: FleetView, tally: LoadTally, row: Row) -> Row:
     """Keeps the owner and the good successors and fills the rest."""
     weight = view.weight(row.slice)
-    kept = [name for name in row.succession if name in ledger.members]
-    fresh = ledger.successors(row.slice, kept[0], weight, len(ledger.members))
+    kept = [name for name in row.succession if name in tally.members]
+    fresh = tally.successors(row.slice, kept[0], weight, len(tally.members))
     names = [*kept, *(name for name in fresh if name not in kept)]
     return next_row(row, tuple(names[: view.settings.successors + 1]))
 
