Serve and send HTTP/1.1 by h11 on asyncio streams

Cause: The daemon, the stand-ins, the platform client and the operators' port need one HTTP server and one client with the same care on both sides.

Change: rosemarydeal.proxy holds requests and responses as frozen data classes, a server that runs one task a connection and cancels the handler when its caller disconnects, and a pool of kept connections that tells what was sent. Heads that two parsers could read differently are refused. The names of our headers are constants in rosemarydeal.core.headers.

--- /dev/null
+++ b/rosemarydeal/core/headers.py
@@ -0,0 +1,57 @@
+"""Names the HTTP headers that rosemarydeal gives a meaning to.
+
+All names are in lower case, as h11 hands them over, so that they can be
+compared as they are.
+"""
+
+from __future__ import annotations
+
+__all__ = [
+    "CODE",
+    "DEADLINE_MS",
+    "GRANT",
+    "HOPS",
+    "IDEMPOTENCY_KEY",
+    "OUTCOME",
+    "OUTCOME_ANSWER",
+    "OUTCOME_NOT_RUN",
+    "OUTCOME_UNKNOWN",
+    "PRIVATE_HEADERS",
+    "RETRY_AFTER",
+    "TENANT",
+    "TICKET",
+]
+
+IDEMPOTENCY_KEY = b"idempotency-key"
+"""Id of a request; a repeat with the same id never runs twice."""
+
+DEADLINE_MS = b"rosemarydeal-deadline-ms"
+"""Time that remains for the whole exchange, in milliseconds."""
+
+OUTCOME = b"rosemarydeal-outcome"
+"""Outcome of the request: one of the three values below."""
+
+OUTCOME_ANSWER = b"answer"
+OUTCOME_NOT_RUN = b"not-run"
+OUTCOME_UNKNOWN = b"unknown"
+
+CODE = b"rosemarydeal-code"
+"""Stable code of a refusal, listed in docs/CODES.md."""
+
+RETRY_AFTER = b"retry-after"
+"""Seconds after which a request that did not run is worth sending again."""
+
+HOPS = b"rosemarydeal-hops"
+"""Number of guards that the request has passed."""
+
+TICKET = b"rosemarydeal-ticket"
+"""Token of the slice to which the first try of a request was bound."""
+
+TENANT = b"rosemarydeal-tenant"
+"""Tenant on whose behalf the request is made."""
+
+GRANT = b"rosemarydeal-grant"
+"""Fencing token sent to the upstream, whose deadline is the rest of the lease."""
+
+PRIVATE_HEADERS = frozenset({HOPS, GRANT})
+"""Headers that only guards set; an entry removes them from callers' requests."""
--- /dev/null
+++ b/rosemarydeal/proxy/client.py
@@ -0,0 +1,211 @@
+"""Sends requests over connections that are kept alive for each address."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from rosemarydeal.core import Address
+
+from .client_connection import ClientConnection, ConnectionSettings, connect
+from .errors import ConnectFailed, ProxyTimeout
+from .message import Request, Response
+
+__all__ = ["Pool", "PoolSettings"]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """Limits the connections that a pool opens and keeps.
+
+    Attributes:
+        connections_per_address: Most connections to one address at a time.
+        idle_per_address: Most connections kept for later use.
+        idle_time_s: Time after which an unused connection is closed.
+        connect_time_s: Time for opening a connection.
+        connection: Limits of the single connection.
+    """
+
+    connections_per_address: int = 110
+    idle_per_address: int = 64
+    idle_time_s: float = 30.0
+    connect_time_s: float = 2.0
+    connection: ConnectionSettings = ConnectionSettings()
+
+
+class AddressPool:
+    """Holds the connections to one address and those who wait for one."""
+
+    def __init__(self) -> None:
+        self.open = 0
+        self.idle: deque[tuple[ClientConnection, float]] = deque()
+        self.waiters: deque[asyncio.Future[None]] = deque()
+
+
+class Pool:
+    """Opens, keeps and closes connections, and sends requests over them."""
+
+    def __init__(
+        self,
+        settings: PoolSettings,
+        on_open: Callable[[Address], None] | None = None,
+    ) -> None:
+        """Makes an empty pool.
+
+        Args:
+            settings: Limits of the pool.
+            on_open: Called with the address at each new connection.
+        """
+        self._settings = settings
+        self._on_open = on_open
+        self._addresses: dict[Address, AddressPool] = {}
+        self._sweep: asyncio.TimerHandle | None = None
+        self._closed = False
+
+    @property
+    def idle(self) -> int:
+        """Returns the number of connections kept for later use."""
+        return sum(len(pool.idle) for pool in self._addresses.values())
+
+    def open_to(self, address: Address) -> int:
+        """Returns the number of open connections to an address."""
+        pool = self._addresses.get(address)
+        return pool.open if pool is not None else 0
+
+    async def send(
+        self, address: Address, request: Request, timeout_s: float
+    ) -> Response:
+        """Sends a request and returns the response once its head is there.
+
+        The body of the response has to be read to its end or closed.
+
+        Args:
+            address: Where to send the request.
+            request: The request; its body is streamed.
+            timeout_s: Time for the whole exchange, the body included.
+
+        Returns:
+            The response.
+
+        Raises:
+            ConnectFailed: If no connection came about; nothing was sent.
+            SendFailed: If the connection broke before the response's head.
+            ResponseBroken: If the response is not valid HTTP.
+            ProxyTimeout: If the time ran out.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        while True:
+            connection = await self._acquire(address, deadline)
+            if connection.stale:
+                connection.abort()
+                continue
+            return await connection.exchange(request, deadline)
+
+    async def close(self) -> None:
+        """Closes the idle connections; those in use close after their use."""
+        self._closed = True
+        if self._sweep is not None:
+            self._sweep.cancel()
+        for pool in self._addresses.values():
+            for connection, _ in tuple(pool.idle):
+                connection.abort()
+
+    async def _acquire(self, address: Address, deadline: float) -> ClientConnection:
+        """Returns a kept connection or a new one, waiting for a free place."""
+        pool = self._addresses.setdefault(address, AddressPool())
+        while not pool.idle and pool.open >= self._settings.connections_per_address:
+            await self._wait_for_place(pool, deadline)
+        if pool.idle:
+            return pool.idle.pop()[0]
+        pool.open += 1
+        try:
+            return await self._open(address, deadline)
+        except BaseException:
+            self._leave(address, pool)
+            raise
+
+    async def _wait_for_place(self, pool: AddressPool, deadline: float) -> None:
+        """Waits in line until a connection is free or closed."""
+        waiter = asyncio.get_running_loop().create_future()
+        pool.waiters.append(waiter)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await waiter
+        except TimeoutError as error:
+            detail = "all connections to the upstream stayed in use"
+            raise ProxyTimeout(detail, sent=False) from error
+        except asyncio.CancelledError:
+            if waiter.done() and not waiter.cancelled():
+                self._wake(pool)
+            raise
+        finally:
+            if waiter in pool.waiters:
+                pool.waiters.remove(waiter)
+
+    async def _open(self, address: Address, deadline: float) -> ClientConnection:
+        """Opens a connection within the shorter of both times."""
+        now = asyncio.get_running_loop().time()
+        limit = min(deadline, now + self._settings.connect_time_s)
+        try:
+            async with asyncio.timeout_at(limit):
+                connection = await connect(
+                    address, self._settings.connection, self._put_back, self._forget
+                )
+        except TimeoutError as error:
+            if limit == deadline:
+                raise ProxyTimeout(f"no connection to {address}", False) from error
+            raise ConnectFailed(f"{address} did not accept in time") from error
+        except OSError as error:
+            raise ConnectFailed(f"{address}: {error.strerror or error}") from error
+        if self._on_open is not None:
+            self._on_open(address)
+        return connection
+
+    def _put_back(self, connection: ClientConnection) -> None:
+        """Keeps a connection whose exchange ended, within the limits."""
+        pool = self._addresses[connection.address]
+        if self._closed or len(pool.idle) >= self._settings.idle_per_address:
+            connection.abort()
+            return
+        loop = asyncio.get_running_loop()
+        pool.idle.append((connection, loop.time()))
+        self._wake(pool)
+        if self._sweep is None:
+            self._sweep = loop.call_later(self._settings.idle_time_s, self._close_idle)
+
+    def _forget(self, connection: ClientConnection) -> None:
+        """Drops a connection that is gone."""
+        pool = self._addresses[connection.address]
+        kept = [entry for entry in pool.idle if entry[0] is not connection]
+        if len(kept) != len(pool.idle):
+            pool.idle = deque(kept)
+        self._leave(connection.address, pool)
+
+    def _leave(self, address: Address, pool: AddressPool) -> None:
+        """Gives the place of a closed connection free."""
+        pool.open -= 1
+        self._wake(pool)
+        if not pool.open and not pool.waiters:
+            self._addresses.pop(address, None)
+
+    def _wake(self, pool: AddressPool) -> None:
+        """Lets the first in line go on."""
+        while pool.waiters:
+            waiter = pool.waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    def _close_idle(self) -> None:
+        """Closes connections that were not used for a while."""
+        self._sweep = None
+        loop = asyncio.get_running_loop()
+        oldest = loop.time() - self._settings.idle_time_s
+        for pool in tuple(self._addresses.values()):
+            for connection, since in tuple(pool.idle):
+                if since <= oldest:
+                    connection.abort()
+        if self.idle:
+            self._sweep = loop.call_later(self._settings.idle_time_s, self._close_idle)
--- /dev/null
+++ b/rosemarydeal/proxy/client_connection.py
@@ -0,0 +1,359 @@
+"""Carries one exchange after the other over a connection to an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import h11
+
+from rosemarydeal.core import Address
+
+from .errors import BadMessage, ProxyError, ProxyTimeout, ResponseBroken, SendFailed
+from .message import Request, Response, WholeBody, end_to_end, find_header
+from .wire import READ_BYTES, Wire
+
+__all__ = ["ClientConnection", "ConnectionSettings", "connect"]
+
+CONTINUE = 100
+SWITCHING_PROTOCOLS = 101
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE"})
+
+ConnectionEvent = Callable[["ClientConnection"], None]
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionSettings:
+    """Limits a connection to an upstream.
+
+    Attributes:
+        header_bytes: Longest head of a response.
+        continue_time_s: Time for a 100 response, after which the body is sent.
+    """
+
+    header_bytes: int = 32_768
+    continue_time_s: float = 1.0
+
+
+class UpstreamProtocol(asyncio.StreamReaderProtocol):
+    """Tells the connection at once when its peer closes it."""
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        super().__init__(reader)
+        self.connection: ClientConnection | None = None
+
+    def eof_received(self) -> bool:
+        """Notes that the peer sends no more."""
+        keep_open = super().eof_received()
+        if self.connection is not None:
+            self.connection.peer_closed()
+        return keep_open
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes that the connection is gone."""
+        super().connection_lost(exc)
+        if self.connection is not None:
+            self.connection.lost()
+
+
+async def connect(
+    address: Address,
+    settings: ConnectionSettings,
+    on_free: ConnectionEvent,
+    on_lost: ConnectionEvent,
+) -> ClientConnection:
+    """Opens a connection.
+
+    Args:
+        address: Where to connect to.
+        settings: Limits of the connection.
+        on_free: Called when an exchange ended and another may follow.
+        on_lost: Called once when the connection is gone.
+
+    Returns:
+        The connection.
+
+    Raises:
+        OSError: If the address can't be reached.
+    """
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=READ_BYTES)
+    protocol = UpstreamProtocol(reader)
+    transport, _ = await loop.create_connection(
+        lambda: protocol, address.host, address.port
+    )
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    connection = ClientConnection(address, settings, reader, writer, on_free, on_lost)
+    protocol.connection = connection
+    return connection
+
+
+class ResponseBody:
+    """Iterates over a response body while it comes in."""
+
+    def __init__(self, connection: ClientConnection, first: bytes) -> None:
+        self._connection = connection
+        self._first = first
+
+    def __aiter__(self) -> ResponseBody:
+        return self
+
+    async def __anext__(self) -> bytes:
+        piece, self._first = self._first, b""
+        if not piece and self._connection is not None:
+            piece = await self._connection.read_body()
+        if not piece:
+            self._connection = None
+            raise StopAsyncIteration
+        return piece
+
+    async def aclose(self) -> None:
+        """Cuts the connection when the body was not read to its end."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+
+class ClientConnection:
+    """Sends requests and reads their responses, one exchange at a time."""
+
+    def __init__(
+        self,
+        address: Address,
+        settings: ConnectionSettings,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        on_free: ConnectionEvent,
+        on_lost: ConnectionEvent,
+    ) -> None:
+        self._address = address
+        self._settings = settings
+        self._reader = reader
+        self._writer = writer
+        self._on_free = on_free
+        self._on_lost = on_lost
+        self._wire = Wire(h11.CLIENT, reader, writer, settings.header_bytes)
+        self._poll = select.poll()
+        self._poll.register(writer.get_extra_info("socket"), select.POLLIN)
+        self._used = False
+        self._busy = False
+        self._sent = False
+        self._head_read = False
+        self._timed_out = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._sender: asyncio.Task | None = None
+        self._continue: asyncio.Future[bool] | None = None
+
+    @property
+    def address(self) -> Address:
+        """Returns the address of the peer."""
+        return self._address
+
+    @property
+    def stale(self) -> bool:
+        """Tells whether a kept connection was closed, or got bytes unasked."""
+        if self._reader.at_eof() or self._writer.is_closing():
+            return True
+        return self._used and bool(self._poll.poll(0))
+
+    async def exchange(self, request: Request, deadline: float) -> Response:
+        """Sends a request and reads the head of its response.
+
+        Args:
+            request: The request.
+            deadline: End of the whole exchange, on the loop's clock.
+
+        Returns:
+            The response; its body frees the connection at its end.
+
+        Raises:
+            SendFailed: If the connection broke before the response's head.
+            ResponseBroken: If the response is not valid HTTP.
+            ProxyTimeout: If the time ran out.
+        """
+        self._start(deadline)
+        try:
+            self._send(request)
+            head = await self._read_response_head()
+            return self._begin_response(head)
+        except (OSError, BadMessage) as error:
+            failure = self._translate(error)
+            self.abort()
+            raise failure from error
+        except BaseException:
+            self.abort()
+            raise
+
+    async def read_body(self) -> bytes | None:
+        """Reads the next piece of the response, and frees the connection at its end.
+
+        Raises:
+            ResponseBroken: If the body breaks off or is framed wrongly.
+            ProxyTimeout: If the time ran out.
+        """
+        try:
+            piece = await self._wire.read_body()
+        except (OSError, BadMessage) as error:
+            failure = self._translate(error)
+            self.abort()
+            raise failure from error
+        except BaseException:
+            self.abort()
+            raise
+        if piece is None:
+            self._finish()
+        return piece
+
+    def abort(self) -> None:
+        """Cuts the connection."""
+        self._stop_timers()
+        self._writer.transport.abort()
+
+    def peer_closed(self) -> None:
+        """Drops the connection when its peer closes it between exchanges."""
+        if not self._busy:
+            self.abort()
+
+    def lost(self) -> None:
+        """Tells the owner that the connection is gone."""
+        self._stop_timers()
+        self._on_lost(self)
+
+    def _start(self, deadline: float) -> None:
+        """Prepares for an exchange that ends by its deadline."""
+        if self._used:
+            self._wire.start_next()
+        self._used = True
+        self._busy = True
+        self._sent = False
+        self._head_read = False
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(deadline, self._time_out)
+
+    def _send(self, request: Request) -> None:
+        """Writes a whole request at once, or starts a task that streams it."""
+        body = request.body
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=self._framed_headers(request),
+        )
+        waits = find_header(request.headers, b"expect") is not None
+        if isinstance(body, WholeBody) and not waits:
+            events = [head, h11.EndOfMessage()]
+            if body.data:
+                events.insert(1, h11.Data(data=body.data))
+            self._write(*events)
+            return
+        self._write(head)
+        if waits:
+            self._continue = asyncio.get_running_loop().create_future()
+        self._sender = asyncio.create_task(self._send_body(request))
+
+    def _framed_headers(self, request: Request) -> list[tuple[bytes, bytes]]:
+        """Returns the headers with one length header that fits the body."""
+        fields = list(end_to_end(request.headers))
+        names = {name for name, _ in fields}
+        if b"host" not in names:
+            fields.insert(0, (b"host", str(self._address).encode()))
+        if not isinstance(request.body, WholeBody):
+            if b"content-length" not in names:
+                fields.append((b"transfer-encoding", b"chunked"))
+            return fields
+        fields = [field for field in fields if field[0] not in FRAMING_HEADERS]
+        length = len(request.body.data)
+        if length or request.method not in METHODS_WITHOUT_BODY:
+            fields.append((b"content-length", b"%d" % length))
+        return fields
+
+    def _write(self, *events: h11.Event) -> None:
+        """Writes events; from the first on, bytes may have gone out."""
+        try:
+            self._wire.write(*events)
+        except h11.LocalProtocolError as error:
+            raise BadMessage(f"the request is not valid: {error}") from error
+        finally:
+            self._sent = True
+
+    async def _send_body(self, request: Request) -> None:
+        """Streams the request's body, as fast as the peer takes it."""
+        if self._continue is not None:
+            await asyncio.wait({self._continue}, timeout=self._settings.continue_time_s)
+        try:
+            async for piece in request.body:
+                self._write(h11.Data(data=piece))
+                await self._wire.flush()
+            self._write(h11.EndOfMessage())
+        except (ConnectionError, asyncio.CancelledError):
+            raise
+        except Exception as error:
+            self._reader.set_exception(error)
+            raise
+
+    async def _read_response_head(self) -> h11.Response:
+        """Reads heads up to the one that is final."""
+        while True:
+            if not await self._wire.wait_bytes():
+                raise ConnectionResetError("the upstream closed the connection")
+            head = await self._wire.read_head()
+            if type(head) is h11.Response:
+                return head
+            if head.status_code == SWITCHING_PROTOCOLS:
+                raise BadMessage("the upstream switched protocols unasked")
+            if head.status_code == CONTINUE and self._continue is not None:
+                self._wake_sender()
+
+    def _begin_response(self, head: h11.Response) -> Response:
+        """Builds the response, a whole one if all of it came in."""
+        self._head_read = True
+        headers = end_to_end(tuple(head.headers))
+        ready, whole = self._wire.take_ready_body()
+        if whole:
+            self._finish()
+            return Response(head.status_code, headers, WholeBody(ready))
+        body = ResponseBody(self, ready)
+        return Response(head.status_code, headers, body)
+
+    def _finish(self) -> None:
+        """Ends the exchange; an unclean one ends the connection too."""
+        self._stop_timers()
+        self._busy = False
+        clean = self._wire.reusable and not self._wire.has_unread
+        if clean and not self._reader.at_eof() and not self._writer.is_closing():
+            self._on_free(self)
+        else:
+            self.abort()
+
+    def _wake_sender(self) -> None:
+        """Lets the body go out after a 100 response."""
+        if not self._continue.done():
+            self._continue.set_result(True)
+
+    def _stop_timers(self) -> None:
+        """Ends the timer and the task of the exchange."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._sender is not None:
+            self._sender.cancel()
+            self._sender = None
+        self._continue = None
+
+    def _time_out(self) -> None:
+        """Cuts the exchange when its time ran out."""
+        self._timed_out = True
+        self._reader.set_exception(ConnectionAbortedError("out of time"))
+        self._writer.transport.abort()
+
+    def _translate(self, error: Exception) -> ProxyError:
+        """Turns a failure of the connection into this layer's error."""
+        if self._timed_out:
+            return ProxyTimeout("the time for the exchange ran out", self._sent)
+        if self._head_read:
+            return ResponseBroken(f"the response broke off: {error}")
+        if isinstance(error, BadMessage):
+            return ResponseBroken(f"the response is not valid: {error}")
+        return SendFailed(f"{self._address}: {error}", self._sent)
--- /dev/null
+++ b/rosemarydeal/proxy/message.py
@@ -0,0 +1,222 @@
+"""Defines requests and responses as both sides of the proxy pass them on."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import msgspec
+
+from rosemarydeal.core import Address
+
+from .errors import BodyTooLarge
+
+__all__ = [
+    "Headers",
+    "Request",
+    "Response",
+    "WholeBody",
+    "end_to_end",
+    "find_header",
+    "problem_response",
+    "read_whole",
+    "replace_header",
+    "whole_response",
+]
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# A Connection header that names one of these could hide it from the next hop.
+NEVER_STRIPPED = frozenset({b"host", b"content-length", b"expect", b"idempotency-key"})
+
+
+class WholeBody:
+    """Holds a body that is in memory as a whole.
+
+    It is an asynchronous iterator like a streamed body, but the connections
+    recognise it and write head and body at once.
+    """
+
+    __slots__ = ("_data", "_given")
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self._given = False
+
+    @property
+    def data(self) -> bytes:
+        """Returns all bytes of the body."""
+        return self._data
+
+    def __aiter__(self) -> WholeBody:
+        return self
+
+    async def __anext__(self) -> bytes:
+        if self._given or not self._data:
+            raise StopAsyncIteration
+        self._given = True
+        return self._data
+
+    async def aclose(self) -> None:
+        """Does nothing, since nothing is held open."""
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Carries one request; header names are in lower case.
+
+    Attributes:
+        method: Method, such as `b"GET"`.
+        target: Request target as it stood in the request line.
+        headers: End-to-end headers in the order of arrival.
+        body: Pieces of the body; may be iterated once.
+        peer: Address of the caller.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: AsyncIterator[bytes]
+    peer: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Carries one response; header names are in lower case.
+
+    Attributes:
+        status: HTTP status code.
+        headers: End-to-end headers in the order of arrival.
+        body: Pieces of the body; may be iterated once.
+    """
+
+    status: int
+    headers: Headers
+    body: AsyncIterator[bytes]
+
+    async def aclose(self) -> None:
+        """Gives up what is left of the body and frees its connection."""
+        close = getattr(self.body, "aclose", None)
+        if close is not None:
+            await close()
+
+    async def __aenter__(self) -> Response:
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        await self.aclose()
+
+
+def whole_response(status: int, body: bytes, headers: Headers = ()) -> Response:
+    """Builds a response whose body is in memory.
+
+    Args:
+        status: HTTP status code.
+        body: All bytes of the body.
+        headers: Further headers; the length is set when it is sent.
+
+    Returns:
+        The response.
+    """
+    return Response(status, headers, WholeBody(body))
+
+
+def problem_response(
+    status: int, code: str, detail: str, headers: Headers = ()
+) -> Response:
+    """Builds a response with an application/problem+json body (RFC 9457).
+
+    Args:
+        status: HTTP status code.
+        code: Stable code, listed in docs/CODES.md.
+        detail: One sentence for people.
+        headers: Further headers.
+
+    Returns:
+        The response.
+    """
+    problem = {
+        "type": f"urn:rosemarydeal:{code}",
+        "title": HTTPStatus(status).phrase,
+        "status": status,
+        "code": code,
+        "detail": detail,
+    }
+    kind = ((b"content-type", b"application/problem+json"),)
+    return whole_response(status, msgspec.json.encode(problem), kind + headers)
+
+
+async def read_whole(body: AsyncIterator[bytes], limit: int) -> bytes:
+    """Reads a body to its end.
+
+    Args:
+        body: The body.
+        limit: Most bytes that are kept in memory.
+
+    Returns:
+        All bytes of the body.
+
+    Raises:
+        BodyTooLarge: If the body is longer than the limit.
+    """
+    if isinstance(body, WholeBody):
+        if len(body.data) > limit:
+            raise BodyTooLarge(f"the body is longer than {limit} bytes")
+        return body.data
+    pieces = []
+    length = 0
+    async for piece in body:
+        length += len(piece)
+        if length > limit:
+            raise BodyTooLarge(f"the body is longer than {limit} bytes")
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the first value of a header, or None.
+
+    Args:
+        headers: The headers.
+        name: Name in lower case.
+    """
+    for field, value in headers:
+        if field == name:
+            return value
+    return None
+
+
+def replace_header(headers: Headers, name: bytes, value: bytes | None) -> Headers:
+    """Returns the headers with one value for a name, or without it for None.
+
+    Args:
+        headers: The headers.
+        name: Name in lower case.
+        value: The new value, or None to remove the header.
+    """
+    kept = tuple(field for field in headers if field[0] != name)
+    return kept if value is None else (*kept, (name, value))
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Removes the headers that concern a single connection (RFC 9110, 7.6.1)."""
+    dropped = HOP_BY_HOP
+    for name, value in headers:
+        if name == b"connection":
+            named = {token.strip().lower() for token in value.split(b",")}
+            dropped = dropped | (named - NEVER_STRIPPED)
+    return tuple((name, value) for name, value in headers if name not in dropped)
--- /dev/null
+++ b/rosemarydeal/proxy/server.py
@@ -0,0 +1,178 @@
+"""Listens for callers and runs one task for each of their connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import structlog
+
+from rosemarydeal.core import Address
+
+from .limits import HttpLimits
+from .message import problem_response
+from .server_connection import Handler, ServerConnection
+from .wire import READ_BYTES
+
+__all__ = ["HttpServer", "serve"]
+
+BACKLOG = 1_024
+
+log = structlog.get_logger(__name__)
+
+
+class CallerProtocol(asyncio.StreamReaderProtocol):
+    """Tells the connection at once when its caller leaves."""
+
+    def __init__(self, server: HttpServer) -> None:
+        reader = asyncio.StreamReader(limit=READ_BYTES)
+        super().__init__(reader, self._connected)
+        self._server = server
+        self._connection: ServerConnection | None = None
+
+    def eof_received(self) -> bool:
+        """Notes that the caller sends no more and is taken to have left."""
+        keep_open = super().eof_received()
+        if self._connection is not None:
+            self._connection.caller_left()
+        return keep_open
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes that the connection is gone."""
+        super().connection_lost(exc)
+        if self._connection is not None:
+            self._connection.caller_left()
+
+    async def _connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves the connection that came about."""
+        connection = self._server.admit(reader, writer)
+        if connection is None:
+            return
+        self._connection = connection
+        try:
+            await connection.run()
+        finally:
+            self._server.release(connection)
+
+
+class HttpServer:
+    """Holds the listening socket and the connections with callers."""
+
+    def __init__(self, handler: Handler, limits: HttpLimits) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._connections: set[ServerConnection] = set()
+        self._per_host: Counter[str] = Counter()
+        self._listener: asyncio.Server | None = None
+        self._address = Address("", 0)
+        self._empty = asyncio.Event()
+        self._empty.set()
+
+    @property
+    def address(self) -> Address:
+        """Returns the address on which the server listens."""
+        return self._address
+
+    @property
+    def connections(self) -> int:
+        """Returns the number of open connections with callers."""
+        return len(self._connections)
+
+    async def listen(self, address: Address) -> None:
+        """Opens the listening socket.
+
+        Args:
+            address: Where to listen; port 0 takes any free port.
+        """
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: CallerProtocol(self),
+            address.host,
+            address.port,
+            backlog=BACKLOG,
+        )
+        self._address = Address(*self._listener.sockets[0].getsockname()[:2])
+
+    async def drain(self, timeout_s: float) -> bool:
+        """Stops listening and lets the requests that run finish.
+
+        Args:
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            Whether all connections ended in time.
+        """
+        self._listener.close()
+        for connection in tuple(self._connections):
+            connection.stop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._empty.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """Stops listening and cuts all connections."""
+        self._listener.close()
+        for connection in tuple(self._connections):
+            connection.abort()
+        await self._empty.wait()
+
+    def admit(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> ServerConnection | None:
+        """Takes a new connection in, or refuses it over the caller's limit."""
+        host = writer.get_extra_info("peername")[0]
+        if self._per_host[host] >= self._limits.connections_per_address:
+            log.warning("too many connections", host=host)
+            self._refuse(writer)
+            return None
+        connection = ServerConnection(reader, writer, self._handler, self._limits)
+        self._per_host[host] += 1
+        self._connections.add(connection)
+        self._empty.clear()
+        return connection
+
+    def release(self, connection: ServerConnection) -> None:
+        """Forgets a connection that ended."""
+        host = connection.peer.host
+        self._per_host[host] -= 1
+        if not self._per_host[host]:
+            del self._per_host[host]
+        self._connections.discard(connection)
+        if not self._connections:
+            self._empty.set()
+
+    def _refuse(self, writer: asyncio.StreamWriter) -> None:
+        """Answers a connection over the limit and closes it."""
+        response = problem_response(
+            429, "too-many-connections", "too many connections from this address"
+        )
+        head = (
+            b"HTTP/1.1 429 Too Many Requests\r\nconnection: close\r\n"
+            b"rosemarydeal-outcome: not-run\r\n"
+            b"rosemarydeal-code: too-many-connections\r\n"
+            b"content-type: application/problem+json\r\ncontent-length: %d\r\n\r\n"
+        )
+        body = response.body.data
+        writer.write(head % len(body) + body)
+        writer.close()
+
+
+async def serve(handler: Handler, address: Address, limits: HttpLimits) -> HttpServer:
+    """Starts a server.
+
+    Args:
+        handler: Answers each request; cancelled when its caller disconnects.
+        address: Where to listen; port 0 takes any free port.
+        limits: Limits towards callers.
+
+    Returns:
+        The running server.
+    """
+    server = HttpServer(handler, limits)
+    await server.listen(address)
+    return server
--- /dev/null
+++ b/rosemarydeal/proxy/server_connection.py
@@ -0,0 +1,298 @@
+"""Serves the requests of one caller's connection, one after the other.
+
+One task runs the connection and the handler alike, so that cancelling it when
+the caller disconnects cancels the caller's work, and answers can't cross.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+import h11
+import structlog
+
+from rosemarydeal.core import Address, CodedError
+from rosemarydeal.core import headers as names
+
+from .errors import BadMessage, BodyTooLarge
+from .limits import HttpLimits
+from .message import (
+    Headers,
+    Request,
+    Response,
+    WholeBody,
+    end_to_end,
+    find_header,
+    problem_response,
+)
+from .watchdog import Watchdog
+from .wire import HIGH_WATER_BYTES, READ_BYTES, Wire
+
+__all__ = ["Handler", "ServerConnection"]
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+LINGER_BYTES = 1_048_576
+LINGER_S = 1.0
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+BODILESS_STATUSES = frozenset({204, 304})
+
+log = structlog.get_logger(__name__)
+
+
+class RequestBody:
+    """Iterates over a request body while it comes in.
+
+    The caller's 100 response is written when the first piece is asked for, so
+    that it goes out only when the body is wanted.
+    """
+
+    def __init__(self, connection: ServerConnection, first: bytes) -> None:
+        self._connection = connection
+        self._first = first
+
+    def __aiter__(self) -> RequestBody:
+        return self
+
+    async def __anext__(self) -> bytes:
+        piece, self._first = self._first, b""
+        if not piece:
+            piece = await self._connection.read_body()
+        if piece is None:
+            raise StopAsyncIteration
+        return piece
+
+
+class ServerConnection:
+    """Reads requests, runs the handler and writes its responses."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+        limits: HttpLimits,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._handler = handler
+        self._limits = limits
+        self._wire = Wire(h11.SERVER, reader, writer, limits.header_bytes)
+        self._watchdog = Watchdog()
+        self._task: asyncio.Task | None = None
+        self._peer = Address(*writer.get_extra_info("peername")[:2])
+        self._waiting = True
+        self._handling = False
+        self._closing = False
+        self._caller_gone = False
+        self._body_received = 0
+
+    @property
+    def peer(self) -> Address:
+        """Returns the caller's address."""
+        return self._peer
+
+    async def run(self) -> None:
+        """Serves until either side closes the connection."""
+        self._task = asyncio.current_task()
+        try:
+            while await self._serve_one():
+                self._wire.start_next()
+        except (ConnectionError, asyncio.CancelledError):
+            self._writer.transport.abort()
+        except Exception:
+            log.exception("connection failed", peer=str(self._peer))
+            self._writer.transport.abort()
+        finally:
+            self._close()
+
+    def stop(self) -> None:
+        """Closes the connection as soon as no request runs on it."""
+        self._closing = True
+        if self._waiting:
+            self._writer.close()
+
+    def abort(self) -> None:
+        """Cuts the connection and the request that runs on it."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def caller_left(self) -> None:
+        """Cancels the request that runs, since nobody waits for its answer."""
+        self._caller_gone = True
+        if self._handling:
+            self._task.cancel()
+
+    async def read_body(self) -> bytes | None:
+        """Reads the next piece of the request's body within its limits."""
+        if self._wire.peer_waits_for_continue and not self._wire.responded:
+            self._wire.write(h11.InformationalResponse(status_code=100, headers=[]))
+        self._watchdog.arm(self._limits.body_read_time_s, self._end_slow_read)
+        piece = await self._wire.read_body()
+        self._watchdog.disarm()
+        if piece is not None:
+            self._count_body(len(piece))
+        return piece
+
+    async def _serve_one(self) -> bool:
+        """Serves one request and tells whether another may follow."""
+        self._waiting = True
+        self._watchdog.arm(self._limits.idle_time_s, self._writer.close)
+        if self._closing or not await self._wire.wait_bytes():
+            return False
+        self._waiting = False
+        self._watchdog.arm(self._limits.header_time_s, self._end_slow_read)
+        try:
+            head = await self._wire.read_head()
+            self._watchdog.disarm()
+            request = self._accept(head)
+        except BadMessage as error:
+            await self._refuse(error, names.OUTCOME_NOT_RUN)
+            return False
+        if self._caller_gone:
+            return False
+        self._handling = True
+        await self._answer(request)
+        self._handling = False
+        if self._wire.reusable:
+            return True
+        await self._linger()
+        return False
+
+    def _accept(self, head: h11.Request) -> Request:
+        """Builds the request and takes what came in of its body.
+
+        Raises:
+            BadMessage: If the request can't be served as it is.
+        """
+        if head.method == b"CONNECT":
+            raise BadMessage("CONNECT is not served", 501, "method-not-served")
+        headers = tuple(head.headers)
+        length = find_header(headers, b"content-length")
+        if length is not None and int(length) > self._limits.body_bytes:
+            raise self._too_large()
+        ready, whole = self._wire.take_ready_body()
+        self._body_received = 0
+        self._count_body(len(ready))
+        body = WholeBody(ready) if whole else RequestBody(self, ready)
+        return Request(head.method, head.target, end_to_end(headers), body, self._peer)
+
+    async def _answer(self, request: Request) -> None:
+        """Runs the handler and writes the response that comes back."""
+        try:
+            response = await self._handler(request)
+        except BadMessage as error:
+            await self._refuse(error, names.OUTCOME_UNKNOWN)
+            return
+        except CodedError as error:
+            log.warning("handler failed", code=error.code, detail=error.detail)
+            response = self._failure(500, error, names.OUTCOME_UNKNOWN)
+        except Exception:
+            log.exception("handler failed", peer=str(self._peer))
+            error = CodedError("the request failed in the router")
+            response = self._failure(500, error, names.OUTCOME_UNKNOWN)
+        try:
+            await self._write_response(request.method, response)
+        finally:
+            await response.aclose()
+
+    async def _write_response(self, method: bytes, response: Response) -> None:
+        """Writes a response, a whole one in a single piece."""
+        body = response.body
+        bodiless = method == b"HEAD" or response.status in BODILESS_STATUSES
+        fields = list(end_to_end(response.headers))
+        if isinstance(body, WholeBody) and (body.data or not bodiless):
+            fields = [field for field in fields if field[0] != b"content-length"]
+            fields.append((b"content-length", b"%d" % len(body.data)))
+        if self._closing or not self._wire.peer_done:
+            fields.append((b"connection", b"close"))
+        reason = REASONS.get(response.status, b"")
+        head = h11.Response(status_code=response.status, headers=fields, reason=reason)
+        if bodiless:
+            self._wire.write(head, h11.EndOfMessage())
+        elif isinstance(body, WholeBody):
+            self._wire.write(head, h11.Data(data=body.data), h11.EndOfMessage())
+        else:
+            self._wire.write(head)
+            await self._write_pieces(response)
+        await self._flush()
+
+    async def _write_pieces(self, response: Response) -> None:
+        """Writes a body piece by piece, as fast as the caller takes it.
+
+        A body that fails half-way cuts the connection, so that the caller
+        can't take the part for the whole.
+        """
+        try:
+            async for piece in response.body:
+                self._wire.write(h11.Data(data=piece))
+                await self._flush()
+            self._wire.write(h11.EndOfMessage())
+        except (CodedError, h11.LocalProtocolError) as error:
+            log.warning("response broke off", detail=str(error))
+            raise ConnectionAbortedError from error
+
+    async def _flush(self) -> None:
+        """Waits until the caller took enough, within the time for it."""
+        if self._writer.transport.get_write_buffer_size() <= HIGH_WATER_BYTES:
+            return
+        self._watchdog.arm(self._limits.write_time_s, self._writer.transport.abort)
+        await self._wire.flush()
+        self._watchdog.disarm()
+
+    async def _refuse(self, error: BadMessage, outcome: bytes) -> None:
+        """Answers a request that breaks a rule, and closes the connection."""
+        self._watchdog.disarm()
+        if self._wire.responded:
+            raise ConnectionAbortedError
+        self._closing = True
+        await self._write_response(b"", self._failure(error.status, error, outcome))
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """Reads what the caller still sends, so that it gets the response.
+
+        Closing with unread bytes would reset the connection and could take
+        the response with it.
+        """
+        if not self._writer.can_write_eof() or self._writer.is_closing():
+            return
+        self._writer.write_eof()
+        self._watchdog.arm(LINGER_S, self._writer.transport.abort)
+        left = LINGER_BYTES
+        while left > 0 and (data := await self._reader.read(READ_BYTES)):
+            left -= len(data)
+
+    def _failure(self, status: int, error: CodedError, outcome: bytes) -> Response:
+        """Builds the problem response for an error."""
+        fields: Headers = (
+            (names.OUTCOME, outcome),
+            (names.CODE, error.code.encode()),
+        )
+        return problem_response(status, error.code, error.detail, fields)
+
+    def _count_body(self, length: int) -> None:
+        """Adds to the length of the body and holds it against the limit."""
+        self._body_received += length
+        if self._body_received > self._limits.body_bytes:
+            raise self._too_large()
+
+    def _too_large(self) -> BodyTooLarge:
+        """Builds the error for a body over its limit."""
+        detail = f"the body is longer than {self._limits.body_bytes} bytes"
+        return BodyTooLarge(detail)
+
+    def _end_slow_read(self) -> None:
+        """Makes the read that waits fail, since the caller sends too slowly."""
+        error = BadMessage("the request came in too slowly", 408, "request-timeout")
+        self._reader.set_exception(error)
+
+    def _close(self) -> None:
+        """Closes the connection once the caller took the rest, or in time."""
+        self._watchdog.close()
+        self._writer.close()
+        if self._writer.transport.get_write_buffer_size() > 0:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._limits.write_time_s, self._writer.transport.abort)
--- /dev/null
+++ b/rosemarydeal/proxy/wire.py
@@ -0,0 +1,198 @@
+"""Joins one h11 state machine with one pair of asyncio streams.
+
+Both sides of the proxy use it. It adds the strictness that h11 leaves out:
+what two parsers could read in two ways is refused, not repaired.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import h11
+
+from .errors import BadMessage
+
+__all__ = ["HIGH_WATER_BYTES", "READ_BYTES", "Wire"]
+
+READ_BYTES = 65_536
+HIGH_WATER_BYTES = 65_536
+HEAD_END = b"\r\n\r\n"
+
+Head = h11.Request | h11.Response | h11.InformationalResponse
+
+
+def check_lines(head: bytes) -> None:
+    """Refuses line ends and characters that parsers read differently.
+
+    Args:
+        head: Start line and headers, or the complete lines of it.
+
+    Raises:
+        BadMessage: If the head has a bare CR or LF, a folded line or a NUL.
+    """
+    line_ends = head.count(b"\r\n")
+    if head.count(b"\n") != line_ends or head.count(b"\r") != line_ends:
+        raise BadMessage("a line of the head doesn't end in CR LF")
+    if b"\r\n " in head or b"\r\n\t" in head:
+        raise BadMessage("a header is folded over several lines")
+    if b"\0" in head:
+        raise BadMessage("the head holds a NUL")
+
+
+def check_framing(head: Head) -> None:
+    """Refuses heads whose body length could be read in two ways.
+
+    Raises:
+        BadMessage: If both length headers are there, or HTTP/1.0 is chunked.
+    """
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" not in names:
+        return
+    if b"content-length" in names:
+        raise BadMessage("Content-Length and Transfer-Encoding are both there")
+    if head.http_version < b"1.1":
+        raise BadMessage("HTTP/1.0 has no Transfer-Encoding")
+
+
+class Wire:
+    """Reads and writes the events of one HTTP connection."""
+
+    def __init__(
+        self,
+        role: type[h11.CLIENT] | type[h11.SERVER],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        header_bytes: int,
+    ) -> None:
+        self._h11 = h11.Connection(role, max_incomplete_event_size=header_bytes)
+        self._reader = reader
+        self._writer = writer
+        self._header_bytes = header_bytes
+
+    @property
+    def reusable(self) -> bool:
+        """Tells whether the exchange ended so that another may follow."""
+        return self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+
+    @property
+    def peer_done(self) -> bool:
+        """Tells whether the peer's message was read to its end."""
+        return self._h11.their_state not in (h11.SEND_BODY, h11.SEND_RESPONSE)
+
+    @property
+    def peer_waits_for_continue(self) -> bool:
+        """Tells whether the caller holds its body back until a 100 response."""
+        return self._h11.they_are_waiting_for_100_continue
+
+    @property
+    def responded(self) -> bool:
+        """Tells whether the head of our response went out."""
+        return self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    @property
+    def has_unread(self) -> bool:
+        """Tells whether bytes beyond the current message came in."""
+        return bool(self._h11.trailing_data[0])
+
+    async def wait_bytes(self) -> bool:
+        """Waits for the first bytes of the next message.
+
+        Returns:
+            Whether any came; false when the peer closed instead.
+        """
+        if self.has_unread:
+            return True
+        data = await self._reader.read(READ_BYTES)
+        self._receive(data)
+        return bool(data)
+
+    async def read_head(self) -> Head:
+        """Reads and checks the next head.
+
+        Returns:
+            The head.
+
+        Raises:
+            BadMessage: If the head breaks a rule or the limit of its length.
+        """
+        seen = self._h11.trailing_data[0]
+        searched = 0
+        while (end := seen.find(HEAD_END, searched)) < 0:
+            if len(seen) > self._header_bytes:
+                raise self._too_long()
+            check_lines(seen[: seen.rfind(b"\n") + 1])
+            searched = max(0, len(seen) - len(HEAD_END) + 1)
+            data = await self._reader.read(READ_BYTES)
+            if not data:
+                raise BadMessage("the connection closed within the head")
+            self._receive(data)
+            seen += data
+        if end + len(HEAD_END) > self._header_bytes:
+            raise self._too_long()
+        check_lines(seen[: end + len(HEAD_END)])
+        head = self._next_event()
+        check_framing(head)
+        return head
+
+    async def read_body(self) -> bytes | None:
+        """Reads the next piece of the peer's body.
+
+        Returns:
+            The piece, or None at the end of the message.
+
+        Raises:
+            BadMessage: If the body breaks off or is framed wrongly.
+        """
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                data = await self._reader.read(READ_BYTES)
+                self._receive(data)
+            elif type(event) is h11.Data:
+                return bytes(event.data)
+            elif type(event) is h11.EndOfMessage:
+                return None
+            else:
+                raise BadMessage("the connection closed within the body")
+
+    def take_ready_body(self) -> tuple[bytes, bool]:
+        """Takes what came in of the body already, without waiting.
+
+        Returns:
+            The bytes, and whether the message is complete with them.
+        """
+        pieces = []
+        while type(event := self._next_event()) is h11.Data:
+            pieces.append(event.data)
+        return b"".join(pieces), type(event) is h11.EndOfMessage
+
+    def write(self, *events: h11.Event) -> None:
+        """Writes events as one piece, without waiting for the peer."""
+        self._writer.write(b"".join([self._h11.send(event) for event in events]))
+
+    async def flush(self) -> None:
+        """Waits until the peer took enough of what was written."""
+        await self._writer.drain()
+
+    def start_next(self) -> None:
+        """Prepares for the next exchange on the connection."""
+        self._h11.start_next_cycle()
+
+    def _too_long(self) -> BadMessage:
+        """Builds the error for a head over its limit."""
+        detail = f"the head is longer than {self._header_bytes} bytes"
+        return BadMessage(detail, status=431, code="header-too-large")
+
+    def _receive(self, data: bytes) -> None:
+        """Hands read bytes to h11; no bytes mean that the peer closed."""
+        try:
+            self._h11.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise BadMessage(str(error)) from error
+
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Returns h11's next event, with its errors translated."""
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            raise BadMessage(str(error), error.error_status_hint) from error
