--- /dev/null
+++ b/features/steps/peers_steps.py
@@ -0,0 +1,112 @@
+import asyncio
+import contextlib
+from typing import get_args
+
+import zmq
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.builders_peers import key_pair, link, receive_one
+from rosemarydeal.core.messages import Message, VersionsNotice
+from rosemarydeal.peers import PeerMessageError, decode, encode
+
+NOTICE = VersionsNotice((("config/current", 3),))
+
+
+@then("any peer message decodes to what was encoded")
+def step_round_trip(context):
+    st.register_type_strategy(int, st.integers(-(2**63), 2**63 - 1))
+    st.register_type_strategy(float, st.floats(allow_nan=False))
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given_values(st.one_of([st.from_type(kind) for kind in get_args(Message)]))
+    def check(message):
+        assert decode(encode("voss-b-1", message)) == ("voss-b-1", message)
+
+    check()
+
+
+@then("arbitrary bytes never decode to anything but a coded error")
+def step_arbitrary(context):
+    good = encode("voss-b-1", NOTICE)
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given_values(st.one_of(st.binary(), st.sampled_from(range(len(good)))))
+    def check(data):
+        data = good[:data] if isinstance(data, int) else data
+        with contextlib.suppress(PeerMessageError):
+            sender, message = decode(data)
+            assert isinstance(message, Message)
+
+    check()
+    try:
+        decode(good[:-1])
+    except PeerMessageError as error:
+        assert error.code == "peer_message"
+    else:
+        raise AssertionError("a truncated message was accepted")
+
+
+@given("a peer link that knows one key")
+def step_link(context):
+    context.friend_keys = key_pair()
+    context.server_keys = key_pair()
+
+
+@when("a stranger and a known peer send messages to the link")
+def step_stranger(context):
+    async def run():
+        server = link("server", context.server_keys, {context.friend_keys.public})
+        friend = link("friend", context.friend_keys, set())
+        stranger = link("stranger", key_pair(), set())
+        await server.start()
+        try:
+            for sender in (stranger, friend, stranger, friend):
+                sender.connect("server", server.address, context.server_keys.public)
+                assert sender.send("server", NOTICE)
+                if sender is friend:
+                    context.received.append(await receive_one(server))
+            context.total = server.counters.received
+        finally:
+            for one in (server, friend, stranger):
+                await one.close()
+
+    context.received = []
+    asyncio.run(run())
+
+
+@then("the link receives those of the known peer only")
+def step_known_only(context):
+    assert [r.sender for r in context.received] == ["friend", "friend"]
+    assert context.total == 2
+
+
+@when("the known peer sends a malformed message before a good one")
+def step_malformed(context):
+    async def run():
+        server = link("server", context.server_keys, {context.friend_keys.public})
+        await server.start()
+        raw = zmq.Context()
+        socket = raw.socket(zmq.DEALER)
+        socket.curve_publickey = context.friend_keys.public.encode()
+        socket.curve_secretkey = context.friend_keys.secret.encode()
+        socket.curve_serverkey = context.server_keys.public.encode()
+        socket.connect(f"tcp://{server.address}")
+        try:
+            socket.send(b"\xc1 not msgpack")
+            socket.send(encode("friend", NOTICE))
+            context.good = await receive_one(server)
+            context.counters = server.counters
+        finally:
+            raw.destroy(linger=0)
+            await server.close()
+
+    asyncio.run(run())
+
+
+@then("the link counts one malformed message and receives the good one")
+def step_counted(context):
+    assert context.good.message == NOTICE
+    assert context.counters.malformed == 1
--- a/rosemarydeal/peers/__init__.py
+++ b/rosemarydeal/peers/__init__.py
@@ -1,1 +1,18 @@
-"""Messages between the system's own processes."""
+"""Messages between the system's own processes: codec, keys and sockets."""
+
+from .codec import MAX_MESSAGE_BYTES, PROTOCOL_VERSION, decode, encode
+from .errors import PeerError, PeerMessageError
+from .link import PeerCounters, PeerLink, PeerLinkSettings, Received
+
+__all__ = [
+    "MAX_MESSAGE_BYTES",
+    "PROTOCOL_VERSION",
+    "PeerCounters",
+    "PeerError",
+    "PeerLink",
+    "PeerLinkSettings",
+    "PeerMessageError",
+    "Received",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/rosemarydeal/peers/link.py
@@ -0,0 +1,246 @@
+"""Sends and receives messages over ZeroMQ with CURVE keys.
+
+One ROUTER socket receives; one DEALER socket for each peer sends. A peer
+whose public key isn't known can't complete the handshake, so nothing of it
+is ever read. Queues are bounded: what doesn't fit is dropped and counted,
+since every message of the protocol may get lost anyway.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import zmq
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from rosemarydeal.core import Address
+from rosemarydeal.core.messages import Message
+
+from .codec import MAX_MESSAGE_BYTES, decode, encode
+from .errors import PeerError, PeerMessageError
+
+__all__ = ["PeerCounters", "PeerLink", "PeerLinkSettings", "Received"]
+
+RECEIVE_QUEUE_MESSAGES = 4096
+SEND_QUEUE_MESSAGES = 256
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+HANDSHAKE_MS = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLinkSettings:
+    """Sets up the link of one process.
+
+    Attributes:
+        node: Name of the process.
+        address: Where the process listens.
+        public_key: CURVE public key of the process, in Z85.
+        secret_key: CURVE secret key of the process, in Z85.
+        known_keys: Public keys that may connect.
+    """
+
+    node: str
+    address: Address
+    public_key: str
+    secret_key: str = field(repr=False)
+    known_keys: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """Is one message from a peer."""
+
+    sender: str
+    message: Message
+
+
+@dataclass(slots=True)
+class PeerCounters:
+    """Counts what passed the link."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    dropped_send: int = 0
+    dropped_receive: int = 0
+    malformed: int = 0
+
+
+class _KnownKeys:
+    """Answers whether a CURVE public key may connect."""
+
+    def __init__(self, keys: frozenset[str]) -> None:
+        self._keys = frozenset(key.encode("ascii") for key in keys)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Says whether a key in Z85 is known."""
+        return key in self._keys
+
+
+@dataclass(frozen=True, slots=True)
+class _Peer:
+    """Is the sending side towards one peer."""
+
+    address: Address
+    public_key: str
+    socket: zmq.Socket
+
+
+class PeerLink:
+    """Owns the sockets between this process and its peers."""
+
+    def __init__(self, settings: PeerLinkSettings) -> None:
+        self._settings = settings
+        self._context = zmq.asyncio.Context()
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._peers: dict[str, _Peer] = {}
+        self._queue: asyncio.Queue[Received] = asyncio.Queue(RECEIVE_QUEUE_MESSAGES)
+        self._counters = PeerCounters()
+        self._task: asyncio.Task[None] | None = None
+        self._address = settings.address
+
+    @property
+    def address(self) -> Address:
+        """Returns where the process listens, once it is started."""
+        return self._address
+
+    @property
+    def counters(self) -> PeerCounters:
+        """Returns the counters of the link."""
+        return self._counters
+
+    async def start(self) -> None:
+        """Binds the receiving socket and starts to receive.
+
+        Raises:
+            PeerError: The address can't be bound or a key is no CURVE key.
+        """
+        self._authenticator.start()
+        known = _KnownKeys(self._settings.known_keys)
+        self._authenticator.configure_curve_callback("*", known)
+        try:
+            socket = self._bind()
+        except zmq.ZMQError as error:
+            self._authenticator.stop()
+            detail = f"{self._settings.address}: {error.strerror}"
+            raise PeerError(detail, "peer_bind") from error
+        self._task = asyncio.create_task(self._receive(socket))
+
+    def connect(self, node: str, address: Address, public_key: str) -> None:
+        """Sets where a peer is reached; an unchanged peer keeps its socket.
+
+        Args:
+            node: Name of the peer.
+            address: Where the peer listens.
+            public_key: CURVE public key of the peer, in Z85.
+        """
+        known = self._peers.get(node)
+        if known and (known.address, known.public_key) == (address, public_key):
+            return
+        self.disconnect(node)
+        socket = zmq.Context(self._context).socket(zmq.DEALER)
+        socket.linger = 0
+        socket.sndhwm = SEND_QUEUE_MESSAGES
+        socket.reconnect_ivl = RECONNECT_MS
+        socket.reconnect_ivl_max = RECONNECT_MAX_MS
+        socket.handshake_ivl = HANDSHAKE_MS
+        socket.curve_publickey = self._settings.public_key.encode("ascii")
+        socket.curve_secretkey = self._settings.secret_key.encode("ascii")
+        socket.curve_serverkey = public_key.encode("ascii")
+        socket.connect(f"tcp://{address}")
+        self._peers[node] = _Peer(address, public_key, socket)
+
+    def disconnect(self, node: str) -> None:
+        """Closes the sending side towards a peer, if there is one."""
+        peer = self._peers.pop(node, None)
+        if peer is not None:
+            peer.socket.close()
+
+    def retain(self, nodes: Mapping[str, object] | frozenset[str]) -> None:
+        """Closes the sending side towards all peers but the named ones."""
+        for node in [name for name in self._peers if name not in nodes]:
+            self.disconnect(node)
+
+    def send(self, node: str, message: Message) -> bool:
+        """Sends a message without waiting.
+
+        Args:
+            node: Name of the peer.
+            message: The message.
+
+        Returns:
+            Whether the message was queued; one that isn't counts as lost.
+        """
+        data = encode(self._settings.node, message)
+        peer = self._peers.get(node)
+        try:
+            if peer is None or len(data) > MAX_MESSAGE_BYTES:
+                raise zmq.Again
+            peer.socket.send(data, zmq.NOBLOCK)
+        except zmq.Again:
+            self._counters.dropped_send += 1
+            return False
+        self._counters.sent += 1
+        self._counters.sent_bytes += len(data)
+        return True
+
+    async def receive(self) -> Received:
+        """Waits for the next message of a peer."""
+        return await self._queue.get()
+
+    async def close(self) -> None:
+        """Stops receiving and closes all sockets."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        for node in list(self._peers):
+            self.disconnect(node)
+        self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def _bind(self) -> zmq.asyncio.Socket:
+        """Returns the bound receiving socket."""
+        socket = self._context.socket(zmq.ROUTER)
+        socket.linger = 0
+        socket.rcvhwm = RECEIVE_QUEUE_MESSAGES
+        socket.maxmsgsize = MAX_MESSAGE_BYTES
+        socket.handshake_ivl = HANDSHAKE_MS
+        socket.curve_server = True
+        socket.curve_publickey = self._settings.public_key.encode("ascii")
+        socket.curve_secretkey = self._settings.secret_key.encode("ascii")
+        socket.bind(f"tcp://{self._settings.address}")
+        port = int(socket.last_endpoint.rpartition(b":")[2])
+        self._address = Address(self._settings.address.host, port)
+        return socket
+
+    async def _receive(self, socket: zmq.asyncio.Socket) -> None:
+        """Reads, checks and queues messages until cancelled."""
+        try:
+            while True:
+                frames = await socket.recv_multipart()
+                self._accept(frames)
+        finally:
+            socket.close()
+
+    def _accept(self, frames: list[bytes]) -> None:
+        """Queues one message; a malformed or excess one is counted."""
+        try:
+            if len(frames) != 2:
+                raise PeerMessageError(f"message of {len(frames)} frames")
+            received = Received(*decode(frames[1]))
+        except PeerMessageError:
+            self._counters.malformed += 1
+            return
+        self._counters.received += 1
+        self._counters.received_bytes += len(frames[1])
+        try:
+            self._queue.put_nowait(received)
+        except asyncio.QueueFull:
+            self._counters.dropped_receive += 1
--- /dev/null
+++ b/rosemarydeal/standins/platform.py
@@ -0,0 +1,182 @@
+"""Serves the platform's object API on loopback, with faults on demand.
+
+The protocol is described in docs/PROTOCOL.md. The faults are those that the
+real platform shows: outages, slow answers and answers lost after a write.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
+
+from rosemarydeal.core import Address
+from rosemarydeal.platform.wire import ChangesBody, ObjectBody
+from rosemarydeal.proxy import (
+    HttpLimits,
+    HttpServer,
+    Request,
+    Response,
+    header,
+    read_whole,
+    serve,
+    whole_response,
+)
+
+from .store import MAX_VALUE_BYTES, ObjectStore, StoredObject
+
+__all__ = ["PlatformFaults", "StandInPlatform"]
+
+OBJECTS = "/objects/"
+WATCH_MAX_S = 30.0
+
+
+@dataclass(slots=True)
+class PlatformFaults:
+    """Says how the platform misbehaves at present.
+
+    Attributes:
+        delay_s: Time added to each answer, in seconds.
+        lose_write_answers: Answers to writes to lose after they took effect.
+    """
+
+    delay_s: float = 0.0
+    lose_write_answers: int = 0
+
+
+class StandInPlatform:
+    """Runs the object API in front of a store."""
+
+    def __init__(self, address: Address, store: ObjectStore | None = None) -> None:
+        self._address = address
+        self._store = store or ObjectStore()
+        self._faults = PlatformFaults()
+        self._calls: Counter[str] = Counter()
+        self._changed = asyncio.Event()
+        self._server: HttpServer | None = None
+
+    @property
+    def address(self) -> Address:
+        """Returns where the API is served."""
+        return self._address
+
+    @property
+    def store(self) -> ObjectStore:
+        """Returns the objects, which survive an outage."""
+        return self._store
+
+    @property
+    def faults(self) -> PlatformFaults:
+        """Returns the faults, to be changed in place."""
+        return self._faults
+
+    @property
+    def calls(self) -> Counter[str]:
+        """Returns the number of calls by method."""
+        return self._calls
+
+    async def start(self) -> None:
+        """Starts to serve; also ends an outage."""
+        limits = HttpLimits(connections_per_caller=4096)
+        self._server = await serve(self._handle, self._address, limits)
+        self._address = self._server.address
+
+    async def stop(self) -> None:
+        """Stops to serve at once; also begins an outage."""
+        if self._server is not None:
+            await self._server.close()
+            self._server = None
+
+    async def _handle(self, request: Request) -> Response:
+        """Answers one call."""
+        self._calls[request.method.decode("ascii")] += 1
+        url = urlsplit(request.target.decode("ascii"))
+        if self._faults.delay_s:
+            await asyncio.sleep(self._faults.delay_s)
+        if request.method == b"PUT" and url.path.startswith(OBJECTS):
+            return await self._put(request, unquote(url.path[len(OBJECTS) :]))
+        if request.method != b"GET":
+            return whole_response(405, b"")
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path.startswith(OBJECTS):
+            return self._get(unquote(url.path[len(OBJECTS) :]))
+        if url.path == "/objects":
+            return self._list(query.get("prefix", ""))
+        if url.path == "/changes":
+            return await self._watch(query)
+        return whole_response(404, b"")
+
+    def _get(self, key: str) -> Response:
+        """Answers with one object."""
+        stored = self._store.get(key)
+        if stored is None:
+            return whole_response(404, b"")
+        return whole_response(200, stored.versioned.value, _version_headers(stored))
+
+    def _list(self, prefix: str) -> Response:
+        """Answers with all objects under a prefix."""
+        return _changes_response(self._store, prefix, 0)
+
+    async def _put(self, request: Request, key: str) -> Response:
+        """Carries out a conditional update."""
+        expected = _expected_version(request)
+        if expected is None:
+            return whole_response(428, b"")
+        value = await read_whole(request.body, MAX_VALUE_BYTES)
+        change_id = (header(request.headers, b"change-id") or b"").decode("ascii")
+        stored = self._store.put(key, value, expected, change_id)
+        if stored is None:
+            return whole_response(412, b"")
+        self._announce_change()
+        if self._faults.lose_write_answers > 0:
+            self._faults.lose_write_answers -= 1
+            raise ConnectionResetError("the answer is lost on purpose")
+        return whole_response(200, b"", _version_headers(stored))
+
+    async def _watch(self, query: dict[str, str]) -> Response:
+        """Waits for a change under a prefix and answers with it."""
+        prefix = query.get("prefix", "")
+        after = int(query.get("after", "0"))
+        wait_s = min(float(query.get("wait_s", "0")), WATCH_MAX_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self._store.list(prefix, after):
+                    await self._changed.wait()
+        return _changes_response(self._store, prefix, after)
+
+    def _announce_change(self) -> None:
+        """Wakes all waiting watches."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _expected_version(request: Request) -> int | None:
+    """Returns the version that a write names, or None without a condition."""
+    match = header(request.headers, b"if-match")
+    if match is not None:
+        return int(match.strip(b'"'))
+    if header(request.headers, b"if-none-match") == b"*":
+        return 0
+    return None
+
+
+def _version_headers(stored: StoredObject) -> tuple[tuple[bytes, bytes], ...]:
+    """Returns the headers that carry an object's version and change id."""
+    return (
+        (b"etag", b'"%d"' % stored.versioned.version),
+        (b"change-id", stored.change_id.encode("ascii")),
+    )
+
+
+def _changes_response(store: ObjectStore, prefix: str, after: int) -> Response:
+    """Returns the objects under a prefix that changed after a revision."""
+    objects = tuple(
+        ObjectBody(s.versioned.key, s.versioned.version, s.versioned.value)
+        for s in store.list(prefix, after)
+    )
+    body = msgspec.json.encode(ChangesBody(store.revision, objects))
+    return whole_response(200, body, ((b"content-type", b"application/json"),))
--- /dev/null
+++ b/rosemarydeal/standins/upstream.py
@@ -0,0 +1,234 @@
+"""Runs a small upstream that counts what it runs, with faults on demand.
+
+It is the judge of the tests and the demonstration: how often each request
+ran, whether it was overfed while cold, and which answers it gave are counted
+here and nowhere else.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+
+from rosemarydeal.core import Address
+from rosemarydeal.proxy import (
+    HttpLimits,
+    HttpServer,
+    Request,
+    Response,
+    header,
+    read_whole,
+    serve,
+    whole_response,
+)
+
+__all__ = ["StandInUpstream", "UpstreamBehaviour", "UpstreamCounts"]
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+POISON = b"poison"
+
+
+@dataclass(slots=True)
+class UpstreamBehaviour:
+    """Says how the upstream behaves at present; changed in place by tests.
+
+    Attributes:
+        slots: Requests it runs at a time.
+        connections: Connections it accepts.
+        service_time_s: Time of one request when warm, in seconds.
+        slowdown: Factor on the service time.
+        cold_s: Length of the cold start, in seconds.
+        cold_slots: Requests it bears at a time while cold.
+        checks_grants: Whether it refuses a fencing token older than the newest.
+        lies_healthy: Whether its health endpoint always says fine.
+        failing: Whether each request fails with status 500.
+    """
+
+    slots: int = 20
+    connections: int = 110
+    service_time_s: float = 0.002
+    slowdown: float = 1.0
+    cold_s: float = 2.0
+    cold_slots: int = 4
+    checks_grants: bool = True
+    lies_healthy: bool = False
+    failing: bool = False
+
+
+@dataclass(slots=True)
+class UpstreamCounts:
+    """Counts what happened; shared by all lives of all upstreams of a test.
+
+    Attributes:
+        runs: Times that each non-idempotent request ran, by its id.
+        requests: Requests that ran, of any kind.
+        overfed_cold: Requests that came beyond the cold slots.
+        shed: Requests refused because all slots were busy.
+        stale_grants: Requests refused for an old fencing token.
+        crashes: Times that a request crashed the upstream.
+    """
+
+    runs: Counter[str] = field(default_factory=Counter)
+    requests: int = 0
+    overfed_cold: int = 0
+    shed: int = 0
+    stale_grants: int = 0
+    crashes: int = 0
+
+    @property
+    def run_twice(self) -> int:
+        """Returns the number of requests that ran more than once."""
+        return sum(1 for count in self.runs.values() if count > 1)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadBody:
+    """Is the answer of the load endpoint."""
+
+    running: int
+    slots: int
+
+
+class StandInUpstream:
+    """Serves one upstream on loopback."""
+
+    def __init__(
+        self, address: Address, behaviour: UpstreamBehaviour, counts: UpstreamCounts
+    ) -> None:
+        self._address = address
+        self._behaviour = behaviour
+        self._counts = counts
+        self._server: HttpServer | None = None
+        self._running = 0
+        self._started = 0.0
+        self._tokens: dict[bytes, int] = {}
+
+    @property
+    def address(self) -> Address:
+        """Returns where the upstream answers."""
+        return self._address
+
+    @property
+    def behaviour(self) -> UpstreamBehaviour:
+        """Returns the behaviour, to be changed in place."""
+        return self._behaviour
+
+    @property
+    def counts(self) -> UpstreamCounts:
+        """Returns the counts."""
+        return self._counts
+
+    @property
+    def serving(self) -> bool:
+        """Says whether the upstream runs."""
+        return self._server is not None
+
+    @property
+    def cold(self) -> bool:
+        """Says whether the upstream is in its cold start."""
+        return time.monotonic() < self._started + self._behaviour.cold_s
+
+    async def start(self) -> None:
+        """Starts cold."""
+        self._started = time.monotonic()
+        self._running = 0
+        limits = HttpLimits(connections_per_caller=self._behaviour.connections)
+        self._server = await serve(self._handle, self._address, limits)
+        self._address = self._server.address
+
+    async def stop(self) -> None:
+        """Dies at once, with all that it runs."""
+        server, self._server = self._server, None
+        if server is not None:
+            await server.close()
+
+    def turn_cold(self) -> None:
+        """Begins a cold start without a restart."""
+        self._started = time.monotonic()
+
+    async def _handle(self, request: Request) -> Response:
+        """Answers health, load and work."""
+        path = request.target.partition(b"?")[0]
+        if path == b"/health":
+            return self._health()
+        if path == b"/load":
+            body = msgspec.json.encode(LoadBody(self._running, self._behaviour.slots))
+            return whole_response(200, body)
+        return await self._admit(request, path)
+
+    def _health(self) -> Response:
+        """Answers the health endpoint, which may lie."""
+        healthy = self._behaviour.lies_healthy or not self._behaviour.failing
+        return whole_response(200 if healthy else 503, b"")
+
+    async def _admit(self, request: Request, path: bytes) -> Response:
+        """Refuses what must not run and runs the rest."""
+        refusal = self._refuse(request)
+        if refusal is not None:
+            return _not_run(refusal)
+        self._running += 1
+        try:
+            return await self._run(request, path)
+        finally:
+            self._running -= 1
+
+    def _refuse(self, request: Request) -> bytes | None:
+        """Returns the code of the refusal, or None to run the request."""
+        if self._behaviour.checks_grants and not self._check_grant(request):
+            self._counts.stale_grants += 1
+            return b"stale-grant"
+        if self.cold and self._running >= self._behaviour.cold_slots:
+            self._counts.overfed_cold += 1
+            return b"overfed-cold"
+        if self._running >= self._behaviour.slots:
+            self._counts.shed += 1
+            return b"shed"
+        return None
+
+    def _check_grant(self, request: Request) -> bool:
+        """Says whether the fencing token is the newest of its slice or newer."""
+        grant = header(request.headers, b"rosemarydeal-grant")
+        if grant is None:
+            return True
+        slice_name, _, token = grant.rpartition(b"=")
+        newest = max(self._tokens.get(slice_name, 0), int(token))
+        self._tokens[slice_name] = newest
+        return int(token) == newest
+
+    async def _run(self, request: Request, path: bytes) -> Response:
+        """Runs a request and counts it."""
+        body = await read_whole(request.body, MAX_BODY_BYTES)
+        self._counts.requests += 1
+        request_id = header(request.headers, b"idempotency-key") or b""
+        if request.method == b"POST":
+            self._counts.runs[request_id.decode("latin-1")] += 1
+        if POISON in body:
+            return await self._crash()
+        await asyncio.sleep(self._behaviour.service_time_s * self._behaviour.slowdown)
+        if self._behaviour.failing:
+            return whole_response(500, b"failing")
+        echo = b" ".join((request.method, path, request_id, body))
+        return whole_response(200, echo, ((b"content-type", b"text/plain"),))
+
+    async def _crash(self) -> Response:
+        """Dies on a request; a supervisor of the test starts it again."""
+        self._counts.crashes += 1
+        server, self._server = self._server, None
+        if server is not None:
+            asyncio.get_running_loop().create_task(server.close())
+        await asyncio.sleep(60)
+        return whole_response(500, b"")
+
+
+def _not_run(code: bytes) -> Response:
+    """Returns a truthful refusal."""
+    headers = (
+        (b"rosemarydeal-outcome", b"not-run"),
+        (b"rosemarydeal-code", code),
+        (b"retry-after", b"1"),
+    )
+    return whole_response(503, b"", headers)
