Gather load reports and find hot keys in bounded memory

Cause: A placement can only follow load that it knows, and one lone, late or stale report must not move a slice.

--- /dev/null
+++ b/features/steps/loads_steps.py
@@ -0,0 +1,114 @@
+"""Steps for load reports and hot keys."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rosemarydeal.core import Incarnation, SliceId
+from rosemarydeal.core.messages import LoadReport, SliceLoad
+from rosemarydeal.policy.hotkeys import HotKeySketch
+from rosemarydeal.policy.loads import LoadBook
+
+SLICE = SliceId("box-office", 0)
+
+
+def report(number, load=1.0, age=0.0, service_s=0.05):
+    name = Incarnation(f"box-office-{number}", 1)
+    return LoadReport(name, age, load / 12, (SliceLoad(SLICE, load),), service_s)
+
+
+def book_after(reports):
+    book = LoadBook()
+    for second in range(reports):
+        book = book.observe(report(1), float(second))
+    return book
+
+
+@given("a load book")
+def step_book(context):
+    context.book = LoadBook()
+
+
+@then("the load book believes box-office-1 after {count:d} reports a second apart")
+def step_believes(context, count):
+    name = Incarnation("box-office-1", 1)
+    assert book_after(count).believed(name, float(count))
+
+
+@then(
+    "the load book does not believe box-office-1 after {count:d} reports a second apart"
+)
+def step_lone(context, count):
+    name = Incarnation("box-office-1", 1)
+    assert not book_after(count).believed(name, float(count))
+
+
+@then(
+    "the load book does not believe box-office-1 {seconds:d} seconds "
+    "after its last report"
+)
+def step_stale(context, seconds):
+    name = Incarnation("box-office-1", 1)
+    assert not book_after(5).believed(name, 4.0 + seconds)
+
+
+@when("the load book hears load {first:g} aged 0 s and then load {late:g} aged 5 s")
+def step_late(context, first, late):
+    context.book = context.book.observe(report(1, first), 10.0)
+    context.book = context.book.observe(report(1, late, age=5.0), 11.0)
+
+
+@then("the load book estimates {load:g}")
+def step_estimates(context, load):
+    assert context.book.slices[SLICE].load == load
+
+
+@when("3 members report {usual:g} s per request and box-office-4 reports {slow:g} s")
+def step_slow(context, usual, slow):
+    for second in range(5):
+        for number in (1, 2, 3, 4):
+            service_s = slow if number == 4 else usual
+            heard = report(number, service_s=service_s)
+            context.book = context.book.observe(heard, float(second))
+
+
+@then("the load book calls box-office-4 a straggler and nobody else")
+def step_straggler(context):
+    slow = [
+        number
+        for number in (1, 2, 3, 4)
+        if context.book.slow_since(Incarnation(f"box-office-{number}", 1)) is not None
+    ]
+    assert slow == [4], slow
+
+
+@then("the hot key sketch keeps its error and memory bounds in 60 drawn streams")
+def step_sketch(context):
+    checked = Counter()
+
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @drawn(
+        st.integers(2, 8),
+        st.lists(
+            st.tuples(st.integers(0, 40), st.integers(1, 5)), min_size=40, max_size=200
+        ),
+    )
+    def check(capacity, stream):
+        sketch, truth = HotKeySketch(capacity), Counter()
+        for digest, weight in stream:
+            sketch.offer(digest, weight)
+            truth[digest] += weight
+            assert len(sketch) <= 2 * capacity
+        found = {hot.digest: hot.weight for hot in sketch.top(100)}
+        error = sum(truth.values()) / capacity
+        for digest, weight in truth.items():
+            assert weight - error <= found.get(digest, 0) <= weight
+            checked["inexact"] += found.get(digest, 0) < weight
+
+    check()
+    assert checked["inexact"] > 100, checked
--- a/rosemarydeal/core/messages.py
+++ b/rosemarydeal/core/messages.py
@@ -122,12 +122,21 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Reports the load of an upstream and of its slices to a proposer."""
+    """Reports the load of an upstream and of its slices to a proposer.
+
+    Attributes:
+        incarnation: The process that reports.
+        age: Seconds since the end of the interval that was measured.
+        utilisation: Busy slots over all slots of the upstream.
+        slices: Load of the slices that it owns, heaviest first.
+        service_s: Mean seconds that a request took at the upstream, 0: unknown.
+    """
 
     incarnation: Incarnation
     age: float
     utilisation: float
     slices: tuple[SliceLoad, ...]
+    service_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/rosemarydeal/policy/loads.py
@@ -0,0 +1,154 @@
+"""Gathers load reports into smoothed estimates that know their age."""
+
+from __future__ import annotations
+
+import math
+import statistics
+from dataclasses import dataclass, replace
+
+from immutables import Map
+
+from rosemarydeal.core import Incarnation, SliceId
+from rosemarydeal.core.messages import LoadReport
+
+__all__ = ["LoadBook", "LoadSettings", "MemberLoad", "SliceEstimate"]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSettings:
+    """Tunes how reports are smoothed and when they are believed.
+
+    Attributes:
+        smoothing_s: Time constant of the smoothing.
+        stale_s: Age from which a member's reports count for nothing.
+        least_reports: Reports in a row before a member's load is believed.
+        forget_s: Age from which a slice's estimate is dropped.
+        slow_ratio: Service time over the median one that makes a straggler.
+    """
+
+    smoothing_s: float = 5.0
+    stale_s: float = 8.0
+    least_reports: int = 3
+    forget_s: float = 60.0
+    slow_ratio: float = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class SliceEstimate:
+    """Holds the smoothed load of a slice.
+
+    Attributes:
+        load: Busy slots.
+        at: Moment of the last report, in seconds.
+        hot_keys: Hashes and loads of its hottest keys, as last reported.
+    """
+
+    load: float
+    at: float
+    hot_keys: tuple[tuple[int, float], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class MemberLoad:
+    """Holds what one member's reports say of its upstream.
+
+    Attributes:
+        at: Moment that the last report speaks for, in seconds.
+        reports: Reports in a row without a gap.
+        utilisation: Smoothed share of busy slots.
+        service_s: Smoothed seconds per request; 0 when unknown.
+        slow_since: Moment since which it has been a straggler, if it is one.
+    """
+
+    at: float
+    reports: int
+    utilisation: float
+    service_s: float
+    slow_since: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class LoadBook:
+    """Holds the estimates of all reported members and slices."""
+
+    settings: LoadSettings = LoadSettings()
+    slices: Map[SliceId, SliceEstimate] = Map()
+    members: Map[Incarnation, MemberLoad] = Map()
+
+    def observe(self, report: LoadReport, now: float) -> LoadBook:
+        """Returns the book with a report taken in; one out of order is ignored.
+
+        Args:
+            report: The report.
+            now: Moment of its receipt, in seconds.
+        """
+        at = now - report.age
+        known = self.members.get(report.incarnation)
+        if known is not None and at <= known.at:
+            return self
+        member = self._member(known, report, at)
+        slices = self.slices.mutate()
+        for load in report.slices:
+            old = slices.get(load.slice)
+            smooth = self._smooth(old.load, old.at, load.load, at) if old else load.load
+            slices[load.slice] = SliceEstimate(smooth, at, load.hot_keys)
+        members = self.members.set(report.incarnation, member)
+        return replace(self, slices=slices.finish(), members=members)._mark_slow(
+            report.incarnation, at
+        )
+
+    def forget(self, now: float) -> LoadBook:
+        """Returns the book without estimates that are too old to mean anything."""
+        oldest = now - self.settings.forget_s
+        return replace(
+            self,
+            slices=Map({key: e for key, e in self.slices.items() if e.at >= oldest}),
+            members=Map({key: m for key, m in self.members.items() if m.at >= oldest}),
+        )
+
+    def believed(self, name: Incarnation, now: float) -> bool:
+        """Tells whether a member's reports are fresh and not a lone one."""
+        known = self.members.get(name)
+        if known is None or known.reports < self.settings.least_reports:
+            return False
+        return now - known.at <= self.settings.stale_s
+
+    def slow_factor(self, name: Incarnation) -> float:
+        """Returns a member's service time over the median of all members."""
+        known = [m.service_s for m in self.members.values() if m.service_s > 0]
+        own = self.members.get(name)
+        if own is None or own.service_s <= 0 or len(known) < 3:
+            return 1.0
+        return own.service_s / statistics.median(known)
+
+    def slow_since(self, name: Incarnation) -> float | None:
+        """Returns since when a member has been a straggler, if it is one."""
+        known = self.members.get(name)
+        return known.slow_since if known else None
+
+    def _member(
+        self, known: MemberLoad | None, report: LoadReport, at: float
+    ) -> MemberLoad:
+        if known is None or at - known.at > self.settings.stale_s:
+            return MemberLoad(at, 1, report.utilisation, report.service_s)
+        utilisation = self._smooth(known.utilisation, known.at, report.utilisation, at)
+        service_s = known.service_s
+        if report.service_s > 0 and known.service_s > 0:
+            service_s = self._smooth(known.service_s, known.at, report.service_s, at)
+        elif report.service_s > 0:
+            service_s = report.service_s
+        return MemberLoad(
+            at, known.reports + 1, utilisation, service_s, known.slow_since
+        )
+
+    def _smooth(self, old: float, old_at: float, new: float, at: float) -> float:
+        share = 1 - math.exp(-max(0.0, at - old_at) / self.settings.smoothing_s)
+        return old + share * (new - old)
+
+    def _mark_slow(self, name: Incarnation, at: float) -> LoadBook:
+        member = self.members[name]
+        slow = self.slow_factor(name) >= self.settings.slow_ratio
+        if slow == (member.slow_since is not None):
+            return self
+        marked = replace(member, slow_since=at if slow else None)
+        return replace(self, members=self.members.set(name, marked))
