Read, check and inherit settings from JSON with comments

Cause: the daemon needs its node file and the deployment's settings, and operators need every mistake of a file reported at once with its line.

Change: parse JSON with comments into nodes with positions, convert them to frozen data classes while collecting all problems, check the file across its values and the tree for settings without effect, and inherit by place, service and key.

--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,63 @@
+Feature: Settings files are read with positions and checked as a whole
+
+  Scenario Outline: The example deployment files are right
+    When the settings file "<file>" is loaded
+    Then the settings have no problem
+
+    Examples:
+      | file                             |
+      | examples/vestfjell.json          |
+      | examples/fremantle.json          |
+      | examples/node-benkeportal-1.json |
+      | examples/node-benkeportal-2.json |
+      | examples/node-lagerbok-1.json    |
+      | examples/node-box-office-1.json  |
+      | examples/node-box-office-2.json  |
+
+  Scenario: Comments and tabs change no value and no line
+    Then settings with comments anywhere equal those without them
+
+  Scenario: A place's setting holds below it unless a lower branch overrides it
+    Then effective settings follow the written order of precedence
+
+  Scenario: Each effective value is explained by the line that gave it
+    When the settings file "examples/vestfjell.json" is loaded
+    Then the settings explain these lines for "benkeportal" in "vestland/forde-c"
+      | setting                | value | branch             | text                   |
+      | limits.slots           | 20    | deployment         | "slots": 20            |
+      | cold_start.duration_s  | 60.0  | vestland/forde-c   | "duration_s": 60       |
+      | ledger.window_s        | 900.0 | deployment, service benkeportal | "window_s": 900 |
+      | retries.attempts       | 3     | built-in default   |                        |
+
+  Scenario Outline: Paths are matched in one spelling
+    Then the settings pattern "<pattern>" and the target "<target>" give <covered>
+
+    Examples:
+      | pattern    | target               | covered |
+      | /prices/** | /prices/7            | true    |
+      | /prices/** | /prices              | true    |
+      | /prices/** | /a/../prices/7       | true    |
+      | /prices/** | //prices//7?x=1      | true    |
+      | /prices/** | /%70rices/7          | true    |
+      | /prices/** | /pricesx             | false   |
+      | /shows/*/seats | /shows/7/seats   | true    |
+      | /shows/*/seats | /shows/7/8/seats | false   |
+      | /a.c       | /abc                 | false   |
+
+  Scenario: A request whose path has an unusual spelling counts as non-idempotent
+    When the settings file "examples/vestfjell.json" is loaded
+    Then the settings find these requests of "benkeportal" idempotent
+      | method | target              | idempotent |
+      | GET    | /catalogue/frames   | true       |
+      | HEAD   | /catalogue/frames?a | true       |
+      | POST   | /catalogue/frames   | false      |
+      | GET    | /orders/7           | false      |
+      | GET    | /catalogue/../orders/7 | false   |
+      | GET    | /catalogue/%2e%2e/orders | false |
+      | GET    | /catalogue%2Forders | false      |
+
+  Scenario: Tenants are told by their header and kept from others' paths
+    When the settings file "examples/vestfjell.json" is loaded
+    Then the settings let "own-service" use "/prices/7" of "lagerbok"
+    And the settings keep "yard" from "/prices/7" of "lagerbok"
+    And the settings keep "" from "//prices/%37" of "lagerbok"
--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,189 @@
+import json
+from pathlib import Path
+
+from behave import step, then, when
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from features.builders_settings import as_text, deployment_file, load_file
+from rosemarydeal.core import Place
+from rosemarydeal.settings import (
+    PathPattern,
+    canonical_path,
+    effective,
+    explain,
+    load_deployment,
+)
+from rosemarydeal.settings.syntax import parse
+
+REGION, ZONES = "wa-perth", ("perth-a", "perth-b")
+PLACES = [
+    (),
+    (REGION,),
+    *((REGION, zone) for zone in ZONES),
+    *((REGION, zone, f"{zone}-1") for zone in ZONES),
+]
+SUBJECTS = [(), ("box-office",), ("box-office", "show-7"), ("show-schedule",)]
+SPOTS = st.tuples(st.sampled_from(PLACES), st.sampled_from(SUBJECTS))
+
+
+@when('the settings file "{file}" is loaded')
+def step_load(context, file):
+    context.loaded, context.problems = load_file(file)
+
+
+@then("the settings have no problem")
+def step_no_problem(context):
+    assert context.loaded is not None
+    assert context.problems == ()
+
+
+def plain(node):
+    """Returns the value of a node without positions."""
+    if hasattr(node, "members"):
+        return [(member.name, plain(member.value)) for member in node.members]
+    if hasattr(node, "items"):
+        return [plain(item) for item in node.items]
+    return node.value
+
+
+def lines(node):
+    """Returns the lines of all values of a node in order."""
+    below = [member.value for member in getattr(node, "members", ())]
+    below += getattr(node, "items", ())
+    return [node.location.line, *(line for child in below for line in lines(child))]
+
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(10**9), 10**9)
+    | st.sampled_from(["// no", "/* no */", '"', "\\", "\t", "a", "é", "😀", ""]),
+    lambda child: (
+        st.lists(child, max_size=4)
+        | st.dictionaries(st.sampled_from("abc/*\t"), child, max_size=4)
+    ),
+    max_leaves=12,
+)
+COMMENTS = st.sampled_from(["", " // one", "\t", " /* two */", '/* "three" */'])
+
+
+@then("settings with comments anywhere equal those without them")
+def step_comments(context):
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(VALUES, st.data())
+    def check(value, data):
+        text = json.dumps(value, indent=1)
+        commented = "\n".join(line + data.draw(COMMENTS) for line in text.split("\n"))
+        bare, problems = parse(text, "a")
+        assert problems == ()
+        with_comments, problems = parse(commented, "a")
+        assert problems == ()
+        assert plain(with_comments) == plain(bare)
+        assert lines(with_comments) == lines(bare)
+        assert json.loads(text) == value
+
+    check()
+
+
+def put(content, place, subject, slots):
+    """Writes a setting into the branch of a place and subject."""
+    node = content
+    for name, below in zip(
+        place, ("regions", "availability_zones", "upstreams"), strict=False
+    ):
+        node = node.setdefault(below, {}).setdefault(name, {})
+    for name, below in zip(subject, ("services", "keys"), strict=False):
+        node = node.setdefault(below, {}).setdefault(name, {})
+    node["settings"] = {"limits": {"slots": slots}}
+
+
+def expected_slots(written, place, subject):
+    """Returns the winner: the narrowest subject, then the narrowest place."""
+    holding = [
+        ((len(at[1]), len(at[0])), slots)
+        for at, slots in written.items()
+        if place[: len(at[0])] == at[0] and subject[: len(at[1])] == at[1]
+    ]
+    return max(holding, default=(None, 16))[1]
+
+
+@then("effective settings follow the written order of precedence")
+def step_precedence(context):
+    compared = []
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.dictionaries(SPOTS, st.integers(1, 90), max_size=8), SPOTS)
+    def check(written, spot):
+        content = deployment_file()
+        for (place, subject), slots in written.items():
+            put(content, place, subject, slots)
+        loaded, problems = load_deployment(as_text(content), "a")
+        if loaded is None:
+            assert {problem.code for problem in problems} == {"unused-setting"}
+            return
+        place, subject = spot
+        if not subject:
+            return
+        key = subject[1] if len(subject) > 1 else None
+        at = Place(*(*place, "", "", "")[:3])
+        found = effective(loaded, subject[0], at, key)
+        assert found.limits.slots == expected_slots(written, place, subject)
+        entry = explain(loaded, subject[0], at, key)[0]
+        assert (entry.name, entry.value) == ("slots", found.limits.slots)
+        compared.append(spot)
+
+    check()
+    assert len(compared) > 100, len(compared)
+
+
+@then('the settings explain these lines for "{service}" in "{place}"')
+def step_explain(context, service, place):
+    region, zone = place.split("/")
+    entries = explain(context.loaded, service, Place(region, zone))
+    found = {f"{entry.group}.{entry.name}": entry for entry in entries}
+    for row in context.table:
+        entry = found[row["setting"]]
+        assert str(entry.value) == row["value"], entry
+        assert str(entry.scope or "built-in default") == row["branch"], entry
+        if entry.leaf is None:
+            assert row["text"] == ""
+            continue
+        written = Path(entry.leaf.location.file).read_text("utf-8").splitlines()
+        assert row["text"] in written[entry.leaf.location.line - 1], entry
+
+
+@then('the settings pattern "{pattern}" and the target "{target}" give {covered}')
+def step_pattern(context, pattern, target, covered):
+    found = PathPattern(pattern).matches(canonical_path(target))
+    assert found is (covered == "true")
+
+
+@then('the settings find these requests of "{service}" idempotent')
+def step_idempotent(context, service):
+    for row in context.table:
+        found = context.loaded.services[service].is_idempotent(
+            row["method"], row["target"]
+        )
+        assert found is (row["idempotent"] == "true"), row
+
+
+def admitted(context, value, target, service):
+    """Says whether a caller with a tenant header may use a target."""
+    tenant = context.loaded.tenants.classify(value).name
+    return context.loaded.services[service].admits(tenant, target)
+
+
+@step('the settings let "{value}" use "{target}" of "{service}"')
+def step_let(context, value, target, service):
+    assert admitted(context, value, target, service)
+
+
+@step('the settings keep "{value}" from "{target}" of "{service}"')
+def step_keep(context, value, target, service):
+    assert not admitted(context, value, target, service)
+
+
+@step('the settings keep "" from "{target}" of "{service}"')
+def step_keep_unnamed(context, target, service):
+    assert not admitted(context, "", target, service)
--- a/rosemarydeal/settings/__init__.py
+++ b/rosemarydeal/settings/__init__.py
@@ -1,1 +1,75 @@
 """Reads, checks and inherits settings."""
+
+from .deployment import (
+    DEFAULT_TENANT,
+    DeploymentSettings,
+    Explained,
+    HeaderKey,
+    IdempotencyRule,
+    KeySource,
+    QueryKey,
+    Region,
+    Restriction,
+    SegmentKey,
+    ServiceSettings,
+    TenantClass,
+    TenantSettings,
+    effective,
+    explain,
+)
+from .leaves import (
+    ColdStart,
+    Deadlines,
+    Effective,
+    Hedging,
+    Ledger,
+    Limits,
+    Moves,
+    Ownership,
+    Retries,
+)
+from .load import load_deployment
+from .node import NodeSettings, Seed, load_node
+from .patterns import PathPattern, canonical_path
+from .problems import Problem, ProblemCode
+from .scope import ANYWHERE, Branch, Scope
+from .values import Leaf
+
+__all__ = [
+    "ANYWHERE",
+    "DEFAULT_TENANT",
+    "Branch",
+    "ColdStart",
+    "Deadlines",
+    "DeploymentSettings",
+    "Effective",
+    "Explained",
+    "HeaderKey",
+    "Hedging",
+    "IdempotencyRule",
+    "KeySource",
+    "Leaf",
+    "Ledger",
+    "Limits",
+    "Moves",
+    "NodeSettings",
+    "Ownership",
+    "PathPattern",
+    "Problem",
+    "ProblemCode",
+    "QueryKey",
+    "Region",
+    "Restriction",
+    "Retries",
+    "Scope",
+    "Seed",
+    "SegmentKey",
+    "ServiceSettings",
+    "TenantClass",
+    "TenantSettings",
+    "canonical_path",
+    "effective",
+    "explain",
+    "load_deployment",
+    "load_node",
+]
--- /dev/null
+++ b/rosemarydeal/settings/build.py
@@ -0,0 +1,149 @@
+"""Turns a deployment file into the settings that processes work with."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from immutables import Map
+
+from rosemarydeal.core import Place
+
+from .deployment import (
+    DEFAULT_TENANT,
+    DeploymentSettings,
+    HeaderKey,
+    IdempotencyRule,
+    KeySource,
+    QueryKey,
+    Region,
+    Restriction,
+    SegmentKey,
+    ServiceSettings,
+    TenantClass,
+    TenantSettings,
+)
+from .files import (
+    DeploymentFile,
+    KeyFile,
+    KeySourceFile,
+    ServiceBranchFile,
+    ServiceFile,
+    TenantsFile,
+)
+from .patterns import PathPattern
+from .scope import ANYWHERE, Branch, Scope
+from .values import SettingsBranch
+
+__all__ = ["build_deployment"]
+
+
+def build_deployment(file: DeploymentFile) -> DeploymentSettings:
+    """Builds the settings of a deployment from its file.
+
+    Args:
+        file: The checked content of the file.
+
+    Returns:
+        The settings.
+    """
+    regions = tuple(
+        Region(name, tuple(sorted(region.availability_zones)))
+        for name, region in sorted(file.regions.items())
+    )
+    zones = tuple(zone for region in regions for zone in region.availability_zones)
+    services = {
+        name: _build_service(name, service, zones)
+        for name, service in file.services.items()
+    }
+    branches = {branch.scope: branch for branch in _walk(file) if branch.leaves}
+    return DeploymentSettings(
+        name=file.deployment,
+        regions=regions,
+        services=Map(services),
+        tenants=_build_tenants(file.tenants),
+        branches=Map(branches),
+    )
+
+
+def _build_service(
+    name: str, file: ServiceFile, zones: tuple[str, ...]
+) -> ServiceSettings:
+    """Builds the settings of one service."""
+    return ServiceSettings(
+        name=name,
+        port=file.port,
+        key=_build_key(file.key),
+        slices=file.slices,
+        availability_zones=tuple(sorted(file.availability_zones)) or zones,
+        idempotency=tuple(
+            IdempotencyRule(rule.methods, PathPattern(rule.path), rule.idempotent)
+            for rule in file.idempotency
+        ),
+        restrictions=tuple(
+            Restriction(PathPattern(item.path), item.tenants)
+            for item in file.restricted
+        ),
+    )
+
+
+def _build_key(file: KeySourceFile | None) -> KeySource | None:
+    """Builds the place of the key in a request."""
+    match file:
+        case KeySourceFile(header=str(header)):
+            return HeaderKey(header.lower())
+        case KeySourceFile(path_segment=int(segment)):
+            return SegmentKey(segment)
+        case KeySourceFile(query=str(query)):
+            return QueryKey(query)
+    return None
+
+
+def _build_tenants(file: TenantsFile | None) -> TenantSettings:
+    """Builds the table of tenants."""
+    if file is None:
+        return TenantSettings()
+    by_value = {
+        value: TenantClass(name, tenant.weight)
+        for name, tenant in file.classes.items()
+        for value in tenant.values
+    }
+    default = TenantClass(DEFAULT_TENANT, file.default_weight)
+    return TenantSettings(file.header.lower(), Map(by_value), default)
+
+
+def _walk(file: DeploymentFile) -> Iterator[Branch]:
+    """Yields every branch of the tree."""
+    yield _branch(file.settings, Scope())
+    yield from _walk_services(file.services, ANYWHERE)
+    for region_name, region in file.regions.items():
+        place = Place(region_name, "", "")
+        yield _branch(region.settings, Scope(place=place))
+        yield from _walk_services(region.services, place)
+        for zone_name, zone in region.availability_zones.items():
+            place = Place(region_name, zone_name, "")
+            yield _branch(zone.settings, Scope(place=place))
+            yield from _walk_services(zone.services, place)
+            for upstream_name, upstream in zone.upstreams.items():
+                place = Place(region_name, zone_name, upstream_name)
+                yield _branch(upstream.settings, Scope(place=place))
+                yield from _walk_services(upstream.services, place)
+
+
+def _walk_services(
+    services: Mapping[str, ServiceFile | ServiceBranchFile], place: Place
+) -> Iterator[Branch]:
+    """Yields the branches of services and their keys below a place."""
+    for name, service in services.items():
+        yield _branch(service.settings, Scope(name, "", place))
+        yield from _walk_keys(service.keys, Scope(name, "", place))
+
+
+def _walk_keys(keys: Mapping[str, KeyFile], scope: Scope) -> Iterator[Branch]:
+    """Yields the branches of keys below a service."""
+    for key, item in keys.items():
+        yield _branch(item.settings, Scope(scope.service, key, scope.place))
+
+
+def _branch(settings: SettingsBranch, scope: Scope) -> Branch:
+    """Builds one branch."""
+    return Branch(scope, settings.leaves)
--- /dev/null
+++ b/rosemarydeal/settings/deployment.py
@@ -0,0 +1,285 @@
+"""Defines the settings of a deployment as the processes work with them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from immutables import Map
+
+from rosemarydeal.core import Place
+
+from .leaves import Effective
+from .patterns import PathPattern, canonical_path, is_canonical
+from .scope import Branch, Scope, scopes_of
+from .values import Leaf
+
+__all__ = [
+    "DEFAULT_TENANT",
+    "DeploymentSettings",
+    "Explained",
+    "HeaderKey",
+    "IdempotencyRule",
+    "KeySource",
+    "QueryKey",
+    "Region",
+    "Restriction",
+    "SegmentKey",
+    "ServiceSettings",
+    "TenantClass",
+    "TenantSettings",
+    "effective",
+    "explain",
+]
+
+DEFAULT_TENANT = "other"
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderKey:
+    """Takes the key from a request header."""
+
+    header: str
+
+
+@dataclass(frozen=True, slots=True)
+class SegmentKey:
+    """Takes the key from a segment of the path, counted from 0."""
+
+    path_segment: int
+
+
+@dataclass(frozen=True, slots=True)
+class QueryKey:
+    """Takes the key from a parameter of the query."""
+
+    query: str
+
+
+KeySource = HeaderKey | SegmentKey | QueryKey
+
+
+@dataclass(frozen=True, slots=True)
+class IdempotencyRule:
+    """Says for some methods and paths whether requests are idempotent."""
+
+    methods: tuple[str, ...]
+    path: PathPattern
+    idempotent: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Restriction:
+    """Keeps the paths of a pattern for some tenants."""
+
+    path: PathPattern
+    tenants: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSettings:
+    """Holds what is the same for a service everywhere.
+
+    Attributes:
+        name: Name of the service.
+        port: Port at which every process takes the service's requests.
+        key: Where requests carry their key, None for an unkeyed service.
+        slices: Number of slices of the key space.
+        availability_zones: Where upstreams are expected.
+        idempotency: Rules in order, the first match decides.
+        restrictions: Paths kept for some tenants.
+    """
+
+    name: str
+    port: int
+    key: KeySource | None
+    slices: int
+    availability_zones: tuple[str, ...]
+    idempotency: tuple[IdempotencyRule, ...] = ()
+    restrictions: tuple[Restriction, ...] = ()
+
+    @property
+    def keyed(self) -> bool:
+        """Says whether each key has one owner."""
+        return self.key is not None
+
+    def is_idempotent(self, method: str, target: str) -> bool:
+        """Says whether a request may run more than once.
+
+        Args:
+            method: Method of the request.
+            target: Its target; an unusual spelling of a path never matches.
+
+        Returns:
+            What the first matching rule says, false without any.
+        """
+        path = canonical_path(target)
+        if not is_canonical(target):
+            return False
+        for rule in self.idempotency:
+            if method in rule.methods and rule.path.matches(path):
+                return rule.idempotent
+        return False
+
+    def admits(self, tenant: str, target: str) -> bool:
+        """Says whether a tenant may use a path.
+
+        Args:
+            tenant: Name of the tenant's class.
+            target: Target of the request, in any spelling.
+
+        Returns:
+            False if a restriction covers the path and leaves the tenant out.
+        """
+        path = canonical_path(target)
+        covering = (item for item in self.restrictions if item.path.matches(path))
+        return all(tenant in item.tenants for item in covering)
+
+
+@dataclass(frozen=True, slots=True)
+class TenantClass:
+    """Names a tenant and its share of a contended upstream."""
+
+    name: str
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class TenantSettings:
+    """Says how tenants are recognised.
+
+    Attributes:
+        header: Request header that names the tenant, in lower case.
+        by_value: The tenant of each known header value.
+        default: The tenant of callers that name none or an unknown one.
+    """
+
+    header: str = ""
+    by_value: Map[str, TenantClass] = field(default_factory=Map)
+    default: TenantClass = TenantClass(DEFAULT_TENANT)
+
+    def classify(self, value: str | None) -> TenantClass:
+        """Returns the tenant for the header value of a request."""
+        return self.by_value.get(value or "", self.default)
+
+
+@dataclass(frozen=True, slots=True)
+class Region:
+    """Names a region and its availability zones."""
+
+    name: str
+    availability_zones: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentSettings:
+    """Holds the checked settings of a deployment.
+
+    Attributes:
+        name: Name of the deployment.
+        regions: Regions with their availability zones, sorted.
+        services: Services by name.
+        tenants: How tenants are recognised.
+        branches: Branches of the tree that give settings, by scope.
+    """
+
+    name: str
+    regions: tuple[Region, ...]
+    services: Map[str, ServiceSettings]
+    tenants: TenantSettings
+    branches: Map[Scope, Branch]
+
+    @property
+    def availability_zones(self) -> tuple[str, ...]:
+        """Returns the names of all availability zones."""
+        return tuple(
+            zone for region in self.regions for zone in region.availability_zones
+        )
+
+    def region_of(self, availability_zone: str) -> str:
+        """Returns the region of an availability zone, empty if unknown."""
+        for region in self.regions:
+            if availability_zone in region.availability_zones:
+                return region.name
+        return ""
+
+
+@dataclass(frozen=True, slots=True)
+class Explained:
+    """Says where an effective value comes from.
+
+    Attributes:
+        group: Name of the group, such as `limits`.
+        name: Name of the setting, such as `slots`.
+        value: The effective value.
+        leaf: The line that gave it, None for the built-in default.
+        scope: The branch that gave it, None for the built-in default.
+    """
+
+    group: str
+    name: str
+    value: int | float | bool | str
+    leaf: Leaf | None = None
+    scope: Scope | None = None
+
+
+def effective(
+    settings: DeploymentSettings, service: str, place: Place, key: str | None = None
+) -> Effective:
+    """Returns the settings that apply to a service, place and key.
+
+    Args:
+        settings: Settings of the deployment.
+        service: Name of the service.
+        place: Where the upstream is; empty names leave the place wide.
+        key: The key, if one is asked about.
+
+    Returns:
+        The settings, with the built-in default where no branch gives one.
+    """
+    changed: dict[str, dict[str, int | float | bool | str]] = {}
+    for branch in _branches(settings, service, place, key):
+        for leaf in branch.leaves:
+            changed.setdefault(leaf.group, {})[leaf.name] = leaf.value
+    base = Effective()
+    groups = {
+        group: replace(getattr(base, group), **values)
+        for group, values in changed.items()
+    }
+    return replace(base, **groups)
+
+
+def explain(
+    settings: DeploymentSettings, service: str, place: Place, key: str | None = None
+) -> tuple[Explained, ...]:
+    """Says for each effective value where it comes from.
+
+    Args:
+        settings: Settings of the deployment.
+        service: Name of the service.
+        place: Where the upstream is; empty names leave the place wide.
+        key: The key, if one is asked about.
+
+    Returns:
+        One entry for each setting, in the order of the settings page.
+    """
+    found: dict[tuple[str, str], Explained] = {}
+    base = Effective()
+    for group in base.__dataclass_fields__:
+        part = getattr(base, group)
+        for name in part.__dataclass_fields__:
+            found[group, name] = Explained(group, name, getattr(part, name))
+    for branch in _branches(settings, service, place, key):
+        for leaf in branch.leaves:
+            found[leaf.group, leaf.name] = Explained(
+                leaf.group, leaf.name, leaf.value, leaf, branch.scope
+            )
+    return tuple(found.values())
+
+
+def _branches(
+    settings: DeploymentSettings, service: str, place: Place, key: str | None
+) -> tuple[Branch, ...]:
+    """Returns the branches that hold for a subject, the weakest first."""
+    scopes = scopes_of(service, place, key)
+    found = (settings.branches.get(scope) for scope in scopes)
+    return tuple(branch for branch in found if branch is not None)
--- /dev/null
+++ b/rosemarydeal/settings/load.py
@@ -0,0 +1,45 @@
+"""Reads deployment files: text in, checked settings or all problems out."""
+
+from __future__ import annotations
+
+from .build import build_deployment
+from .checks import check_references
+from .convert import FAILED, convert
+from .deployment import DeploymentSettings
+from .files import DeploymentFile
+from .positions import Positions
+from .problems import Problem
+from .syntax import parse
+from .tree_checks import check_tree
+
+__all__ = ["load_deployment"]
+
+
+def load_deployment(
+    text: str, file: str
+) -> tuple[DeploymentSettings | None, tuple[Problem, ...]]:
+    """Reads and checks a deployment file.
+
+    Args:
+        text: Content of the file.
+        file: Name of the file, used in positions.
+
+    Returns:
+        The settings and no problem, or None and all problems.
+    """
+    root, problems = parse(text, file)
+    if root is None:
+        return None, problems
+    content, problems = convert(DeploymentFile, root)
+    if content is FAILED:
+        return None, _in_order(problems)
+    problems += check_references(content, Positions(root))
+    settings = build_deployment(content)
+    if not problems:
+        problems = check_tree(settings)
+    return (None if problems else settings), _in_order(problems)
+
+
+def _in_order(problems: tuple[Problem, ...]) -> tuple[Problem, ...]:
+    """Sorts problems by their position in the file."""
+    return tuple(sorted(problems, key=lambda item: (item.location, item.path)))
--- /dev/null
+++ b/rosemarydeal/settings/node.py
@@ -0,0 +1,94 @@
+"""Reads node files: what one process must know before it meets the others.
+
+Everything that the deployment shares comes from the platform instead.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Literal
+
+from rosemarydeal.core import Address, Place
+
+from .convert import FAILED, convert
+from .problems import Problem
+from .syntax import parse
+from .values import CurveKey, IpNumber, Name, Token
+
+__all__ = ["NodeSettings", "Seed", "load_node"]
+
+
+@dataclass(frozen=True, slots=True)
+class Seed:
+    """Names a peer that a starting process asks first.
+
+    Attributes:
+        peer: Address of the peer for messages between processes.
+        public_key: CURVE public key of the peer, in Z85.
+    """
+
+    peer: Address
+    public_key: CurveKey
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Holds the settings of one process.
+
+    Attributes:
+        node: Stable name of the process and of the upstream beside it.
+        region: Region that the VM is in.
+        availability_zone: Availability zone that the VM is in.
+        service: Service that the upstream serves.
+        upstream: Address at which the upstream takes requests.
+        entry_host: IP number on which callers reach the process.
+        peer: Address for messages between processes.
+        admin: Address for operators and metrics.
+        platform: Address of the platform's object API.
+        public_key: CURVE public key of the process, in Z85.
+        secret_key: CURVE secret key of the process, in Z85.
+        peer_keys: CURVE public keys of the peers that are let in.
+        seeds: Peers to ask while the platform can't be reached.
+        token: Token that operators must show; none is asked for if empty.
+        log_level: Least important log lines that are written.
+    """
+
+    node: Name
+    region: Name
+    availability_zone: Name
+    service: Name
+    upstream: Address
+    entry_host: IpNumber
+    peer: Address
+    admin: Address
+    platform: Address
+    public_key: CurveKey
+    secret_key: CurveKey
+    peer_keys: tuple[CurveKey, ...]
+    seeds: tuple[Seed, ...] = ()
+    token: Token | None = None
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+    @property
+    def place(self) -> Place:
+        """Returns the place of the process and its upstream."""
+        return Place(self.region, self.availability_zone, self.node)
+
+
+def load_node(text: str, file: str) -> tuple[NodeSettings | None, tuple[Problem, ...]]:
+    """Reads and checks a node file.
+
+    Args:
+        text: Content of the file.
+        file: Name of the file, used in positions.
+
+    Returns:
+        The settings and no problem, or None and all problems.
+    """
+    root, problems = parse(text, file)
+    if root is None:
+        return None, problems
+    settings, problems = convert(NodeSettings, root)
+    if settings is FAILED or problems:
+        return None, problems
+    return settings, ()
--- /dev/null
+++ b/rosemarydeal/settings/positions.py
@@ -0,0 +1,55 @@
+"""Finds the position of a value in a settings file by its path.
+
+Checks across several values run on typed data, which has no positions; they
+name a path and look its position up here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from immutables import Map
+
+from rosemarydeal.core import SourceLocation
+
+from .syntax import ListNode, Node, ObjectNode
+
+__all__ = ["Positions"]
+
+Path = tuple[str, ...]
+
+
+class Positions:
+    """Holds the position of each value of one file; never changes."""
+
+    def __init__(self, root: Node) -> None:
+        """Indexes a file.
+
+        Args:
+            root: Root node of the file.
+        """
+        self._locations: Mapping[Path, SourceLocation] = Map(dict(_walk(root, ())))
+
+    def at(self, *path: str) -> SourceLocation:
+        """Returns the position of a value or of the nearest one around it."""
+        while path and path not in self._locations:
+            path = path[:-1]
+        return self._locations[path]
+
+    def holds(self, *path: str) -> bool:
+        """Says whether the file has a value at a path, valid or not."""
+        return path in self._locations
+
+
+def _walk(node: Node, path: Path) -> Iterator[tuple[Path, SourceLocation]]:
+    """Yields the path and position of each value."""
+    yield path, node.location
+    match node:
+        case ObjectNode(members):
+            for member in members:
+                below = (*path, member.name)
+                yield from _walk(member.value, below)
+                yield below, member.location
+        case ListNode(items):
+            for index, item in enumerate(items):
+                yield from _walk(item, (*path, str(index)))
