Decide at the guard what happens to each request

Cause: nothing decided yet whether a request runs, joins a running one, gets a kept answer or is refused.

Change: a pure machine for the guard with a ledger of ids recorded before dispatch, tickets bound to fencing tokens, a fair queue ordered by deadline, limits on slots and connections, the cold start's ramp and containment of crashing requests; hand-over passes the ids on.

--- /dev/null
+++ b/features/builders_requests.py
@@ -0,0 +1,78 @@
+"""Builds events of the guard and drives its machine for tests."""
+
+from __future__ import annotations
+
+from rosemarydeal.core import SliceId
+from rosemarydeal.policy import guard
+
+__all__ = ["GuardDriver", "arrival"]
+
+SLICE = SliceId("box-office", 3)
+DEADLINE_S = 2.0
+
+
+def arrival(waiter: int, request_id: str, now: float = 0.0, **changes):
+    """Builds an order that arrives for the first time."""
+    values = {
+        "waiter": waiter,
+        "request_id": request_id,
+        "fingerprint": hash_of(request_id),
+        "tenant": "families",
+        "slice": SLICE,
+        "idempotent": False,
+        "deadline": now + DEADLINE_S,
+    }
+    return guard.RequestArrived(**(values | changes))
+
+
+def hash_of(text: str) -> int:
+    """Returns a small stable number for a text."""
+    return sum(ord(c) * 31**i for i, c in enumerate(text)) % 1_000_003
+
+
+class GuardDriver:
+    """Feeds one guard and sorts its actions by kind."""
+
+    def __init__(self, seed: int = 1, upstream: bool = True, token: int = 7, **limits):
+        self.now = 0.0
+        settings = guard.GuardSettings(node="box-office-1", **limits)
+        self.state = guard.start(settings, self.now, seed)
+        self.actions: list = []
+        if upstream:
+            self.feed(guard.UpstreamStarted(cold=False))
+        if token:
+            self.feed(guard.RightGained(SLICE, token))
+
+    def feed(self, event, after: float = 0.0) -> list:
+        """Feeds an event after some seconds and returns its actions."""
+        self.now += after
+        self.state, actions = guard.step(self.state, event, self.now)
+        self.actions.extend(actions)
+        return list(actions)
+
+    def arrive(self, waiter: int, request_id: str, **changes) -> list:
+        """Lets a request arrive now."""
+        return self.feed(arrival(waiter, request_id, self.now, **changes))
+
+    def answer(self, request_id: str, latency: float = 0.02, **changes) -> list:
+        """Lets the upstream answer after its latency."""
+        values = {"status": 200, "size": 10} | changes
+        event = guard.UpstreamAnswered(request_id, latency=latency, **values)
+        return self.feed(event, after=latency)
+
+    def fail(self, request_id: str, sent: bool = True, crashed: bool = False) -> list:
+        """Lets a dispatched request fail."""
+        return self.feed(guard.UpstreamFailed(request_id, sent, crashed))
+
+    def of(self, kind: type) -> list:
+        """Returns all actions of a kind so far."""
+        return [action for action in self.actions if isinstance(action, kind)]
+
+    def outcome_of(self, waiter: int):
+        """Returns what a waiter was told: an outcome, an id, or None."""
+        for action in self.actions:
+            if isinstance(action, guard.ReplyOutcome) and action.waiter == waiter:
+                return action.outcome
+            if isinstance(action, guard.ReplyAnswer) and action.waiter == waiter:
+                return action.request_id
+        return None
--- /dev/null
+++ b/features/guard.feature
@@ -0,0 +1,63 @@
+Feature: The guard runs a non-idempotent request at most once
+
+  Scenario: A repeat of a running order joins it
+    Given a guard that owns the key
+    When order A arrives from waiter 1
+    And order A arrives again from waiter 2
+    And the upstream answers order A
+    Then the guard dispatched 1 request
+    And waiters 1 and 2 get the answer to order A
+
+  Scenario: A repeat of a finished order gets the same answer
+    Given a guard that owns the key
+    When order A arrives from waiter 1
+    And the upstream answers order A
+    And order A arrives again from waiter 2
+    Then the guard dispatched 1 request
+    And waiters 1 and 2 get the answer to order A
+
+  Scenario: An order lost after it was sent is unknown and stays so
+    Given a guard that owns the key
+    When order A arrives from waiter 1
+    And the connection of order A is lost after it was sent
+    And order A arrives again from waiter 2
+    Then the guard dispatched 1 request
+    And waiter 1 is told unknown with code connection-lost
+    And waiter 2 is told unknown with code may-have-run
+
+  Scenario: An order that was never sent is not run and may run later
+    Given a guard that owns the key
+    When order A arrives from waiter 1
+    And the connection of order A is lost before it was sent
+    And order A arrives again from waiter 2
+    Then waiter 1 is told not run with code not-sent
+    And the guard dispatched 2 requests
+
+  Scenario: A different request under a used id is refused
+    Given a guard that owns the key
+    When order A arrives from waiter 1
+    And a different request arrives from waiter 2 under the id of order A
+    Then waiter 2 is told not run with code request-id-conflict
+
+  Scenario: A stopped slice hands over what it knows once it is idle
+    Given a guard that owns the key
+    When order A arrives from waiter 1
+    And the guard is told to stop admitting
+    And order B arrives from waiter 2
+    Then waiter 2 is told not run with code moving
+    And the guard has not reported the slice idle
+    When the upstream answers order A
+    Then the guard hands over order A and reports the slice idle
+
+  Scenario: After a clean hand-over the new owner tells what ran from what did not
+    Given a guard that received order A in a hand-over with token 7 and gained token 8
+    When order A is sent again from waiter 1 with ticket 7
+    And order B is sent again from waiter 2 with ticket 7
+    Then waiter 1 is told unknown with code answer-not-kept
+    And the guard dispatched 1 request
+
+  Scenario: After an unclean change the new owner runs no older ticket
+    Given a guard that owns the key
+    When order A is sent again from waiter 1 with ticket 5
+    Then waiter 1 is told unknown with code owner-changed
+    And the guard dispatched 0 requests
--- /dev/null
+++ b/features/steps/guard_steps.py
@@ -0,0 +1,96 @@
+from behave import given, then, when
+
+from features.builders_requests import SLICE, GuardDriver
+from rosemarydeal.core import NotRun, Unknown
+from rosemarydeal.core.messages import KnownRequest, LedgerHandOver, TokenRange
+from rosemarydeal.policy import guard
+
+
+@given("a guard that owns the key")
+def step_owner(context):
+    context.guard = GuardDriver()
+
+
+@given("a guard that received order A in a hand-over with token 7 and gained token 8")
+def step_handed(context):
+    context.guard = GuardDriver(token=0)
+    entry = KnownRequest("A", 65, 1.0, True, 200)
+    book = LedgerHandOver(SLICE, 7, (TokenRange(7, 7),), True, (entry,))
+    context.guard.feed(guard.LedgerReceived(book))
+    context.guard.feed(guard.RightGained(SLICE, 8, after_token=7))
+
+
+@when("order {name} arrives from waiter {waiter:d}")
+def step_arrives(context, name, waiter):
+    context.guard.arrive(waiter, name)
+
+
+@when("order {name} arrives again from waiter {waiter:d}")
+def step_arrives_again(context, name, waiter):
+    context.guard.arrive(waiter, name, resent=True, ticket=7)
+
+
+@when("order {name} is sent again from waiter {waiter:d} with ticket {ticket:d}")
+def step_resent(context, name, waiter, ticket):
+    context.guard.arrive(waiter, name, resent=True, ticket=ticket)
+
+
+@when("a different request arrives from waiter {waiter:d} under the id of order {name}")
+def step_conflict(context, name, waiter):
+    context.guard.arrive(waiter, name, fingerprint=-5)
+
+
+@when("the upstream answers order {name}")
+def step_answers(context, name):
+    context.guard.answer(name)
+
+
+@when("the connection of order {name} is lost after it was sent")
+def step_lost(context, name):
+    context.guard.fail(name)
+
+
+@when("the connection of order {name} is lost before it was sent")
+def step_not_sent(context, name):
+    context.guard.fail(name, sent=False)
+
+
+@when("the guard is told to stop admitting")
+def step_stop(context):
+    context.guard.feed(guard.StopAdmitting(SLICE))
+
+
+@then("the guard dispatched {count:d} request")
+@then("the guard dispatched {count:d} requests")
+def step_dispatched(context, count):
+    assert len(context.guard.of(guard.Dispatch)) == count
+
+
+@then("waiters {first:d} and {second:d} get the answer to order {name}")
+def step_answer(context, first, second, name):
+    assert context.guard.outcome_of(first) == name
+    assert context.guard.outcome_of(second) == name
+
+
+@then("waiter {waiter:d} is told unknown with code {code}")
+def step_unknown(context, waiter, code):
+    outcome = context.guard.outcome_of(waiter)
+    assert isinstance(outcome, Unknown) and outcome.code == code, outcome
+
+
+@then("waiter {waiter:d} is told not run with code {code}")
+def step_not_run(context, waiter, code):
+    outcome = context.guard.outcome_of(waiter)
+    assert isinstance(outcome, NotRun) and outcome.code == code, outcome
+
+
+@then("the guard has not reported the slice idle")
+def step_not_idle(context):
+    assert not context.guard.of(guard.ReportIdle)
+
+
+@then("the guard hands over order {name} and reports the slice idle")
+def step_hands_over(context, name):
+    (action,) = context.guard.of(guard.HandOverLedger)
+    assert [entry.request_id for entry in action.ledger.entries] == [name]
+    assert context.guard.of(guard.ReportIdle)
--- /dev/null
+++ b/rosemarydeal/policy/guard_state.py
@@ -0,0 +1,165 @@
+"""Holds the state of the guard and answers questions about it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+import immutables
+
+from rosemarydeal.core import SliceId
+
+from . import coldstart
+from .admission import Admission, capacity
+from .coldstart import ColdStart
+from .fairqueue import FairQueue, Waiting
+from .guard_interface import GuardSettings, RequestArrived
+from .ledger import Ledger
+from .suspects import Suspects, is_blamed
+from .tickets import SliceRight
+
+__all__ = [
+    "GuardState",
+    "GuardStatus",
+    "LiveRequest",
+    "cold_share",
+    "put_live",
+    "right_of",
+    "start",
+    "status",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class LiveRequest:
+    """Holds a request that waits for a slot or runs.
+
+    Attributes:
+        request: The arrival that it began with.
+        waiters: Callers that wait for its outcome.
+        waiting: Its position in the queue; None once dispatched.
+        token: Fencing token under which it was dispatched.
+        started: Moment of the dispatch, in seconds.
+        cancelled: Whether the upstream was told to cancel it.
+        crash_counted: Whether it already counts as in flight at a crash.
+    """
+
+    request: RequestArrived
+    waiters: tuple[int, ...]
+    waiting: Waiting | None = None
+    token: int = 0
+    started: float = 0.0
+    cancelled: bool = False
+    crash_counted: bool = False
+
+    @property
+    def runs(self) -> bool:
+        """Says whether it was dispatched."""
+        return self.waiting is None
+
+
+@dataclass(frozen=True, slots=True)
+class GuardState:
+    """Holds all that the guard knows.
+
+    Attributes:
+        settings: Limits in force.
+        seed: Number that tells this life of the process from others.
+        up: Whether the upstream takes requests.
+        live: Requests that wait or run, by id.
+        waiters: Request that each waiting caller waits for.
+        rights: What is known of each slice.
+        busy_slices: Requests that run, by slice.
+        queue: Requests that wait.
+        ledger: Ids of non-idempotent requests.
+        admission: Counts of what runs.
+        cold: Ramp and latency history.
+        suspects: Requests that were in flight at crashes.
+        failures_in_row: Latest requests that failed or got a server error.
+    """
+
+    settings: GuardSettings
+    seed: int
+    up: bool
+    admission: Admission
+    cold: ColdStart
+    live: immutables.Map[str, LiveRequest] = field(default_factory=immutables.Map)
+    waiters: immutables.Map[int, str] = field(default_factory=immutables.Map)
+    rights: immutables.Map[SliceId, SliceRight] = field(default_factory=immutables.Map)
+    busy_slices: immutables.Map[SliceId, int] = field(default_factory=immutables.Map)
+    queue: FairQueue = FairQueue()
+    ledger: Ledger = Ledger()
+    suspects: Suspects = Suspects()
+    failures_in_row: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class GuardStatus:
+    """Gives the figures that metrics and operators show.
+
+    Attributes:
+        up: Whether the upstream takes requests.
+        running: Requests that run.
+        queued: Requests that wait.
+        limit: Requests that may run at a time now.
+        cold_share: Share of the slots that the upstream bears now.
+        ledger_ids: Ids that are kept.
+        answer_bytes: Bytes of the answers that are kept.
+        blamed: Fingerprints that are refused.
+    """
+
+    up: bool
+    running: int
+    queued: int
+    limit: int
+    cold_share: float
+    ledger_ids: int
+    answer_bytes: int
+    blamed: tuple[int, ...]
+
+
+def start(settings: GuardSettings, now: float, seed: int) -> GuardState:
+    """Returns the state of a guard whose upstream has not started yet.
+
+    Args:
+        settings: Limits to begin with.
+        now: The moment, in seconds.
+        seed: Number that tells this life of the process from others.
+    """
+    admission = Admission(limit=float(settings.slots), allowance_at=now)
+    return GuardState(settings, seed, False, admission, ColdStart())
+
+
+def right_of(state: GuardState, slice: SliceId) -> SliceRight:
+    """Returns what is known of a slice."""
+    return state.rights.get(slice) or SliceRight(slice)
+
+
+def cold_share(state: GuardState, now: float) -> float:
+    """Returns the share of its slots that the upstream bears now."""
+    return coldstart.share(state.cold, state.settings, now)
+
+
+def status(state: GuardState, now: float) -> GuardStatus:
+    """Returns the figures that metrics and operators show."""
+    share = cold_share(state, now)
+    return GuardStatus(
+        up=state.up,
+        running=state.admission.running,
+        queued=state.queue.size,
+        limit=capacity(state.admission, state.settings, share),
+        cold_share=share,
+        ledger_ids=len(state.ledger.entries),
+        answer_bytes=state.ledger.answer_bytes,
+        blamed=tuple(
+            sorted(
+                fingerprint
+                for fingerprint in state.suspects.records
+                if is_blamed(state.suspects, fingerprint)
+            )
+        ),
+    )
+
+
+def put_live(state: GuardState, live: LiveRequest) -> GuardState:
+    """Stores a live request under its id."""
+    return replace(state, live=state.live.set(live.request.request_id, live))
--- /dev/null
+++ b/rosemarydeal/policy/suspects.py
@@ -0,0 +1,164 @@
+"""Contains requests that crash the upstreams that run them.
+
+Each fingerprint in flight when an upstream crashed becomes a suspect of that
+crash, and all processes of the service are told. A suspect of two crashes is
+blamed and refused. Suspects run one at a time beside requests that are not
+suspects, so that a second crash has one suspect of the first in flight and
+nobody is blamed for another's crash. A request that completes is cleared.
+Records only grow by crash and by clearance, so notices may come in any order
+and more than once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+import immutables
+
+from rosemarydeal.core.messages import SuspectNotice
+
+__all__ = [
+    "Record",
+    "Suspects",
+    "clear",
+    "crash",
+    "expire",
+    "is_blamed",
+    "is_suspect",
+    "receive",
+]
+
+CRASHES_TO_BLAME = 2
+RECORDS_MAX = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Holds the crashes that a fingerprint was in flight at.
+
+    Attributes:
+        crashes: Ids of the crashes.
+        cleared: Ids of the crashes that it was cleared of.
+        at: Moment of the latest crash, in seconds.
+    """
+
+    crashes: frozenset[str]
+    cleared: frozenset[str]
+    at: float
+
+    @property
+    def standing(self) -> frozenset[str]:
+        """Returns the crashes that it was not cleared of."""
+        return self.crashes - self.cleared
+
+
+@dataclass(frozen=True, slots=True)
+class Suspects:
+    """Holds the records by fingerprint and the number of own crashes."""
+
+    records: immutables.Map[int, Record] = field(default_factory=immutables.Map)
+    own_crashes: int = 0
+
+
+def _standing(suspects: Suspects, fingerprint: int) -> frozenset[str]:
+    """Returns the crashes that stand against a fingerprint."""
+    record = suspects.records.get(fingerprint)
+    return record.standing if record else frozenset()
+
+
+def is_suspect(suspects: Suspects, fingerprint: int) -> bool:
+    """Says whether a fingerprint was in flight at a crash and not cleared."""
+    return bool(_standing(suspects, fingerprint))
+
+
+def is_blamed(suspects: Suspects, fingerprint: int) -> bool:
+    """Says whether requests with a fingerprint are refused."""
+    return len(_standing(suspects, fingerprint)) >= CRASHES_TO_BLAME
+
+
+def crash(
+    suspects: Suspects,
+    service: str,
+    node: str,
+    seed: int,
+    in_flight: tuple[int, ...],
+    now: float,
+) -> tuple[Suspects, SuspectNotice]:
+    """Records a crash of the upstream beside this process.
+
+    Args:
+        suspects: The records.
+        service: Service of the upstream.
+        node: Name of this process.
+        seed: Number that tells this life of the process from others.
+        in_flight: Fingerprints that the upstream ran.
+        now: The moment, in seconds.
+
+    Returns:
+        The records and the notice for the other processes.
+    """
+    crash_id = f"{node}/{seed}/{suspects.own_crashes}"
+    notice = SuspectNotice(service, crash_id, tuple(sorted(set(in_flight))))
+    suspects = replace(suspects, own_crashes=suspects.own_crashes + 1)
+    return receive(suspects, notice, now), notice
+
+
+def receive(suspects: Suspects, notice: SuspectNotice, now: float) -> Suspects:
+    """Merges a notice into the records."""
+    records = suspects.records
+    crash_id = frozenset({notice.crash_id})
+    for fingerprint in notice.suspects:
+        record = records.get(fingerprint) or Record(frozenset(), frozenset(), now)
+        grown = replace(record, crashes=record.crashes | crash_id, at=now)
+        records = records.set(fingerprint, grown)
+    for fingerprint in notice.cleared:
+        record = records.get(fingerprint) or Record(frozenset(), frozenset(), now)
+        records = records.set(
+            fingerprint, replace(record, cleared=record.cleared | crash_id)
+        )
+    return _bounded(replace(suspects, records=records))
+
+
+def _bounded(suspects: Suspects) -> Suspects:
+    """Drops the oldest records beyond the bound, blamed ones last."""
+    excess = len(suspects.records) - RECORDS_MAX
+    if excess <= 0:
+        return suspects
+    ranked = sorted(
+        suspects.records.items(),
+        key=lambda item: (len(item[1].standing) >= CRASHES_TO_BLAME, item[1].at),
+    )
+    records = suspects.records
+    for fingerprint, _ in ranked[:excess]:
+        records = records.delete(fingerprint)
+    return replace(suspects, records=records)
+
+
+def clear(
+    suspects: Suspects, service: str, fingerprint: int
+) -> tuple[Suspects, tuple[SuspectNotice, ...]]:
+    """Clears a fingerprint of every crash that is known.
+
+    Returns:
+        The records and a notice for each crash.
+    """
+    standing = _standing(suspects, fingerprint)
+    if not standing:
+        return suspects, ()
+    record = suspects.records[fingerprint]
+    cleared = replace(record, cleared=record.cleared | standing)
+    notices = tuple(
+        SuspectNotice(service, crash_id, (), (fingerprint,))
+        for crash_id in sorted(standing)
+    )
+    records = suspects.records.set(fingerprint, cleared)
+    return replace(suspects, records=records), notices
+
+
+def expire(suspects: Suspects, now: float, window_s: float) -> Suspects:
+    """Forgets records without a crash for the length of the window."""
+    old = [f for f, record in suspects.records.items() if now - record.at > window_s]
+    records = suspects.records
+    for fingerprint in old:
+        records = records.delete(fingerprint)
+    return replace(suspects, records=records) if old else suspects
--- /dev/null
+++ b/rosemarydeal/policy/tickets.py
@@ -0,0 +1,143 @@
+"""Tells whether an earlier owner of a slice may have run a request.
+
+The first try of a non-idempotent request is bound to a fencing token of its
+slice, its ticket. An owner knows the ids of the tokens that it served itself
+and of those that a clean hand-over accounts for. A request that is sent again
+with any other ticket may have run elsewhere, so nobody may run it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from rosemarydeal.core import SliceId
+from rosemarydeal.core.messages import LedgerHandOver, TokenRange
+
+from .interface import RightGained
+
+__all__ = ["SliceRight", "Verdict", "accept", "gain", "give_away", "judge", "lose"]
+
+
+class Verdict(Enum):
+    """Says what an unrecorded id means."""
+
+    NEVER_RAN = "never ran"
+    STALE_TICKET = "stale ticket"
+    MAY_HAVE_RUN = "may have run"
+
+
+@dataclass(frozen=True, slots=True)
+class SliceRight:
+    """Holds what the guard knows of its right to a slice.
+
+    Attributes:
+        slice: The slice.
+        token: Fencing token of the latest right; -1 before the first.
+        held: Whether the right is held.
+        admitting: Whether new requests are admitted under it.
+        covers: Tokens whose first tries the ledger accounts for.
+        complete: Whether the ledger holds every request of the window.
+        since: Moment from which all requests of the slice came here.
+        handed: Ledger that a former owner passed on, until it is used.
+        adopted: Token of the latest ledger that was taken over.
+        given_away: Whether the ledger went to the next owner.
+    """
+
+    slice: SliceId
+    token: int = -1
+    held: bool = False
+    admitting: bool = False
+    covers: tuple[TokenRange, ...] = ()
+    complete: bool = False
+    since: float = 0.0
+    handed: LedgerHandOver | None = None
+    adopted: int = -1
+    given_away: bool = False
+
+
+def gain(right: SliceRight, gained: RightGained, now: float) -> SliceRight:
+    """Takes a right; one that is already held is only extended."""
+    if right.held and right.admitting:
+        return replace(right, token=gained.token, covers=_extend(right, gained.token))
+    fresh = replace(
+        right,
+        held=True,
+        admitting=True,
+        complete=False,
+        since=now,
+        given_away=False,
+    )
+    if gained.token <= right.token:
+        return fresh
+    own = TokenRange(gained.token, gained.token)
+    fresh = replace(fresh, token=gained.token, covers=(*right.covers, own))
+    handed = right.handed
+    if handed is None:
+        return fresh
+    return replace(
+        fresh,
+        covers=(*handed.covers, *fresh.covers),
+        complete=handed.complete and handed.token == gained.after_token,
+        handed=None,
+    )
+
+
+def _extend(right: SliceRight, token: int) -> tuple[TokenRange, ...]:
+    """Returns the covered tokens with the last range ending at a token."""
+    if not right.covers:
+        return (TokenRange(token, token),) if token > right.token else ()
+    last = right.covers[-1]
+    return (*right.covers[:-1], TokenRange(last.low, max(last.high, token)))
+
+
+def accept(right: SliceRight, handed: LedgerHandOver) -> SliceRight:
+    """Takes the ledger of a former owner; only its first copy counts."""
+    if handed.token <= right.adopted:
+        return right
+    right = replace(right, adopted=handed.token)
+    if right.held:
+        return replace(right, covers=(*handed.covers, *right.covers))
+    return replace(right, handed=handed)
+
+
+def lose(right: SliceRight) -> SliceRight:
+    """Gives up a right; the covered tokens stay accounted for."""
+    return replace(right, held=False, admitting=False, complete=False)
+
+
+def give_away(right: SliceRight) -> SliceRight:
+    """Gives the ledger to the next owner, who may run the covered tickets."""
+    return replace(right, covers=(), complete=False, given_away=True)
+
+
+def judge(
+    right: SliceRight,
+    ticket: int | None,
+    resent: bool,
+    age_s: float | None,
+    now: float,
+    window_s: float,
+) -> Verdict:
+    """Says what it means that the ledger does not hold an id.
+
+    Args:
+        right: The right under which the request would run.
+        ticket: Token that its first try was sent with, if known.
+        resent: Whether an earlier try may have reached an upstream.
+        age_s: Seconds since the id was made, if known.
+        now: The moment, in seconds.
+        window_s: Seconds for which callers may send an id again.
+
+    Returns:
+        Whether it never ran, may have run, or must get a newer ticket first.
+    """
+    if ticket is not None and any(c.low <= ticket <= c.high for c in right.covers):
+        return Verdict.NEVER_RAN
+    if not resent:
+        return Verdict.NEVER_RAN if ticket is None else Verdict.STALE_TICKET
+    if age_s is not None and age_s < now - right.since:
+        return Verdict.NEVER_RAN
+    if ticket is None and (right.complete or now - right.since > window_s):
+        return Verdict.NEVER_RAN
+    return Verdict.MAY_HAVE_RUN
