--- a/rosemarydeal/core/headers.py
+++ b/rosemarydeal/core/headers.py
@@ -7,11 +7,15 @@
 from __future__ import annotations
 
 __all__ = [
+    "ATTEMPT",
+    "ATTEMPT_FIRST",
+    "ATTEMPT_RESENT",
     "CODE",
     "DEADLINE_MS",
     "GRANT",
     "HOPS",
     "IDEMPOTENCY_KEY",
+    "ID_AGE_MS",
     "OUTCOME",
     "OUTCOME_ANSWER",
     "OUTCOME_NOT_RUN",
@@ -25,6 +29,15 @@
 IDEMPOTENCY_KEY = b"idempotency-key"
 """Id of a request; a repeat with the same id never runs twice."""
 
+ATTEMPT = b"rosemarydeal-attempt"
+"""Says whether an earlier try with the same id may have reached an upstream."""
+
+ATTEMPT_FIRST = b"first"
+ATTEMPT_RESENT = b"resent"
+
+ID_AGE_MS = b"rosemarydeal-id-age-ms"
+"""Time since the request's id was made, by the caller's clock, in ms."""
+
 DEADLINE_MS = b"rosemarydeal-deadline-ms"
 """Time that remains for the whole exchange, in milliseconds."""
 
--- /dev/null
+++ b/rosemarydeal/core/routes.py
@@ -0,0 +1,187 @@
+"""Defines the routing table that entries serve to the caller library.
+
+The table of a service with 40,000 slices stays under a megabyte: owners and
+successors are numbers of entries, and numbers and tokens are packed.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from .data import Address, Row, SliceId
+from .request_key import KeyRule
+
+__all__ = [
+    "ROUTES_PATH",
+    "CarvedRoute",
+    "Route",
+    "RouteTable",
+    "RoutesReply",
+    "build_routes",
+    "decode_routes",
+    "encode_routes",
+    "route_of",
+]
+
+ROUTES_PATH = "/.rosemarydeal/routes"
+NAMES_PER_SLICE = 3
+NO_ENTRY = 0xFFFF
+TOKEN_FORMAT = struct.Struct("<Q")
+NAMES_FORMAT = struct.Struct(f"<{NAMES_PER_SLICE}H")
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Says where requests of a key go.
+
+    Attributes:
+        entries: Entry of the owner, then those of its successors.
+        token: Fencing token of the slice, the ticket of a first try.
+    """
+
+    entries: tuple[Address, ...]
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class CarvedRoute:
+    """Gives the route of a key that has a slice of its own.
+
+    Attributes:
+        key_hash: Hash of the key.
+        names: Numbers of the owner's and the successors' entries.
+        token: Fencing token of the slice.
+    """
+
+    key_hash: int
+    names: tuple[int, ...]
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Maps the keys of a service to the entries of their owners.
+
+    Attributes:
+        service: The service.
+        version: Grows with each change of the table.
+        slices: Number of base slices; 0 for a service without keys.
+        key_rule: Where requests carry their key.
+        entries: Entries of all processes of the service, by number.
+        names: Three entry numbers for each slice, packed.
+        tokens: Fencing token of each slice, packed.
+        carved: Keys with a slice of their own.
+    """
+
+    service: str
+    version: int
+    slices: int
+    key_rule: KeyRule | None
+    entries: tuple[Address, ...]
+    names: bytes = b""
+    tokens: bytes = b""
+    carved: tuple[CarvedRoute, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesReply:
+    """Answers a question for routes; no table means that none is newer."""
+
+    version: int
+    table: RouteTable | None = None
+
+
+def build_routes(
+    service: str,
+    version: int,
+    slices: int,
+    key_rule: KeyRule | None,
+    entries: Mapping[str, Address],
+    rows: Iterable[Row],
+) -> RouteTable:
+    """Builds the table of a service.
+
+    Args:
+        service: The service.
+        version: Version of the table.
+        slices: Number of base slices.
+        key_rule: Where requests carry their key.
+        entries: Entry of each node that serves the service.
+        rows: Rows of the service, in any order.
+
+    Returns:
+        The table; slices without a row have no entries and token 0.
+    """
+    numbers = {node: number for number, node in enumerate(sorted(entries))}
+    names = bytearray(NAMES_FORMAT.pack(*[NO_ENTRY] * NAMES_PER_SLICE) * slices)
+    tokens = bytearray(TOKEN_FORMAT.size * slices)
+    carved = []
+    for row in rows:
+        found = [numbers[i.node] for i in row.succession if i.node in numbers]
+        found = found[:NAMES_PER_SLICE]
+        if row.slice.carved >= 0:
+            carved.append(CarvedRoute(row.slice.carved, tuple(found), row.version))
+            continue
+        padded = found + [NO_ENTRY] * (NAMES_PER_SLICE - len(found))
+        NAMES_FORMAT.pack_into(names, row.slice.index * NAMES_FORMAT.size, *padded)
+        offset = row.slice.index * TOKEN_FORMAT.size
+        TOKEN_FORMAT.pack_into(tokens, offset, row.version)
+    return RouteTable(
+        service,
+        version,
+        slices,
+        key_rule,
+        tuple(entries[node] for node in sorted(entries)),
+        bytes(names),
+        bytes(tokens),
+        tuple(sorted(carved, key=lambda route: route.key_hash)),
+    )
+
+
+def route_of(table: RouteTable, slice_id: SliceId) -> Route:
+    """Returns the route of a slice.
+
+    Args:
+        table: The table.
+        slice_id: A base slice, or the carved slice of a key.
+    """
+    if slice_id.carved >= 0:
+        for route in table.carved:
+            if route.key_hash == slice_id.carved:
+                found = tuple(table.entries[number] for number in route.names)
+                return Route(found, route.token)
+    numbers = NAMES_FORMAT.unpack_from(table.names, slice_id.index * NAMES_FORMAT.size)
+    known = tuple(table.entries[number] for number in numbers if number != NO_ENTRY)
+    offset = slice_id.index * TOKEN_FORMAT.size
+    return Route(known, TOKEN_FORMAT.unpack_from(table.tokens, offset)[0])
+
+
+def encode_routes(reply: RoutesReply) -> bytes:
+    """Encodes a reply as JSON."""
+    return msgspec.json.encode(reply)
+
+
+def decode_routes(data: bytes) -> RoutesReply:
+    """Decodes and checks a reply.
+
+    Raises:
+        ValueError: If the data is not a valid reply.
+    """
+    reply = msgspec.json.decode(data, type=RoutesReply)
+    table = reply.table
+    if table is None:
+        return reply
+    if len(table.names) != table.slices * NAMES_FORMAT.size:
+        raise ValueError("the names don't fit the number of slices")
+    if len(table.tokens) != table.slices * TOKEN_FORMAT.size:
+        raise ValueError("the tokens don't fit the number of slices")
+    used = {number for (number,) in struct.iter_unpack("<H", table.names)}
+    used.discard(NO_ENTRY)
+    used.update(number for route in table.carved for number in route.names)
+    if used and not 0 <= min(used) <= max(used) < len(table.entries):
+        raise ValueError("a name has no entry")
+    return reply
--- a/rosemarydeal/proxy/__init__.py
+++ b/rosemarydeal/proxy/__init__.py
@@ -24,6 +24,7 @@
     replace_header,
     whole_response,
 )
+from .refusal import refusal_response
 from .server import HttpServer, serve
 from .server_connection import Handler
 
@@ -49,6 +50,7 @@
     "find_header",
     "problem_response",
     "read_whole",
+    "refusal_response",
     "replace_header",
     "serve",
     "whole_response",
--- a/rosemarydeal/proxy/errors.py
+++ b/rosemarydeal/proxy/errors.py
@@ -26,27 +26,16 @@
 
 
 class BadMessage(ProxyError):  # noqa: N818
-    """Says that a peer sent what is not allowed in HTTP, or past a limit.
-
-    Attributes:
-        status: HTTP status that answers such a request.
-    """
+    """Says that a peer sent what is not allowed in HTTP, or past a limit."""
 
     code = "bad-request"
 
-    def __init__(self, detail: str, status: int = 400, code: str | None = None) -> None:
-        super().__init__(detail, code)
-        self.status = status
-
 
 class BodyTooLarge(BadMessage):
     """Says that a body is longer than its limit."""
 
     code = "body-too-large"
 
-    def __init__(self, detail: str) -> None:
-        super().__init__(detail, status=413)
-
 
 class ConnectFailed(ProxyError):  # noqa: N818
     """Says that no connection came about, so nothing was sent."""
--- /dev/null
+++ b/rosemarydeal/proxy/refusal.py
@@ -0,0 +1,37 @@
+"""Turns the outcomes *not run* and *unknown* into responses."""
+
+from __future__ import annotations
+
+import math
+
+from rosemarydeal.core import NotRun, Unknown
+from rosemarydeal.core import headers as names
+from rosemarydeal.core.codes import find_code
+
+from .message import Headers, Response, problem_response
+
+__all__ = ["refusal_response"]
+
+
+def refusal_response(outcome: NotRun | Unknown, headers: Headers = ()) -> Response:
+    """Builds the response that tells a caller of a refusal.
+
+    Args:
+        outcome: What became of the request.
+        headers: Further headers.
+
+    Returns:
+        A problem+json response with status, outcome, code and Retry-After.
+    """
+    match outcome:
+        case NotRun():
+            word = names.OUTCOME_NOT_RUN
+        case Unknown():
+            word = names.OUTCOME_UNKNOWN
+    code = find_code(outcome.code, word.decode())
+    fields = ((names.OUTCOME, word), (names.CODE, outcome.code.encode()))
+    if isinstance(outcome, NotRun) and outcome.retry_after > 0:
+        seconds = b"%d" % math.ceil(outcome.retry_after)
+        fields = (*fields, (names.RETRY_AFTER, seconds))
+    detail = outcome.detail or code.meaning
+    return problem_response(code.status, outcome.code, detail, fields + headers)
--- a/rosemarydeal/proxy/server.py
+++ b/rosemarydeal/proxy/server.py
@@ -7,10 +7,9 @@
 
 import structlog
 
-from rosemarydeal.core import Address
+from rosemarydeal.core import Address, NotRun
 
 from .limits import HttpLimits
-from .message import problem_response
 from .server_connection import Handler, ServerConnection
 from .wire import READ_BYTES
 
@@ -47,8 +46,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves the connection that came about."""
-        connection = self._server.admit(reader, writer)
-        if connection is None:
+        connection = self._server.connect(reader, writer)
+        if not self._server.admit(connection):
+            await connection.turn_away(NotRun("too-many-connections"))
             return
         self._connection = connection
         try:
@@ -121,20 +121,22 @@
             connection.abort()
         await self._empty.wait()
 
-    def admit(
+    def connect(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> ServerConnection | None:
-        """Takes a new connection in, or refuses it over the caller's limit."""
-        host = writer.get_extra_info("peername")[0]
+    ) -> ServerConnection:
+        """Returns the object that serves a new connection."""
+        return ServerConnection(reader, writer, self._handler, self._limits)
+
+    def admit(self, connection: ServerConnection) -> bool:
+        """Takes a new connection in unless its caller holds too many."""
+        host = connection.peer.host
         if self._per_host[host] >= self._limits.connections_per_address:
             log.warning("too many connections", host=host)
-            self._refuse(writer)
-            return None
-        connection = ServerConnection(reader, writer, self._handler, self._limits)
+            return False
         self._per_host[host] += 1
         self._connections.add(connection)
         self._empty.clear()
-        return connection
+        return True
 
     def release(self, connection: ServerConnection) -> None:
         """Forgets a connection that ended."""
@@ -146,21 +148,6 @@
         if not self._connections:
             self._empty.set()
 
-    def _refuse(self, writer: asyncio.StreamWriter) -> None:
-        """Answers a connection over the limit and closes it."""
-        response = problem_response(
-            429, "too-many-connections", "too many connections from this address"
-        )
-        head = (
-            b"HTTP/1.1 429 Too Many Requests\r\nconnection: close\r\n"
-            b"rosemarydeal-outcome: not-run\r\n"
-            b"rosemarydeal-code: too-many-connections\r\n"
-            b"content-type: application/problem+json\r\ncontent-length: %d\r\n\r\n"
-        )
-        body = response.body.data
-        writer.write(head % len(body) + body)
-        writer.close()
-
 
 async def serve(handler: Handler, address: Address, limits: HttpLimits) -> HttpServer:
     """Starts a server.
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -13,20 +13,18 @@
 import h11
 import structlog
 
-from rosemarydeal.core import Address, CodedError
-from rosemarydeal.core import headers as names
+from rosemarydeal.core import Address, CodedError, NotRun, Unknown
 
 from .errors import BadMessage, BodyTooLarge
 from .limits import HttpLimits
 from .message import (
-    Headers,
     Request,
     Response,
     WholeBody,
     end_to_end,
     find_header,
-    problem_response,
 )
+from .refusal import refusal_response
 from .watchdog import Watchdog
 from .wire import HIGH_WATER_BYTES, READ_BYTES, Wire
 
@@ -108,6 +106,15 @@
         finally:
             self._close()
 
+    async def turn_away(self, outcome: NotRun) -> None:
+        """Answers a connection that is not taken in, and closes it."""
+        try:
+            await self._refuse(outcome)
+        except (ConnectionError, asyncio.CancelledError):
+            self._writer.transport.abort()
+        finally:
+            self._close()
+
     def stop(self) -> None:
         """Closes the connection as soon as no request runs on it."""
         self._closing = True
@@ -149,7 +156,7 @@
             self._watchdog.disarm()
             request = self._accept(head)
         except BadMessage as error:
-            await self._refuse(error, names.OUTCOME_NOT_RUN)
+            await self._refuse(NotRun(error.code, error.detail))
             return False
         if self._caller_gone:
             return False
@@ -168,7 +175,7 @@
             BadMessage: If the request can't be served as it is.
         """
         if head.method == b"CONNECT":
-            raise BadMessage("CONNECT is not served", 501, "method-not-served")
+            raise BadMessage("CONNECT is not served", "method-not-served")
         headers = tuple(head.headers)
         length = find_header(headers, b"content-length")
         if length is not None and int(length) > self._limits.body_bytes:
@@ -184,15 +191,14 @@
         try:
             response = await self._handler(request)
         except BadMessage as error:
-            await self._refuse(error, names.OUTCOME_UNKNOWN)
+            await self._refuse(Unknown(error.code, error.detail))
             return
         except CodedError as error:
             log.warning("handler failed", code=error.code, detail=error.detail)
-            response = self._failure(500, error, names.OUTCOME_UNKNOWN)
+            response = refusal_response(Unknown(error.code, error.detail))
         except Exception:
             log.exception("handler failed", peer=str(self._peer))
-            error = CodedError("the request failed in the router")
-            response = self._failure(500, error, names.OUTCOME_UNKNOWN)
+            response = refusal_response(Unknown("internal"))
         try:
             await self._write_response(request.method, response)
         finally:
@@ -242,13 +248,13 @@
         await self._wire.flush()
         self._watchdog.disarm()
 
-    async def _refuse(self, error: BadMessage, outcome: bytes) -> None:
+    async def _refuse(self, outcome: NotRun | Unknown) -> None:
         """Answers a request that breaks a rule, and closes the connection."""
         self._watchdog.disarm()
         if self._wire.responded:
             raise ConnectionAbortedError
         self._closing = True
-        await self._write_response(b"", self._failure(error.status, error, outcome))
+        await self._write_response(b"", refusal_response(outcome))
         await self._linger()
 
     async def _linger(self) -> None:
@@ -265,14 +271,6 @@
         while left > 0 and (data := await self._reader.read(READ_BYTES)):
             left -= len(data)
 
-    def _failure(self, status: int, error: CodedError, outcome: bytes) -> Response:
-        """Builds the problem response for an error."""
-        fields: Headers = (
-            (names.OUTCOME, outcome),
-            (names.CODE, error.code.encode()),
-        )
-        return problem_response(status, error.code, error.detail, fields)
-
     def _count_body(self, length: int) -> None:
         """Adds to the length of the body and holds it against the limit."""
         self._body_received += length
@@ -286,7 +284,7 @@
 
     def _end_slow_read(self) -> None:
         """Makes the read that waits fail, since the caller sends too slowly."""
-        error = BadMessage("the request came in too slowly", 408, "request-timeout")
+        error = BadMessage("the request came in too slowly", "request-timeout")
         self._reader.set_exception(error)
 
     def _close(self) -> None:
--- a/rosemarydeal/proxy/wire.py
+++ b/rosemarydeal/proxy/wire.py
@@ -181,7 +181,7 @@
     def _too_long(self) -> BadMessage:
         """Builds the error for a head over its limit."""
         detail = f"the head is longer than {self._header_bytes} bytes"
-        return BadMessage(detail, status=431, code="header-too-large")
+        return BadMessage(detail, "header-too-large")
 
     def _receive(self, data: bytes) -> None:
         """Hands read bytes to h11; no bytes mean that the peer closed."""
@@ -195,4 +195,4 @@
         try:
             return self._h11.next_event()
         except h11.RemoteProtocolError as error:
-            raise BadMessage(str(error), error.error_status_hint) from error
+            raise BadMessage(str(error)) from error
