Test every problem of settings files by a real file, add schemas for editors

Cause: each code that a check can give needs a file that brings it out, and editors can't help with names and bounds without a schema.

Change: files whose comments name the problems wanted at each line, damaged and arbitrary texts, JSON schemas from the types of the checks with a test that they are current. References and the tree are now checked in the same run as the types.

Writing them found three faults, mended here: a misspelled service below a place was reported as an unused setting only, a repeated zone was reported at its first line, and the schema described the checker's own types in place of the settings.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -61,3 +61,32 @@
     Then the settings let "own-service" use "/prices/7" of "lagerbok"
     And the settings keep "yard" from "/prices/7" of "lagerbok"
     And the settings keep "" from "//prices/%37" of "lagerbok"
+
+  Scenario Outline: Every mistake of a file is reported at once with its line
+    When the settings file "features/settings_files/<file>" is loaded
+    Then the settings problems are the ones that the file's comments want
+    And no settings problem shows a secret
+
+    Examples:
+      | file                       |
+      | names.deployment.json      |
+      | types.deployment.json      |
+      | values.deployment.json     |
+      | references.deployment.json |
+      | tree.deployment.json       |
+      | node.node.json             |
+      | comma.deployment.json      |
+
+  Scenario: A comment that is never closed is a mistake in its file
+    When the settings file "features/settings_files/comment.node.json" is loaded
+    Then the settings problems have only the code "syntax"
+
+  Scenario: Every code of a settings problem is tested by a file
+    Then the settings files want every code that the checks know
+
+  Scenario: Any text is either settings or problems, never a crash
+    Then arbitrary and damaged settings texts give settings or problems
+
+  Scenario: The committed schemas are those of the types
+    Then the settings schemas are current
+    And the settings schemas know every name that the example files use
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -1,4 +1,5 @@
 import json
+import re
 from pathlib import Path
 
 from behave import step, then, when
@@ -9,11 +10,14 @@
 from rosemarydeal.core import Place
 from rosemarydeal.settings import (
     PathPattern,
+    ProblemCode,
     canonical_path,
     effective,
     explain,
     load_deployment,
+    load_node,
 )
+from rosemarydeal.settings.schema import SCHEMA_DIRECTORY, schema_texts
 from rosemarydeal.settings.syntax import parse
 
 REGION, ZONES = "wa-perth", ("perth-a", "perth-b")
@@ -187,3 +191,99 @@
 @step('the settings keep "" from "{target}" of "{service}"')
 def step_keep_unnamed(context, target, service):
     assert not admitted(context, "", target, service)
+
+
+FILES = Path("features/settings_files")
+WANTED = re.compile(r"// want: ([a-z-]+)")
+
+
+def wanted(file):
+    """Returns the line and code of each problem that a file's comments want."""
+    written = enumerate(Path(file).read_text("utf-8").splitlines(), 1)
+    return [(number, code) for number, line in written for code in WANTED.findall(line)]
+
+
+@then("the settings problems are the ones that the file's comments want")
+def step_wanted(context):
+    assert context.loaded is None
+    found = [(item.location.line, item.code) for item in context.problems]
+    file = context.problems[0].location.file
+    assert found == wanted(file), "\n".join(map(str, context.problems))
+    assert all(item.detail for item in context.problems)
+
+
+@then("no settings problem shows a secret")
+def step_no_secret(context):
+    shown = " ".join(map(str, context.problems))
+    assert "also short" not in shown
+    assert "'secret'" not in shown
+
+
+@then('the settings problems have only the code "{code}"')
+def step_only_code(context, code):
+    assert context.loaded is None
+    assert {item.code for item in context.problems} == {code}
+
+
+@then("the settings files want every code that the checks know")
+def step_every_code(context):
+    known = {
+        value for name, value in vars(ProblemCode).items() if not name.startswith("_")
+    }
+    tested = {code for file in FILES.iterdir() for _, code in wanted(file)}
+    assert tested == known, tested ^ known
+
+
+@then("arbitrary and damaged settings texts give settings or problems")
+def step_any_text(context):
+    example = Path("examples/fremantle.json").read_text("utf-8")
+    node = Path("examples/node-box-office-1.json").read_text("utf-8")
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(st.data())
+    def check(data):
+        text = data.draw(st.sampled_from([example, node]) | st.text(max_size=40))
+        start = data.draw(st.integers(0, len(text)))
+        end = data.draw(st.integers(start, min(start + 20, len(text))))
+        damage = data.draw(st.sampled_from(["", "{", "]", '"', "1", "[[", "\x00", "é"]))
+        text = text[:start] + damage + text[end:]
+        for load in (load_deployment, load_node):
+            loaded, problems = load(text, "a")
+            assert (loaded is None) == bool(problems), problems
+
+    check()
+    for text in ("[" * 100_000, "[" * 50 + "]" * 50, "1" * 5000, "NaN", "", "null"):
+        loaded, problems = load_deployment(text, "a")
+        assert loaded is None and problems, text[:9]
+
+
+@then("the settings schemas are current")
+def step_schema(context):
+    for name, text in schema_texts().items():
+        assert (SCHEMA_DIRECTORY / name).read_text("utf-8") == text, name
+
+
+def unknown_names(node, schema, root):
+    """Yields the names of a node that a schema doesn't allow."""
+    while "$ref" in schema:
+        schema = root["$defs"][schema["$ref"].rpartition("/")[2]]
+    for item in getattr(node, "items", ()):
+        yield from unknown_names(item, schema["items"], root)
+    for member in getattr(node, "members", ()):
+        known = schema.get("properties", {})
+        below = known.get(member.name, schema["additionalProperties"])
+        if below is False:
+            yield member.name
+        else:
+            yield from unknown_names(member.value, below, root)
+
+
+@then("the settings schemas know every name that the example files use")
+def step_schema_names(context):
+    for file in Path("examples").glob("*.json"):
+        kind = "node" if file.name.startswith("node") else "deployment"
+        schema = json.loads((SCHEMA_DIRECTORY / f"{kind}.schema.json").read_text())
+        root, _ = parse(file.read_text("utf-8"), file.name)
+        assert list(unknown_names(root, schema, schema)) == [], file
+    wrong, _ = parse('{"nodes": 1}', "a")
+    assert list(unknown_names(wrong, schema, schema)) == ["nodes"]
--- a/rosemarydeal/settings/checks.py
+++ b/rosemarydeal/settings/checks.py
@@ -6,16 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
-from rosemarydeal.core import SourceLocation
+from collections.abc import Iterable, Iterator
 
 from .deployment import DEFAULT_TENANT
 from .files import DeploymentFile, RuleFile, ServiceFile
 from .positions import Positions
 from .problems import Problem, ProblemCode
 
-__all__ = ["check_references"]
+__all__ = ["check_references", "check_zone_use"]
 
 
 def check_references(file: DeploymentFile, positions: Positions) -> tuple[Problem, ...]:
@@ -30,7 +28,8 @@
     """
     return (
         *_check_ports(file, positions),
-        *_check_zones(file, positions),
+        *_check_zone_names(file, positions),
+        *_check_branch_names(file, positions),
         *_check_services(file, positions),
         *_check_tenants(file, positions),
     )
@@ -46,38 +45,83 @@
 def _check_ports(file: DeploymentFile, positions: Positions) -> Iterator[Problem]:
     """Finds services that share a port."""
     taken: dict[int, str] = {}
-    for name, service in sorted(file.services.items(), key=_line_of(positions)):
-        if service.port in taken:
-            detail = f"{taken[service.port]} takes port {service.port} already"
+    for name in _in_file_order(file.services, positions, "services"):
+        port = file.services[name].port
+        if port in taken:
+            detail = f"{taken[port]} takes port {port} already"
             path = ("services", name, "port")
             yield _problem(ProblemCode.PORT_TWICE, positions, path, detail)
-        taken.setdefault(service.port, name)
-
-
-def _line_of(positions: Positions):
-    """Returns a sort key that keeps the order of the file."""
+        taken.setdefault(port, name)
 
-    def line(item: tuple[str, ServiceFile]) -> tuple[SourceLocation, str]:
-        return positions.at("services", item[0]), item[0]
 
-    return line
+def _in_file_order(names: Iterable[str], positions: Positions, *path: str) -> list[str]:
+    """Sorts the names of an object by their position in the file."""
+    return sorted(names, key=lambda name: (positions.at(*path, name), name))
 
 
-def _check_zones(file: DeploymentFile, positions: Positions) -> Iterator[Problem]:
-    """Finds zones that stand in two regions or that no service uses."""
+def _check_zone_names(file: DeploymentFile, positions: Positions) -> Iterator[Problem]:
+    """Finds zones that stand in two regions."""
     regions: dict[str, str] = {}
-    used = {zone for item in file.services.values() for zone in item.availability_zones}
-    everywhere = any(not item.availability_zones for item in file.services.values())
-    for region_name, region in sorted(file.regions.items()):
-        for zone in sorted(region.availability_zones):
-            path = ("regions", region_name, "availability_zones", zone)
+    for name in _in_file_order(file.regions, positions, "regions"):
+        path = ("regions", name, "availability_zones")
+        for zone in sorted(file.regions[name].availability_zones):
             if zone in regions:
                 detail = f"region {regions[zone]} has a zone of this name already"
-                yield _problem(ProblemCode.DUPLICATE_NAME, positions, path, detail)
-            regions.setdefault(zone, region_name)
-            if zone not in used and not everywhere:
-                detail = "no service has upstreams in this availability zone"
-                yield _problem(ProblemCode.EMPTY_ZONE, positions, path, detail)
+                where = (*path, zone)
+                yield _problem(ProblemCode.DUPLICATE_NAME, positions, where, detail)
+            regions.setdefault(zone, name)
+
+
+def check_zone_use(file: DeploymentFile, positions: Positions) -> tuple[Problem, ...]:
+    """Finds availability zones that no service has upstreams in.
+
+    Args:
+        file: The content of the file, of which no part may have failed.
+        positions: Positions of all values in the file.
+
+    Returns:
+        The problems found.
+    """
+    services = file.services.values()
+    if any(not service.availability_zones for service in services):
+        return ()
+    used = {zone for service in services for zone in service.availability_zones}
+    detail = "no service has upstreams in this availability zone"
+    paths = (
+        ("regions", name, "availability_zones", zone)
+        for name, region in file.regions.items()
+        for zone in region.availability_zones
+        if zone not in used
+    )
+    return tuple(
+        _problem(ProblemCode.EMPTY_ZONE, positions, path, detail) for path in paths
+    )
+
+
+def _check_branch_names(
+    file: DeploymentFile, positions: Positions
+) -> Iterator[Problem]:
+    """Finds branches below places for services that don't exist."""
+    for path, name in _service_branches(file):
+        if not positions.holds("services", name):
+            detail = f"there is no service {name}"
+            where = (*path, "services", name)
+            yield _problem(ProblemCode.UNKNOWN_SERVICE, positions, where, detail)
+
+
+def _service_branches(
+    file: DeploymentFile,
+) -> Iterator[tuple[tuple[str, ...], str]]:
+    """Yields the path of each place and the services that it has branches for."""
+    for region_name, region in file.regions.items():
+        region_path = ("regions", region_name)
+        yield from ((region_path, name) for name in region.services)
+        for zone_name, zone in region.availability_zones.items():
+            zone_path = (*region_path, "availability_zones", zone_name)
+            yield from ((zone_path, name) for name in zone.services)
+            for upstream_name, upstream in zone.upstreams.items():
+                path = (*zone_path, "upstreams", upstream_name)
+                yield from ((path, name) for name in upstream.services)
 
 
 def _check_services(file: DeploymentFile, positions: Positions) -> Iterator[Problem]:
@@ -147,8 +191,8 @@
         where = ("tenants", "classes", DEFAULT_TENANT)
         yield _problem(ProblemCode.DUPLICATE_NAME, positions, where, detail)
     owners: dict[str, str] = {}
-    for name, tenant in sorted(classes.items()):
-        for index, value in enumerate(tenant.values):
+    for name in _in_file_order(classes, positions, "tenants", "classes"):
+        for index, value in enumerate(classes[name].values):
             where = ("tenants", "classes", name, "values", str(index))
             if value in owners:
                 detail = f"{value!r} means {owners[value]} already"
--- a/rosemarydeal/settings/load.py
+++ b/rosemarydeal/settings/load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .build import build_deployment
-from .checks import check_references
+from .checks import check_references, check_zone_use
 from .convert import FAILED, convert
 from .deployment import DeploymentSettings
 from .files import DeploymentFile
@@ -33,10 +33,11 @@
     content, problems = convert(DeploymentFile, root)
     if content is FAILED:
         return None, _in_order(problems)
-    problems += check_references(content, Positions(root))
+    positions = Positions(root)
     settings = build_deployment(content)
     if not problems:
-        problems = check_tree(settings)
+        problems = check_zone_use(content, positions) + check_tree(settings)
+    problems += check_references(content, positions)
     return (None if problems else settings), _in_order(problems)
 
 
--- /dev/null
+++ b/rosemarydeal/settings/schema.py
@@ -0,0 +1,136 @@
+"""Generates the JSON schemas of settings files for editors.
+
+The schemas come from the types that the checks use and are committed, so
+that an editor needs nothing but the files. Run this module to renew them.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from rosemarydeal.core import Address
+
+from .files import DeploymentFile
+from .leaves import Effective
+from .node import NodeSettings
+from .values import IpNumber, SettingsBranch
+
+__all__ = ["SCHEMA_DIRECTORY", "schema_text", "schema_texts"]
+
+SCHEMA_DIRECTORY = Path(__file__).parent
+DIALECT = "https://json-schema.org/draft/2020-12/schema"
+REFERENCE = "#/$defs/{name}"
+ADDRESS_PATTERN = r"^(\d+\.\d+\.\d+\.\d+|\[[0-9A-Fa-f:.]+\]):\d{1,5}$"
+
+
+def schema_texts() -> dict[str, str]:
+    """Returns the text of each schema by file name."""
+    return {
+        "deployment.schema.json": schema_text(DeploymentFile),
+        "node.schema.json": schema_text(NodeSettings),
+    }
+
+
+def schema_text(root: type) -> str:
+    """Returns the schema of a kind of file.
+
+    Args:
+        root: Data class of the whole file.
+
+    Returns:
+        The schema as JSON text.
+    """
+    (reference, *_), components = msgspec.json.schema_components(
+        (root, Effective), schema_hook=_hook, ref_template=REFERENCE
+    )
+    components[SettingsBranch.__name__] = {
+        "$ref": REFERENCE.format(name=Effective.__name__)
+    }
+    used = _names_below(reference, components)
+    definitions = {
+        name: _closed(_without_docs_of_attributes(definition))
+        for name, definition in sorted(components.items())
+        if name in used
+    }
+    schema = {"$schema": DIALECT, **reference, "$defs": definitions}
+    return json.dumps(schema, indent=2) + "\n"
+
+
+def _hook(kind: type) -> dict[str, Any]:
+    """Describes the types that are written in another form than they have."""
+    if kind is IpNumber:
+        return {"type": "string", "anyOf": [{"format": "ipv4"}, {"format": "ipv6"}]}
+    raise NotImplementedError(kind)
+
+
+def _closed(definition: dict[str, Any]) -> dict[str, Any]:
+    """Allows no names in an object beside its known ones."""
+    if definition.get("title") == Address.__name__:
+        return {"type": "string", "pattern": ADDRESS_PATTERN}
+    if "properties" not in definition:
+        return definition
+    properties = {
+        name: _without_empty(item) for name, item in definition["properties"].items()
+    }
+    return definition | {"properties": properties, "additionalProperties": False}
+
+
+def _without_empty(item: dict[str, Any]) -> dict[str, Any]:
+    """Leaves null and empty defaults out: such a setting isn't written."""
+    if isinstance(item.get("default"), dict):
+        return {name: item[name] for name in item if name != "default"}
+    if {"type": "null"} not in item.get("anyOf", ()):
+        return item
+    (kind,) = (part for part in item["anyOf"] if part != {"type": "null"})
+    kept = {name: item[name] for name in item if name not in ("anyOf", "default")}
+    return kept | kind
+
+
+def _without_docs_of_attributes(definition: dict[str, Any]) -> dict[str, Any]:
+    """Moves the documentation of attributes to the attributes themselves."""
+    summary, _, rest = definition.get("description", "").partition("\n")
+    documented = _attributes(rest)
+    properties = {
+        name: ({"description": documented[name]} if name in documented else {}) | item
+        for name, item in definition.get("properties", {}).items()
+    }
+    changed = {"description": summary} if summary else {}
+    if properties:
+        changed["properties"] = properties
+    return definition | changed
+
+
+def _attributes(text: str) -> dict[str, str]:
+    """Parses the attribute section of a docstring."""
+    lines = [line.strip() for line in text.partition("Attributes:")[2].splitlines()]
+    parts = (line.partition(": ") for line in lines)
+    return {name: detail for name, colon, detail in parts if colon}
+
+
+def _names_below(
+    reference: dict[str, Any], components: dict[str, dict[str, Any]]
+) -> frozenset[str]:
+    """Returns the names of the definitions that a reference leads to."""
+    found: set[str] = set()
+    waiting = [json.dumps(reference)]
+    while waiting:
+        text = waiting.pop()
+        for name in components:
+            if name not in found and f'"{REFERENCE.format(name=name)}"' in text:
+                found.add(name)
+                waiting.append(json.dumps(components[name]))
+    return frozenset(found)
+
+
+def main() -> None:
+    """Writes the schemas beside the types."""
+    for name, text in schema_texts().items():
+        (SCHEMA_DIRECTORY / name).write_text(text, "utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/rosemarydeal/settings/syntax.py
+++ b/rosemarydeal/settings/syntax.py
@@ -10,7 +10,6 @@
 import json
 import re
 from dataclasses import dataclass
-from math import isfinite
 
 import yaml
 
@@ -165,8 +164,6 @@
             return ListNode(
                 tuple(_join(child, at, file) for child, at in pairs), location
             )
-        case float() if not isfinite(value):
-            return ScalarNode(str(value), location)
     return ScalarNode(value, location)
 
 
--- a/rosemarydeal/settings/tree_checks.py
+++ b/rosemarydeal/settings/tree_checks.py
@@ -125,6 +125,8 @@
 ) -> Iterator[Problem]:
     """Finds settings that no service, place or key gets."""
     for scope, branch in settings.branches.items():
+        if scope.service and scope.service not in settings.services:
+            continue
         for leaf in branch.leaves:
             if (scope, leaf.group, leaf.name) in used:
                 continue
