--- /dev/null
+++ b/features/ownership_oracle.py
@@ -0,0 +1,119 @@
+"""Watches the ownership world: who may own, what ran, what was acknowledged."""
+
+from __future__ import annotations
+
+from features.ownership_constants import KEYS, SERVICE, SLICES
+from rosemarydeal.core import SliceId
+from rosemarydeal.policy import ownership
+
+__all__ = ["Oracle", "OracleError"]
+
+EPSILON_S = 1e-9
+
+
+class OracleError(AssertionError):
+    """Says which promise broke, and when."""
+
+
+class Oracle:
+    """Holds the rights and requests that the world has shown so far."""
+
+    def __init__(self) -> None:
+        self.rights: dict[tuple[str, int], tuple[float, int]] = {}
+        self.running: dict[int, tuple[float, str]] = {}
+        self.tokens: dict[int, tuple[int, str, int]] = {}
+        self.dispatched = 0
+
+    def observe(self, world, node) -> None:
+        """Checks a node's rights right after it changed."""
+        for digest in KEYS:
+            slice_id = ownership.slice_of_key(node.state, SERVICE, digest, SLICES)
+            right = ownership.right(node.state, slice_id, node.local(world.now))
+            entry = (node.name, digest)
+            if right is None:
+                self.rights.pop(entry, None)
+                continue
+            self._check_sole(world.now, node.name, digest)
+            self.rights[entry] = (node.true(right.valid_until), right.token)
+
+    def _check_sole(self, now: float, name: str, digest: int) -> None:
+        for (other, key), (until, _) in self.rights.items():
+            if key == digest and other != name and until > now + EPSILON_S:
+                raise OracleError(
+                    f"key {digest} owned by {other} and {name} at {now:.3f}"
+                )
+
+    def forget_right(self, name: str) -> None:
+        """Drops the rights of a process that ended."""
+        for entry in [entry for entry in self.rights if entry[0] == name]:
+            del self.rights[entry]
+
+    def dispatch(
+        self, now: float, name: str, digest: int, token: int, end: float
+    ) -> None:
+        """Checks that a request runs alone and under a token that grew."""
+        busy_until, runner = self.running.get(digest, (0.0, ""))
+        if runner != name and busy_until > now + EPSILON_S:
+            raise OracleError(
+                f"key {digest} runs at {runner} until {busy_until:.3f} "
+                f"and at {name} from {now:.3f}"
+            )
+        last, holder, _ = self.tokens.get(digest, (-1, name, 0))
+        if token < last or (token == last and holder != name):
+            raise OracleError(f"token of key {digest} went from {last} to {token}")
+        self.tokens[digest] = (token, name, 0)
+        self.running[digest] = (max(end, busy_until), name)
+        self.dispatched += 1
+
+    def check_versions(self, before, after) -> None:
+        """Checks that a process's knowledge never goes back."""
+        for key, known in before.chunks.items():
+            if after.chunks[key].version < known.version:
+                raise OracleError(f"chunk {key} went back")
+        for key, known in before.members.items():
+            if after.members[key].version < known.version:
+                raise OracleError(f"member {key} went back")
+
+    def check_write(self, platform, key) -> None:
+        """Checks that no acknowledged row is undone by a later write."""
+        if isinstance(key, str):
+            versions = platform.history[key]
+            if len(versions) > 1:
+                old, new = versions[-2].incarnation, versions[-1].incarnation
+                if new.number < old.number:
+                    raise OracleError(f"member {key} went back to {new}")
+            return
+        versions = platform.history[key]
+        if len(versions) < 2:
+            return
+        old = {row.slice: row for row in versions[-2].rows}
+        new = {row.slice: row for row in versions[-1].rows}
+        for slice_id, row in old.items():
+            base = new.get(SliceId(slice_id.service, slice_id.index))
+            after = new.get(slice_id, base)
+            if after is None or after.version < row.version:
+                raise OracleError(f"row {slice_id} went back")
+
+    def observe_time(self, world) -> None:
+        """Drops rights that ran out."""
+        for entry, (until, _) in list(self.rights.items()):
+            if until <= world.now:
+                del self.rights[entry]
+
+    def key_served(self, world, digest: int) -> bool:
+        """Returns whether some process may serve a key now."""
+        return any(
+            key == digest
+            and until > world.now
+            and world.now >= world.nodes[name].paused_until
+            for (name, key), (until, _) in self.rights.items()
+        )
+
+    def served(self, world, slice_id: SliceId) -> bool:
+        """Returns whether all watched keys of a slice are served."""
+        keys = [
+            d
+            for d in KEYS
+            if d % SLICES == slice_id.index and slice_id.carved in (-1, d)
+        ]
+        return all(self.key_served(world, digest) for digest in keys)
--- /dev/null
+++ b/features/ownership_proposer.py
@@ -0,0 +1,118 @@
+"""Proposes rows in the ownership world: repairs, moves, carving and merging.
+
+It stands in for the placement policy: any node may propose, and races and
+stale knowledge are welcome.
+"""
+
+from __future__ import annotations
+
+from features.ownership_constants import KEYS, SERVICE, SLICES
+from rosemarydeal.core import Chunk, Holder, Incarnation, Row, SliceId
+from rosemarydeal.policy import interface as api
+from rosemarydeal.policy import ownership, rows
+
+__all__ = ["carve", "merge", "move", "propose"]
+
+
+def propose(world, name: str) -> None:
+    """Lets a node repair rows that miss live names."""
+    node = world.nodes[name]
+    if not node.alive or world.now < node.paused_until:
+        return
+    live = _live_members(node)
+    if not live:
+        return
+    chunk = _chunk(node)
+    repaired = (_repaired(world, row, live) for row in _with_base(chunk))
+    changed = [row for row in repaired if row is not None]
+    if changed:
+        _write_rows(world, node, chunk, changed)
+
+
+def move(world, name: str, slice_id: SliceId, shift: int) -> None:
+    """Lets a node propose another owner of a slice, chosen by a number."""
+    node = world.nodes[name]
+    live = _live_members(node) if node.alive else []
+    row = node.state.row(slice_id) if node.alive else None
+    if row is None or not live:
+        return
+    wanted = min(len(live), 1 + world.settings.successors)
+    order = live[shift % len(live) :] + live[: shift % len(live)]
+    changed = rows.next_row(row, tuple(order[:wanted]))
+    _write_rows(world, node, _chunk(node), [changed])
+
+
+def carve(world, name: str) -> None:
+    """Lets a node propose a slice of its own for the first key."""
+    node = world.nodes[name]
+    base = node.state.row(SliceId(SERVICE, KEYS[0] % SLICES)) if node.alive else None
+    if base is None or SliceId(SERVICE, base.slice.index, KEYS[0]) in node.state.rows:
+        return
+    _write_rows(world, node, _chunk(node), [rows.carve_row(base, KEYS[0])])
+
+
+def merge(world, name: str) -> None:
+    """Lets a node propose to merge the first key back, or to prepare for it."""
+    node = world.nodes[name]
+    if not node.alive:
+        return
+    index = KEYS[0] % SLICES
+    base = node.state.row(SliceId(SERVICE, index))
+    carved = node.state.row(SliceId(SERVICE, index, KEYS[0]))
+    if base is None or carved is None:
+        return
+    if carved.owner != base.owner:
+        moved = rows.next_row(carved, base.succession)
+        _write_rows(world, node, _chunk(node), [moved])
+        return
+    try:
+        merged = rows.merge_row(base, carved)
+    except rows.RowError:
+        return
+    _write_rows(world, node, _chunk(node), [merged], (carved.slice,))
+
+
+def _live_members(node) -> list[Incarnation]:
+    """Returns the incarnations that may own, as a node knows them."""
+    members = ownership.known_members(node.state)
+    return sorted(m.incarnation for m in members if m.witnesses and m.phase == "up")
+
+
+def _holders(node) -> list[Holder]:
+    """Returns the witness sets that a node knows."""
+    members = ownership.known_members(node.state)
+    return [Holder(m.incarnation, m.witnesses) for m in members if m.witnesses]
+
+
+def _chunk(node) -> Chunk:
+    known = node.state.chunks.get((SERVICE, 0))
+    return known.chunk if known else Chunk(SERVICE, 0, ())
+
+
+def _with_base(chunk: Chunk) -> list[Row]:
+    """Returns a chunk's rows, with version 0 for base slices not there yet."""
+    present = {row.slice: row for row in chunk.rows}
+    for index in range(SLICES):
+        slice_id = SliceId(SERVICE, index)
+        present.setdefault(slice_id, Row(slice_id, 0, ()))
+    return [present[slice_id] for slice_id in sorted(present)]
+
+
+def _repaired(world, row: Row, live: list[Incarnation]) -> Row | None:
+    """Returns a row with live names only, or None where it is in order."""
+    wanted = min(len(live), 1 + world.settings.successors)
+    kept = [name for name in row.succession if name in live]
+    if len(kept) >= wanted and row.owner in live:
+        return None
+    others = [name for name in live if name not in kept]
+    others = others[row.slice.index :] + others[: row.slice.index]
+    return rows.next_row(row, tuple([*kept, *others][:wanted]))
+
+
+def _write_rows(world, node, chunk: Chunk, changed, dropped=()) -> None:
+    """Writes rows by conditional update, as the placement does."""
+    change_id = f"{node.name}-proposal-{world.random.getrandbits(48):x}"
+    fresh = rows.rebuild_chunk(chunk, changed, _holders(node), change_id, dropped)
+    known = node.state.chunks.get((chunk.service, chunk.number))
+    expected = known.version if known else 0
+    world.carry_out(node, api.WriteChunk(fresh, expected, change_id))
--- /dev/null
+++ b/features/ownership_scenarios.py
@@ -0,0 +1,58 @@
+"""Builds ownership worlds for scenarios and asks them simple questions."""
+
+from __future__ import annotations
+
+from features.ownership_constants import KEYS, SERVICE, SLICES
+from features.ownership_world import World, WorldSettings
+from rosemarydeal.core import Row, SliceId
+from rosemarydeal.policy import ownership
+
+__all__ = ["Scene"]
+
+STEP_S = 0.02
+SETTLING_S = 6.0
+
+
+class Scene:
+    """Holds one world and what a scenario needs of it."""
+
+    def __init__(self, seed: int = 1, **settings) -> None:
+        self.world = World(seed, WorldSettings(**settings))
+
+    def settle(self) -> None:
+        """Lets the world start up until nothing changes any more."""
+        self.world.advance(SETTLING_S)
+        assert self.world.unserved() == []
+
+    def owner(self, index: int) -> str | None:
+        """Returns the node that may serve a base slice now."""
+        world = self.world
+        for (name, digest), (until, _) in world.oracle.rights.items():
+            if digest % SLICES == index and digest != KEYS[0] and until > world.now:
+                return name
+        return None
+
+    def row(self, index: int) -> Row:
+        """Returns the newest row that the platform holds of a base slice."""
+        _, chunk = self.world.platform.read((SERVICE, 0))
+        return next(r for r in chunk.rows if r.slice == SliceId(SERVICE, index))
+
+    def lose_owner(self, index: int) -> str:
+        """Ends the process that owns a slice."""
+        name = self.owner(index)
+        self.world.kill(name)
+        return name
+
+    def time_until_served(self, limit: float) -> float:
+        """Returns after how long every key is served again."""
+        begun = self.world.now
+        while self.world.unserved() and self.world.now - begun < limit:
+            self.world.advance(STEP_S)
+        return self.world.now - begun
+
+    def describe(self, name: str, index: int) -> ownership.Description:
+        """Returns what a node says about a base slice."""
+        node = self.world.nodes[name]
+        return ownership.describe(
+            node.state, SliceId(SERVICE, index), node.local(self.world.now)
+        )
--- /dev/null
+++ b/features/ownership_world.py
@@ -0,0 +1,373 @@
+"""Drives several nodes of the ownership policy in true time, with faults.
+
+The world is the driver of each node: it delivers messages, reads and writes
+the platform, answers `StopAdmitting`, and checks rights as a guard would. It
+decides nothing about ownership; the oracle only watches.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from features import ownership_proposer as proposer
+from features.ownership_constants import KEYS, SERVICE, SLICES
+from features.ownership_oracle import Oracle
+from features.ownership_platform import WorldPlatform
+from rosemarydeal.core import Chunk, Place, SliceId
+from rosemarydeal.policy import interface as api
+from rosemarydeal.policy import ownership
+
+__all__ = ["KEYS", "SERVICE", "SLICES", "WorldNode", "WorldSettings", "World"]
+
+
+@dataclass(frozen=True)
+class WorldSettings:
+    """Gives the size of a world and the pace of its driver."""
+
+    nodes: int = 6
+    zones: int = 3
+    tick_s: float = 0.1
+    latency_s: float = 0.002
+    platform_latency_s: float = 0.005
+    read_interval_s: float = 0.2
+    drift: float = 0.02
+    successors: int = 2
+    policy: ownership.OwnershipSettings = ownership.OwnershipSettings()
+
+
+@dataclass
+class WorldNode:
+    """Holds one process, its clock and its requests in flight."""
+
+    name: str
+    zone: str
+    rate: float = 1.0
+    offset: float = 0.0
+    life: int = 0
+    state: ownership.OwnershipState | None = None
+    paused_until: float = 0.0
+    upstream: bool = True
+    backlog: list = field(default_factory=list)
+    running: dict = field(default_factory=dict)
+    stopping: set = field(default_factory=set)
+
+    @property
+    def alive(self) -> bool:
+        return self.state is not None
+
+    def local(self, true_time: float) -> float:
+        return self.offset + self.rate * true_time
+
+    def true(self, local_time: float) -> float:
+        return (local_time - self.offset) / self.rate
+
+
+class World:
+    """Runs the nodes, the network and the platform, event by event."""
+
+    def __init__(self, seed: int, settings: WorldSettings = WorldSettings()) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.queue: list = []
+        self.order = itertools.count()
+        self.platform = WorldPlatform()
+        self.oracle = Oracle()
+        self.nodes: dict[str, WorldNode] = {}
+        self.blocked: set[tuple[str, str]] = set()
+        self.off_platform: set[str] = set()
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.max_delay_s = 0.0
+        self.answer_loss = 0.0
+        self.stale_reads = 0.0
+        self.slow_platform_s = 0.0
+        self.proposing = True
+        self.messages = 0
+        self.platform_calls = 0
+        for index in range(settings.nodes):
+            zone = f"perth-{'abcdefgh'[index % settings.zones]}"
+            name = f"n{index}"
+            rate = 1.0 + settings.drift * self.random.uniform(-0.99, 0.99)
+            offset = self.random.uniform(0.0, 1000.0)
+            self.nodes[name] = WorldNode(name, zone, rate, offset)
+        for name in self.nodes:
+            self.start(name)
+        self.at(0.05, self._propose_soon)
+
+    # Time and events.
+
+    def at(self, delay: float, call, *arguments) -> None:
+        """Schedules a call after a delay of true time."""
+        entry = (self.now + delay, next(self.order), call, arguments)
+        heapq.heappush(self.queue, entry)
+
+    def advance(self, duration: float) -> None:
+        """Runs all events of the next stretch of true time."""
+        until = self.now + duration
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, call, arguments = heapq.heappop(self.queue)
+            call(*arguments)
+        self.now = until
+        self.oracle.observe_time(self)
+
+    # Nodes.
+
+    def start(self, name: str) -> None:
+        """Starts a new life of a node."""
+        node = self.nodes[name]
+        identity = ownership.Identity(
+            node.name, SERVICE, Place("wa-perth", node.zone, node.name)
+        )
+        node.life += 1
+        node.backlog, node.running, node.stopping = [], {}, set()
+        node.paused_until = 0.0
+        seed = self.random.getrandbits(48)
+        node.state = ownership.start(
+            self.settings.policy, identity, node.local(self.now), seed
+        )
+        life = node.life
+        self.at(self.random.uniform(0, 0.1), self._tick, name, life)
+        self.at(0.001, self._read, name, life)
+        if node.upstream:
+            self.at(0.01, self.feed, name, life, api.UpstreamReady())
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once; its upstream finishes by the deadlines."""
+        node = self.nodes[name]
+        node.state = None
+        self.oracle.forget_right(name)
+
+    def pause(self, name: str, duration: float) -> None:
+        """Stops a process as SIGSTOP does; what arrives waits."""
+        node = self.nodes[name]
+        node.paused_until = max(node.paused_until, self.now + duration)
+        self.at(node.paused_until - self.now, self._resume, name, node.life)
+
+    def _resume(self, name: str, life: int) -> None:
+        node = self.nodes[name]
+        if node.life != life or not node.alive or self.now < node.paused_until:
+            return
+        self.oracle.observe(self, node)
+        backlog, node.backlog = node.backlog, []
+        for event in backlog:
+            self.feed(name, life, event)
+
+    def _is_running(self, name: str, life: int) -> bool:
+        node = self.nodes[name]
+        return node.alive and node.life == life
+
+    def feed(self, name: str, life: int, event) -> None:
+        """Delivers an event to a node and carries out its actions."""
+        if not self._is_running(name, life):
+            return
+        node = self.nodes[name]
+        if self.now < node.paused_until:
+            node.backlog.append(event)
+            return
+        before = node.state
+        node.state, actions = ownership.step(before, event, node.local(self.now))
+        self.oracle.check_versions(before, node.state)
+        for action in actions:
+            self.carry_out(node, action)
+        self.oracle.observe(self, node)
+
+    def _tick(self, name: str, life: int) -> None:
+        if not self._is_running(name, life):
+            return
+        node = self.nodes[name]
+        if self.now >= node.paused_until:
+            self.feed(name, life, api.Tick())
+            self._serve(node)
+        self.at(self.settings.tick_s, self._tick, name, life)
+
+    # What a guard does.
+
+    def _serve(self, node: WorldNode) -> None:
+        """Dispatches requests where the node has a right, and ends old ones."""
+        for digest in KEYS:
+            running = node.running.get(digest)
+            if running is not None and running <= self.now:
+                del node.running[digest]
+            slice_id = ownership.slice_of_key(node.state, SERVICE, digest, SLICES)
+            right = ownership.right(node.state, slice_id, node.local(self.now))
+            if right is None or self.random.random() < 0.5:
+                continue
+            end = min(
+                node.true(right.valid_until),
+                self.now + self.random.choice((0.01, 0.1, 1.0)),
+            )
+            self.oracle.dispatch(self.now, node.name, digest, right.token, end)
+            node.running[digest] = max(end, node.running.get(digest, 0.0))
+        for slice_id in sorted(node.stopping):
+            self._report_idle(node, slice_id)
+
+    def _report_idle(self, node: WorldNode, slice_id: SliceId) -> None:
+        """Tells the policy that a stopped slice runs nothing any more."""
+        busy = any(
+            end > self.now
+            for digest, end in node.running.items()
+            if slice_id.carved in (-1, digest) and digest % SLICES == slice_id.index
+        )
+        if not busy:
+            node.stopping.discard(slice_id)
+            self.at(0.0, self.feed, node.name, node.life, api.SliceIdle(slice_id))
+
+    def carry_out(self, node: WorldNode, action) -> None:
+        match action:
+            case api.Send(to=to, message=message):
+                self._send(node.name, to, api.MessageReceived(node.name, message))
+            case api.WriteMember(member=member):
+                self._write(node, member.node, action, member)
+            case api.WriteChunk(chunk=chunk):
+                self._write(node, (chunk.service, chunk.number), action, chunk)
+            case api.StopAdmitting(slice=slice_id):
+                node.stopping.add(slice_id)
+                self._report_idle(node, slice_id)
+
+    # Network.
+
+    def _send(self, sender: str, to: str, event) -> None:
+        self.messages += 1
+        if (sender, to) in self.blocked or to not in self.nodes:
+            return
+        copies = 1 + (self.random.random() < self.duplicates)
+        for _ in range(copies):
+            if self.random.random() < self.loss:
+                continue
+            delay = self.settings.latency_s
+            if self.random.random() < 0.3:
+                delay += self.random.uniform(0.0, self.max_delay_s)
+            self.at(delay, self._arrive, to, event)
+
+    def _arrive(self, name: str, event) -> None:
+        self.feed(name, self.nodes[name].life, event)
+
+    # Platform.
+
+    def _reachable(self, name: str) -> bool:
+        return not self.platform.down and name not in self.off_platform
+
+    def _delay(self) -> float:
+        slow = self.random.uniform(0.0, self.slow_platform_s)
+        return self.settings.platform_latency_s + slow
+
+    def _write(self, node: WorldNode, key, action, value) -> None:
+        self.platform_calls += 1
+        self.at(self._delay(), self._apply, node.name, node.life, key, action, value)
+
+    def _apply(self, name: str, life: int, key, action, value) -> None:
+        if not self._reachable(name):
+            failed = api.WriteFailed(action.change_id, False)
+            self.at(0.2, self.feed, name, life, failed)
+            return
+        version = self.platform.write(key, action.expected_version, value)
+        if version is not None:
+            self.oracle.check_write(self.platform, key)
+        if self.random.random() < self.answer_loss:
+            answer = api.WriteFailed(action.change_id, False)
+        elif version is None:
+            answer = api.WriteConflicted(action.change_id)
+            self.at(self._delay(), self._deliver_read, name, life, key, 0)
+        else:
+            answer = api.WriteSucceeded(action.change_id, version)
+        self.at(self._delay(), self.feed, name, life, answer)
+
+    def _read(self, name: str, life: int) -> None:
+        """Reads what changed, as a watch or a peer would pass it on."""
+        if not self._is_running(name, life):
+            return
+        interval = self.settings.read_interval_s
+        self.at(interval * self.random.uniform(0.5, 1.0), self._read, name, life)
+        if self._reachable(name):
+            for key in sorted(self.platform.history, key=str):
+                if self._knows(name, key):
+                    continue
+                stale = self.random.random() < self.stale_reads
+                back = self.random.randrange(1, 4) if stale else 0
+                self._deliver_read(name, life, key, back)
+        self._gossip(name)
+
+    def _knows(self, name: str, key) -> bool:
+        state = self.nodes[name].state
+        known = (
+            state.members.get(key) if isinstance(key, str) else state.chunks.get(key)
+        )
+        return known is not None and known.version >= self.platform.version(key)
+
+    def _deliver_read(self, name: str, life: int, key, back: int) -> None:
+        found = self.platform.read(key, back)
+        if found is None or not self._reachable(name):
+            return
+        version, value = found
+        self.at(self._delay(), self.feed, name, life, _read_event(version, value))
+
+    def _gossip(self, name: str) -> None:
+        """Passes newer records on to a random peer."""
+        node = self.nodes[name]
+        if self.now < node.paused_until:
+            return
+        peer = self.random.choice(sorted(self.nodes))
+        other = self.nodes[peer].state
+        if peer == name or other is None:
+            return
+        for key, known in node.state.members.items():
+            there = other.members.get(key)
+            if there is None or there.version < known.version:
+                self._send(name, peer, api.MemberRead(known.version, known.member))
+        for key, known in node.state.chunks.items():
+            there = other.chunks.get(key)
+            if there is None or there.version < known.version:
+                self._send(name, peer, api.ChunkRead(known.version, known.chunk))
+
+    # What proposers and callers do.
+
+    def _propose_soon(self) -> None:
+        if self.proposing:
+            for name in self.random.sample(sorted(self.nodes), 2):
+                proposer.propose(self, name)
+            self._suspect_silent()
+        self.at(0.15, self._propose_soon)
+
+    def _suspect_silent(self) -> None:
+        """Lets callers of unserved slices try the later names."""
+        for node in self.nodes.values():
+            if not node.alive or self.now < node.paused_until:
+                continue
+            for row in node.state.named.values():
+                if self.oracle.served(self, row.slice):
+                    continue
+                for name in row.succession:
+                    if name.node == node.name:
+                        break
+                    event = api.NodeSuspected(name.node)
+                    self.feed(node.name, node.life, event)
+
+    def heal(self) -> None:
+        """Ends every fault: the network, the platform and all processes work."""
+        self.blocked.clear()
+        self.off_platform.clear()
+        self.loss = self.duplicates = self.max_delay_s = 0.0
+        self.answer_loss = self.stale_reads = self.slow_platform_s = 0.0
+        self.platform.down = False
+        for name, node in self.nodes.items():
+            node.upstream = True
+            if not node.alive:
+                self.start(name)
+            elif node.paused_until > self.now:
+                node.paused_until = self.now
+                self._resume(name, node.life)
+            self.feed(name, node.life, api.UpstreamReady())
+
+    def unserved(self) -> list[int]:
+        """Returns the digests of keys that no process may serve now."""
+        return [d for d in KEYS if not self.oracle.key_served(self, d)]
+
+
+def _read_event(version: int, value):
+    if isinstance(value, Chunk):
+        return api.ChunkRead(version, value)
+    return api.MemberRead(version, value)
--- a/rosemarydeal/core/data.py
+++ b/rosemarydeal/core/data.py
@@ -76,7 +76,8 @@
 
     Attributes:
         incarnation: The life of the process that the record speaks for.
-        witnesses: Nodes that vouch for this incarnation; never changes within it.
+        witnesses: Nodes that vouch for this incarnation; never changes within
+            it. Without any the member may vouch for others but own nothing.
         service: Service that the upstream serves.
         place: Region, availability zone and upstream name.
         peer: Address of the process for messages between processes.
@@ -85,6 +86,7 @@
         public_key: CURVE public key of the process, in Z85.
         phase: What new work the member may get.
         slots: Requests that the upstream runs at a time.
+        change_id: Unique id of the write that made this content.
     """
 
     incarnation: Incarnation
@@ -97,6 +99,7 @@
     public_key: str = ""
     phase: MemberPhase = MemberPhase.UP
     slots: int = 1
+    change_id: str = ""
 
     @property
     def node(self) -> str:
--- a/rosemarydeal/core/messages.py
+++ b/rosemarydeal/core/messages.py
@@ -13,6 +13,7 @@
 __all__ = [
     "ClearAsk",
     "ClearReply",
+    "Cleared",
     "KnownRequest",
     "LedgerHandOver",
     "LoadReport",
@@ -21,11 +22,13 @@
     "PromiseReply",
     "RecordsAsk",
     "RecordsReply",
+    "SilenceNotice",
     "SliceLoad",
     "SuspectNotice",
     "TokenRange",
     "VersionsNotice",
     "VouchAsk",
+    "VouchEnd",
     "VouchReply",
 ]
 
@@ -40,11 +43,33 @@
 
 @dataclass(frozen=True, slots=True)
 class VouchReply:
-    """Answers a vouch request; a refusal says that a promise stands."""
+    """Answers a vouch request.
+
+    Attributes:
+        incarnation: The incarnation asked about.
+        sequence: Number of the request.
+        granted: Whether the witness vouches for a lease from now on.
+        wait: Seconds until the witness may vouch, -1 when it never will.
+    """
 
     incarnation: Incarnation
     sequence: int
     granted: bool
+    wait: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class VouchEnd:
+    """Tells a witness that the sender discarded its incarnation for good."""
+
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class SilenceNotice:
+    """Tells a successor that a witness stopped hearing an incarnation."""
+
+    incarnation: Incarnation
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +90,7 @@
         promised: Whether the witness gives the promise.
         lapse_after: Seconds until the witness's last word for it lapses.
         heard_ago: Seconds since the witness last heard the holder, -1 if never.
+        retry_after: Seconds after which a refusing witness may promise.
     """
 
     target: Incarnation
@@ -72,14 +98,38 @@
     promised: bool
     lapse_after: float
     heard_ago: float = -1.0
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class ClearAsk:
-    """Asks a retiring incarnation to acknowledge newer rows."""
+    """Asks a retiring incarnation to acknowledge newer rows.
+
+    Attributes:
+        target: The retiring incarnation.
+        rows: Rows as the platform holds them.
+        carved: Carved slices that exist beside these rows; an older right in
+            any other slice carved out of them is to be given up as well.
+    """
 
     target: Incarnation
     rows: tuple[Row, ...]
+    carved: tuple[SliceId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Cleared:
+    """Says that a process holds no right in a slice older than a version.
+
+    Attributes:
+        slice: The slice.
+        version: The version; a sender that releases version v gives v + 1.
+        token: Fencing token under which the sender last served, -1 if never.
+    """
+
+    slice: SliceId
+    version: int
+    token: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +137,7 @@
     """Acknowledges versions: the sender holds no older right in these slices."""
 
     incarnation: Incarnation
-    cleared: tuple[tuple[SliceId, int], ...]
+    cleared: tuple[Cleared, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +248,8 @@
 Message = (
     VouchAsk
     | VouchReply
+    | VouchEnd
+    | SilenceNotice
     | PromiseAsk
     | PromiseReply
     | ClearAsk
--- a/rosemarydeal/policy/interface.py
+++ b/rosemarydeal/policy/interface.py
@@ -17,6 +17,7 @@
     "DrainAsked",
     "Event",
     "IncarnationLost",
+    "LeaveAsked",
     "MemberRead",
     "MessageReceived",
     "NodeSuspected",
@@ -107,9 +108,18 @@
     """Says that the process is to hand over all that it owns."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveAsked:
+    """Says that the process is about to end and holds nothing any more."""
+
+
 @dataclass(frozen=True, slots=True)
 class SliceIdle:
-    """Says that no request of a slice runs any more after `StopAdmitting`."""
+    """Says that no request of a slice runs any more after `StopAdmitting`.
+
+    For a carved slice this covers every request of its key, also one admitted
+    under the base slice before the key was carved out.
+    """
 
     slice: SliceId
 
@@ -132,6 +142,7 @@
     | UpstreamReady
     | UpstreamDied
     | DrainAsked
+    | LeaveAsked
     | SliceIdle
     | NodeSuspected
 )
--- /dev/null
+++ b/rosemarydeal/policy/lease.py
@@ -0,0 +1,122 @@
+"""Follows the lease of one incarnation through the answers of its witnesses.
+
+A lease runs from the moment its request was sent, so that neither the way to
+the witnesses nor a pause of the holder can stretch it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from immutables import Map
+
+from rosemarydeal.core import Incarnation
+from rosemarydeal.core.messages import VouchAsk, VouchReply
+
+from .ownership_settings import OwnershipSettings
+
+__all__ = ["Lease", "LeaseStage", "ask", "lapsed", "lease_end", "record"]
+
+REMEMBERED_ASKS = 16
+
+
+class LeaseStage(StrEnum):
+    """Says how far an incarnation has come."""
+
+    ASKING = "asking"
+    ANNOUNCING = "announcing"
+    HELD = "held"
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Holds one incarnation's requests and the answers to them.
+
+    Attributes:
+        incarnation: The incarnation; it belongs to this life of the process only.
+        witnesses: Its witness set, which never changes.
+        stage: Whether the platform's member object names it yet.
+        started_at: When the first request was due, in seconds.
+        sequence: Number of the next request; starts at random.
+        asked: When each recent request was sent, by number.
+        acked: Sending time of the newest request each witness granted.
+        answered_at: When each witness last answered anything.
+        refused: Witnesses that will never vouch for the incarnation again.
+        next_ask_at: When the next request is due, in seconds.
+    """
+
+    incarnation: Incarnation
+    witnesses: tuple[str, ...]
+    stage: LeaseStage
+    started_at: float
+    sequence: int
+    asked: Map = Map()
+    acked: Map = Map()
+    answered_at: Map = Map()
+    refused: frozenset[str] = frozenset()
+    next_ask_at: float = 0.0
+
+
+def ask(
+    lease: Lease, settings: OwnershipSettings, now: float
+) -> tuple[Lease, VouchAsk | None]:
+    """Makes the next request to the witnesses if one is due.
+
+    Args:
+        lease: The lease to renew.
+        settings: Times of the protocol.
+        now: Present time, in seconds.
+
+    Returns:
+        The lease and the message for every witness, or None.
+    """
+    if now < lease.next_ask_at:
+        return lease, None
+    asked = lease.asked.set(lease.sequence, now)
+    forgotten = lease.sequence - REMEMBERED_ASKS
+    if forgotten in asked:
+        asked = asked.delete(forgotten)
+    renewed = replace(
+        lease,
+        asked=asked,
+        sequence=lease.sequence + 1,
+        next_ask_at=now + settings.ask_interval_s,
+    )
+    return renewed, VouchAsk(lease.incarnation, lease.sequence)
+
+
+def record(lease: Lease, sender: str, reply: VouchReply, now: float) -> Lease:
+    """Takes in a witness's answer.
+
+    Args:
+        lease: The lease that the answer is about.
+        sender: The witness.
+        reply: Its answer.
+        now: Present time, in seconds.
+    """
+    sent_at = lease.asked.get(reply.sequence)
+    if sender not in lease.witnesses or sent_at is None:
+        return lease
+    lease = replace(lease, answered_at=lease.answered_at.set(sender, now))
+    if not reply.granted:
+        if reply.wait < 0.0:
+            return replace(lease, refused=lease.refused | {sender})
+        return lease
+    newest = max(sent_at, lease.acked.get(sender, sent_at))
+    return replace(lease, acked=lease.acked.set(sender, newest))
+
+
+def lease_end(lease: Lease, settings: OwnershipSettings) -> float | None:
+    """Returns when the lease ends, in seconds, or None before a first majority."""
+    majority = len(lease.witnesses) // 2 + 1
+    if len(lease.acked) < majority:
+        return None
+    newest_first = sorted(lease.acked.values(), reverse=True)
+    return newest_first[majority - 1] + settings.lease_s
+
+
+def lapsed(lease: Lease, settings: OwnershipSettings, now: float) -> bool:
+    """Returns whether the lease was held and has ended."""
+    end = lease_end(lease, settings)
+    return end is not None and now >= end
--- /dev/null
+++ b/rosemarydeal/policy/ownership.py
@@ -0,0 +1,331 @@
+"""Decides what a process owns: the facade of the ownership policy.
+
+`step` is pure: a driver feeds events in with the time and carries out the
+actions that come back. The clock must count time spent suspended.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from immutables import Map
+
+from rosemarydeal.core.messages import (
+    ClearAsk,
+    ClearReply,
+    Message,
+    PromiseAsk,
+    PromiseReply,
+    SilenceNotice,
+    VouchAsk,
+    VouchEnd,
+    VouchReply,
+)
+
+from . import clearing, incarnation, records, succession, suspicion, witness, writes
+from .interface import (
+    Action,
+    ChunkRead,
+    DrainAsked,
+    Event,
+    LeaveAsked,
+    MemberRead,
+    MessageReceived,
+    NodeSuspected,
+    RightLost,
+    Send,
+    SliceIdle,
+    Tick,
+    UpstreamDied,
+    UpstreamReady,
+    WriteConflicted,
+    WriteFailed,
+    WriteSucceeded,
+)
+from .ownership_queries import (
+    Description,
+    WhyNot,
+    describe,
+    drained,
+    known_members,
+    known_rows,
+    lease_until,
+    right,
+    row_of,
+    slice_of_key,
+)
+from .ownership_settings import Identity, OwnershipSettings
+from .ownership_state import OwnershipState, Result
+from .witness import WitnessState
+
+__all__ = [
+    "Description",
+    "Identity",
+    "OwnershipSettings",
+    "OwnershipState",
+    "WhyNot",
+    "describe",
+    "drained",
+    "known_members",
+    "known_rows",
+    "lease_until",
+    "right",
+    "row_of",
+    "slice_of_key",
+    "start",
+    "step",
+]
+
+PRUNE_INTERVAL_S = 10.0
+
+
+def start(
+    settings: OwnershipSettings, identity: Identity, now: float, seed: int
+) -> OwnershipState:
+    """Returns the state of a process that has just started.
+
+    Args:
+        settings: Times and counts of the protocol.
+        identity: What the process announces about itself.
+        now: Present time, in seconds.
+        seed: Random seed; must differ between the lives of a process.
+    """
+    return OwnershipState(
+        settings=settings,
+        identity=identity,
+        started_at=now,
+        seed=seed,
+        life=f"{identity.node}/{seed:x}/",
+        witness=WitnessState(silent_until=now + settings.start_silence_s),
+    )
+
+
+def step(
+    state: OwnershipState, event: Event, now: float
+) -> tuple[OwnershipState, tuple[Action, ...]]:
+    """Takes in one event and returns what is to be done.
+
+    Args:
+        state: The process before the event.
+        event: What happened.
+        now: Present time on the suspend-counting clock, in seconds.
+
+    Returns:
+        The process after the event, and the actions for the driver in order.
+    """
+    state, actions = incarnation.expire(state, now)
+    state, more = _handle(state, event, now)
+    state, actions = _loop_back(state, (*actions, *more), now)
+    if _needs_progress(event):
+        state, more = _progress(state, now)
+        state, more = _loop_back(state, more, now)
+        actions = (*actions, *more)
+    return state, actions
+
+
+def _handle(state: OwnershipState, event: Event, now: float) -> Result:
+    """Takes in one event without what follows from it."""
+    match event:
+        case Tick():
+            return state, ()
+        case MessageReceived(sender=sender, message=message):
+            return _handle_message(state, sender, message, now)
+        case MemberRead(version=version, member=member):
+            return writes.on_member_read(state, version, member, now), ()
+        case ChunkRead(version=version, chunk=chunk):
+            return records.adopt_chunk(state, version, chunk, now)
+        case WriteSucceeded(change_id=change_id, version=version):
+            return writes.on_success(state, change_id, version, now)
+        case WriteConflicted(change_id=change_id) | WriteFailed(change_id=change_id):
+            return writes.on_failure(state, change_id, now), ()
+        case UpstreamReady():
+            return replace(state, ready=True, draining=False, ready_at=now), ()
+        case UpstreamDied():
+            return _release_all(replace(state, ready=False))
+        case DrainAsked():
+            return replace(state, draining=True), ()
+        case LeaveAsked():
+            return _leave(state)
+        case SliceIdle(slice=slice_id):
+            return clearing.on_idle(state, slice_id)
+        case NodeSuspected(node=node):
+            return suspicion.suspect(state, node, now), ()
+
+
+def _handle_message(
+    state: OwnershipState, sender: str, message: Message, now: float
+) -> Result:
+    """Takes in one message; those of other parts of the program change nothing."""
+    match message:
+        case VouchAsk():
+            held, reply = witness.vouch(state.witness, message, state.settings, now)
+            return replace(state, witness=held), (Send(sender, reply),)
+        case VouchReply():
+            return incarnation.on_vouch_reply(state, sender, message, now), ()
+        case VouchEnd(incarnation=name):
+            return replace(state, witness=witness.end(state.witness, name)), ()
+        case PromiseAsk():
+            held, reply = witness.promise(state.witness, message, state.settings, now)
+            return replace(state, witness=held), (Send(sender, reply),)
+        case PromiseReply():
+            return suspicion.on_promise_reply(state, sender, message, now), ()
+        case SilenceNotice(incarnation=name):
+            return suspicion.on_notice(state, name, now), ()
+        case ClearAsk():
+            return clearing.on_clear_ask(state, sender, message)
+        case ClearReply():
+            return clearing.on_clear_reply(state, message), ()
+    return state, ()
+
+
+def _needs_progress(event: Event) -> bool:
+    """Returns whether something may become due by an event."""
+    match event:
+        case MessageReceived(message=VouchAsk() | PromiseAsk() | VouchEnd()):
+            return False
+    return True
+
+
+def _progress(state: OwnershipState, now: float) -> Result:
+    """Does all that is due by now."""
+    due: tuple[Callable[[OwnershipState, float], Result], ...] = (
+        _seek,
+        incarnation.renew_leases,
+        writes.write_member,
+        suspicion.notify_silence,
+        _probe_blocked,
+        suspicion.follow_probes,
+        succession.settle_all,
+        _drain,
+        clearing.ask_to_clear,
+        clearing.repeat_releases,
+        writes.write_chunks,
+        writes.mark_lost,
+        _retire_old_leases,
+        _prune,
+    )
+    actions = ()
+    for do in due:
+        state, more = do(state, now)
+        actions += more
+    return state, actions
+
+
+def _seek(state: OwnershipState, now: float) -> Result:
+    """Takes a new incarnation where one is needed."""
+    return incarnation.seek(state, now), ()
+
+
+def _probe_blocked(state: OwnershipState, now: float) -> Result:
+    """Probes retiring names that don't answer."""
+    return suspicion.probe_blocked(state, now), ()
+
+
+def _loop_back(
+    state: OwnershipState, actions: tuple[Action, ...], now: float
+) -> Result:
+    """Delivers the messages that a process sends to itself."""
+    kept = []
+    waiting = list(actions)
+    while waiting:
+        action = waiting.pop(0)
+        if isinstance(action, Send) and action.to == state.node:
+            state, more = _handle_message(state, state.node, action.message, now)
+            waiting.extend(more)
+        else:
+            kept.append(action)
+    return state, tuple(kept)
+
+
+def _release_all(state: OwnershipState) -> Result:
+    """Gives every slice up at once: without an upstream nothing runs any more."""
+    actions = ()
+    for slice_id, serving in state.serving.items():
+        row = state.row(slice_id)
+        last = row is not None and row.succession[-1:] == (serving.incarnation,)
+        if last and slice_id not in state.stopping:
+            state = replace(state, serving=state.serving.delete(slice_id))
+            actions += (RightLost(slice_id),)
+            continue
+        state, more = clearing.release(
+            state, slice_id, serving.version + 1, serving.token
+        )
+        actions += more
+    for slice_id in state.stopping:
+        state, more = clearing.on_idle(state, slice_id)
+        actions += more
+    return state, actions
+
+
+def _drain(state: OwnershipState, now: float) -> Result:
+    """Stops admitting to a few slices at a time while draining."""
+    if not state.draining:
+        return state, ()
+    actions = ()
+    for slice_id, serving in sorted(state.serving.items()):
+        if len(state.stopping) >= state.settings.drain_batch:
+            break
+        row = state.row(slice_id)
+        followed = row is not None and any(
+            not state.is_own(name) and not state.is_out(name, now)
+            for name in row.succession[serving.rank + 1 :]
+        )
+        if followed and slice_id not in state.stopping:
+            state, more = clearing.stop(state, slice_id, serving, serving.version + 1)
+            actions += more
+    return state, actions
+
+
+def _leave(state: OwnershipState) -> Result:
+    """Ends the process's incarnations; rights still held end with them."""
+    state, actions = _release_all(replace(state, ready=False))
+    state, more = incarnation.leave(state)
+    return state, (*actions, *more)
+
+
+def _retire_old_leases(state: OwnershipState, now: float) -> Result:
+    """Ends an older incarnation once no known row and no right needs it."""
+    held = state.held(now)
+    if len(held) < 2:
+        return state, ()
+    used = {serving.incarnation for serving in state.serving.values()}
+    for row in state.named.values():
+        used.update(row.succession)
+    known = state.members.get(state.node)
+    current = known.member.incarnation if known else None
+    actions = ()
+    for lease in state.leases:
+        name = lease.incarnation
+        if name in held[:-1] and name not in used and name != current:
+            kept = tuple(entry for entry in state.leases if entry != lease)
+            state = replace(state, leases=kept)
+            end = incarnation.end_messages(lease)
+            actions += end
+    return state, actions
+
+
+def _prune(state: OwnershipState, now: float) -> Result:
+    """Forgets what no known row needs any more."""
+    if now < state.next_prune_at:
+        return state, ()
+    named = {m.member.incarnation for m in state.members.values()}
+    for row in state.rows.values():
+        named.update(row.succession)
+        named.update(row.retiring)
+    return replace(
+        state,
+        next_prune_at=now + PRUNE_INTERVAL_S,
+        witness=witness.prune(state.witness, now),
+        holders=_only(state.holders, named.__contains__),
+        lapsed=_only(state.lapsed, named.__contains__),
+        cleared=_only(state.cleared, lambda key: key[0] in named),
+    ), ()
+
+
+def _only(entries: Map, wanted: Callable) -> Map:
+    """Returns the entries whose keys are wanted."""
+    unwanted = [key for key in entries if not wanted(key)]
+    for key in unwanted:
+        entries = entries.delete(key)
+    return entries
--- /dev/null
+++ b/rosemarydeal/policy/ownership_queries.py
@@ -0,0 +1,166 @@
+"""Answers questions about the ownership state; changes nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from rosemarydeal.core import Incarnation, Member, Right, Row, SliceId
+
+from .ownership_state import OwnershipState
+from .succession import earlier_out, own_rank, uncleared
+
+__all__ = [
+    "Description",
+    "WhyNot",
+    "describe",
+    "drained",
+    "known_members",
+    "known_rows",
+    "lease_until",
+    "right",
+    "row_of",
+    "slice_of_key",
+]
+
+
+class WhyNot(StrEnum):
+    """Says why a process does not serve a slice."""
+
+    SERVED = "served"
+    NO_ROW = "no_row"
+    NOT_NAMED = "not_named"
+    NO_LEASE = "no_lease"
+    UPSTREAM_NOT_READY = "upstream_not_ready"
+    DRAINING = "draining"
+    STOPPING = "stopping"
+    RELEASED = "released"
+    EARLIER_NAMES = "earlier_names"
+    RETIRING_NAMES = "retiring_names"
+
+
+@dataclass(frozen=True, slots=True)
+class Description:
+    """Describes what a process knows of a slice and holds in it.
+
+    Attributes:
+        row: The newest known row, if any.
+        rank: Position of the process in the succession, -1 if not named.
+        why: Why the slice is not served here.
+        blockers: Names that stand in the way.
+    """
+
+    row: Row | None
+    rank: int
+    why: WhyNot
+    blockers: tuple[Incarnation, ...] = ()
+
+
+def right(state: OwnershipState, slice_id: SliceId, now: float) -> Right | None:
+    """Returns the right to dispatch in a slice; asked right before dispatch.
+
+    Args:
+        state: The process.
+        slice_id: The slice.
+        now: Present time, in seconds.
+
+    Returns:
+        The right with its fencing token and end, or None.
+    """
+    serving = state.serving.get(slice_id)
+    if serving is None or slice_id in state.stopping:
+        return None
+    end = _lease_end(state, serving.incarnation)
+    valid_until = end - state.settings.dispatch_margin_s
+    if now >= valid_until:
+        return None
+    return Right(slice_id, serving.token, valid_until)
+
+
+def lease_until(state: OwnershipState, now: float) -> float | None:
+    """Returns when the newest running lease ends, in seconds, if there is one."""
+    newest = state.newest_held(now)
+    return _lease_end(state, newest) if newest else None
+
+
+def _lease_end(state: OwnershipState, name: Incarnation) -> float:
+    """Returns when an incarnation's lease ends, minus infinity without one."""
+    for lease in state.leases:
+        if lease.incarnation == name:
+            return state.end_of(lease)
+    return float("-inf")
+
+
+def known_members(state: OwnershipState) -> tuple[Member, ...]:
+    """Returns the newest known member objects."""
+    return tuple(known.member for known in state.members.values())
+
+
+def known_rows(state: OwnershipState, service: str) -> tuple[Row, ...]:
+    """Returns the newest known rows of a service, in no set order."""
+    return tuple(
+        row
+        for (owner, _), known in state.chunks.items()
+        if owner == service
+        for row in known.chunk.rows
+    )
+
+
+def row_of(state: OwnershipState, slice_id: SliceId) -> Row | None:
+    """Returns the newest known row of a slice."""
+    return state.row(slice_id)
+
+
+def slice_of_key(
+    state: OwnershipState, service: str, digest: int, slices: int
+) -> SliceId:
+    """Returns the slice of a key, a carved one where the process knows of it.
+
+    Args:
+        state: The process.
+        service: Service that the key belongs to.
+        digest: Hash of the key.
+        slices: Number of base slices of the service.
+    """
+    own = SliceId(service, digest % slices, digest)
+    if own in state.rows or own in state.heard_carved:
+        return own
+    return SliceId(service, digest % slices)
+
+
+def drained(state: OwnershipState) -> bool:
+    """Returns whether nothing is served and nothing waits to be idle."""
+    return not state.serving and not state.stopping
+
+
+def describe(state: OwnershipState, slice_id: SliceId, now: float) -> Description:
+    """Describes the process's standing in a slice.
+
+    Args:
+        state: The process.
+        slice_id: The slice.
+        now: Present time, in seconds.
+    """
+    row = state.row(slice_id)
+    if row is None:
+        return Description(None, -1, WhyNot.NO_ROW)
+    rank = own_rank(state, row, now)
+    named = -1 if rank is None else rank
+    if right(state, slice_id, now) is not None:
+        return Description(row, named, WhyNot.SERVED)
+    if not any(state.is_own(name) for name in row.succession):
+        return Description(row, -1, WhyNot.NOT_NAMED)
+    if slice_id in state.stopping:
+        return Description(row, named, WhyNot.STOPPING)
+    if rank is None:
+        return Description(row, -1, WhyNot.NO_LEASE)
+    if not state.willing:
+        why = WhyNot.DRAINING if state.draining else WhyNot.UPSTREAM_NOT_READY
+        return Description(row, rank, why)
+    if row.version < state.floors.get(slice_id, 0):
+        return Description(row, rank, WhyNot.RELEASED)
+    if not earlier_out(state, row, rank, now):
+        return Description(row, rank, WhyNot.EARLIER_NAMES, row.succession[:rank])
+    blockers = uncleared(state, row, now)
+    why = WhyNot.RETIRING_NAMES if blockers else WhyNot.NO_LEASE
+    return Description(row, rank, why, blockers)
--- /dev/null
+++ b/rosemarydeal/policy/probe.py
@@ -0,0 +1,115 @@
+"""Proves that a silent incarnation's lease has lapsed, by rounds of promises.
+
+Promises of different rounds are never added up: one of an earlier round may
+have been forgotten since by a witness that restarted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from immutables import Map
+
+from rosemarydeal.core import Incarnation
+from rosemarydeal.core.messages import PromiseAsk, PromiseReply
+
+from .ownership_settings import OwnershipSettings
+
+__all__ = ["Probe", "ask_round", "record", "start"]
+
+RETRY_PAUSE_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Holds the rounds of questions about one incarnation.
+
+    Attributes:
+        target: The incarnation asked about.
+        witnesses: Its witness set.
+        started_at: When the first round was due, in seconds.
+        round: Number of the present round.
+        asked_at: When the present round was sent, in seconds.
+        promises: Per witness, when its last word lapses, on the own clock.
+        next_round_at: When the next round is due, in seconds.
+        proved_at: When the lease has surely lapsed; None while unproved.
+    """
+
+    target: Incarnation
+    witnesses: tuple[str, ...]
+    started_at: float
+    round: int
+    asked_at: float
+    next_round_at: float
+    promises: Map = Map()
+    proved_at: float | None = None
+
+
+def start(
+    target: Incarnation, witnesses: tuple[str, ...], first_round: int, now: float
+) -> Probe:
+    """Returns a probe whose first round is due at once.
+
+    Args:
+        target: The incarnation to ask about.
+        witnesses: Its witness set.
+        first_round: A random number, so that lives of a process don't mix.
+        now: Present time, in seconds.
+    """
+    return Probe(target, witnesses, now, first_round, now, now)
+
+
+def ask_round(
+    probe: Probe, settings: OwnershipSettings, now: float
+) -> tuple[Probe, PromiseAsk | None]:
+    """Opens the next round if one is due.
+
+    Args:
+        probe: The probe.
+        settings: Times of the protocol.
+        now: Present time, in seconds.
+
+    Returns:
+        The probe and the message for every witness, or None.
+    """
+    if probe.proved_at is not None or now < probe.next_round_at:
+        return probe, None
+    opened = replace(
+        probe,
+        round=probe.round + 1,
+        asked_at=now,
+        promises=Map(),
+        next_round_at=now + settings.window_s,
+    )
+    return opened, PromiseAsk(probe.target, opened.round)
+
+
+def record(
+    probe: Probe,
+    sender: str,
+    reply: PromiseReply,
+    settings: OwnershipSettings,
+    now: float,
+) -> Probe:
+    """Takes in a witness's answer and closes the proof at a majority.
+
+    Args:
+        probe: The probe that the answer is about.
+        sender: The witness.
+        reply: Its answer.
+        settings: Times of the protocol.
+        now: Present time, in seconds.
+    """
+    late = now > probe.asked_at + settings.window_s
+    if probe.proved_at is not None or sender not in probe.witnesses:
+        return probe
+    if late or reply.round != probe.round:
+        return probe
+    if not reply.promised:
+        retry_at = now + reply.retry_after + RETRY_PAUSE_S
+        return replace(probe, next_round_at=max(probe.next_round_at, retry_at))
+    lapses_at = now + reply.lapse_after * settings.drift_factor
+    promises = probe.promises.set(sender, lapses_at)
+    majority = len(probe.witnesses) // 2 + 1
+    proved_at = max(promises.values()) if len(promises) >= majority else None
+    return replace(probe, promises=promises, proved_at=proved_at)
--- /dev/null
+++ b/rosemarydeal/policy/rows.py
@@ -0,0 +1,131 @@
+"""Builds the rows and chunks that proposers write, with their retiring names.
+
+A name enters the retiring list whenever a row changes and leaves it by its own
+clearance only; these functions are the one place where that rule is kept.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterable
+from dataclasses import replace
+
+from rosemarydeal.core import Chunk, CodedError, Holder, Incarnation, Row, SliceId
+
+__all__ = [
+    "RowError",
+    "carve_row",
+    "cleaned_row",
+    "merge_row",
+    "next_row",
+    "rebuild_chunk",
+]
+
+
+class RowError(CodedError):
+    """Says that a proposed change of a row would be unsafe."""
+
+    code = "row_change_unsafe"
+
+
+def next_row(
+    row: Row,
+    succession: tuple[Incarnation, ...],
+    lapsed: Container[Incarnation] = (),
+    cleared: Container[Incarnation] = (),
+) -> Row:
+    """Returns the row's next version with another succession.
+
+    Args:
+        row: The row as the platform holds it.
+        succession: The new owner and its successors.
+        lapsed: Incarnations proved lapsed.
+        cleared: Retiring names that acknowledged the present version.
+
+    Returns:
+        The next version; all who may still act on older ones are retiring.
+    """
+    named = set(row.succession)
+    waiting = [name for name in row.retiring if name not in cleared or name in named]
+    names = dict.fromkeys((*row.succession, *waiting))
+    owner = succession[0] if succession else None
+    retiring = (n for n in names if n != owner and n not in lapsed)
+    return Row(row.slice, row.version + 1, succession, tuple(sorted(retiring)))
+
+
+def cleaned_row(row: Row, out: Container[Incarnation]) -> Row:
+    """Returns the same version of a row without retiring names that are out.
+
+    Args:
+        row: The row as the platform holds it.
+        out: Names that acknowledged this version or are proved lapsed.
+    """
+    return replace(row, retiring=tuple(n for n in row.retiring if n not in out))
+
+
+def carve_row(base: Row, digest: int) -> Row:
+    """Returns the first row of a key that gets a slice of its own.
+
+    The succession stays; a later `next_row` moves the key. Every name of the
+    base slice is retiring, so that it stops serving the key under that slice.
+
+    Args:
+        base: The row of the base slice.
+        digest: Hash of the key.
+    """
+    slice_id = SliceId(base.slice.service, base.slice.index, digest)
+    names = dict.fromkeys((*base.succession, *base.retiring))
+    retiring = tuple(sorted(name for name in names if name != base.owner))
+    return Row(slice_id, base.version + 1, base.succession, retiring)
+
+
+def merge_row(base: Row, carved: Row) -> Row:
+    """Returns the base slice's next row after a carved slice is dropped.
+
+    Args:
+        base: The row of the base slice.
+        carved: The row of the carved slice, which the same write drops.
+
+    Raises:
+        RowError: The two owners differ, or the carved slice's owner has not
+            yet cleared all retiring names; the base slice's owner, which goes
+            on serving, could otherwise meet the key's former owner.
+    """
+    if carved.owner != base.owner or carved.retiring:
+        raise RowError("a carved slice must first be moved to its base's owner")
+    version = max(base.version, carved.version) + 1
+    names = dict.fromkeys((*base.succession, *base.retiring, *carved.succession))
+    retiring = tuple(sorted(name for name in names if name != base.owner))
+    return Row(base.slice, version, base.succession, retiring)
+
+
+def rebuild_chunk(
+    chunk: Chunk,
+    rows: Iterable[Row],
+    holders: Iterable[Holder],
+    change_id: str,
+    dropped: Container[SliceId] = (),
+) -> Chunk:
+    """Returns a chunk with some rows replaced, added or dropped.
+
+    Args:
+        chunk: The chunk as the platform holds it.
+        rows: Changed and new rows.
+        holders: Witnesses of the incarnations that new rows name.
+        change_id: Unique id of the write.
+        dropped: Carved slices that were merged back.
+
+    Returns:
+        The new content, with the witnesses of exactly the names in its rows.
+    """
+    merged = {row.slice: row for row in chunk.rows if row.slice not in dropped}
+    merged.update((row.slice, row) for row in rows)
+    known = {holder.incarnation: holder for holder in (*chunk.holders, *holders)}
+    named = sorted(
+        {n for row in merged.values() for n in (*row.succession, *row.retiring)}
+    )
+    return replace(
+        chunk,
+        rows=tuple(merged[slice_id] for slice_id in sorted(merged)),
+        holders=tuple(known[name] for name in named if name in known),
+        change_id=change_id,
+    )
--- /dev/null
+++ b/rosemarydeal/policy/succession.py
@@ -0,0 +1,113 @@
+"""Decides which slices a process owns, by the rows' succession.
+
+A row gives its owner, and in order its successors, the right to serve: once
+all earlier names are out and all retiring names have cleared.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from rosemarydeal.core import Incarnation, Row, SliceId
+
+from .interface import RightGained
+from .ownership_state import OwnershipState, Result, Serving
+
+__all__ = ["earlier_out", "own_rank", "settle", "settle_all", "uncleared"]
+
+UNKNOWN_TOKEN = -1
+
+
+def own_rank(state: OwnershipState, row: Row, now: float) -> int | None:
+    """Returns the best rank at which a held incarnation stands in a row."""
+    held = state.held(now)
+    for rank, name in enumerate(row.succession):
+        if name in held:
+            return rank
+    return None
+
+
+def earlier_out(state: OwnershipState, row: Row, rank: int, now: float) -> bool:
+    """Returns whether all names before a rank are lapsed or released the slice."""
+    return all(
+        _is_out(state, row, name, row.version + 1, now)
+        for name in row.succession[:rank]
+    )
+
+
+def uncleared(state: OwnershipState, row: Row, now: float) -> tuple[Incarnation, ...]:
+    """Returns the retiring names that owe a clearance of the row's version."""
+    return tuple(
+        name for name in row.retiring if not _is_out(state, row, name, row.version, now)
+    )
+
+
+def _is_out(
+    state: OwnershipState, row: Row, name: Incarnation, version: int, now: float
+) -> bool:
+    """Returns whether a name holds no right in a slice below a version."""
+    if state.is_own(name) or state.is_out(name, now):
+        return True
+    return state.has_cleared(name, row.slice, version)
+
+
+def settle_all(state: OwnershipState, now: float) -> Result:
+    """Gains the rights that the known rows, proofs and clearances now give."""
+    actions = ()
+    for slice_id, row in state.named.items():
+        serving = state.serving.get(slice_id)
+        if serving is not None and serving.version == row.version:
+            continue
+        state, more = settle(state, slice_id, now)
+        actions += more
+    return state, actions
+
+
+def settle(state: OwnershipState, slice_id: SliceId, now: float) -> Result:
+    """Gains the right in one slice if it is due.
+
+    Args:
+        state: The process.
+        slice_id: The slice.
+        now: Present time, in seconds.
+    """
+    row = state.row(slice_id)
+    if row is None or slice_id in state.stopping or not state.willing:
+        return state, ()
+    rank = own_rank(state, row, now)
+    if rank is None or row.version < state.floors.get(slice_id, 0):
+        return state, ()
+    serving = state.serving.get(slice_id)
+    if serving is not None:
+        if rank == 0 and serving.version < row.version:
+            return _gain(state, row, rank, serving.token, now)
+        return state, ()
+    if not earlier_out(state, row, rank, now) or uncleared(state, row, now):
+        return state, ()
+    return _gain(state, row, rank, _former_token(state, row, rank), now)
+
+
+def _former_token(state: OwnershipState, row: Row, rank: int) -> int:
+    """Returns the last owner's token if every earlier name told its own."""
+    tokens = [state.served.get(row.slice, UNKNOWN_TOKEN)]
+    for name in (*row.succession[:rank], *row.retiring):
+        if state.is_own(name):
+            continue
+        told = state.cleared.get((name, row.slice))
+        if told is None:
+            return UNKNOWN_TOKEN
+        tokens.append(told.token)
+    return max(tokens)
+
+
+def _gain(
+    state: OwnershipState, row: Row, rank: int, former: int, now: float
+) -> Result:
+    """Records a right and tells the guard."""
+    serving = Serving(row.succession[rank], row.version, rank, now)
+    state = replace(
+        state,
+        serving=state.serving.set(row.slice, serving),
+        served=state.served.set(row.slice, serving.token),
+    )
+    return state, (RightGained(row.slice, serving.token, former),)
--- /dev/null
+++ b/rosemarydeal/policy/witness.py
@@ -0,0 +1,143 @@
+"""Decides as a witness: vouches for holders and promises to successors.
+
+A witness keeps nothing but timers. After its start it stays silent for so long
+that whatever it has forgotten can no longer matter.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from immutables import Map
+
+from rosemarydeal.core import Incarnation
+from rosemarydeal.core.messages import PromiseAsk, PromiseReply, VouchAsk, VouchReply
+
+from .ownership_settings import OwnershipSettings
+
+__all__ = ["Heard", "WitnessState", "end", "promise", "prune", "silent", "vouch"]
+
+FORGET_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Remembers the last sign of a holder.
+
+    Attributes:
+        heard_at: When the holder last asked, in seconds.
+        lapses_at: When the last word for it lapses, in seconds.
+        reports: How often its silence was told to the successors.
+    """
+
+    heard_at: float
+    lapses_at: float
+    reports: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WitnessState:
+    """Holds the timers of one witness.
+
+    Attributes:
+        silent_until: End of the silence after the start, in seconds.
+        heard: Last sign of each holder.
+        promised: Per node, the newest incarnation number never to vouch for.
+    """
+
+    silent_until: float
+    heard: Map = Map()
+    promised: Map = Map()
+
+    def has_promised(self, incarnation: Incarnation) -> bool:
+        """Returns whether the witness will never vouch for an incarnation."""
+        return self.promised.get(incarnation.node, -1) >= incarnation.number
+
+
+def vouch(
+    state: WitnessState, ask: VouchAsk, settings: OwnershipSettings, now: float
+) -> tuple[WitnessState, VouchReply]:
+    """Vouches for a holder unless a promise or the start's silence forbids it.
+
+    Args:
+        state: The witness.
+        ask: The holder's request.
+        settings: Times of the protocol.
+        now: Present time, in seconds.
+    """
+    name = ask.incarnation
+    if state.has_promised(name):
+        return state, VouchReply(name, ask.sequence, False, -1.0)
+    before = state.heard.get(name)
+    if now < state.silent_until:
+        heard = Heard(now, before.lapses_at if before else now)
+        reply = VouchReply(name, ask.sequence, False, state.silent_until - now)
+    else:
+        heard = Heard(now, now + settings.vouch_s)
+        reply = VouchReply(name, ask.sequence, True)
+    return replace(state, heard=state.heard.set(name, heard)), reply
+
+
+def promise(
+    state: WitnessState, ask: PromiseAsk, settings: OwnershipSettings, now: float
+) -> tuple[WitnessState, PromiseReply]:
+    """Promises a successor not to vouch any more, or refuses.
+
+    Args:
+        state: The witness.
+        ask: The successor's request.
+        settings: Times of the protocol.
+        now: Present time, in seconds.
+    """
+    name = ask.target
+    heard = state.heard.get(name)
+    ago = now - heard.heard_at if heard else -1.0
+    rest = max(0.0, heard.lapses_at - now) if heard else 0.0
+    if state.has_promised(name) and now >= state.silent_until:
+        return state, PromiseReply(name, ask.round, True, rest, ago)
+    wait = max(state.silent_until - now, settings.silence_s - ago if heard else 0.0)
+    if wait > 0.0:
+        return state, PromiseReply(name, ask.round, False, rest, ago, wait)
+    promised = state.promised.set(name.node, name.number)
+    reply = PromiseReply(name, ask.round, True, rest, ago)
+    return replace(state, promised=promised), reply
+
+
+def end(state: WitnessState, incarnation: Incarnation) -> WitnessState:
+    """Takes note that a holder discarded its incarnation by itself."""
+    if state.has_promised(incarnation):
+        return state
+    return replace(
+        state,
+        heard=state.heard.delete(incarnation)
+        if incarnation in state.heard
+        else state.heard,
+        promised=state.promised.set(incarnation.node, incarnation.number),
+    )
+
+
+def silent(
+    state: WitnessState, settings: OwnershipSettings, now: float
+) -> tuple[WitnessState, tuple[Incarnation, ...]]:
+    """Finds the holders whose silence is to be told to their successors.
+
+    The notice is repeated after twice the silence each time, as it may get lost.
+    """
+    found = tuple(
+        name
+        for name, heard in state.heard.items()
+        if now - heard.heard_at >= settings.silence_s * 2**heard.reports
+    )
+    heard = state.heard
+    for name in found:
+        heard = heard.set(name, replace(heard[name], reports=heard[name].reports + 1))
+    return replace(state, heard=heard) if found else state, found
+
+
+def prune(state: WitnessState, now: float) -> WitnessState:
+    """Forgets holders whose last word lapsed long ago."""
+    old = [n for n, heard in state.heard.items() if heard.lapses_at + FORGET_S < now]
+    heard = state.heard
+    for name in old:
+        heard = heard.delete(name)
+    return replace(state, heard=heard) if old else state
