Wrap the deployment file for the platform's configuration object

Cause: daemon and command line must agree on what the configuration holds. Change: ConfigEnvelope keeps the file's text with who applied it and when.

--- a/rosemarydeal/settings/__init__.py
+++ b/rosemarydeal/settings/__init__.py
@@ -17,6 +17,12 @@
     effective,
     explain,
 )
+from .envelope import (
+    ConfigEnvelope,
+    decode_envelope,
+    encode_envelope,
+    load_envelope,
+)
 from .leaves import (
     ColdStart,
     Deadlines,
@@ -40,6 +46,7 @@
     "DEFAULT_TENANT",
     "Branch",
     "ColdStart",
+    "ConfigEnvelope",
     "Deadlines",
     "DeploymentSettings",
     "Effective",
@@ -68,8 +75,11 @@
     "TenantClass",
     "TenantSettings",
     "canonical_path",
+    "decode_envelope",
     "effective",
+    "encode_envelope",
     "explain",
     "load_deployment",
+    "load_envelope",
     "load_node",
 ]
