Time the lease in settings as the ownership policy does

Change: the ownership group has the names and defaults of the policy's own settings, held together by a test; types and keys of the platform objects in which operators take zones out and drain upstreams; entries of the history.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -90,3 +90,6 @@
   Scenario: The committed schemas are those of the types
     Then the settings schemas are current
     And the settings schemas know every name that the example files use
+
+  Scenario: The defaults of the settings are those of the policy
+    Then the settings time the lease as the ownership policy does
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -1,5 +1,6 @@
 import json
 import re
+from dataclasses import fields
 from pathlib import Path
 
 from behave import step, then, when
@@ -8,7 +9,9 @@
 
 from features.builders_settings import as_text, deployment_file, load_file
 from rosemarydeal.core import Place
+from rosemarydeal.policy.ownership_settings import OwnershipSettings
 from rosemarydeal.settings import (
+    Ownership,
     PathPattern,
     ProblemCode,
     canonical_path,
@@ -287,3 +290,10 @@
         assert list(unknown_names(root, schema, schema)) == [], file
     wrong, _ = parse('{"nodes": 1}', "a")
     assert list(unknown_names(wrong, schema, schema)) == ["nodes"]
+
+
+@then("the settings time the lease as the ownership policy does")
+def step_defaults(context):
+    policy = OwnershipSettings()
+    for item in fields(Ownership):
+        assert getattr(Ownership(), item.name) == getattr(policy, item.name), item
--- a/rosemarydeal/core/operator.py
+++ b/rosemarydeal/core/operator.py
@@ -1,8 +1,6 @@
-"""Defines the platform objects that operators write.
+"""Defines the platform objects that operators write, and their keys.
 
-The configuration travels as the text that its authors wrote, so that every
-process can name file and line of a setting. The platform's version of the
-object is the version of the configuration.
+The configuration itself is described beside the settings that it holds.
 """
 
 from __future__ import annotations
@@ -14,8 +12,6 @@
     "HISTORY_PREFIX",
     "UPSTREAMS_KEY",
     "ZONES_KEY",
-    "ConfigEnvelope",
-    "HistoryEntry",
     "OperatorUpstreams",
     "OperatorZones",
     "UpstreamDrain",
@@ -32,37 +28,6 @@
 HISTORY_DIGITS = 6
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigEnvelope:
-    """Is the content of `config/current`.
-
-    Attributes:
-        file: Name of the file that was applied.
-        content: Its whole text, comments included.
-        change_id: Unique id of the write.
-        operator: Who applied it.
-        time: When, as ISO 8601 in UTC.
-        comment: Why, in the operator's words.
-        restores: Version that a rollback took the text from, else 0.
-    """
-
-    file: str
-    content: str
-    change_id: str
-    operator: str
-    time: str
-    comment: str = ""
-    restores: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class HistoryEntry:
-    """Is the content of one object below `config/history/`."""
-
-    version: int
-    envelope: ConfigEnvelope
-
-
 @dataclass(frozen=True, slots=True)
 class ZoneOut:
     """Records that operators took an availability zone out.
--- a/rosemarydeal/settings/__init__.py
+++ b/rosemarydeal/settings/__init__.py
@@ -19,6 +19,7 @@
 )
 from .envelope import (
     ConfigEnvelope,
+    HistoryEntry,
     decode_envelope,
     encode_envelope,
     load_envelope,
@@ -53,6 +54,7 @@
     "Explained",
     "HeaderKey",
     "Hedging",
+    "HistoryEntry",
     "IdempotencyRule",
     "KeySource",
     "Leaf",
--- a/rosemarydeal/settings/envelope.py
+++ b/rosemarydeal/settings/envelope.py
@@ -14,7 +14,13 @@
 from .load import load_deployment
 from .problems import Problem
 
-__all__ = ["ConfigEnvelope", "decode_envelope", "encode_envelope", "load_envelope"]
+__all__ = [
+    "ConfigEnvelope",
+    "HistoryEntry",
+    "decode_envelope",
+    "encode_envelope",
+    "load_envelope",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +44,14 @@
     comment: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """Is the content of one object of the configuration's history."""
+
+    version: int
+    envelope: ConfigEnvelope
+
+
 def encode_envelope(envelope: ConfigEnvelope) -> bytes:
     """Encodes an envelope as JSON."""
     return msgspec.json.encode(envelope)
--- a/rosemarydeal/settings/leaves.py
+++ b/rosemarydeal/settings/leaves.py
@@ -124,15 +124,19 @@
 
     Attributes:
         lease_s: Seconds for which witnesses vouch for a process.
-        renew_interval_s: Seconds between two renewals.
-        promise_window_s: Seconds within which a majority must promise.
-        margin_s: Seconds added to every wait for clocks that drift.
+        ask_interval_s: Seconds between two requests to the witnesses.
+        silence_s: Seconds of silence after which a witness gives a holder up.
+        window_s: Seconds within which a majority of witnesses must promise.
+        clock_drift: Bound on a clock's rate error, as a ratio.
+        dispatch_margin_s: Seconds before a lease's end without new dispatch.
     """
 
-    lease_s: Annotated[float, Meta(ge=0.5, le=60)] = 2.5
-    renew_interval_s: Annotated[float, Meta(ge=0.05, le=20)] = 0.7
-    promise_window_s: Annotated[float, Meta(ge=0.05, le=20)] = 0.5
-    margin_s: Annotated[float, Meta(ge=0.01, le=10)] = 0.2
+    lease_s: Annotated[float, Meta(ge=0.5, le=60)] = 1.5
+    ask_interval_s: Annotated[float, Meta(ge=0.05, le=20)] = 0.4
+    silence_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0
+    window_s: Annotated[float, Meta(ge=0.05, le=20)] = 0.5
+    clock_drift: Annotated[float, Meta(ge=0, le=0.2)] = 0.02
+    dispatch_margin_s: Annotated[float, Meta(ge=0, le=10)] = 0.05
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/settings/tree_checks.py
+++ b/rosemarydeal/settings/tree_checks.py
@@ -20,7 +20,7 @@
 
 DEPLOYMENT_ONLY = frozenset({"ownership"})
 SERVICE_WIDE = frozenset({"moves"})
-RENEWALS_PER_LEASE = 2
+ASKS_PER_LEASE = 2
 
 
 def check_tree(settings: DeploymentSettings) -> tuple[Problem, ...]:
@@ -100,11 +100,15 @@
         detail = f"the default of {shortest.value} ms is over the {longest.value} ms"
         yield _clash(f"{detail} allowed", shortest, longest)
     lease = by_name["ownership", "lease_s"]
-    renewal = by_name["ownership", "renew_interval_s"]
-    if renewal.value * RENEWALS_PER_LEASE > lease.value:
-        detail = "a lease must leave time for two renewals"
-        yield _clash(detail, renewal, lease)
-    margin = by_name["ownership", "margin_s"]
+    interval = by_name["ownership", "ask_interval_s"]
+    if interval.value * ASKS_PER_LEASE > lease.value:
+        detail = "a lease must leave time to ask the witnesses twice"
+        yield _clash(detail, interval, lease)
+    silence = by_name["ownership", "silence_s"]
+    if silence.value <= interval.value:
+        detail = "the silence must be longer than the interval of asking"
+        yield _clash(detail, silence, interval)
+    margin = by_name["ownership", "dispatch_margin_s"]
     if margin.value >= lease.value:
         yield _clash("the margin must be shorter than the lease", margin, lease)
     slots = by_name["limits", "slots"]
