--- /dev/null
+++ b/features/builders_control.py
@@ -0,0 +1,156 @@
+"""Drives the control policy of several processes against a small platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from features.builders import member
+from features.builders_placement import ZONES
+from rosemarydeal.core import Incarnation, Member, MemberPhase, SliceId
+from rosemarydeal.core.messages import SliceLoad
+from rosemarydeal.policy import control
+from rosemarydeal.policy.control import ControlEvent, ControlSettings, LocalLoad
+from rosemarydeal.policy.interface import (
+    ChunkRead,
+    MemberRead,
+    MessageReceived,
+    Send,
+    Tick,
+    WriteChunk,
+    WriteConflicted,
+    WriteSucceeded,
+)
+from rosemarydeal.policy.rows import cleaned_row
+
+__all__ = ["ControlGroup"]
+
+TICK_S = 0.25
+USUAL_LOAD = 0.1
+
+
+class ControlGroup:
+    """Runs the control of box-office-1.. and applies its writes at once.
+
+    Hand-overs end by themselves: each write's retiring names are cleared after
+    the next tick, as the ownership policy would do.
+    """
+
+    def __init__(self, count: int = 6, slices: int = 256, silent: int = 0) -> None:
+        self.now = 0.0
+        self.settings = ControlSettings("box-office", slices)
+        self.members: dict[str, MemberRead] = {}
+        self.chunks: dict[int, ChunkRead] = {}
+        self.history: list[ChunkRead] = []
+        self.writes = 0
+        self.moves: list[SliceId] = []
+        self.first_records: list[ControlEvent] = []
+        self.states = {}
+        self.silent = {f"box-office-{number}" for number in range(1, silent + 1)}
+        for number in range(1, count + 1):
+            self.join(number)
+
+    def join(self, number: int, zone: str = "", incarnation: int = 1) -> None:
+        """Starts a process and announces it."""
+        node = f"box-office-{number}"
+        self.states[node] = control.start(self.settings, node, number)
+        for read in (*self.members.values(), *self.chunks.values()):
+            self.step(node, read)
+        found = member(node, zone or ZONES[(number - 1) % 3])
+        self.announce(replace(found, incarnation=Incarnation(node, incarnation)))
+
+    def announce(self, found: Member) -> None:
+        """Writes a member record, which all processes read."""
+        known = self.members.get(found.node)
+        read = MemberRead((known.version if known else 0) + 1, found)
+        self.members[found.node] = read
+        self.tell(read)
+
+    def set_phase(self, node: str, phase: MemberPhase) -> None:
+        """Changes a member's phase; a lost one stops acting."""
+        if phase is MemberPhase.LOST:
+            self.states.pop(node, None)
+        self.announce(replace(self.members[node].member, phase=phase))
+
+    def tell(self, event: ControlEvent) -> None:
+        """Gives an event to all processes."""
+        for node in list(self.states):
+            self.step(node, event)
+
+    def step(self, node: str, event: ControlEvent) -> None:
+        """Gives an event to one process and carries its actions out."""
+        if node in self.silent or node not in self.states:
+            return
+        self.states[node], actions = control.step(self.states[node], event, self.now)
+        for action in actions:
+            match action:
+                case WriteChunk():
+                    self._write(node, action)
+                case Send(to, message):
+                    self.step(to, MessageReceived(node, message))
+
+    def run(
+        self,
+        seconds: float,
+        load: Callable[[str, SliceId], float] | None = None,
+        service_s: Callable[[str], float] = lambda node: 0.05,
+        hot_keys: Callable[[SliceId], tuple[tuple[int, float], ...]] = lambda s: (),
+        reporting: Callable[[str], bool] = lambda node: True,
+    ) -> None:
+        """Lets time pass; each second every process measures its load."""
+        until = self.now + seconds
+        while self.now < until:
+            if load is not None and self.now == int(self.now):
+                self._measure(load, service_s, hot_keys, reporting)
+            self._clear()
+            self.tell(Tick())
+            self.now += TICK_S
+
+    def owners(self) -> dict[SliceId, str]:
+        """Returns the node that owns each slice."""
+        return {
+            row.slice: row.owner.node
+            for number in sorted(self.chunks)
+            for row in self.chunks[number].chunk.rows
+        }
+
+    def _measure(self, load, service_s, hot_keys, reporting) -> None:
+        owners = self.owners()
+        for node in list(self.states):
+            if not reporting(node):
+                continue
+            slices = tuple(
+                SliceLoad(slice_id, load(node, slice_id), hot_keys(slice_id))
+                for slice_id, owner in owners.items()
+                if owner == node
+            )
+            busy = sum(found.load for found in slices) / 12
+            self.step(node, LocalLoad(busy, slices, service_s(node)))
+
+    def _write(self, node: str, write: WriteChunk) -> None:
+        self.writes += 1
+        number = write.chunk.number
+        known = self.chunks.get(number)
+        if (known.version if known else 0) != write.expected_version:
+            self.step(node, WriteConflicted(write.change_id))
+            return
+        before = self.owners()
+        read = ChunkRead(write.expected_version + 1, write.chunk)
+        self.chunks[number] = read
+        self.history.append(read)
+        for row in write.chunk.rows:
+            old = before.get(row.slice)
+            if old is not None and row.owner.node != old:
+                self.moves.append(row.slice)
+        self.step(node, WriteSucceeded(write.change_id, read.version))
+        self.tell(read)
+
+    def _clear(self) -> None:
+        """Clears all retiring names, each chunk in one write."""
+        for number, read in list(self.chunks.items()):
+            rows = tuple(cleaned_row(row, row.retiring) for row in read.chunk.rows)
+            if rows != read.chunk.rows:
+                cleared = ChunkRead(read.version + 1, replace(read.chunk, rows=rows))
+                self.chunks[number] = cleared
+                self.history.append(cleared)
+                self.tell(cleared)
--- a/features/builders_placement.py
+++ b/features/builders_placement.py
@@ -9,7 +9,7 @@
 from rosemarydeal.policy.interface import ChunkRead, WriteChunk
 from rosemarydeal.policy.placement import propose
 
-__all__ = ["fleet", "settle", "written"]
+__all__ = ["ZONES", "fleet", "settle", "written"]
 
 ZONES = ("perth-a", "perth-b", "perth-c")
 
--- /dev/null
+++ b/features/control.feature
@@ -0,0 +1,54 @@
+Feature: Control of assignments
+
+  Scenario: All processes together settle on one balanced assignment
+    Given a control group of 6 processes over 256 slices
+    Then the control group owns between 42 and 43 slices each
+    And the control group needed at most 8 writes
+
+  Scenario: Another process takes over when the first proposer is silent
+    Given a control group of 6 processes whose first proposer is silent
+    Then the control group owns between 42 and 43 slices each
+
+  Scenario: An older record read from a slow platform is ignored
+    Given a control group of 6 processes over 256 slices
+    When the control group serves load doubled on the slices of box-office-1 for 30 seconds
+    And the control group reads the first version of every record again
+    Then the control group writes nothing
+
+  Scenario: A balanced control group moves nothing
+    Given a control group of 6 processes over 256 slices
+    When the control group serves even load for 60 seconds
+    Then the control group moved 0 slices
+
+  Scenario: A lasting imbalance is moved away, and then it stops
+    Given a control group of 6 processes over 256 slices
+    When the control group serves load doubled on the slices of box-office-1 for 60 seconds
+    Then the control group moved between 8 and 25 slices
+    And the control group's highest share is at most 1.10 of the mean
+    And the control group moved no slice twice
+
+  Scenario: An imbalance that only one process reports moves nothing
+    Given a control group of 6 processes over 256 slices
+    When only box-office-1 reports doubled load for 30 seconds
+    Then the control group moved 0 slices
+
+  Scenario: An imbalance of a moment moves nothing
+    Given a control group of 6 processes over 256 slices
+    When the control group serves even load for 20 seconds
+    And the control group serves load doubled on the slices of box-office-1 for 2 seconds
+    And the control group serves even load for 20 seconds
+    Then the control group moved 0 slices
+
+  Scenario: A straggler keeps its slices until it has lasted
+    Given a control group of 6 processes over 256 slices
+    When the control group serves with box-office-1 slowed 3 times for 8 seconds
+    Then the control group moved 0 slices
+    When the control group serves with box-office-1 slowed 3 times for 40 seconds
+    Then the control group moved between 10 and 45 slices
+
+  Scenario: One hot key in a heavy slice is carved out, moved and merged back
+    Given a control group of 6 processes over 256 slices
+    When the control group serves two hot keys in one slice for 60 seconds
+    Then the control group has a carved slice on another owner than its base
+    When the control group serves even load for 120 seconds
+    Then the control group has no carved slice
--- /dev/null
+++ b/features/steps/control_steps.py
@@ -0,0 +1,164 @@
+"""Steps for the control of assignments."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import given, then, when
+
+from features.builders_control import USUAL_LOAD, ControlGroup
+from rosemarydeal.core import SliceId, rendezvous_order
+from rosemarydeal.policy.interface import Tick
+
+HOT = SliceId("box-office", 7)
+HOT_KEYS = ((7 + 256, 2.0), (7 + 512, 2.0))
+
+
+def even(node, slice_id):
+    return USUAL_LOAD if slice_id.carved < 0 else 0.0
+
+
+def carved_slices(group):
+    return [slice_id for slice_id in group.owners() if slice_id.carved >= 0]
+
+
+@given("a control group of {count:d} processes over {slices:d} slices")
+def step_group(context, count, slices):
+    context.group = ControlGroup(count, slices)
+    context.group.run(3.0)
+
+
+@given("a control group of {count:d} processes whose first proposer is silent")
+def step_silent(context, count):
+    nodes = [f"box-office-{number}" for number in range(1, count + 1)]
+    first = rendezvous_order("box-office/0", nodes)[0]
+    context.group = ControlGroup(count)
+    assert not context.group.writes
+    context.group.silent.add(first)
+    context.group.run(20.0)
+
+
+@then("the control group owns between {least:d} and {most:d} slices each")
+def step_owns(context, least, most):
+    group = context.group
+    owned = Counter(group.owners().values())
+    assert set(owned) == set(group.states), owned
+    assert least <= min(owned.values()) <= max(owned.values()) <= most, owned
+
+
+@then("the control group needed at most {count:d} writes")
+def step_writes(context, count):
+    assert 0 < context.group.writes <= count, context.group.writes
+
+
+@when("the control group reads the first version of every record again")
+def step_old(context):
+    group = context.group
+    context.writes = group.writes
+    firsts = {}
+    for read in group.history:
+        firsts.setdefault(read.chunk.number, read)
+    older = [r for n, r in firsts.items() if r.version < group.chunks[n].version]
+    assert older
+    for read in older:
+        group.tell(read)
+    group.tell(Tick())
+    group.run(5.0)
+
+
+@then("the control group writes nothing")
+def step_no_writes(context):
+    assert context.group.writes == context.writes
+
+
+@when("the control group serves even load for {seconds:d} seconds")
+def step_even(context, seconds):
+    context.group.run(seconds, even)
+
+
+@when(
+    "the control group serves load doubled on the slices of {node} "
+    "for {seconds:d} seconds"
+)
+def step_doubled(context, node, seconds):
+    owners = context.group.owners()
+    context.load = lambda holder, slice_id: (
+        USUAL_LOAD * (2 if owners[slice_id] == node else 1)
+    )
+    context.group.run(seconds, context.load)
+
+
+@when("only {node} reports doubled load for {seconds:d} seconds")
+def step_lone(context, node, seconds):
+    context.group.run(
+        seconds,
+        lambda holder, slice_id: 2 * USUAL_LOAD,
+        reporting=lambda holder: holder == node,
+    )
+
+
+@when(
+    "the control group serves with {node} slowed {factor:d} times "
+    "for {seconds:d} seconds"
+)
+def step_slowed(context, node, factor, seconds):
+    context.group.run(
+        seconds,
+        lambda holder, slice_id: USUAL_LOAD * (factor if holder == node else 1),
+        service_s=lambda holder: 0.05 * (factor if holder == node else 1),
+    )
+
+
+@when("the control group serves two hot keys in one slice for {seconds:d} seconds")
+def step_hot(context, seconds):
+    def hot_keys(slice_id):
+        kept = carved_slices(context.group)
+        rest = [
+            (digest, load)
+            for digest, load in HOT_KEYS
+            if SliceId("box-office", 7, digest) not in kept
+        ]
+        return tuple(rest) if slice_id == HOT else ()
+
+    def load(holder, slice_id):
+        if slice_id.carved >= 0:
+            return 2.0
+        return USUAL_LOAD + sum(load for _, load in hot_keys(slice_id))
+
+    context.group.run(seconds, load, hot_keys=hot_keys)
+
+
+@then("the control group has a carved slice on another owner than its base")
+def step_carved(context):
+    owners = context.group.owners()
+    carved = carved_slices(context.group)
+    assert carved and any(owners[c] != owners[HOT] for c in carved), carved
+
+
+@then("the control group has no carved slice")
+def step_merged(context):
+    assert not carved_slices(context.group), carved_slices(context.group)
+
+
+@then("the control group moved {count:d} slices")
+def step_moved(context, count):
+    assert len(context.group.moves) == count, context.group.moves
+
+
+@then("the control group moved between {least:d} and {most:d} slices")
+def step_moved_between(context, least, most):
+    assert least <= len(context.group.moves) <= most, len(context.group.moves)
+
+
+@then("the control group moved no slice twice")
+def step_once(context):
+    assert max(Counter(context.group.moves).values()) == 1
+
+
+@then("the control group's highest share is at most {ratio:g} of the mean")
+def step_share(context, ratio):
+    shares = Counter()
+    for slice_id, owner in context.group.owners().items():
+        shares[owner] += context.load(owner, slice_id)
+    mean = sum(shares.values()) / len(shares)
+    assert max(shares.values()) <= ratio * mean, shares
--- /dev/null
+++ b/rosemarydeal/policy/control.py
@@ -0,0 +1,228 @@
+"""Decides a process's share of control: proposals, balance and load reports.
+
+The driver feeds events in and carries the actions out; see `step`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from immutables import Map
+
+from rosemarydeal.core.messages import LoadReport
+
+from .control_state import (
+    ControlAction,
+    ControlEvent,
+    ControlSettings,
+    ControlState,
+    DomainTurn,
+    SettingsChanged,
+    ZonesChanged,
+)
+from .fleet import FleetView, domain_of_chunk
+from .interface import (
+    ChunkRead,
+    MemberRead,
+    MessageReceived,
+    Send,
+    Tick,
+    WriteConflicted,
+    WriteFailed,
+    WriteSucceeded,
+)
+from .loads import LoadBook
+from .placement import ranking
+from .proposals import propose_due
+from .reporting import LoadMeter, LocalLoad, make_reports, report_period
+from .zones import ZoneVerdict, judge_zones_out
+
+__all__ = [
+    "ControlAction",
+    "ControlEvent",
+    "ControlSettings",
+    "ControlState",
+    "LocalLoad",
+    "SettingsChanged",
+    "ZonesChanged",
+    "judge_zones",
+    "start",
+    "step",
+]
+
+Stepped = tuple[ControlState, tuple[ControlAction, ...]]
+
+
+def start(settings: ControlSettings, node: str, seed: int) -> ControlState:
+    """Returns the state of a process that knows nothing yet.
+
+    Args:
+        settings: The settings in force.
+        node: The process's node.
+        seed: Random seed that differs between starts of the process.
+    """
+    return ControlState(settings, node, seed, book=LoadBook(settings.loads))
+
+
+def step(state: ControlState, event: ControlEvent, now: float) -> Stepped:
+    """Takes an event in and returns what to do.
+
+    Args:
+        state: The state before.
+        event: What happened.
+        now: Moment on the process's clock, in seconds.
+
+    Returns:
+        The state after and the actions, in order.
+    """
+    match event:
+        case Tick():
+            return _tick(state, now)
+        case MemberRead():
+            return _member_read(state, event, now), ()
+        case ChunkRead():
+            return _chunk_read(state, event), ()
+        case MessageReceived(message=LoadReport() as report):
+            return replace(state, book=state.book.observe(report, now)), ()
+        case WriteSucceeded(change_id, version):
+            return _written(state, change_id, version), ()
+        case WriteConflicted(change_id) | WriteFailed(change_id):
+            return _not_written(state, change_id), ()
+        case LocalLoad():
+            return replace(state, meter=state.meter.add(event)), ()
+        case ZonesChanged(out):
+            return _zones_changed(state, out, now), ()
+        case SettingsChanged(settings):
+            return _settings_changed(state, settings, now), ()
+        case _:
+            return state, ()
+
+
+def judge_zones(state: ControlState, out: frozenset[str], forced: bool) -> ZoneVerdict:
+    """Judges from what this process knows whether zones may be taken out.
+
+    Args:
+        state: The process's state.
+        out: All zones that are to be out.
+        forced: Whether the operator insists.
+    """
+    view = state.view()
+    live = view.live()
+    known = [state.book.members.get(name) for name in live]
+    busy: float | None = None
+    if known and all(known):
+        shares = zip(live.values(), known, strict=True)
+        busy = sum(member.slots * load.utilisation for member, load in shares)
+    wanted = replace(view, out_zones=out)
+    return judge_zones_out(wanted, busy, forced, state.settings.zones)
+
+
+def _member_read(state: ControlState, read: MemberRead, now: float) -> ControlState:
+    """Takes a newer member record in; an older one is ignored."""
+    known = state.members.get(read.member.node)
+    if known is not None and read.version <= known.version:
+        return state
+    if read.member.service != state.settings.service:
+        return state
+    members = state.members.set(read.member.node, read)
+    return _members_changed(replace(state, members=members), now)
+
+
+def _members_changed(state: ControlState, now: float) -> ControlState:
+    """Works out anew who proposes, who leaves, and what to look at."""
+    view = state.view()
+    live, eligible = view.live(), view.eligible()
+    turns = tuple(_turn(view, domain) for domain in range(view.domain_count))
+    leaving = {
+        name: state.leaving.get(name, now) for name in live if name not in eligible
+    }
+    return replace(
+        state,
+        turns=turns,
+        ranks=len(live),
+        leaving=Map(leaving),
+        unsettled=frozenset(range(view.domain_count)),
+    )
+
+
+def _turn(view: FleetView, domain: int) -> DomainTurn:
+    """Ranks this process among a domain's proposers."""
+    ranked = ranking(view, domain)
+    rank = ranked.index(view.self_node) if view.self_node in ranked else None
+    return DomainTurn(ranked[0] if ranked else "", rank)
+
+
+def _chunk_read(state: ControlState, read: ChunkRead) -> ControlState:
+    """Takes a newer chunk in; an older one is ignored."""
+    if read.chunk.service != state.settings.service:
+        return state
+    known = state.chunks.get(read.chunk.number)
+    if known is not None and read.version <= known.version:
+        return state
+    domain = domain_of_chunk(read.chunk.number)
+    return replace(
+        state,
+        chunks=state.chunks.set(read.chunk.number, read),
+        unsettled=state.unsettled | {domain},
+    )
+
+
+def _written(state: ControlState, change_id: str, version: int) -> ControlState:
+    pending = state.pending.get(change_id)
+    if pending is None:
+        return state
+    state = replace(state, pending=state.pending.delete(change_id))
+    return _chunk_read(state, ChunkRead(version, pending.chunk))
+
+
+def _not_written(state: ControlState, change_id: str) -> ControlState:
+    if change_id not in state.pending:
+        return state
+    return replace(state, pending=state.pending.delete(change_id))
+
+
+def _zones_changed(
+    state: ControlState, out: frozenset[str], now: float
+) -> ControlState:
+    zones_out = Map({zone: state.zones_out.get(zone, now) for zone in sorted(out)})
+    return _members_changed(replace(state, zones_out=zones_out), now)
+
+
+def _settings_changed(
+    state: ControlState, settings: ControlSettings, now: float
+) -> ControlState:
+    book = replace(state.book, settings=settings.loads)
+    return _members_changed(replace(state, settings=settings, book=book), now)
+
+
+def _tick(state: ControlState, now: float) -> Stepped:
+    """Reports the own load and proposes what is due."""
+    state, sends = _report(state, now)
+    state, writes = propose_due(state, now)
+    return state, (*sends, *writes)
+
+
+def _report(state: ControlState, now: float) -> tuple[ControlState, tuple[Send, ...]]:
+    """Sends the load measured since last time, at the rate that is allowed."""
+    due = state.reported_at is None or now - state.reported_at >= state.report_s
+    own = state.own
+    if not due or own is None or not state.meter.count:
+        return state, ()
+    settings = state.settings.reports
+    reports = make_reports(state.meter, own.incarnation, settings)
+    sends: list[Send] = []
+    book = state.book
+    for domain, report in reports.items():
+        first = state.turns[domain].first if domain < len(state.turns) else ""
+        if first == state.node:
+            book = book.observe(report, now)
+        elif first:
+            sends.append(Send(first, report))
+    state = replace(
+        state,
+        book=book.forget(now),
+        meter=LoadMeter(),
+        reported_at=now,
+        report_s=report_period(reports, settings),
+    )
+    return state, tuple(sends)
--- /dev/null
+++ b/rosemarydeal/policy/control_state.py
@@ -0,0 +1,175 @@
+"""Holds the settings, events and state of a process's share of control."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from immutables import Map
+
+from rosemarydeal.core import Chunk, Incarnation, Member
+
+from .fleet import FleetView, PlacementSettings
+from .interface import (
+    ChunkRead,
+    MemberRead,
+    MessageReceived,
+    Send,
+    Tick,
+    WriteChunk,
+    WriteConflicted,
+    WriteFailed,
+    WriteSucceeded,
+)
+from .loads import LoadBook, LoadSettings
+from .rebalance import RebalanceSettings, RebalanceState
+from .reporting import LoadMeter, LocalLoad, ReportSettings
+from .zones import ZoneSettings
+
+__all__ = [
+    "ControlAction",
+    "ControlEvent",
+    "ControlSettings",
+    "ControlState",
+    "DomainTurn",
+    "Pending",
+    "SettingsChanged",
+    "ZonesChanged",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Gathers the settings of a service's control.
+
+    Attributes:
+        service: The service.
+        slices: Number of its base slices.
+        placement: Tunes where slices go.
+        loads: Tunes the load estimates.
+        rebalance: Tunes the moves for balance.
+        zones: Tunes how availability zones leave.
+        reports: Tunes the load reports.
+        plan_s: Seconds between two looks at the balance.
+        write_s: Seconds after which a write without an answer is given up.
+    """
+
+    service: str
+    slices: int
+    placement: PlacementSettings = PlacementSettings()
+    loads: LoadSettings = LoadSettings()
+    rebalance: RebalanceSettings = RebalanceSettings()
+    zones: ZoneSettings = ZoneSettings()
+    reports: ReportSettings = ReportSettings()
+    plan_s: float = 1.0
+    write_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class ZonesChanged:
+    """Says which availability zones are taken out, by the settings in force."""
+
+    out: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """Says that other settings are in force."""
+
+    settings: ControlSettings
+
+
+ControlEvent = (
+    Tick
+    | MemberRead
+    | ChunkRead
+    | MessageReceived
+    | WriteSucceeded
+    | WriteConflicted
+    | WriteFailed
+    | LocalLoad
+    | ZonesChanged
+    | SettingsChanged
+)
+ControlAction = WriteChunk | Send
+
+
+@dataclass(frozen=True, slots=True)
+class DomainTurn:
+    """Says who proposes a domain first and where this process ranks."""
+
+    first: str
+    rank: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Pending:
+    """Remembers a write that has no answer yet."""
+
+    chunk: Chunk
+    since: float
+
+
+@dataclass(frozen=True, slots=True)
+class ControlState:
+    """Holds all that a process's share of control knows.
+
+    Attributes:
+        settings: The settings in force.
+        node: The process's node.
+        seed: Random seed that makes its change ids unique.
+        members: Newest member records by node.
+        chunks: Newest chunks by number.
+        zones_out: Moment at which each absent zone was learnt to be out.
+        leaving: Moment from which each live owner is to give its slices up.
+        book: Load estimates.
+        meter: Own load since the last report.
+        turns: Who proposes each domain.
+        ranks: How many processes are ranked.
+        balance: What the rebalancing did, by domain.
+        pending: Writes without an answer, by change id.
+        unsettled: Domains whose rows may need a change.
+        planned_at: Moment of each domain's last plan.
+        reported_at: Moment of the last reports.
+        report_s: Seconds until the next reports.
+    """
+
+    settings: ControlSettings
+    node: str
+    seed: int
+    members: Map[str, MemberRead] = Map()
+    chunks: Map[int, ChunkRead] = Map()
+    zones_out: Map[str, float] = Map()
+    leaving: Map[Incarnation, float] = Map()
+    book: LoadBook = LoadBook()
+    meter: LoadMeter = LoadMeter()
+    turns: tuple[DomainTurn, ...] = ()
+    ranks: int = 0
+    balance: Map[int, RebalanceState] = Map()
+    pending: Map[str, Pending] = Map()
+    unsettled: frozenset[int] = field(default_factory=frozenset)
+    planned_at: Map[int, float] = Map()
+    reported_at: float | None = None
+    report_s: float = 1.0
+
+    @property
+    def own(self) -> Member | None:
+        """Returns the process's own member record, once read."""
+        known = self.members.get(self.node)
+        return known.member if known else None
+
+    def view(self) -> FleetView:
+        """Returns the view that the placement decides on."""
+        estimates = self.book.slices
+        loads = {key: estimate.load for key, estimate in estimates.items()}
+        usual = sum(loads.values()) / len(loads) if loads else 1.0
+        return FleetView(
+            self.settings.service,
+            self.settings.slices,
+            tuple(read.member for read in self.members.values()),
+            self.chunks,
+            self.node,
+            loads,
+            self.settings.placement,
+            frozenset(self.zones_out),
+            usual,
+        )
--- a/rosemarydeal/policy/fleet.py
+++ b/rosemarydeal/policy/fleet.py
@@ -10,15 +10,26 @@
 from dataclasses import dataclass, field
 
 from rosemarydeal.core import Incarnation, Member, MemberPhase, Row, SliceId
-from rosemarydeal.core.keys import SLICES_PER_CHUNK
+from rosemarydeal.core.keys import SLICES_PER_CHUNK, chunk_of
 
 from .interface import ChunkRead
 
-__all__ = ["FleetView", "PlacementSettings"]
+__all__ = ["FleetView", "PlacementSettings", "domain_of", "domain_of_chunk"]
 
+CHUNKS_PER_DOMAIN = 16
 LIVE_PHASES = frozenset({MemberPhase.UP, MemberPhase.DRAINING})
 
 
+def domain_of(slice_id: SliceId) -> int:
+    """Returns the domain that a slice is planned in."""
+    return domain_of_chunk(chunk_of(slice_id))
+
+
+def domain_of_chunk(number: int) -> int:
+    """Returns the domain that a chunk is planned in."""
+    return number // CHUNKS_PER_DOMAIN
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementSettings:
     """Tunes where slices are placed.
@@ -43,6 +54,7 @@
         chunks: Newest known chunk objects by number.
         self_node: Node of the process that decides.
         loads: Smoothed load of slices in busy slots; empty when unknown.
+        usual_load: Load that a slice without a known one counts for.
         settings: Tunes the placement.
         out_zones: Availability zones that operators have taken out.
     """
@@ -55,6 +67,7 @@
     loads: Mapping[SliceId, float] = field(default_factory=dict)
     settings: PlacementSettings = PlacementSettings()
     out_zones: frozenset[str] = frozenset()
+    usual_load: float = 1.0
 
     @property
     def chunk_count(self) -> int:
@@ -78,9 +91,24 @@
             and member.place.availability_zone not in self.out_zones
         }
 
+    @property
+    def domain_count(self) -> int:
+        """Returns how many runs of chunks are planned on their own."""
+        return -(-self.chunk_count // CHUNKS_PER_DOMAIN)
+
+    def domain_chunks(self, domain: int) -> range:
+        """Returns the numbers of a domain's chunks."""
+        first = domain * CHUNKS_PER_DOMAIN
+        return range(first, min(first + CHUNKS_PER_DOMAIN, self.chunk_count))
+
     def rows(self) -> Iterator[Row]:
         """Yields the row of every slice; one without names where none is known."""
-        for number in range(self.chunk_count):
+        for domain in range(self.domain_count):
+            yield from self.domain_rows(domain)
+
+    def domain_rows(self, domain: int) -> Iterator[Row]:
+        """Yields the rows of one domain."""
+        for number in self.domain_chunks(domain):
             yield from self.chunk_rows(number)
 
     def chunk_rows(self, number: int) -> Iterator[Row]:
@@ -95,8 +123,5 @@
             yield rows[slice_id]
 
     def weight(self, slice_id: SliceId) -> float:
-        """Returns the load of a slice, or the mean load where it is unknown."""
-        known = self.loads.get(slice_id)
-        if known is not None:
-            return known
-        return sum(self.loads.values()) / len(self.loads) if self.loads else 1.0
+        """Returns the load of a slice, or the usual load where it is unknown."""
+        return self.loads.get(slice_id, self.usual_load)
--- a/rosemarydeal/policy/loads.py
+++ b/rosemarydeal/policy/loads.py
@@ -56,6 +56,7 @@
         at: Moment that the last report speaks for, in seconds.
         reports: Reports in a row without a gap.
         utilisation: Smoothed share of busy slots.
+        last_utilisation: Share of busy slots in the last report alone.
         service_s: Smoothed seconds per request; 0 when unknown.
         slow_since: Moment since which it has been a straggler, if it is one.
     """
@@ -63,6 +64,7 @@
     at: float
     reports: int
     utilisation: float
+    last_utilisation: float
     service_s: float
     slow_since: float | None = None
 
@@ -130,7 +132,8 @@
         self, known: MemberLoad | None, report: LoadReport, at: float
     ) -> MemberLoad:
         if known is None or at - known.at > self.settings.stale_s:
-            return MemberLoad(at, 1, report.utilisation, report.service_s)
+            busy = report.utilisation
+            return MemberLoad(at, 1, busy, busy, report.service_s)
         utilisation = self._smooth(known.utilisation, known.at, report.utilisation, at)
         service_s = known.service_s
         if report.service_s > 0 and known.service_s > 0:
@@ -138,7 +141,12 @@
         elif report.service_s > 0:
             service_s = report.service_s
         return MemberLoad(
-            at, known.reports + 1, utilisation, service_s, known.slow_since
+            at,
+            known.reports + 1,
+            utilisation,
+            report.utilisation,
+            service_s,
+            known.slow_since,
         )
 
     def _smooth(self, old: float, old_at: float, new: float, at: float) -> float:
--- a/rosemarydeal/policy/placement.py
+++ b/rosemarydeal/policy/placement.py
@@ -1,28 +1,51 @@
 """Proposes who owns each slice and who follows, with the least movement.
 
 Any process may propose: a proposal is a conditional update, so of two that
-race one fails. A ranking of the live members per chunk makes races rare.
+race one fails. A ranking of the live members per domain, a run of chunks that
+is planned together, makes races rare.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from dataclasses import replace
+from collections.abc import Collection, Container, Iterable, Mapping
+from dataclasses import dataclass
 
 from rosemarydeal.core import Chunk, Holder, Incarnation, Member, Row, SliceId
 from rosemarydeal.core.keys import chunk_of, rendezvous_order
 
-from .fleet import FleetView
+from .fleet import FleetView, PlacementSettings
 from .interface import WriteChunk
 from .load_tally import LoadTally
-
-__all__ = ["may_propose", "plan", "propose", "write_rows"]
+from .rows import next_row, rebuild_chunk
+
+__all__ = [
+    "RowChanges",
+    "evacuating",
+    "is_turn",
+    "may_propose",
+    "plan",
+    "propose",
+    "ranking",
+    "write_rows",
+]
 
 PROMPT_RANKS = 4
 
 
+@dataclass(frozen=True, slots=True)
+class RowChanges:
+    """Gathers the rows to write and the carved slices to drop with them."""
+
+    rows: tuple[Row, ...] = ()
+    dropped: tuple[SliceId, ...] = ()
+
+    def __bool__(self) -> bool:
+        """Tells whether there is anything to write."""
+        return bool(self.rows or self.dropped)
+
+
 def propose(view: FleetView, now: float, seed: int) -> tuple[WriteChunk, ...]:
-    """Proposes the chunks that this process is to write now.
+    """Proposes the chunks that this process is to write now, moves at once.
 
     Args:
         view: What the process knows of the service.
@@ -32,52 +55,98 @@
     Returns:
         One conditional update for each chunk that needs a change.
     """
-    return write_rows(view, plan(view), now, seed)
+    writes: list[WriteChunk] = []
+    for domain in range(view.domain_count):
+        if may_propose(view, domain, now):
+            writes += write_rows(view, plan(view, domain), now, seed)
+    return tuple(writes)
 
 
 def write_rows(
-    view: FleetView, changed: Mapping[SliceId, Row], now: float, seed: int
+    view: FleetView, changes: RowChanges, now: float, seed: int
 ) -> tuple[WriteChunk, ...]:
-    """Turns changed rows into updates of the chunks that are this process's turn.
+    """Turns changed rows into conditional updates of their chunks.
 
     Args:
         view: What the process knows of the service.
-        changed: New rows by slice.
+        changes: New rows and dropped slices.
         now: Moment on the process's clock, in seconds.
         seed: Random seed of the process.
 
     Returns:
         One conditional update for each touched chunk.
     """
-    numbers = sorted({chunk_of(slice_id) for slice_id in changed})
+    rows_by_chunk: dict[int, list[Row]] = {}
+    for row in changes.rows:
+        rows_by_chunk.setdefault(chunk_of(row.slice), []).append(row)
+    for slice_id in changes.dropped:
+        rows_by_chunk.setdefault(chunk_of(slice_id), [])
     return tuple(
-        _write_chunk(view, number, changed, now, seed)
-        for number in numbers
-        if may_propose(view, number, now)
+        _write_chunk(view, number, rows_by_chunk[number], changes.dropped, now, seed)
+        for number in sorted(rows_by_chunk)
     )
 
 
-def may_propose(view: FleetView, number: int, now: float) -> bool:
-    """Tells whether it is this process's turn to write a chunk.
+def ranking(view: FleetView, domain: int) -> list[str]:
+    """Returns the live nodes in the order in which they propose a domain.
+
+    Args:
+        view: What the process knows of the service.
+        domain: The domain.
+    """
+    nodes = [member.node for member in view.live().values()]
+    return rendezvous_order(f"{view.service}/{domain}", nodes)
 
-    The first in the chunk's ranking always may. The others get turns in time,
+
+def may_propose(view: FleetView, domain: int, now: float) -> bool:
+    """Tells whether it is this process's turn to write a domain.
+
+    The first in the domain's ranking always may. The others get turns in time,
     so that another acts when the first is silent but not yet known as lost.
 
     Args:
         view: What the process knows of the service.
-        number: The chunk.
+        domain: The domain.
         now: Moment on the process's clock, in seconds.
     """
-    nodes = [member.node for member in view.live().values()]
-    if view.self_node not in nodes:
+    ranked = ranking(view, domain)
+    if view.self_node not in ranked:
         return False
-    ranking = rendezvous_order(f"{view.service}/{number}", nodes)
-    rank = ranking.index(view.self_node)
-    turn = int(now / view.settings.takeover_s)
-    return rank in (0, turn % PROMPT_RANKS, turn % len(ranking))
+    rank = ranked.index(view.self_node)
+    return is_turn(rank, len(ranked), view.settings, now)
+
+
+def is_turn(rank: int, ranks: int, settings: PlacementSettings, now: float) -> bool:
+    """Tells whether a rank may write at a moment.
+
+    Args:
+        rank: Rank of the process.
+        ranks: How many processes are ranked.
+        settings: Tunes how long a turn is.
+        now: Moment on the process's clock, in seconds.
+    """
+    turn = int(now / settings.takeover_s)
+    return rank in (0, turn % PROMPT_RANKS, turn % ranks)
 
 
-def plan(view: FleetView) -> dict[SliceId, Row]:
+def evacuating(view: FleetView, domain: int) -> tuple[Row, ...]:
+    """Returns the rows whose live owner may keep no slices.
+
+    Args:
+        view: What the process knows of the service.
+        domain: The domain.
+    """
+    live, eligible = view.live(), view.eligible()
+    return tuple(
+        row
+        for row in view.domain_rows(domain)
+        if row.owner in live and row.owner not in eligible
+    )
+
+
+def plan(
+    view: FleetView, domain: int, held_back: Collection[SliceId] = ()
+) -> RowChanges:
     """Works out the rows to change, the same way in every process.
 
     Owners that may keep their slices do. A slice whose owner is gone stays
@@ -85,34 +154,41 @@
 
     Args:
         view: What the process knows of the service.
+        domain: The domain to plan.
+        held_back: Slices of live owners that are to move later.
 
     Returns:
-        The new rows by slice; empty when all is in order.
+        The new rows; empty when all is in order.
     """
     eligible = view.eligible()
     if not eligible:
-        return {}
+        return RowChanges()
     tally = LoadTally(eligible)
-    orphans = []
-    for row in view.rows():
+    kept: list[Row] = []
+    orphans: list[Row] = []
+    for row in view.domain_rows(domain):
         if row.owner in eligible:
             tally.add_row(row, view.weight(row.slice))
-        else:
+            kept.append(row)
+        elif row.slice not in held_back:
             orphans.append(row)
     orphans.sort(key=lambda row: (-view.weight(row.slice), row.slice))
-    changed = {}
-    for row in orphans:
-        changed[row.slice] = _adopt(view, tally, row)
-    for row in view.rows():
-        if row.owner in eligible and _lacks_successors(view, eligible, row):
-            changed[row.slice] = _follow(view, tally, row)
-    return changed
-
-
-def _adopt(view: FleetView, tally: LoadTally, row: Row) -> Row:
+    live = view.live()
+    changed = [_adopt(view, tally, row, live) for row in orphans]
+    touched = {chunk_of(row.slice) for row in orphans}
+    for row in kept:
+        # A chunk that moves later gets its new successors in the same write.
+        due = not held_back or chunk_of(row.slice) in touched
+        if due and _lacks_successors(view, eligible, row):
+            changed.append(_follow(view, tally, row))
+    return RowChanges(tuple(changed))
+
+
+def _adopt(
+    view: FleetView, tally: LoadTally, row: Row, live: Container[Incarnation]
+) -> Row:
     """Gives a slice without an eligible owner to a member."""
     weight = view.weight(row.slice)
-    live = view.live()
     following = [name for name in row.succession if name in tally.members]
     if row.owner is not None and row.owner not in live and following:
         owner = following[0]
@@ -142,16 +218,11 @@
     return next_row(row, tuple(names[: view.settings.successors + 1]))
 
 
-def next_row(row: Row, succession: tuple[Incarnation, ...]) -> Row:
-    """Returns the row's next version; every earlier name has yet to clear."""
-    names = dict.fromkeys((*row.succession, *row.retiring))
-    return Row(row.slice, row.version + 1, succession, tuple(names))
-
-
 def _write_chunk(
     view: FleetView,
     number: int,
-    changed: Mapping[SliceId, Row],
+    rows: Iterable[Row],
+    dropped: Container[SliceId],
     now: float,
     seed: int,
 ) -> WriteChunk:
@@ -159,21 +230,7 @@
     known = view.chunks.get(number)
     version = known.version if known else 0
     old = known.chunk if known else Chunk(view.service, number, ())
-    rows = {row.slice: row for row in view.chunk_rows(number)}
-    rows |= {key: row for key, row in changed.items() if chunk_of(key) == number}
-    ordered = tuple(rows[key] for key in sorted(rows))
     change_id = f"{view.self_node}/{number}/{version + 1}/{seed:x}/{now:.6f}"
-    chunk = replace(
-        old, rows=ordered, holders=_holders(view, old, ordered), change_id=change_id
-    )
+    holders = [Holder(m.incarnation, m.witnesses) for m in view.members]
+    chunk = rebuild_chunk(old, rows, holders, change_id, dropped)
     return WriteChunk(chunk, version, change_id)
-
-
-def _holders(view: FleetView, old: Chunk, rows: Iterable[Row]) -> tuple[Holder, ...]:
-    """Lists the witnesses of each name in the rows."""
-    witnesses = {holder.incarnation: holder.witnesses for holder in old.holders}
-    witnesses |= {member.incarnation: member.witnesses for member in view.members}
-    names = {name for row in rows for name in (*row.succession, *row.retiring)}
-    return tuple(
-        Holder(name, witnesses[name]) for name in sorted(names) if name in witnesses
-    )
--- /dev/null
+++ b/rosemarydeal/policy/proposals.py
@@ -0,0 +1,140 @@
+"""Turns plans and moves of the domains whose turn it is into writes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import replace
+
+from rosemarydeal.core import Row, SliceId
+
+from .control_state import ControlState, Pending
+from .fleet import FleetView, domain_of_chunk
+from .interface import WriteChunk
+from .load_tally import LoadTally
+from .placement import RowChanges, evacuating, is_turn, plan, write_rows
+from .rebalance import Carve, Merge, Move, RebalanceState, Step, rebalance
+from .rows import RowError, carve_row, merge_row, next_row
+from .zones import held_back
+
+__all__ = ["propose_due"]
+
+Proposed = tuple[ControlState, tuple[WriteChunk, ...]]
+
+
+def propose_due(state: ControlState, now: float) -> Proposed:
+    """Proposes for each domain whose turn and time it is.
+
+    Args:
+        state: The state before.
+        now: Moment on the process's clock, in seconds.
+
+    Returns:
+        The state after, and the writes.
+    """
+    state = _give_up_writes(state, now)
+    due = [domain for domain in range(len(state.turns)) if _is_due(state, domain, now)]
+    if not due:
+        return state, ()
+    view = state.view()
+    writes: list[WriteChunk] = []
+    for domain in due:
+        state, found = _propose(state, view, domain, now)
+        writes += found
+    return state, tuple(writes)
+
+
+def _give_up_writes(state: ControlState, now: float) -> ControlState:
+    """Forgets writes whose answer is overdue; a later read tells their fate."""
+    oldest = now - state.settings.write_s
+    overdue = [key for key, write in state.pending.items() if write.since < oldest]
+    pending = state.pending
+    for key in overdue:
+        pending = pending.delete(key)
+    return replace(state, pending=pending) if overdue else state
+
+
+def _is_due(state: ControlState, domain: int, now: float) -> bool:
+    """Tells whether a domain is to be planned now."""
+    turn = state.turns[domain]
+    settings = state.settings
+    if turn.rank is None:
+        return False
+    if not is_turn(turn.rank, state.ranks, settings.placement, now):
+        return False
+    writing = (domain_of_chunk(write.chunk.number) for write in state.pending.values())
+    if domain in writing:
+        return False
+    since = now - state.planned_at.get(domain, float("-inf"))
+    if state.leaving:
+        return since >= settings.zones.batch_s
+    return domain in state.unsettled or (turn.rank == 0 and since >= settings.plan_s)
+
+
+def _propose(state: ControlState, view: FleetView, domain: int, now: float) -> Proposed:
+    """Plans one domain: first what has to change, else what pays."""
+    rows = evacuating(view, domain)
+    held = _held_back(state, rows, now)
+    changes = plan(view, domain, held)
+    state = replace(
+        state,
+        unsettled=state.unsettled - {domain},
+        planned_at=state.planned_at.set(domain, now),
+    )
+    if not changes and not rows and state.turns[domain].rank == 0:
+        state, changes = _balance(state, view, domain, now)
+    writes = write_rows(view, changes, now, state.seed)
+    pending = state.pending.mutate()
+    for write in writes:
+        pending[write.change_id] = Pending(write.chunk, now)
+    return replace(state, pending=pending.finish()), writes
+
+
+def _held_back(
+    state: ControlState, rows: Sequence[Row], now: float
+) -> frozenset[SliceId]:
+    """Returns the slices of leaving owners that are to wait for a later batch."""
+    began = min((state.leaving.get(row.owner, now) for row in rows), default=now)
+    return held_back(rows, began, now, state.settings.zones)
+
+
+def _balance(
+    state: ControlState, view: FleetView, domain: int, now: float
+) -> tuple[ControlState, RowChanges]:
+    """Chooses moves that pay and works out their rows."""
+    before = state.balance.get(domain, RebalanceState())
+    settings = state.settings.rebalance
+    after, steps = rebalance(view, domain, state.book, before, settings, now)
+    state = replace(state, balance=state.balance.set(domain, after))
+    return state, _change_rows(view, domain, steps)
+
+
+def _change_rows(view: FleetView, domain: int, steps: Iterable[Step]) -> RowChanges:
+    """Works out the rows of moves, carvings and merges."""
+    if not steps:
+        return RowChanges()
+    rows = {row.slice: row for row in view.domain_rows(domain)}
+    tally = LoadTally(view.eligible())
+    for row in rows.values():
+        tally.add_row(row, view.weight(row.slice))
+    changed: dict[SliceId, Row] = {}
+    dropped: list[SliceId] = []
+    for step in steps:
+        match step:
+            case Move(slice_id, to):
+                weight = view.weight(slice_id)
+                count = view.settings.successors
+                successors = tally.successors(slice_id, to, weight, count)
+                row = next_row(rows[slice_id], (to, *successors))
+                tally.add_row(row, weight)
+                changed[slice_id] = row
+            case Carve(base, digest):
+                row = carve_row(rows[base], digest)
+                changed[row.slice] = row
+            case Merge(carved):
+                base = SliceId(carved.service, carved.index)
+                try:
+                    changed[base] = merge_row(rows[base], rows[carved])
+                except RowError:
+                    continue
+                dropped.append(carved)
+    return RowChanges(tuple(changed.values()), tuple(dropped))
--- /dev/null
+++ b/rosemarydeal/policy/rebalance.py
@@ -0,0 +1,396 @@
+"""Moves slices from loaded to less loaded members, where a move pays.
+
+A move costs its keys a short pause, so that there is a price on each, a budget
+per minute, and no move at all until an imbalance has lasted on believed
+reports. The heaviest slice that fits goes first; one heavy key in a slice that
+fits nowhere is carved out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from immutables import Map
+
+from rosemarydeal.core import Incarnation, Member, Row, SliceId
+
+from .fleet import FleetView
+from .loads import LoadBook
+
+__all__ = ["Carve", "Merge", "Move", "RebalanceSettings", "RebalanceState", "rebalance"]
+
+
+@dataclass(frozen=True, slots=True)
+class RebalanceSettings:
+    """Tunes when slices are moved for balance.
+
+    Attributes:
+        start_ratio: Highest over mean share at which moves begin.
+        stop_ratio: Ratio at which they end.
+        sustain_s: Seconds for which an imbalance must have lasted.
+        straggler_s: Seconds for which an upstream must have been slow before
+            slices leave it for that.
+        price: Share of the mean slice's load that a move must take away.
+        carve_gain: Load of a key over that of the slices that could move instead,
+            from which it is carved out.
+        moves_per_minute: Budget of moves.
+        burst: Moves that the budget saves up.
+        dwell_s: Seconds for which a moved slice stays.
+        cold_s: Seconds for which a new member counts as cold.
+        receive_share: Share of its slots' load that a member may take a second.
+        least_believed: Share of the members whose reports must be believed.
+        carve_share: Share of the mean member's load from which a key is carved.
+        merge_share: Share of it below which a carved key is merged back.
+    """
+
+    start_ratio: float = 1.10
+    stop_ratio: float = 1.04
+    sustain_s: float = 3.0
+    straggler_s: float = 12.0
+    price: float = 0.5
+    carve_gain: float = 4.0
+    moves_per_minute: float = 30.0
+    burst: float = 10.0
+    dwell_s: float = 20.0
+    cold_s: float = 10.0
+    receive_share: float = 0.10
+    least_believed: float = 0.6
+    carve_share: float = 0.10
+    merge_share: float = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Gives a slice to another owner."""
+
+    slice: SliceId
+    to: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class Carve:
+    """Gives one key of a slice a slice of its own."""
+
+    base: SliceId
+    digest: int
+
+
+@dataclass(frozen=True, slots=True)
+class Merge:
+    """Puts a carved key back into its base slice."""
+
+    carved: SliceId
+
+
+Step = Move | Carve | Merge
+
+
+@dataclass(frozen=True, slots=True)
+class RebalanceState:
+    """Remembers what the rebalancing did in one domain.
+
+    Attributes:
+        budget: Moves that may be made now.
+        at: Moment up to which the budget is counted; None before the first.
+        over_since: Moment since which the imbalance has been too high.
+        active: Whether moves go on until the stop ratio.
+        moved: Moment of each recent move.
+        known_since: Moment at which each member was first seen.
+    """
+
+    budget: float = 0.0
+    at: float | None = None
+    over_since: float | None = None
+    active: bool = False
+    moved: Map[SliceId, float] = Map()
+    known_since: Map[Incarnation, float] = Map()
+
+
+class _Shares:
+    """Counts each member's load per slot while moves are chosen."""
+
+    def __init__(self, view: FleetView, domain: int, book: LoadBook) -> None:
+        self.members: dict[Incarnation, Member] = view.eligible()
+        self.rows: dict[Incarnation, list[Row]] = {name: [] for name in self.members}
+        self.loads = dict.fromkeys(self.members, 0.0)
+        self._book = book
+        self._factors = {name: book.slow_factor(name) for name in self.members}
+        self.carved: set[SliceId] = set()
+        for row in view.domain_rows(domain):
+            if row.slice.carved >= 0:
+                self.carved.add(row.slice)
+            if row.owner in self.rows:
+                self.rows[row.owner].append(row)
+                self.loads[row.owner] += self.weight(row)
+
+    def weight(self, row: Row) -> float:
+        """Returns the load of a row's slice where it is now."""
+        known = self._book.slices.get(row.slice)
+        return known.load if known else 0.0
+
+    def weight_at(self, row: Row, name: Incarnation) -> float:
+        """Returns the load that a row's slice would be at another member."""
+        return self.weight(row) * self._factors[name] / self._factors[row.owner]
+
+    def share(self, name: Incarnation) -> float:
+        """Returns the load per slot of a member."""
+        return self.loads[name] / self.members[name].slots
+
+    def mean(self) -> float:
+        """Returns the load per slot of all members together."""
+        slots = sum(member.slots for member in self.members.values())
+        return sum(self.loads.values()) / slots
+
+    def ratio(self) -> float:
+        """Returns the highest over the mean share; 1 without any load."""
+        mean = self.mean()
+        return max(map(self.share, self.members)) / mean if mean > 0 else 1.0
+
+    def still_over(self, ratio: float) -> bool:
+        """Tells whether the most loaded member is so by its last report, too."""
+        worst = max(self.members, key=self.share)
+        return self.last(worst) > ratio * self.mean_last()
+
+    def last(self, name: Incarnation) -> float:
+        """Returns a member's utilisation in its last report alone."""
+        known = self._book.members.get(name)
+        return known.last_utilisation if known else 0.0
+
+    def mean_last(self) -> float:
+        """Returns the mean utilisation in the last reports, by slots."""
+        slots = sum(member.slots for member in self.members.values())
+        busy = sum(self.last(n) * member.slots for n, member in self.members.items())
+        return busy / slots
+
+    def mean_slice(self) -> float:
+        """Returns the mean load of a slice."""
+        count = sum(len(rows) for rows in self.rows.values())
+        return sum(self.loads.values()) / max(1, count)
+
+    def move(self, row: Row, to: Incarnation) -> None:
+        """Counts a move."""
+        self.loads[to] += self.weight_at(row, to)
+        self.loads[row.owner] -= self.weight(row)
+        self.rows[row.owner].remove(row)
+
+
+def rebalance(
+    view: FleetView,
+    domain: int,
+    book: LoadBook,
+    state: RebalanceState,
+    settings: RebalanceSettings,
+    now: float,
+) -> tuple[RebalanceState, tuple[Step, ...]]:
+    """Chooses the moves of one domain that pay now.
+
+    Args:
+        view: What the process knows of the service.
+        domain: The domain to balance.
+        book: The load estimates.
+        state: What was done before.
+        settings: Tunes the choice.
+        now: Moment on the process's clock, in seconds.
+
+    Returns:
+        The new state, and what to do, the most urgent first.
+    """
+    state = _age(view, state, settings, now)
+    believed = {name for name in view.eligible() if book.believed(name, now)}
+    needed = max(2.0, settings.least_believed * len(view.eligible()))
+    if len(believed) < needed:
+        return replace(state, over_since=None, active=False), ()
+    shares = _Shares(view, domain, book)
+    state = _judge(shares, state, settings, now)
+    if not state.active:
+        return state, _merges(shares, settings)
+    known = _Known(view, book, state, settings, believed, now)
+    steps = known.choose(shares)
+    moved = state.moved.mutate()
+    for step in steps:
+        if isinstance(step, Move):
+            moved[step.slice] = now
+    budget = state.budget - len(steps)
+    return replace(state, budget=budget, moved=moved.finish()), steps
+
+
+def _age(
+    view: FleetView, state: RebalanceState, settings: RebalanceSettings, now: float
+) -> RebalanceState:
+    """Refills the budget and forgets old moves and lost members."""
+    first = state.at is None
+    elapsed = 0.0 if first else now - state.at
+    earned = elapsed * settings.moves_per_minute / 60
+    budget = settings.burst if first else min(settings.burst, state.budget + earned)
+    # Members that were there before the process began to look are warm.
+    fresh = now - settings.cold_s if first else now
+    known = {
+        name: state.known_since.get(name, fresh) for name in sorted(view.eligible())
+    }
+    oldest = now - settings.dwell_s
+    moved = {key: at for key, at in state.moved.items() if at > oldest}
+    return replace(
+        state, budget=budget, at=now, moved=Map(moved), known_since=Map(known)
+    )
+
+
+def _judge(
+    shares: _Shares, state: RebalanceState, settings: RebalanceSettings, now: float
+) -> RebalanceState:
+    """Decides whether the imbalance is worth moves."""
+    ratio = shares.ratio()
+    if state.active:
+        return replace(state, active=ratio > settings.stop_ratio, over_since=None)
+    # The smoothed load lags; the last reports tell whether it is over by now.
+    half = 1 + (settings.start_ratio - 1) / 2
+    if ratio <= settings.start_ratio or not shares.still_over(half):
+        return replace(state, over_since=None)
+    since = now if state.over_since is None else state.over_since
+    return replace(state, over_since=since, active=now - since >= settings.sustain_s)
+
+
+def _merges(shares: _Shares, settings: RebalanceSettings) -> tuple[Step, ...]:
+    """Puts back the keys that aren't hot any more, once all is in balance."""
+    limit = settings.merge_share * _mean_load(shares)
+    bases: Mapping[SliceId, Row] = {
+        row.slice: row
+        for rows in shares.rows.values()
+        for row in rows
+        if row.slice.carved < 0
+    }
+    steps: list[Step] = []
+    for rows in shares.rows.values():
+        for row in rows:
+            base = bases.get(SliceId(row.slice.service, row.slice.index))
+            if row.slice.carved < 0 or base is None or shares.weight(row) > limit:
+                continue
+            if row.retiring or base.retiring:
+                continue
+            at_home = base.owner == row.owner
+            steps.append(Merge(row.slice) if at_home else Move(row.slice, base.owner))
+    return tuple(steps[:1])
+
+
+def _mean_load(shares: _Shares) -> float:
+    return sum(shares.loads.values()) / len(shares.loads)
+
+
+class _Known:
+    """Chooses moves from shares, within what is known and allowed."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        book: LoadBook,
+        state: RebalanceState,
+        settings: RebalanceSettings,
+        believed: set[Incarnation],
+        now: float,
+    ) -> None:
+        self._view = view
+        self._book = book
+        self._state = state
+        self._settings = settings
+        self._believed = believed
+        self._now = now
+        self._received: dict[Incarnation, float] = {}
+
+    def choose(self, shares: _Shares) -> tuple[Step, ...]:
+        """Returns the moves that pay, heaviest first, within the budget."""
+        steps: list[Step] = []
+        while len(steps) + 1 <= self._state.budget:
+            if shares.ratio() <= self._settings.stop_ratio:
+                break
+            step = self._next(shares)
+            if step is None:
+                break
+            steps.append(step)
+            if isinstance(step, Carve):
+                break
+        return tuple(steps)
+
+    def _next(self, shares: _Shares) -> Step | None:
+        """Returns the best step off the most loaded member that has one."""
+        mean = shares.mean()
+        for donor in sorted(shares.members, key=shares.share, reverse=True):
+            if shares.share(donor) <= mean * self._settings.stop_ratio:
+                return None
+            if not self._may_give(shares, donor):
+                continue
+            receiver = self._receiver(shares)
+            if receiver is None:
+                return None
+            step = self._off(shares, donor, receiver)
+            if step is not None:
+                return step
+        return None
+
+    def _may_give(self, shares: _Shares, name: Incarnation) -> bool:
+        """Tells whether a member's load is believed and not high for a moment."""
+        slow_since = self._book.slow_since(name)
+        lasting = slow_since is None or (
+            self._now - slow_since >= self._settings.straggler_s
+        )
+        over = shares.last(name) > shares.mean_last()
+        return name in self._believed and lasting and over
+
+    def _receiver(self, shares: _Shares) -> Incarnation | None:
+        """Returns the least loaded member that may be given a slice now."""
+        return min(
+            (name for name in shares.members if self._may_take(shares, name)),
+            key=lambda name: (shares.share(name), name),
+            default=None,
+        )
+
+    def _may_take(self, shares: _Shares, name: Incarnation) -> bool:
+        warm = self._now - self._state.known_since[name] >= self._settings.cold_s
+        most = self._settings.receive_share * shares.members[name].slots
+        room = self._received.get(name, 0.0) < most
+        return warm and room and name in self._believed
+
+    def _off(
+        self, shares: _Shares, donor: Incarnation, receiver: Incarnation
+    ) -> Step | None:
+        """Returns the heaviest move between two members that pays, or a carving."""
+        mean = shares.mean()
+        excess = (shares.share(donor) - mean) * shares.members[donor].slots
+        room = (mean - shares.share(receiver)) * shares.members[receiver].slots
+        price = self._settings.price * shares.mean_slice()
+        best: Row | None = None
+        for row in shares.rows[donor]:
+            if not self._movable(row):
+                continue
+            fits = shares.weight(row) <= excess * 1.2
+            fits = fits and shares.weight_at(row, receiver) <= room * 1.2
+            heavier = best is None or shares.weight(row) > shares.weight(best)
+            if fits and heavier:
+                best = row
+        weight = shares.weight(best) if best is not None else 0.0
+        carve = self._carve(shares, donor, weight * self._settings.carve_gain)
+        if carve is not None:
+            return carve
+        if best is None or weight < price:
+            return None
+        shares.move(best, receiver)
+        self._received[receiver] = self._received.get(receiver, 0.0) + weight
+        return Move(best.slice, receiver)
+
+    def _movable(self, row: Row) -> bool:
+        return not row.retiring and row.slice not in self._state.moved
+
+    def _carve(self, shares: _Shares, donor: Incarnation, least: float) -> Step | None:
+        """Returns the carving of the donor's hottest key that shares a slice."""
+        least = max(least, self._settings.carve_share * _mean_load(shares))
+        best: Carve | None = None
+        for row in shares.rows[donor]:
+            known = self._book.slices.get(row.slice)
+            if known is None or row.slice.carved >= 0 or row.retiring:
+                continue
+            for digest, load in known.hot_keys[:1]:
+                own = SliceId(row.slice.service, row.slice.index, digest)
+                if own in shares.carved or load < least:
+                    continue
+                if load <= 0.8 * known.load:
+                    best, least = Carve(row.slice, digest), load
+        return best
--- /dev/null
+++ b/rosemarydeal/policy/reporting.py
@@ -0,0 +1,117 @@
+"""Reports a process's own load to the proposers of its slices, sparingly."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from immutables import Map
+
+from rosemarydeal.core import Incarnation, SliceId
+from rosemarydeal.core.messages import LoadReport, SliceLoad
+
+from .fleet import domain_of
+
+__all__ = ["LoadMeter", "LocalLoad", "ReportSettings", "make_reports", "report_period"]
+
+REPORT_BYTES = 160
+SLICE_BYTES = 48
+
+
+@dataclass(frozen=True, slots=True)
+class ReportSettings:
+    """Tunes how often load is reported.
+
+    Attributes:
+        bytes_per_second: Most that a process spends on its reports.
+        shortest_s: Seconds between reports when they are small.
+        most_slices: Slices per report, heaviest first.
+    """
+
+    bytes_per_second: float = 600.0
+    shortest_s: float = 1.0
+    most_slices: int = 64
+
+
+@dataclass(frozen=True, slots=True)
+class LocalLoad:
+    """Tells what the process measured at its own upstream since last time.
+
+    Attributes:
+        utilisation: Busy slots over all slots.
+        slices: Load of each slice that it owns, in busy slots.
+        service_s: Mean seconds that a request took; 0 without any.
+    """
+
+    utilisation: float
+    slices: tuple[SliceLoad, ...]
+    service_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadMeter:
+    """Sums local loads up until they are reported."""
+
+    count: int = 0
+    utilisation: float = 0.0
+    service_s: float = 0.0
+    served: int = 0
+    loads: Map[SliceId, float] = Map()
+    hot_keys: Map[SliceId, tuple[tuple[int, float], ...]] = Map()
+
+    def add(self, local: LocalLoad) -> LoadMeter:
+        """Returns the meter with one more measurement."""
+        loads, hot_keys = self.loads.mutate(), self.hot_keys.mutate()
+        for found in local.slices:
+            loads[found.slice] = loads.get(found.slice, 0.0) + found.load
+            hot_keys[found.slice] = found.hot_keys
+        return replace(
+            self,
+            count=self.count + 1,
+            utilisation=self.utilisation + local.utilisation,
+            service_s=self.service_s + local.service_s,
+            served=self.served + (local.service_s > 0),
+            loads=loads.finish(),
+            hot_keys=hot_keys.finish(),
+        )
+
+
+def make_reports(
+    meter: LoadMeter, incarnation: Incarnation, settings: ReportSettings
+) -> Mapping[int, LoadReport]:
+    """Returns one report for each domain that the process owns slices in.
+
+    Args:
+        meter: Measurements since the last reports; at least one.
+        incarnation: The process's incarnation.
+        settings: Tunes the size of reports.
+
+    Returns:
+        Reports by domain.
+    """
+    domains: dict[int, list[SliceLoad]] = {}
+    for slice_id, load in meter.loads.items():
+        mean = SliceLoad(slice_id, load / meter.count, meter.hot_keys[slice_id])
+        domains.setdefault(domain_of(slice_id), []).append(mean)
+    service_s = meter.service_s / meter.served if meter.served else 0.0
+    utilisation = meter.utilisation / meter.count
+    return {
+        domain: LoadReport(
+            incarnation,
+            0.0,
+            utilisation,
+            tuple(_heaviest(loads, settings.most_slices)),
+            service_s,
+        )
+        for domain, loads in domains.items()
+    }
+
+
+def report_period(reports: Mapping[int, LoadReport], settings: ReportSettings) -> float:
+    """Returns the seconds between reports that keep within the byte rate."""
+    size = sum(REPORT_BYTES + SLICE_BYTES * len(r.slices) for r in reports.values())
+    return max(settings.shortest_s, size / settings.bytes_per_second)
+
+
+def _heaviest(loads: list[SliceLoad], count: int) -> list[SliceLoad]:
+    return sorted(loads, key=lambda load: (-load.load, load.slice))[:count]
--- /dev/null
+++ b/rosemarydeal/policy/zones.py
@@ -0,0 +1,126 @@
+"""Takes availability zones out and back without overloading the rest.
+
+The operator's command asks `judge_zones_out` first. Once the settings say that
+a zone is out, proposers move its slices within the deadline, spread over it,
+and processes in the zone stop admitting by themselves after it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from rosemarydeal.core import Member, MemberPhase, Row, SliceId
+
+from .fleet import FleetView
+
+__all__ = [
+    "ZoneSettings",
+    "ZoneVerdict",
+    "held_back",
+    "judge_zones_out",
+    "may_admit_in_zone",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneSettings:
+    """Tunes how availability zones are taken out.
+
+    Attributes:
+        deadline_s: Seconds until a zone that was taken out gets no new work.
+        moves_s: Seconds over which its slices are moved.
+        batch_s: Seconds between two batches of moves.
+        most_share: Utilisation of what is left that is still accepted.
+    """
+
+    deadline_s: float = 3.0
+    moves_s: float = 1.5
+    batch_s: float = 0.5
+    most_share: float = 0.85
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneVerdict:
+    """Says whether availability zones may be taken out.
+
+    Attributes:
+        allowed: Whether the change may be made.
+        code: Why not, for operators' programs; empty when nothing is wrong.
+        detail: The same in a sentence for people.
+        share_after: Expected utilisation of what is left; NaN when unknown.
+    """
+
+    allowed: bool
+    code: str
+    detail: str
+    share_after: float
+
+
+def judge_zones_out(
+    view: FleetView, busy_slots: float | None, forced: bool, settings: ZoneSettings
+) -> ZoneVerdict:
+    """Judges whether what is left bears the load of the whole service.
+
+    Args:
+        view: The service with `out_zones` as they are wanted.
+        busy_slots: Busy slots of the whole service now; None when unknown.
+        forced: Whether the operator insists.
+        settings: Tunes what is accepted.
+
+    Returns:
+        The verdict; without any upstream left it is never allowed.
+    """
+    slots = sum(member.slots for member in view.eligible().values())
+    if not slots:
+        detail = f"no upstream of {view.service} would be left"
+        return ZoneVerdict(False, "availability_zone_last", detail, math.inf)
+    if busy_slots is None:
+        detail = f"the load of {view.service} is not known"
+        code = "availability_zone_load_unknown"
+        return ZoneVerdict(forced, code, detail, math.nan)
+    share = busy_slots / slots
+    if share <= settings.most_share:
+        return ZoneVerdict(True, "", "", share)
+    detail = (
+        f"what is left of {view.service} would be busy to {share:.0%}, "
+        f"over the accepted {settings.most_share:.0%}"
+    )
+    return ZoneVerdict(forced, "availability_zone_overload", detail, share)
+
+
+def held_back(
+    rows: Sequence[Row], began_at: float, now: float, settings: ZoneSettings
+) -> frozenset[SliceId]:
+    """Returns the slices of leaving owners that are not yet due to move.
+
+    The moves are spread evenly over the batches that are left, so that the
+    receivers never get all at once.
+
+    Args:
+        rows: Rows whose live owner is to give them up.
+        began_at: Moment at which the first of them was to move, in seconds.
+        now: The present moment, in seconds.
+        settings: Tunes the pace.
+    """
+    left_s = began_at + settings.moves_s - now
+    batches = max(1, math.ceil(left_s / settings.batch_s))
+    due = math.ceil(len(rows) / batches)
+    return frozenset(row.slice for row in rows[due:])
+
+
+def may_admit_in_zone(
+    member: Member, out_since: float | None, now: float, settings: ZoneSettings
+) -> bool:
+    """Tells whether a process may still admit new work, with or without moves.
+
+    Args:
+        member: The process's own record.
+        out_since: Moment at which its zone was taken out; None while it is in.
+        now: The present moment, in seconds.
+        settings: Tunes the deadline.
+    """
+    if member.phase not in (MemberPhase.UP, MemberPhase.DRAINING):
+        return False
+    return out_since is None or now < out_since + settings.deadline_s
