Measure the keyed services on the bench

Cause: Imbalance, churn, unserved time and service while a zone leaves were not measured.

Change: Add a keyed fleet in virtual time with stated key distribution and hand-overs, four ways to place slices, and six scenarios.

--- /dev/null
+++ b/bench/keyed_fleet.py
@@ -0,0 +1,363 @@
+"""Runs a keyed service in virtual time: callers, owners and hand-overs.
+
+The stated model: a request goes to its slice's owner; while a slice has none,
+requests wait at the entry up to their deadline. At a move the old owner is told
+after `NOTICE_S`, stops admitting, ends what runs and releases; the other names
+of the row acknowledge after a round trip, now and then after a pause. A slice
+is slower at its new owner for `SLICE_COLD_S`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from rosemarydeal.core import SliceId, key_hash
+from rosemarydeal.core.messages import SliceLoad
+from rosemarydeal.policy.hotkeys import HotKeySketch
+from rosemarydeal.policy.reporting import LocalLoad
+
+from .harness import (
+    FakeUpstream,
+    HotKeys,
+    JobEnd,
+    VirtualClock,
+    Workload,
+    poisson_arrivals,
+    seeded,
+)
+
+__all__ = ["Finished", "Gap", "HandOver", "KeyedFleet", "Node"]
+
+KEYS = 20_000
+HOT_KEYS = 41
+HOT_SHARE = 0.4
+HOT_EXPONENT = 0.6
+NOTICE_S = 0.005
+SLICE_COLD_S = 2.0
+SLICE_COLD_FACTOR = 1.5
+DEADLINE_S = 2.0
+PAUSE_CHANCE = 0.02
+PAUSE_S = 0.5
+SKETCH_DECAY = 0.8
+
+
+class HandOver(StrEnum):
+    """Says when the old owner of a moving slice stops admitting."""
+
+    AT_ONCE = "at once"
+    CLEARED = "when the others cleared"
+    CLEARED_AND_IDLE = "when the others cleared and nothing runs"
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """Records how a request ended for its caller."""
+
+    at: float
+    latency: float
+    ok: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Gap:
+    """Records how long a slice had no owner that served it."""
+
+    at: float
+    seconds: float
+
+
+@dataclass(slots=True)
+class Node:
+    """Counts what runs at one upstream."""
+
+    name: str
+    zone: str
+    upstream: FakeUpstream
+    sketch: HotKeySketch = field(default_factory=HotKeySketch)
+    busy: dict[SliceId, float] = field(default_factory=dict)
+    served: int = 0
+    served_s: float = 0.0
+    work_starts: list[float] = field(default_factory=list)
+
+    def measure(self, interval: float) -> LocalLoad:
+        """Returns the load since the last measurement and starts anew."""
+        hot: dict[int, float] = {
+            key.digest: key.weight * (1 - SKETCH_DECAY) / interval
+            for key in self.sketch.top(16)
+        }
+        self.sketch.decay(SKETCH_DECAY)
+        loads = tuple(
+            SliceLoad(slice_id, busy / interval, _hot_keys(slice_id, hot))
+            for slice_id, busy in self.busy.items()
+        )
+        slots = self.upstream.spec.slots
+        utilisation = sum(load.load for load in loads) / slots
+        service_s = self.served_s / self.served if self.served else 0.0
+        self.busy = dict.fromkeys(self.busy, 0.0)
+        self.served, self.served_s = 0, 0.0
+        return LocalLoad(utilisation, loads, service_s)
+
+
+def _hot_keys(
+    slice_id: SliceId, hot: dict[int, float]
+) -> tuple[tuple[int, float], ...]:
+    if slice_id.carved >= 0:
+        return ()
+    found = [
+        (digest, load)
+        for digest, load in hot.items()
+        if _slice_index(digest) == slice_id.index
+    ]
+    return tuple(found[:1])
+
+
+SLICES = 256
+
+
+def _slice_index(digest: int) -> int:
+    return digest % SLICES
+
+
+class KeyedFleet:
+    """Serves a keyed service's requests by whatever assignment it is told."""
+
+    def __init__(
+        self, workload: Workload, seed: int, load: float, hand_over: HandOver
+    ) -> None:
+        self.workload = workload
+        self.clock = VirtualClock()
+        self.keys = HotKeys(KEYS, HOT_KEYS, HOT_SHARE, HOT_EXPONENT)
+        self.finished: list[Finished] = []
+        self.gaps: list[Gap] = []
+        self.failed_in_flight = 0
+        self.moves: list[float] = []
+        zones = workload.availability_zones
+        service = workload.keyed
+        self.nodes = {
+            name: Node(name, zone, FakeUpstream(self.clock, name, zone, service.spec))
+            for name, zone in (
+                (f"{service.name}-{number + 1}", zones[number % len(zones)])
+                for number in range(service.upstreams)
+            )
+        }
+        self.load = load
+        self._hand_over = hand_over
+        self._arrivals = seeded(seed, "arrivals")
+        self._draws = seeded(seed, "keys")
+        self._services = seeded(seed, "service times")
+        self._pauses = seeded(seed, "pauses")
+        self._digests = [key_hash(f"key-{number}") for number in range(KEYS)]
+        self._serving: dict[SliceId, str | None] = {}
+        self._target: dict[SliceId, str] = {}
+        self._running: dict[SliceId, int] = {}
+        self._idle: dict[SliceId, Callable[[], None]] = {}
+        self._stopped: dict[SliceId, float] = {}
+        self._started: dict[SliceId, float] = {}
+        self._waiting: dict[SliceId, list[tuple[float, int]]] = {}
+        self._on_settled: Callable[[SliceId], None] = lambda slice_id: None
+        self.keys.move(self._draws)
+
+    @property
+    def service(self) -> str:
+        """Returns the name of the keyed service."""
+        return self.workload.keyed.name
+
+    def on_settled(self, callback: Callable[[SliceId], None]) -> None:
+        """Registers who is told when a slice's move is over."""
+        self._on_settled = callback
+
+    def start(self, until: float) -> None:
+        """Lets requests arrive from now on."""
+        rate = self.load * self.workload.keyed.capacity
+        poisson_arrivals(
+            self.clock, self._arrivals, lambda now: rate, until, self._arrive
+        )
+
+    def move_hot_set(self) -> None:
+        """Makes other keys hot."""
+        self.keys.move(self._draws)
+
+    def key_rates(self) -> dict[int, float]:
+        """Returns the true load of each hot key by hash, in busy slots."""
+        weights = [(rank + 1) ** -HOT_EXPONENT for rank in range(HOT_KEYS)]
+        service = self.workload.keyed
+        total = self.load * service.capacity * service.mean_service_s
+        scale = total * HOT_SHARE / sum(weights)
+        return {
+            self._digests[key]: weight * scale
+            for key, weight in zip(self.keys.hot_keys, weights, strict=True)
+        }
+
+    def owner(self, slice_id: SliceId) -> str | None:
+        """Returns the node that a slice was last given to."""
+        return self._target.get(slice_id)
+
+    def assign(self, slice_id: SliceId, node: str, others: int = 0) -> None:
+        """Gives a slice to a node; the first time without a hand-over.
+
+        Args:
+            slice_id: The slice.
+            node: Its new owner.
+            others: Names of the row that have to acknowledge besides.
+        """
+        old = self._target.get(slice_id)
+        if old == node:
+            return
+        self._target[slice_id] = node
+        if old is None:
+            base = SliceId(slice_id.service, slice_id.index)
+            carved_from = self._serving.get(base) if slice_id.carved >= 0 else None
+            self._serving[slice_id] = carved_from or node
+            if not carved_from or carved_from == node:
+                return
+            old = carved_from
+        self.moves.append(self.clock.now)
+        cleared_s = self._clear_seconds(others)
+        if not self.nodes[old].upstream.alive or slice_id in self._stopped:
+            self.clock.after(cleared_s, self._try_start, slice_id)
+            return
+        self.clock.after(NOTICE_S, self._told, slice_id, cleared_s)
+
+    def put(self, slice_id: SliceId, node: str) -> None:
+        """Gives a slice to a node without any pause, as nobody could."""
+        self._target[slice_id] = node
+        if self._serving.get(slice_id) != node:
+            self._begin(slice_id)
+            self._started.pop(slice_id, None)
+
+    def drop(self, slice_id: SliceId) -> None:
+        """Merges a carved slice back."""
+        self._target.pop(slice_id, None)
+        self._serving.pop(slice_id, None)
+
+    def lose(self, node: str) -> None:
+        """Loses a node and its upstream at once."""
+        self.nodes[node].upstream.fail()
+        for slice_id, serving in self._serving.items():
+            if serving == node:
+                self._stop(slice_id)
+
+    def take_over(self, slice_id: SliceId, node: str) -> None:
+        """Lets a successor serve a slice whose owner is lost."""
+        if self._target.get(slice_id) != node:
+            self._target[slice_id] = node
+            self.moves.append(self.clock.now)
+        self._begin(slice_id)
+
+    def measure(self, interval: float) -> dict[str, LocalLoad]:
+        """Returns what each node that lives measured since last time."""
+        return {
+            name: node.measure(interval)
+            for name, node in self.nodes.items()
+            if node.upstream.alive
+        }
+
+    def _clear_seconds(self, others: int) -> float:
+        """Returns when the last of a row's other names has acknowledged."""
+        trip = 2 * self.workload.between_zones_s + NOTICE_S
+        paused = any(self._pauses.random() < PAUSE_CHANCE for _ in range(others))
+        return trip + (self._pauses.uniform(0, PAUSE_S) if paused else 0.0)
+
+    def _told(self, slice_id: SliceId, cleared_s: float) -> None:
+        if self._hand_over is HandOver.AT_ONCE:
+            self._stop(slice_id)
+            self.clock.after(cleared_s, self._when_idle, slice_id)
+            return
+        self.clock.after(cleared_s, self._owner_last, slice_id)
+
+    def _owner_last(self, slice_id: SliceId, waited_s: float = 0.0) -> None:
+        """Stops the old owner once all others cleared, and perhaps nothing runs."""
+        busy = self._running.get(slice_id, 0) > 0
+        patient = self._hand_over is HandOver.CLEARED_AND_IDLE and waited_s < 0.25
+        if busy and patient:
+            step = 0.005
+            self.clock.after(step, self._owner_last, slice_id, waited_s + step)
+            return
+        self._stop(slice_id)
+        self._when_idle(slice_id)
+
+    def _stop(self, slice_id: SliceId) -> None:
+        self._serving[slice_id] = None
+        self._stopped.setdefault(slice_id, self.clock.now)
+
+    def _when_idle(self, slice_id: SliceId) -> None:
+        if self._running.get(slice_id, 0):
+            self._idle[slice_id] = lambda: self._release(slice_id)
+        else:
+            self._release(slice_id)
+
+    def _release(self, slice_id: SliceId) -> None:
+        self.clock.after(self.workload.between_zones_s, self._try_start, slice_id)
+
+    def _try_start(self, slice_id: SliceId) -> None:
+        target = self._target.get(slice_id)
+        if target is not None and self.nodes[target].upstream.alive:
+            self._begin(slice_id)
+
+    def _begin(self, slice_id: SliceId) -> None:
+        now = self.clock.now
+        if slice_id in self._stopped:
+            stopped = self._stopped.pop(slice_id)
+            self.gaps.append(Gap(stopped, now - stopped))
+        self._serving[slice_id] = self._target[slice_id]
+        self._started[slice_id] = now
+        self._on_settled(slice_id)
+        for arrived, digest in self._waiting.pop(slice_id, ()):
+            self._dispatch(slice_id, digest, arrived)
+
+    def _arrive(self) -> None:
+        digest = self._digests[self.keys.draw(self._draws)]
+        index = _slice_index(digest)
+        slice_id = SliceId(self.service, index, digest)
+        if slice_id not in self._serving:
+            slice_id = SliceId(self.service, index)
+        self._dispatch(slice_id, digest, self.clock.now)
+
+    def _dispatch(self, slice_id: SliceId, digest: int, arrived: float) -> None:
+        now = self.clock.now
+        name = self._serving.get(slice_id)
+        if now - arrived > DEADLINE_S:
+            self.finished.append(Finished(now, now - arrived, False))
+            return
+        if name is None:
+            self._waiting.setdefault(slice_id, []).append((arrived, digest))
+            return
+        node = self.nodes[name]
+        node.work_starts.append(now)
+        service_s = self._services.expovariate(1 / self.workload.keyed.mean_service_s)
+        if now - self._started.get(slice_id, float("-inf")) < SLICE_COLD_S:
+            service_s *= SLICE_COLD_FACTOR
+        self._running[slice_id] = self._running.get(slice_id, 0) + 1
+
+        def end(how: JobEnd) -> None:
+            self._ended(node, slice_id, digest, arrived, service_s, how)
+
+        node.upstream.submit(service_s, end)
+
+    def _ended(
+        self,
+        node: Node,
+        slice_id: SliceId,
+        digest: int,
+        arrived: float,
+        service_s: float,
+        how: JobEnd,
+    ) -> None:
+        now = self.clock.now
+        travel = 2 * (self.workload.to_clients_s + self.workload.between_zones_s)
+        ok = how is JobEnd.DONE
+        self.finished.append(Finished(now, now - arrived + travel, ok))
+        if how is JobEnd.FAILED:
+            self.failed_in_flight += 1
+        if ok:
+            spent = service_s * node.upstream.slow_factor
+            node.busy[slice_id] = node.busy.get(slice_id, 0.0) + spent
+            node.sketch.offer(digest, spent)
+            node.served += 1
+            node.served_s += spent
+        left = self._running[slice_id] - 1
+        self._running[slice_id] = left
+        if not left and slice_id in self._idle:
+            self._idle.pop(slice_id)()
--- /dev/null
+++ b/bench/scenarios_keyed.py
@@ -0,0 +1,245 @@
+"""Measures placement and rebalancing on the keyed services.
+
+Arrivals are Poisson; 41 hot keys of 20,000 get 40% of the requests by a Zipf
+distribution of exponent 0.6, the rest is even; service times are exponential
+with a mean of 50 ms.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from rosemarydeal.core import SliceId
+from rosemarydeal.policy.control import ControlSettings
+
+from .harness import RunSpec, Sample, Scenario, quantile
+from .keyed_fleet import SLICES, HandOver, KeyedFleet
+from .keyed_variants import ControlOwners, HashOwners, Owners, PerfectOwners
+
+__all__ = ["SCENARIOS"]
+
+WINDOW_S = 10.0
+WARM_UP_S = 40.0
+
+
+def _no_moves(settings: ControlSettings) -> ControlSettings:
+    rebalance = replace(settings.rebalance, start_ratio=float("inf"))
+    return replace(settings, rebalance=rebalance)
+
+
+def _no_carving(settings: ControlSettings) -> ControlSettings:
+    rebalance = replace(settings.rebalance, carve_share=float("inf"))
+    return replace(settings, rebalance=rebalance)
+
+
+CHANGES: dict[str, Callable[[ControlSettings], ControlSettings]] = {
+    "placement only": _no_moves,
+    "no carving": _no_carving,
+    "ours": lambda settings: settings,
+}
+
+
+def make_owners(fleet: KeyedFleet, run: RunSpec) -> Owners:
+    """Returns the variant that a run asks for."""
+    match run.variant:
+        case "hash":
+            return HashOwners(fleet)
+        case "perfect knowledge":
+            return PerfectOwners(fleet)
+        case name:
+            return ControlOwners(fleet, run.seed, CHANGES[name])
+
+
+class Run:
+    """Follows one run: windows of load, ends of requests and moves."""
+
+    def __init__(self, run: RunSpec, load: float, until: float) -> None:
+        self.fleet = KeyedFleet(run.workload, run.seed, load, HandOver.AT_ONCE)
+        self.owners = make_owners(self.fleet, run)
+        self.ratios: list[tuple[float, float]] = []
+        self.until = until
+        self._busy = dict.fromkeys(self.fleet.nodes, 0.0)
+        self.owners.start()
+        self.fleet.clock.run(1.0)
+        self.fleet.start(until)
+        self.fleet.clock.every(WINDOW_S, self._window)
+
+    def _window(self) -> None:
+        busy = {name: n.upstream.busy_s for name, n in self.fleet.nodes.items()}
+        shares = [
+            (busy[name] - self._busy[name]) / self.fleet.nodes[name].upstream.spec.slots
+            for name in self.owners.eligible()
+        ]
+        self._busy = busy
+        mean = sum(shares) / len(shares)
+        if mean > 0:
+            self.ratios.append((self.fleet.clock.now, max(shares) / mean))
+
+    def imbalance(self, since: float, until: float) -> list[float]:
+        """Returns highest over mean load of each window between two moments."""
+        return [r for at, r in self.ratios if since + WINDOW_S <= at <= until]
+
+    def p99(self, since: float, until: float) -> float:
+        """Returns the latency that 99 in 100 don't exceed, in milliseconds."""
+        found = [f.latency for f in self.fleet.finished if since <= f.at < until]
+        return 1000 * quantile(found, 0.99)
+
+    def refused(self, since: float) -> int:
+        """Returns how many requests were not answered."""
+        return sum(not f.ok for f in self.fleet.finished if f.at >= since)
+
+    def moves(self, since: float, until: float) -> int:
+        """Returns how many slices moved between two moments."""
+        return sum(since <= at < until for at in self.fleet.moves)
+
+    def owned(self, nodes: Sequence[str]) -> int:
+        """Returns how many base slices some nodes own."""
+        ids = (SliceId(self.fleet.service, index) for index in range(SLICES))
+        return sum(self.fleet.owner(slice_id) in nodes for slice_id in ids)
+
+    def gap_samples(self, since: float) -> list[Sample]:
+        """Returns how long slices were unserved at their moves."""
+        gaps = [gap.seconds for gap in self.fleet.gaps if gap.at >= since]
+        if not gaps:
+            return []
+        return [
+            Sample("unserved per move, median", 1000 * quantile(gaps, 0.5), "ms"),
+            Sample("unserved per move, worst", 1000 * max(gaps), "ms"),
+        ]
+
+
+def _mean(values: Sequence[float]) -> float:
+    return sum(values) / len(values) if values else float("nan")
+
+
+def run_steady(spec: RunSpec) -> list[Sample]:
+    """Serves an unmoving hot set at 60% of the capacity."""
+    until = 100.0 if spec.quick else 160.0
+    run = Run(spec, 0.6, until)
+    run.fleet.clock.run(until)
+    minutes = (until - WARM_UP_S) / 60
+    return [
+        Sample("imbalance, mean", _mean(run.imbalance(WARM_UP_S, until)), "ratio"),
+        Sample("moves a minute", run.moves(WARM_UP_S, until) / minutes, "1/min"),
+        Sample("latency, 99 in 100", run.p99(WARM_UP_S, until), "ms"),
+    ]
+
+
+def run_moving(spec: RunSpec) -> list[Sample]:
+    """Replaces all hot keys at once every 80 s at 60% of the capacity."""
+    until = 120.0 if spec.quick else 280.0
+    run = Run(spec, 0.6, until)
+    for moment in range(80, int(until), 80):
+        run.fleet.clock.at(moment, run.fleet.move_hot_set)
+    run.fleet.clock.run(until)
+    ratios = run.imbalance(WARM_UP_S, until)
+    minutes = (until - WARM_UP_S) / 60
+    return [
+        Sample("imbalance, mean", _mean(ratios), "ratio"),
+        Sample("imbalance, worst window", max(ratios), "ratio"),
+        Sample("moves a minute", run.moves(WARM_UP_S, until) / minutes, "1/min"),
+        Sample("latency, 99 in 100", run.p99(WARM_UP_S, until), "ms"),
+        *run.gap_samples(WARM_UP_S),
+    ]
+
+
+def run_lost(spec: RunSpec) -> list[Sample]:
+    """Loses one upstream with its process at 50% of the capacity."""
+    until = 120.0 if spec.quick else 160.0
+    lost_at = 60.0
+    run = Run(spec, 0.5, until)
+    run.fleet.clock.run(lost_at)
+    node = next(iter(run.fleet.nodes))
+    forced = run.owned([node])
+    run.owners.lose(node)
+    run.fleet.clock.run(until)
+    return [
+        Sample("moves over the least", run.moves(lost_at, until) / forced, "ratio"),
+        Sample("imbalance, mean", _mean(run.imbalance(lost_at + 20, until)), "ratio"),
+        Sample("latency, 99 in 100", run.p99(lost_at + 20, until), "ms"),
+        Sample("not answered", run.refused(lost_at), "requests"),
+        *run.gap_samples(lost_at),
+    ]
+
+
+def run_zone(spec: RunSpec) -> list[Sample]:
+    """Takes the first availability zone out and back at 50% of the capacity."""
+    out_at, back_at, until = 60.0, 120.0, 240.0
+    run = Run(spec, 0.5, until)
+    run.fleet.clock.run(out_at)
+    zone = run.fleet.workload.availability_zones[0]
+    nodes = [name for name, n in run.fleet.nodes.items() if n.zone == zone]
+    forced = run.owned(nodes)
+    run.owners.set_out_zones(frozenset({zone}))
+    run.fleet.clock.run(back_at)
+    starts = [at for name in nodes for at in run.fleet.nodes[name].work_starts]
+    late = [at for at in starts if at >= out_at + 3.0]
+    still = run.owned(nodes)
+    refused_out = run.refused(out_at)
+    run.owners.set_out_zones(frozenset())
+    run.fleet.clock.run(until)
+    back = SLICES * len(nodes) / len(run.fleet.nodes)
+    after = run.imbalance(back_at + 40, until)
+    return [
+        Sample("work in the zone after 3 s", len(late), "requests"),
+        Sample("slices in the zone at the end", still, "slices"),
+        Sample("not answered while out", refused_out, "requests"),
+        Sample("not answered in all", run.refused(out_at), "requests"),
+        Sample("cut in flight", run.fleet.failed_in_flight, "requests"),
+        Sample(
+            "moves out over the least", run.moves(out_at, back_at) / forced, "ratio"
+        ),
+        Sample("moves back over the least", run.moves(back_at, until) / back, "ratio"),
+        Sample("last new work there", max(at for at in starts) - out_at, "s"),
+        Sample("99 in 100 in 10 s after out", run.p99(out_at, out_at + 10), "ms"),
+        Sample("99 in 100 in 40 s after back", run.p99(back_at, back_at + 40), "ms"),
+        Sample("imbalance 40 s after back", _mean(after), "ratio"),
+        *run.gap_samples(out_at),
+    ]
+
+
+def _run_straggler(spec: RunSpec, factor: float, flicker: bool) -> list[Sample]:
+    slow_at, until = 60.0, 180.0
+    run = Run(spec, 0.5, until)
+    run.fleet.clock.run(slow_at)
+    upstream = next(iter(run.fleet.nodes.values())).upstream
+    moment = slow_at
+    while moment < until:
+        run.fleet.clock.at(moment, setattr, upstream, "slow_factor", factor)
+        if not flicker:
+            break
+        run.fleet.clock.at(moment + 3.0, setattr, upstream, "slow_factor", 1.0)
+        moment += 20.0
+    run.fleet.clock.run(until)
+    return [
+        Sample("moves", run.moves(slow_at, until), "slices"),
+        Sample("99 in 100, first 30 s", run.p99(slow_at, slow_at + 30), "ms"),
+        Sample("99 in 100 after 60 s", run.p99(slow_at + 60, until), "ms"),
+        Sample("not answered", run.refused(slow_at), "requests"),
+    ]
+
+
+def run_lasting_straggler(spec: RunSpec) -> list[Sample]:
+    """Makes one upstream five times slower for good."""
+    return _run_straggler(spec, 5.0, flicker=False)
+
+
+def run_flickering_straggler(spec: RunSpec) -> list[Sample]:
+    """Makes one upstream five times slower for 3 s of each 20 s."""
+    return _run_straggler(spec, 5.0, flicker=True)
+
+
+FEW = ("hash", "placement only", "ours", "perfect knowledge")
+SCENARIOS = (
+    Scenario("keyed-steady", FEW, run_steady),
+    Scenario(
+        "keyed-moving-hot-set",
+        ("hash", "placement only", "no carving", "ours", "perfect knowledge"),
+        run_moving,
+    ),
+    Scenario("keyed-upstream-lost", FEW, run_lost),
+    Scenario("keyed-zone-out-and-back", FEW, run_zone),
+    Scenario("keyed-lasting-straggler", FEW, run_lasting_straggler),
+    Scenario("keyed-flickering-straggler", FEW, run_flickering_straggler),
+)
