--- /dev/null
+++ b/rosemarydeal/daemon/admin.py
@@ -0,0 +1,117 @@
+"""Serves operators, metrics and the announcements of the own upstream.
+
+All of it is at an address of its own, and asks for a token where the
+settings give one.
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from rosemarydeal.core.status import NodeStatus, SliceStatus
+from rosemarydeal.proxy import (
+    HttpLimits,
+    HttpServer,
+    Request,
+    Response,
+    find_header,
+    problem_response,
+    read_whole,
+    serve,
+    whole_response,
+)
+from rosemarydeal.settings import NodeSettings
+
+from .upstream import Announcement
+
+__all__ = ["AdminViews", "serve_admin"]
+
+MAX_ANNOUNCEMENT_BYTES = 4096
+JSON = ((b"content-type", b"application/json"),)
+METRICS = ((b"content-type", b"text/plain; version=0.0.4"),)
+
+
+@dataclass(frozen=True, slots=True)
+class AdminViews:
+    """Answers what the operators' port is asked.
+
+    Attributes:
+        status: Returns the state of the process.
+        locate: Returns who owns a key, given service and key; None for an
+            unknown service.
+        metrics: Returns all metrics in the text format.
+        announce: Takes in an announcement of the upstream.
+    """
+
+    status: Callable[[], NodeStatus]
+    locate: Callable[[str, str], SliceStatus | None]
+    metrics: Callable[[], bytes]
+    announce: Callable[[Announcement], None]
+
+
+async def serve_admin(settings: NodeSettings, views: AdminViews) -> HttpServer:
+    """Starts to serve the operators' port.
+
+    Args:
+        settings: Settings of the process.
+        views: Answers what is asked.
+
+    Returns:
+        The running server.
+    """
+
+    async def handle(request: Request) -> Response:
+        if not _authorized(request, settings.token):
+            return problem_response(401, "token-refused", "The token is missing.")
+        return await _answer(request, views)
+
+    return await serve(handle, settings.admin, HttpLimits())
+
+
+def _authorized(request: Request, token: str | None) -> bool:
+    """Says whether a request shows the operators' token."""
+    if token is None:
+        return True
+    shown = find_header(request.headers, b"authorization") or b""
+    return hmac.compare_digest(shown, b"Bearer " + token.encode("utf-8"))
+
+
+async def _answer(request: Request, views: AdminViews) -> Response:
+    """Answers one request."""
+    url = urlsplit(request.target.decode("latin-1"))
+    match request.method, url.path:
+        case b"GET", "/metrics":
+            return whole_response(200, views.metrics(), METRICS)
+        case b"GET", "/status":
+            return whole_response(200, msgspec.json.encode(views.status()), JSON)
+        case b"GET", "/locate":
+            return _locate(parse_qs(url.query), views)
+        case b"POST", "/upstream":
+            return await _announce(request, views)
+    return problem_response(404, "path-unknown", "There is nothing at this path.")
+
+
+def _locate(query: dict[str, list[str]], views: AdminViews) -> Response:
+    """Answers who owns a key."""
+    service = query.get("service", [""])[0]
+    key = query.get("key", [""])[0]
+    found = views.locate(service, key)
+    if found is None:
+        return problem_response(404, "service-unknown", f"No keyed service {service}.")
+    return whole_response(200, msgspec.json.encode(found), JSON)
+
+
+async def _announce(request: Request, views: AdminViews) -> Response:
+    """Takes in an announcement."""
+    body = await read_whole(request.body, MAX_ANNOUNCEMENT_BYTES)
+    try:
+        said = msgspec.json.decode(body, type=Announcement)
+    except msgspec.DecodeError as error:
+        return problem_response(400, "announcement-malformed", str(error))
+    views.announce(said)
+    return whole_response(204, b"")
--- /dev/null
+++ b/rosemarydeal/daemon/classify.py
@@ -0,0 +1,171 @@
+"""Reads from a request what routing and admission need to know."""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass
+
+import xxhash
+
+from rosemarydeal.core import SliceId, headers, slice_of
+from rosemarydeal.core.request_key import KeyRule, request_key
+from rosemarydeal.proxy import BadMessage, Request, find_header
+from rosemarydeal.settings import (
+    DeploymentSettings,
+    Effective,
+    HeaderKey,
+    KeySource,
+    QueryKey,
+    SegmentKey,
+    ServiceSettings,
+)
+
+__all__ = ["Classified", "classify", "key_rule", "request_fingerprint"]
+
+MAX_ID_BYTES = 256
+MS_PER_S = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Classified:
+    """Describes a request as the policy sees it.
+
+    Attributes:
+        service: Service that is asked.
+        tenant: Tenant on whose behalf the request is made.
+        key: The key, empty for a service without keys.
+        slice: Base slice of the key, None for a service without keys.
+        request_id: The caller's id, or one made here.
+        own_id: Whether the caller gave the id.
+        idempotent: Whether the request may run more than once.
+        deadline: Moment after which the caller has no use for an answer.
+        ticket: Token that the request's first try was bound to, if any.
+        hops: Number of processes that the request has passed.
+    """
+
+    service: str
+    tenant: str
+    key: str
+    slice: SliceId | None
+    request_id: str
+    own_id: bool
+    idempotent: bool
+    deadline: float
+    ticket: int | None
+    hops: int
+
+
+def classify(
+    request: Request,
+    service: ServiceSettings,
+    deployment: DeploymentSettings,
+    limits: Effective,
+    arrived: float,
+) -> Classified:
+    """Reads what the policy needs from a request's line and headers.
+
+    Args:
+        request: The request.
+        service: Settings of the service that is asked.
+        deployment: Settings of the deployment.
+        limits: Settings in force where the request arrived.
+        arrived: Moment of arrival, in seconds.
+
+    Returns:
+        The description.
+
+    Raises:
+        BadMessage: A header or the key is missing or malformed, or the
+            tenant may not use the path.
+    """
+    target = request.target.decode("latin-1")
+    method = request.method.decode("ascii")
+    tenant = _tenant(request, deployment)
+    if not service.admits(tenant, target):
+        raise BadMessage(f"{tenant} may not use this path", 403, "tenant-refused")
+    key = _key(request, service.key) if service.key is not None else ""
+    slice_id = slice_of(service.name, key, service.slices) if service.keyed else None
+    request_id = _request_id(request)
+    return Classified(
+        service=service.name,
+        tenant=tenant,
+        key=key,
+        slice=slice_id,
+        request_id=request_id or uuid.uuid4().hex,
+        own_id=bool(request_id),
+        idempotent=service.is_idempotent(method, target),
+        deadline=arrived + _time_allowed(request, limits),
+        ticket=_number(request, headers.TICKET),
+        hops=_number(request, headers.HOPS) or 0,
+    )
+
+
+def request_fingerprint(request: Request, key: str, body: bytes) -> int:
+    """Returns a hash of what is asked; a repeat under another id has the same.
+
+    Args:
+        request: The request.
+        key: Its key.
+        body: The beginning of its body.
+
+    Returns:
+        A number from 0 to 2**63 - 1.
+    """
+    digest = xxhash.xxh3_64()
+    for part in (request.method, request.target, key.encode("utf-8"), body):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.intdigest() >> 1
+
+
+def _tenant(request: Request, deployment: DeploymentSettings) -> str:
+    """Returns the name of the tenant's class."""
+    name = deployment.tenants.header.encode("latin-1")
+    value = find_header(request.headers, name) if name else None
+    text = value.decode("latin-1") if value is not None else None
+    return deployment.tenants.classify(text).name
+
+
+def _key(request: Request, source: KeySource) -> str:
+    """Returns the key that a request carries."""
+    key = request_key(key_rule(source), request.target, request.headers)
+    if key is None:
+        raise BadMessage("the request carries no single key", 400, "key-missing")
+    return key
+
+
+def key_rule(source: KeySource) -> KeyRule:
+    """Returns the rule for callers that goes with a service's settings."""
+    match source:
+        case HeaderKey(header):
+            return KeyRule(header=header)
+        case SegmentKey(segment):
+            return KeyRule(segment=segment)
+        case QueryKey(parameter):
+            return KeyRule(query=parameter)
+
+
+def _request_id(request: Request) -> str:
+    """Returns the id that the caller gave, empty without one."""
+    value = find_header(request.headers, headers.IDEMPOTENCY_KEY) or b""
+    if len(value) > MAX_ID_BYTES:
+        raise BadMessage("the request id is too long", 400, "bad-request")
+    return value.decode("latin-1")
+
+
+def _time_allowed(request: Request, limits: Effective) -> float:
+    """Returns the seconds that the request may take."""
+    asked = _number(request, headers.DEADLINE_MS)
+    if asked is None:
+        asked = limits.deadlines.default_ms
+    return min(asked, limits.deadlines.max_ms) / MS_PER_S
+
+
+def _number(request: Request, name: bytes) -> int | None:
+    """Returns the whole number in a header, None without the header."""
+    value = find_header(request.headers, name)
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 18:
+        raise BadMessage(f"{name.decode('ascii')} is no number", 400, "bad-request")
+    return int(value)
--- /dev/null
+++ b/rosemarydeal/daemon/configuration.py
@@ -0,0 +1,116 @@
+"""Follows the configuration and derives from it what is in force here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import immutables
+import structlog
+
+from rosemarydeal.core import Versioned
+from rosemarydeal.policy.guard import GuardSettings
+from rosemarydeal.proxy import HttpLimits
+from rosemarydeal.settings import (
+    DeploymentSettings,
+    Effective,
+    NodeSettings,
+    decode_envelope,
+    effective,
+    load_envelope,
+)
+
+__all__ = ["InForce", "adopt", "guard_settings", "http_limits"]
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """Holds the configuration in force at this process.
+
+    Attributes:
+        version: Version of the configuration, 0 before the first.
+        deployment: The checked settings, None before the first.
+        own: Settings that hold for the upstream beside this process.
+        by_service: Settings of each service at this process's place.
+    """
+
+    version: int = 0
+    deployment: DeploymentSettings | None = None
+    own: Effective = field(default_factory=Effective)
+    by_service: immutables.Map[str, Effective] = field(default_factory=immutables.Map)
+
+
+def adopt(current: InForce, found: Versioned, node: NodeSettings) -> InForce:
+    """Puts a newer configuration in force.
+
+    Args:
+        current: What is in force.
+        found: The configuration's object as read.
+        node: Settings of this process.
+
+    Returns:
+        What is in force afterwards; unchanged if the object is older or its
+        content doesn't pass the checks.
+    """
+    if found.version <= current.version:
+        return current
+    deployment = _load(found)
+    if deployment is None:
+        return current
+    _log.info("config_in_force", version=found.version)
+    place = node.place
+    by_service = immutables.Map(
+        {name: effective(deployment, name, place) for name in deployment.services}
+    )
+    own = effective(deployment, node.service, place)
+    return InForce(found.version, deployment, own, by_service)
+
+
+def guard_settings(in_force: InForce, node: NodeSettings) -> GuardSettings:
+    """Returns the limits of the guard of the upstream beside this process."""
+    own = in_force.own
+    return GuardSettings(
+        node=node.node,
+        service=node.service,
+        slots=own.limits.slots,
+        connections=own.limits.connections,
+        new_connections_per_s=own.limits.new_connections_per_s,
+        queue_length=own.limits.queue_length,
+        window_s=own.ledger.window_s,
+        answer_bytes=own.ledger.bytes,
+        cold_start_s=own.cold_start.duration_s,
+        cold_share=own.cold_start.initial_share,
+        tenant_weights=_tenant_weights(in_force),
+    )
+
+
+def http_limits(settings: Effective) -> HttpLimits:
+    """Returns the limits of connections with callers."""
+    return HttpLimits(
+        header_bytes=settings.limits.header_bytes,
+        body_bytes=settings.limits.body_bytes,
+        connections_per_address=settings.limits.connections_per_caller,
+        header_time_s=settings.limits.header_time_s,
+    )
+
+
+def _load(found: Versioned) -> DeploymentSettings | None:
+    """Returns the checked settings in a configuration's object, if they pass."""
+    envelope = decode_envelope(found.value)
+    if envelope is None:
+        _log.error("config_refused", version=found.version, problems=["malformed"])
+        return None
+    deployment, problems = load_envelope(envelope)
+    if deployment is None:
+        codes = [str(problem) for problem in problems]
+        _log.error("config_refused", version=found.version, problems=codes)
+    return deployment
+
+
+def _tenant_weights(in_force: InForce) -> immutables.Map[str, float]:
+    """Returns the weights of the tenants' classes."""
+    if in_force.deployment is None:
+        return immutables.Map()
+    classes = in_force.deployment.tenants.by_value.values()
+    return immutables.Map({item.name: item.weight for item in classes})
--- /dev/null
+++ b/rosemarydeal/daemon/control.py
@@ -0,0 +1,272 @@
+"""Drives the ownership policy: feeds events in and carries out its actions.
+
+Nothing is decided here. The task owns the policy's state, the links to peers
+and the writes to the platform.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import structlog
+
+from rosemarydeal.core import (
+    Member,
+    MemberPhase,
+    Right,
+    Row,
+    SliceId,
+    Versioned,
+    key_hash,
+)
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.messages import Message
+from rosemarydeal.peers import PeerLink
+from rosemarydeal.platform import (
+    Platform,
+    PlatformConflict,
+    PlatformError,
+    PlatformUnavailable,
+)
+from rosemarydeal.policy import ownership, placement
+from rosemarydeal.policy.fleet import FleetView
+from rosemarydeal.policy.interface import (
+    Action,
+    ChunkRead,
+    Event,
+    IncarnationLost,
+    MemberRead,
+    MessageReceived,
+    RightGained,
+    RightLost,
+    Send,
+    StopAdmitting,
+    Tick,
+    WriteChunk,
+    WriteConflicted,
+    WriteFailed,
+    WriteMember,
+    WriteSucceeded,
+)
+
+from . import objects
+from .errors import DaemonError
+from .mailbox import Mailbox
+from .records import RecordsTask
+
+__all__ = ["ControlTask"]
+
+TICK_S = 0.1
+PROPOSE_S = 0.5
+MAILBOX_EVENTS = 16_384
+
+_log = structlog.get_logger()
+
+GuardNotice = StopAdmitting | RightGained | RightLost | IncarnationLost
+
+
+class ControlTask:
+    """Owns the state of the ownership policy of one process."""
+
+    def __init__(
+        self,
+        state: ownership.OwnershipState,
+        platform: Platform,
+        records: RecordsTask,
+        link: PeerLink,
+        on_notice: Callable[[GuardNotice], None],
+    ) -> None:
+        self._state = state
+        self._platform = platform
+        self._records = records
+        self._link = link
+        self._on_notice = on_notice
+        self._slices = 0
+        self._next_proposal = 0.0
+        self._next_tick = 0.0
+        self._drained = asyncio.Event()
+        self._mailbox: Mailbox[Event] = Mailbox(MAILBOX_EVENTS)
+        self._writes: set[asyncio.Task[None]] = set()
+        records.subscribe(self._take_object)
+
+    @property
+    def state(self) -> ownership.OwnershipState:
+        """Returns the policy's present state, for queries."""
+        return self._state
+
+    def right(self, slice_id: SliceId) -> Right | None:
+        """Returns the right to dispatch requests of a slice at this moment."""
+        return ownership.right(self._state, slice_id, now())
+
+    def member(self, node: str) -> Member | None:
+        """Returns the newest known record of a node."""
+        known = self._state.members.get(node)
+        return known.member if known is not None else None
+
+    def members(self, service: str) -> tuple[Member, ...]:
+        """Returns the members of a service that may get new work."""
+        return tuple(
+            member
+            for member in ownership.known_members(self._state)
+            if member.service == service and member.phase is MemberPhase.UP
+        )
+
+    def slice(self, base: SliceId, key: str, slices: int) -> SliceId:
+        """Returns the slice of a key, the key's own where it is carved out."""
+        digest = key_hash(key)
+        return ownership.slice_of_key(self._state, base.service, digest, slices)
+
+    def row(self, slice_id: SliceId) -> Row | None:
+        """Returns the newest known row of a slice."""
+        return ownership.row_of(self._state, slice_id)
+
+    def set_slices(self, slices: int) -> None:
+        """Sets the number of slices of the own service, 0 without keys."""
+        self._slices = slices
+
+    def replay(self) -> None:
+        """Queues all objects that were learnt before this task began."""
+        for found in self._records.objects.values():
+            self._take_object(found)
+
+    def broadcast(self, service: str, message: Message) -> None:
+        """Sends a message to all other processes of a service."""
+        for member in self.members(service):
+            if member.node != self._state.identity.node:
+                self._perform(Send(member.node, message))
+
+    def send_to_names(self, slice_id: SliceId, message: Message) -> None:
+        """Sends a message to all others that a slice's row names."""
+        row = self.row(slice_id)
+        names = row.succession if row is not None else ()
+        for node in {name.node for name in names}:
+            if node != self._state.identity.node:
+                self._perform(Send(node, message))
+
+    def post(self, event: Event) -> None:
+        """Queues an event for the policy."""
+        self._mailbox.post(event)
+
+    async def wait_drained(self, timeout_s: float) -> None:
+        """Waits until nothing is served here any more, or time is up."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._drained.wait()
+
+    async def run(self) -> None:
+        """Feeds events and ticks to the policy until cancelled."""
+        receiver = asyncio.create_task(self._receive_messages())
+        try:
+            while True:
+                await self._run_once()
+        finally:
+            receiver.cancel()
+            for write in self._writes:
+                write.cancel()
+
+    async def _run_once(self) -> None:
+        """Handles one event, or a tick when none comes."""
+        event: Event = Tick()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, self._next_tick - now())):
+                event = await self._mailbox.receive()
+        if isinstance(event, Tick):
+            self._next_tick = now() + TICK_S
+        self._step(event)
+        if isinstance(event, Tick):
+            self._propose()
+
+    def _propose(self) -> None:
+        """Proposes owners for the slices of the own service when it is time."""
+        moment = now()
+        if self._slices == 0 or moment < self._next_proposal:
+            return
+        self._next_proposal = moment + PROPOSE_S
+        service = self._state.identity.service
+        view = FleetView(
+            service,
+            self._slices,
+            ownership.known_members(self._state),
+            {
+                number: ChunkRead(known.version, known.chunk)
+                for (owner, number), known in self._state.chunks.items()
+                if owner == service
+            },
+            self._state.identity.node,
+        )
+        for action in placement.propose(view, moment, self._state.seed):
+            self._perform(action)
+
+    def _step(self, event: Event) -> None:
+        """Takes one step of the policy and carries out what it asks for."""
+        self._state, actions = ownership.step(self._state, event, now())
+        for action in actions:
+            self._perform(action)
+        if self._state.draining and ownership.drained(self._state):
+            self._drained.set()
+
+    def _perform(self, action: Action) -> None:
+        """Carries out one action."""
+        match action:
+            case Send(to, message):
+                self._connect(to)
+                self._link.send(to, message)
+            case WriteMember(member, expected, change_id):
+                key = objects.member_key(member.node)
+                self._start_write(key, objects.encode(member), expected, change_id)
+            case WriteChunk(chunk, expected, change_id):
+                key = objects.chunk_key(chunk.service, chunk.number)
+                self._start_write(key, objects.encode(chunk), expected, change_id)
+            case _:
+                self._on_notice(action)
+
+    def _connect(self, node: str) -> None:
+        """Opens the link to a node on first use."""
+        member = self.member(node)
+        if member is not None:
+            self._link.connect(node, member.peer, member.public_key)
+
+    def write_chunk(self, action: WriteChunk) -> None:
+        """Carries out a write that another policy asks for."""
+        self._perform(action)
+
+    def _start_write(self, key: str, value: bytes, expected: int, change: str) -> None:
+        """Begins a conditional update in the background."""
+        task = asyncio.create_task(self._write(key, value, expected, change))
+        self._writes.add(task)
+        task.add_done_callback(self._writes.discard)
+
+    async def _write(self, key: str, value: bytes, expected: int, change: str) -> None:
+        """Makes a conditional update and reports how it ended."""
+        try:
+            version = await self._platform.put(key, value, expected, change)
+        except PlatformConflict:
+            self.post(WriteConflicted(change))
+            await self._records.read(key)
+        except PlatformUnavailable:
+            self.post(WriteFailed(change, known=False))
+        except PlatformError as error:
+            _log.error("platform_write_refused", key=key, code=error.code)
+            self.post(WriteFailed(change, known=True))
+        else:
+            self.post(WriteSucceeded(change, version))
+            self._records.learn(Versioned(key, version, value))
+
+    async def _receive_messages(self) -> None:
+        """Queues what peers send."""
+        while True:
+            received = await self._link.receive()
+            self.post(MessageReceived(received.sender, received.message))
+
+    def _take_object(self, found: Versioned) -> None:
+        """Queues a new version of a member or chunk."""
+        try:
+            if found.key.startswith(objects.MEMBER_PREFIX):
+                member = objects.decode_member(found.value)
+                self.post(MemberRead(found.version, member))
+            elif found.key.startswith(objects.SLICE_PREFIX):
+                self.post(ChunkRead(found.version, objects.decode_chunk(found.value)))
+        except DaemonError as error:
+            _log.error("object_malformed", key=found.key, detail=error.detail)
--- /dev/null
+++ b/rosemarydeal/daemon/guard.py
@@ -0,0 +1,388 @@
+"""Drives the guard's policy: the only way to the upstream beside the process.
+
+The task owns the policy's state, the connections to the upstream and the
+bytes of requests and answers. Events are handled one at a time, in the order
+in which they are posted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, replace
+
+import structlog
+
+from rosemarydeal.core import Address, NotRun, Right, SliceId, Unknown, headers
+from rosemarydeal.core.clock import now
+from rosemarydeal.policy import guard
+from rosemarydeal.proxy import (
+    ConnectFailed,
+    Headers,
+    Pool,
+    PoolSettings,
+    ProxyError,
+    Request,
+    Response,
+    WholeBody,
+    end_to_end,
+    find_header,
+    replace_header,
+)
+
+from .classify import Classified
+
+__all__ = ["GuardHooks", "GuardTask", "Refused"]
+
+TICK_S = 0.05
+KEPT_ANSWER_BYTES = 1024 * 1024
+MS_PER_S = 1000.0
+LATE_ANSWER_S = 2.0
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Tells a waiting caller that there is no answer."""
+
+    outcome: NotRun | Unknown
+
+
+Reply = Response | Refused
+
+
+@dataclass(frozen=True, slots=True)
+class GuardHooks:
+    """Connects the guard to the other tasks of the process.
+
+    Attributes:
+        right: Returns the right to dispatch in a slice at this moment.
+        on_idle: Called when a slice that stopped admitting has drained.
+        on_connect_failed: Called when the upstream takes no connection.
+        on_suspects: Called with a notice for all processes of the service.
+        on_ledger: Called with the ids of a slice that is handed over.
+    """
+
+    right: Callable[[SliceId], Right | None]
+    on_idle: Callable[[SliceId], None]
+    on_connect_failed: Callable[[], None]
+    on_suspects: Callable[[guard.TellSuspects], None]
+    on_ledger: Callable[[guard.HandOverLedger], None]
+
+
+@dataclass(frozen=True, slots=True)
+class _KeptAnswer:
+    """Holds the whole answer to a request."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Exchange:
+    """Holds what the driver knows of one request at the guard."""
+
+    request: Request
+    details: Classified
+    task: asyncio.Task[None] | None = None
+
+
+class GuardTask:
+    """Owns the guard of one upstream."""
+
+    def __init__(
+        self, settings: guard.GuardSettings, upstream: Address, hooks: GuardHooks
+    ) -> None:
+        self._state = guard.start(settings, now(), 0)
+        self._upstream = upstream
+        self._hooks = hooks
+        self._pool = Pool(_pool_settings(settings))
+        self._waiters: dict[int, asyncio.Future[Reply]] = {}
+        self._waiter_count = 0
+        self._exchanges: dict[str, _Exchange] = {}
+        self._answers: dict[str, _KeptAnswer] = {}
+
+    @property
+    def state(self) -> guard.GuardState:
+        """Returns the policy's present state, for queries."""
+        return self._state
+
+    @property
+    def status(self) -> guard.GuardStatus:
+        """Returns the figures that operators see."""
+        return guard.status(self._state, now())
+
+    def post(self, event: guard.GuardEvent) -> None:
+        """Takes one step of the policy and carries out what it asks for."""
+        if isinstance(event, guard.SettingsChanged):
+            self._renew_pool(event.settings)
+        self._state, actions = guard.step(self._state, event, now())
+        for action in actions:
+            self._perform(action)
+
+    async def run(self) -> None:
+        """Tells the policy that time passes, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.post(guard.Tick())
+
+    async def serve(
+        self, request: Request, arrived: guard.RequestArrived, details: Classified
+    ) -> Reply:
+        """Waits for the outcome of a request.
+
+        Args:
+            request: The request with its body.
+            arrived: What the policy needs to know; its waiter is set here.
+            details: What was read from the request.
+
+        Returns:
+            The answer, or why there is none.
+        """
+        self._waiter_count += 1
+        waiter = self._waiter_count
+        future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        self._waiters[waiter] = future
+        if arrived.request_id not in self._exchanges:
+            self._exchanges[arrived.request_id] = _Exchange(request, details)
+        self.post(replace(arrived, waiter=waiter))
+        try:
+            return await future
+        finally:
+            if self._waiters.pop(waiter, None) is not None and not future.done():
+                self.post(guard.WaiterGone(waiter))
+            self._drop_idle_exchange(arrived.request_id)
+
+    async def close(self) -> None:
+        """Cancels what runs and closes all connections."""
+        tasks = [x.task for x in self._exchanges.values() if x.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._pool.close()
+
+    def _renew_pool(self, settings: guard.GuardSettings) -> None:
+        """Puts a changed limit of connections in force."""
+        if settings.connections != self._state.settings.connections:
+            old, self._pool = self._pool, Pool(_pool_settings(settings))
+            asyncio.get_running_loop().create_task(old.close())
+
+    def _drop_idle_exchange(self, request_id: str) -> None:
+        """Forgets a request that nobody waits for and that doesn't run."""
+        exchange = self._exchanges.get(request_id)
+        live = request_id in self._state.live
+        if exchange is not None and exchange.task is None and not live:
+            del self._exchanges[request_id]
+
+    def _perform(self, action: guard.GuardAction) -> None:
+        """Carries out one action."""
+        match action:
+            case guard.Dispatch():
+                self._dispatch(action)
+            case guard.ReplyAnswer(waiter, request_id):
+                self._reply(waiter, self._kept_reply(request_id))
+            case guard.ReplyOutcome(waiter, outcome):
+                self._reply(waiter, Refused(outcome))
+            case guard.CancelUpstream(request_id):
+                self._cancel(request_id)
+            case guard.ForgetAnswer(request_id):
+                self._answers.pop(request_id, None)
+            case guard.ReportIdle(slice_id):
+                self._hooks.on_idle(slice_id)
+            case guard.TellSuspects():
+                self._hooks.on_suspects(action)
+            case guard.HandOverLedger():
+                self._hooks.on_ledger(action)
+
+    def _reply(self, waiter: int, reply: Reply) -> None:
+        """Ends the wait of one caller, unless it has its answer already."""
+        future = self._waiters.get(waiter)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    def _kept_reply(self, request_id: str) -> Reply:
+        """Returns the answer that is held for a request."""
+        kept = self._answers.get(request_id)
+        if kept is None:
+            detail = "The request ran, but its answer was too large to keep."
+            return Refused(Unknown("answer-not-kept", detail))
+        return Response(kept.status, kept.headers, WholeBody(kept.body))
+
+    def _dispatch(self, action: guard.Dispatch) -> None:
+        """Begins the exchange with the upstream."""
+        exchange = self._exchanges[action.request_id]
+        exchange.task = asyncio.create_task(self._run(action, exchange))
+
+    def _cancel(self, request_id: str) -> None:
+        """Breaks off an exchange, which tells the upstream to stop."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None and exchange.task is not None:
+            exchange.task.cancel()
+
+    async def _run(self, action: guard.Dispatch, exchange: _Exchange) -> None:
+        """Runs one exchange and reports how it ended."""
+        started = now()
+        event: guard.GuardEvent
+        try:
+            event = await self._exchange(action, exchange, started)
+        except ProxyError as error:
+            event = self._failure(action.request_id, error)
+        except asyncio.CancelledError:
+            event = guard.UpstreamFailed(action.request_id, sent=True, crashed=False)
+        self._exchanges.pop(action.request_id, None)
+        self.post(event)
+
+    async def _exchange(
+        self, action: guard.Dispatch, exchange: _Exchange, started: float
+    ) -> guard.GuardEvent:
+        """Sends a request under a valid right and reads the answer."""
+        expires = self._dispatch_until(action)
+        if expires is None:
+            return guard.UpstreamFailed(action.request_id, sent=False, crashed=False)
+        request = _upstream_request(action, exchange, expires - started)
+        timeout_s = action.deadline - started + LATE_ANSWER_S
+        async with await self._pool.send(
+            self._upstream, request, timeout_s
+        ) as response:
+            refusal = _refusal(action.request_id, response)
+            if refusal is not None:
+                return refusal
+            size = await self._take_answer(action, response)
+        return guard.UpstreamAnswered(
+            action.request_id, response.status, size, now() - started
+        )
+
+    def _dispatch_until(self, action: guard.Dispatch) -> float | None:
+        """Returns until when the request may run, None if it may not start."""
+        if action.slice is None:
+            return action.deadline
+        right = self._hooks.right(action.slice)
+        if right is None or right.token != action.token:
+            return None
+        return min(action.deadline, right.valid_until)
+
+    def _failure(self, request_id: str, error: ProxyError) -> guard.UpstreamFailed:
+        """Turns an error of the connection into an event."""
+        if isinstance(error, ConnectFailed):
+            self._hooks.on_connect_failed()
+        sent = getattr(error, "sent", True)
+        crashed = sent and error.code in ("send-failed", "response-broken")
+        return guard.UpstreamFailed(request_id, sent, crashed)
+
+    async def _take_answer(self, action: guard.Dispatch, response: Response) -> int:
+        """Keeps a small answer or passes a large one on as it comes."""
+        pieces: list[bytes] = []
+        size = 0
+        async for piece in response.body:
+            pieces.append(piece)
+            size += len(piece)
+            if size > KEPT_ANSWER_BYTES:
+                return await self._stream(action, response, pieces, size)
+        answer_headers = end_to_end(response.headers)
+        kept = _KeptAnswer(response.status, answer_headers, b"".join(pieces))
+        self._answers[action.request_id] = kept
+        return size
+
+    async def _stream(
+        self,
+        action: guard.Dispatch,
+        response: Response,
+        pieces: list[bytes],
+        size: int,
+    ) -> int:
+        """Passes a large answer on to the first caller that waits for it."""
+        live = self._state.live.get(action.request_id)
+        waiter = live.waiters[0] if live is not None and live.waiters else 0
+        queue: asyncio.Queue[bytes | ProxyError | None] = asyncio.Queue(1)
+        body = _streamed(queue, pieces, lambda: self._cancel(action.request_id))
+        length = find_header(response.headers, b"content-length")
+        kept = end_to_end(response.headers)
+        if length is not None:
+            kept = replace_header(kept, b"content-length", length)
+        self._reply(waiter, Response(response.status, kept, body))
+        try:
+            async for piece in response.body:
+                size += len(piece)
+                await queue.put(piece)
+        except ProxyError as error:
+            await queue.put(error)
+            raise
+        await queue.put(None)
+        return size
+
+
+async def _streamed(
+    queue: asyncio.Queue[bytes | ProxyError | None],
+    pieces: list[bytes],
+    abandon: Callable[[], None],
+) -> AsyncIterator[bytes]:
+    """Yields the pieces of a large answer as they come.
+
+    Args:
+        queue: Further pieces; None ends them, an error breaks them off.
+        pieces: The pieces that came already.
+        abandon: Called when the reader leaves before the end.
+
+    Yields:
+        The pieces in order.
+    """
+    ended = False
+    try:
+        for piece in pieces:
+            yield piece
+        while not ended:
+            item = await queue.get()
+            ended = not isinstance(item, bytes)
+            if isinstance(item, ProxyError):
+                raise item
+            if item is not None:
+                yield item
+    finally:
+        if not ended:
+            abandon()
+
+
+def _upstream_request(
+    action: guard.Dispatch, exchange: _Exchange, allowed_s: float
+) -> Request:
+    """Returns the request as the upstream gets it, with its grant."""
+    kept = end_to_end(exchange.request.headers)
+    for name in headers.PRIVATE_HEADERS:
+        kept = replace_header(kept, name, None)
+    allowed_ms = b"%d" % max(0, int(allowed_s * MS_PER_S))
+    kept = replace_header(kept, headers.DEADLINE_MS, allowed_ms)
+    request_id = action.request_id.encode("latin-1")
+    kept = replace_header(kept, headers.IDEMPOTENCY_KEY, request_id)
+    if action.slice is not None:
+        grant = f"{_slice_name(action.slice)}={action.token}"
+        kept = replace_header(kept, headers.GRANT, grant.encode("ascii"))
+    return replace(exchange.request, headers=kept)
+
+
+def _slice_name(slice_id: SliceId) -> str:
+    """Returns the name of a slice in a grant."""
+    base = f"{slice_id.service}/{slice_id.index}"
+    return base if slice_id.carved < 0 else f"{base}/{slice_id.carved}"
+
+
+def _refusal(request_id: str, response: Response) -> guard.UpstreamRefused | None:
+    """Returns the upstream's truthful refusal, if the answer is one."""
+    outcome = find_header(response.headers, headers.OUTCOME)
+    if outcome != headers.OUTCOME_NOT_RUN:
+        return None
+    retry_after = find_header(response.headers, headers.RETRY_AFTER) or b""
+    seconds = 0.0
+    with contextlib.suppress(ValueError):
+        seconds = max(0.0, float(retry_after))
+    return guard.UpstreamRefused(request_id, seconds)
+
+
+def _pool_settings(settings: guard.GuardSettings) -> PoolSettings:
+    """Returns the limits of the connections to the upstream."""
+    return PoolSettings(
+        connections_per_address=settings.connections,
+        idle_per_address=settings.connections,
+    )
--- /dev/null
+++ b/rosemarydeal/daemon/process.py
@@ -0,0 +1,350 @@
+"""Puts together the process beside an upstream, from its settings."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from dataclasses import replace
+
+import structlog
+
+from rosemarydeal.core import MemberPhase, SliceId, Versioned, key_hash
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.operator import CONFIG_KEY
+from rosemarydeal.core.status import NodeStatus, SliceStatus
+from rosemarydeal.peers import PeerLink, PeerLinkSettings
+from rosemarydeal.platform import Platform, PlatformClient, PlatformSettings
+from rosemarydeal.policy import guard, ownership
+from rosemarydeal.policy.interface import (
+    DrainAsked,
+    IncarnationLost,
+    LeaveAsked,
+    SliceIdle,
+    UpstreamDied,
+    UpstreamReady,
+)
+from rosemarydeal.proxy import HttpServer
+from rosemarydeal.settings import NodeSettings
+
+from .admin import AdminViews, serve_admin
+from .configuration import InForce, adopt, guard_settings
+from .control import ControlTask, GuardNotice
+from .entry import Entry, Fleet
+from .guard import GuardHooks, GuardTask
+from .listeners import Listeners
+from .metrics import Metrics
+from .records import RecordsTask
+from .upstream import UpstreamEvent, UpstreamTask
+
+__all__ = ["RouterProcess"]
+
+LEAVE_GRACE_S = 0.3
+
+_log = structlog.get_logger()
+
+
+class RouterProcess:
+    """Runs all tasks of one process."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._metrics = Metrics()
+        self._platform = PlatformClient(PlatformSettings(settings.platform))
+        self._records = RecordsTask(self._platform, secrets.randbits(32))
+        self._link = PeerLink(_link_settings(settings))
+        self._in_force = InForce()
+        self._configured = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._control: ControlTask | None = None
+        self._admin: HttpServer | None = None
+        self._upstream = UpstreamTask(
+            settings.upstream, self._take_upstream_event, self._drain_for_upstream
+        )
+        self._guard = GuardTask(
+            guard_settings(self._in_force, settings),
+            settings.upstream,
+            self._guard_hooks(),
+        )
+        self._entry = Entry(
+            self._fleet(), self._guard, self._get_in_force, self._metrics
+        )
+        self._listeners = Listeners(settings.entry_host, self._entry)
+        self._records.subscribe(self._take_object)
+
+    @property
+    def settings(self) -> NodeSettings:
+        """Returns the settings of the process."""
+        return self._settings
+
+    @property
+    def platform(self) -> Platform:
+        """Returns the client of the platform."""
+        return self._platform
+
+    async def start(self) -> None:
+        """Starts all tasks; ownership follows once a configuration is known."""
+        await self._link.start()
+        views = AdminViews(
+            self.status, self.locate, self._render_metrics, self._upstream.announce
+        )
+        self._admin = await serve_admin(self._settings, views)
+        for run in (self._records.run, self._guard.run, self._upstream.run):
+            self._tasks.append(asyncio.create_task(run()))
+        self._tasks.append(asyncio.create_task(self._run_when_configured()))
+        _log.info("started", node=self._settings.node)
+
+    async def shut_down(self, timeout_s: float) -> bool:
+        """Hands over all slices, finishes what runs and stops.
+
+        Args:
+            timeout_s: Longest time for the whole, in seconds.
+
+        Returns:
+            Whether nothing was cut short.
+        """
+        _log.info("draining", node=self._settings.node)
+        ends = now() + timeout_s
+        if self._control is not None:
+            self._control.post(DrainAsked())
+            await self._control.wait_drained(ends - now())
+            self._control.post(LeaveAsked())
+        clean = await self._listeners.drain(max(0.0, ends - now()))
+        await asyncio.sleep(LEAVE_GRACE_S)
+        await self.stop()
+        _log.info("stopped", node=self._settings.node, clean=clean)
+        return clean
+
+    async def stop(self) -> None:
+        """Stops at once, as a lost process would."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._listeners.close()
+        if self._admin is not None:
+            await self._admin.close()
+        await self._guard.close()
+        await self._entry.close()
+        await self._link.close()
+        await self._platform.close()
+
+    def status(self) -> NodeStatus:
+        """Returns what operators see of the process."""
+        figures = self._guard.status
+        known = NodeStatus(
+            node=self._settings.node,
+            service=self._settings.service,
+            availability_zone=self._settings.availability_zone,
+            config_version=self._in_force.version,
+            upstream_up=self._upstream.up,
+            running=figures.running,
+            queued=figures.queued,
+            limit=int(figures.limit),
+            platform_reachable=self._records.reachable,
+        )
+        if self._control is None:
+            return known
+        return _with_ownership(known, self._control.state)
+
+    def locate(self, service: str, key: str) -> SliceStatus | None:
+        """Returns who owns a key, as this process knows it."""
+        deployment = self._in_force.deployment
+        found = deployment.services.get(service) if deployment is not None else None
+        if found is None or not found.keyed or self._control is None:
+            return None
+        digest = key_hash(key)
+        state = self._control.state
+        slice_id = ownership.slice_of_key(state, service, digest, found.slices)
+        return _slice_status(state, self._settings.node, slice_id)
+
+    def _get_in_force(self) -> InForce:
+        """Returns the configuration in force."""
+        return self._in_force
+
+    def _render_metrics(self) -> bytes:
+        """Returns all metrics, with the gauges brought up to date."""
+        status = self.status()
+        gauges = self._metrics
+        gauges.owned.set(status.owned)
+        gauges.lease_left.set(status.lease_left_s)
+        gauges.running.set(status.running)
+        gauges.queued.set(status.queued)
+        gauges.limit.set(status.limit)
+        gauges.config_version.set(status.config_version)
+        gauges.platform_up.set(status.platform_reachable)
+        gauges.platform_calls.set(self._platform.calls)
+        counters = self._link.counters
+        gauges.peer_bytes.labels("sent").set(counters.sent_bytes)
+        gauges.peer_bytes.labels("received").set(counters.received_bytes)
+        gauges.peer_dropped.labels("malformed").set(counters.malformed)
+        gauges.peer_dropped.labels("send").set(counters.dropped_send)
+        gauges.peer_dropped.labels("receive").set(counters.dropped_receive)
+        return gauges.render()
+
+    def _guard_hooks(self) -> GuardHooks:
+        """Connects the guard to the other tasks."""
+        return GuardHooks(
+            right=lambda s: self._control.right(s) if self._control else None,
+            on_idle=lambda s: self._control.post(SliceIdle(s)),
+            on_connect_failed=self._upstream.connect_failed,
+            on_suspects=self._tell_suspects,
+            on_ledger=self._hand_over_ledger,
+        )
+
+    def _fleet(self) -> Fleet:
+        """Answers the entry's questions from the ownership policy's state."""
+        return Fleet(
+            node=self._settings.node,
+            service=self._settings.service,
+            slice=self._slice,
+            row=lambda s: self._control.row(s) if self._control else None,
+            members=lambda n: self._control.members(n) if self._control else (),
+            member=lambda n: self._control.member(n) if self._control else None,
+        )
+
+    def _slice(self, base: SliceId, key: str) -> SliceId:
+        """Returns the slice of a key, given its base slice."""
+        slices = self._in_force.deployment.services[base.service].slices
+        return self._control.slice(base, key, slices) if self._control else base
+
+    async def _run_when_configured(self) -> None:
+        """Starts ownership once a configuration is in force."""
+        await self._configured.wait()
+        identity = ownership.Identity(
+            node=self._settings.node,
+            service=self._settings.service,
+            place=self._settings.place,
+            peer=self._link.address,
+            entry_host=self._settings.entry_host,
+            admin=self._settings.admin,
+            public_key=self._settings.public_key,
+            slots=self._in_force.own.limits.slots,
+        )
+        state = ownership.start(
+            ownership.OwnershipSettings(), identity, now(), secrets.randbits(64)
+        )
+        self._control = ControlTask(
+            state, self._platform, self._records, self._link, self._take_notice
+        )
+        self._control.replay()
+        self._put_in_force()
+        if self._upstream.up:
+            self._control.post(UpstreamReady())
+        await self._control.run()
+
+    def _take_object(self, found: Versioned) -> None:
+        """Puts a newer configuration in force."""
+        if found.key != CONFIG_KEY:
+            return
+        adopted = adopt(self._in_force, found, self._settings)
+        if adopted is self._in_force:
+            return
+        self._in_force = adopted
+        self._guard.post(guard.SettingsChanged(guard_settings(adopted, self._settings)))
+        self._put_in_force()
+        self._configured.set()
+
+    def _put_in_force(self) -> None:
+        """Tells the tasks of the configuration in force."""
+        deployment = self._in_force.deployment
+        if deployment is None:
+            return
+        own = deployment.services.get(self._settings.service)
+        if self._control is not None and own is not None:
+            self._control.set_slices(own.slices if own.keyed else 0)
+        self._listeners.follow(self._in_force)
+
+    def _take_notice(self, notice: GuardNotice) -> None:
+        """Passes a notice of the ownership policy on to the guard."""
+        match notice:
+            case IncarnationLost():
+                self._metrics.lapses.inc()
+                _log.warning("lease_lapsed")
+            case guard.RightGained(slice_id, token):
+                self._metrics.right_changes.labels("gained").inc()
+                _log.info("right_gained", slice=slice_id.index, token=token)
+                self._guard.post(notice)
+            case guard.RightLost(slice_id):
+                self._metrics.right_changes.labels("lost").inc()
+                _log.info("right_lost", slice=slice_id.index)
+                self._guard.post(notice)
+            case _:
+                self._guard.post(notice)
+
+    def _take_upstream_event(self, event: UpstreamEvent) -> None:
+        """Passes an event of the upstream's life on."""
+        self._guard.post(event)
+        if self._control is None:
+            return
+        match event:
+            case guard.UpstreamStarted():
+                self._control.post(UpstreamReady())
+            case guard.UpstreamGone():
+                self._metrics.crashes.inc()
+                self._control.post(UpstreamDied())
+
+    def _drain_for_upstream(self) -> None:
+        """Hands all slices over because the upstream leaves."""
+        if self._control is not None:
+            self._control.post(DrainAsked())
+
+    def _tell_suspects(self, action: guard.TellSuspects) -> None:
+        """Sends a notice of suspects to all processes of the service."""
+        if self._control is not None:
+            self._control.broadcast(self._settings.service, action.notice)
+
+    def _hand_over_ledger(self, action: guard.HandOverLedger) -> None:
+        """Sends the ids of a slice to those who may own it next."""
+        if self._control is not None:
+            self._control.send_to_names(action.slice, action.ledger)
+
+
+def _link_settings(settings: NodeSettings) -> PeerLinkSettings:
+    """Returns the settings of the link to peers."""
+    return PeerLinkSettings(
+        settings.node,
+        settings.peer,
+        settings.public_key,
+        settings.secret_key,
+        frozenset({*settings.peer_keys, settings.public_key}),
+    )
+
+
+def _with_ownership(known: NodeStatus, state: ownership.OwnershipState) -> NodeStatus:
+    """Adds what the ownership policy knows to a process's status."""
+    moment = now()
+    until = ownership.lease_until(state, moment)
+    return replace(
+        known,
+        incarnation=_incarnation_number(state),
+        lease_valid=until is not None,
+        lease_left_s=max(0.0, until - moment) if until is not None else 0.0,
+        phase=MemberPhase.DRAINING if state.draining else MemberPhase.UP,
+        owned=len(state.serving),
+    )
+
+
+def _incarnation_number(state: ownership.OwnershipState) -> int:
+    """Returns the number of the newest incarnation held, 0 without one."""
+    newest = state.newest_held(now())
+    return newest.number if newest is not None else 0
+
+
+def _slice_status(
+    state: ownership.OwnershipState, node: str, slice_id: SliceId
+) -> SliceStatus:
+    """Describes a slice to operators."""
+    moment = now()
+    described = ownership.describe(state, slice_id, moment)
+    right = ownership.right(state, slice_id, moment)
+    row = described.row
+    return SliceStatus(
+        slice=slice_id,
+        version=row.version if row else 0,
+        succession=row.succession if row else (),
+        retiring=row.retiring if row else (),
+        known_by=node,
+        owned_here=right is not None,
+        token=right.token if right else 0,
+        lease_left_s=max(0.0, right.valid_until - moment) if right else 0.0,
+        reason=described.why.value,
+    )
--- /dev/null
+++ b/rosemarydeal/daemon/upstream.py
@@ -0,0 +1,160 @@
+"""Follows the upstream beside the process: announcements, health and load.
+
+An upstream announces itself at the operators' address with an id of its
+present life and repeats that as a heartbeat. A new id means a restart.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+
+from rosemarydeal.core import Address
+from rosemarydeal.core.clock import now
+from rosemarydeal.policy import guard
+from rosemarydeal.proxy import (
+    Pool,
+    PoolSettings,
+    ProxyError,
+    Request,
+    WholeBody,
+    read_whole,
+)
+
+__all__ = ["Announcement", "UpstreamTask"]
+
+POLL_S = 0.5
+SILENCE_S = 3.0
+POLL_TIMEOUT_S = 1.0
+MAX_REPORT_BYTES = 65_536
+SMALL_POOL = PoolSettings(connections_per_address=2, idle_per_address=1)
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """Is what an upstream says about itself.
+
+    Attributes:
+        life: Id of the upstream's present life.
+        cold: Whether it is in its cold start.
+        leaving: Whether it wants no new work.
+    """
+
+    life: str
+    cold: bool = True
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReportBody:
+    """Is what the upstream's load endpoint answers."""
+
+    running: int
+    slots: int
+
+
+UpstreamEvent = guard.UpstreamStarted | guard.UpstreamGone | guard.UpstreamReported
+
+
+class UpstreamTask:
+    """Owns what is known of the life of one upstream."""
+
+    def __init__(
+        self,
+        address: Address,
+        on_event: Callable[[UpstreamEvent], None],
+        on_leaving: Callable[[], None],
+    ) -> None:
+        self._address = address
+        self._on_event = on_event
+        self._on_leaving = on_leaving
+        self._pool = Pool(SMALL_POOL)
+        self._life = ""
+        self._heard = 0.0
+        self._up = False
+        self._leaving = False
+
+    @property
+    def up(self) -> bool:
+        """Says whether the upstream takes requests."""
+        return self._up
+
+    def announce(self, said: Announcement) -> None:
+        """Takes in an announcement or heartbeat of the upstream."""
+        self._heard = now()
+        if said.life != self._life or not self._up:
+            self._start(said)
+        if said.leaving and not self._leaving:
+            self._leaving = True
+            _log.info("upstream_leaving")
+            self._on_leaving()
+
+    def connect_failed(self) -> None:
+        """Takes note that the upstream takes no connection."""
+        self._stop("connection refused")
+
+    async def run(self) -> None:
+        """Polls health and load until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(POLL_S)
+                if self._up:
+                    await self._poll()
+        finally:
+            await self._pool.close()
+
+    def _start(self, said: Announcement) -> None:
+        """Begins a life of the upstream."""
+        restarted = self._up
+        self._life = said.life
+        self._leaving = False
+        if restarted:
+            self._stop("restarted")
+        self._up = True
+        _log.info("upstream_up", life=said.life, cold=said.cold)
+        self._on_event(guard.UpstreamStarted(said.cold))
+
+    def _stop(self, reason: str) -> None:
+        """Ends a life of the upstream."""
+        if not self._up:
+            return
+        self._up = False
+        _log.warning("upstream_down", reason=reason)
+        self._on_event(guard.UpstreamGone())
+
+    async def _poll(self) -> None:
+        """Asks for health and load once."""
+        asked = now()
+        try:
+            healthy = (await self._get(b"/health"))[0] < 400
+            status, body = await self._get(b"/load")
+        except ProxyError:
+            if now() - self._heard > SILENCE_S:
+                self._stop("silent")
+            return
+        load = _load_share(body) if status == 200 else 0.0
+        self._on_event(guard.UpstreamReported(load, healthy, now() - asked))
+
+    async def _get(self, target: bytes) -> tuple[int, bytes]:
+        """Reads one of the upstream's endpoints."""
+        host = (b"host", str(self._address).encode("ascii"))
+        request = Request(b"GET", target, (host,), WholeBody(b""), self._address)
+        response = await self._pool.send(self._address, request, POLL_TIMEOUT_S)
+        async with response:
+            body = await read_whole(response.body, MAX_REPORT_BYTES)
+        return response.status, body
+
+
+def _load_share(body: bytes) -> float:
+    """Returns the share of the upstream's slots that it says are in use."""
+    try:
+        report = msgspec.json.decode(body, type=LoadReportBody)
+    except msgspec.DecodeError:
+        return 0.0
+    return report.running / max(1, report.slots)
--- /dev/null
+++ b/rosemarydeal/demo/fleet.py
@@ -0,0 +1,238 @@
+"""Runs a whole deployment on loopback: platform, processes and upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from pathlib import Path
+
+import zmq
+
+from rosemarydeal.core import Address
+from rosemarydeal.core.operator import CONFIG_KEY
+from rosemarydeal.daemon.process import RouterProcess
+from rosemarydeal.platform import PlatformClient, PlatformSettings
+from rosemarydeal.settings import (
+    ConfigEnvelope,
+    DeploymentSettings,
+    NodeSettings,
+    effective,
+    encode_envelope,
+    load_deployment,
+)
+from rosemarydeal.standins.announcer import Announcer
+from rosemarydeal.standins.platform import StandInPlatform
+from rosemarydeal.standins.upstream import (
+    StandInUpstream,
+    UpstreamBehaviour,
+    UpstreamCounts,
+)
+
+__all__ = ["DeploymentFleet", "FleetPlan", "Station"]
+
+PLATFORM_PORT = 7300
+UPSTREAM_PORT = 9000
+PEER_PORT = 7400
+ADMIN_PORT = 7401
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """Says which deployment to run and how large.
+
+    Attributes:
+        file: Deployment file.
+        network: Second number of the loopback addresses, 127.N.0.x.
+        upstreams: Number of upstreams of each service.
+        service_time_s: Time of one request at an upstream, in seconds.
+    """
+
+    file: Path
+    network: int
+    upstreams: dict[str, int]
+    service_time_s: float = 0.002
+
+
+class Station:
+    """Is one VM: an upstream and the process beside it."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        behaviour: UpstreamBehaviour,
+        counts: UpstreamCounts,
+    ) -> None:
+        self._settings = settings
+        self._upstream = StandInUpstream(settings.upstream, behaviour, counts)
+        self._process: RouterProcess | None = None
+        self._announcer = Announcer(self._upstream, settings.admin, settings.token)
+        self._announcing: asyncio.Task[None] | None = None
+
+    @property
+    def name(self) -> str:
+        """Returns the name of the process and its upstream."""
+        return self._settings.node
+
+    @property
+    def settings(self) -> NodeSettings:
+        """Returns the settings of the process."""
+        return self._settings
+
+    @property
+    def upstream(self) -> StandInUpstream:
+        """Returns the upstream."""
+        return self._upstream
+
+    @property
+    def process(self) -> RouterProcess | None:
+        """Returns the running process, if there is one."""
+        return self._process
+
+    async def start(self) -> None:
+        """Starts the upstream and the process."""
+        if not self._upstream.serving:
+            await self._upstream.start()
+        self._process = RouterProcess(self._settings)
+        await self._process.start()
+        if self._announcing is None:
+            self._announcing = asyncio.create_task(self._announcer.run())
+
+    async def lose(self) -> None:
+        """Loses the VM at once, with the process and the upstream."""
+        await self._upstream.stop()
+        await self._stop_announcing()
+        process, self._process = self._process, None
+        if process is not None:
+            await process.stop()
+
+    async def shut_down(self, timeout_s: float) -> bool:
+        """Shuts the process down gracefully and then stops the upstream.
+
+        Args:
+            timeout_s: Longest time for the hand-over, in seconds.
+
+        Returns:
+            Whether no request was cut.
+        """
+        process, self._process = self._process, None
+        clean = await process.shut_down(timeout_s) if process is not None else True
+        await self._stop_announcing()
+        await self._upstream.stop()
+        return clean
+
+    async def _stop_announcing(self) -> None:
+        """Ends the announcements of the upstream."""
+        task, self._announcing = self._announcing, None
+        if task is not None:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+
+class DeploymentFleet:
+    """Runs the platform and all stations of one deployment."""
+
+    def __init__(self, plan: FleetPlan) -> None:
+        self._plan = plan
+        self._text = plan.file.read_text("utf-8")
+        settings, problems = load_deployment(self._text, str(plan.file))
+        if settings is None:
+            raise ValueError("\n".join(str(problem) for problem in problems))
+        self._settings = settings
+        self._platform = StandInPlatform(self._address(1, PLATFORM_PORT))
+        self._counts = UpstreamCounts()
+        self._stations = self._build_stations()
+
+    @property
+    def settings(self) -> DeploymentSettings:
+        """Returns the deployment's settings."""
+        return self._settings
+
+    @property
+    def platform(self) -> StandInPlatform:
+        """Returns the platform."""
+        return self._platform
+
+    @property
+    def counts(self) -> UpstreamCounts:
+        """Returns what the upstreams counted, over all their lives."""
+        return self._counts
+
+    @property
+    def stations(self) -> tuple[Station, ...]:
+        """Returns all VMs."""
+        return self._stations
+
+    def running(self, service: str | None = None) -> tuple[Station, ...]:
+        """Returns the VMs whose process runs, of one service or of all."""
+        return tuple(
+            station
+            for station in self._stations
+            if station.process is not None
+            and service in (None, station.settings.service)
+        )
+
+    async def start(self) -> None:
+        """Starts the platform, applies the configuration and starts all VMs."""
+        await self._platform.start()
+        await self._apply()
+        await asyncio.gather(*[station.start() for station in self._stations])
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        await asyncio.gather(*[station.lose() for station in self._stations])
+        await self._platform.stop()
+
+    async def _apply(self) -> None:
+        """Writes the deployment file to the platform."""
+        client = PlatformClient(PlatformSettings(self._platform.address))
+        envelope = ConfigEnvelope(str(self._plan.file), self._text, "first")
+        await client.put(CONFIG_KEY, encode_envelope(envelope), 0, "first")
+        await client.close()
+
+    def _address(self, number: int, port: int) -> Address:
+        """Returns an address on the deployment's part of loopback."""
+        return Address(f"127.{self._plan.network}.0.{number}", port)
+
+    def _build_stations(self) -> tuple[Station, ...]:
+        """Builds all VMs, with a CURVE key pair each."""
+        names = [
+            (service, number)
+            for service, count in self._plan.upstreams.items()
+            for number in range(1, count + 1)
+        ]
+        pairs = [zmq.curve_keypair() for _ in names]
+        public = tuple(pair[0].decode("ascii") for pair in pairs)
+        stations = []
+        for position, (service, number) in enumerate(names):
+            zones = self._settings.services[service].availability_zones
+            zone = zones[(number - 1) % len(zones)]
+            host_number = position + 11
+            settings = NodeSettings(
+                node=f"{service}-{number}",
+                region=self._settings.region_of(zone),
+                availability_zone=zone,
+                service=service,
+                upstream=self._address(host_number, UPSTREAM_PORT),
+                entry_host=self._address(host_number, 0).host,
+                peer=self._address(host_number, PEER_PORT),
+                admin=self._address(host_number, ADMIN_PORT),
+                platform=self._platform.address,
+                public_key=public[position],
+                secret_key=pairs[position][1].decode("ascii"),
+                peer_keys=public,
+            )
+            stations.append(Station(settings, self._behaviour(settings), self._counts))
+        return tuple(stations)
+
+    def _behaviour(self, settings: NodeSettings) -> UpstreamBehaviour:
+        """Returns how an upstream behaves: as its settings say it does."""
+        own = effective(self._settings, settings.service, settings.place)
+        return UpstreamBehaviour(
+            slots=own.limits.slots,
+            connections=own.limits.connections,
+            service_time_s=self._plan.service_time_s,
+            cold_s=own.cold_start.duration_s,
+            cold_share=own.cold_start.initial_share,
+        )
--- /dev/null
+++ b/rosemarydeal/standins/announcer.py
@@ -0,0 +1,62 @@
+"""Announces a stand-in upstream to the process beside it, as a heartbeat."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from rosemarydeal.core import Address
+from rosemarydeal.daemon.upstream import Announcement
+from rosemarydeal.proxy import Pool, PoolSettings, ProxyError, Request, WholeBody
+
+from .upstream import StandInUpstream
+
+__all__ = ["Announcer"]
+
+HEARTBEAT_S = 0.5
+TIMEOUT_S = 1.0
+
+
+class Announcer:
+    """Owns the announcements of one upstream."""
+
+    def __init__(
+        self, upstream: StandInUpstream, admin: Address, token: str | None = None
+    ) -> None:
+        self._upstream = upstream
+        self._admin = admin
+        self._token = token
+        self._leaving = False
+        self._pool = Pool(PoolSettings())
+
+    def leave(self) -> None:
+        """Says from now on that the upstream wants no new work."""
+        self._leaving = True
+
+    async def run(self) -> None:
+        """Announces the upstream while it serves, until cancelled."""
+        try:
+            while True:
+                if self._upstream.serving:
+                    await self._announce()
+                await asyncio.sleep(HEARTBEAT_S)
+        finally:
+            await self._pool.close()
+
+    async def _announce(self) -> None:
+        """Announces once; a process that doesn't answer is asked again later."""
+        said = Announcement(self._upstream.life, self._upstream.cold, self._leaving)
+        body = msgspec.json.encode(said)
+        fields = [(b"host", str(self._admin).encode("ascii"))]
+        fields.append((b"content-length", b"%d" % len(body)))
+        if self._token is not None:
+            fields.append((b"authorization", b"Bearer " + self._token.encode("utf-8")))
+        request = Request(
+            b"POST", b"/upstream", tuple(fields), WholeBody(body), self._admin
+        )
+        try:
+            response = await self._pool.send(self._admin, request, TIMEOUT_S)
+            await response.aclose()
+        except ProxyError:
+            return
--- a/rosemarydeal/standins/upstream.py
+++ b/rosemarydeal/standins/upstream.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
+import uuid
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -42,7 +44,8 @@
         service_time_s: Time of one request when warm, in seconds.
         slowdown: Factor on the service time.
         cold_s: Length of the cold start, in seconds.
-        cold_slots: Requests it bears at a time while cold.
+        cold_share: Share of the slots that it bears at the start; what it
+            bears grows evenly to all slots over the cold start.
         checks_grants: Whether it refuses a fencing token older than the newest.
         lies_healthy: Whether its health endpoint always says fine.
         failing: Whether each request fails with status 500.
@@ -52,8 +55,8 @@
     connections: int = 110
     service_time_s: float = 0.002
     slowdown: float = 1.0
-    cold_s: float = 2.0
-    cold_slots: int = 4
+    cold_s: float = 30.0
+    cold_share: float = 0.1
     checks_grants: bool = True
     lies_healthy: bool = False
     failing: bool = False
@@ -66,7 +69,7 @@
     Attributes:
         runs: Times that each non-idempotent request ran, by its id.
         requests: Requests that ran, of any kind.
-        overfed_cold: Requests that came beyond the cold slots.
+        overfed_cold: Requests beyond what the upstream bore while cold.
         shed: Requests refused because all slots were busy.
         stale_grants: Requests refused for an old fencing token.
         crashes: Times that a request crashed the upstream.
@@ -105,6 +108,7 @@
         self._server: HttpServer | None = None
         self._running = 0
         self._started = 0.0
+        self._life = ""
         self._tokens: dict[bytes, int] = {}
 
     @property
@@ -122,6 +126,11 @@
         """Returns the counts."""
         return self._counts
 
+    @property
+    def life(self) -> str:
+        """Returns the id of the present life."""
+        return self._life
+
     @property
     def serving(self) -> bool:
         """Says whether the upstream runs."""
@@ -132,9 +141,20 @@
         """Says whether the upstream is in its cold start."""
         return time.monotonic() < self._started + self._behaviour.cold_s
 
+    @property
+    def bearable(self) -> int:
+        """Returns the requests that the upstream bears at this moment."""
+        if not self.cold:
+            return self._behaviour.slots
+        share = self._behaviour.cold_share
+        warmed = (time.monotonic() - self._started) / self._behaviour.cold_s
+        share += (1.0 - share) * warmed
+        return max(1, math.floor(self._behaviour.slots * share))
+
     async def start(self) -> None:
-        """Starts cold."""
+        """Starts cold, in a new life."""
         self._started = time.monotonic()
+        self._life = uuid.uuid4().hex
         self._running = 0
         limits = HttpLimits(connections_per_address=self._behaviour.connections)
         self._server = await serve(self._handle, self._address, limits)
@@ -181,7 +201,7 @@
         if self._behaviour.checks_grants and not self._check_grant(request):
             self._counts.stale_grants += 1
             return b"stale-grant"
-        if self.cold and self._running >= self._behaviour.cold_slots:
+        if self.cold and self._running >= self.bearable:
             self._counts.overfed_cold += 1
             return b"overfed-cold"
         if self._running >= self._behaviour.slots:
