--- /dev/null
+++ b/features/builders_operators.py
@@ -0,0 +1,215 @@
+"""Builds a deployment for operators' commands: platform, processes, clock."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import msgspec
+
+from rosemarydeal.cli.main import run
+from rosemarydeal.cli.nodes import NodeUnreachable
+from rosemarydeal.cli.output import Output
+from rosemarydeal.cli.session import Session, Surroundings
+from rosemarydeal.core import (
+    CONFIG_KEY,
+    UPSTREAMS_KEY,
+    ZONES_KEY,
+    Address,
+    Chunk,
+    Incarnation,
+    KnownVersion,
+    Member,
+    NodeStatus,
+    Place,
+    Row,
+    SliceId,
+    SliceStatus,
+    chunk_of,
+    slice_of,
+)
+from rosemarydeal.platform import Changes, PlatformConflict, PlatformUnavailable
+from rosemarydeal.standins.store import ObjectStore
+
+__all__ = ["FakeNodes", "FakePlatform", "Stage", "member_of", "stage"]
+
+
+class FakePlatform:
+    """Serves a store in memory, with faults."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self.store = store
+        self.down = False
+        self.lose_answers = 0
+        self.lose_requests = 0
+        self.before_put: list[Callable[[], None]] = []
+        self.puts = 0
+
+    async def get(self, key):
+        self._check_up()
+        stored = self.store.get(key)
+        return stored.versioned if stored else None
+
+    async def list(self, prefix):
+        self._check_up()
+        return tuple(stored.versioned for stored in self.store.list(prefix))
+
+    async def put(self, key, value, expected_version, change_id):
+        self._check_up()
+        if key in (CONFIG_KEY, ZONES_KEY, UPSTREAMS_KEY):
+            self.puts += 1
+            if self.before_put:
+                self.before_put.pop(0)()
+            if self.lose_requests:
+                self.lose_requests -= 1
+                raise PlatformUnavailable("lost")
+        stored = self.store.put(key, value, expected_version, change_id)
+        if stored is None:
+            raise PlatformConflict("another write came first")
+        if self.lose_answers and key in (CONFIG_KEY, ZONES_KEY, UPSTREAMS_KEY):
+            self.lose_answers -= 1
+            raise PlatformUnavailable("lost")
+        return stored.versioned.version
+
+    async def watch(self, prefix, after, timeout_s):
+        return Changes(self.store.revision, ())
+
+    def _check_up(self):
+        if self.down:
+            raise PlatformUnavailable("down")
+
+
+class FakeNodes:
+    """Answers for all processes; each takes versions over at once or lags."""
+
+    def __init__(self, store: ObjectStore, members: tuple[Member, ...]) -> None:
+        self._store = store
+        self._members = {member.admin: member for member in members}
+        self.silent: set[str] = set()
+        self.stuck: set[str] = set()
+        self.running: dict[str, int] = {}
+        self.owned_by = ""
+
+    def _version(self, key):
+        stored = self._store.get(key)
+        return stored.versioned.version if stored else 0
+
+    def _member(self, admin):
+        member = self._members.get(admin)
+        if member is None or member.node in self.silent:
+            raise NodeUnreachable(f"{admin}: no answer in time")
+        return member
+
+    async def status(self, admin):
+        member = self._member(admin)
+        behind = 1 if member.node in self.stuck else 0
+        return NodeStatus(
+            node=member.node,
+            incarnation=member.incarnation.number,
+            service=member.service,
+            availability_zone=member.place.availability_zone,
+            config_version=max(0, self._version(CONFIG_KEY) - behind),
+            operator_versions=tuple(
+                KnownVersion(key, max(0, self._version(key) - behind))
+                for key in (ZONES_KEY, UPSTREAMS_KEY)
+            ),
+            lease_valid=True,
+            lease_left_s=1.2,
+            upstream_up=True,
+            running=self.running.get(member.node, 0),
+            limit=member.slots,
+        )
+
+    async def locate(self, admin, service, key):
+        member = self._member(admin)
+        return SliceStatus(
+            slice=slice_of(service, key, 256),
+            known_by=member.node,
+            owned_here=member.node == self.owned_by,
+            token=7,
+            lease_left_s=1.0,
+        )
+
+
+@dataclass
+class Stage:
+    """Holds a deployment and what the commands wrote."""
+
+    platform: FakePlatform
+    nodes: FakeNodes
+    now: float = 0.0
+    operator: str = "eva"
+    results: io.StringIO = field(default_factory=io.StringIO)
+    notes: io.StringIO = field(default_factory=io.StringIO)
+    ids: int = 0
+
+    async def sleep(self, seconds):
+        self.now += seconds
+
+    def new_change_id(self):
+        self.ids += 1
+        return f"change-{self.operator}-{self.ids}"
+
+    @asynccontextmanager
+    async def open_session(self):
+        yield Session(
+            platform=self.platform,
+            nodes=self.nodes,
+            operator=self.operator,
+            output=Output(self.results, self.notes),
+            sleep=self.sleep,
+            elapsed=lambda: self.now,
+            now=lambda: f"2031-05-06T07:08:{self.ids:02d}+00:00",
+            new_change_id=self.new_change_id,
+        )
+
+    def run(self, *arguments: str) -> int:
+        """Runs one command and returns its exit code."""
+        self.results.seek(0)
+        self.results.truncate()
+        self.notes.seek(0)
+        self.notes.truncate()
+        surroundings = Surroundings(self.open_session, Output(self.results, self.notes))
+        return run(list(arguments), surroundings)
+
+    def colleague(self, operator: str = "finn") -> Stage:
+        """Returns another operator's terminal for the same deployment."""
+        platform = FakePlatform(self.platform.store)
+        return Stage(platform, self.nodes, operator=operator)
+
+
+def member_of(number: int, zone: str, service: str = "box-office") -> Member:
+    """Builds a member of Fremantle's deployment."""
+    node = f"{service}-{number}"
+    port = number + (100 if service != "box-office" else 0)
+    return Member(
+        incarnation=Incarnation(node, 1),
+        witnesses=(),
+        service=service,
+        place=Place("wa-perth", zone, node),
+        peer=Address("127.0.0.1", 7000 + port),
+        entry_host="127.0.0.1",
+        admin=Address("127.0.0.1", 8000 + port),
+        slots=12,
+    )
+
+
+def stage() -> Stage:
+    """Builds Fremantle's deployment with all processes and one owned slice."""
+    zones = ("perth-a", "perth-b", "perth-c")
+    members = tuple(member_of(n, zones[n % 3]) for n in range(1, 7))
+    members += tuple(member_of(n, zones[n % 3], "show-schedule") for n in range(1, 5))
+    store = ObjectStore()
+    for member in members:
+        store.put(f"members/{member.node}", msgspec.json.encode(member), 0, "m")
+    slice_id = slice_of("box-office", "show-7", 256)
+    succession = (members[0].incarnation, members[1].incarnation)
+    row = Row(SliceId(slice_id.service, slice_id.index), 4, succession)
+    chunk = Chunk("box-office", chunk_of(slice_id), (row,))
+    key = f"slices/box-office/{chunk.number}"
+    store.put(key, msgspec.json.encode(chunk), 0, "c")
+    nodes = FakeNodes(store, members)
+    nodes.owned_by = members[0].node
+    return Stage(FakePlatform(store), nodes)
--- /dev/null
+++ b/rosemarydeal/cli/commands.py
@@ -0,0 +1,164 @@
+"""Defines the commands as operators type them: what changes something."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from .config_commands import ChangeOptions, apply_file, roll_back
+from .files import read_file
+from .fleet_commands import (
+    EntryOptions,
+    drain_upstream,
+    return_upstream,
+    return_zone,
+    take_zone_out,
+)
+from .session import Session, Surroundings
+from .zone_load import check_zones_left
+
+__all__ = ["commands_of"]
+
+CONFIG_WAIT_S = 30.0
+ENTRY_WAIT_S = 15.0
+
+
+def commands_of(surroundings: Surroundings) -> dict[str, Any]:
+    """Returns the commands by name.
+
+    Args:
+        surroundings: How the commands reach the world.
+
+    Returns:
+        Functions and groups of functions for the argument parser.
+    """
+    commands = Commands(surroundings)
+    return {
+        "apply": commands.apply,
+        "rollback": commands.rollback,
+        "availability-zone": {"out": commands.zone_out, "in": commands.zone_in},
+        "upstream": {
+            "drain": commands.upstream_drain,
+            "return": commands.upstream_return,
+        },
+    }
+
+
+class Commands:
+    """Turns typed arguments into calls of the commands."""
+
+    def __init__(self, surroundings: Surroundings) -> None:
+        self._surroundings = surroundings
+
+    def apply(
+        self,
+        file: str,
+        *,
+        base: int = 0,
+        comment: str = "",
+        wait_s: float = CONFIG_WAIT_S,
+        unsafe: bool = False,
+    ) -> None:
+        """Put a deployment file in force; takes a few seconds, at most wait-s + 10 s.
+
+        Args:
+            file: Deployment file.
+            base: Version that the change replaces, as `diff` shows it; 0 for the first.
+            comment: Why the change is made; kept in the history.
+            wait_s: Seconds to wait until the change is in force everywhere.
+            unsafe: Let changes through that are safe only while no process runs.
+        """
+        options = ChangeOptions(base, comment, wait_s, unsafe)
+        content = read_file(file)
+        self._run(lambda session: apply_file(session, content, options))
+
+    def rollback(
+        self,
+        version: int,
+        *,
+        base: int,
+        comment: str = "",
+        wait_s: float = CONFIG_WAIT_S,
+        unsafe: bool = False,
+    ) -> None:
+        """Put an older version's content in force as a new version; time as `apply`.
+
+        Args:
+            version: Version whose content comes back.
+            base: Version that the change replaces, as `status` shows it.
+            comment: Why the change is made; kept in the history.
+            wait_s: Seconds to wait until the change is in force everywhere.
+            unsafe: Let changes through that are safe only while no process runs.
+        """
+        options = ChangeOptions(base, comment, wait_s, unsafe)
+        self._run(lambda session: roll_back(session, version, options))
+
+    def zone_out(
+        self,
+        zone: str,
+        *,
+        force: bool = False,
+        comment: str = "",
+        wait_s: float = ENTRY_WAIT_S,
+    ) -> None:
+        """Take a zone out: no new work there after 3 s; at most wait-s + 10 s.
+
+        Args:
+            zone: Name of the availability zone.
+            force: Take it out although the rest can't bear the load.
+            comment: Why the zone is taken out.
+            wait_s: Seconds to wait until the change is in force everywhere.
+        """
+        options = EntryOptions(comment, wait_s, force)
+        self._run(
+            lambda session: take_zone_out(session, zone, options, check_zones_left)
+        )
+
+    def zone_in(
+        self, zone: str, *, comment: str = "", wait_s: float = ENTRY_WAIT_S
+    ) -> None:
+        """Bring a zone back; its load returns step by step; at most wait-s + 10 s.
+
+        Args:
+            zone: Name of the availability zone.
+            comment: Why the zone comes back.
+            wait_s: Seconds to wait until the change is in force everywhere.
+        """
+        options = EntryOptions(comment, wait_s)
+        self._run(lambda session: return_zone(session, zone, options))
+
+    def upstream_drain(
+        self, upstream: str, *, comment: str = "", wait_s: float = ENTRY_WAIT_S
+    ) -> None:
+        """Drain an upstream: no new work there after 3 s; at most wait-s + 10 s.
+
+        Args:
+            upstream: Name of the upstream.
+            comment: Why it is drained.
+            wait_s: Seconds to wait until the change is in force everywhere.
+        """
+        options = EntryOptions(comment, wait_s)
+        self._run(lambda session: drain_upstream(session, upstream, options))
+
+    def upstream_return(
+        self, upstream: str, *, comment: str = "", wait_s: float = ENTRY_WAIT_S
+    ) -> None:
+        """End the drain of an upstream; at most wait-s + 10 s.
+
+        Args:
+            upstream: Name of the upstream.
+            comment: Why it returns.
+            wait_s: Seconds to wait until the change is in force everywhere.
+        """
+        options = EntryOptions(comment, wait_s)
+        self._run(lambda session: return_upstream(session, upstream, options))
+
+    def _run(self, work: Callable[[Session], Awaitable[Any]]) -> None:
+        """Runs one command within a session of its own."""
+
+        async def whole() -> None:
+            async with self._surroundings.open_session() as session:
+                await work(session)
+
+        asyncio.run(whole())
--- /dev/null
+++ b/rosemarydeal/cli/config_commands.py
@@ -0,0 +1,199 @@
+"""Changes the configuration: apply a file or roll back to an older version.
+
+Each change names the version that it replaces. The platform takes it only if
+that version is still in force, so no change of another operator is lost.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from rosemarydeal.core import CONFIG_KEY, history_key
+from rosemarydeal.platform import PlatformConflict, PlatformError
+from rosemarydeal.settings import (
+    ConfigEnvelope,
+    DeploymentSettings,
+    HistoryEntry,
+    check_transition,
+    encode_envelope,
+    load_envelope,
+)
+
+from .errors import CliError, ExitCode
+from .files import SettingsFile, load_valid_deployment, wrong_settings
+from .records import CurrentConfig, read_config, read_history, unavailable
+from .rollout import wait_in_force
+from .session import Session
+from .writes import write
+
+__all__ = ["ChangeOptions", "apply_file", "roll_back"]
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeOptions:
+    """Holds what an operator says with a change of the configuration.
+
+    Attributes:
+        base: Version that the change replaces, 0 for the first one.
+        comment: Why the change is made.
+        wait_s: Longest wait until it is in force everywhere, in seconds.
+        unsafe: Whether changes are let through that need all processes stopped.
+    """
+
+    base: int
+    comment: str
+    wait_s: float
+    unsafe: bool = False
+
+
+async def apply_file(
+    session: Session, file: SettingsFile, options: ChangeOptions
+) -> int:
+    """Puts a deployment file in force.
+
+    Args:
+        session: The running command's session.
+        file: The file.
+        options: What the operator says with it.
+
+    Returns:
+        The new version, or the present one if it has this text already.
+
+    Raises:
+        CliError: If the file is wrong, another operator was first, the
+            platform can't be reached, or a process lags.
+    """
+    settings = load_valid_deployment(file, session.output)
+    current = await read_config(session.platform)
+    if current.envelope is not None and current.envelope.text == file.text:
+        session.output.note(f"version {current.version} has this content already")
+        await wait_in_force(session, CONFIG_KEY, current.version, options.wait_s)
+        return current.version
+    _check_base(current, options.base)
+    if not options.unsafe:
+        _check_change(session, current, settings, file)
+    envelope = ConfigEnvelope(
+        file=file.name,
+        text=file.text,
+        change_id=session.new_change_id(),
+        operator=session.operator,
+        applied_at=session.now(),
+        comment=options.comment,
+    )
+    version = await _replace(session, current, envelope)
+    session.output.note(f"accepted as version {version}")
+    await wait_in_force(session, CONFIG_KEY, version, options.wait_s)
+    return version
+
+
+async def roll_back(session: Session, version: int, options: ChangeOptions) -> int:
+    """Puts the content of an older version in force as a new version.
+
+    Args:
+        session: The running command's session.
+        version: The older version.
+        options: What the operator says with it.
+
+    Returns:
+        The new version.
+
+    Raises:
+        CliError: If the version isn't kept, or as for `apply_file`.
+    """
+    entry = await read_history(session.platform, version)
+    if entry is None:
+        raise CliError(ExitCode.NOT_FOUND, f"version {version} is not in the history")
+    comment = options.comment or f"content of version {version}"
+    file = SettingsFile(entry.envelope.file, entry.envelope.text)
+    return await apply_file(session, file, replace(options, comment=comment))
+
+
+def _check_base(current: CurrentConfig, base: int) -> None:
+    """Refuses a change that was made against another version."""
+    if base != current.version:
+        raise _conflict(current, base)
+
+
+def _conflict(current: CurrentConfig, base: int) -> CliError:
+    """Builds the error for a change against an outdated version."""
+    envelope = current.envelope
+    if envelope is None:
+        detail = f"no configuration is in force yet, --base {base} does not exist"
+        return CliError(ExitCode.CONFLICT, detail)
+    said = f" ({envelope.comment})" if envelope.comment else ""
+    detail = (
+        f"version {current.version} by {envelope.operator} at {envelope.applied_at}"
+        f"{said} is in force, your change is against version {base}: nothing was "
+        f"changed; look at `rosemarydeal diff`, then use --base {current.version}"
+    )
+    return CliError(ExitCode.CONFLICT, detail)
+
+
+def _check_change(
+    session: Session,
+    current: CurrentConfig,
+    settings: DeploymentSettings,
+    file: SettingsFile,
+) -> None:
+    """Refuses a change that running processes can't take."""
+    if current.envelope is None:
+        return
+    old, _ = load_envelope(current.envelope)
+    problems = check_transition(old, settings, file.text, file.name) if old else ()
+    if problems:
+        raise wrong_settings(problems, session.output)
+
+
+async def _replace(
+    session: Session, current: CurrentConfig, envelope: ConfigEnvelope
+) -> int:
+    """Writes a new configuration over the present one, which is kept first."""
+    if current.envelope is not None:
+        await _keep(session, HistoryEntry(current.version, current.envelope))
+
+    async def recognise() -> int | None:
+        return await _find_change(session, current.version + 1, envelope.change_id)
+
+    value = encode_envelope(envelope)
+    try:
+        version = await write(
+            session, CONFIG_KEY, value, current.version, envelope.change_id, recognise
+        )
+    except PlatformConflict as error:
+        latest = await read_config(session.platform)
+        raise _conflict(latest, current.version) from error
+    try:
+        await _keep(session, HistoryEntry(version, envelope))
+    except CliError as error:
+        session.output.note(f"history comes with the next change: {error.detail}")
+    return version
+
+
+async def _find_change(session: Session, version: int, change_id: str) -> int | None:
+    """Looks for a change in the configuration in force and in the history."""
+    current = await read_config(session.platform)
+    if current.envelope is not None and current.envelope.change_id == change_id:
+        return current.version
+    entry = await read_history(session.platform, version)
+    if entry is not None and entry.envelope.change_id == change_id:
+        return version
+    return None
+
+
+async def _keep(session: Session, entry: HistoryEntry) -> None:
+    """Records a version in the history unless it is there already."""
+    key = history_key(entry.version)
+    try:
+        found = await session.platform.get(key)
+        known = await read_history(session.platform, entry.version)
+        if known is not None:
+            return
+        value = msgspec.json.encode(entry)
+        expected = found.version if found else 0
+        await session.platform.put(key, value, expected, session.new_change_id())
+    except PlatformConflict:
+        return
+    except PlatformError as error:
+        raise unavailable(error) from error
--- /dev/null
+++ b/rosemarydeal/cli/files.py
@@ -0,0 +1,96 @@
+"""Reads settings files from the operator's machine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from rosemarydeal.settings import (
+    DeploymentSettings,
+    NodeSettings,
+    Problem,
+    load_deployment,
+    load_node,
+)
+from rosemarydeal.settings.syntax import ObjectNode, parse
+
+from .errors import CliError, ExitCode
+from .output import Output
+
+__all__ = [
+    "SettingsFile",
+    "load_any",
+    "load_valid_deployment",
+    "read_file",
+    "wrong_settings",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFile:
+    """Holds a file's name and text."""
+
+    name: str
+    text: str
+
+
+def read_file(path: str) -> SettingsFile:
+    """Reads a settings file.
+
+    Args:
+        path: Where the file is.
+
+    Returns:
+        Its name and text.
+
+    Raises:
+        CliError: If it can't be read.
+    """
+    try:
+        return SettingsFile(path, Path(path).read_text("utf-8"))
+    except UnicodeDecodeError as error:
+        detail = f"{path} is not in UTF-8"
+        raise CliError(ExitCode.SETTINGS_WRONG, detail) from error
+    except OSError as error:
+        detail = f"{path} can't be read: {error.strerror}"
+        raise CliError(ExitCode.NOT_FOUND, detail) from error
+
+
+def load_any(
+    file: SettingsFile,
+) -> tuple[NodeSettings | DeploymentSettings | None, tuple[Problem, ...]]:
+    """Loads a file of either kind; only a node file names a node."""
+    root, problems = parse(file.text, file.name)
+    if root is None:
+        return None, problems
+    names = [member.name for member in getattr(root, "members", ())]
+    if isinstance(root, ObjectNode) and "node" in names:
+        return load_node(file.text, file.name)
+    return load_deployment(file.text, file.name)
+
+
+def load_valid_deployment(file: SettingsFile, output: Output) -> DeploymentSettings:
+    """Loads a deployment file and reports all its problems.
+
+    Args:
+        file: The file.
+        output: Where the problems are shown.
+
+    Returns:
+        The settings.
+
+    Raises:
+        CliError: If the file has problems.
+    """
+    settings, problems = load_deployment(file.text, file.name)
+    if settings is None:
+        raise wrong_settings(problems, output)
+    return settings
+
+
+def wrong_settings(problems: tuple[Problem, ...], output: Output) -> CliError:
+    """Shows problems and returns the error that ends the command."""
+    for problem in problems:
+        output.note(str(problem))
+    detail = f"{len(problems)} problems in the settings; nothing was applied"
+    return CliError(ExitCode.SETTINGS_WRONG, detail)
--- /dev/null
+++ b/rosemarydeal/cli/fleet_commands.py
@@ -0,0 +1,260 @@
+"""Takes availability zones out and drains upstreams, and brings them back.
+
+These objects list what is out. Operators who change different entries at the
+same time don't disturb each other: the loser of a race reads again, checks
+again and writes again. A race about the same entry is a conflict.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from typing import TypeVar
+
+import msgspec
+
+from rosemarydeal.core import (
+    UPSTREAMS_KEY,
+    ZONES_KEY,
+    OperatorUpstreams,
+    OperatorZones,
+    UpstreamDrain,
+    ZoneOut,
+)
+from rosemarydeal.platform import PlatformConflict
+
+from .errors import CliError, ExitCode
+from .records import (
+    Record,
+    read_members,
+    read_settings,
+    read_upstreams,
+    read_zones,
+)
+from .rollout import wait_in_force
+from .session import Session
+from .writes import write
+
+__all__ = [
+    "EntryOptions",
+    "drain_upstream",
+    "return_upstream",
+    "return_zone",
+    "take_zone_out",
+]
+
+RACES_MAX = 10
+
+Listing = TypeVar("Listing", OperatorZones, OperatorUpstreams)
+ZoneCheck = Callable[[Session, frozenset[str]], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class EntryOptions:
+    """Holds what an operator says with such a change.
+
+    Attributes:
+        comment: Why the change is made.
+        wait_s: Longest wait until it is in force everywhere, in seconds.
+        force: Whether the load check is overruled.
+    """
+
+    comment: str
+    wait_s: float
+    force: bool = False
+
+
+async def take_zone_out(
+    session: Session, zone: str, options: EntryOptions, check: ZoneCheck
+) -> None:
+    """Takes an availability zone out: no new work goes there.
+
+    Args:
+        session: The running command's session.
+        zone: Name of the zone.
+        options: What the operator says with it.
+        check: Raises if the zones that are left can't bear the load.
+
+    Raises:
+        CliError: If there is no such zone, the check refuses, another operator
+            changed the same entry, or the change isn't in force in time.
+    """
+    await _check_zone_known(session, zone)
+
+    async def change(listing: OperatorZones) -> OperatorZones:
+        if zone in listing.names:
+            return listing
+        if not options.force:
+            await check(session, listing.names | {zone})
+        entry = ZoneOut(
+            availability_zone=zone,
+            operator=session.operator,
+            time=session.now(),
+            forced=options.force,
+            comment=options.comment,
+        )
+        return replace(listing, out=(*listing.out, entry))
+
+    await _change_zones(session, zone, change, options.wait_s)
+
+
+async def return_zone(session: Session, zone: str, options: EntryOptions) -> None:
+    """Brings an availability zone back.
+
+    Raises:
+        CliError: As for `take_zone_out`.
+    """
+    await _check_zone_known(session, zone)
+
+    async def change(listing: OperatorZones) -> OperatorZones:
+        kept = tuple(item for item in listing.out if item.availability_zone != zone)
+        return replace(listing, out=kept)
+
+    await _change_zones(session, zone, change, options.wait_s)
+
+
+async def drain_upstream(
+    session: Session, upstream: str, options: EntryOptions
+) -> None:
+    """Drains an upstream: it gets no new work and hands its slices over.
+
+    Raises:
+        CliError: If there is no such upstream, another operator changed the
+            same entry, or the change isn't in force in time.
+    """
+    await _check_upstream_known(session, upstream)
+
+    async def change(listing: OperatorUpstreams) -> OperatorUpstreams:
+        if upstream in listing.names:
+            return listing
+        entry = UpstreamDrain(
+            upstream, session.operator, session.now(), options.comment
+        )
+        return replace(listing, draining=(*listing.draining, entry))
+
+    await _change_upstreams(session, upstream, change, options.wait_s)
+
+
+async def return_upstream(
+    session: Session, upstream: str, options: EntryOptions
+) -> None:
+    """Ends the drain of an upstream, also of one that is no member any more.
+
+    Raises:
+        CliError: As for `drain_upstream`.
+    """
+    listing = await read_upstreams(session.platform)
+    if upstream not in listing.content.names:
+        await _check_upstream_known(session, upstream)
+
+    async def change(listing: OperatorUpstreams) -> OperatorUpstreams:
+        kept = tuple(item for item in listing.draining if item.upstream != upstream)
+        return replace(listing, draining=kept)
+
+    await _change_upstreams(session, upstream, change, options.wait_s)
+
+
+async def _check_zone_known(session: Session, zone: str) -> None:
+    """Raises if the settings have no such availability zone."""
+    _, settings = await read_settings(session.platform)
+    if zone not in settings.availability_zones:
+        known = ", ".join(settings.availability_zones)
+        detail = f"there is no availability zone {zone}; known: {known}"
+        raise CliError(ExitCode.NOT_FOUND, detail)
+
+
+async def _check_upstream_known(session: Session, upstream: str) -> None:
+    """Raises if no member serves such an upstream."""
+    members = await read_members(session.platform)
+    if upstream not in {member.place.upstream for member in members}:
+        raise CliError(ExitCode.NOT_FOUND, f"there is no upstream {upstream}")
+
+
+async def _change_zones(
+    session: Session,
+    zone: str,
+    change: Callable[[OperatorZones], Awaitable[OperatorZones]],
+    wait_s: float,
+) -> None:
+    """Changes the zones that are out and waits until it is in force."""
+    version = await _change_listing(
+        session, ZONES_KEY, zone, lambda: read_zones(session.platform), change
+    )
+    await wait_in_force(session, ZONES_KEY, version, wait_s)
+
+
+async def _change_upstreams(
+    session: Session,
+    upstream: str,
+    change: Callable[[OperatorUpstreams], Awaitable[OperatorUpstreams]],
+    wait_s: float,
+) -> None:
+    """Changes the upstreams that drain and waits until it is in force."""
+    version = await _change_listing(
+        session,
+        UPSTREAMS_KEY,
+        upstream,
+        lambda: read_upstreams(session.platform),
+        change,
+    )
+    await wait_in_force(session, UPSTREAMS_KEY, version, wait_s)
+
+
+async def _change_listing(
+    session: Session,
+    key: str,
+    name: str,
+    read: Callable[[], Awaitable[Record[Listing]]],
+    change: Callable[[Listing], Awaitable[Listing]],
+) -> int:
+    """Changes one entry of a listing, again after races about other entries.
+
+    Args:
+        session: The running command's session.
+        key: Key of the listing's object.
+        name: Name of the entry.
+        read: Reads the listing.
+        change: Returns the listing with the entry changed.
+
+    Returns:
+        The version that has the change.
+
+    Raises:
+        CliError: If another operator changed the same entry meanwhile.
+    """
+    record = await read()
+    present = name in record.content.names
+    for _ in range(RACES_MAX):
+        wanted = await change(record.content)
+        if wanted == record.content:
+            session.output.note(f"nothing to change for {name}")
+            return record.version
+        try:
+            return await _write_listing(session, key, record, wanted, read)
+        except PlatformConflict:
+            record = await read()
+        if (name in record.content.names) != present:
+            detail = f"another operator changed {name} at the same time"
+            raise CliError(ExitCode.CONFLICT, f"{detail}; see `rosemarydeal status`")
+        session.output.note("another operator was faster; trying again")
+    raise CliError(ExitCode.CONFLICT, f"{name}: too many operators write at once")
+
+
+async def _write_listing(
+    session: Session,
+    key: str,
+    record: Record[Listing],
+    wanted: Listing,
+    read: Callable[[], Awaitable[Record[Listing]]],
+) -> int:
+    """Writes a listing once."""
+    change_id = session.new_change_id()
+    value = msgspec.json.encode(replace(wanted, change_id=change_id))
+
+    async def recognise() -> int | None:
+        found = await read()
+        return found.version if found.content.change_id == change_id else None
+
+    version = await write(session, key, value, record.version, change_id, recognise)
+    session.output.note(f"accepted as version {version}")
+    return version
--- /dev/null
+++ b/rosemarydeal/cli/fleet_queries.py
@@ -0,0 +1,264 @@
+"""Answers questions about processes, slices and keys; changes nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from rosemarydeal.core import (
+    Address,
+    Incarnation,
+    Member,
+    OperatorUpstreams,
+    OperatorZones,
+    Row,
+    SliceId,
+    SliceStatus,
+    chunk_of,
+    slice_of,
+)
+
+from .errors import CliError, ExitCode
+from .nodes import NodeReport, NodeUnreachable, read_all
+from .records import (
+    read_chunk,
+    read_chunks,
+    read_config,
+    read_members,
+    read_settings,
+    read_upstreams,
+    read_zones,
+)
+from .session import Session
+
+__all__ = [
+    "FleetStatus",
+    "KeyLocation",
+    "SliceLine",
+    "list_slices",
+    "locate_key",
+    "locate_key_at",
+    "read_fleet",
+    "read_one",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetStatus:
+    """Describes the deployment at one moment.
+
+    Attributes:
+        config_version: Version of the configuration in the platform.
+        config_operator: Who applied it.
+        zones: Availability zones that operators have taken out.
+        upstreams: Upstreams that operators drain.
+        nodes: One report for each member.
+    """
+
+    config_version: int
+    config_operator: str
+    zones: OperatorZones
+    upstreams: OperatorUpstreams
+    nodes: tuple[NodeReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KeyLocation:
+    """Says who owns a key and why.
+
+    Attributes:
+        service: Service of the key.
+        key: The key.
+        slice: Slice that the key belongs to.
+        version: Version of the slice's row in the platform, 0 without one.
+        succession: The owner first, then its successors in order.
+        retiring: Names of earlier versions that are not yet cleared.
+        answer: What the owner's process says, None without an answer.
+        reason: One sentence on why the key is served there, or is not.
+    """
+
+    service: str
+    key: str
+    slice: SliceId
+    version: int
+    succession: tuple[Incarnation, ...]
+    retiring: tuple[Incarnation, ...]
+    answer: SliceStatus | None
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class SliceLine:
+    """Describes the row of one slice."""
+
+    slice: SliceId
+    version: int
+    owner: str
+    successors: tuple[str, ...]
+    retiring: tuple[str, ...]
+
+
+async def read_fleet(session: Session) -> FleetStatus:
+    """Reads the platform's records and asks every member.
+
+    Raises:
+        CliError: If the platform can't be read.
+    """
+    current = await read_config(session.platform)
+    zones = await read_zones(session.platform)
+    upstreams = await read_upstreams(session.platform)
+    members = await read_members(session.platform)
+    return FleetStatus(
+        config_version=current.version,
+        config_operator=current.envelope.operator if current.envelope else "",
+        zones=zones.content,
+        upstreams=upstreams.content,
+        nodes=await read_all(session.nodes, members),
+    )
+
+
+async def read_one(session: Session, admin: Address) -> NodeReport:
+    """Asks one process, without the platform.
+
+    Raises:
+        CliError: If the process gives no answer.
+    """
+    try:
+        status = await session.nodes.status(admin)
+    except NodeUnreachable as error:
+        raise CliError(ExitCode.NO_ANSWER, error.detail) from error
+    return NodeReport(None, status)
+
+
+async def locate_key(session: Session, service: str, key: str) -> KeyLocation:
+    """Finds the owner of a key by the platform's record and asks it.
+
+    Args:
+        session: The running command's session.
+        service: Name of a keyed service.
+        key: The key.
+
+    Returns:
+        Where the key is served.
+
+    Raises:
+        CliError: If there is no such keyed service or no record of the slice.
+    """
+    _, settings = await read_settings(session.platform)
+    known = settings.services.get(service)
+    if known is None:
+        raise CliError(ExitCode.NOT_FOUND, f"there is no service {service}")
+    if not known.keyed:
+        raise CliError(ExitCode.NOT_FOUND, f"{service} is unkeyed: its keys have none")
+    base = slice_of(service, key, known.slices)
+    chunk = await read_chunk(session.platform, service, chunk_of(base))
+    rows = {row.slice: row for row in chunk.rows} if chunk else {}
+    found = rows.get(slice_of(service, key, known.slices, rows)) or Row(base, 0, ())
+    return await _describe(session, key, found)
+
+
+async def locate_key_at(
+    session: Session, admin: Address, service: str, key: str
+) -> SliceStatus:
+    """Asks one process who owns a key, without the platform.
+
+    Raises:
+        CliError: If the process gives no answer.
+    """
+    try:
+        return await session.nodes.locate(admin, service, key)
+    except NodeUnreachable as error:
+        raise CliError(ExitCode.NO_ANSWER, error.detail) from error
+
+
+async def _describe(session: Session, key: str, row: Row) -> KeyLocation:
+    """Joins a slice's row with what its owner's process says."""
+    members = await read_members(session.platform)
+    answer, reason = await _ask_owner(session, members, row, key)
+    return KeyLocation(
+        service=row.slice.service,
+        key=key,
+        slice=row.slice,
+        version=row.version,
+        succession=row.succession,
+        retiring=row.retiring,
+        answer=answer,
+        reason=reason,
+    )
+
+
+async def _ask_owner(
+    session: Session, members: Iterable[Member], row: Row, key: str
+) -> tuple[SliceStatus | None, str]:
+    """Asks the succession in order until a process says that it owns the slice."""
+    if row.owner is None:
+        return None, "nobody was ever named for this slice"
+    by_node = {member.node: member for member in members}
+    reasons = []
+    first: SliceStatus | None = None
+    for candidate in row.succession:
+        member = by_node.get(candidate.node)
+        if member is None:
+            reasons.append(f"{candidate} is not a member")
+            continue
+        try:
+            answer = await session.nodes.locate(member.admin, row.slice.service, key)
+        except NodeUnreachable as error:
+            reasons.append(f"{candidate} gives no answer ({error.detail})")
+            continue
+        first = first or answer
+        if answer.owned_here:
+            return answer, "; ".join([*reasons, _owned(candidate, row, answer)])
+        reasons.append(f"{candidate} does not own it: {answer.reason or 'no reason'}")
+    return first, "; ".join(reasons)
+
+
+def _owned(candidate: Incarnation, row: Row, answer: SliceStatus) -> str:
+    """Says why a process owns a slice."""
+    place = "named first" if candidate == row.owner else "successor of a lost owner"
+    return f"{candidate} owns it, {place}; {answer.reason or 'its lease holds'}"
+
+
+async def list_slices(
+    session: Session, service: str, node: str
+) -> tuple[SliceLine, ...]:
+    """Lists the rows of keyed services.
+
+    Args:
+        session: The running command's session.
+        service: One service, or all keyed ones if empty.
+        node: Only slices whose row names this process first, or all if empty.
+
+    Returns:
+        One line for each slice.
+
+    Raises:
+        CliError: If there is no such service or the platform can't be read.
+    """
+    _, settings = await read_settings(session.platform)
+    if service and service not in settings.services:
+        raise CliError(ExitCode.NOT_FOUND, f"there is no service {service}")
+    services = [service] if service else sorted(settings.services)
+    lines = [
+        _slice_line(row)
+        for name in services
+        for chunk in await read_chunks(session.platform, name)
+        for row in chunk.rows
+    ]
+    return tuple(line for line in lines if not node or _node_of(line.owner) == node)
+
+
+def _node_of(incarnation: str) -> str:
+    """Returns the name of the process in an incarnation's text."""
+    return incarnation.rpartition("#")[0]
+
+
+def _slice_line(row: Row) -> SliceLine:
+    """Builds the line of one row."""
+    return SliceLine(
+        slice=row.slice,
+        version=row.version,
+        owner=str(row.owner or ""),
+        successors=tuple(map(str, row.succession[1:])),
+        retiring=tuple(map(str, row.retiring)),
+    )
--- /dev/null
+++ b/rosemarydeal/cli/main.py
@@ -0,0 +1,60 @@
+"""Starts the operators' command line; a thin layer over commands and queries."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+import defopt
+
+from rosemarydeal.core import CodedError
+
+from .commands import commands_of
+from .errors import CliError, ExitCode
+from .output import Output
+from .queries import queries_of
+from .session import Surroundings, open_session, read_environment
+
+__all__ = ["main", "run"]
+
+
+def run(arguments: list[str], surroundings: Surroundings) -> int:
+    """Runs one command.
+
+    Args:
+        arguments: Arguments of the command line.
+        surroundings: How the command reaches the world.
+
+    Returns:
+        The process's exit code.
+    """
+    functions = commands_of(surroundings) | queries_of(surroundings)
+    try:
+        defopt.run(functions, argv=arguments, short={}, no_negated_flags=True)
+    except CliError as error:
+        surroundings.output.note(f"{error.code}: {error.detail}")
+        return int(error.exit_code)
+    except CodedError as error:
+        surroundings.output.note(f"{error.code}: {error.detail}")
+        return int(ExitCode.FAILED)
+    return int(ExitCode.DONE)
+
+
+def main() -> None:
+    """Runs the command that the process was started with."""
+    output = Output(results=sys.stdout, progress=sys.stderr)
+    try:
+        settings = read_environment(os.environ)
+    except CliError as error:
+        output.note(f"{error.code}: {error.detail}")
+        sys.exit(int(error.exit_code))
+    surroundings = Surroundings(lambda: open_session(settings, output), output)
+    try:
+        sys.exit(run(sys.argv[1:], surroundings))
+    except KeyboardInterrupt:
+        output.note("interrupted: what was accepted stays accepted")
+        sys.exit(int(ExitCode.FAILED))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rosemarydeal/cli/output.py
@@ -0,0 +1,53 @@
+"""Writes results for people and scripts, and progress for people only."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, TextIO
+
+import msgspec
+
+__all__ = ["Output", "table"]
+
+
+@dataclass(frozen=True, slots=True)
+class Output:
+    """Holds the streams of a command.
+
+    Attributes:
+        results: Gets results only, so that it can be piped.
+        progress: Gets progress and errors.
+    """
+
+    results: TextIO
+    progress: TextIO
+
+    def result(self, text: str) -> None:
+        """Writes a result for people."""
+        print(text, file=self.results)
+
+    def json(self, value: Any) -> None:
+        """Writes a result for scripts: one JSON document."""
+        text = msgspec.json.format(msgspec.json.encode(value), indent=2)
+        print(text.decode("utf-8"), file=self.results)
+
+    def note(self, text: str) -> None:
+        """Writes progress or an error."""
+        print(text, file=self.progress, flush=True)
+
+
+def table(headings: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Lays a table out in columns.
+
+    Args:
+        headings: One heading for each column.
+        rows: Cells of each row.
+
+    Returns:
+        The table with one line for each row.
+    """
+    cells = [[str(cell) for cell in row] for row in (headings, *rows)]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    lines = ("  ".join(map(str.ljust, row, widths)).rstrip() for row in cells)
+    return "\n".join(lines)
--- /dev/null
+++ b/rosemarydeal/cli/queries.py
@@ -0,0 +1,194 @@
+"""Defines the queries as operators type them: what changes nothing."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+from rosemarydeal.core import Address
+from rosemarydeal.settings import parse_address
+
+from . import render
+from .config_queries import (
+    diff_file,
+    explain_place,
+    list_history,
+    parse_place,
+)
+from .errors import CliError, ExitCode
+from .files import load_any, load_valid_deployment, read_file, wrong_settings
+from .fleet_queries import (
+    list_slices,
+    locate_key,
+    locate_key_at,
+    read_fleet,
+    read_one,
+)
+from .records import read_settings
+from .session import Session, Surroundings
+
+__all__ = ["queries_of"]
+
+Result = TypeVar("Result")
+
+
+def queries_of(surroundings: Surroundings) -> dict[str, Any]:
+    """Returns the queries by name.
+
+    Args:
+        surroundings: How the queries reach the world.
+
+    Returns:
+        Functions for the argument parser.
+    """
+    queries = Queries(surroundings)
+    return {
+        "check": queries.check,
+        "diff": queries.diff,
+        "history": queries.history,
+        "explain": queries.explain,
+        "status": queries.status,
+        "locate": queries.locate,
+        "slices": queries.slices,
+    }
+
+
+class Queries:
+    """Turns typed arguments into calls of the queries and shows the results."""
+
+    def __init__(self, surroundings: Surroundings) -> None:
+        self._surroundings = surroundings
+
+    def check(self, file: str, *, json: bool = False) -> None:
+        """Check a node or deployment file without the platform; under a second.
+
+        Args:
+            file: The file.
+            json: Show the result as JSON.
+        """
+        settings, problems = load_any(read_file(file))
+        if json:
+            self._surroundings.output.json(problems)
+        if settings is None:
+            raise wrong_settings(problems, self._surroundings.output)
+        self._surroundings.output.note(f"{file} has no problems")
+
+    def diff(self, file: str, *, json: bool = False) -> None:
+        """Show what a deployment file would change; a second or two.
+
+        Args:
+            file: Deployment file.
+            json: Show the result as JSON.
+        """
+        content = read_file(file)
+        result = self._run(lambda session: diff_file(session, content))
+        self._show(result, json, render.difference)
+
+    def history(self, *, count: int = 20, json: bool = False) -> None:
+        """List the versions of the configuration; a second or two.
+
+        Args:
+            count: Longest list, the newest first.
+            json: Show the result as JSON.
+        """
+        result = self._run(lambda session: list_history(session, count))
+        self._show(result, json, render.history)
+
+    def explain(
+        self,
+        place: str,
+        *,
+        service: str = "",
+        key: str = "",
+        file: str = "",
+        json: bool = False,
+    ) -> None:
+        """Show each effective value with the line that gave it; a second or two.
+
+        Args:
+            place: deployment, a region, a zone, or region/zone/upstream.
+            service: One service; all without.
+            key: A key of the service.
+            file: Explain this file in place of the configuration in force.
+            json: Show the result as JSON.
+        """
+        if key and not service:
+            raise CliError(ExitCode.USAGE, "--key needs --service")
+        if file:
+            output = self._surroundings.output
+            settings = load_valid_deployment(read_file(file), output)
+        else:
+            _, settings = self._run(lambda session: read_settings(session.platform))
+        result = explain_place(settings, parse_place(settings, place), service, key)
+        self._show(result, json, render.explained)
+
+    def status(self, *, ask: str = "", json: bool = False) -> None:
+        """Show the deployment and each process; a few seconds, at most 20 s.
+
+        Args:
+            ask: Ask only the process at this operators' address, without platform.
+            json: Show the result as JSON.
+        """
+        if ask:
+            admin = _admin_address(ask)
+            report = self._run(lambda session: read_one(session, admin))
+            self._show(report.status, json, render.one_node)
+            return
+        self._show(self._run(read_fleet), json, render.fleet)
+
+    def locate(
+        self, service: str, key: str, *, ask: str = "", json: bool = False
+    ) -> None:
+        """Show who owns a key and why; at most 10 s.
+
+        Args:
+            service: Name of a keyed service.
+            key: The key.
+            ask: Ask only the process at this operators' address, without platform.
+            json: Show the result as JSON.
+        """
+        if ask:
+            admin = _admin_address(ask)
+            answer = self._run(
+                lambda session: locate_key_at(session, admin, service, key)
+            )
+            self._show(answer, json, render.slice_status)
+            return
+        found = self._run(lambda session: locate_key(session, service, key))
+        self._show(found, json, render.location)
+
+    def slices(self, service: str = "", *, node: str = "", json: bool = False) -> None:
+        """List slices with owner and successors; a few seconds.
+
+        Args:
+            service: One service; all keyed ones without.
+            node: Only slices whose row names this process first.
+            json: Show the result as JSON.
+        """
+        lines = self._run(lambda session: list_slices(session, service, node))
+        self._show(lines, json, render.slices)
+
+    def _show(self, result: Result, json: bool, text: Callable[[Result], str]) -> None:
+        """Writes a result for people or for scripts."""
+        if json:
+            self._surroundings.output.json(result)
+        else:
+            self._surroundings.output.result(text(result))
+
+    def _run(self, work: Callable[[Session], Awaitable[Result]]) -> Result:
+        """Runs one query within a session of its own."""
+
+        async def whole() -> Result:
+            async with self._surroundings.open_session() as session:
+                return await work(session)
+
+        return asyncio.run(whole())
+
+
+def _admin_address(text: str) -> Address:
+    """Parses the address of a process for operators."""
+    address = parse_address(text)
+    if address is None:
+        raise CliError(ExitCode.USAGE, f"{text!r} is not an IP number and port")
+    return address
--- /dev/null
+++ b/rosemarydeal/cli/records.py
@@ -0,0 +1,169 @@
+"""Reads typed objects from the platform for queries and commands."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+import msgspec
+
+from rosemarydeal.core import (
+    CONFIG_KEY,
+    UPSTREAMS_KEY,
+    ZONES_KEY,
+    Chunk,
+    Member,
+    MemberPhase,
+    OperatorUpstreams,
+    OperatorZones,
+    history_key,
+)
+from rosemarydeal.platform import Platform, PlatformError
+from rosemarydeal.settings import (
+    ConfigEnvelope,
+    DeploymentSettings,
+    HistoryEntry,
+    load_envelope,
+)
+
+from .errors import CliError, ExitCode
+
+__all__ = [
+    "CurrentConfig",
+    "Record",
+    "read_chunk",
+    "read_chunks",
+    "read_config",
+    "read_history",
+    "read_members",
+    "read_settings",
+    "read_upstreams",
+    "read_zones",
+    "unavailable",
+]
+
+MEMBERS_PREFIX = "members/"
+SLICES_PREFIX = "slices/"
+COUNTED_PHASES = frozenset({MemberPhase.UP, MemberPhase.DRAINING})
+
+Content = TypeVar("Content")
+
+
+@dataclass(frozen=True, slots=True)
+class Record(Generic[Content]):
+    """Pairs an object's content with its version; 0 if it does not exist."""
+
+    version: int
+    content: Content
+
+
+@dataclass(frozen=True, slots=True)
+class CurrentConfig:
+    """Holds the configuration in force; version 0 before the first."""
+
+    version: int
+    envelope: ConfigEnvelope | None
+
+
+def unavailable(error: PlatformError) -> CliError:
+    """Turns a failed read of the platform into the command line's error."""
+    detail = f"the platform can't be read: {error.detail}"
+    return CliError(ExitCode.PLATFORM_UNAVAILABLE, detail)
+
+
+def _decode(key: str, value: bytes, expected: type[Content]) -> Content:
+    """Decodes the content of an object."""
+    try:
+        return msgspec.json.decode(value, type=expected)
+    except msgspec.DecodeError as error:
+        detail = f"the object {key} can't be understood: {error}"
+        raise CliError(ExitCode.FAILED, detail, "bad_object") from error
+
+
+async def _read(
+    platform: Platform, key: str, expected: type[Content], default: Content
+) -> Record[Content]:
+    """Reads one object, or its default where there is none."""
+    try:
+        found = await platform.get(key)
+    except PlatformError as error:
+        raise unavailable(error) from error
+    if found is None:
+        return Record(0, default)
+    return Record(found.version, _decode(key, found.value, expected))
+
+
+async def _list(
+    platform: Platform, prefix: str, expected: type[Content]
+) -> tuple[Content, ...]:
+    """Reads all objects under a prefix."""
+    try:
+        found = await platform.list(prefix)
+    except PlatformError as error:
+        raise unavailable(error) from error
+    return tuple(_decode(item.key, item.value, expected) for item in found)
+
+
+async def read_config(platform: Platform) -> CurrentConfig:
+    """Reads the configuration as its operators wrote it.
+
+    Raises:
+        CliError: If the platform can't be read or the object is damaged.
+    """
+    record = await _read(platform, CONFIG_KEY, ConfigEnvelope, None)
+    return CurrentConfig(record.version, record.content)
+
+
+async def read_settings(platform: Platform) -> tuple[int, DeploymentSettings]:
+    """Reads the configuration and the settings in it.
+
+    Returns:
+        Version and settings.
+
+    Raises:
+        CliError: If there is none or it can't be read.
+    """
+    current = await read_config(platform)
+    if current.envelope is None:
+        raise CliError(ExitCode.NOT_FOUND, "no configuration was applied yet")
+    settings, problems = load_envelope(current.envelope)
+    if settings is None:
+        detail = f"version {current.version} is not valid here: {problems[0]}"
+        raise CliError(ExitCode.SETTINGS_WRONG, detail)
+    return current.version, settings
+
+
+async def read_history(platform: Platform, version: int) -> HistoryEntry | None:
+    """Reads a version from the history, None if it isn't kept (any more)."""
+    record = await _read(platform, history_key(version), HistoryEntry, None)
+    entry = record.content
+    return entry if entry is not None and entry.version == version else None
+
+
+async def read_members(platform: Platform) -> tuple[Member, ...]:
+    """Reads the members that take part, sorted by name."""
+    members = await _list(platform, MEMBERS_PREFIX, Member)
+    counted = (member for member in members if member.phase in COUNTED_PHASES)
+    return tuple(sorted(counted, key=lambda member: member.node))
+
+
+async def read_zones(platform: Platform) -> Record[OperatorZones]:
+    """Reads which availability zones operators have taken out."""
+    return await _read(platform, ZONES_KEY, OperatorZones, OperatorZones())
+
+
+async def read_upstreams(platform: Platform) -> Record[OperatorUpstreams]:
+    """Reads which upstreams operators drain."""
+    return await _read(platform, UPSTREAMS_KEY, OperatorUpstreams, OperatorUpstreams())
+
+
+async def read_chunk(platform: Platform, service: str, number: int) -> Chunk | None:
+    """Reads the rows of neighbouring slices, None if there are none yet."""
+    key = f"{SLICES_PREFIX}{service}/{number}"
+    return (await _read(platform, key, Chunk, None)).content
+
+
+async def read_chunks(platform: Platform, service: str) -> tuple[Chunk, ...]:
+    """Reads all rows of a service, in order."""
+    chunks = await _list(platform, f"{SLICES_PREFIX}{service}/", Chunk)
+    return tuple(sorted(chunks, key=lambda chunk: chunk.number))
--- /dev/null
+++ b/rosemarydeal/cli/rollout.py
@@ -0,0 +1,142 @@
+"""Finds out in which processes a version is in force, and waits for it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from rosemarydeal.core import CONFIG_KEY, NodeStatus
+
+from .errors import CliError, ExitCode
+from .nodes import NodeReport, read_all
+from .records import read_members
+from .session import Session
+
+__all__ = ["Lag", "Rollout", "read_rollout", "wait_in_force"]
+
+POLL_INTERVAL_S = 0.5
+MAX_NAMES_SHOWN = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Lag:
+    """Names a process in which a version is not in force, and why."""
+
+    node: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rollout:
+    """Says where a version of an object is in force.
+
+    Attributes:
+        key: Name of the object.
+        version: Version that is waited for.
+        in_force: Processes that have it or a newer one.
+        lagging: The other processes.
+    """
+
+    key: str
+    version: int
+    in_force: tuple[str, ...]
+    lagging: tuple[Lag, ...]
+
+    @property
+    def complete(self) -> bool:
+        """Says whether the version is in force everywhere."""
+        return not self.lagging
+
+
+async def read_rollout(session: Session, key: str, version: int) -> Rollout:
+    """Asks every member once which version is in force there.
+
+    Args:
+        session: The running command's session.
+        key: Name of the object.
+        version: Version that is waited for.
+
+    Returns:
+        Where it is in force.
+
+    Raises:
+        CliError: If the members can't be read from the platform.
+    """
+    members = await read_members(session.platform)
+    reports = await read_all(session.nodes, members)
+    lags = tuple(_lag_of(report, key, version) for report in reports)
+    return Rollout(
+        key=key,
+        version=version,
+        in_force=tuple(
+            report.member.node
+            for report, lag in zip(reports, lags, strict=True)
+            if lag is None
+        ),
+        lagging=tuple(lag for lag in lags if lag is not None),
+    )
+
+
+def _lag_of(report: NodeReport, key: str, version: int) -> Lag | None:
+    """Says why a version is not in force at a process, None if it is."""
+    if report.status is None:
+        return Lag(report.member.node, f"no answer ({report.problem})")
+    known = _known_version(report.status, key)
+    if known >= version:
+        return None
+    return Lag(report.member.node, f"version {known}")
+
+
+def _known_version(status: NodeStatus, key: str) -> int:
+    """Returns the version of an object in force at a process."""
+    if key == CONFIG_KEY:
+        return status.config_version
+    versions = {item.key: item.version for item in status.operator_versions}
+    return versions.get(key, 0)
+
+
+async def wait_in_force(
+    session: Session, key: str, version: int, wait_s: float
+) -> Rollout:
+    """Waits until a version is in force everywhere and shows who lags.
+
+    Args:
+        session: The running command's session.
+        key: Name of the object.
+        version: Version to wait for.
+        wait_s: Longest wait, in seconds.
+
+    Returns:
+        Where it is in force.
+
+    Raises:
+        CliError: If it isn't in force everywhere in time.
+    """
+    started = session.elapsed()
+    shown = ""
+    while True:
+        try:
+            rollout = await read_rollout(session, key, version)
+            text = _progress(rollout)
+        except CliError as error:
+            rollout = None
+            text = error.detail
+        if rollout is not None and rollout.complete:
+            count = len(rollout.in_force)
+            session.output.note(f"version {version} is in force on all {count}")
+            return rollout
+        if text != shown:
+            session.output.note(f"{session.elapsed() - started:.0f} s: {text}")
+            shown = text
+        if session.elapsed() - started >= wait_s:
+            detail = f"accepted as version {version}, but after {wait_s:g} s: {text}"
+            raise CliError(ExitCode.NOT_IN_FORCE, detail)
+        await session.sleep(POLL_INTERVAL_S)
+
+
+def _progress(rollout: Rollout) -> str:
+    """Returns one line on how far a version got."""
+    total = len(rollout.in_force) + len(rollout.lagging)
+    shown = [f"{lag.node}: {lag.reason}" for lag in rollout.lagging[:MAX_NAMES_SHOWN]]
+    more = len(rollout.lagging) - len(shown)
+    names = "; ".join(shown) + (f"; and {more} more" if more else "")
+    return f"in force on {len(rollout.in_force)} of {total}, lagging: {names}"
--- /dev/null
+++ b/rosemarydeal/cli/writes.py
@@ -0,0 +1,89 @@
+"""Writes operators' objects so that the outcome is known or said to be unknown.
+
+A write is conditional and carries a change id, so repeating it is safe: it
+takes effect once at most, and its own id shows when it did.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from rosemarydeal.platform import PlatformConflict, PlatformError, PlatformUnavailable
+
+from .errors import CliError, ExitCode
+from .session import Session
+
+__all__ = ["write"]
+
+WRITE_PATIENCE_S = 10.0
+RETRY_PAUSE_S = 0.5
+
+Recognise = Callable[[], Awaitable[int | None]]
+
+
+async def write(
+    session: Session,
+    key: str,
+    value: bytes,
+    expected_version: int,
+    change_id: str,
+    recognise: Recognise,
+) -> int:
+    """Writes an object and finds out whether the write took effect.
+
+    Args:
+        session: The running command's session.
+        key: Name of the object.
+        value: New content.
+        expected_version: Version that the write replaces; 0 creates.
+        change_id: Unique id of this change.
+        recognise: Returns the version that holds the change id, if any.
+
+    Returns:
+        The new version.
+
+    Raises:
+        PlatformConflict: If another write came first.
+        CliError: If the platform refuses, or the outcome stays unknown.
+    """
+    give_up_at = session.elapsed() + WRITE_PATIENCE_S
+    while True:
+        try:
+            return await session.platform.put(key, value, expected_version, change_id)
+        except PlatformConflict:
+            version = await _recognise(recognise, give_up_at, session, change_id)
+            if version is None:
+                raise
+            return version
+        except PlatformUnavailable as error:
+            if session.elapsed() >= give_up_at:
+                raise _unknown(change_id) from error
+            session.output.note(f"no answer from the platform yet: {error.detail}")
+            await session.sleep(RETRY_PAUSE_S)
+        except PlatformError as error:
+            detail = f"the platform refused the write: {error.detail}"
+            raise CliError(ExitCode.FAILED, detail, error.code) from error
+
+
+async def _recognise(
+    recognise: Recognise, give_up_at: float, session: Session, change_id: str
+) -> int | None:
+    """Looks for the change id until the platform can be read."""
+    while True:
+        try:
+            return await recognise()
+        except CliError as error:
+            if error.exit_code is not ExitCode.PLATFORM_UNAVAILABLE:
+                raise
+            if session.elapsed() >= give_up_at:
+                raise _unknown(change_id) from error
+            await session.sleep(RETRY_PAUSE_S)
+
+
+def _unknown(change_id: str) -> CliError:
+    """Builds the error of a write whose outcome can't be learnt now."""
+    detail = (
+        f"the platform gave no answer; change {change_id} may have taken effect: "
+        "look with `rosemarydeal history` before trying again"
+    )
+    return CliError(ExitCode.OUTCOME_UNKNOWN, detail)
--- a/rosemarydeal/settings/__init__.py
+++ b/rosemarydeal/settings/__init__.py
@@ -1,5 +1,6 @@
 """Reads, checks and inherits settings."""
 
+from .compare import Change, compare
 from .deployment import (
     DEFAULT_TENANT,
     DeploymentSettings,
@@ -40,12 +41,15 @@
 from .patterns import PathPattern, canonical_path
 from .problems import Problem, ProblemCode
 from .scope import ANYWHERE, Branch, Scope
-from .values import Leaf
+from .transition import UNSAFE_CHANGE, check_transition
+from .values import Leaf, parse_address
 
 __all__ = [
     "ANYWHERE",
     "DEFAULT_TENANT",
+    "UNSAFE_CHANGE",
     "Branch",
+    "Change",
     "ColdStart",
     "ConfigEnvelope",
     "Deadlines",
@@ -77,6 +81,8 @@
     "TenantClass",
     "TenantSettings",
     "canonical_path",
+    "check_transition",
+    "compare",
     "decode_envelope",
     "effective",
     "encode_envelope",
@@ -84,4 +90,5 @@
     "load_deployment",
     "load_envelope",
     "load_node",
+    "parse_address",
 ]
--- /dev/null
+++ b/rosemarydeal/settings/transition.py
@@ -0,0 +1,85 @@
+"""Checks whether running processes can take new settings over old ones.
+
+During a change some processes still work with the old settings. A few
+settings must not differ between processes even for a moment: what places a
+key in a slice, and the times of the lease.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from rosemarydeal.core import SourceLocation
+
+from .deployment import DeploymentSettings, ServiceSettings
+from .positions import Positions
+from .problems import Problem
+from .scope import Scope
+from .syntax import parse
+from .values import Leaf
+
+__all__ = ["UNSAFE_CHANGE", "check_transition"]
+
+UNSAFE_CHANGE = "unsafe-change"
+
+
+def check_transition(
+    old: DeploymentSettings, new: DeploymentSettings, text: str, file: str
+) -> tuple[Problem, ...]:
+    """Finds changes that are safe only while no process runs.
+
+    Args:
+        old: Settings in force.
+        new: Settings that shall replace them.
+        text: Text of the new settings' file.
+        file: Name of that file, used in positions.
+
+    Returns:
+        The problems found.
+    """
+    root, _ = parse(text, file)
+    positions = Positions(root)
+    problems = [*_check_lease(old, new, file)]
+    if old.name != new.name:
+        detail = f"this file is not about deployment {old.name}"
+        problems.append(_problem(positions, ("deployment",), detail))
+    for name in sorted(set(old.services) & set(new.services)):
+        changed = _changed_keys(old.services[name], new.services[name])
+        path = ("services", name)
+        problems += (_problem(positions, path, detail) for detail in changed)
+    return tuple(problems)
+
+
+def _problem(positions: Positions, path: tuple[str, ...], detail: str) -> Problem:
+    """Builds a problem at a path."""
+    return Problem(UNSAFE_CHANGE, positions.at(*path), ".".join(path), detail)
+
+
+def _changed_keys(old: ServiceSettings, new: ServiceSettings) -> Iterator[str]:
+    """Yields what changes the slice that a service's keys belong to."""
+    if old.key != new.key:
+        yield "the service's key is found in another way"
+    if old.key is not None and new.key is not None and old.slices != new.slices:
+        yield f"the number of slices changes from {old.slices} to {new.slices}"
+
+
+def _check_lease(
+    old: DeploymentSettings, new: DeploymentSettings, file: str
+) -> Iterator[Problem]:
+    """Finds changed times of the lease."""
+    before, after = _lease_leaves(old), _lease_leaves(new)
+    for name in sorted(set(before) | set(after)):
+        earlier, later = before.get(name), after.get(name)
+        if earlier and later and earlier.value == later.value:
+            continue
+        location = later.location if later else SourceLocation(file)
+        path = f"settings.ownership.{name}"
+        detail = "all processes must agree on the times of the lease"
+        yield Problem(UNSAFE_CHANGE, location, path, detail)
+
+
+def _lease_leaves(settings: DeploymentSettings) -> dict[str, Leaf]:
+    """Returns the times of the lease that a file gives, by name."""
+    branch = settings.branches.get(Scope())
+    leaves = branch.leaves if branch else ()
+    return {leaf.name: leaf for leaf in leaves if leaf.group == "ownership"}
