Place and rebalance slices by the control policy

Cause: the daemon proposed rows by the plain placement, from every process at once, and reported no load. Change: the control task drives the control policy too; a meter at the guard reports load by slice and hot key each second.

--- a/rosemarydeal/daemon/configuration.py
+++ b/rosemarydeal/daemon/configuration.py
@@ -8,18 +8,21 @@
 import structlog
 
 from rosemarydeal.core import Versioned
+from rosemarydeal.policy.control import ControlSettings
 from rosemarydeal.policy.guard import GuardSettings
+from rosemarydeal.policy.rebalance import RebalanceSettings
 from rosemarydeal.proxy import HttpLimits
 from rosemarydeal.settings import (
     DeploymentSettings,
     Effective,
     NodeSettings,
+    ServiceSettings,
     decode_envelope,
     effective,
     load_envelope,
 )
 
-__all__ = ["InForce", "adopt", "guard_settings", "http_limits"]
+__all__ = ["InForce", "adopt", "control_settings", "guard_settings", "http_limits"]
 
 _log = structlog.get_logger()
 
@@ -85,6 +88,22 @@
     )
 
 
+def control_settings(in_force: InForce, own: ServiceSettings) -> ControlSettings | None:
+    """Returns the settings of the own service's placement.
+
+    Args:
+        in_force: The configuration in force.
+        own: Settings of the service that the upstream serves.
+
+    Returns:
+        The settings, or None for a service without keys.
+    """
+    if not own.keyed:
+        return None
+    moves = RebalanceSettings(moves_per_minute=in_force.own.moves.per_minute)
+    return ControlSettings(own.name, own.slices, rebalance=moves)
+
+
 def http_limits(settings: Effective) -> HttpLimits:
     """Returns the limits of connections with callers."""
     return HttpLimits(
--- a/rosemarydeal/daemon/control.py
+++ b/rosemarydeal/daemon/control.py
@@ -30,8 +30,7 @@
     PlatformError,
     PlatformUnavailable,
 )
-from rosemarydeal.policy import ownership, placement
-from rosemarydeal.policy.fleet import FleetView
+from rosemarydeal.policy import control, ownership
 from rosemarydeal.policy.interface import (
     Action,
     ChunkRead,
@@ -59,7 +58,6 @@
 __all__ = ["ControlTask"]
 
 TICK_S = 0.1
-PROPOSE_S = 0.5
 MAILBOX_EVENTS = 16_384
 
 _log = structlog.get_logger()
@@ -83,8 +81,7 @@
         self._records = records
         self._link = link
         self._on_notice = on_notice
-        self._slices = 0
-        self._next_proposal = 0.0
+        self._placement: control.ControlState | None = None
         self._next_tick = 0.0
         self._drained = asyncio.Event()
         self._mailbox: Mailbox[Event] = Mailbox(MAILBOX_EVENTS)
@@ -122,9 +119,28 @@
         """Returns the newest known row of a slice."""
         return ownership.row_of(self._state, slice_id)
 
-    def set_slices(self, slices: int) -> None:
-        """Sets the number of slices of the own service, 0 without keys."""
-        self._slices = slices
+    def place(self, settings: control.ControlSettings | None) -> None:
+        """Takes part in the placement of the own service's slices.
+
+        Args:
+            settings: Settings of the placement, None for a service without keys.
+        """
+        if settings is None:
+            self._placement = None
+        elif self._placement is not None:
+            self._step_placement(control.SettingsChanged(settings))
+        else:
+            node = self._state.identity.node
+            self._placement = control.start(settings, node, self._state.seed)
+            self.replay()
+
+    def take_load(self, load: control.LocalLoad) -> None:
+        """Takes in the load of the own upstream."""
+        self._step_placement(load)
+
+    def take_zones_out(self, zones: frozenset[str]) -> None:
+        """Takes in which availability zones get no new work."""
+        self._step_placement(control.ZonesChanged(zones))
 
     def replay(self) -> None:
         """Queues all objects that were learnt before this task began."""
@@ -175,39 +191,25 @@
         if isinstance(event, Tick):
             self._next_tick = now() + TICK_S
         self._step(event)
-        if isinstance(event, Tick):
-            self._propose()
-
-    def _propose(self) -> None:
-        """Proposes owners for the slices of the own service when it is time."""
-        moment = now()
-        if self._slices == 0 or moment < self._next_proposal:
-            return
-        self._next_proposal = moment + PROPOSE_S
-        service = self._state.identity.service
-        view = FleetView(
-            service,
-            self._slices,
-            ownership.known_members(self._state),
-            {
-                number: ChunkRead(known.version, known.chunk)
-                for (owner, number), known in self._state.chunks.items()
-                if owner == service
-            },
-            self._state.identity.node,
-        )
-        for action in placement.propose(view, moment, self._state.seed):
-            self._perform(action)
 
     def _step(self, event: Event) -> None:
         """Takes one step of the policy and carries out what it asks for."""
         self._state, actions = ownership.step(self._state, event, now())
         for action in actions:
             self._perform(action)
+        self._step_placement(event)
         if self._state.draining and ownership.drained(self._state):
             self._drained.set()
 
-    def _perform(self, action: Action) -> None:
+    def _step_placement(self, event: Event | control.ControlEvent) -> None:
+        """Takes one step of the placement policy, for a keyed service."""
+        if self._placement is None:
+            return
+        self._placement, actions = control.step(self._placement, event, now())
+        for action in actions:
+            self._perform(action)
+
+    def _perform(self, action: Action | control.ControlAction) -> None:
         """Carries out one action."""
         match action:
             case Send(to, message):
@@ -228,10 +230,6 @@
         if member is not None:
             self._link.connect(node, member.peer, member.public_key)
 
-    def write_chunk(self, action: WriteChunk) -> None:
-        """Carries out a write that another policy asks for."""
-        self._perform(action)
-
     def _start_write(self, key: str, value: bytes, expected: int, change: str) -> None:
         """Begins a conditional update in the background."""
         task = asyncio.create_task(self._write(key, value, expected, change))
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -14,9 +14,18 @@
 
 import structlog
 
-from rosemarydeal.core import Address, NotRun, Right, SliceId, Unknown, headers
+from rosemarydeal.core import (
+    Address,
+    NotRun,
+    Right,
+    SliceId,
+    Unknown,
+    headers,
+    key_hash,
+)
 from rosemarydeal.core.clock import now
 from rosemarydeal.policy import guard
+from rosemarydeal.policy.reporting import LocalLoad
 from rosemarydeal.proxy import (
     ConnectFailed,
     Headers,
@@ -32,6 +41,7 @@
 )
 
 from .classify import Classified
+from .loadmeter import UpstreamLoadMeter
 
 __all__ = ["GuardHooks", "GuardTask", "Refused"]
 
@@ -104,6 +114,7 @@
         self._waiter_count = 0
         self._exchanges: dict[str, _Exchange] = {}
         self._answers: dict[str, _KeptAnswer] = {}
+        self._load = UpstreamLoadMeter(now())
 
     @property
     def state(self) -> guard.GuardState:
@@ -123,6 +134,10 @@
         for action in actions:
             self._perform(action)
 
+    def read_load(self) -> LocalLoad:
+        """Returns the load of the upstream since the last call."""
+        return self._load.read(self._state.settings.slots, now())
+
     async def run(self) -> None:
         """Tells the policy that time passes, until cancelled."""
         while True:
@@ -233,6 +248,8 @@
         except asyncio.CancelledError:
             event = guard.UpstreamFailed(action.request_id, sent=True, crashed=False)
         self._exchanges.pop(action.request_id, None)
+        digest = key_hash(exchange.details.key)
+        self._load.add(action.slice, digest, now() - started)
         self.post(event)
 
     async def _exchange(
--- /dev/null
+++ b/rosemarydeal/daemon/loadmeter.py
@@ -0,0 +1,76 @@
+"""Measures the load of the own upstream by slice and by hot key."""
+
+from __future__ import annotations
+
+from rosemarydeal.core import SliceId
+from rosemarydeal.core.messages import SliceLoad
+from rosemarydeal.policy.hotkeys import HotKeySketch
+from rosemarydeal.policy.reporting import LocalLoad
+
+__all__ = ["UpstreamLoadMeter"]
+
+HOT_KEYS = 128
+HOT_KEYS_PER_SLICE = 4
+
+
+class UpstreamLoadMeter:
+    """Sums busy time up between two readings."""
+
+    def __init__(self, now: float) -> None:
+        self._reset(now)
+
+    def add(self, slice_id: SliceId | None, digest: int, seconds: float) -> None:
+        """Counts one request that ran.
+
+        Args:
+            slice_id: Its slice, None for a service without keys.
+            digest: Hash of its key.
+            seconds: Time that it ran.
+        """
+        self._total += seconds
+        self._requests += 1
+        if slice_id is None:
+            return
+        self._busy[slice_id] = self._busy.get(slice_id, 0.0) + seconds
+        self._keys.offer(digest, seconds)
+        self._slices_of_keys[digest] = slice_id
+
+    def read(self, slots: int, now: float) -> LocalLoad:
+        """Returns the load since the last reading and begins anew.
+
+        Args:
+            slots: Requests that the upstream runs at a time.
+            now: The moment, in seconds.
+
+        Returns:
+            Loads in busy slots.
+        """
+        elapsed = max(1e-3, now - self._began)
+        hot = self._hot_keys(elapsed)
+        loads = tuple(
+            SliceLoad(slice_id, busy / elapsed, hot.get(slice_id, ()))
+            for slice_id, busy in sorted(self._busy.items())
+        )
+        mean = self._total / self._requests if self._requests else 0.0
+        load = LocalLoad(self._total / elapsed / slots, loads, mean)
+        self._reset(now)
+        return load
+
+    def _reset(self, now: float) -> None:
+        """Begins anew."""
+        self._began = now
+        self._busy: dict[SliceId, float] = {}
+        self._keys = HotKeySketch(HOT_KEYS)
+        self._slices_of_keys: dict[int, SliceId] = {}
+        self._total = 0.0
+        self._requests = 0
+
+    def _hot_keys(self, elapsed: float) -> dict[SliceId, tuple[tuple[int, float], ...]]:
+        """Returns the heaviest keys of each slice with their loads."""
+        found: dict[SliceId, tuple[tuple[int, float], ...]] = {}
+        for key in self._keys.top(HOT_KEYS):
+            slice_id = self._slices_of_keys[key.digest]
+            held = found.get(slice_id, ())
+            if len(held) < HOT_KEYS_PER_SLICE:
+                found[slice_id] = (*held, (key.digest, key.weight / elapsed))
+        return found
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -27,7 +27,7 @@
 from rosemarydeal.settings import NodeSettings
 
 from .admin import AdminViews, serve_admin
-from .configuration import InForce, adopt, guard_settings
+from .configuration import InForce, adopt, control_settings, guard_settings
 from .control import ControlTask, GuardNotice
 from .entry import Entry, Fleet
 from .guard import GuardHooks, GuardTask
@@ -39,6 +39,7 @@
 __all__ = ["RouterProcess"]
 
 LEAVE_GRACE_S = 0.3
+LOAD_PERIOD_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -227,10 +228,18 @@
         )
         self._control.replay()
         self._put_in_force()
+        self._tasks.append(asyncio.create_task(self._report_load()))
         if self._upstream.up:
             self._control.post(UpstreamReady())
         await self._control.run()
 
+    async def _report_load(self) -> None:
+        """Measures the load of the own upstream until cancelled."""
+        while True:
+            await asyncio.sleep(LOAD_PERIOD_S)
+            if self._control is not None:
+                self._control.take_load(self._guard.read_load())
+
     def _take_object(self, found: Versioned) -> None:
         """Puts a newer configuration in force."""
         if found.key != CONFIG_KEY:
@@ -250,7 +259,7 @@
             return
         own = deployment.services.get(self._settings.service)
         if self._control is not None and own is not None:
-            self._control.set_slices(own.slices if own.keyed else 0)
+            self._control.place(control_settings(self._in_force, own))
         self._listeners.follow(self._in_force)
 
     def _take_notice(self, notice: GuardNotice) -> None:
