--- /dev/null
+++ b/features/requests_machine.py
@@ -0,0 +1,174 @@
+"""Chooses at random what happens in the world of requests, step by step."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+)
+
+from features.requests_world import NODES, SLICE, RequestsWorld
+from rosemarydeal.core import NotRun, Unknown
+from rosemarydeal.policy import entry, guard
+
+__all__ = ["TOTALS", "RequestsMachine"]
+
+PLACES = st.integers(0, 7)
+SETTLE_ROUNDS = 400
+TOTALS: Counter = Counter()
+
+
+class RequestsMachine(RuleBasedStateMachine):
+    """Drives three guards of one slice and an entry."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = RequestsWorld()
+        self.names = 0
+
+    @rule(idempotent=st.sampled_from([False, False, True]))
+    def new_request(self, idempotent):
+        self.names += 1
+        kind = "lookup" if idempotent else "order"
+        self.world.submit(f"{kind}-{self.names}", idempotent, None, False)
+
+    @precondition(lambda self: self.world.sends)
+    @rule(place=PLACES, with_ticket=st.booleans())
+    def caller_sends_again(self, place, with_ticket):
+        sends = [s for s in self.world.sends.values() if s.result != "answer"]
+        if not sends:
+            sends = list(self.world.sends.values())
+        send = sends[-1 - place % len(sends)]
+        ticket = send.ticket if with_ticket else None
+        resent = not isinstance(send.result, NotRun) or send.ticket is None
+        others = [s for s in self.world.sends.values() if s is not send]
+        same = any(s.request_id == send.request_id for s in others)
+        self.world.submit(send.request_id, send.idempotent, ticket, resent or same)
+
+    @precondition(lambda self: self.world.network)
+    @rule(place=PLACES)
+    def message_arrives(self, place):
+        self.world.deliver(place)
+
+    @precondition(lambda self: self.world.network)
+    @rule()
+    def oldest_message_arrives(self):
+        self.world.deliver(0)
+
+    @precondition(lambda self: self.world.network)
+    @rule(place=PLACES, refused=st.booleans())
+    def connection_breaks(self, place, refused):
+        if refused:
+            self.world.refuse_connection(place)
+        else:
+            self.world.lose(place)
+
+    @precondition(lambda self: self.world.jobs)
+    @rule(place=PLACES)
+    def upstream_runs(self, place):
+        self.world.run(self.world.jobs[place % len(self.world.jobs)])
+
+    @precondition(lambda self: self.world.jobs)
+    @rule(place=PLACES)
+    def upstream_answers(self, place):
+        self.world.finish_job(self.world.jobs[place % len(self.world.jobs)])
+
+    @precondition(lambda self: self.world.jobs)
+    @rule(place=PLACES, shed=st.booleans())
+    def upstream_fails(self, place, shed):
+        job = self.world.jobs[place % len(self.world.jobs)]
+        if not shed:
+            self.world.break_job(job)
+        else:
+            self.world.shed_job(job)
+
+    @rule(span=st.sampled_from([0.01, 0.1, 0.5, 3.0]))
+    def time_passes(self, span):
+        self.world.now += span
+        self.tick()
+
+    def tick(self):
+        for fake in self.world.guards.values():
+            fake.feed(guard.Tick())
+        self.world.feed_entry(entry.Tick())
+
+    @rule(
+        place=PLACES,
+        kind=st.sampled_from(
+            ["stop", "stop", "hand over", "hand over", "lose book", "lapse", "restart"]
+        ),
+    )
+    def owner_changes(self, place, kind):
+        world = self.world
+        others = [n for n in NODES if n != world.owner]
+        match kind:
+            case "stop":
+                world.guards[world.owner].feed(guard.StopAdmitting(SLICE))
+            case "hand over" | "lose book":
+                world.hand_over(others[place % 2], kind == "lose book")
+            case "lapse":
+                world.take_over(others[place % 2], old_learns=place > 3)
+            case "restart":
+                world.restart_guard(NODES[place % 3])
+
+    @rule(count=st.integers(2, 6))
+    def things_go_on(self, count):
+        for _ in range(count):
+            if self.world.network:
+                self.world.deliver(0)
+            elif self.world.jobs:
+                self.world.finish_job(self.world.jobs[0])
+
+    @rule()
+    def entry_learns_rows(self):
+        self.world.tell_rows()
+
+    @rule(place=PLACES)
+    def caller_goes(self, place):
+        waiting = [s for s in self.world.sends.values() if s.result is None]
+        if waiting:
+            send = waiting[place % len(waiting)]
+            send.result = "gone"
+            self.world.feed_entry(entry.CallerGone(send.number))
+
+    def teardown(self):
+        self.settle()
+        TOTALS.update(self.world.outcomes)
+        TOTALS.update({f"fault {k}": n for k, n in self.world.faults.items()})
+
+    def settle(self):
+        """Ends the faults; every caller must be told, and new work must run."""
+        world = self.world
+        for _ in range(SETTLE_ROUNDS):
+            if world.network:
+                world.deliver(0)
+            elif world.jobs:
+                world.finish_job(world.jobs[0])
+            else:
+                world.now += 0.5
+                self.tick()
+                if all(s.result is not None for s in world.sends.values()):
+                    break
+        waiting = [s.request_id for s in world.sends.values() if s.result is None]
+        assert not waiting, f"never told: {waiting}"
+        owner = world.owner
+        if not world.guards[owner].state.rights[SLICE].admitting:
+            world.version += 1
+            world.give_right(owner, -1)
+        world.tell_rows()
+        world.now += 1.5
+        self.tick()
+        world.submit("order-0", False, None, False)
+        for _ in range(20):
+            if world.network:
+                world.deliver(0)
+            elif world.jobs:
+                world.finish_job(world.jobs[0])
+        last = max(world.sends)
+        result = world.sends[last].result
+        assert result == "answer", f"work does not go on: {result}"
+        assert not isinstance(result, Unknown)
--- /dev/null
+++ b/features/requests_world.py
@@ -0,0 +1,471 @@
+"""Drives guards and an entry through faults beside a small oracle.
+
+`RequestsWorld` carries out the actions of the machines with fakes of the
+network, the upstreams and the ownership; the oracle counts what ran. The
+state machine in `requests_machine.py` chooses what happens next.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from rosemarydeal.core import Incarnation, Member, NotRun, Place, Row, SliceId, Unknown
+from rosemarydeal.core.data import Address
+from rosemarydeal.policy import entry, guard
+from rosemarydeal.policy.route import TOKEN_RANKS
+
+__all__ = ["FakeGuard", "RequestsWorld", "Send"]
+
+SLICE = SliceId("box-office", 1)
+NODES = ("guard-0", "guard-1", "guard-2")
+DEADLINE_S = 4.0
+
+
+@dataclass
+class Send:
+    """Holds one request that a caller sent to the entry."""
+
+    number: int
+    request_id: str
+    idempotent: bool
+    sent_at: float
+    ticket: int | None = None
+    asked_ticket: int | None = None
+    result: object = None
+    gone: bool = False
+
+
+@dataclass
+class TryMessage:
+    """Holds a try on its way to a guard."""
+
+    action: entry.Try
+    request_id: str
+    idempotent: bool
+
+
+@dataclass
+class Reply:
+    """Holds a guard's reply on its way to the entry."""
+
+    request: int
+    attempt: int
+    request_id: str | None
+    outcome: NotRun | Unknown | None
+
+
+@dataclass
+class Job:
+    """Holds a request at an upstream; it runs when the upstream takes it up."""
+
+    guard: FakeGuard
+    request_id: str
+    began: float
+    ran: bool = False
+
+
+@dataclass
+class Era:
+    """Holds one owner's time.
+
+    Attributes:
+        token: Its fencing token.
+        node: The owner.
+        clean: Whether it knows all that the former owner knew.
+        since: When it began.
+        known_from: Moment after which it knows of every request that ran.
+    """
+
+    token: int
+    node: str
+    clean: bool
+    since: float
+    known_from: float
+
+
+class FakeGuard:
+    """Carries out the actions of one guard's machine."""
+
+    def __init__(self, world: RequestsWorld, node: str, life: int) -> None:
+        self.world = world
+        self.node = node
+        self.alive = True
+        self.waiters: dict[int, tuple[int, int, str]] = {}
+        self.kept: set[str] = set()
+        self.last_waiter = 0
+        self.idle = False
+        self.book = None
+        settings = guard.GuardSettings(
+            node=node, service="box-office", slots=2, queue_length=3, window_s=60.0
+        )
+        self.state = guard.start(settings, world.now, life)
+        self.feed(guard.UpstreamStarted(cold=False))
+
+    def feed(self, event) -> None:
+        """Feeds an event and carries out what follows."""
+        self.state, actions = guard.step(self.state, event, self.world.now)
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action) -> None:
+        world = self.world
+        match action:
+            case guard.Dispatch():
+                world.dispatch(self, action)
+            case guard.ReplyAnswer():
+                request, attempt, wanted = self.waiters.pop(action.waiter)
+                assert wanted == action.request_id, "answer to the wrong waiter"
+                assert action.request_id in self.kept, "answer was forgotten early"
+                world.reply(Reply(request, attempt, action.request_id, None))
+            case guard.ReplyOutcome():
+                request, attempt, wanted = self.waiters.pop(action.waiter)
+                world.check_outcome(self, wanted, action.outcome, request)
+                world.reply(Reply(request, attempt, None, action.outcome))
+            case guard.CancelUpstream():
+                world.cancel(self, action.request_id)
+            case guard.ForgetAnswer():
+                self.kept.discard(action.request_id)
+            case guard.HandOverLedger():
+                self.book = action.ledger
+                world.book_made_at = world.now
+            case guard.ReportIdle():
+                self.idle = True
+
+    def arrive(self, message: TryMessage) -> None:
+        """Lets a try arrive."""
+        self.last_waiter += 1
+        act = message.action
+        key = (act.request, act.attempt, message.request_id)
+        self.waiters[self.last_waiter] = key
+        self.feed(
+            guard.RequestArrived(
+                self.last_waiter,
+                message.request_id,
+                len(message.request_id),
+                "families",
+                SLICE,
+                message.idempotent,
+                act.deadline,
+                act.ticket,
+                act.resent,
+                self.world.age_of(message.request_id),
+            )
+        )
+
+
+@dataclass
+class RequestsWorld:
+    """Holds the network, the upstreams, the owners and the oracle."""
+
+    now: float = 100.0
+    network: list = field(default_factory=list)
+    jobs: list[Job] = field(default_factory=list)
+    sends: dict[int, Send] = field(default_factory=dict)
+    runs: Counter = field(default_factory=Counter)
+    answered_by: dict[str, FakeGuard] = field(default_factory=dict)
+    outcomes: Counter = field(default_factory=Counter)
+    eras: list[Era] = field(default_factory=list)
+    lives: int = 0
+    version: int = 1
+    dispatched: Counter = field(default_factory=Counter)
+    book_made_at: float = 0.0
+    faults: Counter = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        self.guards = {node: self._new_guard(node) for node in NODES}
+        self.entry = entry.start(entry.EntrySettings(retry_burst=50.0), 1)
+        self.owner: str | None = None
+        members = tuple(
+            Member(
+                Incarnation(node, 1),
+                (),
+                "box-office",
+                Place("wa-perth", "perth-a", node),
+                Address("127.0.0.1", 1),
+                "127.0.0.1",
+            )
+            for node in NODES
+        )
+        self.feed_entry(entry.MembersChanged(members))
+        self.give_right(NODES[0], -1)
+        self.tell_rows()
+
+    def _new_guard(self, node: str) -> FakeGuard:
+        self.lives += 1
+        return FakeGuard(self, node, self.lives)
+
+    # Ownership, as the policy beside promises it.
+
+    def row(self) -> Row:
+        """Returns the current row, the owner first."""
+        order = [self.owner, *(n for n in NODES if n != self.owner)]
+        return Row(SLICE, self.version, tuple(Incarnation(n, 1) for n in order))
+
+    def tell_rows(self) -> None:
+        """Lets the entry learn the current row."""
+        if self.owner is not None:
+            self.feed_entry(entry.RowsChanged((self.row(),)))
+
+    def token(self) -> int:
+        """Returns the fencing token of the current owner."""
+        return self.version * TOKEN_RANKS
+
+    def give_right(self, node: str, after_token: int) -> None:
+        """Makes a node the owner."""
+        self.owner = node
+        clean = after_token >= 0
+        known_from = self.now
+        if clean:
+            book_age = self.now - self.book_made_at
+            known_from = self.eras[-1].known_from + book_age
+        self.eras.append(Era(self.token(), node, clean, self.now, known_from))
+        self.guards[node].feed(guard.RightGained(SLICE, self.token(), after_token))
+
+    def hand_over(self, to: str, lose_book: bool) -> None:
+        """Lets the owner hand over once it is idle."""
+        old = self.guards[self.owner]
+        if not old.idle:
+            return
+        old.idle = False
+        before = self.token()
+        self.version += 1
+        book, old.book = old.book, None
+        self.owner = None
+        old.feed(guard.RightLost(SLICE))
+        if book is not None and not lose_book:
+            self.guards[to].feed(guard.LedgerReceived(book))
+        self.give_right(to, before if book is not None and not lose_book else -1)
+
+    def take_over(self, to: str, old_learns: bool) -> None:
+        """Makes another node the owner after the old one's lease lapsed."""
+        old = self.owner
+        self.version += 1
+        self.owner = None
+        self.faults["take_over"] += 1
+        if old_learns and old is not None:
+            self.guards[old].feed(guard.RightLost(SLICE))
+        self.give_right(to, -1)
+
+    def restart_guard(self, node: str) -> None:
+        """Replaces a guard's process by one that knows nothing."""
+        old = self.guards[node]
+        old.alive = False
+        self.faults["restart"] += 1
+        for request, attempt, _ in list(old.waiters.values()):
+            self.network.append(entry.TryFailed(request, attempt, sent=True))
+        self.guards[node] = self._new_guard(node)
+        if self.owner == node:
+            self.version += 1
+            self.give_right(node, -1)
+
+    def holds_right(self, fake: FakeGuard, token: int) -> bool:
+        """Says whether a dispatch under a token is permitted now."""
+        owns = fake.alive and self.owner == fake.node
+        return owns and token >= self.eras[-1].token
+
+    # Network.
+
+    def feed_entry(self, event) -> None:
+        """Feeds the entry and carries out what follows."""
+        self.entry, actions = entry.step(self.entry, event, self.now)
+        for action in actions:
+            match action:
+                case entry.Try():
+                    send = self.sends[action.request]
+                    self.network.append(
+                        TryMessage(action, send.request_id, send.idempotent)
+                    )
+                case entry.Deliver():
+                    self.deliver_answer(action)
+                case entry.DeliverOutcome():
+                    self.conclude(action)
+
+    def reply(self, reply: Reply) -> None:
+        """Puts a guard's reply on its way."""
+        self.network.append(reply)
+
+    def deliver(self, place: int) -> None:
+        """Lets one message arrive; they may arrive in any order."""
+        message = self.network.pop(place % len(self.network))
+        match message:
+            case TryMessage():
+                self.guards[message.action.node].arrive(message)
+            case Reply(outcome=None):
+                self.answer_at = message.request_id
+                self.feed_entry(
+                    entry.TryAnswered(message.request, message.attempt, 200, 0.05)
+                )
+            case Reply():
+                row = self.row() if self.owner else None
+                self.feed_entry(
+                    entry.TryRefused(
+                        message.request, message.attempt, message.outcome, row
+                    )
+                )
+            case _:
+                self.feed_entry(message)
+
+    def lose(self, place: int) -> None:
+        """Breaks the connection that a message is on."""
+        message = self.network.pop(place % len(self.network))
+        self.faults["lost"] += 1
+        match message:
+            case TryMessage():
+                act = message.action
+                self.network.append(entry.TryFailed(act.request, act.attempt, True))
+            case Reply():
+                self.network.append(
+                    entry.TryFailed(message.request, message.attempt, True)
+                )
+            case _:
+                self.network.append(message)
+
+    def refuse_connection(self, place: int) -> None:
+        """Lets a try fail before a byte went out."""
+        message = self.network[place % len(self.network)]
+        if isinstance(message, TryMessage):
+            self.network.remove(message)
+            act = message.action
+            self.feed_entry(entry.TryFailed(act.request, act.attempt, False))
+
+    # Upstreams.
+
+    def dispatch(self, fake: FakeGuard, action: guard.Dispatch) -> None:
+        """Carries out a dispatch if the right holds."""
+        if not self.holds_right(fake, action.token):
+            event = guard.UpstreamFailed(action.request_id, False, False)
+            fake.feed(event)
+            return
+        self.dispatched[action.request_id] += 1
+        self.jobs.append(Job(fake, action.request_id, self.now))
+        running = sum(1 for job in self.jobs if job.guard is fake)
+        assert running <= fake.state.settings.slots, "more runs than slots"
+
+    def cancel(self, fake: FakeGuard, request_id: str) -> None:
+        """Withdraws a job that the upstream has not taken up."""
+        for job in self.jobs:
+            if job.guard is fake and job.request_id == request_id and not job.ran:
+                self.jobs.remove(job)
+                fake.feed(guard.UpstreamFailed(request_id, True, False))
+                return
+
+    def run(self, job: Job) -> None:
+        """Lets an upstream run a job, and checks that it may."""
+        if job.ran:
+            return
+        job.ran = True
+        self.runs[job.request_id] += 1
+        sends = [s for s in self.sends.values() if s.request_id == job.request_id]
+        if not sends[0].idempotent:
+            assert self.runs[job.request_id] == 1, "a non-idempotent request ran twice"
+        refused = all(isinstance(s.result, NotRun) for s in sends)
+        assert not refused, "a request ran after its caller was told not run"
+
+    def finish_job(self, job: Job) -> None:
+        """Lets a job run to its end."""
+        self.run(job)
+        self.jobs.remove(job)
+        if not job.guard.alive:
+            return
+        self.answered_by[job.request_id] = job.guard
+        job.guard.kept.add(job.request_id)
+        latency = self.now - job.began
+        job.guard.feed(guard.UpstreamAnswered(job.request_id, 200, 10, latency))
+
+    def shed_job(self, job: Job) -> None:
+        """Lets the upstream refuse a job that it has not taken up."""
+        if not job.ran:
+            self.jobs.remove(job)
+            job.guard.feed(guard.UpstreamRefused(job.request_id, 0.1))
+
+    def break_job(self, job: Job) -> None:
+        """Breaks a job's connection; it may have run or not."""
+        self.jobs.remove(job)
+        self.faults["broken"] += 1
+        job.guard.feed(guard.UpstreamFailed(job.request_id, True, False))
+
+    # Callers and the oracle.
+
+    def submit(self, request_id: str, idempotent: bool, ticket, resent: bool) -> None:
+        """Lets a caller send a request."""
+        number = len(self.sends) + 1
+        send = Send(number, request_id, idempotent, self.now, asked_ticket=ticket)
+        self.sends[number] = send
+        self.feed_entry(
+            entry.RequestAccepted(
+                number,
+                request_id,
+                "box-office",
+                SLICE,
+                idempotent,
+                self.now + DEADLINE_S,
+                ticket,
+                resent,
+            )
+        )
+
+    def deliver_answer(self, action: entry.Deliver) -> None:
+        """Checks that the caller gets the answer to its own request."""
+        send = self.sends[action.request]
+        assert send.result is None, "a caller was told twice"
+        assert self.answer_at == send.request_id, "answers were crossed"
+        assert self.runs[send.request_id] >= 1
+        send.result = "answer"
+        self.outcomes["answer"] += 1
+
+    def conclude(self, action: entry.DeliverOutcome) -> None:
+        """Checks an outcome that the caller is told."""
+        send = self.sends[action.request]
+        assert send.result is None, "a caller was told twice"
+        send.result = action.outcome
+        send.ticket = action.ticket
+        if isinstance(action.outcome, NotRun):
+            self.outcomes["not run"] += 1
+            later = max(
+                s.number for s in self.sends.values() if s.request_id == send.request_id
+            )
+            superseded = later != send.number
+            told = f"not run ({action.outcome.code}) but it ran"
+            ran = self.runs[send.request_id] > 0 and not send.idempotent
+            assert superseded or not ran, told
+        else:
+            self.outcomes["unknown"] += 1
+
+    def check_outcome(
+        self, fake: FakeGuard, request_id: str, outcome, number: int
+    ) -> None:
+        """Checks that a guard's *unknown* was not knowable."""
+        send = self.sends[number]
+        if not isinstance(outcome, Unknown) or send.idempotent:
+            return
+        code = outcome.code
+        if code in {"not-owner", "moving", "deadline-passed"}:
+            return
+        if code == "owner-changed":
+            assert not self._knows_past(fake, send), "unknown without a cause"
+            return
+        touched = self.dispatched[request_id] > 0
+        assert touched, f"unknown ({code}) of a request that was never dispatched"
+        if code == "answer-not-kept":
+            assert self.answered_by.get(request_id) is not fake, "answer dropped early"
+
+    def first_sent(self, request_id: str) -> float:
+        """Returns when a caller first sent an id."""
+        sends = self.sends.values()
+        return min(s.sent_at for s in sends if s.request_id == request_id)
+
+    def age_of(self, request_id: str) -> float | None:
+        """Returns the age of an id; every other id tells it."""
+        tells = int(request_id.rpartition("-")[2]) % 2 == 0
+        return self.now - self.first_sent(request_id) if tells else None
+
+    def _knows_past(self, fake: FakeGuard, send: Send) -> bool:
+        """Says whether an owner's chain accounts for all earlier sends."""
+        last = self.eras[-1]
+        first = self.first_sent(send.request_id)
+        if last.node != fake.node:
+            return False
+        if send.asked_ticket is not None:
+            return all(era.clean for era in self.eras if era.since >= first)
+        return self.age_of(send.request_id) is not None and first > last.known_from
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -15,7 +15,7 @@
 def step_handed(context):
     context.guard = GuardDriver(token=0)
     entry = KnownRequest("A", 65, 1.0, True, 200)
-    book = LedgerHandOver(SLICE, 7, (TokenRange(7, 7),), True, (entry,))
+    book = LedgerHandOver(SLICE, 7, (TokenRange(7, 7),), 60.0, (entry,))
     context.guard.feed(guard.LedgerReceived(book))
     context.guard.feed(guard.RightGained(SLICE, 8, after_token=7))
 
--- a/rosemarydeal/core/messages.py
+++ b/rosemarydeal/core/messages.py
@@ -234,14 +234,14 @@
         slice: The slice that is handed over.
         token: Fencing token under which the sender last served it.
         covers: Tokens whose first tries the entries account for in full.
-        complete: Whether the entries hold every request of the whole window.
+        complete_s: Seconds for which the entries hold every request.
         entries: The requests that ran or may have run.
     """
 
     slice: SliceId
     token: int
     covers: tuple[TokenRange, ...]
-    complete: bool
+    complete_s: float
     entries: tuple[KnownRequest, ...]
 
 
--- a/rosemarydeal/policy/endings.py
+++ b/rosemarydeal/policy/endings.py
@@ -108,9 +108,9 @@
         event.request_id,
         EntryState.ANSWERED,
         now,
+        state.settings.answer_bytes,
         event.status,
         event.size,
-        state.settings.answer_bytes,
     )
     entry = book.find(event.request_id)
     if entry is not None and not entry.kept and event.request_id not in dropped:
@@ -162,7 +162,13 @@
     outcome = Unknown(code, "The connection to the upstream was lost.")
     state, replies = tell_waiters(state, live, outcome)
     state = _end(state, replace(live, waiters=()))
-    book, _ = ledger.settle(state.ledger, live.request.request_id, EntryState.LOST, now)
+    book, _ = ledger.settle(
+        state.ledger,
+        live.request.request_id,
+        EntryState.LOST,
+        now,
+        state.settings.answer_bytes,
+    )
     state, idle = report_if_idle(replace(state, ledger=book), live.request.slice, now)
     return state, (*notices, *replies, *idle)
 
@@ -215,7 +221,7 @@
         slice,
         right.token,
         right.covers,
-        right.complete or now - right.since > state.settings.window_s,
+        now - right.since,
         ledger.known_requests(state.ledger, slice, now),
     )
     rights = state.rights.set(slice, tickets.give_away(right))
--- a/rosemarydeal/policy/guard.py
+++ b/rosemarydeal/policy/guard.py
@@ -163,7 +163,7 @@
             return _stop_admitting(state, event.slice, now)
         case LedgerReceived():
             handed = event.ledger
-            right = tickets.accept(right_of(state, handed.slice), handed)
+            right = tickets.accept(right_of(state, handed.slice), handed, now)
             book = ledger.adopt(state.ledger, handed.slice, handed.entries, now)
             return replace(_put_right(state, right), ledger=book), ()
 
--- a/rosemarydeal/policy/ledger.py
+++ b/rosemarydeal/policy/ledger.py
@@ -136,9 +136,9 @@
     request_id: str,
     state: EntryState,
     now: float,
+    room_bytes: int,
     status: int = 0,
     size: int = 0,
-    room_bytes: int = 0,
 ) -> tuple[Ledger, tuple[str, ...]]:
     """Records how a dispatched request ended.
 
@@ -147,9 +147,9 @@
         request_id: The id.
         state: Answered, or lost without an answer.
         now: The moment, in seconds.
+        room_bytes: Bytes of answers that may be kept.
         status: HTTP status of the answer.
         size: Bytes of the answer.
-        room_bytes: Bytes of answers that may be kept.
 
     Returns:
         The ledger and the ids whose answers are not kept any more.
--- /dev/null
+++ b/rosemarydeal/policy/quantiles.py
@@ -0,0 +1,64 @@
+"""Estimates a high quantile of recent latencies in bounded memory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from math import ceil, log
+
+import immutables
+
+__all__ = ["Quantiles", "add", "quantile"]
+
+LEAST_S = 1e-4
+RATIO = 1.1
+LOG_RATIO = log(RATIO)
+SAMPLES_KEPT = 2000
+SAMPLES_NEEDED = 50
+
+
+@dataclass(frozen=True, slots=True)
+class Quantiles:
+    """Counts latencies in buckets whose bounds grow by a constant ratio.
+
+    Attributes:
+        counts: Samples by bucket; old ones are halved away.
+        total: Samples in all buckets.
+        mean: Average of recent latencies, in seconds.
+    """
+
+    counts: immutables.Map[int, float] = field(default_factory=immutables.Map)
+    total: float = 0.0
+    mean: float = 0.0
+
+
+def add(quantiles: Quantiles, latency: float) -> Quantiles:
+    """Counts a latency in seconds."""
+    bucket = ceil(log(max(latency, LEAST_S) / LEAST_S) / LOG_RATIO)
+    counts = quantiles.counts
+    counts = counts.set(bucket, counts.get(bucket, 0.0) + 1.0)
+    total = quantiles.total + 1.0
+    mean = quantiles.mean + (latency - quantiles.mean) / min(total, SAMPLES_NEEDED * 2)
+    if total >= SAMPLES_KEPT:
+        counts = immutables.Map({b: n / 2 for b, n in counts.items() if n >= 1.0})
+        total = sum(counts.values())
+    return replace(quantiles, counts=counts, total=total, mean=mean)
+
+
+def quantile(quantiles: Quantiles, share: float) -> float | None:
+    """Returns the latency that a share of the samples doesn't exceed.
+
+    Args:
+        quantiles: The counts.
+        share: Share of the samples, from 0 to 1.
+
+    Returns:
+        The latency in seconds, None while there are too few samples.
+    """
+    if quantiles.total < SAMPLES_NEEDED:
+        return None
+    above = (1.0 - share) * quantiles.total
+    for bucket in sorted(quantiles.counts, reverse=True):
+        above -= quantiles.counts[bucket]
+        if above < 0:
+            return LEAST_S * RATIO**bucket
+    return LEAST_S
--- a/rosemarydeal/policy/tickets.py
+++ b/rosemarydeal/policy/tickets.py
@@ -37,9 +37,9 @@
         held: Whether the right is held.
         admitting: Whether new requests are admitted under it.
         covers: Tokens whose first tries the ledger accounts for.
-        complete: Whether the ledger holds every request of the window.
-        since: Moment from which all requests of the slice came here.
+        since: Moment from which the ledger holds every request of the slice.
         handed: Ledger that a former owner passed on, until it is used.
+        handed_at: Moment at which it came.
         adopted: Token of the latest ledger that was taken over.
         given_away: Whether the ledger went to the next owner.
     """
@@ -49,9 +49,9 @@
     held: bool = False
     admitting: bool = False
     covers: tuple[TokenRange, ...] = ()
-    complete: bool = False
     since: float = 0.0
     handed: LedgerHandOver | None = None
+    handed_at: float = 0.0
     adopted: int = -1
     given_away: bool = False
 
@@ -64,7 +64,6 @@
         right,
         held=True,
         admitting=True,
-        complete=False,
         since=now,
         given_away=False,
     )
@@ -75,12 +74,11 @@
     handed = right.handed
     if handed is None:
         return fresh
-    return replace(
-        fresh,
-        covers=(*handed.covers, *fresh.covers),
-        complete=handed.complete and handed.token == gained.after_token,
-        handed=None,
-    )
+    covers = (*handed.covers, *fresh.covers)
+    fresh = replace(fresh, covers=covers, handed=None)
+    if handed.token != gained.after_token:
+        return fresh
+    return replace(fresh, since=right.handed_at - handed.complete_s)
 
 
 def _extend(right: SliceRight, token: int) -> tuple[TokenRange, ...]:
@@ -91,24 +89,24 @@
     return (*right.covers[:-1], TokenRange(last.low, max(last.high, token)))
 
 
-def accept(right: SliceRight, handed: LedgerHandOver) -> SliceRight:
+def accept(right: SliceRight, handed: LedgerHandOver, now: float) -> SliceRight:
     """Takes the ledger of a former owner; only its first copy counts."""
     if handed.token <= right.adopted:
         return right
     right = replace(right, adopted=handed.token)
     if right.held:
         return replace(right, covers=(*handed.covers, *right.covers))
-    return replace(right, handed=handed)
+    return replace(right, handed=handed, handed_at=now)
 
 
 def lose(right: SliceRight) -> SliceRight:
     """Gives up a right; the covered tokens stay accounted for."""
-    return replace(right, held=False, admitting=False, complete=False)
+    return replace(right, held=False, admitting=False)
 
 
 def give_away(right: SliceRight) -> SliceRight:
     """Gives the ledger to the next owner, who may run the covered tickets."""
-    return replace(right, covers=(), complete=False, given_away=True)
+    return replace(right, covers=(), given_away=True)
 
 
 def judge(
@@ -138,6 +136,6 @@
         return Verdict.NEVER_RAN if ticket is None else Verdict.STALE_TICKET
     if age_s is not None and age_s < now - right.since:
         return Verdict.NEVER_RAN
-    if ticket is None and (right.complete or now - right.since > window_s):
+    if ticket is None and now - right.since > window_s:
         return Verdict.NEVER_RAN
     return Verdict.MAY_HAVE_RUN
