Have the policy judge whether a zone may leave

Cause: the command line had a check of its own on what is left when a zone leaves, beside the one of the policy.

Change: it gathers the load and asks the policy. A process without an answer counts as fully loaded and as no help; where none answers the load is unknown.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -228,13 +228,34 @@
     And each process of "box-office" runs 8 requests
     When an operator runs "availability-zone out perth-a"
     Then the command exits with 8
-    And the command notes "zones_overloaded"
-    And the command notes "box-office: 48 requests, 48 slots left"
+    And the command notes "availability_zone_overload"
+    And the command notes "what is left of box-office would be busy to 100%"
     When an operator runs "availability-zone out perth-a --force"
     Then the command exits with 0
     When an operator runs "status"
     Then the command shows "forced"
 
+  Scenario: The last zone stays even when forced
+    Given an operators' deployment with "examples/fremantle.json" applied
+    When an operator runs "availability-zone out perth-a"
+    Then the command exits with 0
+    When an operator runs "availability-zone out perth-b"
+    Then the command exits with 0
+    When an operator runs "availability-zone out perth-c --force"
+    Then the command exits with 8
+    And the command notes "availability_zone_last"
+    And the zones that are out are "perth-a, perth-b"
+
+  Scenario: A load that nobody tells needs force
+    Given an operators' deployment with "examples/fremantle.json" applied
+    And all processes of "box-office" are silent
+    When an operator runs "availability-zone out perth-a"
+    Then the command exits with 8
+    And the command notes "availability_zone_load_unknown"
+    When an operator runs "availability-zone out perth-a --force"
+    Then the command exits with 5
+    And the zones that are out are "perth-a"
+
   Scenario: A process without an answer is no help when a zone leaves
     Given an operators' deployment with "examples/fremantle.json" applied
     And each process of "box-office" runs 4 requests
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -126,6 +126,12 @@
     context.stage.nodes.silent.add(node)
 
 
+@given('all processes of "{service}" are silent')
+def step_all_silent(context, service):
+    for number in range(1, 7):
+        context.stage.nodes.silent.add(f"{service}-{number}")
+
+
 @given('the process "{node}" does not take new versions over')
 def step_stuck(context, node):
     context.stage.nodes.stuck.add(node)
--- a/rosemarydeal/cli/fleet_commands.py
+++ b/rosemarydeal/cli/fleet_commands.py
@@ -46,7 +46,7 @@
 RACES_MAX = 10
 
 Listing = TypeVar("Listing", OperatorZones, OperatorUpstreams)
-ZoneCheck = Callable[[Session, frozenset[str]], Awaitable[None]]
+ZoneCheck = Callable[[Session, frozenset[str], bool], Awaitable[None]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,8 +84,7 @@
     async def change(listing: OperatorZones) -> OperatorZones:
         if zone in listing.names:
             return listing
-        if not options.force:
-            await check(session, listing.names | {zone})
+        await check(session, listing.names | {zone}, options.force)
         entry = ZoneOut(
             availability_zone=zone,
             operator=session.operator,
--- a/rosemarydeal/cli/zone_load.py
+++ b/rosemarydeal/cli/zone_load.py
@@ -1,94 +1,114 @@
-"""Checks that the zones that are left can bear the load of a zone taken out."""
+"""Gathers the load of each service and has the policy judge a zone's leaving."""
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from rosemarydeal.policy.fleet import FleetView
+from rosemarydeal.policy.zones import ZoneSettings, ZoneVerdict, judge_zones_out
 
 from .errors import CliError, ExitCode
 from .nodes import NodeReport, read_all
 from .records import read_members, read_upstreams
 from .session import Session
 
-__all__ = ["ServiceLoad", "check_zones_left", "loads_without"]
-
-BEARABLE_SHARE = 0.8
-
+__all__ = ["check_zones_left", "judge_services"]
 
-@dataclass(frozen=True, slots=True)
-class ServiceLoad:
-    """Compares a service's load with what is left to bear it.
-
-    Attributes:
-        service: Name of the service.
-        busy: Requests that run or wait now, in all zones.
-        slots: Requests that the upstreams left run at a time.
-    """
 
-    service: str
-    busy: int
-    slots: int
-
-    @property
-    def bearable(self) -> bool:
-        """Says whether the upstreams that are left can bear the load."""
-        return self.slots > 0 and self.busy <= self.slots * BEARABLE_SHARE
-
-
-async def check_zones_left(session: Session, zones_out: frozenset[str]) -> None:
+async def check_zones_left(
+    session: Session, zones_out: frozenset[str], forced: bool
+) -> None:
     """Refuses to leave a service with too few upstreams.
 
     Args:
         session: The running command's session.
         zones_out: Availability zones that would be out.
+        forced: Whether the operator insists.
 
     Raises:
-        CliError: If the zones that are left can't bear the present load.
+        CliError: If the policy doesn't allow the change.
     """
     session.output.note("asking every process for its load, 2 s at most for each")
     members = await read_members(session.platform)
     draining = (await read_upstreams(session.platform)).content.names
     reports = await read_all(session.nodes, members)
-    short = [
-        load
-        for load in loads_without(reports, zones_out, draining)
-        if not load.bearable
-    ]
-    if short:
-        reasons = "; ".join(
-            f"{load.service}: {load.busy} requests, {load.slots} slots left"
-            for load in short
-        )
-        detail = f"what is left can't bear the load: {reasons}; --force overrules"
-        raise CliError(ExitCode.REFUSED, detail, "zones_overloaded")
-
-
-def loads_without(
-    reports: Iterable[NodeReport], zones_out: frozenset[str], draining: frozenset[str]
-) -> tuple[ServiceLoad, ...]:
-    """Returns each service's load and the slots left for it.
-
-    A process that gives no answer counts as fully loaded and as no help.
+    verdicts = judge_services(reports, zones_out, draining, forced)
+    for verdict in verdicts:
+        if verdict.detail:
+            session.output.note(verdict.detail)
+    refused = [verdict for verdict in verdicts if not verdict.allowed]
+    if refused:
+        detail = "; ".join(verdict.detail for verdict in refused)
+        raise CliError(ExitCode.REFUSED, detail, refused[0].code)
+
+
+def judge_services(
+    reports: Iterable[NodeReport],
+    zones_out: frozenset[str],
+    draining: frozenset[str],
+    forced: bool,
+) -> tuple[ZoneVerdict, ...]:
+    """Judges for each service whether zones may be out.
+
+    A process that gives no answer counts as fully loaded and as no help; where
+    no process of a service answers, its load is unknown.
 
     Args:
         reports: What the processes say.
         zones_out: Availability zones that would be out.
         draining: Upstreams that get no new work.
+        forced: Whether the operator insists.
 
     Returns:
-        One entry for each service, sorted by name.
+        One verdict for each service that has members, sorted by service.
     """
-    busy: defaultdict[str, int] = defaultdict(int)
-    slots: defaultdict[str, int] = defaultdict(int)
+    by_service: dict[str, list[NodeReport]] = {}
     for report in reports:
-        member, status = report.member, report.status
-        if status is None:
-            busy[member.service] += member.slots
-            continue
-        busy[member.service] += status.running + status.queued
-        place = member.place
-        out = place.availability_zone in zones_out or place.upstream in draining
-        if status.upstream_up and not out:
-            slots[member.service] += member.slots
-    return tuple(ServiceLoad(name, busy[name], slots[name]) for name in sorted(busy))
+        by_service.setdefault(report.member.service, []).append(report)
+    return tuple(
+        judge_zones_out(
+            _view_left(service, found, zones_out, draining),
+            _busy_slots(found),
+            forced,
+            ZoneSettings(),
+        )
+        for service, found in sorted(by_service.items())
+    )
+
+
+def _view_left(
+    service: str,
+    reports: list[NodeReport],
+    zones_out: frozenset[str],
+    draining: frozenset[str],
+) -> FleetView:
+    """Returns the service with those members only that can help.
+
+    Where no process answers, the fault may be in the operator's own network,
+    so all members count.
+    """
+    if _busy_slots(reports) is None:
+        members = tuple(report.member for report in reports)
+        return FleetView(service, 0, members, {}, "", out_zones=zones_out)
+    helping = tuple(
+        report.member
+        for report in reports
+        if report.status is not None
+        and report.status.upstream_up
+        and report.member.place.upstream not in draining
+    )
+    return FleetView(service, 0, helping, {}, "", out_zones=zones_out)
+
+
+def _busy_slots(reports: list[NodeReport]) -> float | None:
+    """Returns the busy slots of a service, None if no process answers."""
+    if all(report.status is None for report in reports):
+        return None
+    return float(sum(map(_busy_slots_of, reports)))
+
+
+def _busy_slots_of(report: NodeReport) -> int:
+    """Returns the requests at one process; all slots without an answer."""
+    if report.status is None:
+        return report.member.slots
+    return report.status.running + report.status.queued
