Test the operators' commands on running processes

Cause: the commands had been tried against fakes only.

Change: a scenario that starts a platform and four processes on loopback and runs status, locate, apply and slices over real sockets, with the platform up and down.

--- /dev/null
+++ b/features/builders_live.py
@@ -0,0 +1,68 @@
+"""Runs a small deployment in a thread, with the real command line beside it."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import sys
+from pathlib import Path
+from threading import Thread
+
+from rosemarydeal.cli.main import run
+from rosemarydeal.cli.output import Output
+from rosemarydeal.cli.session import Surroundings, open_session, read_environment
+from rosemarydeal.daemon import log
+from rosemarydeal.demo.fleet import DeploymentFleet, FleetPlan
+
+__all__ = ["LiveDeployment"]
+
+NETWORK = 47
+START_TIMEOUT_S = 20.0
+
+
+class LiveDeployment:
+    """Holds the running deployment and what the last command wrote."""
+
+    def __init__(self) -> None:
+        plan = FleetPlan(
+            Path("examples/fremantle.json"),
+            NETWORK,
+            {"box-office": 3, "show-schedule": 1},
+        )
+        self._loop = asyncio.new_event_loop()
+        self._thread = Thread(target=self._loop.run_forever, daemon=True)
+        self.fleet = DeploymentFleet(plan)
+        self.results = ""
+        self.notes = ""
+
+    def start(self) -> None:
+        """Starts the platform and all processes."""
+        log.configure("error", sys.stderr)
+        self._thread.start()
+        self.call(self.fleet.start())
+
+    def call(self, work) -> None:
+        """Runs a coroutine in the deployment's loop."""
+        asyncio.run_coroutine_threadsafe(work, self._loop).result(START_TIMEOUT_S)
+
+    def stop(self) -> None:
+        """Stops everything."""
+        self.call(self.fleet.stop())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(START_TIMEOUT_S)
+        self._loop.close()
+
+    def run(self, *arguments: str) -> int:
+        """Runs one real command and returns its exit code."""
+        settings = read_environment(
+            {
+                "ROSEMARYDEAL_PLATFORM": str(self.fleet.platform.address),
+                "ROSEMARYDEAL_OPERATOR": "eva",
+            }
+        )
+        results, notes = io.StringIO(), io.StringIO()
+        output = Output(results, notes)
+        surroundings = Surroundings(lambda: open_session(settings, output), output)
+        code = run(list(arguments), surroundings)
+        self.results, self.notes = results.getvalue(), notes.getvalue()
+        return code
--- /dev/null
+++ b/features/steps/operators_live_steps.py
@@ -0,0 +1,106 @@
+import json
+import tempfile
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from features.builders_live import LiveDeployment
+
+TRIES = 60
+PAUSE_S = 0.25
+
+
+@given("a running deployment with operators")
+def step_running(context):
+    context.live = LiveDeployment()
+    context.add_cleanup(context.live.stop)
+    context.live.start()
+
+
+def run_until(context, arguments, accepted):
+    """Repeats a command until its result is accepted."""
+    for _ in range(TRIES):
+        context.live_code = context.live.run(*arguments)
+        if context.live_code == 0 and accepted(context.live.results):
+            return
+        time.sleep(PAUSE_S)
+    raise AssertionError(context.live.results + context.live.notes)
+
+
+@when('the live operator runs "{command}" until "{field}" is true everywhere')
+def step_until_all(context, command, field):
+    def accepted(text):
+        nodes = json.loads(text)["nodes"]
+        statuses = [node["status"] for node in nodes]
+        return len(nodes) == 4 and all(s is not None and s[field] for s in statuses)
+
+    run_until(context, command.split(), accepted)
+
+
+@when('the live operator runs "{command}" until it shows "{text}"')
+def step_until_shows(context, command, text):
+    run_until(context, command.split(), lambda shown: text in shown)
+
+
+@when('the live operator runs "{command}"')
+def step_run(context, command):
+    context.live_code = context.live.run(*command.split())
+
+
+@when("the live operator asks one process for its status")
+def step_ask(context):
+    admin = context.live.fleet.stations[0].settings.admin
+    context.live_code = context.live.run("status", "--ask", str(admin))
+
+
+def apply_changed(context, slots):
+    """Applies Fremantle's file with other slots against version 1."""
+    text = Path("examples/fremantle.json").read_text("utf-8")
+    with tempfile.TemporaryDirectory() as directory:
+        file = Path(directory, "changed.json")
+        file.write_text(text.replace('"slots": 12', f'"slots": {slots}'), "utf-8")
+        context.live_code = context.live.run("apply", str(file), "--base", "1")
+
+
+@when("the live operator applies a changed file")
+def step_apply(context):
+    apply_changed(context, 13)
+
+
+@when("the live operator applies the file again against an old version")
+def step_apply_again(context):
+    apply_changed(context, 14)
+
+
+@given("the live platform stops")
+def step_platform_stops(context):
+    context.live.call(context.live.fleet.platform.stop())
+
+
+@then("the live status has {count:d} processes with configuration {version:d}")
+def step_status(context, count, version):
+    nodes = json.loads(context.live.results)["nodes"]
+    versions = [node["status"]["config_version"] for node in nodes]
+    assert versions == [version] * count, versions
+
+
+@then("the live command exits with {code:d}")
+def step_exit(context, code):
+    assert context.live_code == code, (context.live_code, context.live.notes)
+
+
+@then('the live command notes "{text}"')
+def step_notes(context, text):
+    assert text in context.live.notes, context.live.notes
+
+
+@then('the live command shows "{text}"')
+def step_shows(context, text):
+    assert text in context.live.results, context.live.results
+
+
+@then("the live command shows {count:d} slices")
+def step_slices(context, count):
+    lines = context.live.results.splitlines()
+    assert len([line for line in lines if line.startswith("box-office")]) == count
