Tell crash suspects again while they are fresh, and try containment in a fleet

Cause: a notice lost between processes would let a crashing request meet a guard that knows nothing of its crashes.

Change: the guard beside a crash repeats its notices once a second for a minute; a small fleet in virtual time sends one crashing request again and again beside innocent lookups.

--- /dev/null
+++ b/features/crashes_world.py
@@ -0,0 +1,226 @@
+"""Lets one request crash upstreams again and again, beside innocent ones."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass
+
+from rosemarydeal.core import Address, Incarnation, Member, NotRun, Place
+from rosemarydeal.core.messages import SuspectNotice
+from rosemarydeal.policy import entry, guard
+
+__all__ = ["CrashesResult", "run_crashes"]
+
+NODES = tuple(f"show-schedule-{number}" for number in range(4))
+POISON = 666
+TICK_S = 0.02
+END_S = 12.0
+LOOKUPS = 8
+LOOKUPS_PER_S = 60.0
+POISON_EVERY_S = 0.4
+DEADLINE_S = 2.0
+LEAST_RESTART_S = 0.1
+MOST_RESTART_S = 0.6
+LEAST_NOTICE_S = 0.0005
+MOST_NOTICE_S = 0.005
+NOTICE_LOSS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class CrashesResult:
+    """Sums a run up."""
+
+    crashes: int
+    blamed: frozenset[int]
+    refused_poison: int
+    answered_lookups: int
+    lookups: int
+
+
+class CrashesWorld:
+    """Runs four guards and one entry in virtual time."""
+
+    def __init__(self, seed: int) -> None:
+        self.source = random.Random(seed)
+        self.now = 10.0
+        self.queue: list = []
+        self.count = 0
+        self.crashes = 0
+        self.blamed: set[int] = set()
+        self.refused_poison = 0
+        self.answered = 0
+        self.fingerprints: dict[int, int] = {}
+        self.jobs: dict[str, set[str]] = {node: set() for node in NODES}
+        self.waiters: dict[int, tuple[int, int]] = {}
+        self.guards = {
+            node: guard.start(
+                guard.GuardSettings(node=node, service="show-schedule", slots=6),
+                self.now,
+                place,
+            )
+            for place, node in enumerate(NODES)
+        }
+        for node in NODES:
+            self.feed(node, guard.UpstreamStarted(cold=False))
+        self.entry = entry.start(entry.EntrySettings(availability_zone="a"), seed)
+        self.feed_entry(entry.MembersChanged(tuple(_member(n) for n in NODES)))
+
+    def after(self, delay: float, action, *arguments) -> None:
+        """Calls back after a delay."""
+        self.count += 1
+        moment = self.now + delay
+        heapq.heappush(self.queue, (moment, self.count, action, arguments))
+
+    def run(self) -> None:
+        """Runs to the end."""
+        end = self.now + END_S
+        self.after(0, self.tick)
+        self.after(0.5, self.poison)
+        self.after(0, self.lookup)
+        while self.queue and self.now < end:
+            self.now, _, action, arguments = heapq.heappop(self.queue)
+            action(*arguments)
+
+    def tick(self) -> None:
+        """Lets time pass for all machines."""
+        for node in NODES:
+            self.feed(node, guard.Tick())
+            self.blamed.update(guard.status(self.guards[node], self.now).blamed)
+        self.feed_entry(entry.Tick())
+        self.after(TICK_S, self.tick)
+
+    def poison(self) -> None:
+        """Lets the caller of the crashing request send it again."""
+        self.accept(POISON)
+        self.after(POISON_EVERY_S, self.poison)
+
+    def lookup(self) -> None:
+        """Lets a caller look something up."""
+        self.accept(self.source.randrange(LOOKUPS))
+        self.after(self.source.expovariate(LOOKUPS_PER_S), self.lookup)
+
+    def accept(self, fingerprint: int) -> None:
+        """Sends a request to the entry."""
+        number = len(self.fingerprints) + 1
+        self.fingerprints[number] = fingerprint
+        deadline = self.now + DEADLINE_S
+        self.feed_entry(
+            entry.RequestAccepted(
+                number, f"r{number}", "show-schedule", None, True, deadline
+            )
+        )
+
+    def feed_entry(self, event) -> None:
+        """Feeds the entry and carries out what follows."""
+        self.entry, actions = entry.step(self.entry, event, self.now)
+        for action in actions:
+            match action:
+                case entry.Try():
+                    self.after(0.001, self.arrive, action)
+                case entry.Deliver():
+                    self.answered += self.fingerprints[action.request] != POISON
+                case entry.DeliverOutcome(outcome=NotRun(code="crash-suspect")):
+                    self.refused_poison += 1
+
+    def arrive(self, action: entry.Try) -> None:
+        """Lets a try arrive at its guard."""
+        waiter = len(self.waiters) + 1
+        self.waiters[waiter] = (action.request, action.attempt)
+        self.feed(
+            action.node,
+            guard.RequestArrived(
+                waiter,
+                f"r{action.request}.{action.attempt}",
+                self.fingerprints[action.request],
+                "touring",
+                None,
+                True,
+                action.deadline,
+            ),
+        )
+
+    def feed(self, node: str, event) -> None:
+        """Feeds a guard and carries out what follows."""
+        self.guards[node], actions = guard.step(self.guards[node], event, self.now)
+        for action in actions:
+            match action:
+                case guard.Dispatch():
+                    self.start(node, action.request_id)
+                case guard.ReplyAnswer():
+                    request, attempt = self.waiters[action.waiter]
+                    event = entry.TryAnswered(request, attempt, 200, 0.05)
+                    self.after(0.001, self.feed_entry, event)
+                case guard.ReplyOutcome():
+                    request, attempt = self.waiters[action.waiter]
+                    event = entry.TryRefused(request, attempt, action.outcome)
+                    self.after(0.001, self.feed_entry, event)
+                case guard.TellSuspects():
+                    self.tell(node, action.notice)
+
+    def tell(self, sender: str, notice: SuspectNotice) -> None:
+        """Sends a notice to all others; some get lost."""
+        for node in NODES:
+            if node != sender and self.source.random() > NOTICE_LOSS:
+                delay = self.source.uniform(LEAST_NOTICE_S, MOST_NOTICE_S)
+                self.after(delay, self.feed, node, guard.SuspectsReceived(notice))
+
+    def start(self, node: str, request_id: str) -> None:
+        """Runs a request on an upstream; the poison crashes it."""
+        self.jobs[node].add(request_id)
+        number = int(request_id[1:].partition(".")[0])
+        if self.fingerprints[number] == POISON:
+            self.after(self.source.uniform(0.001, 0.05), self.crash, node, request_id)
+        else:
+            latency = self.source.uniform(0.005, 0.1)
+            self.after(latency, self.answer, node, request_id, latency)
+
+    def answer(self, node: str, request_id: str, latency: float) -> None:
+        """Answers a request unless its upstream crashed."""
+        if request_id in self.jobs[node]:
+            self.jobs[node].remove(request_id)
+            event = guard.UpstreamAnswered(request_id, 200, 10, latency)
+            self.feed(node, event)
+
+    def crash(self, node: str, request_id: str) -> None:
+        """Crashes an upstream with all that it runs, and restarts it."""
+        if request_id not in self.jobs[node]:
+            return
+        self.crashes += 1
+        broken, self.jobs[node] = sorted(self.jobs[node]), set()
+        self.feed(node, guard.UpstreamGone())
+        for lost in broken:
+            self.feed(node, guard.UpstreamFailed(lost, sent=True, crashed=True))
+        delay = self.source.uniform(LEAST_RESTART_S, MOST_RESTART_S)
+        self.after(delay, self.feed, node, guard.UpstreamStarted(cold=True))
+
+
+def _member(node: str) -> Member:
+    """Builds a member beside an upstream."""
+    return Member(
+        Incarnation(node, 1),
+        (),
+        "show-schedule",
+        Place("wa-perth", "a", node),
+        Address("127.0.0.1", 1),
+        "127.0.0.1",
+        slots=6,
+    )
+
+
+def run_crashes(seed: int) -> CrashesResult:
+    """Runs one world and sums it up.
+
+    Args:
+        seed: Seed of all random choices.
+    """
+    world = CrashesWorld(seed)
+    world.run()
+    lookups = sum(1 for f in world.fingerprints.values() if f != POISON)
+    return CrashesResult(
+        world.crashes,
+        frozenset(world.blamed),
+        world.refused_poison,
+        world.answered,
+        lookups,
+    )
--- a/rosemarydeal/policy/endings.py
+++ b/rosemarydeal/policy/endings.py
@@ -92,7 +92,7 @@
     )
     replies = tuple(ReplyAnswer(w, event.request_id) for w in live.waiters)
     state, forgotten = _keep(state, live, event, now)
-    state, notices = _exonerate(state, live)
+    state, notices = _exonerate(state, live, now)
     state, idle = report_if_idle(state, live.request.slice, now)
     return state, (*replies, *forgotten, *notices, *idle)
 
@@ -118,10 +118,10 @@
     return replace(state, ledger=book), tuple(ForgetAnswer(i) for i in dropped)
 
 
-def _exonerate(state: GuardState, live: LiveRequest) -> Step:
+def _exonerate(state: GuardState, live: LiveRequest, now: float) -> Step:
     """Clears a request that completed of all crashes."""
     book, notices = suspects.clear(
-        state.suspects, state.settings.service, live.request.fingerprint
+        state.suspects, state.settings.service, live.request.fingerprint, now
     )
     return replace(state, suspects=book), tuple(TellSuspects(n) for n in notices)
 
--- a/rosemarydeal/policy/guard.py
+++ b/rosemarydeal/policy/guard.py
@@ -111,7 +111,7 @@
             return _suspects_received(state, event.notice, now)
         case ReleaseSuspect():
             book, notices = suspects.clear(
-                state.suspects, state.settings.service, event.fingerprint
+                state.suspects, state.settings.service, event.fingerprint, now
             )
             told = tuple(TellSuspects(notice) for notice in notices)
             return replace(state, suspects=book), told
@@ -254,8 +254,10 @@
     running = [live for live in state.live.values() if live.runs]
     moments = tuple(live.started for live in running)
     cold = coldstart.watch_running(state.cold, settings, moments, now)
+    kept, notices = suspects.retell(kept, now)
     state = replace(state, ledger=book, suspects=kept, cold=cold)
     actions: list[GuardAction] = [ForgetAnswer(i) for i in dropped]
+    actions.extend(TellSuspects(notice) for notice in notices)
     for live in running:
         if live.request.deadline <= now:
             state, told = _give_up(state, live, now)
--- a/rosemarydeal/policy/suspects.py
+++ b/rosemarydeal/policy/suspects.py
@@ -26,10 +26,14 @@
     "is_blamed",
     "is_suspect",
     "receive",
+    "retell",
 ]
 
 CRASHES_TO_BLAME = 2
 RECORDS_MAX = 10_000
+RETELL_S = 1.0
+RETELL_FOR_S = 60.0
+OWN_NOTICES_MAX = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +58,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspects:
-    """Holds the records by fingerprint and the number of own crashes."""
+    """Holds the records by fingerprint and what this process tells of them.
+
+    Attributes:
+        records: Records by fingerprint.
+        own_crashes: Crashes of the upstream beside this process.
+        notices: Notices that are told again, as they may get lost.
+        made_at: Moments at which those were made.
+        told_at: Moment at which they were last told.
+    """
 
     records: immutables.Map[int, Record] = field(default_factory=immutables.Map)
     own_crashes: int = 0
+    notices: tuple[SuspectNotice, ...] = ()
+    made_at: tuple[float, ...] = ()
+    told_at: float = 0.0
 
 
 def _standing(suspects: Suspects, fingerprint: int) -> frozenset[str]:
@@ -100,9 +115,32 @@
     crash_id = f"{node}/{seed}/{suspects.own_crashes}"
     notice = SuspectNotice(service, crash_id, tuple(sorted(set(in_flight))))
     suspects = replace(suspects, own_crashes=suspects.own_crashes + 1)
+    suspects = _keep_telling(suspects, (notice,), now)
     return receive(suspects, notice, now), notice
 
 
+def _keep_telling(
+    suspects: Suspects, notices: tuple[SuspectNotice, ...], now: float
+) -> Suspects:
+    """Adds notices to those that are told again for a while."""
+    kept = (*suspects.notices, *notices)[-OWN_NOTICES_MAX:]
+    made_at = (*suspects.made_at, *(now for _ in notices))[-OWN_NOTICES_MAX:]
+    return replace(suspects, notices=kept, made_at=made_at)
+
+
+def retell(
+    suspects: Suspects, now: float
+) -> tuple[Suspects, tuple[SuspectNotice, ...]]:
+    """Returns the notices that are to be told again now."""
+    if not suspects.notices or now - suspects.told_at < RETELL_S:
+        return suspects, ()
+    fresh = sum(1 for moment in suspects.made_at if now - moment <= RETELL_FOR_S)
+    notices = suspects.notices[len(suspects.notices) - fresh :]
+    made_at = suspects.made_at[len(suspects.made_at) - fresh :]
+    told = replace(suspects, notices=notices, made_at=made_at, told_at=now)
+    return told, notices
+
+
 def receive(suspects: Suspects, notice: SuspectNotice, now: float) -> Suspects:
     """Merges a notice into the records."""
     records = suspects.records
@@ -135,7 +173,7 @@
 
 
 def clear(
-    suspects: Suspects, service: str, fingerprint: int
+    suspects: Suspects, service: str, fingerprint: int, now: float
 ) -> tuple[Suspects, tuple[SuspectNotice, ...]]:
     """Clears a fingerprint of every crash that is known.
 
@@ -152,7 +190,8 @@
         for crash_id in sorted(standing)
     )
     records = suspects.records.set(fingerprint, cleared)
-    return replace(suspects, records=records), notices
+    suspects = _keep_telling(replace(suspects, records=records), notices, now)
+    return suspects, notices
 
 
 def expire(suspects: Suspects, now: float, window_s: float) -> Suspects:
