Tell a change of load from chance before moving slices

Cause: With a smoothing of 5 s the estimates of an unmoving load wandered by 10%, and slices were moved after them, 1.5 to 2 a minute for nothing.

Change: Smooth over 20 s, but take a report that chance can't explain (four deviations of a Poisson stream) at once with a weight of 0.6; ask an imbalance for an excess summed over time, and begin at 1.12.

--- a/features/control.feature
+++ b/features/control.feature
@@ -20,6 +20,11 @@
     When the control group serves even load for 60 seconds
     Then the control group moved 0 slices
 
+  Scenario: Chance alone moves nothing
+    Given a control group of 6 processes over 256 slices
+    When the control group serves even load scattered by chance for 120 seconds
+    Then the control group moved 0 slices
+
   Scenario: A lasting imbalance is moved away, and then it stops
     Given a control group of 6 processes over 256 slices
     When the control group serves load doubled on the slices of box-office-1 for 60 seconds
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 
 from behave import given, then, when
@@ -76,6 +77,17 @@
     context.group.run(seconds, even)
 
 
+@when("the control group serves even load scattered by chance for {seconds:d} seconds")
+def step_chance(context, seconds):
+    source = random.Random(4)
+
+    def load(holder, slice_id):
+        requests = sum(source.random() < 0.1 for _ in range(20))
+        return sum(source.expovariate(1 / 0.05) for _ in range(requests))
+
+    context.group.run(seconds, load)
+
+
 @when(
     "the control group serves load doubled on the slices of {node} "
     "for {seconds:d} seconds"
--- a/rosemarydeal/policy/loads.py
+++ b/rosemarydeal/policy/loads.py
@@ -20,13 +20,17 @@
 
     Attributes:
         smoothing_s: Time constant of the smoothing.
+        surprise: Deviations of chance from which a report isn't smoothed.
+        surprise_weight: Weight of such a report against the estimate.
         stale_s: Age from which a member's reports count for nothing.
         least_reports: Reports in a row before a member's load is believed.
         forget_s: Age from which a slice's estimate is dropped.
         slow_ratio: Service time over the median one that makes a straggler.
     """
 
-    smoothing_s: float = 5.0
+    smoothing_s: float = 20.0
+    surprise: float = 4.0
+    surprise_weight: float = 0.6
     stale_s: float = 8.0
     least_reports: int = 3
     forget_s: float = 60.0
@@ -92,8 +96,8 @@
         slices = self.slices.mutate()
         for load in report.slices:
             old = slices.get(load.slice)
-            smooth = self._smooth(old.load, old.at, load.load, at) if old else load.load
-            slices[load.slice] = SliceEstimate(smooth, at, load.hot_keys)
+            found = self._slice_load(old, load.load, at, report.service_s)
+            slices[load.slice] = SliceEstimate(found, at, load.hot_keys)
         members = self.members.set(report.incarnation, member)
         return replace(self, slices=slices.finish(), members=members)._mark_slow(
             report.incarnation, at
@@ -149,6 +153,23 @@
             known.slow_since,
         )
 
+    def _slice_load(
+        self, old: SliceEstimate | None, load: float, at: float, service_s: float
+    ) -> float:
+        """Returns a slice's new estimate; one that chance can't explain is quick.
+
+        The number of requests is taken as Poisson and their times as exponential.
+        """
+        if old is None:
+            return load
+        interval = max(at - old.at, 1e-3)
+        if service_s > 0:
+            expected = max(old.load, service_s / interval)
+            deviation = math.sqrt(2 * expected * service_s / interval)
+            if abs(load - old.load) > self.settings.surprise * deviation:
+                return old.load + self.settings.surprise_weight * (load - old.load)
+        return self._smooth(old.load, old.at, load, at)
+
     def _smooth(self, old: float, old_at: float, new: float, at: float) -> float:
         share = 1 - math.exp(-max(0.0, at - old_at) / self.settings.smoothing_s)
         return old + share * (new - old)
--- a/rosemarydeal/policy/rebalance.py
+++ b/rosemarydeal/policy/rebalance.py
@@ -29,6 +29,7 @@
         start_ratio: Highest over mean share at which moves begin.
         stop_ratio: Ratio at which they end.
         sustain_s: Seconds for which an imbalance must have lasted.
+        excess_s: Ratio above the start ratio, summed over seconds, that it takes.
         straggler_s: Seconds for which an upstream must have been slow before
             slices leave it for that.
         price: Share of the mean slice's load that a move must take away.
@@ -44,9 +45,10 @@
         merge_share: Share of it below which a carved key is merged back.
     """
 
-    start_ratio: float = 1.10
+    start_ratio: float = 1.12
     stop_ratio: float = 1.04
     sustain_s: float = 3.0
+    excess_s: float = 0.3
     straggler_s: float = 12.0
     price: float = 0.5
     carve_gain: float = 4.0
@@ -94,6 +96,8 @@
         budget: Moves that may be made now.
         at: Moment up to which the budget is counted; None before the first.
         over_since: Moment since which the imbalance has been too high.
+        excess: Ratio above the start ratio summed over the seconds since then.
+        seen_at: Moment up to which it is summed.
         active: Whether moves go on until the stop ratio.
         moved: Moment of each recent move.
         known_since: Moment at which each member was first seen.
@@ -102,6 +106,8 @@
     budget: float = 0.0
     at: float | None = None
     over_since: float | None = None
+    excess: float = 0.0
+    seen_at: float = 0.0
     active: bool = False
     moved: Map[SliceId, float] = Map()
     known_since: Map[Incarnation, float] = Map()
@@ -246,8 +252,13 @@
     half = 1 + (settings.start_ratio - 1) / 2
     if ratio <= settings.start_ratio or not shares.still_over(half):
         return replace(state, over_since=None)
-    since = now if state.over_since is None else state.over_since
-    return replace(state, over_since=since, active=now - since >= settings.sustain_s)
+    if state.over_since is None:
+        return replace(state, over_since=now, excess=0.0, seen_at=now)
+    excess = state.excess
+    excess += (ratio - settings.start_ratio) * (now - state.seen_at)
+    lasted = now - state.over_since >= settings.sustain_s
+    active = lasted and excess >= settings.excess_s
+    return replace(state, excess=excess, seen_at=now, active=active)
 
 
 def _merges(shares: _Shares, settings: RebalanceSettings) -> tuple[Step, ...]:
--- a/rosemarydeal/policy/reporting.py
+++ b/rosemarydeal/policy/reporting.py
@@ -14,8 +14,8 @@
 
 __all__ = ["LoadMeter", "LocalLoad", "ReportSettings", "make_reports", "report_period"]
 
-REPORT_BYTES = 160
-SLICE_BYTES = 48
+REPORT_BYTES = 200
+SLICE_BYTES = 72
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +28,7 @@
         most_slices: Slices per report, heaviest first.
     """
 
-    bytes_per_second: float = 600.0
+    bytes_per_second: float = 1000.0
     shortest_s: float = 1.0
     most_slices: int = 64
 
