Say when no process is up, and end quietly when nobody reads

Cause: a first apply ended with "in force on all 0", and a result piped into a program that stops reading ended with a traceback.

Change: the command says that no process is up yet; a closed pipe ends it with 0. The builder of the operators' tests takes its members.

--- a/features/builders_operators.py
+++ b/features/builders_operators.py
@@ -196,20 +196,31 @@
     )
 
 
-def stage() -> Stage:
-    """Builds Fremantle's deployment with all processes and one owned slice."""
+def fremantle_members() -> tuple[Member, ...]:
+    """Builds the members of Fremantle at the sizes of today."""
     zones = ("perth-a", "perth-b", "perth-c")
-    members = tuple(member_of(n, zones[n % 3]) for n in range(1, 7))
-    members += tuple(member_of(n, zones[n % 3], "show-schedule") for n in range(1, 5))
+    members = [member_of(n, zones[n % 3]) for n in range(1, 7)]
+    members += [member_of(n, zones[n % 3], "show-schedule") for n in range(1, 5)]
+    return tuple(members)
+
+
+def stage(members: tuple[Member, ...] | None = None) -> Stage:
+    """Builds a deployment; the first two members share one slice's row."""
+    members = fremantle_members() if members is None else members
     store = ObjectStore()
     for member in members:
         store.put(f"members/{member.node}", msgspec.json.encode(member), 0, "m")
+    nodes = FakeNodes(store, members)
+    if members:
+        nodes.owned_by = members[0].node
+        _put_row(store, tuple(member.incarnation for member in members[:2]))
+    return Stage(FakePlatform(store), nodes)
+
+
+def _put_row(store: ObjectStore, succession: tuple[Incarnation, ...]) -> None:
+    """Writes the row of the slice of show-7."""
     slice_id = slice_of("box-office", "show-7", 256)
-    succession = (members[0].incarnation, members[1].incarnation)
     row = Row(SliceId(slice_id.service, slice_id.index), 4, succession)
     chunk = Chunk("box-office", chunk_of(slice_id), (row,))
     key = f"slices/box-office/{chunk.number}"
     store.put(key, msgspec.json.encode(chunk), 0, "c")
-    nodes = FakeNodes(store, members)
-    nodes.owned_by = members[0].node
-    return Stage(FakePlatform(store), nodes)
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -6,6 +6,12 @@
     Then the command exits with 0
     And the command notes "in force on all 10"
 
+  Scenario: A configuration can be applied before any process is up
+    Given an operators' deployment without processes
+    When an operator runs "apply examples/fremantle.json"
+    Then the command exits with 0
+    And the command notes "no process is up yet"
+
   Scenario: Applying the same text again changes nothing
     Given an operators' deployment with "examples/fremantle.json" applied
     When an operator runs "apply examples/fremantle.json"
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -40,6 +40,11 @@
     context.stage = stage()
 
 
+@given("an operators' deployment without processes")
+def step_stage_empty(context):
+    context.stage = stage(members=())
+
+
 @given('an operators\' deployment with "{file}" applied')
 def step_stage_applied(context, file):
     context.stage = stage()
--- a/rosemarydeal/cli/main.py
+++ b/rosemarydeal/cli/main.py
@@ -40,6 +40,11 @@
     return int(ExitCode.DONE)
 
 
+def _discard_results() -> None:
+    """Lets the interpreter close a standard output that nobody reads any more."""
+    os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+
 def main() -> None:
     """Runs the command that the process was started with."""
     output = Output(results=sys.stdout, progress=sys.stderr)
@@ -50,7 +55,12 @@
         sys.exit(int(error.exit_code))
     surroundings = Surroundings(lambda: open_session(settings, output), output)
     try:
-        sys.exit(run(sys.argv[1:], surroundings))
+        code = run(sys.argv[1:], surroundings)
+        sys.stdout.flush()
+        sys.exit(code)
+    except BrokenPipeError:
+        _discard_results()
+        sys.exit(int(ExitCode.DONE))
     except KeyboardInterrupt:
         output.note("interrupted: what was accepted stays accepted")
         sys.exit(int(ExitCode.FAILED))
--- a/rosemarydeal/cli/rollout.py
+++ b/rosemarydeal/cli/rollout.py
@@ -121,8 +121,7 @@
             rollout = None
             text = error.detail
         if rollout is not None and rollout.complete:
-            count = len(rollout.in_force)
-            session.output.note(f"version {version} is in force on all {count}")
+            session.output.note(_success(rollout))
             return rollout
         if text != shown:
             session.output.note(f"{session.elapsed() - started:.0f} s: {text}")
@@ -133,6 +132,13 @@
         await session.sleep(POLL_INTERVAL_S)
 
 
+def _success(rollout: Rollout) -> str:
+    """Returns the line for a version that is in force everywhere."""
+    if not rollout.in_force:
+        return f"version {rollout.version} stands; no process is up yet"
+    return f"version {rollout.version} is in force on all {len(rollout.in_force)}"
+
+
 def _progress(rollout: Rollout) -> str:
     """Returns one line on how far a version got."""
     total = len(rollout.in_force) + len(rollout.lagging)
