Harden HTTP on both sides against bad peers, and test it

Cause: The first version kept a connection whose last read ended exactly at the end of a response though more bytes had come, took HTTP/2.0 request lines and absolute targets, lost the 408 response of a slow sender, and could leave the count of open connections wrong when a connection closed while opening.

Change: Kept connections are dropped when bytes come in that nobody asked for; versions, targets and framing are checked on both sides; failures of a request's body reach the sender of the request as they are.

--- a/features/builders_proxy.py
+++ b/features/builders_proxy.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 
+import h11
+
 from rosemarydeal.core import Address
 from rosemarydeal.proxy import (
     Handler,
@@ -28,12 +30,17 @@
     "exchange_raw",
     "pool",
     "raw_upstream",
+    "read_responses",
     "request",
     "running",
+    "until",
 ]
 
 LOOPBACK = Address("127.0.0.1", 0)
 BODY_BYTES = 1 << 24
+HOST = [("host", "a")]
+TURNS_PER_SEGMENT = 3
+TURNS_AT_MOST = 10_000
 
 
 def request(
@@ -64,14 +71,22 @@
         await server.close()
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    """Lets the event loop turn until a condition holds, which it must soon."""
+    for _ in range(TURNS_AT_MOST):
+        if condition():
+            return
+        await asyncio.sleep(0)
+    raise AssertionError("the condition never held")
+
+
 @asynccontextmanager
 async def pool(**values):
     """Holds a pool of connections; `opened` counts the new ones."""
     opened = []
     made = Pool(PoolSettings(**values), on_open=opened.append)
-    made_with_count = (made, opened)
     try:
-        yield made_with_count
+        yield made, opened
     finally:
         await made.close()
 
@@ -88,6 +103,47 @@
         writer.close()
 
 
+async def read_responses(
+    address: Address, segments: list[bytes], methods: list[bytes]
+) -> list[bytes]:
+    """Sends segments of pipelined requests and returns the responses' bodies.
+
+    Args:
+        address: Where the server listens.
+        segments: Bytes, each of which the server gets on its own.
+        methods: Methods of the requests, in order.
+    """
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    parser = h11.Connection(h11.CLIENT)
+    bodies = []
+    try:
+        for segment in segments:
+            writer.write(segment)
+            for _ in range(TURNS_PER_SEGMENT):
+                await asyncio.sleep(0)
+        for method in methods:
+            parser.send(h11.Request(method=method, target="/", headers=HOST))
+            parser.send(h11.EndOfMessage())
+            bodies.append(await _read_body(reader, parser))
+            parser.start_next_cycle()
+    finally:
+        writer.close()
+    return bodies
+
+
+async def _read_body(reader: asyncio.StreamReader, parser: h11.Connection) -> bytes:
+    """Reads one response and returns its body."""
+    body = b""
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(await reader.read(65_536))
+        elif type(event) is h11.Data:
+            body += bytes(event.data)
+        elif type(event) is h11.EndOfMessage:
+            return body
+
+
 RawUpstream = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -98,8 +154,8 @@
     async def connected(reader, writer):
         try:
             await serve_one(reader, writer)
-        except ConnectionError:
-            pass
+        except (ConnectionError, EOFError, asyncio.CancelledError):
+            writer.transport.abort()
         finally:
             writer.close()
 
--- a/rosemarydeal/proxy/client.py
+++ b/rosemarydeal/proxy/client.py
@@ -9,9 +9,10 @@
 
 from rosemarydeal.core import Address
 
-from .client_connection import ClientConnection, ConnectionSettings, connect
+from .client_connection import ClientConnection, ConnectionSettings
 from .errors import ConnectFailed, ProxyTimeout
 from .message import Request, Response
+from .upstream_protocol import connect
 
 __all__ = ["Pool", "PoolSettings"]
 
@@ -117,6 +118,8 @@
         pool = self._addresses.setdefault(address, AddressPool())
         while not pool.idle and pool.open >= self._settings.connections_per_address:
             await self._wait_for_place(pool, deadline)
+            # The entry may have been dropped with its last connection.
+            pool = self._addresses.setdefault(address, AddressPool())
         if pool.idle:
             return pool.idle.pop()[0]
         pool.open += 1
@@ -134,15 +137,19 @@
             async with asyncio.timeout_at(deadline):
                 await waiter
         except TimeoutError as error:
+            self._stop_waiting(pool, waiter)
             detail = "all connections to the upstream stayed in use"
             raise ProxyTimeout(detail, sent=False) from error
         except asyncio.CancelledError:
-            if waiter.done() and not waiter.cancelled():
-                self._wake(pool)
+            self._stop_waiting(pool, waiter)
             raise
-        finally:
-            if waiter in pool.waiters:
-                pool.waiters.remove(waiter)
+
+    def _stop_waiting(self, pool: AddressPool, waiter: asyncio.Future[None]) -> None:
+        """Leaves the line; a place that was given already goes to the next."""
+        if waiter in pool.waiters:
+            pool.waiters.remove(waiter)
+        elif not waiter.cancelled():
+            self._wake(pool)
 
     async def _open(self, address: Address, deadline: float) -> ClientConnection:
         """Opens a connection within the shorter of both times."""
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -4,25 +4,25 @@
 
 import asyncio
 import select
-from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import h11
 
 from rosemarydeal.core import Address
 
-from .errors import BadMessage, ProxyError, ProxyTimeout, ResponseBroken, SendFailed
+from .errors import BadMessage, ProxyTimeout, ResponseBroken, SendFailed
+from .framing import request_head
 from .message import Request, Response, WholeBody, end_to_end, find_header
-from .wire import READ_BYTES, Wire
+from .wire import Wire
 
-__all__ = ["ClientConnection", "ConnectionSettings", "connect"]
+if TYPE_CHECKING:
+    from .upstream_protocol import UpstreamProtocol
+
+__all__ = ["ClientConnection", "ConnectionSettings"]
 
 CONTINUE = 100
 SWITCHING_PROTOCOLS = 101
-FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
-METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE"})
-
-ConnectionEvent = Callable[["ClientConnection"], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,59 +38,6 @@
     continue_time_s: float = 1.0
 
 
-class UpstreamProtocol(asyncio.StreamReaderProtocol):
-    """Tells the connection at once when its peer closes it."""
-
-    def __init__(self, reader: asyncio.StreamReader) -> None:
-        super().__init__(reader)
-        self.connection: ClientConnection | None = None
-
-    def eof_received(self) -> bool:
-        """Notes that the peer sends no more."""
-        keep_open = super().eof_received()
-        if self.connection is not None:
-            self.connection.peer_closed()
-        return keep_open
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Notes that the connection is gone."""
-        super().connection_lost(exc)
-        if self.connection is not None:
-            self.connection.lost()
-
-
-async def connect(
-    address: Address,
-    settings: ConnectionSettings,
-    on_free: ConnectionEvent,
-    on_lost: ConnectionEvent,
-) -> ClientConnection:
-    """Opens a connection.
-
-    Args:
-        address: Where to connect to.
-        settings: Limits of the connection.
-        on_free: Called when an exchange ended and another may follow.
-        on_lost: Called once when the connection is gone.
-
-    Returns:
-        The connection.
-
-    Raises:
-        OSError: If the address can't be reached.
-    """
-    loop = asyncio.get_running_loop()
-    reader = asyncio.StreamReader(limit=READ_BYTES)
-    protocol = UpstreamProtocol(reader)
-    transport, _ = await loop.create_connection(
-        lambda: protocol, address.host, address.port
-    )
-    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
-    connection = ClientConnection(address, settings, reader, writer, on_free, on_lost)
-    protocol.connection = connection
-    return connection
-
-
 class ResponseBody:
     """Iterates over a response body while it comes in."""
 
@@ -124,20 +71,20 @@
         self,
         address: Address,
         settings: ConnectionSettings,
+        protocol: UpstreamProtocol,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        on_free: ConnectionEvent,
-        on_lost: ConnectionEvent,
     ) -> None:
         self._address = address
         self._settings = settings
+        self._protocol = protocol
         self._reader = reader
         self._writer = writer
-        self._on_free = on_free
-        self._on_lost = on_lost
         self._wire = Wire(h11.CLIENT, reader, writer, settings.header_bytes)
         self._poll = select.poll()
         self._poll.register(writer.get_extra_info("socket"), select.POLLIN)
+        self._taken_over = False
+        self._lost = False
         self._used = False
         self._busy = False
         self._sent = False
@@ -146,6 +93,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._sender: asyncio.Task | None = None
         self._continue: asyncio.Future[bool] | None = None
+        self._body_error: Exception | None = None
 
     @property
     def address(self) -> Address:
@@ -177,11 +125,17 @@
         self._start(deadline)
         try:
             self._send(request)
+        except h11.LocalProtocolError as error:
+            self.abort()
+            raise SendFailed(f"the request is not valid: {error}", False) from error
+        try:
             head = await self._read_response_head()
             return self._begin_response(head)
         except (OSError, BadMessage) as error:
             failure = self._translate(error)
             self.abort()
+            if failure is error:
+                raise
             raise failure from error
         except BaseException:
             self.abort()
@@ -199,6 +153,8 @@
         except (OSError, BadMessage) as error:
             failure = self._translate(error)
             self.abort()
+            if failure is error:
+                raise
             raise failure from error
         except BaseException:
             self.abort()
@@ -212,15 +168,26 @@
         self._stop_timers()
         self._writer.transport.abort()
 
-    def peer_closed(self) -> None:
-        """Drops the connection when its peer closes it between exchanges."""
-        if not self._busy:
+    def take_over(self) -> None:
+        """Notes that the connection has an owner, who is told of its loss.
+
+        Raises:
+            ConnectionResetError: If it was lost already.
+        """
+        if self._lost:
+            raise ConnectionResetError("the connection was closed at once")
+        self._taken_over = True
+
+    def check_asked_for(self) -> None:
+        """Cuts the connection if the peer acts while nothing was asked of it."""
+        if self._used and not self._busy:
             self.abort()
 
-    def lost(self) -> None:
-        """Tells the owner that the connection is gone."""
+    def lose(self) -> bool:
+        """Notes the loss and tells whether an owner has to be told."""
+        self._lost = True
         self._stop_timers()
-        self._on_lost(self)
+        return self._taken_over
 
     def _start(self, deadline: float) -> None:
         """Prepares for an exchange that ends by its deadline."""
@@ -236,11 +203,7 @@
     def _send(self, request: Request) -> None:
         """Writes a whole request at once, or starts a task that streams it."""
         body = request.body
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=self._framed_headers(request),
-        )
+        head = request_head(request, self._address)
         waits = find_header(request.headers, b"expect") is not None
         if isinstance(body, WholeBody) and not waits:
             events = [head, h11.EndOfMessage()]
@@ -253,30 +216,11 @@
             self._continue = asyncio.get_running_loop().create_future()
         self._sender = asyncio.create_task(self._send_body(request))
 
-    def _framed_headers(self, request: Request) -> list[tuple[bytes, bytes]]:
-        """Returns the headers with one length header that fits the body."""
-        fields = list(end_to_end(request.headers))
-        names = {name for name, _ in fields}
-        if b"host" not in names:
-            fields.insert(0, (b"host", str(self._address).encode()))
-        if not isinstance(request.body, WholeBody):
-            if b"content-length" not in names:
-                fields.append((b"transfer-encoding", b"chunked"))
-            return fields
-        fields = [field for field in fields if field[0] not in FRAMING_HEADERS]
-        length = len(request.body.data)
-        if length or request.method not in METHODS_WITHOUT_BODY:
-            fields.append((b"content-length", b"%d" % length))
-        return fields
-
     def _write(self, *events: h11.Event) -> None:
         """Writes events; from the first on, bytes may have gone out."""
-        try:
-            self._wire.write(*events)
-        except h11.LocalProtocolError as error:
-            raise BadMessage(f"the request is not valid: {error}") from error
-        finally:
-            self._sent = True
+        data = self._wire.encode(*events)
+        self._sent = True
+        self._writer.write(data)
 
     async def _send_body(self, request: Request) -> None:
         """Streams the request's body, as fast as the peer takes it."""
@@ -287,11 +231,18 @@
                 self._write(h11.Data(data=piece))
                 await self._wire.flush()
             self._write(h11.EndOfMessage())
-        except (ConnectionError, asyncio.CancelledError):
-            raise
+        except ConnectionError:
+            # Reading the response meets the same failure and reports it.
+            return
+        except h11.LocalProtocolError as error:
+            self._end_with(SendFailed(f"the body doesn't fit: {error}", True))
         except Exception as error:
-            self._reader.set_exception(error)
-            raise
+            self._end_with(error)
+
+    def _end_with(self, error: Exception) -> None:
+        """Makes the exchange fail with an error of the request's body."""
+        self._body_error = error
+        self._reader.set_exception(error)
 
     async def _read_response_head(self) -> h11.Response:
         """Reads heads up to the one that is final."""
@@ -321,9 +272,12 @@
         """Ends the exchange; an unclean one ends the connection too."""
         self._stop_timers()
         self._busy = False
-        clean = self._wire.reusable and not self._wire.has_unread
-        if clean and not self._reader.at_eof() and not self._writer.is_closing():
-            self._on_free(self)
+        unread = self._wire.has_unread or (
+            self._protocol.received_bytes != self._wire.taken_bytes
+        )
+        open_still = not self._reader.at_eof() and not self._writer.is_closing()
+        if self._wire.reusable and open_still and not unread:
+            self._protocol.free()
         else:
             self.abort()
 
@@ -348,8 +302,10 @@
         self._reader.set_exception(ConnectionAbortedError("out of time"))
         self._writer.transport.abort()
 
-    def _translate(self, error: Exception) -> ProxyError:
+    def _translate(self, error: Exception) -> Exception:
         """Turns a failure of the connection into this layer's error."""
+        if error is self._body_error:
+            return error
         if self._timed_out:
             return ProxyTimeout("the time for the exchange ran out", self._sent)
         if self._head_read:
--- /dev/null
+++ b/rosemarydeal/proxy/framing.py
@@ -0,0 +1,77 @@
+"""Chooses the headers that say how long a body is."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+import h11
+
+from rosemarydeal.core import Address
+
+from .message import Request, Response, WholeBody, end_to_end
+
+__all__ = ["has_no_body", "request_head", "response_head"]
+
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+BODILESS_STATUSES = frozenset({204, 304})
+METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE"})
+
+
+def request_head(request: Request, address: Address) -> h11.Request:
+    """Builds the head of a request with one length header that fits its body.
+
+    Args:
+        request: The request.
+        address: Where it goes, the Host of a request without one.
+
+    Raises:
+        h11.LocalProtocolError: If the request is not valid.
+    """
+    fields = list(end_to_end(request.headers))
+    names = {name for name, _ in fields}
+    if b"host" not in names:
+        fields.insert(0, (b"host", str(address).encode()))
+    if isinstance(request.body, WholeBody):
+        length = len(request.body.data)
+        if length or request.method not in METHODS_WITHOUT_BODY:
+            fields = _with_length(fields, length)
+        elif b"content-length" in names:
+            fields = [field for field in fields if field[0] != b"content-length"]
+    elif b"content-length" not in names:
+        fields.append((b"transfer-encoding", b"chunked"))
+    return h11.Request(method=request.method, target=request.target, headers=fields)
+
+
+def has_no_body(method: bytes, status: int) -> bool:
+    """Tells whether a response has no body whatever its headers say."""
+    return method == b"HEAD" or status in BODILESS_STATUSES
+
+
+def response_head(method: bytes, response: Response, close: bool) -> h11.Response:
+    """Builds the head of a response.
+
+    Args:
+        method: Method of the request.
+        response: The response.
+        close: Whether the connection ends after it.
+
+    Raises:
+        h11.LocalProtocolError: If the response is not valid.
+    """
+    fields = list(end_to_end(response.headers))
+    whole = isinstance(response.body, WholeBody)
+    if whole and (response.body.data or not has_no_body(method, response.status)):
+        fields = _with_length(fields, len(response.body.data))
+    if close:
+        fields.append((b"connection", b"close"))
+    reason = REASONS.get(response.status, b"")
+    return h11.Response(status_code=response.status, headers=fields, reason=reason)
+
+
+def _with_length(
+    fields: list[tuple[bytes, bytes]], length: int
+) -> list[tuple[bytes, bytes]]:
+    """Returns the headers with the length of a whole body."""
+    kept = [field for field in fields if field[0] != b"content-length"]
+    kept.append((b"content-length", b"%d" % length))
+    return kept
--- a/rosemarydeal/proxy/server.py
+++ b/rosemarydeal/proxy/server.py
@@ -80,6 +80,11 @@
         """Returns the number of open connections with callers."""
         return len(self._connections)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Returns the bytes held for all connections."""
+        return sum(connection.buffered_bytes for connection in self._connections)
+
     async def listen(self, address: Address) -> None:
         """Opens the listening socket.
 
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 
 import h11
 import structlog
@@ -16,6 +15,7 @@
 from rosemarydeal.core import Address, CodedError, NotRun, Unknown
 
 from .errors import BadMessage, BodyTooLarge
+from .framing import has_no_body, response_head
 from .limits import HttpLimits
 from .message import (
     Request,
@@ -34,12 +34,22 @@
 
 LINGER_BYTES = 1_048_576
 LINGER_S = 1.0
-REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
-BODILESS_STATUSES = frozenset({204, 304})
 
 log = structlog.get_logger(__name__)
 
 
+def check_target(method: bytes, target: bytes) -> None:
+    """Refuses targets that this and the next server could read differently.
+
+    Raises:
+        BadMessage: If the target is not a plain path with or without query.
+    """
+    if target == b"*" and method == b"OPTIONS":
+        return
+    if not target.startswith(b"/") or b"#" in target:
+        raise BadMessage("the target is not a path")
+
+
 class RequestBody:
     """Iterates over a request body while it comes in.
 
@@ -92,6 +102,11 @@
         """Returns the caller's address."""
         return self._peer
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Returns the bytes held for this connection."""
+        return self._wire.buffered_bytes
+
     async def run(self) -> None:
         """Serves until either side closes the connection."""
         self._task = asyncio.current_task()
@@ -176,6 +191,7 @@
         """
         if head.method == b"CONNECT":
             raise BadMessage("CONNECT is not served", "method-not-served")
+        check_target(head.method, head.target)
         headers = tuple(head.headers)
         length = find_header(headers, b"content-length")
         if length is not None and int(length) > self._limits.body_bytes:
@@ -207,16 +223,9 @@
     async def _write_response(self, method: bytes, response: Response) -> None:
         """Writes a response, a whole one in a single piece."""
         body = response.body
-        bodiless = method == b"HEAD" or response.status in BODILESS_STATUSES
-        fields = list(end_to_end(response.headers))
-        if isinstance(body, WholeBody) and (body.data or not bodiless):
-            fields = [field for field in fields if field[0] != b"content-length"]
-            fields.append((b"content-length", b"%d" % len(body.data)))
-        if self._closing or not self._wire.peer_done:
-            fields.append((b"connection", b"close"))
-        reason = REASONS.get(response.status, b"")
-        head = h11.Response(status_code=response.status, headers=fields, reason=reason)
-        if bodiless:
+        close = self._closing or not self._wire.peer_done
+        head = response_head(method, response, close)
+        if has_no_body(method, response.status):
             self._wire.write(head, h11.EndOfMessage())
         elif isinstance(body, WholeBody):
             self._wire.write(head, h11.Data(data=body.data), h11.EndOfMessage())
@@ -268,8 +277,11 @@
         self._writer.write_eof()
         self._watchdog.arm(LINGER_S, self._writer.transport.abort)
         left = LINGER_BYTES
-        while left > 0 and (data := await self._reader.read(READ_BYTES)):
-            left -= len(data)
+        try:
+            while left > 0 and (data := await self._reader.read(READ_BYTES)):
+                left -= len(data)
+        except BadMessage:
+            return
 
     def _count_body(self, length: int) -> None:
         """Adds to the length of the body and holds it against the limit."""
--- /dev/null
+++ b/rosemarydeal/proxy/upstream_protocol.py
@@ -0,0 +1,106 @@
+"""Opens connections to upstreams and watches them between exchanges."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from rosemarydeal.core import Address
+
+from .client_connection import ClientConnection, ConnectionSettings
+from .wire import READ_BYTES
+
+__all__ = ["UpstreamProtocol", "connect"]
+
+ConnectionEvent = Callable[[ClientConnection], None]
+
+
+class UpstreamProtocol(asyncio.StreamReaderProtocol):
+    """Tells the connection at once what its peer does between exchanges."""
+
+    def __init__(
+        self,
+        address: Address,
+        settings: ConnectionSettings,
+        on_free: ConnectionEvent,
+        on_lost: ConnectionEvent,
+    ) -> None:
+        self._reader_side = asyncio.StreamReader(limit=READ_BYTES)
+        super().__init__(self._reader_side)
+        self._address = address
+        self._settings = settings
+        self._on_free = on_free
+        self._on_lost = on_lost
+        self._received_bytes = 0
+        self._connection: ClientConnection | None = None
+
+    @property
+    def connection(self) -> ClientConnection:
+        """Returns the connection that came about."""
+        return self._connection
+
+    @property
+    def received_bytes(self) -> int:
+        """Returns the number of bytes that came in so far."""
+        return self._received_bytes
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Builds the connection on top of the transport."""
+        super().connection_made(transport)
+        loop = asyncio.get_running_loop()
+        writer = asyncio.StreamWriter(transport, self, self._reader_side, loop)
+        self._connection = ClientConnection(
+            self._address, self._settings, self, self._reader_side, writer
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes in; the connection drops those that nobody asked for."""
+        self._received_bytes += len(data)
+        super().data_received(data)
+        self._connection.check_asked_for()
+
+    def eof_received(self) -> bool:
+        """Notes that the peer sends no more."""
+        keep_open = super().eof_received()
+        self._connection.check_asked_for()
+        return keep_open
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes that the connection is gone."""
+        super().connection_lost(exc)
+        if self._connection.lose():
+            self._on_lost(self._connection)
+
+    def free(self) -> None:
+        """Says that an exchange ended and another may follow."""
+        self._on_free(self._connection)
+
+
+async def connect(
+    address: Address,
+    settings: ConnectionSettings,
+    on_free: ConnectionEvent,
+    on_lost: ConnectionEvent,
+) -> ClientConnection:
+    """Opens a connection.
+
+    Args:
+        address: Where to connect to.
+        settings: Limits of the connection.
+        on_free: Called when an exchange ended and another may follow.
+        on_lost: Called once when a connection that was returned is gone.
+
+    Returns:
+        The connection.
+
+    Raises:
+        OSError: If the address can't be reached.
+    """
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_connection(
+        lambda: UpstreamProtocol(address, settings, on_free, on_lost),
+        address.host,
+        address.port,
+    )
+    protocol.connection.take_over()
+    return protocol.connection
--- a/rosemarydeal/proxy/wire.py
+++ b/rosemarydeal/proxy/wire.py
@@ -17,6 +17,7 @@
 READ_BYTES = 65_536
 HIGH_WATER_BYTES = 65_536
 HEAD_END = b"\r\n\r\n"
+VERSIONS = frozenset({b"1.0", b"1.1"})
 
 Head = h11.Request | h11.Response | h11.InformationalResponse
 
@@ -43,8 +44,11 @@
     """Refuses heads whose body length could be read in two ways.
 
     Raises:
-        BadMessage: If both length headers are there, or HTTP/1.0 is chunked.
+        BadMessage: If both length headers are there, HTTP/1.0 is chunked, or
+            the version is another one.
     """
+    if head.http_version not in VERSIONS:
+        raise BadMessage("the version of HTTP is neither 1.0 nor 1.1")
     names = [name for name, _ in head.headers]
     if b"transfer-encoding" not in names:
         return
@@ -68,6 +72,18 @@
         self._reader = reader
         self._writer = writer
         self._header_bytes = header_bytes
+        self._taken_bytes = 0
+
+    @property
+    def taken_bytes(self) -> int:
+        """Returns the number of bytes that were read from the peer so far."""
+        return self._taken_bytes
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Returns the bytes that wait to be parsed or to be taken by the peer."""
+        unparsed = len(self._h11.trailing_data[0])
+        return unparsed + self._writer.transport.get_write_buffer_size()
 
     @property
     def reusable(self) -> bool:
@@ -166,9 +182,17 @@
             pieces.append(event.data)
         return b"".join(pieces), type(event) is h11.EndOfMessage
 
+    def encode(self, *events: h11.Event) -> bytes:
+        """Returns the bytes of events, which have to be written next.
+
+        Raises:
+            h11.LocalProtocolError: If an event is not valid here.
+        """
+        return b"".join([self._h11.send(event) for event in events])
+
     def write(self, *events: h11.Event) -> None:
         """Writes events as one piece, without waiting for the peer."""
-        self._writer.write(b"".join([self._h11.send(event) for event in events]))
+        self._writer.write(self.encode(*events))
 
     async def flush(self) -> None:
         """Waits until the peer took enough of what was written."""
@@ -185,6 +209,7 @@
 
     def _receive(self, data: bytes) -> None:
         """Hands read bytes to h11; no bytes mean that the peer closed."""
+        self._taken_bytes += len(data)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
