End a process whose task failed, and close links without a stray callback

Cause: a failed task left a process half alive without a word; closing a link left a cancelled poll of a closed socket behind. Change: a failed task is logged and ends the process; the key gate ends its poll before its socket.

--- a/rosemarydeal/daemon/main.py
+++ b/rosemarydeal/daemon/main.py
@@ -67,7 +67,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     await process.start()
-    await ended.wait()
+    waits = [asyncio.create_task(event.wait()) for event in (ended, process.failed)]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    if process.failed.is_set():
+        await process.stop()
+        return False
     return await process.shut_down(drain_timeout_s)
 
 
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from collections.abc import Coroutine
 from dataclasses import replace
 
 import structlog
@@ -55,6 +56,7 @@
         self._link = PeerLink(_link_settings(settings))
         self._in_force = InForce()
         self._configured = asyncio.Event()
+        self._failed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._control: ControlTask | None = None
         self._admin: HttpServer | None = None
@@ -82,6 +84,11 @@
         """Returns the client of the platform."""
         return self._platform
 
+    @property
+    def failed(self) -> asyncio.Event:
+        """Returns the event that is set when a task of the process fails."""
+        return self._failed
+
     async def start(self) -> None:
         """Starts all tasks; ownership follows once a configuration is known."""
         await self._link.start()
@@ -90,8 +97,8 @@
         )
         self._admin = await serve_admin(self._settings, views)
         for run in (self._records.run, self._guard.run, self._upstream.run):
-            self._tasks.append(asyncio.create_task(run()))
-        self._tasks.append(asyncio.create_task(self._run_when_configured()))
+            self._spawn(run())
+        self._spawn(self._run_when_configured())
         _log.info("started", node=self._settings.node)
 
     async def shut_down(self, timeout_s: float) -> bool:
@@ -157,6 +164,19 @@
         slice_id = ownership.slice_of_key(state, service, digest, found.slices)
         return _slice_status(state, self._settings.node, slice_id)
 
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Starts a task whose failure ends the process."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Logs a task that failed and marks the process as failed."""
+        if task.cancelled() or task.exception() is None:
+            return
+        _log.critical("task_failed", exc_info=task.exception())
+        self._failed.set()
+
     def _get_in_force(self) -> InForce:
         """Returns the configuration in force."""
         return self._in_force
@@ -228,7 +248,7 @@
         )
         self._control.replay()
         self._put_in_force()
-        self._tasks.append(asyncio.create_task(self._report_load()))
+        self._spawn(self._report_load())
         if self._upstream.up:
             self._control.post(UpstreamReady())
         await self._control.run()
--- a/rosemarydeal/peers/link.py
+++ b/rosemarydeal/peers/link.py
@@ -15,13 +15,13 @@
 
 import zmq
 import zmq.asyncio
-from zmq.auth.asyncio import AsyncioAuthenticator
 
 from rosemarydeal.core import Address
 from rosemarydeal.core.messages import Message
 
 from .codec import MAX_MESSAGE_BYTES, decode, encode
 from .errors import PeerError, PeerMessageError
+from .gate import KeyGate
 
 __all__ = ["PeerCounters", "PeerLink", "PeerLinkSettings", "Received"]
 
@@ -72,17 +72,6 @@
     malformed: int = 0
 
 
-class _KnownKeys:
-    """Answers whether a CURVE public key may connect."""
-
-    def __init__(self, keys: frozenset[str]) -> None:
-        self._keys = frozenset(key.encode("ascii") for key in keys)
-
-    def callback(self, domain: str, key: bytes) -> bool:
-        """Says whether a key in Z85 is known."""
-        return key in self._keys
-
-
 @dataclass(frozen=True, slots=True)
 class _Peer:
     """Is the sending side towards one peer."""
@@ -98,11 +87,12 @@
     def __init__(self, settings: PeerLinkSettings) -> None:
         self._settings = settings
         self._context = zmq.asyncio.Context()
-        self._authenticator = AsyncioAuthenticator(self._context)
+        self._gate = KeyGate(self._context, settings.known_keys)
         self._peers: dict[str, _Peer] = {}
         self._queue: asyncio.Queue[Received] = asyncio.Queue(RECEIVE_QUEUE_MESSAGES)
         self._counters = PeerCounters()
         self._task: asyncio.Task[None] | None = None
+        self._socket: zmq.asyncio.Socket | None = None
         self._address = settings.address
 
     @property
@@ -121,16 +111,14 @@
         Raises:
             PeerError: The address can't be bound or a key is no CURVE key.
         """
-        self._authenticator.start()
-        known = _KnownKeys(self._settings.known_keys)
-        self._authenticator.configure_curve_callback("*", known)
+        self._gate.start()
         try:
-            socket = self._bind()
+            self._socket = self._bind()
         except zmq.ZMQError as error:
-            self._authenticator.stop()
+            await self._gate.stop()
             detail = f"{self._settings.address}: {error.strerror}"
             raise PeerError(detail, "peer_bind") from error
-        self._task = asyncio.create_task(self._receive(socket))
+        self._task = asyncio.create_task(self._receive(self._socket))
 
     def connect(self, node: str, address: Address, public_key: str) -> None:
         """Sets where a peer is reached; an unchanged peer keeps its socket.
@@ -200,9 +188,12 @@
             self._task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._task
+            # The cancelled read detaches from the socket in the loop's next turn.
+            await asyncio.sleep(0)
+            self._socket.close()
         for node in list(self._peers):
             self.disconnect(node)
-        self._authenticator.stop()
+        await self._gate.stop()
         self._context.destroy(linger=0)
 
     def _bind(self) -> zmq.asyncio.Socket:
@@ -222,12 +213,9 @@
 
     async def _receive(self, socket: zmq.asyncio.Socket) -> None:
         """Reads, checks and queues messages until cancelled."""
-        try:
-            while True:
-                frames = await socket.recv_multipart()
-                self._accept(frames)
-        finally:
-            socket.close()
+        while True:
+            frames = await socket.recv_multipart()
+            self._accept(frames)
 
     def _accept(self, frames: list[bytes]) -> None:
         """Queues one message; a malformed or excess one is counted."""
