Answer requests on their way at a drain, and mend refusals of the entry

Cause: A connection that was accepted just before a drain stayed open until its idle time ran out, and a request sent on an idle connection just before a drain was lost. Routes gave a row's version in place of its first fencing token.

Change: A draining connection waits 0.2 s for a request that is on its way and answers it with `Connection: close`. The entry refuses what it can't classify as not run. The ranks of fencing tokens are defined once, in core.

--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -489,3 +489,30 @@
             assert await drained
 
     asyncio.run(check())
+
+
+@then("the proxy answers requests that were on their way when it drains")
+def step_drain_race(context):
+    sent = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def late(address, accepted):
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        if accepted:
+            writer.write(sent)
+            await reader.readuntil(b"GET / ")
+        return reader, writer
+
+    async def check():
+        for accepted in (False, True):
+            async with running() as server:
+                reader, writer = await late(server.address, accepted)
+                drained = asyncio.create_task(server.drain(PATIENCE_S))
+                await asyncio.sleep(0)
+                writer.write(sent)
+                got = await reader.read()
+                assert got.endswith(b"GET / "), got
+                assert b"connection: close" in got.lower()
+                writer.close()
+                assert await drained
+
+    asyncio.run(check())
--- a/rosemarydeal/core/data.py
+++ b/rosemarydeal/core/data.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 __all__ = [
+    "TOKEN_RANKS",
     "Address",
     "Answer",
     "Chunk",
@@ -27,6 +28,9 @@
     "Versioned",
 ]
 
+TOKEN_RANKS = 256
+"""Fencing tokens kept for the ranks within one version of a row."""
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class Address:
--- a/rosemarydeal/core/routes.py
+++ b/rosemarydeal/core/routes.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from .data import Address, Row, SliceId
+from .data import TOKEN_RANKS, Address, Row, SliceId
 from .request_key import KeyRule
 
 __all__ = [
@@ -121,15 +121,16 @@
     tokens = bytearray(TOKEN_FORMAT.size * slices)
     carved = []
     for row in rows:
+        token = row.version * TOKEN_RANKS
         found = [numbers[i.node] for i in row.succession if i.node in numbers]
         found = found[:NAMES_PER_SLICE]
         if row.slice.carved >= 0:
-            carved.append(CarvedRoute(row.slice.carved, tuple(found), row.version))
+            carved.append(CarvedRoute(row.slice.carved, tuple(found), token))
             continue
         padded = found + [NO_ENTRY] * (NAMES_PER_SLICE - len(found))
         NAMES_FORMAT.pack_into(names, row.slice.index * NAMES_FORMAT.size, *padded)
         offset = row.slice.index * TOKEN_FORMAT.size
-        TOKEN_FORMAT.pack_into(tokens, offset, row.version)
+        TOKEN_FORMAT.pack_into(tokens, offset, token)
     return RouteTable(
         service,
         version,
--- a/rosemarydeal/daemon/classify.py
+++ b/rosemarydeal/daemon/classify.py
@@ -82,7 +82,7 @@
     method = request.method.decode("ascii")
     tenant = _tenant(request, deployment)
     if not service.admits(tenant, target):
-        raise BadMessage(f"{tenant} may not use this path", 403, "tenant-refused")
+        raise BadMessage(f"{tenant} may not use this path", "tenant-refused")
     key = _key(request, service.key) if service.key is not None else ""
     slice_id = slice_of(service.name, key, service.slices) if service.keyed else None
     request_id = _request_id(request)
@@ -130,7 +130,7 @@
     """Returns the key that a request carries."""
     key = request_key(key_rule(source), request.target, request.headers)
     if key is None:
-        raise BadMessage("the request carries no single key", 400, "key-missing")
+        raise BadMessage("the request carries no single key", "key-missing")
     return key
 
 
@@ -149,7 +149,7 @@
     """Returns the id that the caller gave, empty without one."""
     value = find_header(request.headers, headers.IDEMPOTENCY_KEY) or b""
     if len(value) > MAX_ID_BYTES:
-        raise BadMessage("the request id is too long", 400, "bad-request")
+        raise BadMessage("the request id is too long", "bad-request")
     return value.decode("latin-1")
 
 
@@ -167,5 +167,5 @@
     if value is None:
         return None
     if not value.isdigit() or len(value) > 18:
-        raise BadMessage(f"{name.decode('ascii')} is no number", 400, "bad-request")
+        raise BadMessage(f"{name.decode('ascii')} is no number", "bad-request")
     return int(value)
--- a/rosemarydeal/daemon/entry.py
+++ b/rosemarydeal/daemon/entry.py
@@ -23,6 +23,7 @@
 from rosemarydeal.core.clock import now
 from rosemarydeal.policy import guard
 from rosemarydeal.proxy import (
+    BadMessage,
     ConnectFailed,
     Pool,
     PoolSettings,
@@ -116,13 +117,16 @@
         arrived = now()
         in_force = self._in_force()
         settings = in_force.deployment.services[service]
-        details = classify(
-            request,
-            settings,
-            in_force.deployment,
-            in_force.by_service[service],
-            arrived,
-        )
+        try:
+            details = classify(
+                request,
+                settings,
+                in_force.deployment,
+                in_force.by_service[service],
+                arrived,
+            )
+        except BadMessage as error:
+            return outcome_response(NotRun(error.code, error.detail))
         reply = await self._route(request, settings, details)
         return self._finish(reply, details, arrived)
 
--- a/rosemarydeal/policy/ownership_state.py
+++ b/rosemarydeal/policy/ownership_state.py
@@ -7,7 +7,15 @@
 
 from immutables import Map
 
-from rosemarydeal.core import Chunk, Incarnation, Member, MemberPhase, Row, SliceId
+from rosemarydeal.core import (
+    TOKEN_RANKS,
+    Chunk,
+    Incarnation,
+    Member,
+    MemberPhase,
+    Row,
+    SliceId,
+)
 
 from .interface import Action
 from .lease import Lease, LeaseStage, lease_end
@@ -28,9 +36,6 @@
     "draw",
 ]
 
-TOKEN_RANKS = 256
-"""Fencing tokens kept for the ranks within one version of a row."""
-
 Result = tuple["OwnershipState", tuple[Action, ...]]
 ChunkKey = tuple[str, int]
 WriteKind = str
--- a/rosemarydeal/policy/route.py
+++ b/rosemarydeal/policy/route.py
@@ -10,13 +10,12 @@
 
 import immutables
 
-from rosemarydeal.core import Row, SliceId
+from rosemarydeal.core import TOKEN_RANKS, Row, SliceId
 
 from .nodeview import NodeView
 
 __all__ = ["learn", "next_node", "ticket_for"]
 
-TOKEN_RANKS = 256
 NEW_NODE = NodeView()
 
 
--- a/rosemarydeal/proxy/server.py
+++ b/rosemarydeal/proxy/server.py
@@ -67,6 +67,7 @@
         self._per_host: Counter[str] = Counter()
         self._listener: asyncio.Server | None = None
         self._address = Address("", 0)
+        self._draining = False
         self._empty = asyncio.Event()
         self._empty.set()
 
@@ -109,6 +110,7 @@
         Returns:
             Whether all connections ended in time.
         """
+        self._draining = True
         self._listener.close()
         for connection in tuple(self._connections):
             connection.stop()
@@ -141,6 +143,8 @@
         self._per_host[host] += 1
         self._connections.add(connection)
         self._empty.clear()
+        if self._draining:
+            connection.stop()
         return True
 
     def release(self, connection: ServerConnection) -> None:
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -34,6 +34,7 @@
 
 LINGER_BYTES = 1_048_576
 LINGER_S = 1.0
+DRAIN_GRACE_S = 0.2
 
 log = structlog.get_logger(__name__)
 
@@ -131,10 +132,14 @@
             self._close()
 
     def stop(self) -> None:
-        """Closes the connection as soon as no request runs on it."""
+        """Closes the connection after the request that runs or is on its way.
+
+        An idle connection stays for a moment, since a request may have been
+        sent on it already and would be lost.
+        """
         self._closing = True
         if self._waiting:
-            self._writer.close()
+            self._watchdog.arm(DRAIN_GRACE_S, self._writer.close)
 
     def abort(self) -> None:
         """Cuts the connection and the request that runs on it."""
@@ -161,8 +166,9 @@
     async def _serve_one(self) -> bool:
         """Serves one request and tells whether another may follow."""
         self._waiting = True
-        self._watchdog.arm(self._limits.idle_time_s, self._writer.close)
-        if self._closing or not await self._wire.wait_bytes():
+        idle_time_s = DRAIN_GRACE_S if self._closing else self._limits.idle_time_s
+        self._watchdog.arm(idle_time_s, self._writer.close)
+        if not await self._wire.wait_bytes():
             return False
         self._waiting = False
         self._watchdog.arm(self._limits.header_time_s, self._end_slow_read)
