Act on operators' zones and drains, and raise alarms at the process

Cause: The process read neither operator/zones nor operator/upstreams, so `availability-zone` and `upstream` ended with code 5, and it raised no alarms.

Change: The process adopts both objects, tells the placement which zones are out and which upstreams drain (a new event of the control policy, with which a drain also ends), leaves such members out when it chooses for unkeyed services, and reports versions, cold start, suspects and alarms in its status.

Measured result: Before, box-office-2 kept its slices after perth-b was taken out.

--- a/features/control.feature
+++ b/features/control.feature
@@ -84,3 +84,19 @@
     Then the control group has a carved slice on another owner than its base
     When the control group serves even load for 120 seconds
     Then the control group has no carved slice
+
+  Scenario: Zones and upstreams that are out give their slices up and get some back
+    Given a control group of 6 processes over 256 slices
+    When the control group learns that perth-b is out
+    And the control group lets 4 seconds pass
+    Then the control group gives no slice to box-office-2 or box-office-5
+    When the control group learns that box-office-3 drains
+    And the control group lets 4 seconds pass
+    Then the control group gives no slice to box-office-2 or box-office-3
+    And the control group gives no slice to box-office-3 or box-office-5
+    When the control group learns that all are back
+    And the control group serves even load for 260 seconds
+    Then the control group owns between 40 and 46 slices each
+
+  Scenario: Members that drain, are lost, or whose place is out get no new work
+    Then a member may get work exactly if it is up and neither zone nor upstream is out
--- a/features/operators_live.feature
+++ b/features/operators_live.feature
@@ -13,6 +13,18 @@
     Then the live command exits with 4
     When the live operator runs "slices box-office"
     Then the live command shows 256 slices
+    When the live operator runs "availability-zone out perth-b"
+    Then the live command exits with 0
+    And the live command notes "version 1 is in force on all 4"
+    When the live operator waits until box-office-2 owns no slices and drains
+    And the live operator runs "upstream drain box-office-3 --comment disk"
+    Then the live command exits with 0
+    When the live operator waits until box-office-3 owns no slices and drains
+    And the live operator runs "availability-zone in perth-b"
+    Then the live command exits with 0
+    When the live operator runs "upstream return box-office-3"
+    Then the live command exits with 0
+    And the live processes are all up
     Given the live platform stops
     When the live operator runs "status"
     Then the live command exits with 6
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -6,11 +6,17 @@
 from collections import Counter
 
 from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings
+from hypothesis import strategies as st
 
+from features.builders import member
 from features.builders_control import USUAL_LOAD, ControlGroup
-from rosemarydeal.core import SliceId, rendezvous_order
+from features.builders_placement import ZONES
+from rosemarydeal.core import MemberPhase, SliceId, rendezvous_order
 from rosemarydeal.core.messages import SliceLoad
-from rosemarydeal.policy.control import LocalLoad
+from rosemarydeal.policy.control import LocalLoad, UpstreamsDrained, ZonesChanged
+from rosemarydeal.policy.fleet import may_get_work
 from rosemarydeal.policy.interface import Tick
 
 HOT = SliceId("box-office", 7)
@@ -220,3 +226,59 @@
         shares[owner] += context.load(owner, slice_id)
     mean = sum(shares.values()) / len(shares)
     assert max(shares.values()) <= ratio * mean, shares
+
+
+@when("the control group learns that {zone} is out")
+def step_zone_out(context, zone):
+    context.group.tell(ZonesChanged(frozenset({zone})))
+
+
+@when("the control group learns that {upstream} drains")
+def step_drained(context, upstream):
+    context.group.tell(UpstreamsDrained(frozenset({upstream})))
+
+
+@when("the control group learns that all are back")
+def step_all_in(context):
+    context.group.tell(ZonesChanged(frozenset()))
+    context.group.tell(UpstreamsDrained(frozenset()))
+
+
+@when("the control group lets {seconds:d} seconds pass")
+def step_pass(context, seconds):
+    context.group.run(seconds)
+
+
+@then("the control group gives no slice to {first} or {second}")
+def step_gives_none(context, first, second):
+    owners = context.group.owners()
+    assert len(owners) == 256, len(owners)
+    assert not {first, second} & set(owners.values()), Counter(owners.values())
+    following = {
+        name.node
+        for read in context.group.chunks.values()
+        for row in read.chunk.rows
+        for name in row.succession
+    }
+    assert not {first, second} & following, following
+
+
+@then("a member may get work exactly if it is up and neither zone nor upstream is out")
+def step_may_get_work(context):
+    nodes = ("box-office-1", "box-office-2")
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given_values(
+        st.sampled_from(nodes),
+        st.sampled_from(ZONES),
+        st.sampled_from(list(MemberPhase)),
+        st.frozensets(st.sampled_from(ZONES)),
+        st.frozensets(st.sampled_from(nodes)),
+    )
+    def check(node, zone, phase, zones_out, drained):
+        found = member(node, zone, phase=phase)
+        wanted = phase is MemberPhase.UP
+        wanted = wanted and zone not in zones_out and node not in drained
+        assert may_get_work(found, zones_out, drained) == wanted
+
+    check()
--- a/features/steps/operators_live_steps.py
+++ b/features/steps/operators_live_steps.py
@@ -43,6 +43,24 @@
     run_until(context, command.split(), lambda shown: text in shown)
 
 
+@when("the live operator waits until {node} owns no slices and drains")
+def step_wait_emptied(context, node):
+    def emptied(text):
+        statuses = {n["status"]["node"]: n["status"] for n in json.loads(text)["nodes"]}
+        status = statuses[node]
+        return status["owned"] == 0 and status["phase"] == "draining"
+
+    run_until(context, ["status", "--json"], emptied)
+
+
+@then("the live processes are all up")
+def step_all_up(context):
+    def up(text):
+        return {n["status"]["phase"] for n in json.loads(text)["nodes"]} == {"up"}
+
+    run_until(context, ["status", "--json"], up)
+
+
 @when('the live operator runs "{command}"')
 def step_run(context, command):
     context.live_code = context.live.run(*command.split())
--- a/rosemarydeal/daemon/control.py
+++ b/rosemarydeal/daemon/control.py
@@ -14,7 +14,6 @@
 
 from rosemarydeal.core import (
     Member,
-    MemberPhase,
     Right,
     Row,
     SliceId,
@@ -31,6 +30,7 @@
     PlatformUnavailable,
 )
 from rosemarydeal.policy import control, ownership
+from rosemarydeal.policy.fleet import LIVE_PHASES, may_get_work
 from rosemarydeal.policy.interface import (
     Action,
     ChunkRead,
@@ -53,6 +53,7 @@
 from . import objects
 from .errors import DaemonError
 from .mailbox import Mailbox
+from .operators import OperatorOrders
 from .records import RecordsTask
 
 __all__ = ["ControlTask"]
@@ -82,6 +83,7 @@
         self._link = link
         self._on_notice = on_notice
         self._placement: control.ControlState | None = None
+        self._orders = OperatorOrders()
         self._next_tick = 0.0
         self._drained = asyncio.Event()
         self._mailbox: Mailbox[Event] = Mailbox(MAILBOX_EVENTS)
@@ -104,10 +106,11 @@
 
     def members(self, service: str) -> tuple[Member, ...]:
         """Returns the members of a service that may get new work."""
+        zones, upstreams = self._orders.zones.names, self._orders.upstreams.names
         return tuple(
             member
             for member in ownership.known_members(self._state)
-            if member.service == service and member.phase is MemberPhase.UP
+            if member.service == service and may_get_work(member, zones, upstreams)
         )
 
     def slice(self, base: SliceId, key: str, slices: int) -> SliceId:
@@ -133,14 +136,17 @@
             node = self._state.identity.node
             self._placement = control.start(settings, node, self._state.seed)
             self.replay()
+            self.take_orders(self._orders)
 
     def take_load(self, load: control.LocalLoad) -> None:
         """Takes in the load of the own upstream."""
         self._step_placement(load)
 
-    def take_zones_out(self, zones: frozenset[str]) -> None:
-        """Takes in which availability zones get no new work."""
-        self._step_placement(control.ZonesChanged(zones))
+    def take_orders(self, orders: OperatorOrders) -> None:
+        """Takes in which availability zones and upstreams get no new work."""
+        self._orders = orders
+        self._step_placement(control.ZonesChanged(orders.zones.names))
+        self._step_placement(control.UpstreamsDrained(orders.upstreams.names))
 
     def replay(self) -> None:
         """Queues all objects that were learnt before this task began."""
@@ -149,8 +155,9 @@
 
     def broadcast(self, service: str, message: Message) -> None:
         """Sends a message to all other processes of a service."""
-        for member in self.members(service):
-            if member.node != self._state.identity.node:
+        for member in ownership.known_members(self._state):
+            live = member.service == service and member.phase in LIVE_PHASES
+            if live and member.node != self._state.identity.node:
                 self._perform(Send(member.node, message))
 
     def send_to_names(self, slice_id: SliceId, message: Message) -> None:
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -121,11 +121,6 @@
         """Returns the policy's present state, for queries."""
         return self._state
 
-    @property
-    def status(self) -> guard.GuardStatus:
-        """Returns the figures that operators see."""
-        return guard.status(self._state, now())
-
     def post(self, event: guard.GuardEvent) -> None:
         """Takes one step of the policy and carries out what it asks for."""
         if isinstance(event, guard.SettingsChanged):
--- a/rosemarydeal/daemon/operators.py
+++ b/rosemarydeal/daemon/operators.py
@@ -14,6 +14,7 @@
     KnownVersion,
     OperatorUpstreams,
     OperatorZones,
+    Place,
     Versioned,
 )
 
@@ -48,6 +49,11 @@
             KnownVersion(UPSTREAMS_KEY, self.upstreams_version),
         )
 
+    def wants_out(self, place: Place) -> bool:
+        """Says whether operators want no new work at a place."""
+        zone_out = place.availability_zone in self.zones.names
+        return zone_out or place.upstream in self.upstreams.names
+
 
 def adopt_orders(current: OperatorOrders, found: Versioned) -> OperatorOrders:
     """Takes in a newer version of one of the operators' objects.
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -5,17 +5,16 @@
 import asyncio
 import secrets
 from collections.abc import Coroutine
-from dataclasses import replace
 
 import structlog
 
-from rosemarydeal.core import MemberPhase, SliceId, Versioned, key_hash
+from rosemarydeal.core import SliceId, Versioned, key_hash
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.operator import CONFIG_KEY
 from rosemarydeal.core.status import NodeStatus, SliceStatus
 from rosemarydeal.peers import PeerLink, PeerLinkSettings
 from rosemarydeal.platform import Platform, PlatformClient, PlatformSettings
-from rosemarydeal.policy import guard, ownership
+from rosemarydeal.policy import alarms, guard, ownership
 from rosemarydeal.policy.interface import (
     DrainAsked,
     IncarnationLost,
@@ -34,13 +33,16 @@
 from .guard import GuardHooks, GuardTask
 from .listeners import Listeners
 from .metrics import Metrics
+from .operators import OperatorOrders, adopt_orders
 from .records import RecordsTask
+from .status import slice_status, with_guard, with_ownership
 from .upstream import UpstreamEvent, UpstreamTask
 
 __all__ = ["RouterProcess"]
 
 LEAVE_GRACE_S = 0.3
 LOAD_PERIOD_S = 1.0
+ALARM_PERIOD_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -55,6 +57,8 @@
         self._records = RecordsTask(self._platform, secrets.randbits(32))
         self._link = PeerLink(_link_settings(settings))
         self._in_force = InForce()
+        self._orders = OperatorOrders()
+        self._alarms = alarms.AlarmState()
         self._configured = asyncio.Event()
         self._failed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -99,6 +103,7 @@
         for run in (self._records.run, self._guard.run, self._upstream.run):
             self._spawn(run())
         self._spawn(self._run_when_configured())
+        self._spawn(self._watch_alarms())
         _log.info("started", node=self._settings.node)
 
     async def shut_down(self, timeout_s: float) -> bool:
@@ -137,21 +142,21 @@
 
     def status(self) -> NodeStatus:
         """Returns what operators see of the process."""
-        figures = self._guard.status
         known = NodeStatus(
             node=self._settings.node,
             service=self._settings.service,
             availability_zone=self._settings.availability_zone,
             config_version=self._in_force.version,
+            operator_versions=self._orders.versions,
             upstream_up=self._upstream.up,
-            running=figures.running,
-            queued=figures.queued,
-            limit=int(figures.limit),
             platform_reachable=self._records.reachable,
+            alarms=alarms.alarms(self._alarms, now()),
         )
+        known = with_guard(known, self._guard.state)
         if self._control is None:
             return known
-        return _with_ownership(known, self._control.state)
+        out = self._orders.wants_out(self._settings.place)
+        return with_ownership(known, self._control.state, out)
 
     def locate(self, service: str, key: str) -> SliceStatus | None:
         """Returns who owns a key, as this process knows it."""
@@ -162,7 +167,7 @@
         digest = key_hash(key)
         state = self._control.state
         slice_id = ownership.slice_of_key(state, service, digest, found.slices)
-        return _slice_status(state, self._settings.node, slice_id)
+        return slice_status(state, self._settings.node, slice_id)
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         """Starts a task whose failure ends the process."""
@@ -247,6 +252,7 @@
             state, self._platform, self._records, self._link, self._take_notice
         )
         self._control.replay()
+        self._control.take_orders(self._orders)
         self._put_in_force()
         self._spawn(self._report_load())
         if self._upstream.up:
@@ -260,10 +266,32 @@
             if self._control is not None:
                 self._control.take_load(self._guard.read_load())
 
+    async def _watch_alarms(self) -> None:
+        """Looks each second for what operators should know, until cancelled."""
+        while True:
+            self._alarms = alarms.observe(self._alarms, self.status(), now())
+            await asyncio.sleep(ALARM_PERIOD_S)
+
     def _take_object(self, found: Versioned) -> None:
-        """Puts a newer configuration in force."""
-        if found.key != CONFIG_KEY:
+        """Puts a newer configuration or newer operators' orders in force."""
+        if found.key == CONFIG_KEY:
+            self._take_configuration(found)
+        else:
+            self._take_orders(found)
+
+    def _take_orders(self, found: Versioned) -> None:
+        """Puts newer orders of the operators in force."""
+        orders = adopt_orders(self._orders, found)
+        if orders is self._orders:
             return
+        self._orders = orders
+        zones, upstreams = sorted(orders.zones.names), sorted(orders.upstreams.names)
+        _log.info("orders_in_force", zones_out=zones, upstreams_drained=upstreams)
+        if self._control is not None:
+            self._control.take_orders(orders)
+
+    def _take_configuration(self, found: Versioned) -> None:
+        """Puts a newer configuration in force."""
         adopted = adopt(self._in_force, found, self._settings)
         if adopted is self._in_force:
             return
@@ -336,44 +364,3 @@
         settings.secret_key,
         frozenset({*settings.peer_keys, settings.public_key}),
     )
-
-
-def _with_ownership(known: NodeStatus, state: ownership.OwnershipState) -> NodeStatus:
-    """Adds what the ownership policy knows to a process's status."""
-    moment = now()
-    until = ownership.lease_until(state, moment)
-    return replace(
-        known,
-        incarnation=_incarnation_number(state),
-        lease_valid=until is not None,
-        lease_left_s=max(0.0, until - moment) if until is not None else 0.0,
-        phase=MemberPhase.DRAINING if state.draining else MemberPhase.UP,
-        owned=len(state.serving),
-    )
-
-
-def _incarnation_number(state: ownership.OwnershipState) -> int:
-    """Returns the number of the newest incarnation held, 0 without one."""
-    newest = state.newest_held(now())
-    return newest.number if newest is not None else 0
-
-
-def _slice_status(
-    state: ownership.OwnershipState, node: str, slice_id: SliceId
-) -> SliceStatus:
-    """Describes a slice to operators."""
-    moment = now()
-    described = ownership.describe(state, slice_id, moment)
-    right = ownership.right(state, slice_id, moment)
-    row = described.row
-    return SliceStatus(
-        slice=slice_id,
-        version=row.version if row else 0,
-        succession=row.succession if row else (),
-        retiring=row.retiring if row else (),
-        known_by=node,
-        owned_here=right is not None,
-        token=right.token if right else 0,
-        lease_left_s=max(0.0, right.valid_until - moment) if right else 0.0,
-        reason=described.why.value,
-    )
--- a/rosemarydeal/policy/control.py
+++ b/rosemarydeal/policy/control.py
@@ -19,6 +19,7 @@
     ControlState,
     DomainTurn,
     SettingsChanged,
+    UpstreamsDrained,
     ZonesChanged,
 )
 from .fleet import FleetView, domain_of_chunk
@@ -45,6 +46,7 @@
     "ControlState",
     "LocalLoad",
     "SettingsChanged",
+    "UpstreamsDrained",
     "ZonesChanged",
     "judge_zones",
     "start",
@@ -93,6 +95,8 @@
             return replace(state, meter=state.meter.add(event)), ()
         case ZonesChanged(out):
             return _zones_changed(state, out, now), ()
+        case UpstreamsDrained(names):
+            return _members_changed(replace(state, drained=names), now), ()
         case SettingsChanged(settings):
             return _settings_changed(state, settings, now), ()
         case _:
--- a/rosemarydeal/policy/control_state.py
+++ b/rosemarydeal/policy/control_state.py
@@ -33,6 +33,7 @@
     "DomainTurn",
     "Pending",
     "SettingsChanged",
+    "UpstreamsDrained",
     "ZonesChanged",
 ]
 
@@ -78,6 +79,13 @@
     out: frozenset[str]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamsDrained:
+    """Names all upstreams that operators drain; the others' drains are over."""
+
+    names: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsChanged:
     """Says that other settings are in force."""
@@ -95,6 +103,7 @@
     | WriteFailed
     | LocalLoad
     | ZonesChanged
+    | UpstreamsDrained
     | SettingsChanged
 )
 ControlAction = WriteChunk | Send
@@ -127,6 +136,7 @@
         members: Newest member records by node.
         chunks: Newest chunks by number.
         zones_out: Moment at which each absent zone was learnt to be out.
+        drained: Names of the upstreams that operators drain.
         leaving: Moment from which each live owner is to give its slices up.
         book: Load estimates.
         meter: Own load since the last report.
@@ -148,6 +158,7 @@
     members: Map[str, MemberRead] = Map()
     chunks: Map[int, ChunkRead] = Map()
     zones_out: Map[str, float] = Map()
+    drained: frozenset[str] = frozenset()
     leaving: Map[Incarnation, float] = Map()
     book: LoadBook = LoadBook()
     meter: LoadMeter = LoadMeter()
@@ -186,4 +197,5 @@
             self.settings.placement,
             frozenset(self.zones_out),
             usual,
+            self.drained,
         )
--- a/rosemarydeal/policy/fleet.py
+++ b/rosemarydeal/policy/fleet.py
@@ -14,7 +14,14 @@
 
 from .interface import ChunkRead
 
-__all__ = ["FleetView", "PlacementSettings", "domain_of", "domain_of_chunk"]
+__all__ = [
+    "LIVE_PHASES",
+    "FleetView",
+    "PlacementSettings",
+    "domain_of",
+    "domain_of_chunk",
+    "may_get_work",
+]
 
 CHUNKS_PER_DOMAIN = 16
 LIVE_PHASES = frozenset({MemberPhase.UP, MemberPhase.DRAINING})
@@ -30,6 +37,21 @@
     return number // CHUNKS_PER_DOMAIN
 
 
+def may_get_work(
+    member: Member, out_zones: frozenset[str], drained: frozenset[str]
+) -> bool:
+    """Tells whether a member may be given new work.
+
+    Args:
+        member: The member's record.
+        out_zones: Availability zones that operators have taken out.
+        drained: Names of the upstreams that operators drain.
+    """
+    place = member.place
+    out = place.availability_zone in out_zones or place.upstream in drained
+    return member.phase is MemberPhase.UP and not out
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementSettings:
     """Tunes where slices are placed.
@@ -54,9 +76,10 @@
         chunks: Newest known chunk objects by number.
         self_node: Node of the process that decides.
         loads: Smoothed load of slices in busy slots; empty when unknown.
-        usual_load: Load that a slice without a known one counts for.
         settings: Tunes the placement.
         out_zones: Availability zones that operators have taken out.
+        usual_load: Load that a slice without a known one counts for.
+        drained: Names of the upstreams that operators drain.
     """
 
     service: str
@@ -68,6 +91,7 @@
     settings: PlacementSettings = PlacementSettings()
     out_zones: frozenset[str] = frozenset()
     usual_load: float = 1.0
+    drained: frozenset[str] = frozenset()
 
     @property
     def chunk_count(self) -> int:
@@ -87,8 +111,7 @@
         return {
             incarnation: member
             for incarnation, member in self.live().items()
-            if member.phase is MemberPhase.UP
-            and member.place.availability_zone not in self.out_zones
+            if may_get_work(member, self.out_zones, self.drained)
         }
 
     @property
--- a/rosemarydeal/policy/suspects.py
+++ b/rosemarydeal/policy/suspects.py
@@ -27,6 +27,7 @@
     "is_suspect",
     "receive",
     "retell",
+    "suspected",
 ]
 
 CRASHES_TO_BLAME = 2
@@ -91,6 +92,11 @@
     return len(_standing(suspects, fingerprint)) >= CRASHES_TO_BLAME
 
 
+def suspected(suspects: Suspects) -> tuple[int, ...]:
+    """Returns all fingerprints in flight at a crash and not cleared, sorted."""
+    return tuple(sorted(f for f in suspects.records if is_suspect(suspects, f)))
+
+
 def crash(
     suspects: Suspects,
     service: str,
