Add the caller library: routes, deadlines, request ids and three outcomes

Cause: Callers had no client that goes straight to the owner of a key, keeps one id over its attempts, and sends again only what certainly did not run.

Change: rosemarydeal.caller finds the routing table by its seeds, sends a request to the owner with the slice's token as ticket, follows the successors and other entries while the outcome is *not run*, and gives back answer, not run or unknown with the id and ticket that a later try needs. Retries under overload come out of a budget. A learnt route only saves a hop.

--- /dev/null
+++ b/features/builders_caller.py
@@ -0,0 +1,120 @@
+"""Builds small entries that answer as they are told, and callers of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from features.builders import incarnation
+from features.builders_proxy import running
+from rosemarydeal.caller import Caller, CallerSettings
+from rosemarydeal.core import Address, Answer, NotRun, Outcome, Row, SliceId, Unknown
+from rosemarydeal.core import headers as names
+from rosemarydeal.core.request_key import KeyRule
+from rosemarydeal.core.routes import (
+    ROUTES_PATH,
+    RoutesReply,
+    RouteTable,
+    build_routes,
+    encode_routes,
+)
+from rosemarydeal.proxy import (
+    Request,
+    Response,
+    find_header,
+    read_whole,
+    refusal_response,
+    whole_response,
+)
+
+__all__ = ["CUT", "FakeEntry", "caller_of", "fleet", "table_of"]
+
+ENTRIES = 3
+KEY_RULE = KeyRule(segment=1)
+CUT = "cut"
+"""Tells an entry to run the request and to break the connection."""
+
+Script = Callable[[Request], Outcome | str]
+
+
+class FakeEntry:
+    """Answers requests as a script says, and notes what came."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.table: RouteTable | None = None
+        self.owner: Address | None = None
+        self.seen: list[Request] = []
+        self.routes_asked = 0
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one request."""
+        if request.target.startswith(ROUTES_PATH.encode()):
+            return self._routes(request)
+        await read_whole(request.body, 1 << 20)
+        self.seen.append(request)
+        return self._respond(self.script(request))
+
+    def header(self, name: bytes) -> list[bytes | None]:
+        """Returns a header of each request that came."""
+        return [find_header(request.headers, name) for request in self.seen]
+
+    def _routes(self, request: Request) -> Response:
+        """Serves the table if there is a newer one."""
+        self.routes_asked += 1
+        if self.table is None:
+            return whole_response(404, b"")
+        after = int(request.target.rpartition(b"=")[2])
+        newer = self.table if self.table.version > after else None
+        return whole_response(
+            200, encode_routes(RoutesReply(self.table.version, newer))
+        )
+
+    def _respond(self, outcome: Outcome | str) -> Response:
+        """Builds the response for an outcome."""
+        match outcome:
+            case Answer(status, headers, body):
+                fields = ((names.OUTCOME, names.OUTCOME_ANSWER), *headers)
+                if self.owner is not None:
+                    fields += ((names.OWNER, str(self.owner).encode()),)
+                return whole_response(status, body, fields)
+            case NotRun() | Unknown():
+                return refusal_response(outcome)
+            case _:
+                raise asyncio.CancelledError
+
+
+@asynccontextmanager
+async def fleet(script: Script, count: int = ENTRIES):
+    """Runs entries on loopback; gives them with their addresses."""
+    async with AsyncExitStack() as stack:
+        entries = [FakeEntry(script) for _ in range(count)]
+        servers = [
+            await stack.enter_async_context(running(entry.handle)) for entry in entries
+        ]
+        yield entries, [server.address for server in servers]
+
+
+def table_of(
+    addresses: list[Address], first: int, version: int = 1, slices: int = 8
+) -> RouteTable:
+    """Builds a table in which one entry owns all slices."""
+    entries = {f"box-office-{n}": address for n, address in enumerate(addresses)}
+    order = [(first + n) % len(addresses) for n in range(len(addresses))]
+    names_in_order = tuple(incarnation(f"box-office-{n}") for n in order)
+    rows = [
+        Row(SliceId("box-office", n), version, names_in_order) for n in range(slices)
+    ]
+    return build_routes("box-office", version, slices, KEY_RULE, entries, rows)
+
+
+@asynccontextmanager
+async def caller_of(seeds: list[Address], **values):
+    """Holds a caller that pauses briefly between attempts."""
+    settings = CallerSettings("box-office", tuple(seeds), pause_s=0.0005, **values)
+    caller = Caller(settings)
+    try:
+        yield caller
+    finally:
+        await caller.close()
--- /dev/null
+++ b/features/steps/caller_steps.py
@@ -0,0 +1,288 @@
+import asyncio
+import itertools
+
+from behave import then
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from features.builders_caller import CUT, caller_of, fleet, table_of
+from features.builders_proxy import raw_upstream
+from rosemarydeal.caller import Call
+from rosemarydeal.core import TOKEN_RANKS, Answer, NotRun, Unknown
+from rosemarydeal.core import headers as names
+from rosemarydeal.core.codes import CODES, find_code
+
+ORDER = Call("POST", "/shows/7/seats", b"row 4")
+OK = Answer(200, (), b"seat 4")
+SHORT_S = 0.05
+
+
+def always(outcome):
+    return lambda request: outcome
+
+
+@then("the caller goes straight to the owner of a key")
+def step_direct(context):
+    async def check():
+        async with (
+            fleet(always(OK)) as (entries, addresses),
+            caller_of(addresses[:1]) as caller,
+        ):
+            entries[0].table = table_of(addresses, first=2)
+            for _ in range(4):
+                reply = await caller.send(ORDER)
+                assert reply.outcome.body == OK.body, reply
+                assert reply.ticket == TOKEN_RANKS
+            assert [len(entry.seen) for entry in entries] == [0, 0, 4]
+            assert entries[0].routes_asked == 1
+
+    asyncio.run(check())
+
+
+@then("the caller learns the owner from a request that was passed on")
+def step_learns(context):
+    async def check():
+        async with (
+            fleet(always(OK)) as (entries, addresses),
+            caller_of(addresses[:1], routes_pause_s=99.0) as caller,
+        ):
+            entries[0].table = table_of(addresses, first=1)
+            entries[1].owner = addresses[2]
+            for _ in range(3):
+                await caller.send(ORDER)
+            assert [len(entry.seen) for entry in entries] == [0, 1, 2]
+
+    asyncio.run(check())
+
+
+@then("the caller takes a newer table and never an older one")
+def step_newer(context):
+    async def check():
+        async with (
+            fleet(always(OK)) as (entries, addresses),
+            caller_of(addresses[:1]) as caller,
+        ):
+            for version, first, expected in ((3, 1, 3), (5, 2, 5), (4, 0, 5)):
+                for entry in entries:
+                    entry.table = table_of(addresses, first, version)
+                await caller.refresh_routes()
+                assert caller.routes_version == expected
+            await caller.send(ORDER)
+            assert [len(entry.seen) for entry in entries] == [0, 0, 1]
+
+    asyncio.run(check())
+
+
+@then("the caller enters by its seeds without a table")
+def step_seeds(context):
+    async def check():
+        async with fleet(always(OK)) as (entries, addresses):
+            async with raw_upstream(always(None)) as gone:
+                pass
+            async with caller_of([gone, *addresses]) as caller:
+                reply = await caller.send(ORDER)
+                assert (reply.outcome.body, reply.ticket) == (OK.body, None)
+                assert sum(len(entry.seen) for entry in entries) == 1
+
+    asyncio.run(check())
+
+
+def outcomes():
+    codes = [code for code in CODES if not code.under_load]
+    refusals = [
+        NotRun(code.name, code.meaning)
+        if code.outcome == "not-run"
+        else Unknown(code.name, code.meaning)
+        for code in codes
+    ]
+    return st.sampled_from([OK, CUT, NotRun("from-later"), *refusals])
+
+
+def expected_sends(script, most):
+    for number, outcome in enumerate(script, 1):
+        again = isinstance(outcome, NotRun) and (
+            find_code(outcome.code, "not-run").worth_retrying
+        )
+        if not again or number == most:
+            return number
+    raise AssertionError("the script is too short")
+
+
+@then("the caller sends again only what did not run")
+def step_retries(context):
+    async def one(script):
+        served = iter(script)
+        async with (
+            fleet(lambda request: next(served)) as (entries, addresses),
+            caller_of(addresses, attempts=4) as caller,
+        ):
+            for entry in entries:
+                entry.table = table_of(addresses, first=0)
+            reply = await caller.send(ORDER)
+        sends = sum(len(entry.seen) for entry in entries)
+        assert sends == reply.attempts == expected_sends(script, 4), (script, reply)
+        match script[sends - 1]:
+            case Answer():
+                assert reply.outcome.body == OK.body, reply
+            case str():
+                assert isinstance(reply.outcome, Unknown), reply
+            case last:
+                assert reply.outcome == last, (reply, last)
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(st.lists(outcomes(), min_size=4, max_size=4))
+    def check(script):
+        asyncio.run(one(script))
+
+    check()
+
+
+BROKEN = (
+    b"",
+    b"HTTP/1.1 200 OK\r\nRosemarydeal-Outcome: answer\r\nContent-Length: 9\r\n\r\nab",
+    b"HTTP/1.1 200 OK\r\nRosemarydeal-Outcome: not-run\r\n bad\r\n\r\n",
+)
+
+
+@then("the caller tells a broken connection as unknown")
+def step_broken(context):
+    async def one(raw):
+        orders = []
+
+        async def serve_one(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            if head.startswith(b"POST"):
+                orders.append(head)
+                writer.write(raw)
+                await writer.drain()
+
+        async with (
+            raw_upstream(serve_one) as address,
+            caller_of([address]) as caller,
+        ):
+            reply = await caller.send(ORDER)
+        assert isinstance(reply.outcome, Unknown), (raw, reply)
+        assert len(orders) == 1
+
+    for raw in BROKEN:
+        asyncio.run(one(raw))
+
+
+@then("the caller never takes a response without an outcome for an answer")
+def step_missing(context):
+    async def serve_one(reader, writer):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+
+    async def check():
+        async with (
+            raw_upstream(serve_one) as address,
+            caller_of([address]) as caller,
+        ):
+            reply = await caller.send(Call("POST", "/shows/7/seats"))
+        assert reply.outcome.code == "outcome-missing", reply
+        assert isinstance(reply.outcome, Unknown)
+
+    asyncio.run(check())
+
+
+@then("the caller gives up in time and says what it knows")
+def step_deadline(context):
+    async def silent(reader, writer):
+        await reader.read()
+
+    async def check():
+        late = Call("POST", "/shows/7/seats", deadline_s=0.0)
+        short = Call("POST", "/shows/7/seats", deadline_s=SHORT_S)
+        async with (
+            raw_upstream(silent) as address,
+            caller_of([address], routes_time_s=0.001) as caller,
+        ):
+            reply = await caller.send(late)
+            assert reply.outcome.code == "deadline-passed"
+            assert isinstance(reply.outcome, NotRun) and not reply.attempts
+            reply = await caller.send(short)
+            assert isinstance(reply.outcome, Unknown), reply
+            assert reply.outcome.code == "upstream-timeout"
+        async with (
+            fleet(always(NotRun("no-owner", retry_after=60.0))) as (entries, seeds),
+            caller_of(seeds) as caller,
+        ):
+            reply = await caller.send(Call("GET", "/shows/7/seats", deadline_s=2.0))
+            assert reply.outcome.code == "no-owner" and reply.attempts == 1
+
+    asyncio.run(check())
+
+
+@then("the caller keeps one id and a shrinking deadline over all attempts")
+def step_same_id(context):
+    async def check():
+        script = itertools.chain([NotRun("no-owner")] * 3, itertools.repeat(OK))
+        async with (
+            fleet(lambda request: next(script), count=1) as ((entry,), addresses),
+            caller_of(addresses, tenant="touring") as caller,
+        ):
+            reply = await caller.send(ORDER)
+            assert reply.attempts == 4
+            assert (
+                entry.header(names.IDEMPOTENCY_KEY) == [reply.request_id.encode()] * 4
+            )
+            left = [int(value) for value in entry.header(names.DEADLINE_MS)]
+            assert left == sorted(left, reverse=True) and 0 < left[-1] <= 5000
+            assert entry.header(names.ATTEMPT) == [names.ATTEMPT_FIRST] * 4
+            assert entry.header(names.TENANT) == [b"touring"] * 4
+            other = await caller.send(ORDER)
+            assert other.request_id != reply.request_id
+
+    asyncio.run(check())
+
+
+@then("the caller drops a ticket that is stale")
+def step_stale(context):
+    async def check():
+        script = iter([NotRun("stale-ticket"), OK])
+        async with (
+            fleet(lambda request: next(script)) as (entries, addresses),
+            caller_of(addresses[:1]) as caller,
+        ):
+            entries[0].table = table_of(addresses, first=1, version=7)
+            reply = await caller.send(ORDER)
+            assert isinstance(reply.outcome, Answer) and reply.ticket is None
+            bound = b"%d" % (7 * TOKEN_RANKS)
+            assert entries[1].header(names.TICKET) == [bound, None]
+
+    asyncio.run(check())
+
+
+@then("the caller sends a call again under its old id and ticket")
+def step_resend(context):
+    async def check():
+        async with (
+            fleet(always(Unknown("owner-changed"))) as (entries, addresses),
+            caller_of(addresses[:1]) as caller,
+        ):
+            entries[0].table = table_of(addresses, first=1, version=7)
+            again = Call("POST", "/shows/7/seats", request_id="order-1", ticket=1024)
+            reply = await caller.send(again)
+            assert (reply.request_id, reply.ticket) == ("order-1", 1024)
+            assert entries[1].header(names.IDEMPOTENCY_KEY) == [b"order-1"]
+            assert entries[1].header(names.TICKET) == [b"1024"]
+            assert entries[1].header(names.ATTEMPT) == [names.ATTEMPT_RESENT]
+
+    asyncio.run(check())
+
+
+@then("the caller keeps its retries under overload to a share")
+def step_budget(context):
+    async def check():
+        async with (
+            fleet(always(NotRun("overloaded")), count=1) as ((entry,), addresses),
+            caller_of(addresses, retry_share=0.1, retry_burst=5.0) as caller,
+        ):
+            for _ in range(200):
+                reply = await caller.send(ORDER)
+                assert reply.outcome.code == "overloaded"
+            assert 200 < len(entry.seen) <= 200 + 5 + 20 + 1, len(entry.seen)
+
+    asyncio.run(check())
--- a/rosemarydeal/caller/__init__.py
+++ b/rosemarydeal/caller/__init__.py
@@ -1,1 +1,7 @@
 """The client library for callers."""
+
+from .call import Call, Reply
+from .client import Caller
+from .settings import CallerSettings
+
+__all__ = ["Call", "Caller", "CallerSettings", "Reply"]
--- /dev/null
+++ b/rosemarydeal/caller/outcomes.py
@@ -0,0 +1,93 @@
+"""Turns responses and failures into one of the three outcomes."""
+
+from __future__ import annotations
+
+import msgspec
+
+from rosemarydeal.core import Answer, NotRun, Outcome, Unknown
+from rosemarydeal.core import headers as names
+from rosemarydeal.proxy import (
+    BodyTooLarge,
+    ConnectFailed,
+    ProxyError,
+    ProxyTimeout,
+    Response,
+    find_header,
+    read_whole,
+)
+
+__all__ = ["outcome_of_failure", "read_outcome"]
+
+PROBLEM_BYTES = 65_536
+
+
+async def read_outcome(response: Response, limit: int) -> Outcome:
+    """Reads a response to its end and returns its outcome.
+
+    Args:
+        response: The response.
+        limit: Longest body of an answer, in bytes.
+
+    Returns:
+        The outcome; unknown where the response does not tell.
+
+    Raises:
+        ProxyError: If the body breaks off.
+    """
+    async with response:
+        word = find_header(response.headers, names.OUTCOME)
+        if word == names.OUTCOME_ANSWER:
+            return await _read_answer(response, limit)
+        code = (find_header(response.headers, names.CODE) or b"").decode("latin-1")
+        detail = await _read_detail(response)
+    if word == names.OUTCOME_NOT_RUN:
+        return NotRun(code, detail, _retry_after(response))
+    if word == names.OUTCOME_UNKNOWN:
+        return Unknown(code, detail)
+    return Unknown("outcome-missing", f"status {response.status} without an outcome")
+
+
+def outcome_of_failure(error: ProxyError) -> NotRun | Unknown:
+    """Returns the outcome that a failure of the connection stands for.
+
+    Args:
+        error: The failure.
+
+    Returns:
+        Not run only if no byte of the request can have gone out.
+    """
+    sent = getattr(error, "sent", True)
+    match error:
+        case ConnectFailed():
+            return NotRun("connect-failed", error.detail)
+        case ProxyTimeout() if not sent:
+            return NotRun("deadline-passed", error.detail)
+        case _ if not sent:
+            return NotRun("not-sent", error.detail)
+        case _:
+            return Unknown(error.code, error.detail)
+
+
+async def _read_answer(response: Response, limit: int) -> Answer | Unknown:
+    """Reads the whole body of an answer."""
+    try:
+        body = await read_whole(response.body, limit)
+    except BodyTooLarge as error:
+        return Unknown("response-broken", error.detail)
+    return Answer(response.status, response.headers, body)
+
+
+async def _read_detail(response: Response) -> str:
+    """Returns the detail of a problem, empty where there is none."""
+    try:
+        problem = msgspec.json.decode(await read_whole(response.body, PROBLEM_BYTES))
+    except (ProxyError, msgspec.DecodeError, UnicodeDecodeError):
+        return ""
+    detail = problem.get("detail") if isinstance(problem, dict) else None
+    return detail if isinstance(detail, str) else ""
+
+
+def _retry_after(response: Response) -> float:
+    """Returns the seconds after which to send again, 0 without a hint."""
+    value = find_header(response.headers, names.RETRY_AFTER) or b""
+    return float(value) if value.isdigit() and len(value) < 10 else 0.0
--- a/rosemarydeal/core/codes.py
+++ b/rosemarydeal/core/codes.py
@@ -17,6 +17,8 @@
 
 SEND_AGAIN = "Send it again, after Retry-After where it is given."
 SEND_AGAIN_LATER = "Send it again later, with growing pauses."
+NEWER_TICKET = "Send it again without the ticket, or with a newer one."
+RETRY_ADVICES = frozenset({SEND_AGAIN, SEND_AGAIN_LATER, NEWER_TICKET})
 MEND_FIRST = "Change the request; sent again as it is, it is refused again."
 ASK_WITH_SAME_ID = (
     "Send it again with the same Idempotency-Key to learn more; "
@@ -43,6 +45,16 @@
     meaning: str
     advice: str
 
+    @property
+    def worth_retrying(self) -> bool:
+        """Tells whether the same request may fare better soon."""
+        return self.outcome == NOT_RUN and self.advice in RETRY_ADVICES
+
+    @property
+    def under_load(self) -> bool:
+        """Tells whether sending again adds to a load that is too high."""
+        return self.advice == SEND_AGAIN_LATER
+
 
 CODES = (
     Code("bad-request", 400, NOT_RUN, "The request is not valid HTTP.", MEND_FIRST),
@@ -74,7 +86,7 @@
         409,
         NOT_RUN,
         "The owner of the key changed since the ticket was given.",
-        "Send it again without the ticket, or with a newer one.",
+        NEWER_TICKET,
     ),
     Code(
         "body-too-large",
--- a/rosemarydeal/core/headers.py
+++ b/rosemarydeal/core/headers.py
@@ -20,6 +20,7 @@
     "OUTCOME_ANSWER",
     "OUTCOME_NOT_RUN",
     "OUTCOME_UNKNOWN",
+    "OWNER",
     "PRIVATE_HEADERS",
     "RETRY_AFTER",
     "TENANT",
@@ -54,6 +55,9 @@
 RETRY_AFTER = b"retry-after"
 """Seconds after which a request that did not run is worth sending again."""
 
+OWNER = b"rosemarydeal-owner"
+"""Entry that answered a request that was passed on, as `host:port`; a hint."""
+
 HOPS = b"rosemarydeal-hops"
 """Number of guards that the request has passed."""
 
