Watch only what is in force, with several prefixes in one call

Cause: The process watched every object of the platform, so each start read the whole history of configurations, up to 10,000 versions that nothing uses.

Change: A watch names several prefixes in one call, and the process names the configuration in force, members, slices and the operators' objects.

--- a/features/builders_operators.py
+++ b/features/builders_operators.py
@@ -73,7 +73,7 @@
             raise PlatformUnavailable("lost")
         return stored.versioned.version
 
-    async def watch(self, prefix, after, timeout_s):
+    async def watch(self, prefixes, after, timeout_s):
         return Changes(self.store.revision, ())
 
     def _check_up(self):
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -20,5 +20,9 @@
     When an object changes while a client watches
     Then the watch delivers the change with its version
 
+  Scenario: A process follows what is in force and not the history
+    When a process follows a platform that keeps old configurations
+    Then it learns all that is in force in one call at a time and no history
+
   Scenario: The call budget bounds the rate of calls
     Then a call budget never lets more calls through than its rate and burst
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,8 +6,17 @@
 from hypothesis import strategies as st
 
 from features.builders_platform import client_of, running_platform
+from rosemarydeal.daemon.records import RecordsTask
 from rosemarydeal.platform import PlatformConflict, PlatformUnavailable, budget
 
+FOLLOWED = (
+    "config/current",
+    "members/box-office-1",
+    "operator/upstreams",
+    "operator/zones",
+    "slices/box-office/0",
+)
+
 
 @given("a stand-in platform and a client of it")
 def step_platform(context):
@@ -89,8 +98,10 @@
 def step_watch(context):
     async def scenario(platform, client):
         await client.put("zones/a", b"1", 0, "first")
-        idle = await client.watch("operator/", platform.store.revision, 0.01)
-        waiting = asyncio.create_task(client.watch("zones/", idle.revision, 20.0))
+        idle = await client.watch(("operator/",), platform.store.revision, 0.01)
+        waiting = asyncio.create_task(
+            client.watch(("zones/", "slices/"), idle.revision, 20.0)
+        )
         await client.put("other", b"1", 0, "other")
         await client.put("zones/a", b"2", 1, "second")
         return idle, await waiting
@@ -98,6 +109,46 @@
     context.outcomes = context.run(scenario)
 
 
+@when("a process follows a platform that keeps old configurations")
+def step_follow(context):
+    async def scenario(platform, client):
+        await client.put("config/history/000001", b"1", 0, "history-1")
+        for number, key in enumerate(FOLLOWED):
+            await client.put(key, b"x", 0, f"followed-{number}")
+        records = RecordsTask(client, seed=1)
+        learnt, wanted = asyncio.Event(), asyncio.Event()
+        seen = []
+
+        def take(found):
+            seen.append((found.key, found.version))
+            if len(seen) == len(FOLLOWED):
+                learnt.set()
+            if found.version == 2:
+                wanted.set()
+
+        records.subscribe(take)
+        following = asyncio.create_task(records.run())
+        async with asyncio.timeout(20.0):
+            await learnt.wait()
+            calls = platform.calls["GET"]
+            await client.put("config/history/000002", b"2", 0, "history-2")
+            await client.put("config/current", b"y", 1, "current-2")
+            await wanted.wait()
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+        return seen, platform.calls["GET"] - calls
+
+    context.outcomes = context.run(scenario)
+
+
+@then("it learns all that is in force in one call at a time and no history")
+def step_no_history(context):
+    seen, calls = context.outcomes
+    assert sorted(seen[:-1]) == sorted((key, 1) for key in FOLLOWED), seen
+    assert seen[-1] == ("config/current", 2), seen
+    assert calls <= 2, calls
+
+
 @then("the watch delivers the change with its version")
 def step_delivered(context):
     idle, changes = context.outcomes
--- a/rosemarydeal/daemon/objects.py
+++ b/rosemarydeal/daemon/objects.py
@@ -4,13 +4,14 @@
 
 import msgspec
 
-from rosemarydeal.core import Chunk, Member
+from rosemarydeal.core import CONFIG_KEY, UPSTREAMS_KEY, ZONES_KEY, Chunk, Member
 
 from .errors import DaemonError
 
 __all__ = [
     "MEMBER_PREFIX",
     "SLICE_PREFIX",
+    "WATCHED_PREFIXES",
     "chunk_key",
     "decode_chunk",
     "decode_member",
@@ -20,6 +21,7 @@
 
 MEMBER_PREFIX = "members/"
 SLICE_PREFIX = "slices/"
+WATCHED_PREFIXES = (CONFIG_KEY, MEMBER_PREFIX, SLICE_PREFIX, ZONES_KEY, UPSTREAMS_KEY)
 
 _MEMBER = msgspec.json.Decoder(Member)
 _CHUNK = msgspec.json.Decoder(Chunk)
--- a/rosemarydeal/daemon/records.py
+++ b/rosemarydeal/daemon/records.py
@@ -2,7 +2,8 @@
 
 An object's version never goes back: a stale read or a late message of a peer
 changes nothing. While the platform can't be reached the last known versions
-stay in force.
+stay in force. The history of configurations is not followed: nothing that runs
+needs it, and it holds every version.
 """
 
 from __future__ import annotations
@@ -16,6 +17,8 @@
 from rosemarydeal.core import Versioned
 from rosemarydeal.platform import Platform, PlatformError
 
+from .objects import WATCHED_PREFIXES
+
 __all__ = ["RecordsTask"]
 
 WATCH_S = 20.0
@@ -92,7 +95,7 @@
     async def _follow_once(self) -> None:
         """Waits for the next changes and takes them in."""
         wait_s = WATCH_S if self._reachable else 0.0
-        changes = await self._platform.watch("", self._revision, wait_s)
+        changes = await self._platform.watch(WATCHED_PREFIXES, self._revision, wait_s)
         self._reachable = True
         self._revision = changes.revision
         for found in changes.objects:
--- a/rosemarydeal/platform/client.py
+++ b/rosemarydeal/platform/client.py
@@ -125,20 +125,23 @@
             raise PlatformError(f"{key}: status {reply.status}")
         return reply.version
 
-    async def watch(self, prefix: str, after: int, timeout_s: float) -> Changes:
-        """Waits until an object under a prefix changes after a revision.
+    async def watch(
+        self, prefixes: tuple[str, ...], after: int, timeout_s: float
+    ) -> Changes:
+        """Waits until an object under any of some prefixes changes.
 
         Args:
-            prefix: Beginning of the keys to watch.
+            prefixes: Beginnings of the keys to watch, all in one call.
             after: Revision that is already known.
             timeout_s: Longest wait for a change, in seconds.
 
         Returns:
             The changes; none when the wait ended without one.
         """
-        query = f"prefix={quote(prefix, safe='')}&after={after}&wait_s={timeout_s}"
+        chosen = "&".join(f"prefix={quote(prefix, safe='')}" for prefix in prefixes)
+        target = f"/changes?{chosen}&after={after}&wait_s={timeout_s}"
         wait = timeout_s + WATCH_SLACK_S
-        return _decode_changes(await self._call(b"GET", f"/changes?{query}", wait=wait))
+        return _decode_changes(await self._call(b"GET", target, wait=wait))
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/rosemarydeal/platform/interface.py
+++ b/rosemarydeal/platform/interface.py
@@ -51,5 +51,19 @@
             PlatformUnavailable: The outcome can't be learnt now.
         """
 
-    async def watch(self, prefix: str, after: int, timeout_s: float) -> Changes:
-        """Waits until an object under a prefix changes after a revision."""
+    async def watch(
+        self, prefixes: tuple[str, ...], after: int, timeout_s: float
+    ) -> Changes:
+        """Waits until an object under any of some prefixes changes.
+
+        Args:
+            prefixes: Beginnings of the keys to watch, all in one call.
+            after: Revision that is already known.
+            timeout_s: Longest wait for a change, in seconds.
+
+        Returns:
+            The changes; none when the wait ended without one.
+
+        Raises:
+            PlatformUnavailable: No answer came.
+        """
--- a/rosemarydeal/platform/wire.py
+++ b/rosemarydeal/platform/wire.py
@@ -1,4 +1,9 @@
-"""Defines the bodies of the object API, as docs/PROTOCOL.md describes them."""
+"""Defines the bodies of the object API, as docs/PROTOCOL.md describes them.
+
+A watch is `GET /changes?prefix=A&prefix=B&after=REVISION&wait_s=SECONDS`: one
+call covers all the prefixes that it names, and counts once. Its answer holds
+the newest content of each object under them that changed after the revision.
+"""
 
 from __future__ import annotations
 
--- a/rosemarydeal/standins/platform.py
+++ b/rosemarydeal/standins/platform.py
@@ -101,11 +101,11 @@
             return await self._put(request, unquote(url.path[len(OBJECTS) :]))
         if request.method != b"GET":
             return whole_response(405, b"")
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        query = parse_qs(url.query)
         if url.path.startswith(OBJECTS):
             return self._get(unquote(url.path[len(OBJECTS) :]))
         if url.path == "/objects":
-            return self._list(query.get("prefix", ""))
+            return _changes_response(self._store, _prefixes(query), 0)
         if url.path == "/changes":
             return await self._watch(query)
         return whole_response(404, b"")
@@ -117,10 +117,6 @@
             return whole_response(404, b"")
         return whole_response(200, stored.versioned.value, _version_headers(stored))
 
-    def _list(self, prefix: str) -> Response:
-        """Answers with all objects under a prefix."""
-        return _changes_response(self._store, prefix, 0)
-
     async def _put(self, request: Request, key: str) -> Response:
         """Carries out a conditional update."""
         expected = _expected_version(request)
@@ -137,16 +133,16 @@
             return whole_response(504, b"")
         return whole_response(200, b"", _version_headers(stored))
 
-    async def _watch(self, query: dict[str, str]) -> Response:
-        """Waits for a change under a prefix and answers with it."""
-        prefix = query.get("prefix", "")
-        after = int(query.get("after", "0"))
-        wait_s = min(float(query.get("wait_s", "0")), WATCH_MAX_S)
+    async def _watch(self, query: dict[str, list[str]]) -> Response:
+        """Waits for a change under any of some prefixes and answers with it."""
+        prefixes = _prefixes(query)
+        after = int(query.get("after", ["0"])[0])
+        wait_s = min(float(query.get("wait_s", ["0"])[0]), WATCH_MAX_S)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while not self._store.list(prefix, after):
+                while not self._store.list(prefixes, after):
                     await self._changed.wait()
-        return _changes_response(self._store, prefix, after)
+        return _changes_response(self._store, prefixes, after)
 
     def _announce_change(self) -> None:
         """Wakes all waiting watches."""
@@ -154,6 +150,11 @@
         self._changed = asyncio.Event()
 
 
+def _prefixes(query: dict[str, list[str]]) -> tuple[str, ...]:
+    """Returns the prefixes that a call asks for; all objects without any."""
+    return tuple(query.get("prefix", [""]))
+
+
 def _expected_version(request: Request) -> int | None:
     """Returns the version that a write names, or None without a condition."""
     match = find_header(request.headers, b"if-match")
@@ -172,11 +173,13 @@
     )
 
 
-def _changes_response(store: ObjectStore, prefix: str, after: int) -> Response:
-    """Returns the objects under a prefix that changed after a revision."""
+def _changes_response(
+    store: ObjectStore, prefixes: tuple[str, ...], after: int
+) -> Response:
+    """Returns the objects under some prefixes that changed after a revision."""
     objects = tuple(
         ObjectBody(s.versioned.key, s.versioned.version, s.versioned.value)
-        for s in store.list(prefix, after)
+        for s in store.list(prefixes, after)
     )
     body = msgspec.json.encode(ChangesBody(store.revision, objects))
     return whole_response(200, body, ((b"content-type", b"application/json"),))
--- a/rosemarydeal/standins/store.py
+++ b/rosemarydeal/standins/store.py
@@ -46,12 +46,22 @@
         """Returns an object, or None where there is none."""
         return self._objects.get(key)
 
-    def list(self, prefix: str, after: int = 0) -> tuple[StoredObject, ...]:
-        """Returns objects under a prefix that changed after a revision."""
+    def list(
+        self, prefixes: str | tuple[str, ...], after: int = 0
+    ) -> tuple[StoredObject, ...]:
+        """Returns objects under any of some prefixes that changed since.
+
+        Args:
+            prefixes: Beginning of the keys, or several.
+            after: Revision after which the objects changed.
+
+        Returns:
+            The objects, sorted by key.
+        """
         return tuple(
             stored
             for key, stored in sorted(self._objects.items())
-            if key.startswith(prefix) and stored.revision > after
+            if stored.revision > after and key.startswith(prefixes)
         )
 
     def put(
