Route at the entry by its policy

Cause: the entry tried the names of a row one after the other and pushed every refusal back to the caller. Change: the entry's task drives policy/entry: retries of what did not run, choice among unkeyed upstreams, hedges, tickets, suspicion of silent nodes.

--- a/rosemarydeal/daemon/classify.py
+++ b/rosemarydeal/daemon/classify.py
@@ -36,7 +36,8 @@
         key: The key, empty for a service without keys.
         slice: Base slice of the key, None for a service without keys.
         request_id: The caller's id, or one made here.
-        own_id: Whether the caller gave the id.
+        resent: Whether an earlier try with the id may have reached an upstream.
+        id_age_s: Seconds since the id was made, None if the caller doesn't tell.
         idempotent: Whether the request may run more than once.
         deadline: Moment after which the caller has no use for an answer.
         ticket: Token that the request's first try was bound to, if any.
@@ -48,7 +49,8 @@
     key: str
     slice: SliceId | None
     request_id: str
-    own_id: bool
+    resent: bool
+    id_age_s: float | None
     idempotent: bool
     deadline: float
     ticket: int | None
@@ -86,13 +88,15 @@
     key = _key(request, service.key) if service.key is not None else ""
     slice_id = slice_of(service.name, key, service.slices) if service.keyed else None
     request_id = _request_id(request)
+    age_ms = _number(request, headers.ID_AGE_MS)
     return Classified(
         service=service.name,
         tenant=tenant,
         key=key,
         slice=slice_id,
         request_id=request_id or uuid.uuid4().hex,
-        own_id=bool(request_id),
+        resent=bool(request_id) and not _first_try(request),
+        id_age_s=None if age_ms is None else age_ms / MS_PER_S,
         idempotent=service.is_idempotent(method, target),
         deadline=arrived + _time_allowed(request, limits),
         ticket=_number(request, headers.TICKET),
@@ -153,6 +157,11 @@
     return value.decode("latin-1")
 
 
+def _first_try(request: Request) -> bool:
+    """Says whether the caller marks the request as its id's first try."""
+    return find_header(request.headers, headers.ATTEMPT) == headers.ATTEMPT_FIRST
+
+
 def _time_allowed(request: Request, limits: Effective) -> float:
     """Returns the seconds that the request may take."""
     asked = _number(request, headers.DEADLINE_MS)
--- a/rosemarydeal/daemon/configuration.py
+++ b/rosemarydeal/daemon/configuration.py
@@ -9,6 +9,7 @@
 
 from rosemarydeal.core import Versioned
 from rosemarydeal.policy.control import ControlSettings
+from rosemarydeal.policy.entry import EntrySettings
 from rosemarydeal.policy.guard import GuardSettings
 from rosemarydeal.policy.rebalance import RebalanceSettings
 from rosemarydeal.proxy import HttpLimits
@@ -22,7 +23,14 @@
     load_envelope,
 )
 
-__all__ = ["InForce", "adopt", "control_settings", "guard_settings", "http_limits"]
+__all__ = [
+    "InForce",
+    "adopt",
+    "control_settings",
+    "entry_settings",
+    "guard_settings",
+    "http_limits",
+]
 
 _log = structlog.get_logger()
 
@@ -104,6 +112,18 @@
     return ControlSettings(own.name, own.slices, rebalance=moves)
 
 
+def entry_settings(in_force: InForce, node: NodeSettings) -> EntrySettings:
+    """Returns the bounds of the routing at this process."""
+    own = in_force.own
+    return EntrySettings(
+        availability_zone=node.availability_zone,
+        retry_share=own.retries.budget_share,
+        attempts_max=own.retries.attempts,
+        hedge_quantile=own.hedging.quantile,
+        hedge_share=own.hedging.budget_share if own.hedging.enabled else 0.0,
+    )
+
+
 def http_limits(settings: Effective) -> HttpLimits:
     """Returns the limits of connections with callers."""
     return HttpLimits(
--- a/rosemarydeal/daemon/control.py
+++ b/rosemarydeal/daemon/control.py
@@ -9,11 +9,13 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 
 import structlog
 
 from rosemarydeal.core import (
     Member,
+    MemberPhase,
     Right,
     Row,
     SliceId,
@@ -30,6 +32,7 @@
     PlatformUnavailable,
 )
 from rosemarydeal.policy import control, ownership
+from rosemarydeal.policy.entry import MembersChanged, RowsChanged
 from rosemarydeal.policy.fleet import LIVE_PHASES, may_get_work
 from rosemarydeal.policy.interface import (
     Action,
@@ -56,7 +59,7 @@
 from .operators import OperatorOrders
 from .records import RecordsTask
 
-__all__ = ["ControlTask"]
+__all__ = ["ControlHooks", "ControlTask"]
 
 TICK_S = 0.1
 MAILBOX_EVENTS = 16_384
@@ -66,6 +69,19 @@
 GuardNotice = StopAdmitting | RightGained | RightLost | IncarnationLost
 
 
+@dataclass(frozen=True, slots=True)
+class ControlHooks:
+    """Connects the control task to the guard and the entry.
+
+    Attributes:
+        on_notice: Called with what the guard must know of rights.
+        on_view: Called with what the entry must know of members and rows.
+    """
+
+    on_notice: Callable[[GuardNotice], None]
+    on_view: Callable[[MembersChanged | RowsChanged], None]
+
+
 class ControlTask:
     """Owns the state of the ownership policy of one process."""
 
@@ -75,13 +91,13 @@
         platform: Platform,
         records: RecordsTask,
         link: PeerLink,
-        on_notice: Callable[[GuardNotice], None],
+        hooks: ControlHooks,
     ) -> None:
         self._state = state
         self._platform = platform
         self._records = records
         self._link = link
-        self._on_notice = on_notice
+        self._hooks = hooks
         self._placement: control.ControlState | None = None
         self._orders = OperatorOrders()
         self._next_tick = 0.0
@@ -104,15 +120,6 @@
         known = self._state.members.get(node)
         return known.member if known is not None else None
 
-    def members(self, service: str) -> tuple[Member, ...]:
-        """Returns the members of a service that may get new work."""
-        zones, upstreams = self._orders.zones.names, self._orders.upstreams.names
-        return tuple(
-            member
-            for member in ownership.known_members(self._state)
-            if member.service == service and may_get_work(member, zones, upstreams)
-        )
-
     def slice(self, base: SliceId, key: str, slices: int) -> SliceId:
         """Returns the slice of a key, the key's own where it is carved out."""
         digest = key_hash(key)
@@ -147,6 +154,7 @@
         self._orders = orders
         self._step_placement(control.ZonesChanged(orders.zones.names))
         self._step_placement(control.UpstreamsDrained(orders.upstreams.names))
+        self._hooks.on_view(MembersChanged(self._members_for_entry()))
 
     def replay(self) -> None:
         """Queues all objects that were learnt before this task began."""
@@ -205,9 +213,29 @@
         for action in actions:
             self._perform(action)
         self._step_placement(event)
+        self._tell_entry(event)
         if self._state.draining and ownership.drained(self._state):
             self._drained.set()
 
+    def _tell_entry(self, event: Event) -> None:
+        """Tells the entry of changed members and rows."""
+        match event:
+            case MemberRead():
+                self._hooks.on_view(MembersChanged(self._members_for_entry()))
+            case ChunkRead(chunk=chunk):
+                self._hooks.on_view(RowsChanged(chunk.rows))
+
+    def _members_for_entry(self) -> tuple[Member, ...]:
+        """Returns all members; those that operators took out count as draining."""
+        zones, upstreams = self._orders.zones.names, self._orders.upstreams.names
+        return tuple(
+            replace(member, phase=MemberPhase.DRAINING)
+            if member.phase is MemberPhase.UP
+            and not may_get_work(member, zones, upstreams)
+            else member
+            for member in ownership.known_members(self._state)
+        )
+
     def _step_placement(self, event: Event | control.ControlEvent) -> None:
         """Takes one step of the placement policy, for a keyed service."""
         if self._placement is None:
@@ -229,7 +257,7 @@
                 key = objects.chunk_key(chunk.service, chunk.number)
                 self._start_write(key, objects.encode(chunk), expected, change_id)
             case _:
-                self._on_notice(action)
+                self._hooks.on_notice(action)
 
     def _connect(self, node: str) -> None:
         """Opens the link to a node on first use."""
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -43,7 +43,7 @@
 from .classify import Classified
 from .loadmeter import UpstreamLoadMeter
 
-__all__ = ["GuardHooks", "GuardTask", "Refused"]
+__all__ = ["GuardHooks", "GuardTask", "Refused", "Reply"]
 
 TICK_S = 0.05
 KEPT_ANSWER_BYTES = 1024 * 1024
--- a/rosemarydeal/daemon/listeners.py
+++ b/rosemarydeal/daemon/listeners.py
@@ -11,7 +11,7 @@
 from rosemarydeal.proxy import HttpServer, serve
 
 from .configuration import InForce, http_limits
-from .entry import Entry
+from .entry import EntryTask
 
 __all__ = ["Listeners"]
 
@@ -23,7 +23,7 @@
 class Listeners:
     """Owns one listening port for each service of the configuration."""
 
-    def __init__(self, host: str, entry: Entry) -> None:
+    def __init__(self, host: str, entry: EntryTask) -> None:
         self._host = host
         self._entry = entry
         self._servers: dict[int, HttpServer] = {}
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from rosemarydeal.core import SliceId, Versioned, key_hash
+from rosemarydeal.core import SliceId, Versioned, chunk_of, key_hash
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.operator import CONFIG_KEY
 from rosemarydeal.core.status import NodeStatus, SliceStatus
@@ -19,6 +19,7 @@
     DrainAsked,
     IncarnationLost,
     LeaveAsked,
+    NodeSuspected,
     SliceIdle,
     UpstreamDied,
     UpstreamReady,
@@ -26,10 +27,17 @@
 from rosemarydeal.proxy import HttpServer
 from rosemarydeal.settings import NodeSettings
 
+from . import objects
 from .admin import AdminViews, serve_admin
-from .configuration import InForce, adopt, control_settings, guard_settings
-from .control import ControlTask, GuardNotice
-from .entry import Entry, Fleet
+from .configuration import (
+    InForce,
+    adopt,
+    control_settings,
+    entry_settings,
+    guard_settings,
+)
+from .control import ControlHooks, ControlTask, GuardNotice
+from .entry import EntryTask, Fleet
 from .guard import GuardHooks, GuardTask
 from .listeners import Listeners
 from .metrics import Metrics
@@ -72,8 +80,12 @@
             settings.upstream,
             self._guard_hooks(),
         )
-        self._entry = Entry(
-            self._fleet(), self._guard, self._get_in_force, self._metrics
+        self._entry = EntryTask(
+            self._fleet(),
+            self._guard,
+            self._get_in_force,
+            self._metrics,
+            secrets.randbits(64),
         )
         self._listeners = Listeners(settings.entry_host, self._entry)
         self._records.subscribe(self._take_object)
@@ -222,11 +234,21 @@
             node=self._settings.node,
             service=self._settings.service,
             slice=self._slice,
-            row=lambda s: self._control.row(s) if self._control else None,
-            members=lambda n: self._control.members(n) if self._control else (),
             member=lambda n: self._control.member(n) if self._control else None,
+            on_suspect=self._suspect,
+            on_refresh=self._refresh,
         )
 
+    def _suspect(self, node: str) -> None:
+        """Has the lease of a silent node probed."""
+        if self._control is not None:
+            self._control.post(NodeSuspected(node))
+
+    def _refresh(self, slice_id: SliceId) -> None:
+        """Reads the row of a slice anew, soon."""
+        key = objects.chunk_key(slice_id.service, chunk_of(slice_id))
+        self._records.refresh(key)
+
     def _slice(self, base: SliceId, key: str) -> SliceId:
         """Returns the slice of a key, given its base slice."""
         slices = self._in_force.deployment.services[base.service].slices
@@ -249,7 +271,11 @@
             ownership.OwnershipSettings(), identity, now(), secrets.randbits(64)
         )
         self._control = ControlTask(
-            state, self._platform, self._records, self._link, self._take_notice
+            state,
+            self._platform,
+            self._records,
+            self._link,
+            ControlHooks(self._take_notice, self._entry.post),
         )
         self._control.replay()
         self._control.take_orders(self._orders)
@@ -308,6 +334,7 @@
         own = deployment.services.get(self._settings.service)
         if self._control is not None and own is not None:
             self._control.place(control_settings(self._in_force, own))
+        self._entry.configure(entry_settings(self._in_force, self._settings))
         self._listeners.follow(self._in_force)
 
     def _take_notice(self, notice: GuardNotice) -> None:
--- a/rosemarydeal/daemon/records.py
+++ b/rosemarydeal/daemon/records.py
@@ -15,6 +15,7 @@
 import structlog
 
 from rosemarydeal.core import Versioned
+from rosemarydeal.core.clock import now
 from rosemarydeal.platform import Platform, PlatformError
 
 from .objects import WATCHED_PREFIXES
@@ -25,6 +26,7 @@
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 2.0
 MAX_RETRY_DOUBLINGS = 5
+REFRESH_S = 0.5
 
 _log = structlog.get_logger()
 
@@ -39,6 +41,8 @@
         self._listeners: list[Callable[[Versioned], None]] = []
         self._reachable = False
         self._revision = 0
+        self._refreshed: dict[str, float] = {}
+        self._reads: set[asyncio.Task[None]] = set()
 
     @property
     def objects(self) -> dict[str, Versioned]:
@@ -80,6 +84,16 @@
         if found is not None:
             self.learn(found)
 
+    def refresh(self, key: str) -> None:
+        """Reads one object soon, unless it was read or asked for just now."""
+        moment = now()
+        if moment - self._refreshed.get(key, float("-inf")) < REFRESH_S:
+            return
+        self._refreshed[key] = moment
+        task = asyncio.create_task(self.read(key))
+        self._reads.add(task)
+        task.add_done_callback(self._reads.discard)
+
     async def run(self) -> None:
         """Follows the platform's changes until cancelled."""
         failures = 0
--- a/rosemarydeal/demo/callers.py
+++ b/rosemarydeal/demo/callers.py
@@ -163,6 +163,8 @@
         """Returns the HTTP request of a job."""
         fields = [(b"host", b"demo"), (b"content-length", b"%d" % len(job.body))]
         fields.append((headers.IDEMPOTENCY_KEY, job.request_id.encode("ascii")))
+        # A job is only sent again after a refusal that says it did not run.
+        fields.append((headers.ATTEMPT, headers.ATTEMPT_FIRST))
         target = job.target
         match self._fleet.settings.services[job.service].key:
             case HeaderKey(name):
