Serve routing tables at the entries, and name the owner of passed requests

Cause: The caller library had no daemon to learn routes from, so it could not be shown to reach an owner in one hop. The rewritten entry had again lost its refusal of requests that it can't classify.

Change: rosemarydeal.daemon.routes answers /.rosemarydeal/routes on a service's port, with only the version for a caller that is up to date. An entry that passed a request on names the owner's entry in a header. A request without a key is refused as not run.

--- a/rosemarydeal/daemon/entry.py
+++ b/rosemarydeal/daemon/entry.py
@@ -18,6 +18,7 @@
 from rosemarydeal.policy import entry, guard
 from rosemarydeal.policy.entry_state import EntryState
 from rosemarydeal.proxy import (
+    BadMessage,
     Pool,
     PoolSettings,
     ProxyError,
@@ -25,6 +26,7 @@
     Response,
     replace_header,
 )
+from rosemarydeal.settings import ServiceSettings
 
 from .classify import Classified, classify, request_fingerprint
 from .configuration import InForce
@@ -32,6 +34,7 @@
 from .guard import GuardTask, Refused, Reply
 from .metrics import Metrics
 from .outcomes import outcome_response
+from .routes import asks_for_routes
 
 __all__ = ["EntryTask", "Fleet"]
 
@@ -51,6 +54,7 @@
         member: Returns the record of a node.
         on_suspect: Called with a node that does not answer.
         on_refresh: Called with a slice whose row seems to be old.
+        routes: Answers a caller's question for the routes of a service.
     """
 
     node: str
@@ -59,6 +63,7 @@
     member: Callable[[str], Member | None]
     on_suspect: Callable[[str], None]
     on_refresh: Callable[[SliceId], None]
+    routes: Callable[[ServiceSettings, Request], Response]
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,13 +136,18 @@
         arrived = now()
         in_force = self._in_force()
         settings = in_force.deployment.services[service]
-        details = classify(
-            request,
-            settings,
-            in_force.deployment,
-            in_force.by_service[service],
-            arrived,
-        )
+        if asks_for_routes(request):
+            return self._fleet.routes(settings, request)
+        try:
+            details = classify(
+                request,
+                settings,
+                in_force.deployment,
+                in_force.by_service[service],
+                arrived,
+            )
+        except BadMessage as error:
+            return outcome_response(NotRun(error.code, error.detail))
         buffered = await buffer(request)
         if details.hops:
             delivery = _Delivery(await self._serve_passed_on(buffered, details))
@@ -286,10 +296,10 @@
             return Refused(NotRun(CODE_NO_MEMBER, f"{action.node} is not known."))
         port = self._in_force().deployment.services[details.service].port
         request = forwarded(held.buffered, details, action, now())
-        response = await self._pool.send(
-            Address(member.entry_host, port), request, action.deadline - now()
-        )
-        return await read_reply(response)
+        address = Address(member.entry_host, port)
+        left_s = action.deadline - now()
+        reply = await read_reply(await self._pool.send(address, request, left_s))
+        return reply if isinstance(reply, Refused) else _name_owner(reply, address)
 
     def _count_try(self, service: str, result: str) -> None:
         """Counts how a try ended."""
@@ -359,6 +369,13 @@
         held.future.set_result(delivery)
 
 
+def _name_owner(response: Response, owner: Address) -> Response:
+    """Tells the caller which entry answered, so that it can go there at once."""
+    name = str(owner).encode("ascii")
+    fields = replace_header(response.headers, headers.OWNER, name)
+    return replace(response, headers=fields)
+
+
 def _outcome_labels(reply: Reply) -> tuple[str, str]:
     """Returns outcome and code for metrics and logs."""
     match reply:
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -43,6 +43,7 @@
 from .metrics import Metrics
 from .operators import OperatorOrders, adopt_orders
 from .records import RecordsTask
+from .routes import RoutesView
 from .status import slice_status, with_guard, with_ownership
 from .upstream import UpstreamEvent, UpstreamTask
 
@@ -237,6 +238,9 @@
             member=lambda n: self._control.member(n) if self._control else None,
             on_suspect=self._suspect,
             on_refresh=self._refresh,
+            routes=RoutesView(
+                lambda: self._control.state if self._control else None
+            ).respond,
         )
 
     def _suspect(self, node: str) -> None:
--- /dev/null
+++ b/rosemarydeal/daemon/routes.py
@@ -0,0 +1,139 @@
+"""Serves the routing table of a service to the caller library.
+
+The table is what this process knows. It may be old; a caller that follows an
+old route meets a refusal or is passed on, and asks again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import parse_qs
+
+from rosemarydeal.core import Address, NotRun
+from rosemarydeal.core.routes import (
+    ROUTES_PATH,
+    RoutesReply,
+    RouteTable,
+    build_routes,
+    encode_routes,
+)
+from rosemarydeal.policy.ownership import OwnershipState
+from rosemarydeal.proxy import Request, Response, refusal_response, whole_response
+from rosemarydeal.settings import ServiceSettings
+
+from .classify import key_rule
+
+__all__ = ["RoutesView", "asks_for_routes", "routing_table", "table_version"]
+
+JSON_TYPE = ((b"content-type", b"application/json"),)
+MAX_VERSION_DIGITS = 18
+
+
+@dataclass(frozen=True, slots=True)
+class _Kept:
+    """Holds the encoded table of one version of a service's settings."""
+
+    service: ServiceSettings
+    version: int
+    encoded: bytes
+
+
+def asks_for_routes(request: Request) -> bool:
+    """Tells whether a request is for the routing table."""
+    return request.target.partition(b"?")[0] == ROUTES_PATH.encode("ascii")
+
+
+def table_version(state: OwnershipState, service: str) -> int:
+    """Returns a number that grows with each change of a service's objects.
+
+    Args:
+        state: What this process knows.
+        service: The service.
+    """
+    chunks = [v.version for (name, _), v in state.chunks.items() if name == service]
+    if chunks:
+        return sum(chunks)
+    known = state.members.values()
+    return sum(item.version for item in known if item.member.service == service)
+
+
+def routing_table(state: OwnershipState, service: ServiceSettings) -> RouteTable:
+    """Builds the routing table of a service.
+
+    Args:
+        state: What this process knows.
+        service: Settings of the service.
+
+    Returns:
+        The table, as complete as this process knows it.
+    """
+    entries = {
+        node: Address(known.member.entry_host, service.port)
+        for node, known in state.members.items()
+        if known.member.service == service.name
+    }
+    rows = [
+        row
+        for name, row in state.rows.items()
+        if name.service == service.name and name.index < service.slices
+    ]
+    return build_routes(
+        service.name,
+        table_version(state, service.name),
+        service.slices if service.keyed else 0,
+        key_rule(service.key) if service.key is not None else None,
+        entries,
+        rows if service.keyed else [],
+    )
+
+
+class RoutesView:
+    """Answers questions for routes, building each version's table once."""
+
+    def __init__(self, state: Callable[[], OwnershipState | None]) -> None:
+        """Makes a view.
+
+        Args:
+            state: Returns what the process knows, None before it knows any.
+        """
+        self._state = state
+        self._kept: dict[str, _Kept] = {}
+
+    def respond(self, service: ServiceSettings, request: Request) -> Response:
+        """Answers one question.
+
+        Args:
+            service: Service whose port the question came to.
+            request: The question, which may name the version that is known.
+
+        Returns:
+            The table, or only its version where the caller has it already.
+        """
+        query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
+        if query.get("service", [service.name]) != [service.name]:
+            return refusal_response(NotRun("service-unknown"))
+        state = self._state()
+        if state is None:
+            return refusal_response(NotRun("no-owner", "No routes are known yet.", 1.0))
+        version = table_version(state, service.name)
+        if _number(query.get("after", [""])[0]) == version:
+            reply = encode_routes(RoutesReply(version))
+            return whole_response(200, reply, JSON_TYPE)
+        return whole_response(200, self._table(state, service, version), JSON_TYPE)
+
+    def _table(
+        self, state: OwnershipState, service: ServiceSettings, version: int
+    ) -> bytes:
+        """Returns the encoded table, from memory where it is there."""
+        kept = self._kept.get(service.name)
+        if kept is None or kept.version != version or kept.service != service:
+            table = routing_table(state, service)
+            reply = encode_routes(RoutesReply(version, table))
+            kept = self._kept[service.name] = _Kept(service, version, reply)
+        return kept.encoded
+
+
+def _number(text: str) -> int:
+    """Returns the version that the caller knows, -1 if it says none."""
+    return int(text) if text.isdigit() and len(text) <= MAX_VERSION_DIGITS else -1
