Measure the processor time and the memory of the data path

Cause: The cost of a request in our processes beside a bare h11 relay was not known.

Change: `python -m bench.datapath` runs raw callers against a bare h11 relay, a relay on our server and client, and running processes with one and two hops, in interleaved rounds of one run, and takes off what the processes do when no request comes. It writes build/datapath.json.

--- /dev/null
+++ b/bench/bare_relay.py
@@ -0,0 +1,68 @@
+"""Relays HTTP with h11 and asyncio streams and nothing else.
+
+It checks nothing, limits nothing and times nothing out: the least that a
+relay by these libraries costs, to hold the product's data path against.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import h11
+
+from rosemarydeal.core import Address
+
+__all__ = ["start_bare_relay"]
+
+READ_BYTES = 65_536
+
+
+async def start_bare_relay(upstream: Address) -> tuple[asyncio.Server, Address]:
+    """Starts a relay with one connection to the upstream for each caller.
+
+    Args:
+        upstream: Where to relay to.
+
+    Returns:
+        The server and its address.
+    """
+
+    async def relay(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        out_reader, out_writer = await asyncio.open_connection(
+            upstream.host, upstream.port
+        )
+        caller = h11.Connection(h11.SERVER)
+        out = h11.Connection(h11.CLIENT)
+        try:
+            while await _copy(caller, reader, out, out_writer):
+                await _copy(out, out_reader, caller, writer)
+                caller.start_next_cycle()
+                out.start_next_cycle()
+        except (ConnectionError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            writer.close()
+            out_writer.close()
+
+    server = await asyncio.start_server(relay, "127.0.0.1", 0)
+    return server, Address(*server.sockets[0].getsockname()[:2])
+
+
+async def _copy(
+    source: h11.Connection,
+    reader: asyncio.StreamReader,
+    sink: h11.Connection,
+    writer: asyncio.StreamWriter,
+) -> bool:
+    """Copies one message and tells whether there was one."""
+    while True:
+        event = source.next_event()
+        if event is h11.NEED_DATA:
+            source.receive_data(await reader.read(READ_BYTES))
+        elif type(event) is h11.ConnectionClosed:
+            return False
+        else:
+            writer.write(sink.send(event))
+            await writer.drain()
+            if type(event) is h11.EndOfMessage:
+                return True
--- /dev/null
+++ b/bench/datapath.py
@@ -0,0 +1,282 @@
+"""Measures the processor time of a request on its way, and the memory it holds.
+
+All variants run in one process, one after the other in each round, so that
+they meet the same machine. The cost of a relay is the processor time with it
+less the time without it; what the processes do beside the requests is
+measured over idle seconds and taken off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from bench.bare_relay import start_bare_relay
+from bench.raw_peers import call_all, start_raw_upstream
+from rosemarydeal.caller import Call, Caller, CallerSettings
+from rosemarydeal.core import Address, Answer
+from rosemarydeal.core import headers as names
+from rosemarydeal.daemon import log
+from rosemarydeal.demo.fleet import DeploymentFleet, FleetPlan
+from rosemarydeal.proxy import (
+    HttpLimits,
+    Pool,
+    PoolSettings,
+    Request,
+    Response,
+    find_header,
+    serve,
+    whole_response,
+)
+
+ROUNDS = 5
+CONNECTIONS = 8
+REQUESTS_PER_CONNECTION = 150
+MEMORY_CONNECTIONS = 400
+US_PER_S = 1e6
+TIMEOUT_S = 10.0
+SERVICE = "box-office"
+NETWORK = 49
+RESULT_FILE = Path("build/datapath.json")
+EXTRA = (
+    b"User-Agent: bench\r\nAccept: application/json\r\nRosemarydeal-Tenant: touring\r\n"
+)
+TARGET = b"/shows/7/seats"
+SETTLE_S = 25.0
+START_TRIES = 100
+
+Work = Callable[[], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """Is one figure of the result."""
+
+    measure: str
+    variant: str
+    value: float
+    unit: str
+
+
+def request_bytes(target: bytes = TARGET) -> bytes:
+    """Returns a request as a caller sends it."""
+    return b"GET " + target + b" HTTP/1.1\r\nHost: box-office\r\n" + EXTRA + b"\r\n"
+
+
+def calls_to(address: Address) -> Work:
+    """Returns work that sends the requests of one round to an address."""
+    requests = [request_bytes()] * CONNECTIONS
+    return lambda: call_all(address, requests, REQUESTS_PER_CONNECTION)
+
+
+def library_calls(caller: Caller) -> Work:
+    """Returns work that sends the requests of one round by the library."""
+
+    async def one() -> None:
+        call = Call("GET", TARGET.decode())
+        for _ in range(REQUESTS_PER_CONNECTION):
+            reply = await caller.send(call)
+            if not isinstance(reply.outcome, Answer):
+                raise RuntimeError(str(reply.outcome))
+
+    async def all_of() -> None:
+        await asyncio.gather(*[one() for _ in range(CONNECTIONS)])
+
+    return all_of
+
+
+async def cost_us(work: Work) -> float:
+    """Returns the processor time of one request, in microseconds."""
+    started_cpu, started = time.process_time(), time.monotonic()
+    await work()
+    spent, lasted = time.process_time() - started_cpu, time.monotonic() - started
+    idle_cpu = time.process_time()
+    await asyncio.sleep(lasted)
+    spent -= time.process_time() - idle_cpu
+    return spent / (CONNECTIONS * REQUESTS_PER_CONNECTION) * US_PER_S
+
+
+async def measure(works: dict[str, Work]) -> dict[str, float]:
+    """Returns the median cost of each variant over interleaved rounds."""
+    costs: dict[str, list[float]] = {name: [] for name in works}
+    for work in works.values():
+        await work()
+    for _ in range(ROUNDS):
+        for name, work in works.items():
+            costs[name].append(await cost_us(work))
+    return {name: statistics.median(values) for name, values in costs.items()}
+
+
+async def libraries_cost() -> dict[str, float]:
+    """Measures the bare relay beside a relay on our server and client."""
+    upstream, upstream_address = await start_raw_upstream()
+    bare, bare_address = await start_bare_relay(upstream_address)
+    pool = Pool(PoolSettings())
+
+    async def pass_on(request: Request) -> Response:
+        return await pool.send(upstream_address, request, TIMEOUT_S)
+
+    ours = await serve(pass_on, Address("127.0.0.1", 0), HttpLimits())
+    found = await measure(
+        {
+            "direct": calls_to(upstream_address),
+            "bare h11 relay": calls_to(bare_address),
+            "relay on our server and client": calls_to(ours.address),
+        }
+    )
+    await ours.close()
+    await pool.close()
+    bare.close()
+    upstream.close()
+    return found
+
+
+async def daemon_cost() -> dict[str, float]:
+    """Measures one and two hops through running processes."""
+    plan = FleetPlan(Path("examples/fremantle.json"), NETWORK, {SERVICE: 2}, 0.0)
+    fleet = DeploymentFleet(plan)
+    await fleet.start()
+    port = fleet.settings.services[SERVICE].port
+    stations = {
+        Address(station.settings.entry_host, port): station.settings.upstream
+        for station in fleet.stations
+    }
+    caller = Caller(CallerSettings(SERVICE, tuple(stations)))
+    try:
+        owner = await _find_owner(caller, tuple(stations))
+        other = next(address for address in stations if address != owner)
+        return await measure(
+            {
+                "direct to the stand-in": calls_to(stations[owner]),
+                "one hop": calls_to(owner),
+                "two hops": calls_to(other),
+                "one hop by the caller library": library_calls(caller),
+            }
+        )
+    finally:
+        await caller.close()
+        await fleet.stop()
+
+
+async def _find_owner(caller: Caller, entries: tuple[Address, ...]) -> Address:
+    """Waits until the key is served and returns its owner's entry."""
+    for _ in range(START_TRIES):
+        reply = await caller.send(Call("GET", TARGET.decode()))
+        if isinstance(reply.outcome, Answer):
+            break
+    # Upstreams are cold and slices move just after the start.
+    await asyncio.sleep(SETTLE_S)
+    pool = Pool(PoolSettings())
+    host = ((b"host", b"box-office"),)
+    owners = []
+    for entry in entries:
+        request = Request(b"GET", TARGET, host, whole_response(200, b"").body, entry)
+        async with await pool.send(entry, request, TIMEOUT_S) as response:
+            if find_header(response.headers, names.OWNER) is None:
+                owners.append(entry)
+    await pool.close()
+    (owner,) = owners
+    return owner
+
+
+async def memory_bytes(busy: bool) -> float:
+    """Returns the memory that one caller's connection holds, in bytes."""
+    go_on = asyncio.Event()
+
+    async def handler(request: Request) -> Response:
+        if busy:
+            await go_on.wait()
+        return whole_response(200, b"")
+
+    limits = HttpLimits(connections_per_address=MEMORY_CONNECTIONS)
+    server = await serve(handler, Address("127.0.0.1", 0), limits)
+    started = asyncio.Semaphore(0)
+
+    class Holder(asyncio.Protocol):
+        def connection_made(self, transport: asyncio.Transport) -> None:
+            transport.write(request_bytes())
+
+        def data_received(self, data: bytes) -> None:
+            started.release()
+
+    async def open_all(protocol: type[asyncio.Protocol], count: int) -> list:
+        loop = asyncio.get_running_loop()
+        address = server.address
+        return [
+            (await loop.create_connection(protocol, address.host, address.port))[0]
+            for _ in range(count)
+        ]
+
+    tracemalloc.start()
+    await _settle()
+    before = tracemalloc.get_traced_memory()[0]
+    held = await open_all(Holder, MEMORY_CONNECTIONS)
+    if not busy:
+        for _ in held:
+            await started.acquire()
+    await _settle()
+    both_ends = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    for transport in held:
+        transport.abort()
+    go_on.set()
+    await server.close()
+    return both_ends / MEMORY_CONNECTIONS
+
+
+async def _settle() -> None:
+    """Lets tasks that are ready run."""
+    for _ in range(20):
+        await asyncio.sleep(0.01)
+
+
+def as_rows(libraries: dict[str, float], daemon: dict[str, float]) -> list[Row]:
+    """Turns costs into the rows of the result."""
+    bare = libraries["bare h11 relay"] - libraries["direct"]
+    ours = libraries["relay on our server and client"] - libraries["direct"]
+    stand_in = daemon["direct to the stand-in"]
+    relays = {
+        "bare h11 relay": bare,
+        "relay on our server and client": ours,
+        "one hop": daemon["one hop"] - stand_in,
+        "two hops": daemon["two hops"] - stand_in,
+        "one hop by the caller library": daemon["one hop by the caller library"]
+        - stand_in,
+    }
+    rows = [Row("processor time", name, v, "us") for name, v in relays.items()]
+    rows += [Row("ratio to bare", name, v / bare, "") for name, v in relays.items()]
+    return rows
+
+
+async def run() -> list[Row]:
+    """Measures everything and returns the rows."""
+    log.configure("critical", sys.stderr)
+    libraries = await libraries_cost()
+    daemon = await daemon_cost()
+    rows = as_rows(libraries, daemon)
+    for name, busy in (("idle", False), ("busy", True)):
+        held = await memory_bytes(busy)
+        rows.append(Row("memory per connection", name, held, "bytes"))
+    return rows
+
+
+def main() -> None:
+    """Prints the table and writes the rows as JSON."""
+    rows = asyncio.run(run())
+    for row in rows:
+        print(f"{row.measure:24} {row.variant:34} {row.value:10.2f} {row.unit}")
+    RESULT_FILE.parent.mkdir(exist_ok=True)
+    RESULT_FILE.write_text(json.dumps([asdict(row) for row in rows], indent=1), "utf-8")
+
+
+if __name__ == "__main__":
+    with contextlib.suppress(KeyboardInterrupt):
+        main()
--- /dev/null
+++ b/bench/raw_peers.py
@@ -0,0 +1,114 @@
+"""Plays callers and upstreams at little cost, so that the relay shows.
+
+Both know their messages beforehand and compare lengths instead of parsing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from rosemarydeal.core import Address
+
+__all__ = ["RawCaller", "call_all", "start_raw_upstream"]
+
+HEAD_END = b"\r\n\r\n"
+RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Upstream: box-office-1\r\n"
+    b"Content-Length: 128\r\n\r\n" + b"s" * 128
+)
+
+
+class _UpstreamProtocol(asyncio.Protocol):
+    """Answers each request head with the same response."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keeps the transport."""
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answers; requests have no body and come whole."""
+        self._transport.write(RESPONSE * data.count(HEAD_END))
+
+
+async def start_raw_upstream() -> tuple[asyncio.Server, Address]:
+    """Starts the upstream and returns it with its address."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(_UpstreamProtocol, "127.0.0.1", 0)
+    return server, Address(*server.sockets[0].getsockname()[:2])
+
+
+class RawCaller(asyncio.Protocol):
+    """Sends the same request again as soon as its response is whole."""
+
+    def __init__(self, request: bytes, count: int) -> None:
+        """Prepares for a number of requests.
+
+        Args:
+            request: The request, without a body.
+            count: How often to send it.
+        """
+        self._request = request
+        self._left = count
+        self._seen = b""
+        self._transport: asyncio.Transport | None = None
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Sends the first request."""
+        self._transport = transport
+        transport.write(self._request)
+
+    def data_received(self, data: bytes) -> None:
+        """Goes on once the response is whole."""
+        self._seen += data
+        end = self._seen.find(HEAD_END)
+        if end < 0 or len(self._seen) < end + len(HEAD_END) + self._length(end):
+            return
+        if not self._seen.startswith(b"HTTP/1.1 200"):
+            self._fail(self._seen)
+            return
+        self._seen = b""
+        self._left -= 1
+        if self._left:
+            self._transport.write(self._request)
+        elif not self.done.done():
+            self._transport.close()
+            self.done.set_result(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fails if responses are missing."""
+        self._fail(b"the connection was lost")
+
+    def _length(self, end: int) -> int:
+        """Returns the length of the body."""
+        head = self._seen[:end].lower()
+        return int(head.partition(b"content-length:")[2].partition(b"\r\n")[0])
+
+    def _fail(self, detail: bytes) -> None:
+        """Ends with an error, unless it ended already."""
+        if not self.done.done():
+            self._transport.close()
+            self.done.set_exception(RuntimeError(detail.decode("latin-1")))
+
+
+async def call_all(address: Address, requests: list[bytes], count: int) -> None:
+    """Sends requests over one connection each, all at once.
+
+    Args:
+        address: Where to send them.
+        requests: The request of each connection.
+        count: How often each connection sends its request.
+    """
+    loop = asyncio.get_running_loop()
+    callers = []
+    for request in requests:
+        _, caller = await loop.create_connection(
+            lambda request=request: RawCaller(request, count),
+            address.host,
+            address.port,
+        )
+        callers.append(caller)
+    await asyncio.gather(*[caller.done for caller in callers])
