Read each head's headers once, and keep those without hop-by-hop names

Cause: Profiling a relay on our server and client showed h11's sequence of headers read item by item several times a message, each item through two Python calls, and a new tuple built four times a request to strip headers that were not there.

Change: The wire hands out the headers as one tuple with the head, the stripping gives back the same tuple when nothing is to strip, and the end of a message is one constant.

--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -13,8 +13,8 @@
 
 from .errors import BadMessage, ProxyTimeout, ResponseBroken, SendFailed
 from .framing import request_head
-from .message import Request, Response, WholeBody, end_to_end, find_header
-from .wire import Wire
+from .message import Headers, Request, Response, WholeBody, end_to_end, find_header
+from .wire import END, Wire
 
 if TYPE_CHECKING:
     from .upstream_protocol import UpstreamProtocol
@@ -129,8 +129,8 @@
             self.abort()
             raise SendFailed(f"the request is not valid: {error}", False) from error
         try:
-            head = await self._read_response_head()
-            return self._begin_response(head)
+            head, headers = await self._read_response_head()
+            return self._begin_response(head, headers)
         except (OSError, BadMessage) as error:
             failure = self._translate(error)
             self.abort()
@@ -206,7 +206,7 @@
         head = request_head(request, self._address)
         waits = find_header(request.headers, b"expect") is not None
         if isinstance(body, WholeBody) and not waits:
-            events = [head, h11.EndOfMessage()]
+            events = [head, END]
             if body.data:
                 events.insert(1, h11.Data(data=body.data))
             self._write(*events)
@@ -230,7 +230,7 @@
             async for piece in request.body:
                 self._write(h11.Data(data=piece))
                 await self._wire.flush()
-            self._write(h11.EndOfMessage())
+            self._write(END)
         except ConnectionError:
             # Reading the response meets the same failure and reports it.
             return
@@ -244,23 +244,23 @@
         self._body_error = error
         self._reader.set_exception(error)
 
-    async def _read_response_head(self) -> h11.Response:
+    async def _read_response_head(self) -> tuple[h11.Response, Headers]:
         """Reads heads up to the one that is final."""
         while True:
             if not await self._wire.wait_bytes():
                 raise ConnectionResetError("the upstream closed the connection")
-            head = await self._wire.read_head()
+            head, headers = await self._wire.read_head()
             if type(head) is h11.Response:
-                return head
+                return head, headers
             if head.status_code == SWITCHING_PROTOCOLS:
                 raise BadMessage("the upstream switched protocols unasked")
             if head.status_code == CONTINUE and self._continue is not None:
                 self._wake_sender()
 
-    def _begin_response(self, head: h11.Response) -> Response:
+    def _begin_response(self, head: h11.Response, headers: Headers) -> Response:
         """Builds the response, a whole one if all of it came in."""
         self._head_read = True
-        headers = end_to_end(tuple(head.headers))
+        headers = end_to_end(headers)
         ready, whole = self._wire.take_ready_body()
         if whole:
             self._finish()
--- a/rosemarydeal/proxy/message.py
+++ b/rosemarydeal/proxy/message.py
@@ -214,6 +214,8 @@
 
 def end_to_end(headers: Headers) -> Headers:
     """Removes the headers that concern a single connection (RFC 9110, 7.6.1)."""
+    if HOP_BY_HOP.isdisjoint([name for name, _ in headers]):
+        return headers
     dropped = HOP_BY_HOP
     for name, value in headers:
         if name == b"connection":
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -18,6 +18,7 @@
 from .framing import has_no_body, response_head
 from .limits import HttpLimits
 from .message import (
+    Headers,
     Request,
     Response,
     WholeBody,
@@ -26,7 +27,7 @@
 )
 from .refusal import refusal_response
 from .watchdog import Watchdog
-from .wire import HIGH_WATER_BYTES, READ_BYTES, Wire
+from .wire import END, HIGH_WATER_BYTES, READ_BYTES, Wire
 
 __all__ = ["Handler", "ServerConnection"]
 
@@ -173,9 +174,9 @@
         self._waiting = False
         self._watchdog.arm(self._limits.header_time_s, self._end_slow_read)
         try:
-            head = await self._wire.read_head()
+            head, headers = await self._wire.read_head()
             self._watchdog.disarm()
-            request = self._accept(head)
+            request = self._accept(head, headers)
         except BadMessage as error:
             await self._refuse(NotRun(error.code, error.detail))
             return False
@@ -189,7 +190,7 @@
         await self._linger()
         return False
 
-    def _accept(self, head: h11.Request) -> Request:
+    def _accept(self, head: h11.Request, headers: Headers) -> Request:
         """Builds the request and takes what came in of its body.
 
         Raises:
@@ -198,7 +199,6 @@
         if head.method == b"CONNECT":
             raise BadMessage("CONNECT is not served", "method-not-served")
         check_target(head.method, head.target)
-        headers = tuple(head.headers)
         length = find_header(headers, b"content-length")
         if length is not None and int(length) > self._limits.body_bytes:
             raise self._too_large()
@@ -232,9 +232,9 @@
         close = self._closing or not self._wire.peer_done
         head = response_head(method, response, close)
         if has_no_body(method, response.status):
-            self._wire.write(head, h11.EndOfMessage())
+            self._wire.write(head, END)
         elif isinstance(body, WholeBody):
-            self._wire.write(head, h11.Data(data=body.data), h11.EndOfMessage())
+            self._wire.write(head, h11.Data(data=body.data), END)
         else:
             self._wire.write(head)
             await self._write_pieces(response)
@@ -250,7 +250,7 @@
             async for piece in response.body:
                 self._wire.write(h11.Data(data=piece))
                 await self._flush()
-            self._wire.write(h11.EndOfMessage())
+            self._wire.write(END)
         except (CodedError, h11.LocalProtocolError) as error:
             log.warning("response broke off", detail=str(error))
             raise ConnectionAbortedError from error
--- a/rosemarydeal/proxy/wire.py
+++ b/rosemarydeal/proxy/wire.py
@@ -11,11 +11,13 @@
 import h11
 
 from .errors import BadMessage
+from .message import Headers
 
-__all__ = ["HIGH_WATER_BYTES", "READ_BYTES", "Wire"]
+__all__ = ["END", "HIGH_WATER_BYTES", "READ_BYTES", "Wire"]
 
 READ_BYTES = 65_536
 HIGH_WATER_BYTES = 65_536
+END = h11.EndOfMessage()
 HEAD_END = b"\r\n\r\n"
 VERSIONS = frozenset({b"1.0", b"1.1"})
 
@@ -40,7 +42,7 @@
         raise BadMessage("the head holds a NUL")
 
 
-def check_framing(head: Head) -> None:
+def check_framing(head: Head, headers: Headers) -> None:
     """Refuses heads whose body length could be read in two ways.
 
     Raises:
@@ -49,10 +51,13 @@
     """
     if head.http_version not in VERSIONS:
         raise BadMessage("the version of HTTP is neither 1.0 nor 1.1")
-    names = [name for name, _ in head.headers]
-    if b"transfer-encoding" not in names:
+    encoding, length = False, False
+    for name, _ in headers:
+        encoding = encoding or name == b"transfer-encoding"
+        length = length or name == b"content-length"
+    if not encoding:
         return
-    if b"content-length" in names:
+    if length:
         raise BadMessage("Content-Length and Transfer-Encoding are both there")
     if head.http_version < b"1.1":
         raise BadMessage("HTTP/1.0 has no Transfer-Encoding")
@@ -122,11 +127,11 @@
         self._receive(data)
         return bool(data)
 
-    async def read_head(self) -> Head:
+    async def read_head(self) -> tuple[Head, Headers]:
         """Reads and checks the next head.
 
         Returns:
-            The head.
+            The head, and its headers with their names in lower case.
 
         Raises:
             BadMessage: If the head breaks a rule or the limit of its length.
@@ -147,8 +152,10 @@
             raise self._too_long()
         check_lines(seen[: end + len(HEAD_END)])
         head = self._next_event()
-        check_framing(head)
-        return head
+        # Reading h11's own sequence of headers costs several calls for each.
+        headers = tuple([(n.lower(), v) for n, v in head.headers.raw_items()])
+        check_framing(head, headers)
+        return head, headers
 
     async def read_body(self) -> bytes | None:
         """Reads the next piece of the peer's body.
