--- a/features/requests_world.py
+++ b/features/requests_world.py
@@ -10,11 +10,19 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from rosemarydeal.core import Incarnation, Member, NotRun, Place, Row, SliceId, Unknown
+from rosemarydeal.core import (
+    TOKEN_RANKS,
+    Incarnation,
+    Member,
+    NotRun,
+    Place,
+    Row,
+    SliceId,
+    Unknown,
+)
 from rosemarydeal.core.data import Address
 from rosemarydeal.policy import entry, guard
 from rosemarydeal.policy.guard_state import REROUTE_CODES
-from rosemarydeal.policy.ownership_state import TOKEN_RANKS
 
 __all__ = ["FakeGuard", "RequestsWorld", "Send"]
 
--- a/rosemarydeal/policy/route.py
+++ b/rosemarydeal/policy/route.py
@@ -13,7 +13,6 @@
 from rosemarydeal.core import TOKEN_RANKS, Row, SliceId
 
 from .nodeview import NodeView
-from .ownership_state import TOKEN_RANKS
 from .tickets import ticket_of
 
 __all__ = ["learn", "next_node", "ticket_for"]
