Number tickets of carved slices like all others

Cause: the caller library takes the fencing token itself for the ticket, so tickets numbered apart were refused as stale.

Change: a ticket is the token again.

--- a/features/guard.feature
+++ b/features/guard.feature
@@ -51,13 +51,13 @@
 
   Scenario: After a clean hand-over the new owner tells what ran from what did not
     Given a guard that received order A in a hand-over with token 7 and gained token 8
-    When order A is sent again from waiter 1 with ticket 14
-    And order B is sent again from waiter 2 with ticket 14
+    When order A is sent again from waiter 1 with ticket 7
+    And order B is sent again from waiter 2 with ticket 7
     Then waiter 1 is told unknown with code answer-not-kept
     And the guard dispatched 1 request
 
   Scenario: After an unclean change the new owner runs no older ticket
     Given a guard that owns the key
-    When order A is sent again from waiter 1 with ticket 10
+    When order A is sent again from waiter 1 with ticket 5
     Then waiter 1 is told unknown with code owner-changed
     And the guard dispatched 0 requests
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -15,7 +15,7 @@
 def step_handed(context):
     context.guard = GuardDriver(token=0)
     entry = KnownRequest("A", 65, 1.0, True, 200)
-    book = LedgerHandOver(SLICE, 7, (TokenRange(14, 14),), 60.0, (entry,))
+    book = LedgerHandOver(SLICE, 7, (TokenRange(7, 7),), 60.0, (entry,))
     context.guard.feed(guard.LedgerReceived(book))
     context.guard.feed(guard.RightGained(SLICE, 8, after_token=7))
 
@@ -27,7 +27,7 @@
 
 @when("order {name} arrives again from waiter {waiter:d}")
 def step_arrives_again(context, name, waiter):
-    context.guard.arrive(waiter, name, resent=True, ticket=14)
+    context.guard.arrive(waiter, name, resent=True, ticket=7)
 
 
 @when("order {name} is sent again from waiter {waiter:d} with ticket {ticket:d}")
--- a/rosemarydeal/policy/route.py
+++ b/rosemarydeal/policy/route.py
@@ -13,7 +13,6 @@
 from rosemarydeal.core import TOKEN_RANKS, Row, SliceId
 
 from .nodeview import NodeView
-from .tickets import ticket_of
 
 __all__ = ["learn", "next_node", "ticket_for"]
 
@@ -63,5 +62,5 @@
     """Returns the ticket of a first try at a node that a row names."""
     for rank, incarnation in enumerate(row.succession):
         if incarnation.node == node:
-            return ticket_of(row.slice, row.version * TOKEN_RANKS + rank)
+            return row.version * TOKEN_RANKS + rank
     return None
--- a/rosemarydeal/policy/tickets.py
+++ b/rosemarydeal/policy/tickets.py
@@ -25,7 +25,6 @@
     "give_away",
     "judge",
     "lose",
-    "ticket_of",
 ]
 
 
@@ -68,14 +67,6 @@
     given_away: bool = False
 
 
-def ticket_of(slice: SliceId, token: int) -> int:
-    """Returns the ticket of a first try under a fencing token of a slice.
-
-    Tokens of a carved slice and of its base slice are numbered apart.
-    """
-    return 2 * token + (slice.carved >= 0)
-
-
 def gain(right: SliceRight, gained: RightGained, now: float) -> SliceRight:
     """Takes a right.
 
@@ -116,11 +107,10 @@
 
 def _grown(right: SliceRight, token: int, follows: bool) -> tuple[TokenRange, ...]:
     """Returns the covered tickets with those of a new token."""
-    own = ticket_of(right.slice, token)
     if not follows or not right.covers or right.given_away:
-        return (*right.covers, TokenRange(own, own))
+        return (*right.covers, TokenRange(token, token))
     last = right.covers[-1]
-    return (*right.covers[:-1], TokenRange(last.low, own))
+    return (*right.covers[:-1], TokenRange(last.low, token))
 
 
 def carve(base: SliceRight, slice: SliceId) -> SliceRight:
