--- a/rosemarydeal/core/codes.py
+++ b/rosemarydeal/core/codes.py
@@ -132,7 +132,6 @@
     ),
     Code("connect-failed", 502, NOT_RUN, "No connection came about.", SEND_AGAIN),
     Code("not-sent", 503, NOT_RUN, "It was not sent to the upstream.", SEND_AGAIN),
-    Code("moving", 503, NOT_RUN, "The key is moving to another owner.", SEND_AGAIN),
     Code("no-owner", 503, NOT_RUN, "Nobody serves the key just now.", SEND_AGAIN),
     Code("draining", 503, NOT_RUN, "The process is shutting down.", SEND_AGAIN),
     Code("upstream-down", 503, NOT_RUN, "The upstream is not there.", SEND_AGAIN),
