--- /dev/null
+++ b/bench/platform_lease.py
@@ -0,0 +1,64 @@
+"""Models the baseline: a lease that its holder renews in the platform.
+
+It is the plain design that the witnessed lease replaces. Each run works out by
+arithmetic how long one key goes without an owner.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+__all__ = ["PlatformLease", "Scenario", "unserved_s"]
+
+Scenario = str
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformLease:
+    """Gives the times of the baseline.
+
+    Attributes:
+        lease_s: Length of the lease, counted from the sending of its write.
+        renew_s: Time between renewals.
+        read_s: Greatest delay until a successor learns of a change.
+        call_s: One way to the platform.
+        drift_factor: Allowance for the clocks.
+        outage_s: How long the platform is down where it is.
+    """
+
+    lease_s: float = 1.5
+    renew_s: float = 0.4
+    read_s: float = 0.2
+    call_s: float = 0.005
+    drift_factor: float = 1.02 / 0.98
+    outage_s: float = 60.0
+
+
+def unserved_s(lease: PlatformLease, scenario: Scenario, seed: int) -> float:
+    """Returns how long a key goes without an owner.
+
+    Args:
+        lease: Times of the baseline.
+        scenario: Name of the scenario, as in `bench.unavailability`.
+        seed: Seed of the run.
+    """
+    chance = random.Random(f"{scenario}/{seed}")
+    since_renewal = chance.uniform(0.0, lease.renew_s)
+    learnt = lease.call_s + chance.uniform(0.0, lease.read_s)
+    take = 2.0 * lease.call_s
+    lapse = lease.lease_s * lease.drift_factor
+    after_loss = max(0.0, lapse - since_renewal) + learnt + take
+    match scenario:
+        case "lost VM":
+            return after_loss
+        case "lost zone":
+            successor_lost = chance.random() < 1.0 / 3.0
+            return after_loss + (lease.renew_s if successor_lost else 0.0)
+        case "graceful restart" | "planned move":
+            return lease.call_s + learnt + take
+        case "restart of all":
+            return lapse + take
+        case "loss in outage" | "outage without loss":
+            return lease.outage_s - lease.lease_s + since_renewal + take
+    raise ValueError(scenario)
--- /dev/null
+++ b/bench/unavailability.py
@@ -0,0 +1,222 @@
+"""Measures how long keys go without an owner, beside a lease in the platform.
+
+Usage: python -m bench.unavailability [--runs 40] [--curve]
+
+It drives the ownership policy in the virtual world of the fuzzing, with fixed
+seeds, so that the same figures come out of every run.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bench.platform_lease import PlatformLease, unserved_s
+from features import ownership_proposer as proposer
+from features.ownership_constants import KEYS, SERVICE, SLICES
+from features.ownership_world import World, WorldSettings
+from rosemarydeal.core import SliceId
+from rosemarydeal.policy import interface as api
+from rosemarydeal.policy import ownership
+from rosemarydeal.policy.ownership import OwnershipSettings
+
+__all__ = ["SCENARIOS", "Sample", "main", "measure", "quantile"]
+
+SETTLING_S = 8.0
+OUTAGE_LEAD_S = 5.0
+WATCHED_S = 8.0
+STEP_S = 0.005
+REQUEST_S = 0.02
+KEY = KEYS[1]
+LEASES_S = (0.75, 1.0, 1.5, 2.0, 3.0, 5.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Holds what one run showed.
+
+    Attributes:
+        unserved_s: Time for which the watched key had no owner.
+        messages: Messages between processes, per node and second.
+        calls: Platform writes, per node and second.
+    """
+
+    unserved_s: float
+    messages: float
+    calls: float
+
+
+def _owner(world: World) -> str:
+    """Returns the node that owns the watched key."""
+    for (name, digest), (until, _) in world.oracle.rights.items():
+        if digest == KEY and until > world.now:
+            return name
+    raise RuntimeError("the world did not settle")
+
+
+def _lose(world: World) -> None:
+    world.kill(_owner(world))
+
+
+def _lose_zone(world: World) -> None:
+    zone = world.nodes[_owner(world)].zone
+    for name, node in world.nodes.items():
+        if node.zone == zone:
+            world.kill(name)
+
+
+def _lose_two(world: World) -> None:
+    owner = _owner(world)
+    row = world.nodes[owner].state.row(SliceId(SERVICE, KEY % SLICES))
+    world.kill(owner)
+    world.kill(row.succession[1].node)
+
+
+def _restart_gracefully(world: World) -> None:
+    name = _owner(world)
+    world.feed(name, world.nodes[name].life, api.DrainAsked())
+    world.at(0.05, _finish_restart, world, name)
+
+
+def _finish_restart(world: World, name: str) -> None:
+    node = world.nodes[name]
+    if not ownership.drained(node.state):
+        world.at(0.05, _finish_restart, world, name)
+        return
+    world.feed(name, node.life, api.LeaveAsked())
+    world.kill(name)
+    world.start(name)
+
+
+def _restart_all(world: World) -> None:
+    for name in world.nodes:
+        world.kill(name)
+        world.start(name)
+
+
+def _move(world: World) -> None:
+    owner = _owner(world)
+    names = sorted(world.nodes)
+    shift = names.index(owner) + 1
+    proposer.move(world, owner, SliceId(SERVICE, KEY % SLICES), shift)
+
+
+def _outage(world: World) -> None:
+    world.platform.down = True
+    world.advance(OUTAGE_LEAD_S)
+
+
+def _lose_in_outage(world: World) -> None:
+    _outage(world)
+    _lose(world)
+
+
+SCENARIOS: dict[str, Callable[[World], None]] = {
+    "lost VM": _lose,
+    "lost zone": _lose_zone,
+    "graceful restart": _restart_gracefully,
+    "planned move": _move,
+    "loss in outage": _lose_in_outage,
+    "outage without loss": _outage,
+    "restart of all": _restart_all,
+    "owner and successor lost": _lose_two,
+}
+
+
+def measure(scenario: str, seed: int, policy: OwnershipSettings) -> Sample:
+    """Runs one scenario once.
+
+    Args:
+        scenario: Its name.
+        seed: Seed of the run.
+        policy: Settings of the ownership policy.
+    """
+    settings = WorldSettings(
+        nodes=9, latency_s=0.0015, requests_s=(REQUEST_S,), policy=policy
+    )
+    world = World(seed, settings)
+    world.advance(SETTLING_S + world.random.uniform(0.0, 1.0))
+    messages, calls = world.messages, world.platform_calls
+    begun = world.now
+    SCENARIOS[scenario](world)
+    unserved = 0.0
+    while world.now < begun + WATCHED_S:
+        world.advance(STEP_S)
+        if not world.oracle.key_served(world, KEY):
+            unserved += STEP_S
+    spent = (world.now - begun) * len(world.nodes)
+    return Sample(
+        unserved,
+        (world.messages - messages) / spent,
+        (world.platform_calls - calls) / spent,
+    )
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Returns the smallest value that a share of the values does not exceed."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _print_row(name: str, variant: str, values: list[float], rest: str = "") -> None:
+    print(
+        f"| {name} | {variant} | {quantile(values, 0.5):.2f} "
+        f"| {quantile(values, 0.99):.2f} | {max(values):.2f} {rest}|",
+        flush=True,
+    )
+
+
+def print_table(runs: int) -> None:
+    """Prints the table of scenarios, ours beside the baseline."""
+    print("| scenario | variant | median s | p99 s | worst s | msg/s | writes/s |")
+    print("|---|---|---|---|---|---|---|")
+    for name in SCENARIOS:
+        samples = [measure(name, seed, OwnershipSettings()) for seed in range(runs)]
+        messages = sum(sample.messages for sample in samples) / runs
+        calls = sum(sample.calls for sample in samples) / runs
+        rest = f"| {messages:.1f} | {calls:.2f} "
+        _print_row(name, "witnessed", [s.unserved_s for s in samples], rest)
+        if name != "owner and successor lost":
+            baseline = [unserved_s(PlatformLease(), name, s) for s in range(runs)]
+            _print_row(name, "in platform", baseline, "| 0 | 2.50 ")
+
+
+def print_curve(runs: int) -> None:
+    """Prints the unserved time and the cost over lengths of the lease."""
+    print("| lease s | asked each s | lost VM median s | worst s | msg/s in peace |")
+    print("|---|---|---|---|---|")
+    for lease_s in LEASES_S:
+        ask_s = lease_s * 0.4 / 1.5
+        policy = OwnershipSettings(
+            lease_s=lease_s, ask_interval_s=ask_s, silence_s=2.5 * ask_s
+        )
+        lost = [measure("lost VM", seed, policy).unserved_s for seed in range(runs)]
+        peace = measure("outage without loss", 0, policy).messages
+        print(
+            f"| {lease_s:.2f} | {ask_s:.2f} | {quantile(lost, 0.5):.2f} "
+            f"| {max(lost):.2f} | {peace:.1f} |",
+            flush=True,
+        )
+
+
+def main(arguments: list[str]) -> int:
+    """Prints the tables.
+
+    Args:
+        arguments: Command line.
+    """
+    parser = argparse.ArgumentParser(prog="python -m bench.unavailability")
+    parser.add_argument("--runs", type=int, default=40)
+    parser.add_argument("--curve", action="store_true")
+    chosen = parser.parse_args(arguments)
+    if chosen.curve:
+        print_curve(chosen.runs)
+    else:
+        print_table(chosen.runs)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -16,3 +16,8 @@
     When the platform of the ownership world goes down
     And the owner of slice 0 is lost
     Then every key of the ownership world is served again within 2.5 seconds
+
+  Scenario: A suspicion of a healthy owner changes nothing
+    Given a settled ownership world
+    When all others suspect the owner of slice 0
+    Then the owner of slice 0 serves on for 3 seconds without a gap
--- /dev/null
+++ b/features/ownership_machine.py
@@ -0,0 +1,348 @@
+"""Fuzzes the ownership policy with faults as rules of a state machine.
+
+Each rule causes one fault or one operator's act and lets some time pass. At
+the end every fault stops, and each key must have an owner in time.
+"""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from features import ownership_proposer as proposer
+from features.ownership_constants import KEYS, SERVICE, SLICES
+from features.ownership_world import World, WorldSettings
+from rosemarydeal.core import SliceId
+from rosemarydeal.policy import interface as api
+from rosemarydeal.policy.ownership import OwnershipSettings
+
+__all__ = ["OwnershipMachine"]
+
+SERVED_AGAIN_S = 5.0
+STEP_S = 0.05
+
+picks = st.integers(min_value=0, max_value=59)
+short = st.sampled_from([0.02, 0.1, 0.3, 0.8])
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Drives one ownership world through faults."""
+
+    world: World
+
+    @initialize(
+        seed=st.integers(0, 2**32),
+        nodes=st.integers(4, 6),
+        drift=st.sampled_from([0.02, 0.1]),
+    )
+    def begin(self, seed, nodes, drift):
+        policy = OwnershipSettings(clock_drift=drift)
+        settings = WorldSettings(nodes=nodes, drift=drift, policy=policy)
+        self.world = World(seed, settings)
+        self.world.advance(4.0)
+        assert not self.world.unserved(), "not served after the start"
+
+    # Choosing whom a fault hits.
+
+    def pick(self, number: int):
+        names = sorted(self.world.nodes)
+        return self.world.nodes[names[number % len(names)]]
+
+    def owner(self, number: int):
+        """Returns an owner, else any node."""
+        now = self.world.now
+        rights = self.world.oracle.rights
+        names = sorted({n for (n, _), (until, _) in rights.items() if until > now})
+        if not names:
+            return self.pick(number)
+        return self.world.nodes[names[number % len(names)]]
+
+    def witness(self, node, number: int):
+        """Returns a witness of a node's incarnation, else any node."""
+        if not node.alive or not node.state.leases:
+            return self.pick(number)
+        witnesses = node.state.leases[-1].witnesses
+        return self.world.nodes[witnesses[number % len(witnesses)]]
+
+    def feed(self, node, event) -> None:
+        self.world.feed(node.name, node.life, event)
+
+    # Time.
+
+    @rule(duration=st.sampled_from([0.05, 0.3, 0.8, 1.2, 2.0, 3.0]))
+    def wait(self, duration):
+        self.world.advance(duration)
+
+    # Processes.
+
+    @rule(n=picks, duration=st.sampled_from([0.3, 0.9, 1.3, 1.6, 2.5, 12.0]))
+    def pause(self, n, duration):
+        self.world.pause(self.owner(n).name, duration)
+        self.world.advance(0.1)
+
+    @rule(n=picks, after=short)
+    def lose(self, n, after):
+        self.world.kill(self.owner(n).name)
+        self.world.advance(after)
+
+    @rule(n=picks, after=short)
+    def lose_any(self, n, after):
+        self.world.kill(self.pick(n).name)
+        self.world.advance(after)
+
+    @rule(after=short)
+    def return_all(self, after):
+        for name, node in sorted(self.world.nodes.items()):
+            if not node.alive:
+                self.world.start(name)
+        self.world.advance(after)
+
+    @rule(n=picks, after=short)
+    def restart(self, n, after):
+        name = self.pick(n).name
+        self.world.kill(name)
+        self.world.start(name)
+        self.world.advance(after)
+
+    @rule(n=picks, which=picks, after=short)
+    def restart_witness(self, n, which, after):
+        name = self.witness(self.owner(n), which).name
+        self.world.kill(name)
+        self.world.start(name)
+        self.world.advance(after)
+
+    @rule()
+    def restart_all(self):
+        for name in sorted(self.world.nodes):
+            self.world.kill(name)
+            self.world.start(name)
+        self.world.advance(0.3)
+
+    @rule(n=picks, after=short)
+    def lose_zone(self, n, after):
+        zone = self.pick(n).zone
+        for name, node in sorted(self.world.nodes.items()):
+            if node.zone == zone:
+                self.world.kill(name)
+        self.world.advance(after)
+
+    # Upstreams and operators.
+
+    @rule(n=picks, after=short)
+    def upstream_dies(self, n, after):
+        self.world.lose_upstream(self.owner(n).name)
+        self.world.advance(after)
+
+    @rule(after=short)
+    def upstreams_return(self, after):
+        for _, node in sorted(self.world.nodes.items()):
+            node.upstream = True
+            self.feed(node, api.UpstreamReady())
+        self.world.advance(after)
+
+    @rule(n=picks, after=short)
+    def drain(self, n, after):
+        self.feed(self.owner(n), api.DrainAsked())
+        self.world.advance(after)
+
+    @rule(n=picks, carved=st.booleans(), shift=picks, after=short)
+    def move(self, n, carved, shift, after):
+        slice_id = SliceId(SERVICE, KEYS[0] % SLICES, KEYS[0] if carved else -1)
+        proposer.move(self.world, self.pick(n).name, slice_id, shift)
+        self.world.advance(after)
+
+    @rule(n=picks, after=short)
+    def carve(self, n, after):
+        proposer.carve(self.world, self.pick(n).name)
+        self.world.advance(after)
+
+    @rule(n=picks, after=short)
+    def merge(self, n, after):
+        proposer.merge(self.world, self.pick(n).name)
+        self.world.advance(after)
+
+    @rule(n=picks, of=picks, after=short)
+    def suspect(self, n, of, after):
+        node, suspected = self.pick(n), self.owner(of)
+        if node is not suspected:
+            self.feed(node, api.NodeSuspected(suspected.name))
+        self.world.advance(after)
+
+    # Network.
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        duplicates=st.sampled_from([0.0, 0.5]),
+        delay=st.sampled_from([0.0, 0.3, 1.5, 6.0]),
+        after=short,
+    )
+    def disturb(self, loss, duplicates, delay, after):
+        self.world.loss = loss
+        self.world.duplicates = duplicates
+        self.world.max_delay_s = delay
+        self.world.advance(after)
+
+    @rule(n=picks, out=st.booleans(), into=st.booleans(), after=short)
+    def cut_off(self, n, out, into, after):
+        name = self.owner(n).name
+        for other in self.world.nodes:
+            if out:
+                self.world.blocked.add((name, other))
+            if into:
+                self.world.blocked.add((other, name))
+        self.world.advance(after)
+
+    @rule(n=picks, which=picks, after=short)
+    def cut_from_witness(self, n, which, after):
+        owner = self.owner(n)
+        witness = self.witness(owner, which)
+        self.world.blocked.add((owner.name, witness.name))
+        self.world.advance(after)
+
+    @rule(side=st.integers(1, 62), after=short)
+    def split(self, side, after):
+        names = sorted(self.world.nodes)
+        for i, one in enumerate(names):
+            for j, other in enumerate(names):
+                if (side >> i) & 1 != (side >> j) & 1:
+                    self.world.blocked.add((one, other))
+        self.world.advance(after)
+
+    @rule(after=short)
+    def reconnect(self, after):
+        self.world.blocked.clear()
+        self.world.off_platform.clear()
+        self.world.slow.clear()
+        self.world.advance(after)
+
+    # Platform.
+
+    @rule(n=picks, after=short)
+    def cut_from_platform(self, n, after):
+        self.world.off_platform.add(self.pick(n).name)
+        self.world.advance(after)
+
+    @rule(down=st.booleans(), after=short)
+    def platform(self, down, after):
+        self.world.platform.down = down
+        self.world.advance(after)
+
+    @rule(
+        slow=st.sampled_from([0.0, 0.5, 3.0]),
+        stale=st.sampled_from([0.0, 0.5]),
+        lost=st.sampled_from([0.0, 0.3]),
+        after=short,
+    )
+    def trouble_platform(self, slow, stale, lost, after):
+        self.world.slow_platform_s = slow
+        self.world.stale_reads = stale
+        self.world.answer_loss = lost
+        self.world.advance(after)
+
+    @rule()
+    def stop_proposers(self):
+        self.world.proposing = not self.world.proposing
+
+    # Steered: what needs several steps in the right order.
+
+    def suspect_everywhere(self, owner) -> None:
+        for name, node in sorted(self.world.nodes.items()):
+            if name != owner.name:
+                self.feed(node, api.NodeSuspected(owner.name))
+
+    def restart_node(self, name: str) -> None:
+        self.world.kill(name)
+        self.world.start(name)
+
+    @rule(n=picks, which=picks)
+    def promise_in_two_rounds(self, n, which):
+        """Lets two witnesses promise far apart, the first forgetting in between."""
+        owner = self.owner(n)
+        first, second = self.witness(owner, which), self.witness(owner, which + 1)
+        for witness, restarted in ((first, True), (second, False)):
+            link = (owner.name, witness.name)
+            self.world.blocked.add(link)
+            self.world.advance(1.15)
+            self.suspect_everywhere(owner)
+            self.world.advance(0.1)
+            if restarted:
+                self.restart_node(witness.name)
+            self.world.blocked.discard(link)
+            self.world.advance(3.0)
+
+    @rule(n=picks, which=picks)
+    def forget_majority_promise(self, n, which):
+        """Restarts one of two witnesses right after both promised."""
+        owner = self.owner(n)
+        witnesses = [self.witness(owner, which), self.witness(owner, which + 1)]
+        links = {(owner.name, witness.name) for witness in witnesses}
+        self.world.blocked |= links
+        self.world.advance(1.05)
+        self.suspect_everywhere(owner)
+        self.world.advance(0.05)
+        self.restart_node(witnesses[0].name)
+        self.world.blocked -= links
+        self.world.advance(1.5)
+
+    @rule(n=picks, delay=st.sampled_from([0.6, 1.0]))
+    def answer_late(self, n, delay):
+        """Delays what reaches an owner, and then cuts it off from the others."""
+        owner = self.owner(n)
+        for name in self.world.nodes:
+            self.world.slow[(name, owner.name)] = delay
+        self.world.advance(2.0)
+        for name in self.world.nodes:
+            self.world.blocked.add((owner.name, name))
+        self.world.advance(2.5)
+
+    @rule(n=picks)
+    def release_in_outage(self, n):
+        """Releases slices by message while no record can tell of it."""
+        owner = self.owner(n)
+        self.world.platform.down = True
+        self.world.lose_upstream(owner.name)
+        self.world.advance(0.5)
+        owner.upstream = True
+        self.feed(owner, api.UpstreamReady())
+        self.world.advance(1.0)
+        self.world.platform.down = False
+
+    @rule(n=picks, mover=picks, shift=picks)
+    def move_twice_unheard(self, n, mover, shift):
+        """Moves a slice twice while its owner hears of neither move."""
+        owner, name = self.owner(n), self.pick(mover).name
+        links = {(other, owner.name) for other in self.world.nodes}
+        self.world.blocked |= links
+        self.world.off_platform.add(owner.name)
+        for step in (0, 3):
+            proposer.move(self.world, name, SliceId(SERVICE, 0), shift + step)
+            self.world.advance(0.3)
+        self.world.advance(0.4)
+        self.world.blocked -= links
+        self.world.off_platform.discard(owner.name)
+
+    @rule(n=picks, shift=picks)
+    def carve_move_merge(self, n, shift):
+        """Moves the first key away in its own slice and merges it back."""
+        name = self.pick(n).name
+        slice_id = SliceId(SERVICE, KEYS[0] % SLICES, KEYS[0])
+        proposer.carve(self.world, name)
+        self.world.advance(0.6)
+        proposer.move(self.world, name, slice_id, shift)
+        self.world.advance(0.6)
+        proposer.merge(self.world, name)
+        self.world.advance(0.6)
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        world.proposing = True
+        world.heal()
+        healed_at = world.now
+        while world.unserved() and world.now - healed_at <= SERVED_AGAIN_S:
+            world.advance(STEP_S)
+        taken = world.now - healed_at
+        assert taken <= SERVED_AGAIN_S, f"unserved {world.unserved()} after {taken:.2f}"
+        world.advance(1.0)
+        assert world.oracle.dispatched > 0
--- a/features/ownership_oracle.py
+++ b/features/ownership_oracle.py
@@ -65,6 +65,12 @@
         self.running[digest] = (max(end, busy_until), name)
         self.dispatched += 1
 
+    def end_requests(self, name: str) -> None:
+        """Takes in that an upstream ended with all that ran there."""
+        for digest, (_, runner) in list(self.running.items()):
+            if runner == name:
+                del self.running[digest]
+
     def check_versions(self, before, after) -> None:
         """Checks that a process's knowledge never goes back."""
         for key, known in before.chunks.items():
--- a/features/ownership_proposer.py
+++ b/features/ownership_proposer.py
@@ -61,13 +61,12 @@
     carved = node.state.row(SliceId(SERVICE, index, KEYS[0]))
     if base is None or carved is None:
         return
-    if carved.owner != base.owner:
-        moved = rows.next_row(carved, base.succession)
-        _write_rows(world, node, _chunk(node), [moved])
-        return
     try:
         merged = rows.merge_row(base, carved)
     except rows.RowError:
+        if carved.owner != base.owner:
+            moved = rows.next_row(carved, base.succession)
+            _write_rows(world, node, _chunk(node), [moved])
         return
     _write_rows(world, node, _chunk(node), [merged], (carved.slice,))
 
--- a/features/ownership_scenarios.py
+++ b/features/ownership_scenarios.py
@@ -5,6 +5,7 @@
 from features.ownership_constants import KEYS, SERVICE, SLICES
 from features.ownership_world import World, WorldSettings
 from rosemarydeal.core import Row, SliceId
+from rosemarydeal.policy import interface as api
 from rosemarydeal.policy import ownership
 
 __all__ = ["Scene"]
@@ -50,6 +51,21 @@
             self.world.advance(STEP_S)
         return self.world.now - begun
 
+    def suspect(self, name: str) -> None:
+        """Lets every other node suspect one."""
+        for other, node in self.world.nodes.items():
+            if other != name:
+                self.world.feed(other, node.life, api.NodeSuspected(name))
+
+    def owners_during(self, index: int, seconds: float) -> set[str | None]:
+        """Returns all that may serve a base slice during some seconds."""
+        until = self.world.now + seconds
+        found = {self.owner(index)}
+        while self.world.now < until:
+            self.world.advance(STEP_S)
+            found.add(self.owner(index))
+        return found
+
     def describe(self, name: str, index: int) -> ownership.Description:
         """Returns what a node says about a base slice."""
         node = self.world.nodes[name]
--- a/features/ownership_world.py
+++ b/features/ownership_world.py
@@ -35,6 +35,7 @@
     read_interval_s: float = 0.2
     drift: float = 0.02
     successors: int = 2
+    requests_s: tuple[float, ...] = (0.01, 0.1, 1.0)
     policy: ownership.OwnershipSettings = ownership.OwnershipSettings()
 
 
@@ -52,7 +53,6 @@
     upstream: bool = True
     backlog: list = field(default_factory=list)
     running: dict = field(default_factory=dict)
-    stopping: set = field(default_factory=set)
 
     @property
     def alive(self) -> bool:
@@ -78,6 +78,7 @@
         self.oracle = Oracle()
         self.nodes: dict[str, WorldNode] = {}
         self.blocked: set[tuple[str, str]] = set()
+        self.slow: dict[tuple[str, str], float] = {}
         self.off_platform: set[str] = set()
         self.loss = 0.0
         self.duplicates = 0.0
@@ -91,7 +92,8 @@
         for index in range(settings.nodes):
             zone = f"perth-{'abcdefgh'[index % settings.zones]}"
             name = f"n{index}"
-            rate = 1.0 + settings.drift * self.random.uniform(-0.99, 0.99)
+            error = self.random.choice((-0.99, 0.99, self.random.uniform(-0.9, 0.9)))
+            rate = 1.0 + settings.drift * error
             offset = self.random.uniform(0.0, 1000.0)
             self.nodes[name] = WorldNode(name, zone, rate, offset)
         for name in self.nodes:
@@ -123,7 +125,7 @@
             node.name, SERVICE, Place("wa-perth", node.zone, node.name)
         )
         node.life += 1
-        node.backlog, node.running, node.stopping = [], {}, set()
+        node.backlog, node.running = [], {}
         node.paused_until = 0.0
         seed = self.random.getrandbits(48)
         node.state = ownership.start(
@@ -141,6 +143,14 @@
         node.state = None
         self.oracle.forget_right(name)
 
+    def lose_upstream(self, name: str) -> None:
+        """Ends an upstream and what runs there; its process notices at once."""
+        node = self.nodes[name]
+        node.upstream = False
+        node.running.clear()
+        self.oracle.end_requests(name)
+        self.feed(name, node.life, api.UpstreamDied())
+
     def pause(self, name: str, duration: float) -> None:
         """Stops a process as SIGSTOP does; what arrives waits."""
         node = self.nodes[name]
@@ -198,23 +208,26 @@
                 continue
             end = min(
                 node.true(right.valid_until),
-                self.now + self.random.choice((0.01, 0.1, 1.0)),
+                self.now + self.random.choice(self.settings.requests_s),
             )
             self.oracle.dispatch(self.now, node.name, digest, right.token, end)
             node.running[digest] = max(end, node.running.get(digest, 0.0))
-        for slice_id in sorted(node.stopping):
-            self._report_idle(node, slice_id)
 
-    def _report_idle(self, node: WorldNode, slice_id: SliceId) -> None:
-        """Tells the policy that a stopped slice runs nothing any more."""
-        busy = any(
-            end > self.now
+    def _report_idle(self, name: str, life: int, slice_id: SliceId) -> None:
+        """Tells the policy once a stopped slice runs nothing any more."""
+        node = self.nodes[name]
+        if not self._is_running(name, life):
+            return
+        ends = [
+            end
             for digest, end in node.running.items()
             if slice_id.carved in (-1, digest) and digest % SLICES == slice_id.index
-        )
-        if not busy:
-            node.stopping.discard(slice_id)
-            self.at(0.0, self.feed, node.name, node.life, api.SliceIdle(slice_id))
+        ]
+        rest = max(ends, default=self.now) - self.now
+        if rest > 0.0:
+            self.at(rest, self._report_idle, name, life, slice_id)
+        else:
+            self.feed(name, life, api.SliceIdle(slice_id))
 
     def carry_out(self, node: WorldNode, action) -> None:
         match action:
@@ -225,8 +238,7 @@
             case api.WriteChunk(chunk=chunk):
                 self._write(node, (chunk.service, chunk.number), action, chunk)
             case api.StopAdmitting(slice=slice_id):
-                node.stopping.add(slice_id)
-                self._report_idle(node, slice_id)
+                self.at(0.0, self._report_idle, node.name, node.life, slice_id)
 
     # Network.
 
@@ -238,7 +250,7 @@
         for _ in range(copies):
             if self.random.random() < self.loss:
                 continue
-            delay = self.settings.latency_s
+            delay = self.settings.latency_s + self.slow.get((sender, to), 0.0)
             if self.random.random() < 0.3:
                 delay += self.random.uniform(0.0, self.max_delay_s)
             self.at(delay, self._arrive, to, event)
@@ -349,6 +361,7 @@
     def heal(self) -> None:
         """Ends every fault: the network, the platform and all processes work."""
         self.blocked.clear()
+        self.slow.clear()
         self.off_platform.clear()
         self.loss = self.duplicates = self.max_delay_s = 0.0
         self.answer_loss = self.stale_reads = self.slow_platform_s = 0.0
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -50,3 +50,14 @@
     owner = context.scene.owner(index)
     row = context.scene.row(index)
     assert owner is not None and row.owner.node == owner, (owner, row)
+
+
+@when("all others suspect the owner of slice {index:d}")
+def suspect_owner(context, index):
+    context.scene.suspect(context.scene.owner(index))
+
+
+@then("the owner of slice {index:d} serves on for {seconds:g} seconds without a gap")
+def serves_on(context, index, seconds):
+    owner = context.scene.owner(index)
+    assert context.scene.owners_during(index, seconds) == {owner}
--- a/rosemarydeal/core/data.py
+++ b/rosemarydeal/core/data.py
@@ -90,6 +90,7 @@
         public_key: CURVE public key of the process, in Z85.
         phase: What new work the member may get.
         slots: Requests that the upstream runs at a time.
+        life: Unique id of the process's life that announced the incarnation.
         change_id: Unique id of the write that made this content.
     """
 
@@ -103,6 +104,7 @@
     public_key: str = ""
     phase: MemberPhase = MemberPhase.UP
     slots: int = 1
+    life: str = ""
     change_id: str = ""
 
     @property
--- a/rosemarydeal/policy/incarnation.py
+++ b/rosemarydeal/policy/incarnation.py
@@ -18,6 +18,7 @@
 from .interface import IncarnationLost, RightLost, Send, StopAdmitting
 from .lease import Lease, LeaseStage
 from .ownership_state import OwnershipState, Result, Stopping, draw
+from .succession import release_version
 
 __all__ = [
     "announced",
@@ -38,7 +39,7 @@
 def announced(state: OwnershipState) -> bool:
     """Returns whether the platform holds a member object of this life."""
     known = state.members.get(state.node)
-    return known is not None and known.member.change_id.startswith(state.life)
+    return known is not None and known.member.life == state.life
 
 
 def member_for(
@@ -57,6 +58,7 @@
         public_key=identity.public_key,
         phase=state.phase(),
         slots=identity.slots,
+        life=state.life,
     )
 
 
@@ -85,7 +87,8 @@
             continue
         entry = state.stopping.get(slice_id)
         if entry is None:
-            entry = Stopping(serving.version + 1, serving.token)
+            version = release_version(state, slice_id, serving)
+            entry = Stopping(version, serving.token)
             actions += (StopAdmitting(slice_id),)
         actions += (RightLost(slice_id),)
         state = replace(
@@ -122,7 +125,9 @@
 
 def seek(state: OwnershipState, now: float) -> OwnershipState:
     """Takes a new incarnation when there is none, or to replace witnesses."""
-    if state.gone or now < state.started_at + _bootstrap_s(state):
+    if state.gone or not announced(state):
+        return state
+    if now < state.started_at + _bootstrap_s(state):
         return state
     sought = [e for e in state.leases if e.stage != LeaseStage.HELD]
     if sought:
@@ -196,11 +201,15 @@
 
 def _improvable(state: OwnershipState, entry: Lease, now: float) -> bool:
     """Returns whether a better witness set can be had than an early makeshift."""
-    chosen = set(entry.witnesses)
-    if len(chosen) == state.settings.witness_count and state.node not in chosen:
-        return False
     others = _others(state, now)
-    return len(others) > len(chosen - {state.node})
+    places = {member.node: member.place for member in others}
+    chosen = [node for node in entry.witnesses if node != state.node]
+    if len(chosen) < min(len(others), state.settings.witness_count):
+        return True
+    own = _zone(state.identity.place)
+    used = {_zone(places[node]) for node in chosen if node in places} - {own}
+    present = {_zone(place) for place in places.values()} - {own}
+    return len(used) < min(len(present), state.settings.witness_count)
 
 
 def _avoid(state: OwnershipState, nodes: Iterable[str], now: float) -> OwnershipState:
--- a/rosemarydeal/policy/ownership.py
+++ b/rosemarydeal/policy/ownership.py
@@ -286,9 +286,8 @@
             state = replace(state, serving=state.serving.delete(slice_id))
             actions += (RightLost(slice_id),)
             continue
-        state, more = clearing.release(
-            state, slice_id, serving.version + 1, serving.token
-        )
+        version = succession.release_version(state, slice_id, serving)
+        state, more = clearing.release(state, slice_id, version, serving.token)
         actions += more
     for slice_id in state.stopping:
         state, more = clearing.on_idle(state, slice_id)
@@ -310,7 +309,8 @@
             for name in row.succession[serving.rank + 1 :]
         )
         if followed and slice_id not in state.stopping:
-            state, more = clearing.stop(state, slice_id, serving, serving.version + 1)
+            version = succession.release_version(state, slice_id, serving)
+            state, more = clearing.stop(state, slice_id, serving, version)
             actions += more
     return state, actions
 
--- a/rosemarydeal/policy/succession.py
+++ b/rosemarydeal/policy/succession.py
@@ -13,7 +13,14 @@
 from .interface import RightGained
 from .ownership_state import OwnershipState, Result, Serving
 
-__all__ = ["earlier_out", "own_rank", "settle", "settle_all", "uncleared"]
+__all__ = [
+    "earlier_out",
+    "own_rank",
+    "release_version",
+    "settle",
+    "settle_all",
+    "uncleared",
+]
 
 UNKNOWN_TOKEN = -1
 
@@ -51,6 +58,12 @@
     return state.has_cleared(name, row.slice, version)
 
 
+def release_version(state: OwnershipState, slice_id: SliceId, serving: Serving) -> int:
+    """Returns the version that giving up a slice altogether clears."""
+    row = state.row(slice_id)
+    return max(serving.version, row.version if row else 0) + 1
+
+
 def settle_all(state: OwnershipState, now: float) -> Result:
     """Gains the rights that the known rows, proofs and clearances now give."""
     actions = ()
@@ -66,6 +79,10 @@
 def settle(state: OwnershipState, slice_id: SliceId, now: float) -> Result:
     """Gains the right in one slice if it is due.
 
+    An owner that stays from one version to the next serves on under its old
+    token until all retiring names have cleared: one that knows the older row
+    only could still follow it with a token of that row.
+
     Args:
         state: The process.
         slice_id: The slice.
@@ -78,12 +95,12 @@
     if rank is None or row.version < state.floors.get(slice_id, 0):
         return state, ()
     serving = state.serving.get(slice_id)
-    if serving is not None:
-        if rank == 0 and serving.version < row.version:
-            return _gain(state, row, rank, serving.token, now)
+    if serving is not None and (rank > 0 or serving.version >= row.version):
         return state, ()
     if not earlier_out(state, row, rank, now) or uncleared(state, row, now):
         return state, ()
+    if serving is not None:
+        return _gain(state, row, rank, serving.token, now)
     return _gain(state, row, rank, _former_token(state, row, rank), now)
 
 
--- a/rosemarydeal/policy/writes.py
+++ b/rosemarydeal/policy/writes.py
@@ -191,8 +191,10 @@
 ) -> OwnershipState:
     """Takes in a member object, perhaps the outcome of an own write."""
     state = adopt_member(state, version, member, now)
-    if member.node != state.node or not member.change_id.startswith(state.life):
+    if member.node != state.node:
         return state
+    if member.life != state.life:
+        return _drop_overtaken(state)
     held = tuple(
         replace(lease, stage=LeaseStage.HELD)
         if lease.incarnation == member.incarnation
@@ -202,6 +204,18 @@
     return replace(state, leases=held)
 
 
+def _drop_overtaken(state: OwnershipState) -> OwnershipState:
+    """Drops sought incarnations whose number an earlier life has used since."""
+    known = state.members.get(state.node)
+    kept = tuple(
+        lease
+        for lease in state.leases
+        if lease.stage == LeaseStage.HELD
+        or lease.incarnation.number > known.member.incarnation.number
+    )
+    return replace(state, leases=kept)
+
+
 def on_success(
     state: OwnershipState, change_id: str, version: int, now: float
 ) -> Result:
