--- a/features/ownership_machine.py
+++ b/features/ownership_machine.py
@@ -39,7 +39,7 @@
         policy = OwnershipSettings(clock_drift=drift)
         settings = WorldSettings(nodes=nodes, drift=drift, policy=policy)
         self.world = World(seed, settings)
-        self.world.advance(4.0)
+        self.world.advance(5.0)
         assert not self.world.unserved(), "not served after the start"
 
     # Choosing whom a fault hits.
--- a/rosemarydeal/policy/clearing.py
+++ b/rosemarydeal/policy/clearing.py
@@ -33,7 +33,7 @@
     if now < state.next_clear_at:
         return state, ()
     rows_by_target = defaultdict(list)
-    for row in state.named.values():
+    for row in state.named:
         if not row.retiring or not _is_turn(state, row, now):
             continue
         for name in uncleared(state, row, now):
@@ -252,7 +252,8 @@
     if now < state.next_release_at:
         return state, ()
     items = defaultdict(list)
-    for slice_id, row in state.named.items():
+    for row in state.named:
+        slice_id = row.slice
         floor = state.floors.get(slice_id, 0)
         if floor <= row.version or slice_id in state.stopping:
             continue
--- a/rosemarydeal/policy/incarnation.py
+++ b/rosemarydeal/policy/incarnation.py
@@ -82,7 +82,7 @@
     actions = ()
     if lease.stage == LeaseStage.HELD:
         actions = (IncarnationLost(),)
-    for slice_id, serving in state.serving.items():
+    for slice_id, serving in sorted(state.serving.items()):
         if serving.incarnation != lease.incarnation:
             continue
         entry = state.stopping.get(slice_id)
--- a/rosemarydeal/policy/ownership.py
+++ b/rosemarydeal/policy/ownership.py
@@ -279,7 +279,7 @@
 def _release_all(state: OwnershipState) -> Result:
     """Gives every slice up at once: without an upstream nothing runs any more."""
     actions = ()
-    for slice_id, serving in state.serving.items():
+    for slice_id, serving in sorted(state.serving.items()):
         row = state.row(slice_id)
         last = row is not None and row.succession[-1:] == (serving.incarnation,)
         if last and slice_id not in state.stopping:
@@ -289,7 +289,7 @@
         version = succession.release_version(state, slice_id, serving)
         state, more = clearing.release(state, slice_id, version, serving.token)
         actions += more
-    for slice_id in state.stopping:
+    for slice_id in sorted(state.stopping):
         state, more = clearing.on_idle(state, slice_id)
         actions += more
     return state, actions
@@ -328,7 +328,7 @@
     if len(held) < 2:
         return state, ()
     used = {serving.incarnation for serving in state.serving.values()}
-    for row in state.named.values():
+    for row in state.named:
         used.update(row.succession)
     known = state.members.get(state.node)
     current = known.member.incarnation if known else None
--- a/rosemarydeal/policy/ownership_queries.py
+++ b/rosemarydeal/policy/ownership_queries.py
@@ -123,7 +123,8 @@
         slices: Number of base slices of the service.
     """
     own = SliceId(service, digest % slices, digest)
-    if own in state.rows or own in state.heard_carved:
+    known = own in state.rows or own in state.heard_carved
+    if known or own in state.serving:
         return own
     return SliceId(service, digest % slices)
 
--- a/rosemarydeal/policy/ownership_state.py
+++ b/rosemarydeal/policy/ownership_state.py
@@ -133,7 +133,7 @@
         members: Newest known member objects, by node.
         chunks: Newest known chunk objects, by chunk key.
         rows: Newest known rows, by slice.
-        named: Rows that name an incarnation of this life.
+        named: Rows that name an incarnation of this life, sorted by slice.
         holders: Witness sets, by incarnation.
         floors: Per slice, the version below which no right is held any more.
         served: Per slice, the last token it was served with here.
@@ -174,7 +174,7 @@
     members: Map = field(default_factory=Map)
     chunks: Map = field(default_factory=Map)
     rows: Map = field(default_factory=Map)
-    named: Map = field(default_factory=Map)
+    named: tuple[Row, ...] = ()
     holders: Map = field(default_factory=Map)
     floors: Map = field(default_factory=Map)
     served: Map = field(default_factory=Map)
--- a/rosemarydeal/policy/pacing.py
+++ b/rosemarydeal/policy/pacing.py
@@ -12,7 +12,7 @@
 
 from immutables import Map
 
-from rosemarydeal.core import Incarnation
+from rosemarydeal.core import Incarnation, Row
 
 if TYPE_CHECKING:
     from .ownership_state import OwnershipState
@@ -37,7 +37,7 @@
 
     held: tuple[Incarnation, ...] = ()
     willing: bool = False
-    named: Map = field(default_factory=Map)
+    named: tuple[Row, ...] = ()
     stopping: Map = field(default_factory=Map)
     lapsed: Map = field(default_factory=Map)
 
@@ -57,7 +57,7 @@
     """Holds what the walk that writes successions read, but for clearances."""
 
     held: tuple[Incarnation, ...] = ()
-    named: Map = field(default_factory=Map)
+    named: tuple[Row, ...] = ()
     serving: Map = field(default_factory=Map)
 
     def same(self, other: WriteView) -> bool:
--- a/rosemarydeal/policy/records.py
+++ b/rosemarydeal/policy/records.py
@@ -8,7 +8,7 @@
 
 from rosemarydeal.core import Chunk, Member, MemberPhase, Row, SliceId
 
-from .interface import RightGained, RightLost
+from .interface import RightGained
 from .ownership_state import KnownChunk, KnownMember, OwnershipState, Result
 
 __all__ = ["adopt_chunk", "adopt_member"]
@@ -73,9 +73,6 @@
         if slice_id.carved != -1:
             state, more = _keep_carved(state, after[slice_id])
             actions += more
-    for slice_id in sorted(before.keys() - after.keys()):
-        state, more = _drop_merged(state, slice_id, after)
-        actions += more
     return state, actions
 
 
@@ -98,25 +95,17 @@
         return draft.finish()
 
 
-def _with_named(state: OwnershipState, before: dict, after: dict) -> Map:
+def _with_named(state: OwnershipState, before: dict, after: dict) -> tuple[Row, ...]:
     """Replaces the rows that name the process."""
-    named = state.named
-    for slice_id in before.keys() - after.keys():
-        named = _without(named, (slice_id,))
-    for slice_id, row in after.items():
-        if any(state.is_own(name) for name in row.succession):
-            named = named.set(slice_id, row)
-        else:
-            named = _without(named, (slice_id,))
-    return named
-
-
-def _without(entries: Map, keys: dict | tuple) -> Map:
-    """Removes keys from a map where they are present."""
-    for key in keys:
-        if key in entries:
-            entries = entries.delete(key)
-    return entries
+    kept = [
+        row for row in state.named if row.slice not in before and row.slice not in after
+    ]
+    named = [
+        row
+        for row in after.values()
+        if any(state.is_own(name) for name in row.succession)
+    ]
+    return tuple(sorted([*kept, *named], key=lambda row: row.slice))
 
 
 def _still_heard(heard: Map, after: dict) -> Map:
@@ -141,14 +130,3 @@
         served=state.served.set(row.slice, serving.token),
     )
     return state, (RightGained(row.slice, serving.token),)
-
-
-def _drop_merged(state: OwnershipState, slice_id: SliceId, after: dict) -> Result:
-    """Ends a merged slice where its key is served under the base slice again."""
-    base = SliceId(slice_id.service, slice_id.index)
-    row = after.get(base)
-    owner = row is not None and row.owner is not None and state.is_own(row.owner)
-    if not owner or slice_id not in state.serving:
-        return state, ()
-    state = replace(state, serving=state.serving.delete(slice_id))
-    return state, (RightLost(slice_id),)
--- a/rosemarydeal/policy/succession.py
+++ b/rosemarydeal/policy/succession.py
@@ -10,7 +10,7 @@
 
 from rosemarydeal.core import Incarnation, Row, SliceId
 
-from .interface import RightGained
+from .interface import RightGained, RightLost
 from .ownership_state import OwnershipState, Result, Serving
 
 __all__ = [
@@ -67,11 +67,11 @@
 def settle_all(state: OwnershipState, now: float) -> Result:
     """Gains the rights that the known rows, proofs and clearances now give."""
     actions = ()
-    for slice_id, row in state.named.items():
-        serving = state.serving.get(slice_id)
+    for row in state.named:
+        serving = state.serving.get(row.slice)
         if serving is not None and serving.version == row.version:
             continue
-        state, more = settle(state, slice_id, now)
+        state, more = settle(state, row.slice, now)
         actions += more
     return state, actions
 
@@ -127,4 +127,25 @@
         serving=state.serving.set(row.slice, serving),
         served=state.served.set(row.slice, serving.token),
     )
-    return state, (RightGained(row.slice, serving.token, former),)
+    state, ended = _end_merged(state, row.slice)
+    return state, (RightGained(row.slice, serving.token, former), *ended)
+
+
+def _end_merged(state: OwnershipState, base: SliceId) -> Result:
+    """Ends carved slices whose keys the gained base slice covers again.
+
+    Up to here a merged key was served under its own slice, whose token may be
+    greater than the one that the base slice had.
+    """
+    merged = [
+        slice_id
+        for slice_id in state.serving
+        if slice_id.carved != -1
+        and slice_id not in state.rows
+        and SliceId(slice_id.service, slice_id.index) == base
+    ]
+    serving = state.serving
+    for slice_id in merged:
+        serving = serving.delete(slice_id)
+    ended = tuple(RightLost(slice_id) for slice_id in sorted(merged))
+    return replace(state, serving=serving), ended
--- a/rosemarydeal/policy/suspicion.py
+++ b/rosemarydeal/policy/suspicion.py
@@ -56,7 +56,7 @@
     """Probes the incarnations of a node that did not answer."""
     known = state.members.get(node)
     names = {known.member.incarnation} if known else set()
-    for row in state.named.values():
+    for row in state.named:
         names |= {n for n in (*row.succession, *row.retiring) if n.node == node}
     for name in sorted(names):
         state = _start(state, name, now)
@@ -66,7 +66,7 @@
 def probe_blocked(state: OwnershipState, now: float) -> OwnershipState:
     """Probes retiring incarnations that don't answer the requests to clear."""
     patience = 2.0 * state.settings.clear_interval_s
-    for name, since in state.blocked_since.items():
+    for name, since in sorted(state.blocked_since.items()):
         if now - since >= patience:
             state = _start(state, name, now)
     return state
@@ -75,7 +75,8 @@
 def follow_probes(state: OwnershipState, now: float) -> Result:
     """Opens due rounds, ends fruitless probes and records proofs."""
     actions = ()
-    for name, entry in state.probes.items():
+    for name in sorted(state.probes):
+        entry = state.probes[name]
         if entry.proved_at is not None:
             state = _conclude(state, entry)
         elif now - entry.started_at > PROBE_S and not _blocks(state, name):
@@ -128,6 +129,5 @@
     if target in state.blocked_since:
         return True
     return any(
-        target in row.retiring or target in row.succession
-        for row in state.named.values()
+        target in row.retiring or target in row.succession for row in state.named
     )
--- a/rosemarydeal/policy/witness.py
+++ b/rosemarydeal/policy/witness.py
@@ -124,9 +124,11 @@
     The notice is repeated after twice the silence each time, as it may get lost.
     """
     found = tuple(
-        name
-        for name, heard in state.heard.items()
-        if now - heard.heard_at >= settings.silence_s * 2**heard.reports
+        sorted(
+            name
+            for name, heard in state.heard.items()
+            if now - heard.heard_at >= settings.silence_s * 2**heard.reports
+        )
     )
     heard = state.heard
     for name in found:
--- a/rosemarydeal/policy/writes.py
+++ b/rosemarydeal/policy/writes.py
@@ -63,7 +63,7 @@
 def mark_lost(state: OwnershipState, now: float) -> Result:
     """Marks members whose incarnation was proved lapsed."""
     actions = ()
-    for name, mark_at in state.to_mark.items():
+    for name, mark_at in sorted(state.to_mark.items()):
         if now < mark_at:
             continue
         known = state.members.get(name.node)
@@ -93,7 +93,7 @@
 def write_chunks(state: OwnershipState, now: float) -> Result:
     """Writes successions after take-overs, own new names, and cleared lists."""
     rows = defaultdict(list)
-    for row in state.named.values():
+    for row in state.named:
         wanted = _wanted_row(state, row, now)
         if wanted is not None:
             rows[(row.slice.service, chunk_of(row.slice))].append(wanted)
