Spread versions of platform objects among peers

Cause: every process watched the platform by itself, and nothing passed known versions on while the platform is down.

--- /dev/null
+++ b/rosemarydeal/policy/versions.py
@@ -0,0 +1,318 @@
+"""Spreads the newest known versions of the platform's objects among peers.
+
+A few processes of each availability zone watch the platform; the others learn
+from peers, whether the platform is up or down. A version never goes back. A new
+version is told at once to a few random peers; besides, every process compares a
+part of what it knows with one peer at a time, so that nothing stays missed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from immutables import Map
+
+from rosemarydeal.core import (
+    CONFIG_KEY,
+    UPSTREAMS_KEY,
+    ZONES_KEY,
+    Member,
+    MemberPhase,
+    Place,
+    Versioned,
+)
+from rosemarydeal.core.keys import rendezvous_order
+from rosemarydeal.core.messages import (
+    Message,
+    RecordsAsk,
+    RecordsReply,
+    VersionsNotice,
+)
+
+from .interface import Send
+
+__all__ = [
+    "Learnt",
+    "VersionsResult",
+    "VersionsSettings",
+    "VersionsState",
+    "is_watcher",
+    "learn",
+    "on_message",
+    "on_tick",
+    "set_peers",
+    "start",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsSettings:
+    """Gives the pace of the exchange.
+
+    Attributes:
+        watchers_per_zone: Processes of an availability zone that watch.
+        fanout: Peers told of a new version in each round.
+        rounds: Rounds in which a new version is told.
+        round_s: Time between these rounds.
+        compare_s: Time between comparisons with one peer.
+        compared_keys: Keys of each comparison beside the urgent ones.
+        ask_again_s: Time after which an unanswered question is asked again.
+        reply_bytes: Content sent in one answer at most.
+        urgent: Prefixes of keys that are part of every comparison.
+    """
+
+    watchers_per_zone: int = 2
+    fanout: int = 3
+    rounds: int = 2
+    round_s: float = 0.5
+    compare_s: float = 2.0
+    compared_keys: int = 16
+    ask_again_s: float = 1.0
+    reply_bytes: int = 64 * 1024
+    urgent: tuple[str, ...] = (CONFIG_KEY, ZONES_KEY, UPSTREAMS_KEY)
+
+
+@dataclass(frozen=True, slots=True)
+class Learnt:
+    """Says that a newer version of an object was learnt from a peer."""
+
+    record: Versioned
+
+
+VersionsResult = tuple["VersionsState", tuple[Send | Learnt, ...]]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsState:
+    """Holds what one process knows and whom it may tell.
+
+    Attributes:
+        settings: Pace of the exchange.
+        node: Name of the process.
+        place: Where it runs.
+        seed: State of the random numbers.
+        records: Newest known objects, by key.
+        peers: Other live nodes, sorted.
+        watchers: Nodes that watch the platform in the own availability zone.
+        news: How many more rounds each new key is told in.
+        asked: Until when a question about a key is waited for, in seconds.
+        next_round_at: When news are told next, in seconds.
+        next_compare_at: When versions are compared next, in seconds.
+        compared_to: Last key of the latest comparison.
+    """
+
+    settings: VersionsSettings
+    node: str
+    place: Place
+    seed: int
+    records: Map = field(default_factory=Map)
+    peers: tuple[str, ...] = ()
+    watchers: frozenset[str] = frozenset()
+    news: Map = field(default_factory=Map)
+    asked: Map = field(default_factory=Map)
+    next_round_at: float = 0.0
+    next_compare_at: float = 0.0
+    compared_to: str = ""
+
+
+def start(
+    settings: VersionsSettings, node: str, place: Place, now: float, seed: int
+) -> VersionsState:
+    """Returns the state of a process that knows nothing yet.
+
+    Args:
+        settings: Pace of the exchange.
+        node: Name of the process.
+        place: Where it runs.
+        now: Present time, in seconds.
+        seed: Random seed.
+    """
+    compare_at = now + random.Random(seed).uniform(0.0, settings.compare_s)
+    return VersionsState(settings, node, place, seed, next_compare_at=compare_at)
+
+
+def set_peers(state: VersionsState, members: Iterable[Member]) -> VersionsState:
+    """Takes in the known members; the live ones of the zone share the watching.
+
+    Args:
+        state: The process.
+        members: The known members, itself included or not.
+    """
+    ended = (MemberPhase.LOST, MemberPhase.GONE)
+    live = {m.node: m.place for m in members if m.phase not in ended}
+    near = {node for node, place in live.items() if _zone(place) == _zone(state.place)}
+    order = rendezvous_order("watchers", sorted(near | {state.node}))
+    return replace(
+        state,
+        peers=tuple(sorted(live.keys() - {state.node})),
+        watchers=frozenset(order[: state.settings.watchers_per_zone]),
+    )
+
+
+def _zone(place: Place) -> tuple[str, str]:
+    """Returns the region and availability zone of a place."""
+    return place.region, place.availability_zone
+
+
+def is_watcher(state: VersionsState) -> bool:
+    """Returns whether the process is to watch the platform itself.
+
+    One that knows no peer yet watches too, as nobody else can tell it.
+    """
+    return not state.peers or state.node in state.watchers
+
+
+def learn(state: VersionsState, record: Versioned) -> tuple[VersionsState, bool]:
+    """Takes in an object read from the platform, unless a newer one is known.
+
+    Args:
+        state: The process.
+        record: The object.
+
+    Returns:
+        The process, and whether the version was new.
+    """
+    known = state.records.get(record.key)
+    if known is not None and known.version >= record.version:
+        return state, False
+    asked = state.asked
+    if record.key in asked:
+        asked = asked.delete(record.key)
+    learnt = replace(
+        state,
+        records=state.records.set(record.key, record),
+        news=state.news.set(record.key, state.settings.rounds),
+        asked=asked,
+    )
+    return learnt, True
+
+
+def on_tick(state: VersionsState, now: float) -> VersionsResult:
+    """Tells news and compares versions when it is time.
+
+    Args:
+        state: The process.
+        now: Present time, in seconds.
+    """
+    actions = ()
+    if state.news and state.peers and now >= state.next_round_at:
+        state, actions = _tell_news(state, now)
+    if state.peers and now >= state.next_compare_at:
+        state, more = _compare(state, now)
+        actions += more
+    return state, actions
+
+
+def _tell_news(state: VersionsState, now: float) -> VersionsResult:
+    """Tells the new versions to a few random peers."""
+    state, chance = _draw(state)
+    count = min(state.settings.fanout, len(state.peers))
+    told = chance.sample(state.peers, count)
+    notice = _notice(state, sorted(state.news))
+    left = {key: rounds - 1 for key, rounds in state.news.items() if rounds > 1}
+    next_at = now + state.settings.round_s
+    state = replace(state, news=Map(left), next_round_at=next_at)
+    return state, tuple(Send(node, notice) for node in told)
+
+
+def _compare(state: VersionsState, now: float) -> VersionsResult:
+    """Sends the urgent keys and the next few others to one random peer."""
+    state, chance = _draw(state)
+    keys = sorted(state.records)
+    urgent = [key for key in keys if key.startswith(state.settings.urgent)]
+    after = [key for key in keys if key > state.compared_to]
+    part = (after or keys)[: state.settings.compared_keys]
+    next_at = now + state.settings.compare_s * chance.uniform(0.8, 1.2)
+    compared_to = part[-1] if part else ""
+    notice = _notice(state, sorted({*urgent, *part}))
+    state = replace(state, next_compare_at=next_at, compared_to=compared_to)
+    return state, (Send(chance.choice(state.peers), notice),)
+
+
+def _notice(state: VersionsState, keys: list[str]) -> VersionsNotice:
+    """Returns the known versions of some keys."""
+    return VersionsNotice(tuple((key, state.records[key].version) for key in keys))
+
+
+def _draw(state: VersionsState) -> tuple[VersionsState, random.Random]:
+    """Returns a source of random numbers and moves the seed on."""
+    chance = random.Random(state.seed)
+    return replace(state, seed=chance.getrandbits(64)), chance
+
+
+def on_message(
+    state: VersionsState, sender: str, message: Message, now: float
+) -> VersionsResult:
+    """Takes in a peer's message; other kinds change nothing.
+
+    Args:
+        state: The process.
+        sender: The peer.
+        message: Its message.
+        now: Present time, in seconds.
+    """
+    match message:
+        case VersionsNotice(versions=versions):
+            return _on_notice(state, sender, versions, now)
+        case RecordsAsk(keys=keys):
+            return state, _answer(state, sender, keys)
+        case RecordsReply(records=records):
+            return _on_records(state, records)
+    return state, ()
+
+
+def _on_notice(
+    state: VersionsState,
+    sender: str,
+    versions: tuple[tuple[str, int], ...],
+    now: float,
+) -> VersionsResult:
+    """Asks for what the sender knows better, and tells what it knows worse."""
+    wanted, better = [], []
+    for key, version in versions:
+        known = state.records.get(key)
+        own = known.version if known else 0
+        if version > own and now >= state.asked.get(key, 0.0):
+            wanted.append(key)
+        elif version < own:
+            better.append(key)
+    asked = state.asked
+    for key in wanted:
+        asked = asked.set(key, now + state.settings.ask_again_s)
+    actions = ()
+    if wanted:
+        actions += (Send(sender, RecordsAsk(tuple(wanted))),)
+    if better:
+        actions += (Send(sender, _notice(state, better)),)
+    return replace(state, asked=asked), actions
+
+
+def _answer(
+    state: VersionsState, sender: str, keys: tuple[str, ...]
+) -> tuple[Send, ...]:
+    """Sends known objects up to the limit of one answer."""
+    records, size = [], 0
+    for key in keys:
+        known = state.records.get(key)
+        if known is None:
+            continue
+        size += len(known.value)
+        if records and size > state.settings.reply_bytes:
+            break
+        records.append((key, known.version, known.value))
+    return (Send(sender, RecordsReply(tuple(records))),) if records else ()
+
+
+def _on_records(
+    state: VersionsState, records: tuple[tuple[str, int, bytes], ...]
+) -> VersionsResult:
+    """Takes in objects that a peer passed on."""
+    actions = ()
+    for key, version, value in records:
+        record = Versioned(key, version, value)
+        state, new = learn(state, record)
+        if new:
+            actions += (Learnt(record),)
+    return state, actions
