Choose the caller's next entry without listing all entries

Cause: The caller library built and shuffled the list of all entries for each attempt, which grows with the fleet.

Change: The book of routes looks at the owner and the successors, then picks an entry by chance, and lists all entries only when most refused or are silent.

--- a/rosemarydeal/caller/exchange.py
+++ b/rosemarydeal/caller/exchange.py
@@ -88,9 +88,7 @@
         """Sends the request to the best entry that is left."""
         book = self._parts.book
         slice_id = book.slice_of(self._target, self._call.headers)
-        steps = book.steps(slice_id, self._loop.time())
-        left = [step for step in steps if step.entry not in self._refused]
-        step = (left or steps)[0]
+        step = book.next_step(slice_id, self._refused, self._loop.time())
         if not self._call.resent:
             self._ticket = step.ticket if self._bound else None
         self._attempts += 1
--- a/rosemarydeal/caller/routebook.py
+++ b/rosemarydeal/caller/routebook.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Container
 from dataclasses import dataclass
 
 from rosemarydeal.core import Address, SliceId, key_hash
@@ -16,6 +17,8 @@
 
 __all__ = ["RouteBook", "Step"]
 
+QUICK_CHOICES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
@@ -81,23 +84,44 @@
         carved = digest if digest in self._carved else -1
         return SliceId(table.service, digest % table.slices, carved)
 
-    def steps(self, slice_id: SliceId | None, now: float) -> tuple[Step, ...]:
-        """Returns the entries to try, best first.
+    def next_step(
+        self, slice_id: SliceId | None, refused: Container[Address], now: float
+    ) -> Step:
+        """Returns the entry to try next.
 
         Args:
             slice_id: Slice of the request, None if it is not known.
+            refused: Entries that refused the request already.
             now: The moment, in seconds.
+
+        Returns:
+            The owner of the slice, else a successor, else any entry; one that
+            refused or is silent only if there is no other.
         """
+        route = self._route(slice_id)
+        for step in route:
+            if step.entry not in refused and self._is_heard(step.entry, now):
+                return step
         known = self._table.entries if self._table is not None else ()
-        others = list(known or self._seeds)
-        self._chance.shuffle(others)
-        ordered = [*self._route(slice_id), *[Step(entry) for entry in others]]
-        ordered.extend(Step(entry) for entry in self._seeds)
-        first = {}
-        for step in ordered:
-            first.setdefault(step.entry, step)
-        heard = [s for s in first.values() if self._is_heard(s.entry, now)]
-        return tuple(heard) or tuple(first.values())
+        entries = known or self._seeds
+        for _ in range(QUICK_CHOICES):
+            entry = self._chance.choice(entries)
+            if entry not in refused and self._is_heard(entry, now):
+                return Step(entry)
+        return self._choose_from_all(route, (*known, *self._seeds), refused, now)
+
+    def _choose_from_all(
+        self,
+        route: list[Step],
+        entries: tuple[Address, ...],
+        refused: Container[Address],
+        now: float,
+    ) -> Step:
+        """Returns the least bad entry, when most refused or are silent."""
+        steps = [*route, *[Step(entry) for entry in entries]]
+        left = [step for step in steps if step.entry not in refused]
+        heard = [step for step in left if self._is_heard(step.entry, now)]
+        return self._chance.choice(heard or left or steps)
 
     def _route(self, slice_id: SliceId | None) -> list[Step]:
         """Returns the owner and the successors of a slice."""
--- a/rosemarydeal/caller/routefinder.py
+++ b/rosemarydeal/caller/routefinder.py
@@ -17,6 +17,7 @@
 
 NO_PEER = Address("", 0)
 FOUND = 200
+ENTRIES_ASKED = 8
 
 log = structlog.get_logger(__name__)
 
@@ -80,13 +81,19 @@
 
     async def _ask(self) -> None:
         """Asks the entries in turn until one tells the routes."""
-        for step in self._book.steps(None, asyncio.get_running_loop().time()):
+        loop = asyncio.get_running_loop()
+        asked: set[Address] = set()
+        for _ in range(ENTRIES_ASKED):
+            entry = self._book.next_step(None, asked, loop.time()).entry
+            if entry in asked:
+                return
+            asked.add(entry)
             try:
-                await self._ask_entry(step.entry)
+                await self._ask_entry(entry)
             except ProxyError as error:
-                log.info("no_routes", entry=str(step.entry), detail=error.detail)
+                log.info("no_routes", entry=str(entry), detail=error.detail)
             except ValueError as error:
-                log.warning("bad_routes", entry=str(step.entry), detail=str(error))
+                log.warning("bad_routes", entry=str(entry), detail=str(error))
             else:
                 return
 
