Recognise cold by latest answers and running ages, and tell the load at the limit

Cause: three slow answers in a row came by chance under overload, so guards ramped up for nothing; and entries could not see that a guard is down or holds its upstream back.

Change: latest answers and the ages of what runs are compared with the history together; the guard tells its load as if it had all its slots, or four times that while no upstream is there; the latency that adapts the limit averages twice as long.

--- a/bench/requests_fleet.py
+++ b/bench/requests_fleet.py
@@ -353,7 +353,7 @@
         node = self.nodes[place]
         held = node.waiters.pop(waiter)
         node.by_try.pop((held.request, held.attempt), None)
-        busy = node.guard.admission.running + node.guard.queue.size
+        busy = guard.load_hint(node.guard, self.clock.now)
         way = self.one_way(place, held.entry)
         if outcome is None:
             event = entry.TryAnswered(held.request, held.attempt, 200, 0.0, busy)
--- a/rosemarydeal/policy/coldstart.py
+++ b/rosemarydeal/policy/coldstart.py
@@ -2,8 +2,9 @@
 
 A cold upstream gets a small share of its slots, which grows to all of them
 over the cold start's length. An upstream counts as cold when it starts, when
-it breaks connections by itself, and when its latency rises far over its own
-history in several answers in a row or among the requests that it runs now.
+it breaks connections by itself, and when the average latency of its latest
+answers, or the ages of the requests that it runs now, rise far over its own
+history.
 """
 
 from __future__ import annotations
@@ -12,11 +13,11 @@
 
 from .guard_interface import GuardSettings
 
-__all__ = ["ColdStart", "observe", "share", "turn_cold", "watch_running"]
+__all__ = ["ColdStart", "observe", "recognise", "share", "turn_cold"]
 
-SLOW_ANSWERS = 3
+LATEST_ANSWERS = 32
 HISTORY_ANSWERS = 50
-HISTORY_GAIN = 0.02
+HISTORY_GAIN = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,13 +28,13 @@
         cold_since: Start of the ramp; None when warm.
         usual_latency: Average latency when warm, in seconds.
         answers: Answers that the average rests on.
-        slow_in_row: Latest answers that were far over the average.
+        latest: Latencies of the latest answers, in seconds.
     """
 
     cold_since: float | None = None
     usual_latency: float = 0.0
     answers: int = 0
-    slow_in_row: int = 0
+    latest: tuple[float, ...] = ()
 
     @property
     def has_history(self) -> bool:
@@ -43,7 +44,7 @@
 
 def turn_cold(cold: ColdStart, now: float) -> ColdStart:
     """Starts the ramp anew."""
-    return replace(cold, cold_since=now, slow_in_row=0)
+    return replace(cold, cold_since=now, latest=())
 
 
 def share(cold: ColdStart, settings: GuardSettings, now: float) -> float:
@@ -60,7 +61,7 @@
 def observe(
     cold: ColdStart, settings: GuardSettings, latency: float, now: float
 ) -> ColdStart:
-    """Learns from an answer and recognises an upstream gone cold.
+    """Learns from an answer.
 
     Args:
         cold: What is known so far.
@@ -75,37 +76,31 @@
         if share(cold, settings, now) < 1.0:
             return cold
         cold = replace(cold, cold_since=None)
-    slow = cold.has_history and latency > (
-        cold.usual_latency * settings.cold_latency_factor
-    )
-    if slow:
-        in_row = cold.slow_in_row + 1
-        if in_row >= SLOW_ANSWERS:
-            return turn_cold(cold, now)
-        return replace(cold, slow_in_row=in_row)
     gain = max(HISTORY_GAIN, 1.0 / (cold.answers + 1))
     usual = cold.usual_latency + gain * (latency - cold.usual_latency)
-    return replace(cold, usual_latency=usual, answers=cold.answers + 1, slow_in_row=0)
+    latest = (*cold.latest, latency)[-LATEST_ANSWERS:]
+    return replace(cold, usual_latency=usual, answers=cold.answers + 1, latest=latest)
 
 
-def watch_running(
-    cold: ColdStart, settings: GuardSettings, started: tuple[float, ...], now: float
+def recognise(
+    cold: ColdStart, settings: GuardSettings, running: int, ages_s: float, now: float
 ) -> ColdStart:
-    """Recognises a cold upstream by requests that run for far too long.
+    """Recognises an upstream gone cold by its latest answers and what runs.
 
     Args:
         cold: What is known so far.
         settings: The guard's settings.
-        started: Moments at which the running requests were dispatched.
+        running: Requests that run.
+        ages_s: Sum of the seconds for which they have run.
         now: The moment, in seconds.
 
     Returns:
         What is known now.
     """
-    if cold.cold_since is not None or not cold.has_history:
+    full = len(cold.latest) == LATEST_ANSWERS
+    if cold.cold_since is not None or not cold.has_history or not full:
         return cold
-    limit = cold.usual_latency * settings.cold_latency_factor
-    late = sum(1 for moment in started if now - moment > limit)
-    if late >= SLOW_ANSWERS and 2 * late >= len(started):
+    usual = (LATEST_ANSWERS + running) * cold.usual_latency
+    if sum(cold.latest) + ages_s > settings.cold_latency_factor * usual:
         return turn_cold(cold, now)
     return cold
--- a/rosemarydeal/policy/endings.py
+++ b/rosemarydeal/policy/endings.py
@@ -20,7 +20,14 @@
     UpstreamFailed,
     UpstreamRefused,
 )
-from .guard_state import GuardState, LiveRequest, cold_share, right_of, truthful
+from .guard_state import (
+    GuardState,
+    LiveRequest,
+    cold_share,
+    right_of,
+    truthful,
+    watch_cold,
+)
 from .ledger import EntryState
 
 __all__ = [
@@ -72,6 +79,7 @@
         busy = busy.set(slice, left) if left else busy.delete(slice)
     return replace(
         state,
+        started_sum=state.started_sum - live.started,
         live=state.live.delete(live.request.request_id),
         waiters=waiters,
         busy_slices=busy,
@@ -93,6 +101,7 @@
         cold=cold,
         failures_in_row=state.failures_in_row + 1 if failing else 0,
     )
+    state = watch_cold(state, now)
     replies = tuple(ReplyAnswer(w, event.request_id) for w in live.waiters)
     state, forgotten = _keep(state, live, event, now)
     state, notices = _exonerate(state, live, now)
--- a/rosemarydeal/policy/guard.py
+++ b/rosemarydeal/policy/guard.py
@@ -45,10 +45,12 @@
     GuardStatus,
     LiveRequest,
     cold_share,
+    load_hint,
     put_live,
     right_of,
     start,
     status,
+    watch_cold,
 )
 from .interface import RightGained, RightLost, StopAdmitting, Tick
 
@@ -60,6 +62,7 @@
     "RightLost",
     "StopAdmitting",
     "Tick",
+    "load_hint",
     "start",
     "status",
     "step",
@@ -255,10 +258,8 @@
     book, dropped = ledger.expire(state.ledger, now, settings.window_s)
     kept = suspects.expire(state.suspects, now, settings.suspect_window_s)
     running = [live for live in state.live.values() if live.runs]
-    moments = tuple(live.started for live in running)
-    cold = coldstart.watch_running(state.cold, settings, moments, now)
     kept, notices = suspects.retell(kept, now)
-    state = replace(state, ledger=book, suspects=kept, cold=cold)
+    state = watch_cold(replace(state, ledger=book, suspects=kept), now)
     actions: list[GuardAction] = [ForgetAnswer(i) for i in dropped]
     actions.extend(TellSuspects(notice) for notice in notices)
     for live in running:
@@ -331,7 +332,13 @@
     busy = state.busy_slices
     if slice is not None:
         busy = busy.set(slice, busy.get(slice, 0) + 1)
-    state = replace(state, admission=counts, ledger=book, busy_slices=busy)
+    state = replace(
+        state,
+        admission=counts,
+        ledger=book,
+        busy_slices=busy,
+        started_sum=state.started_sum + now,
+    )
     running = replace(live, waiting=None, token=token, started=now)
     action = Dispatch(
         request.request_id, slice, token, request.deadline, new_connection
--- a/rosemarydeal/policy/guard_interface.py
+++ b/rosemarydeal/policy/guard_interface.py
@@ -77,7 +77,7 @@
     ledger_ids: int = 200_000
     cold_start_s: float = 20.0
     cold_share: float = 0.2
-    cold_latency_factor: float = 4.0
+    cold_latency_factor: float = 2.2
     suspect_window_s: float = 3600.0
     default_weight: float = 1.0
     tenant_weights: immutables.Map[str, float] = field(default_factory=immutables.Map)
--- a/rosemarydeal/policy/guard_state.py
+++ b/rosemarydeal/policy/guard_state.py
@@ -23,14 +23,19 @@
     "REROUTE_CODES",
     "LiveRequest",
     "cold_share",
+    "load_hint",
     "past_unknown",
     "put_live",
     "right_of",
     "start",
     "status",
     "truthful",
+    "watch_cold",
 ]
 
+DOWN_LOAD = 4
+"""Load in multiples of the slots that is told while no upstream is there."""
+
 REROUTE_CODES = frozenset({"moving", "not-owner", "not-sent", "upstream-down"})
 """Codes that send a request to another process rather than to its caller."""
 
@@ -76,6 +81,7 @@
         seed: Number that tells this life of the process from others.
         up: Whether the upstream takes requests.
         live: Requests that wait or run, by id.
+        started_sum: Sum of the moments at which what runs was dispatched.
         waiters: Request that each waiting caller waits for.
         rights: What is known of each slice.
         busy_slices: Requests that run, by slice.
@@ -94,6 +100,7 @@
     admission: Admission
     cold: ColdStart
     live: immutables.Map[str, LiveRequest] = field(default_factory=immutables.Map)
+    started_sum: float = 0.0
     waiters: immutables.Map[int, str] = field(default_factory=immutables.Map)
     rights: immutables.Map[SliceId, SliceRight] = field(default_factory=immutables.Map)
     busy_slices: immutables.Map[SliceId, int] = field(default_factory=immutables.Map)
@@ -155,6 +162,28 @@
     return coldstart.share(state.cold, state.settings, now)
 
 
+def watch_cold(state: GuardState, now: float) -> GuardState:
+    """Looks at what runs for signs of an upstream gone cold."""
+    running = state.admission.running
+    ages = running * now - state.started_sum
+    cold = coldstart.recognise(state.cold, state.settings, running, ages, now)
+    return state if cold is state.cold else replace(state, cold=cold)
+
+
+def load_hint(state: GuardState, now: float) -> int:
+    """Returns the requests in hand, as if the upstream had all its slots.
+
+    Entries compare nodes by it, so a node that is down or cold seems as busy
+    as it is for its limit.
+    """
+    slots = state.settings.slots
+    if not state.up:
+        return DOWN_LOAD * slots
+    limit = capacity(state.admission, state.settings, cold_share(state, now))
+    in_hand = state.admission.running + state.queue.size
+    return round(in_hand * slots / limit)
+
+
 def status(state: GuardState, now: float) -> GuardStatus:
     """Returns the figures that metrics and operators show."""
     share = cold_share(state, now)
