Own nothing under a makeshift witness set, and replace a lost witness soon

Cause: after a fleet's start rows named incarnations whose witness set was the node itself; after its loss no proof of lapse could be had, and 97 slices of 256 stayed unserved behind a retiring name. Sets chosen early all lay on the first four nodes, and a lost witness stayed in its set for up to 10 s. Change: a process is willing to own only with a whole set, chosen once no new member has shown up for 0.7 s (4 s at most); sets are looked at each 0.5 s and replaced after 1.5 s of a witness's silence, at most each 2 s.

--- a/rosemarydeal/policy/incarnation.py
+++ b/rosemarydeal/policy/incarnation.py
@@ -33,7 +33,9 @@
 ]
 
 UNRESPONSIVE_S = 10.0
-WITNESS_SILENCE_S = 4.0
+WITNESS_SILENCE_S = 1.5
+JOIN_QUIET_S = 0.7
+SETTLE_IN_S = 4.0
 
 
 def announced(state: OwnershipState) -> bool:
@@ -125,10 +127,9 @@
 
 def seek(state: OwnershipState, now: float) -> OwnershipState:
     """Takes a new incarnation when there is none, or to replace witnesses."""
-    if state.gone or not announced(state):
-        return state
-    if now < state.started_at + _bootstrap_s(state):
+    if state.gone or not announced(state) or not _may_choose(state, now):
         return state
+    state = _settle_in(state, now)
     sought = [e for e in state.leases if e.stage != LeaseStage.HELD]
     if sought:
         return _give_up(state, sought[0], now)
@@ -136,17 +137,38 @@
         return _take(state, now)
     if now < state.next_renew_check_at or len(state.leases) > 1:
         return state
-    check_at = now + state.settings.renew_interval_s / 4.0
-    state = replace(state, next_renew_check_at=check_at)
-    if now - state.renewed_at < state.settings.renew_interval_s:
+    interval_s = state.settings.renew_interval_s
+    state = replace(state, next_renew_check_at=now + interval_s / 4.0)
+    if state.settled and now - state.renewed_at < interval_s:
         return state
     return _replace_witnesses(state, state.leases[0], now)
 
 
-def _bootstrap_s(state: OwnershipState) -> float:
-    """Returns how long to wait for members to be known before choosing."""
+def _may_choose(state: OwnershipState, now: float) -> bool:
+    """Returns whether enough members are known to choose witnesses among."""
     enough = len(state.members) > state.settings.witness_count
-    return 0.0 if enough else state.settings.bootstrap_s
+    waited = now >= state.started_at + state.settings.bootstrap_s
+    return waited or (enough and _quiet(state, now))
+
+
+def _quiet(state: OwnershipState, now: float) -> bool:
+    """Returns whether no new member has shown up lately."""
+    return now - state.joined_at >= JOIN_QUIET_S
+
+
+def _settle_in(state: OwnershipState, now: float) -> OwnershipState:
+    """Lets the process own slices once its witness set is no makeshift.
+
+    An incarnation with a makeshift set can hardly be proved lapsed after a
+    loss, so that no row should name one while a better set is to be had.
+    """
+    newest = state.newest_held(now)
+    if state.settled or newest is None:
+        return state
+    held = next(e for e in state.leases if e.incarnation == newest)
+    whole = _quiet(state, now) and not _improvable(state, held, now)
+    waited = now >= state.started_at + SETTLE_IN_S
+    return replace(state, settled=True) if whole or waited else state
 
 
 def _take(state: OwnershipState, now: float) -> OwnershipState:
@@ -194,7 +216,8 @@
         or now - entry.answered_at.get(node, entry.started_at) > WITNESS_SILENCE_S
     ]
     state = _avoid(state, mute, now)
-    if not mute and not _improvable(state, entry, now):
+    better = _quiet(state, now) and _improvable(state, entry, now)
+    if not mute and not better:
         return state
     return replace(_take(state, now), renewed_at=now)
 
--- a/rosemarydeal/policy/ownership_settings.py
+++ b/rosemarydeal/policy/ownership_settings.py
@@ -48,7 +48,7 @@
     release_interval_s: float = 0.5
     write_retry_s: float = 0.5
     cleanup_s: float = 2.0
-    renew_interval_s: float = 10.0
+    renew_interval_s: float = 2.0
     drain_batch: int = 8
 
     @property
--- a/rosemarydeal/policy/ownership_state.py
+++ b/rosemarydeal/policy/ownership_state.py
@@ -125,6 +125,7 @@
         ready: Whether the upstream beside the process takes requests.
         draining: Whether all is to be handed over.
         gone: Whether the process has ended its last incarnation for good.
+        settled: Whether a witness set that is no makeshift was had once.
         leases: Incarnations that are held or sought, oldest first.
         past: Numbers of all incarnations of this life.
         life: Prefix of this life's change ids, unlike any other life's.
@@ -153,6 +154,7 @@
         next_clear_at: When clearances are asked for next, in seconds.
         next_release_at: When releases are repeated next, in seconds.
         next_prune_at: When timers are pruned next, in seconds.
+        joined_at: When a node was seen for the first time, in seconds.
         renewed_at: When the last incarnation was taken, in seconds.
         next_renew_check_at: When the witness set is looked at next, in seconds.
         pacing: The latest walks over all rows.
@@ -166,6 +168,7 @@
     ready: bool = False
     draining: bool = False
     gone: bool = False
+    settled: bool = False
     leases: tuple[Lease, ...] = ()
     past: frozenset[int] = frozenset()
     life: str = ""
@@ -194,6 +197,7 @@
     next_release_at: float = 0.0
     next_prune_at: float = 0.0
     renewed_at: float = 0.0
+    joined_at: float = 0.0
     next_renew_check_at: float = 0.0
     pacing: Pacing = Pacing()
 
@@ -205,7 +209,7 @@
     @property
     def willing(self) -> bool:
         """Returns whether the process may gain rights at all."""
-        return self.ready and not self.draining and not self.gone
+        return self.ready and self.settled and not self.draining and not self.gone
 
     def is_own(self, name: Incarnation) -> bool:
         """Returns whether an incarnation belongs to this life of the process."""
--- a/rosemarydeal/policy/records.py
+++ b/rosemarydeal/policy/records.py
@@ -29,6 +29,8 @@
     if known is not None and known.version >= version:
         return state
     name = member.incarnation
+    if known is None and member.node != state.node:
+        state = replace(state, joined_at=now)
     state = replace(
         state, members=state.members.set(member.node, KnownMember(version, member))
     )
