Bound the work of one step of control

Cause: Each member record read ranked all proposers anew, and a first assignment planned 1,024 slices at once: a stop of the event loop longer than a lease at the target's size.

Change: Members and orders are worked out at the next tick, one plan adopts 128 slices at most, ties are broken by integers, and later ranks leave the first proposer a second before they plan at all.

--- a/bench/keyed_variants.py
+++ b/bench/keyed_variants.py
@@ -166,7 +166,7 @@
             for number, name in enumerate(fleet.nodes)
         }
         self.writes = 0
-        self.report_bytes = 0
+        self.conflicts = 0
         fleet.on_settled(self._settled)
 
     def start(self) -> None:
@@ -248,6 +248,7 @@
         number = write.chunk.number
         known = self._chunks.get(number)
         if (known.version if known else 0) != write.expected_version:
+            self.conflicts += 1
             answer: ControlEvent = WriteConflicted(write.change_id)
         else:
             answer = WriteSucceeded(write.change_id, write.expected_version + 1)
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -10,3 +10,7 @@
     Given a placement of 192 slices over box-office-1..6 in 3 availability zones
     When the placement is proposed and written
     Then the placement proposes nothing more
+
+  Scenario: One plan adopts no more slices than a step can bear
+    Given a placement of 1024 slices over box-office-1..40 in 3 availability zones
+    Then the placement's first plan adopts 128 slices
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -41,3 +41,11 @@
 @then("the placement proposes nothing more")
 def step_nothing(context):
     assert not plan(context.view, 0)
+
+
+@then("the placement's first plan adopts {count:d} slices")
+def step_adopts(context, count):
+    rows = plan(context.view, 0).rows
+    owned = Counter(row.owner for row in rows)
+    assert len(rows) == count
+    assert max(owned.values()) <= -(-count // 40), owned
--- a/rosemarydeal/policy/control.py
+++ b/rosemarydeal/policy/control.py
@@ -84,11 +84,11 @@
         case MemberRead():
             return _member_read(state, event, now), ()
         case ChunkRead():
-            return _chunk_read(state, event), ()
+            return _chunk_read(state, event, now), ()
         case MessageReceived(message=LoadReport() as report):
             return replace(state, book=state.book.observe(report, now)), ()
         case WriteSucceeded(change_id, version):
-            return _written(state, change_id, version), ()
+            return _written(state, change_id, version, now), ()
         case WriteConflicted(change_id) | WriteFailed(change_id):
             return _not_written(state, change_id), ()
         case LocalLoad():
@@ -96,9 +96,9 @@
         case ZonesChanged(out):
             return _zones_changed(state, out, now), ()
         case UpstreamsDrained(names):
-            return _members_changed(replace(state, drained=names), now), ()
+            return replace(state, drained=names, stale=True), ()
         case SettingsChanged(settings):
-            return _settings_changed(state, settings, now), ()
+            return _settings_changed(state, settings), ()
         case _:
             return state, ()
 
@@ -134,11 +134,14 @@
     if known is None:
         first = now if state.first_join_at is None else state.first_join_at
         state = replace(state, first_join_at=first, last_join_at=now)
-    return _members_changed(state, now)
+    return replace(state, stale=True)
 
 
 def _members_changed(state: ControlState, now: float) -> ControlState:
-    """Works out anew who proposes, who leaves, and what to look at."""
+    """Works out anew who proposes, who leaves, and what to look at.
+
+    This is left to the next tick, as records often come many at a time.
+    """
     view = state.view()
     live, eligible = view.live(), view.eligible()
     turns = tuple(_turn(view, domain) for domain in range(view.domain_count))
@@ -150,7 +153,8 @@
         turns=turns,
         ranks=len(live),
         leaving=Map(leaving),
-        unsettled=frozenset(range(view.domain_count)),
+        unsettled=Map(dict.fromkeys(range(view.domain_count), now)),
+        stale=False,
     )
 
 
@@ -161,7 +165,7 @@
     return DomainTurn(ranked[0] if ranked else "", rank)
 
 
-def _chunk_read(state: ControlState, read: ChunkRead) -> ControlState:
+def _chunk_read(state: ControlState, read: ChunkRead, now: float) -> ControlState:
     """Takes a newer chunk in; an older one is ignored."""
     if read.chunk.service != state.settings.service:
         return state
@@ -172,16 +176,18 @@
     return replace(
         state,
         chunks=state.chunks.set(read.chunk.number, read),
-        unsettled=state.unsettled | {domain},
+        unsettled=state.unsettled.set(domain, now),
     )
 
 
-def _written(state: ControlState, change_id: str, version: int) -> ControlState:
+def _written(
+    state: ControlState, change_id: str, version: int, now: float
+) -> ControlState:
     pending = state.pending.get(change_id)
     if pending is None:
         return state
     state = replace(state, pending=state.pending.delete(change_id))
-    return _chunk_read(state, ChunkRead(version, pending.chunk))
+    return _chunk_read(state, ChunkRead(version, pending.chunk), now)
 
 
 def _not_written(state: ControlState, change_id: str) -> ControlState:
@@ -194,19 +200,18 @@
     state: ControlState, out: frozenset[str], now: float
 ) -> ControlState:
     zones_out = Map({zone: state.zones_out.get(zone, now) for zone in sorted(out)})
-    state = replace(state, zones_out=zones_out, orders_known=True)
-    return _members_changed(state, now)
+    return replace(state, zones_out=zones_out, orders_known=True, stale=True)
 
 
-def _settings_changed(
-    state: ControlState, settings: ControlSettings, now: float
-) -> ControlState:
+def _settings_changed(state: ControlState, settings: ControlSettings) -> ControlState:
     book = replace(state.book, settings=settings.loads)
-    return _members_changed(replace(state, settings=settings, book=book), now)
+    return replace(state, settings=settings, book=book, stale=True)
 
 
 def _tick(state: ControlState, now: float) -> Stepped:
     """Reports the own load and proposes what is due."""
+    if state.stale:
+        state = _members_changed(state, now)
     state, sends = _report(state, now)
     state, writes = propose_due(state, now)
     return state, (*sends, *writes)
--- a/rosemarydeal/policy/control_state.py
+++ b/rosemarydeal/policy/control_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from immutables import Map
 
@@ -150,7 +150,8 @@
         balance: What the rebalancing did, by domain.
         successors_at: Moment of the last look at each domain's successors.
         pending: Writes without an answer, by change id.
-        unsettled: Domains whose rows may need a change.
+        unsettled: Domains whose rows may need a change, and since when.
+        stale: Whether members or orders changed since the last tick.
         planned_at: Moment of each domain's last plan.
         first_join_at: Moment at which the first member was read.
         last_join_at: Moment at which the newest member was first read.
@@ -174,7 +175,8 @@
     balance: Map[int, RebalanceState] = Map()
     successors_at: Map[int, float] = Map()
     pending: Map[str, Pending] = Map()
-    unsettled: frozenset[int] = field(default_factory=frozenset)
+    unsettled: Map[int, float] = Map()
+    stale: bool = False
     planned_at: Map[int, float] = Map()
     first_join_at: float | None = None
     last_join_at: float = 0.0
--- a/rosemarydeal/policy/fleet.py
+++ b/rosemarydeal/policy/fleet.py
@@ -62,7 +62,7 @@
     """
 
     successors: int = 2
-    takeover_s: float = 2.0
+    takeover_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/policy/load_tally.py
+++ b/rosemarydeal/policy/load_tally.py
@@ -15,6 +15,8 @@
 
 
 SAME_ZONE_PRICE = 0.3
+TIE_FACTOR = 0x9E3779B97F4A7C15
+TIE_MASK = (1 << 64) - 1
 
 
 class LoadTally:
@@ -31,6 +33,7 @@
         """
         slots = sum(member.slots for member in members.values())
         self._same_zone_price = SAME_ZONE_PRICE * total / slots if slots else 0.0
+        self._hashes = {name: key_hash(name.node) for name in members}
         self._members = members
         self._owned = dict.fromkeys(members, 0.0)
         self._inherited: dict[tuple[Incarnation, Incarnation], float] = {}
@@ -83,9 +86,10 @@
     ) -> Incarnation | None:
         """Returns the member whose share stays lowest with the slice added."""
         names = self._owned if candidates is None else candidates
+        mixed = _slice_hash(slice_id)
         return min(
             names,
-            key=lambda name: (self.share(name, weight), _tie(slice_id, name)),
+            key=lambda name: (self.share(name, weight), self._tie(mixed, name)),
             default=None,
         )
 
@@ -108,13 +112,14 @@
         """
         used_zones = [self._zone(owner)] if owner in self._members else []
         rest = [name for name in self._members if name != owner]
+        mixed = _slice_hash(slice_id)
         chosen: list[Incarnation] = []
         while rest and len(chosen) < count:
             last = len(chosen) == count - 1
             best = min(
                 rest,
                 key=lambda name: self._cost(
-                    slice_id, owner, name, weight, used_zones, last
+                    mixed, owner, name, weight, used_zones, last
                 ),
             )
             rest.remove(best)
@@ -125,9 +130,13 @@
     def _zone(self, name: Incarnation) -> str:
         return self._members[name].place.availability_zone
 
+    def _tie(self, mixed: int, name: Incarnation) -> int:
+        """Breaks ties the same way in every process, differently per slice."""
+        return (self._hashes[name] ^ mixed) * TIE_FACTOR & TIE_MASK
+
     def _cost(
         self,
-        slice_id: SliceId,
+        mixed: int,
         owner: Incarnation,
         name: Incarnation,
         weight: float,
@@ -140,10 +149,9 @@
         return (
             used if last else 0,
             share + used * self._same_zone_price,
-            _tie(slice_id, name),
+            self._tie(mixed, name),
         )
 
 
-def _tie(slice_id: SliceId, name: Incarnation) -> int:
-    """Breaks ties the same way in every process, differently per slice."""
-    return key_hash(f"{slice_id.index}/{slice_id.carved}/{name.node}")
+def _slice_hash(slice_id: SliceId) -> int:
+    return key_hash(f"{slice_id.index}/{slice_id.carved}")
--- a/rosemarydeal/policy/placement.py
+++ b/rosemarydeal/policy/placement.py
@@ -30,6 +30,7 @@
 ]
 
 PROMPT_RANKS = 4
+ADOPTED_AT_A_TIME = 128
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +127,7 @@
         now: Moment on the process's clock, in seconds.
     """
     turn = int(now / settings.takeover_s)
-    return rank in (0, turn % PROMPT_RANKS, turn % ranks)
+    return rank in (0, 1 + turn % (PROMPT_RANKS - 1), turn % ranks)
 
 
 def evacuating(view: FleetView, domain: int) -> tuple[Row, ...]:
@@ -175,6 +176,8 @@
             orphans.append(row)
     orphans.sort(key=lambda row: (-view.weight(row.slice), row.slice))
     live = view.live()
+    # The rest is planned once these are written, so that no step takes long.
+    orphans = orphans[:ADOPTED_AT_A_TIME]
     changed = [_adopt(view, tally, row, live) for row in orphans]
     touched = {chunk_of(row.slice) for row in orphans}
     for row in kept:
--- a/rosemarydeal/policy/proposals.py
+++ b/rosemarydeal/policy/proposals.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
+from immutables import Map
+
 from rosemarydeal.core import Row, SliceId
 
 from .control_state import ControlState, Pending
@@ -66,9 +68,17 @@
     if domain in writing or _is_early(state, domain, now):
         return False
     since = now - state.planned_at.get(domain, float("-inf"))
+    if turn.rank > 0:
+        # Later ranks leave the first one time to act, so that writes rarely race.
+        waited = now - state.unsettled.get(domain, now)
+        return waited >= settings.placement.takeover_s
     if state.leaving:
         return since >= settings.zones.batch_s
-    return domain in state.unsettled or (turn.rank == 0 and since >= settings.plan_s)
+    return domain in state.unsettled or since >= settings.plan_s
+
+
+def _without(domains: Map[int, float], domain: int) -> Map[int, float]:
+    return domains.delete(domain) if domain in domains else domains
 
 
 def _is_early(state: ControlState, domain: int, now: float) -> bool:
@@ -88,7 +98,7 @@
     changes = plan(view, domain, held)
     state = replace(
         state,
-        unsettled=state.unsettled - {domain},
+        unsettled=_without(state.unsettled, domain),
         planned_at=state.planned_at.set(domain, now),
     )
     if not changes and not rows and state.turns[domain].rank == 0:
