Vouch at once for incarnations taken since a witness's start

Change: a witness tells its life while it is silent; an incarnation taken after that life became known can't be one for which a promise was forgotten, so it is granted at once. A witness promises once a living holder would have been heard, with what its former life may have vouched for as the rest. Scenarios for each point of the ownership section; fuzz rules that isolate an owner and restart two witnesses; skewed clocks and a shorter ask interval among the fuzzed settings.

--- a/features/mutant_list_ownership.py
+++ b/features/mutant_list_ownership.py
@@ -21,8 +21,22 @@
     Mutant(
         "witness vouches right after start",
         f"{POLICY}/ownership.py",
-        "WitnessState(silent_until=now + settings.start_silence_s)",
-        "WitnessState(silent_until=now)",
+        "silent_until=now + settings.start_silence_s",
+        "silent_until=now",
+        FUZZ,
+    ),
+    Mutant(
+        "witness forgets what it vouched for",
+        f"{POLICY}/witness.py",
+        "rest = max(0.0, forgotten_until - now, ",
+        "rest = max(0.0, ",
+        SCENARIOS,
+    ),
+    Mutant(
+        "silent witness vouches for old incarnations",
+        f"{POLICY}/incarnation.py",
+        "since_life=lease.lives.get(node, 0)",
+        "since_life=state.witness_lives.get(node, 0)",
         FUZZ,
     ),
     Mutant(
--- a/features/ownership_budget.py
+++ b/features/ownership_budget.py
@@ -9,7 +9,7 @@
 
 __all__ = ["run_budget"]
 
-EXAMPLES = 80
+EXAMPLES = 60
 SEED = 20240229
 
 
--- a/features/ownership_machine.py
+++ b/features/ownership_machine.py
@@ -34,10 +34,12 @@
         seed=st.integers(0, 2**32),
         nodes=st.integers(4, 6),
         drift=st.sampled_from([0.02, 0.1]),
+        ask_s=st.sampled_from([0.4, 0.15]),
+        skewed=st.booleans(),
     )
-    def begin(self, seed, nodes, drift):
-        policy = OwnershipSettings(clock_drift=drift)
-        settings = WorldSettings(nodes=nodes, drift=drift, policy=policy)
+    def begin(self, seed, nodes, drift, ask_s, skewed):
+        policy = OwnershipSettings(clock_drift=drift, ask_interval_s=ask_s)
+        settings = WorldSettings(nodes=nodes, drift=drift, skewed=skewed, policy=policy)
         self.world = World(seed, settings)
         self.world.advance(5.0)
         assert not self.world.unserved(), "not served after the start"
@@ -284,6 +286,31 @@
         self.world.blocked -= links
         self.world.advance(1.5)
 
+    @rule(n=picks)
+    def isolate(self, n):
+        """Keeps an owner from asking until a successor has followed it."""
+        owner = self.owner(n)
+        links = {(owner.name, name) for name in self.world.nodes}
+        self.world.blocked |= links
+        self.world.advance(2.2)
+        self.world.blocked -= links
+
+    @rule(n=picks, which=picks)
+    def restart_two_witnesses(self, n, which):
+        """Restarts two witnesses that have just vouched, and cuts the third."""
+        owner = self.owner(n)
+        names = {self.witness(owner, which + step).name for step in (0, 1)}
+        third = self.witness(owner, which + 2).name
+        cut = (owner.name, third)
+        links = {(name, other) for name in cut for other in self.world.nodes}
+        self.world.blocked |= links
+        for name in sorted(names - {owner.name}):
+            self.restart_node(name)
+        self.world.advance(1.02)
+        self.suspect_everywhere(owner)
+        self.world.advance(0.6)
+        self.world.blocked -= links
+
     @rule(n=picks, delay=st.sampled_from([0.6, 1.0]))
     def answer_late(self, n, delay):
         """Delays what reaches an owner, and then cuts it off from the others."""
--- a/features/ownership_scenarios.py
+++ b/features/ownership_scenarios.py
@@ -4,7 +4,7 @@
 
 from features.ownership_constants import KEYS, SERVICE, SLICES
 from features.ownership_world import World, WorldSettings
-from rosemarydeal.core import Row, SliceId
+from rosemarydeal.core import Incarnation, Row, SliceId
 from rosemarydeal.policy import interface as api
 from rosemarydeal.policy import ownership
 
@@ -57,6 +57,16 @@
             if other != name:
                 self.world.feed(other, node.life, api.NodeSuspected(name))
 
+    def drain(self, name: str) -> None:
+        """Asks a node to hand over all that it owns."""
+        life = self.world.nodes[name].life
+        self.world.feed(name, life, api.DrainAsked())
+
+    def incarnation(self, name: str) -> Incarnation | None:
+        """Returns the newest incarnation of a node, if it seeks or holds one."""
+        leases = self.world.nodes[name].state.leases
+        return leases[-1].incarnation if leases else None
+
     def owners_during(self, index: int, seconds: float) -> set[str | None]:
         """Returns all that may serve a base slice during some seconds."""
         until = self.world.now + seconds
--- a/features/ownership_world.py
+++ b/features/ownership_world.py
@@ -34,6 +34,7 @@
     platform_latency_s: float = 0.005
     read_interval_s: float = 0.2
     drift: float = 0.02
+    skewed: bool = False
     successors: int = 2
     requests_s: tuple[float, ...] = (0.01, 0.1, 1.0)
     policy: ownership.OwnershipSettings = ownership.OwnershipSettings()
@@ -93,6 +94,8 @@
             zone = f"perth-{'abcdefgh'[index % settings.zones]}"
             name = f"n{index}"
             error = self.random.choice((-0.99, 0.99, self.random.uniform(-0.9, 0.9)))
+            if settings.skewed:
+                error = 0.99 if index else -0.99
             rate = 1.0 + settings.drift * error
             offset = self.random.uniform(0.0, 1000.0)
             self.nodes[name] = WorldNode(name, zone, rate, offset)
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -4,7 +4,11 @@
 
 from behave import given, then, when
 
+from features.builders import incarnation
 from features.ownership_scenarios import Scene
+from rosemarydeal.core.messages import PromiseAsk, VouchAsk
+from rosemarydeal.policy import witness
+from rosemarydeal.policy.ownership import OwnershipSettings
 
 
 @given("an ownership world with {nodes:d} processes in {zones:d} availability zones")
@@ -61,3 +65,136 @@
 def serves_on(context, index, seconds):
     owner = context.scene.owner(index)
     assert context.scene.owners_during(index, seconds) == {owner}
+
+
+@given("a witness that started {seconds:g} seconds ago")
+def make_witness(context, seconds):
+    context.settings = OwnershipSettings()
+    silent_until = context.settings.start_silence_s
+    context.witness = witness.WitnessState(0.0, silent_until, life=7)
+    context.witness_now = seconds
+
+
+@when("a successor asks it about an incarnation that it never heard")
+def ask_witness(context):
+    ask = PromiseAsk(incarnation(), 1)
+    _, context.reply = witness.promise(
+        context.witness, ask, context.settings, context.witness_now
+    )
+
+
+@then("it promises and its last word lapses in at least {rest:g} seconds")
+def check_promise(context, rest):
+    assert context.reply.promised and context.reply.lapse_after >= rest, context.reply
+
+
+@then("it vouches for an incarnation taken since and for no other")
+def check_vouch(context):
+    granted = []
+    for life in (0, 6, 7):
+        ask = VouchAsk(incarnation(number=life), 1, since_life=life)
+        _, reply = witness.vouch(
+            context.witness, ask, context.settings, context.witness_now
+        )
+        granted.append(reply.granted)
+    assert granted == [False, False, True], granted
+
+
+@when("the owner of slice {index:d} is paused for {seconds:g} seconds")
+def pause_owner(context, index, seconds):
+    context.victim = context.scene.owner(index)
+    context.old = context.scene.incarnation(context.victim)
+    context.scene.world.pause(context.victim, seconds)
+
+
+@then(
+    "{seconds:g} seconds later the paused process holds no right "
+    "under its old incarnation"
+)
+def old_is_gone(context, seconds):
+    context.scene.world.advance(seconds)
+    state = context.scene.world.nodes[context.victim].state
+    held = {serving.incarnation for serving in state.serving.values()}
+    assert context.old not in held, held
+    assert context.scene.incarnation(context.victim) != context.old
+
+
+@when("the availability zone without the owner of slice {index:d} is lost")
+def lose_other_zone(context, index):
+    world = context.scene.world
+    zone = world.nodes[context.scene.owner(index)].zone
+    for name, node in world.nodes.items():
+        if node.zone != zone:
+            world.kill(name)
+
+
+@when("the owner of slice {index:d} is cut off from all other processes")
+def cut_owner(context, index):
+    world = context.scene.world
+    context.victim = context.scene.owner(index)
+    for name in world.nodes:
+        world.blocked |= {(context.victim, name), (name, context.victim)}
+    world.advance(1.6)
+
+
+@then("the process that was cut off owns nothing")
+def cut_owns_nothing(context):
+    assert not context.scene.world.nodes[context.victim].state.serving
+
+
+@when("the owner of slice {index:d} is cut off from the platform")
+def cut_from_platform(context, index):
+    context.scene.world.off_platform.add(context.scene.owner(index))
+
+
+@when("all names of the row of slice {index:d} are lost and replaced after 1 second")
+def lose_names(context, index):
+    world = context.scene.world
+    names = [name.node for name in context.scene.row(index).succession]
+    for name in names:
+        world.kill(name)
+    world.advance(1.0)
+    for name in names:
+        world.start(name)
+
+
+@when("all processes of the ownership world restart")
+def restart_all(context):
+    for name in context.scene.world.nodes:
+        context.scene.world.kill(name)
+        context.scene.world.start(name)
+
+
+@when("the upstream of the owner of slice {index:d} dies")
+def lose_upstream(context, index):
+    context.scene.world.lose_upstream(context.scene.owner(index))
+
+
+@when("the owner of slice {index:d} is drained")
+def drain_owner(context, index):
+    context.victim = context.scene.owner(index)
+    context.scene.drain(context.victim)
+
+
+@then("the drained process owns nothing after {seconds:g} seconds")
+def drained_owns_nothing(context, seconds):
+    context.scene.world.advance(seconds)
+    assert not context.scene.world.nodes[context.victim].state.serving
+
+
+@when(
+    "every answer of the platform is lost for {seconds:g} seconds "
+    "after a loss of the owner"
+)
+def lose_answers(context, seconds):
+    context.scene.world.answer_loss = 1.0
+    context.scene.lose_owner(0)
+    context.scene.world.advance(seconds)
+    context.scene.world.answer_loss = 0.0
+
+
+@then("no member of the ownership world took more than {count:d} incarnations")
+def check_incarnations(context, count):
+    for node in context.scene.world.nodes.values():
+        if node.alive:
+            assert len(node.state.past) <= count, (node.name, node.state.past)
--- a/rosemarydeal/core/messages.py
+++ b/rosemarydeal/core/messages.py
@@ -35,10 +35,18 @@
 
 @dataclass(frozen=True, slots=True)
 class VouchAsk:
-    """Asks a witness to vouch for the sender's incarnation for a lease."""
+    """Asks a witness to vouch for the sender's incarnation for a lease.
+
+    Attributes:
+        incarnation: The incarnation.
+        sequence: Number of the request.
+        since_life: The witness's life that the sender knew of before it took
+            the incarnation, 0 when it knew none.
+    """
 
     incarnation: Incarnation
     sequence: int
+    since_life: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,12 +58,14 @@
         sequence: Number of the request.
         granted: Whether the witness vouches for a lease from now on.
         wait: Seconds until the witness may vouch, -1 when it never will.
+        life: The witness's present life, told while it has to wait, else 0.
     """
 
     incarnation: Incarnation
     sequence: int
     granted: bool
     wait: float = 0.0
+    life: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/policy/incarnation.py
+++ b/rosemarydeal/policy/incarnation.py
@@ -108,7 +108,10 @@
         lease, message = leases.ask(lease, state.settings, now)
         renewed.append(lease)
         if message is not None:
-            actions += tuple(Send(node, message) for node in lease.witnesses)
+            actions += tuple(
+                Send(node, replace(message, since_life=lease.lives.get(node, 0)))
+                for node in lease.witnesses
+            )
     return replace(state, leases=tuple(renewed)), actions
 
 
@@ -122,7 +125,10 @@
         else lease
         for lease in state.leases
     )
-    return replace(state, leases=renewed)
+    lives = state.witness_lives
+    if reply.life:
+        lives = lives.set(sender, reply.life)
+    return replace(state, leases=renewed, witness_lives=lives)
 
 
 def seek(state: OwnershipState, now: float) -> OwnershipState:
@@ -171,14 +177,17 @@
     return replace(state, settled=True) if whole or waited else state
 
 
-def _take(state: OwnershipState, now: float) -> OwnershipState:
+def _take(
+    state: OwnershipState, now: float, witnesses: tuple[str, ...] = ()
+) -> OwnershipState:
     """Starts to ask for the lease of a new incarnation."""
     state, number = draw(state)
     last = state.last_number + 1
     name = Incarnation(state.node, last)
     entry = Lease(
         incarnation=name,
-        witnesses=choose_witnesses(state, name, now),
+        witnesses=witnesses or choose_witnesses(state, name, now),
+        lives=state.witness_lives,
         stage=LeaseStage.ASKING,
         started_at=now,
         sequence=int(number * 2**52),
@@ -193,7 +202,14 @@
 
 
 def _give_up(state: OwnershipState, entry: Lease, now: float) -> OwnershipState:
-    """Drops a sought incarnation that its witnesses don't grant in time."""
+    """Drops a sought incarnation that its witnesses don't grant in time.
+
+    Witnesses in the silence of their start grant one that is taken after their
+    life became known, so that it is taken anew with the same witnesses.
+    """
+    if _learnt_lives(state, entry):
+        kept = tuple(lease for lease in state.leases if lease != entry)
+        return _take(replace(state, leases=kept), now, entry.witnesses)
     waited = now - entry.started_at >= state.settings.acquire_s
     granted = leases.lease_end(entry, state.settings) is not None
     if entry.stage != LeaseStage.ASKING or granted or not waited:
@@ -205,6 +221,18 @@
     return replace(_avoid(state, mute, now), leases=kept)
 
 
+def _learnt_lives(state: OwnershipState, entry: Lease) -> bool:
+    """Returns whether a new number would be granted where this one is not."""
+    if entry.stage != LeaseStage.ASKING:
+        return False
+    if leases.lease_end(entry, state.settings) is not None:
+        return False
+    known = state.witness_lives
+    news = [n for n in entry.witnesses if known.get(n, 0) != entry.lives.get(n, 0)]
+    able = {n for n in entry.witnesses if n in entry.acked or n in known}
+    return bool(news) and len(able) > len(entry.witnesses) // 2
+
+
 def _replace_witnesses(
     state: OwnershipState, entry: Lease, now: float
 ) -> OwnershipState:
--- a/rosemarydeal/policy/lease.py
+++ b/rosemarydeal/policy/lease.py
@@ -40,6 +40,7 @@
         started_at: When the first request was due, in seconds.
         sequence: Number of the next request; starts at random.
         asked: When each recent request was sent, by number.
+        lives: Lives of silent witnesses known before the incarnation was taken.
         acked: Sending time of the newest request each witness granted.
         answered_at: When each witness last answered anything.
         refused: Witnesses that will never vouch for the incarnation again.
@@ -51,6 +52,7 @@
     stage: LeaseStage
     started_at: float
     sequence: int
+    lives: Map = Map()
     asked: Map = Map()
     acked: Map = Map()
     answered_at: Map = Map()
--- a/rosemarydeal/policy/ownership.py
+++ b/rosemarydeal/policy/ownership.py
@@ -88,6 +88,7 @@
 ]
 
 PRUNE_INTERVAL_S = 10.0
+LIVES = 2**48
 
 
 def start(
@@ -107,7 +108,11 @@
         started_at=now,
         seed=seed,
         life=f"{identity.node}/{seed:x}/",
-        witness=WitnessState(silent_until=now + settings.start_silence_s),
+        witness=WitnessState(
+            started_at=now,
+            silent_until=now + settings.start_silence_s,
+            life=seed % LIVES + 1,
+        ),
     )
 
 
--- a/rosemarydeal/policy/ownership_state.py
+++ b/rosemarydeal/policy/ownership_state.py
@@ -150,6 +150,7 @@
         to_mark: Proved incarnations whose member is to be marked lost, each at
             a time.
         ready_at: When the upstream became ready, in seconds.
+        witness_lives: Latest known life of each witness in its silence.
         unresponsive: Nodes not to choose as witnesses, each until a time.
         next_clear_at: When clearances are asked for next, in seconds.
         next_release_at: When releases are repeated next, in seconds.
@@ -192,6 +193,7 @@
     not_before: Map = field(default_factory=Map)
     to_mark: Map = field(default_factory=Map)
     ready_at: float = 0.0
+    witness_lives: Map = field(default_factory=Map)
     unresponsive: Map = field(default_factory=Map)
     next_clear_at: float = 0.0
     next_release_at: float = 0.0
--- a/rosemarydeal/policy/witness.py
+++ b/rosemarydeal/policy/witness.py
@@ -40,12 +40,16 @@
     """Holds the timers of one witness.
 
     Attributes:
-        silent_until: End of the silence after the start, in seconds.
+        started_at: When this life of the witness began, in seconds.
+        life: Random number of this life, above 0.
+        silent_until: End of the time without vouching after it, in seconds.
         heard: Last sign of each holder.
         promised: Per node, the newest incarnation number never to vouch for.
     """
 
+    started_at: float
     silent_until: float
+    life: int
     heard: Map = Map()
     promised: Map = Map()
 
@@ -59,6 +63,9 @@
 ) -> tuple[WitnessState, VouchReply]:
     """Vouches for a holder unless a promise or the start's silence forbids it.
 
+    An incarnation that was taken after this life of the witness began can't be
+    one for which a promise was forgotten, so that it needs no silence.
+
     Args:
         state: The witness.
         ask: The holder's request.
@@ -69,9 +76,10 @@
     if state.has_promised(name):
         return state, VouchReply(name, ask.sequence, False, -1.0)
     before = state.heard.get(name)
-    if now < state.silent_until:
+    if now < state.silent_until and ask.since_life != state.life:
         heard = Heard(now, before.lapses_at if before else now)
-        reply = VouchReply(name, ask.sequence, False, state.silent_until - now)
+        wait = state.silent_until - now
+        reply = VouchReply(name, ask.sequence, False, wait, state.life)
     else:
         heard = Heard(now, now + settings.vouch_s)
         reply = VouchReply(name, ask.sequence, True)
@@ -83,6 +91,10 @@
 ) -> tuple[WitnessState, PromiseReply]:
     """Promises a successor not to vouch any more, or refuses.
 
+    What an earlier life of the witness vouched for has lapsed by a lease after
+    the start at the latest. Until a living holder would have been heard, the
+    witness refuses.
+
     Args:
         state: The witness.
         ask: The successor's request.
@@ -92,10 +104,12 @@
     name = ask.target
     heard = state.heard.get(name)
     ago = now - heard.heard_at if heard else -1.0
-    rest = max(0.0, heard.lapses_at - now) if heard else 0.0
-    if state.has_promised(name) and now >= state.silent_until:
+    forgotten_until = state.started_at + settings.vouch_s
+    rest = max(0.0, forgotten_until - now, heard.lapses_at - now if heard else 0.0)
+    if state.has_promised(name):
         return state, PromiseReply(name, ask.round, True, rest, ago)
-    wait = max(state.silent_until - now, settings.silence_s - ago if heard else 0.0)
+    deaf_until = state.started_at + settings.silence_s
+    wait = max(deaf_until - now, settings.silence_s - ago if heard else 0.0)
     if wait > 0.0:
         return state, PromiseReply(name, ask.round, False, rest, ago, wait)
     promised = state.promised.set(name.node, name.number)
