Keep a majority of witnesses outside the own availability zone

Change: a majority of each witness set is chosen in other availability zones, spread over as many as there are; the rest by order.

--- a/rosemarydeal/policy/incarnation.py
+++ b/rosemarydeal/policy/incarnation.py
@@ -286,7 +286,9 @@
 def choose_witnesses(
     state: OwnershipState, incarnation: Incarnation, now: float
 ) -> tuple[str, ...]:
-    """Chooses witnesses spread over availability zones, the own one last.
+    """Chooses witnesses spread over availability zones, a majority elsewhere.
+
+    So the loss of the own availability zone can be proved by those left.
 
     Args:
         state: The process.
@@ -296,16 +298,19 @@
     Returns:
         The nodes; the process itself only where there are too few others.
     """
-    zones = {member.node: member.place for member in _others(state, now)}
-    order = rendezvous_order(str(incarnation), list(zones))
-    used = {_zone(state.identity.place)}
-    spread = []
-    for node in order:
-        if _zone(zones[node]) not in used:
-            used.add(_zone(zones[node]))
+    places = {member.node: member.place for member in _others(state, now)}
+    order = rendezvous_order(str(incarnation), list(places))
+    own = _zone(state.identity.place)
+    outside = [node for node in order if _zone(places[node]) != own]
+    used, spread = set(), []
+    for node in outside:
+        if _zone(places[node]) not in used:
+            used.add(_zone(places[node]))
             spread.append(node)
-    rest = [node for node in order if node not in spread]
-    chosen = [*spread, *rest][: state.settings.witness_count]
+    majority = state.settings.witness_count // 2 + 1
+    elsewhere = list(dict.fromkeys((*spread, *outside)))
+    chosen = list(dict.fromkeys((*elsewhere[:majority], *spread, *order)))
+    chosen = chosen[: state.settings.witness_count]
     if not chosen or len(chosen) == 2:
         chosen.append(state.node)
     return tuple(chosen)
