Learn the platform's objects from peers; only a few processes watch

Cause: every process watched the platform, so that one change cost a call of each of 620; notices of crash suspects and ledgers of moved slices reached no guard; a process started in an outage learnt nothing. Change: the records task drives policy/versions, two watchers in each zone; records travel compressed; a postman keeps addresses and hands messages to their tasks; seeds are asked while no peer is known. The demonstration counts the time from a request's begin to its answer, waits at entries included.

--- a/rosemarydeal/core/messages.py
+++ b/rosemarydeal/core/messages.py
@@ -8,13 +8,14 @@
 
 from dataclasses import dataclass
 
-from .data import Incarnation, Row, SliceId
+from .data import Address, Incarnation, Row, SliceId
 
 __all__ = [
     "ClearAsk",
     "ClearReply",
     "Cleared",
     "KnownRequest",
+    "JoinAsk",
     "LedgerHandOver",
     "LoadReport",
     "Message",
@@ -164,9 +165,24 @@
     keys: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class JoinAsk:
+    """Asks a seed for objects on behalf of a process that nobody knows yet.
+
+    Attributes:
+        peer: Address of the sender for messages between processes.
+        public_key: CURVE public key of the sender, in Z85.
+        prefixes: Beginnings of the keys of the objects asked for.
+    """
+
+    peer: Address
+    public_key: str
+    prefixes: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RecordsReply:
-    """Passes platform objects on, each with its version."""
+    """Passes platform objects on, each with its version, compressed by zlib."""
 
     records: tuple[tuple[str, int, bytes], ...]
 
@@ -266,6 +282,7 @@
     | ClearReply
     | VersionsNotice
     | RecordsAsk
+    | JoinAsk
     | RecordsReply
     | LoadReport
     | SuspectNotice
--- a/rosemarydeal/daemon/control.py
+++ b/rosemarydeal/daemon/control.py
@@ -24,7 +24,6 @@
 )
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.messages import Message
-from rosemarydeal.peers import PeerLink
 from rosemarydeal.platform import (
     Platform,
     PlatformConflict,
@@ -57,6 +56,7 @@
 from .errors import DaemonError
 from .mailbox import Mailbox
 from .operators import OperatorOrders
+from .postman import Postman
 from .records import RecordsTask
 
 __all__ = ["ControlHooks", "ControlTask"]
@@ -90,13 +90,13 @@
         state: ownership.OwnershipState,
         platform: Platform,
         records: RecordsTask,
-        link: PeerLink,
+        postman: Postman,
         hooks: ControlHooks,
     ) -> None:
         self._state = state
         self._platform = platform
         self._records = records
-        self._link = link
+        self._postman = postman
         self._hooks = hooks
         self._placement: control.ControlState | None = None
         self._orders = OperatorOrders()
@@ -161,6 +161,10 @@
         for found in self._records.objects.values():
             self._take_object(found)
 
+    def take_message(self, sender: str, message: Message) -> None:
+        """Queues a message of a peer."""
+        self.post(MessageReceived(sender, message))
+
     def broadcast(self, service: str, message: Message) -> None:
         """Sends a message to all other processes of a service."""
         for member in ownership.known_members(self._state):
@@ -188,12 +192,10 @@
 
     async def run(self) -> None:
         """Feeds events and ticks to the policy until cancelled."""
-        receiver = asyncio.create_task(self._receive_messages())
         try:
             while True:
                 await self._run_once()
         finally:
-            receiver.cancel()
             for write in self._writes:
                 write.cancel()
 
@@ -248,8 +250,7 @@
         """Carries out one action."""
         match action:
             case Send(to, message):
-                self._connect(to)
-                self._link.send(to, message)
+                self._postman.send(to, message)
             case WriteMember(member, expected, change_id):
                 key = objects.member_key(member.node)
                 self._start_write(key, objects.encode(member), expected, change_id)
@@ -259,12 +260,6 @@
             case _:
                 self._hooks.on_notice(action)
 
-    def _connect(self, node: str) -> None:
-        """Opens the link to a node on first use."""
-        member = self.member(node)
-        if member is not None:
-            self._link.connect(node, member.peer, member.public_key)
-
     def _start_write(self, key: str, value: bytes, expected: int, change: str) -> None:
         """Begins a conditional update in the background."""
         task = asyncio.create_task(self._write(key, value, expected, change))
@@ -287,12 +282,6 @@
             self.post(WriteSucceeded(change, version))
             self._records.learn(Versioned(key, version, value))
 
-    async def _receive_messages(self) -> None:
-        """Queues what peers send."""
-        while True:
-            received = await self._link.receive()
-            self.post(MessageReceived(received.sender, received.message))
-
     def _take_object(self, found: Versioned) -> None:
         """Queues a new version of a member or chunk."""
         try:
--- /dev/null
+++ b/rosemarydeal/daemon/postman.py
@@ -0,0 +1,98 @@
+"""Sends messages to peers by name and hands received ones to their tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import structlog
+
+from rosemarydeal.core import Address, Versioned
+from rosemarydeal.core.messages import (
+    JoinAsk,
+    LedgerHandOver,
+    Message,
+    RecordsAsk,
+    RecordsReply,
+    SuspectNotice,
+    VersionsNotice,
+)
+from rosemarydeal.peers import PeerLink
+
+from . import objects
+from .errors import DaemonError
+
+__all__ = ["Postman"]
+
+_log = structlog.get_logger()
+
+Receiver = Callable[[str, Message], None]
+
+
+class Postman:
+    """Owns the address book of the peers.
+
+    A link is opened on the first message to a peer, since a process speaks to
+    few of a large fleet.
+    """
+
+    def __init__(self, node: str, link: PeerLink) -> None:
+        self._node = node
+        self._link = link
+        self._book: dict[str, tuple[Address, str]] = {}
+        self._receivers: dict[type, Receiver] = {}
+        self._fallback: Receiver | None = None
+
+    def learn(self, found: Versioned) -> None:
+        """Takes a peer's address from its member object."""
+        if not found.key.startswith(objects.MEMBER_PREFIX):
+            return
+        try:
+            member = objects.decode_member(found.value)
+        except DaemonError as error:
+            _log.error("object_malformed", key=found.key, detail=error.detail)
+            return
+        self.introduce(member.node, member.peer, member.public_key)
+
+    def introduce(self, node: str, address: Address, public_key: str) -> None:
+        """Sets where a peer is reached."""
+        known = self._book.get(node)
+        self._book[node] = (address, public_key)
+        if known is not None and known != self._book[node]:
+            self._link.disconnect(node)
+
+    def send(self, node: str, message: Message) -> None:
+        """Sends a message without waiting; it may get lost."""
+        entry = self._book.get(node)
+        if entry is not None and node != self._node:
+            self._link.connect(node, *entry)
+            self._link.send(node, message)
+
+    def deliver_to(
+        self, records: Receiver, suspects: Receiver, ledgers: Receiver
+    ) -> None:
+        """Sets who gets the messages that don't concern ownership or load.
+
+        Args:
+            records: Gets what is said of the platform's objects.
+            suspects: Gets notices of crash suspects.
+            ledgers: Gets the ids of slices that are handed over.
+        """
+        for kind in (VersionsNotice, RecordsAsk, RecordsReply, JoinAsk):
+            self._receivers[kind] = records
+        self._receivers[SuspectNotice] = suspects
+        self._receivers[LedgerHandOver] = ledgers
+
+    def deliver_rest_to(self, control: Receiver) -> None:
+        """Sets who gets all other messages; until then they are dropped."""
+        self._fallback = control
+
+    async def run(self) -> None:
+        """Hands received messages over until cancelled."""
+        while True:
+            received = await self._link.receive()
+            message = received.message
+            if isinstance(message, JoinAsk):
+                self.introduce(received.sender, message.peer, message.public_key)
+            receiver = self._receivers.get(type(message), self._fallback)
+            if receiver is not None:
+                receiver(received.sender, message)
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -10,11 +10,12 @@
 
 from rosemarydeal.core import SliceId, Versioned, chunk_of, key_hash
 from rosemarydeal.core.clock import now
+from rosemarydeal.core.messages import JoinAsk
 from rosemarydeal.core.operator import CONFIG_KEY
 from rosemarydeal.core.status import NodeStatus, SliceStatus
 from rosemarydeal.peers import PeerLink, PeerLinkSettings
 from rosemarydeal.platform import Platform, PlatformClient, PlatformSettings
-from rosemarydeal.policy import alarms, guard, ownership
+from rosemarydeal.policy import alarms, guard, ownership, versions
 from rosemarydeal.policy.interface import (
     DrainAsked,
     IncarnationLost,
@@ -41,8 +42,10 @@
 from .guard import GuardHooks, GuardTask
 from .listeners import Listeners
 from .metrics import Metrics
+from .objects import WATCHED_PREFIXES
 from .operators import OperatorOrders, adopt_orders
-from .records import RecordsTask
+from .postman import Postman
+from .records import JoinSettings, RecordsTask
 from .routes import RoutesView
 from .status import slice_status, with_guard, with_ownership
 from .upstream import UpstreamEvent, UpstreamTask
@@ -63,8 +66,11 @@
         self._settings = settings
         self._metrics = Metrics()
         self._platform = PlatformClient(PlatformSettings(settings.platform))
-        self._records = RecordsTask(self._platform, secrets.randbits(32))
         self._link = PeerLink(_link_settings(settings))
+        self._postman = Postman(settings.node, self._link)
+        self._records = RecordsTask(
+            self._platform, _versions_state(settings), self._postman, _join(settings)
+        )
         self._in_force = InForce()
         self._orders = OperatorOrders()
         self._alarms = alarms.AlarmState()
@@ -89,7 +95,13 @@
             secrets.randbits(64),
         )
         self._listeners = Listeners(settings.entry_host, self._entry)
+        self._records.subscribe(self._postman.learn)
         self._records.subscribe(self._take_object)
+        self._postman.deliver_to(
+            records=self._records.take_message,
+            suspects=lambda _, notice: self._guard.post(guard.SuspectsReceived(notice)),
+            ledgers=lambda _, ledger: self._guard.post(guard.LedgerReceived(ledger)),
+        )
 
     @property
     def settings(self) -> NodeSettings:
@@ -113,7 +125,15 @@
             self.status, self.locate, self._render_metrics, self._upstream.announce
         )
         self._admin = await serve_admin(self._settings, views)
-        for run in (self._records.run, self._guard.run, self._upstream.run):
+        for position, seed in enumerate(self._settings.seeds):
+            self._postman.introduce(_seed_name(position), seed.peer, seed.public_key)
+        for run in (
+            self._postman.run,
+            self._records.run,
+            self._records.exchange,
+            self._guard.run,
+            self._upstream.run,
+        ):
             self._spawn(run())
         self._spawn(self._run_when_configured())
         self._spawn(self._watch_alarms())
@@ -278,9 +298,10 @@
             state,
             self._platform,
             self._records,
-            self._link,
+            self._postman,
             ControlHooks(self._take_notice, self._entry.post),
         )
+        self._postman.deliver_rest_to(self._control.take_message)
         self._control.replay()
         self._control.take_orders(self._orders)
         self._put_in_force()
@@ -386,6 +407,29 @@
             self._control.send_to_names(action.slice, action.ledger)
 
 
+def _seed_name(position: int) -> str:
+    """Returns the name under which a seed is addressed."""
+    return f"seed/{position}"
+
+
+def _join(settings: NodeSettings) -> JoinSettings:
+    """Returns how the process gets to know its peers during an outage."""
+    ask = JoinAsk(settings.peer, settings.public_key, WATCHED_PREFIXES)
+    seeds = tuple(_seed_name(position) for position in range(len(settings.seeds)))
+    return JoinSettings(ask, seeds)
+
+
+def _versions_state(settings: NodeSettings) -> versions.VersionsState:
+    """Returns the state of a process that knows no object yet."""
+    return versions.start(
+        versions.VersionsSettings(),
+        settings.node,
+        settings.place,
+        now(),
+        secrets.randbits(64),
+    )
+
+
 def _link_settings(settings: NodeSettings) -> PeerLinkSettings:
     """Returns the settings of the link to peers."""
     return PeerLinkSettings(
--- a/rosemarydeal/daemon/records.py
+++ b/rosemarydeal/daemon/records.py
@@ -9,45 +9,77 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 import structlog
 
-from rosemarydeal.core import Versioned
+from rosemarydeal.core import Member, Versioned
 from rosemarydeal.core.clock import now
+from rosemarydeal.core.messages import JoinAsk, Message
 from rosemarydeal.platform import Platform, PlatformError
+from rosemarydeal.policy import versions
+from rosemarydeal.policy.interface import Send
 
-from .objects import WATCHED_PREFIXES
+from .errors import DaemonError
+from .objects import MEMBER_PREFIX, WATCHED_PREFIXES, decode_member
+from .postman import Postman
 
-__all__ = ["RecordsTask"]
+__all__ = ["JoinSettings", "RecordsTask"]
 
 WATCH_S = 20.0
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 2.0
 MAX_RETRY_DOUBLINGS = 5
 REFRESH_S = 0.5
+EXCHANGE_S = 0.25
 
 _log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class JoinSettings:
+    """Says how a process that knows nobody gets to know its peers.
+
+    Attributes:
+        ask: What it says of itself, with what it wants to know.
+        seeds: Names under which the postman knows the seeds.
+    """
+
+    ask: JoinAsk
+    seeds: tuple[str, ...]
+
+
 class RecordsTask:
     """Owns the newest known version of each platform object."""
 
-    def __init__(self, platform: Platform, seed: int) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        state: versions.VersionsState,
+        postman: Postman,
+        join: JoinSettings,
+    ) -> None:
         self._platform = platform
-        self._random = random.Random(seed)
-        self._objects: dict[str, Versioned] = {}
+        self._state = state
+        self._postman = postman
+        self._join = join
+        self._random = random.Random(state.seed)
         self._listeners: list[Callable[[Versioned], None]] = []
         self._reachable = False
         self._revision = 0
         self._refreshed: dict[str, float] = {}
         self._reads: set[asyncio.Task[None]] = set()
+        self._members_changed = False
+        self._turn = asyncio.Event()
+        self._turn.set()
 
     @property
-    def objects(self) -> dict[str, Versioned]:
-        """Returns the newest known objects by key; not to be changed."""
-        return self._objects
+    def objects(self) -> Mapping[str, Versioned]:
+        """Returns the newest known objects by key."""
+        return self._state.records
 
     @property
     def reachable(self) -> bool:
@@ -67,13 +99,15 @@
         Returns:
             Whether the version was new.
         """
-        known = self._objects.get(found.key)
-        if known is not None and known.version >= found.version:
-            return False
-        self._objects[found.key] = found
-        for listener in self._listeners:
-            listener(found)
-        return True
+        self._state, new = versions.learn(self._state, found)
+        if new:
+            self._tell(found)
+        return new
+
+    def take_message(self, sender: str, message: Message) -> None:
+        """Takes in what a peer says of the platform's objects."""
+        result = versions.on_message(self._state, sender, message, now())
+        self._carry_out(result)
 
     async def read(self, key: str) -> None:
         """Reads one object now, for example after a conflict."""
@@ -95,7 +129,11 @@
         task.add_done_callback(self._reads.discard)
 
     async def run(self) -> None:
-        """Follows the platform's changes until cancelled."""
+        """Follows the platform's changes while it is this process's turn.
+
+        Every process reads the platform once at its start; after that only a
+        few of an availability zone watch, and the others learn from peers.
+        """
         failures = 0
         while True:
             try:
@@ -105,6 +143,58 @@
                 failures += 1
                 self._note_failure(error)
                 await asyncio.sleep(self._pause(failures))
+            if self._reachable:
+                await self._turn.wait()
+
+    async def exchange(self) -> None:
+        """Compares versions with peers until cancelled."""
+        while True:
+            await asyncio.sleep(EXCHANGE_S)
+            if self._members_changed:
+                self._members_changed = False
+                self._state = versions.set_peers(self._state, self._members())
+                self._take_turn()
+            if not self._state.peers:
+                self._ask_seeds()
+            self._carry_out(versions.on_tick(self._state, now()))
+
+    def _take_turn(self) -> None:
+        """Starts or ends to watch the platform."""
+        if versions.is_watcher(self._state):
+            self._turn.set()
+        else:
+            self._turn.clear()
+
+    def _ask_seeds(self) -> None:
+        """Asks the seeds of the settings for all that a start needs."""
+        for seed in self._join.seeds:
+            self._postman.send(seed, self._join.ask)
+
+    def _carry_out(self, result: versions.VersionsResult) -> None:
+        """Keeps the policy's state and carries out its actions."""
+        self._state, actions = result
+        for action in actions:
+            match action:
+                case Send(to, message):
+                    self._postman.send(to, message)
+                case versions.Learnt(record):
+                    self._tell(record)
+
+    def _tell(self, found: Versioned) -> None:
+        """Tells the listeners of a new version."""
+        if found.key.startswith(MEMBER_PREFIX):
+            self._members_changed = True
+        for listener in self._listeners:
+            listener(found)
+
+    def _members(self) -> list[Member]:
+        """Returns all known members that can be read."""
+        members = []
+        for key, found in self._state.records.items():
+            if key.startswith(MEMBER_PREFIX):
+                with contextlib.suppress(DaemonError):
+                    members.append(decode_member(found.value))
+        return members
 
     async def _follow_once(self) -> None:
         """Waits for the next changes and takes them in."""
--- a/rosemarydeal/demo/callers.py
+++ b/rosemarydeal/demo/callers.py
@@ -46,8 +46,8 @@
         given_up: Requests that were refused to the end.
         answered_orders: Ids of orders that were answered.
         not_run_orders: Ids of orders whose last word was not run.
-        longest_unserved_s: Longest time between a key's first refusal for want
-            of an owner and its next answer, in seconds.
+        longest_unserved_s: Longest time from a request's begin to its answer,
+            all its repeats included; no key was unserved for longer.
     """
 
     requests: int = 0
@@ -94,7 +94,6 @@
         self._random = random.Random(seed)
         self._pool = Pool(PoolSettings())
         self._report = CallerReport()
-        self._unserved_since: dict[str, float] = {}
         self._jobs: set[asyncio.Task[None]] = set()
 
     @property
@@ -138,15 +137,16 @@
     async def _finish(self, job: _Job) -> None:
         """Sends one request until it has an answer or an unknown outcome."""
         self._report.requests += 1
+        began = time.monotonic()
         for _ in range(MAX_SENDS):
-            if await self._send(job):
+            if await self._send(job, began):
                 return
             await asyncio.sleep(RESEND_PAUSE_S * (0.5 + self._random.random()))
         self._report.given_up += 1
         if job.order:
             self._report.not_run_orders.add(job.request_id)
 
-    async def _send(self, job: _Job) -> bool:
+    async def _send(self, job: _Job, began: float) -> bool:
         """Sends a request once and says whether it is over."""
         station = self._random.choice(self._fleet.running())
         port = self._fleet.settings.services[job.service].port
@@ -157,7 +157,7 @@
                 body = await read_whole(response.body, MAX_ANSWER_BYTES)
         except ProxyError as error:
             return self._note_broken(job, error)
-        return self._note_response(job, response, body)
+        return self._note_response(job, began, response, body)
 
     def _request(self, job: _Job) -> Request:
         """Returns the HTTP request of a job."""
@@ -185,21 +185,22 @@
         self._report.refusals[error.code] += 1
         return False
 
-    def _note_response(self, job: _Job, response: Response, body: bytes) -> bool:
+    def _note_response(
+        self, job: _Job, began: float, response: Response, body: bytes
+    ) -> bool:
         """Notes a response and says whether the request is over."""
         outcome = find_header(response.headers, headers.OUTCOME)
         code = (find_header(response.headers, headers.CODE) or b"").decode("ascii")
         if outcome == headers.OUTCOME_ANSWER:
-            self._note_answer(job, body)
+            self._note_answer(job, began, body)
             return True
         if outcome == headers.OUTCOME_UNKNOWN:
             self._report.unknown[code] += 1
             return True
         self._report.refusals[code] += 1
-        self._unserved_since.setdefault(f"{job.service}/{job.key}", time.monotonic())
         return False
 
-    def _note_answer(self, job: _Job, body: bytes) -> None:
+    def _note_answer(self, job: _Job, began: float, body: bytes) -> None:
         """Notes an answer after comparing it with the request."""
         if body != job.expected:
             self._report.crossed += 1
@@ -207,11 +208,8 @@
         self._report.answers += 1
         if job.order:
             self._report.answered_orders.add(job.request_id)
-        since = self._unserved_since.pop(f"{job.service}/{job.key}", None)
-        if since is not None:
-            waited = time.monotonic() - since
-            longest = max(self._report.longest_unserved_s, waited)
-            self._report.longest_unserved_s = longest
+        waited = time.monotonic() - began
+        self._report.longest_unserved_s = max(self._report.longest_unserved_s, waited)
 
 
 def _lookup_path(service: ServiceSettings, key: str) -> bytes:
--- a/rosemarydeal/demo/fleet.py
+++ b/rosemarydeal/demo/fleet.py
@@ -17,6 +17,7 @@
     ConfigEnvelope,
     DeploymentSettings,
     NodeSettings,
+    Seed,
     effective,
     encode_envelope,
     load_deployment,
@@ -35,6 +36,8 @@
 UPSTREAM_PORT = 9000
 PEER_PORT = 7400
 ADMIN_PORT = 7401
+FIRST_HOST = 11
+SEEDS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,7 +211,7 @@
         for position, (service, number) in enumerate(names):
             zones = self._settings.services[service].availability_zones
             zone = zones[(number - 1) % len(zones)]
-            host_number = position + 11
+            host_number = position + FIRST_HOST
             settings = NodeSettings(
                 node=f"{service}-{number}",
                 region=self._settings.region_of(zone),
@@ -222,10 +225,19 @@
                 public_key=public[position],
                 secret_key=pairs[position][1].decode("ascii"),
                 peer_keys=public,
+                seeds=self._seeds(public, position),
             )
             stations.append(Station(settings, self._behaviour(settings), self._counts))
         return tuple(stations)
 
+    def _seeds(self, public: tuple[str, ...], position: int) -> tuple[Seed, ...]:
+        """Returns the peers that the VM at a position asks at its start."""
+        others = [other for other in range(len(public)) if other != position]
+        return tuple(
+            Seed(self._address(other + FIRST_HOST, PEER_PORT), public[other])
+            for other in others[:SEEDS]
+        )
+
     def _behaviour(self, settings: NodeSettings) -> UpstreamBehaviour:
         """Returns how an upstream behaves: as its settings say it does."""
         own = effective(self._settings, settings.service, settings.place)
--- a/rosemarydeal/policy/versions.py
+++ b/rosemarydeal/policy/versions.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
@@ -25,6 +26,7 @@
 )
 from rosemarydeal.core.keys import rendezvous_order
 from rosemarydeal.core.messages import (
+    JoinAsk,
     Message,
     RecordsAsk,
     RecordsReply,
@@ -46,6 +48,8 @@
     "start",
 ]
 
+OBJECT_BYTES = 1024 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class VersionsSettings:
@@ -258,6 +262,9 @@
             return _on_notice(state, sender, versions, now)
         case RecordsAsk(keys=keys):
             return state, _answer(state, sender, keys)
+        case JoinAsk(prefixes=prefixes):
+            keys = sorted(key for key in state.records if key.startswith(prefixes))
+            return state, _answer(state, sender, tuple(keys))
         case RecordsReply(records=records):
             return _on_records(state, records)
     return state, ()
@@ -298,10 +305,11 @@
         known = state.records.get(key)
         if known is None:
             continue
-        size += len(known.value)
+        value = zlib.compress(known.value)
+        size += len(value)
         if records and size > state.settings.reply_bytes:
             break
-        records.append((key, known.version, known.value))
+        records.append((key, known.version, value))
     return (Send(sender, RecordsReply(tuple(records))),) if records else ()
 
 
@@ -310,9 +318,22 @@
 ) -> VersionsResult:
     """Takes in objects that a peer passed on."""
     actions = ()
-    for key, version, value in records:
+    for key, version, packed in records:
+        value = _unpacked(packed)
+        if value is None:
+            continue
         record = Versioned(key, version, value)
         state, new = learn(state, record)
         if new:
             actions += (Learnt(record),)
     return state, actions
+
+
+def _unpacked(packed: bytes) -> bytes | None:
+    """Returns a compressed value, or None if it is broken or too large."""
+    unpacker = zlib.decompressobj()
+    try:
+        value = unpacker.decompress(packed, OBJECT_BYTES)
+    except zlib.error:
+        return None
+    return value if unpacker.eof else None
