--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
+SECONDS ?= 600
 
-.PHONY: demo test lint format environment clean
+.PHONY: demo test lint format fuzz mutants bench slopes environment clean
 
 # Creates the environment once; a change of the pinned versions renews it.
 $(VENV)/.installed: pyproject.toml constraints.txt
@@ -26,5 +27,17 @@
 test: lint
 	$(BIN)/python -m features.run
 
+fuzz: environment
+	$(BIN)/python -m features.fuzz --seconds $(SECONDS)
+
+mutants: environment
+	$(BIN)/python -m features.mutants
+
+bench: environment
+	$(BIN)/python -m bench.run
+
+slopes: environment
+	$(BIN)/python -m bench.slopes
+
 clean:
 	rm -rf $(VENV) build
--- /dev/null
+++ b/features/builders_fleet.py
@@ -0,0 +1,25 @@
+"""Builds fleets on parts of loopback that nobody uses."""
+
+from __future__ import annotations
+
+import socket
+
+from rosemarydeal.demo.fleet import PLATFORM_PORT
+
+__all__ = ["free_network"]
+
+FIRST_NETWORK = 100
+LAST_NETWORK = 250
+
+
+def free_network() -> int:
+    """Returns an N for which nothing listens at 127.N.0.1, the platform's place."""
+    for network in range(FIRST_NETWORK, LAST_NETWORK):
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((f"127.{network}.0.1", PLATFORM_PORT))
+            except OSError:
+                continue
+            return network
+    raise AssertionError("all parts of loopback are in use")
--- a/features/builders_live.py
+++ b/features/builders_live.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from threading import Thread
 
+from features.builders_fleet import free_network
 from rosemarydeal.cli.main import run
 from rosemarydeal.cli.output import Output
 from rosemarydeal.cli.session import Surroundings, open_session, read_environment
@@ -16,7 +17,7 @@
 
 __all__ = ["LiveDeployment"]
 
-NETWORK = 47
+NETWORK = free_network()
 START_TIMEOUT_S = 20.0
 
 
--- a/features/builders_platform.py
+++ b/features/builders_platform.py
@@ -5,11 +5,17 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from rosemarydeal.core import Address
+from features.builders_peers import key_pair, link
+from rosemarydeal.core import Address, Place
+from rosemarydeal.core.messages import JoinAsk
+from rosemarydeal.daemon.objects import WATCHED_PREFIXES
+from rosemarydeal.daemon.postman import Postman
+from rosemarydeal.daemon.records import JoinSettings, RecordsTask
 from rosemarydeal.platform import PlatformClient, PlatformSettings
+from rosemarydeal.policy import versions
 from rosemarydeal.standins.platform import StandInPlatform
 
-__all__ = ["client_of", "running_platform"]
+__all__ = ["client_of", "records_of", "running_platform"]
 
 
 @asynccontextmanager
@@ -27,3 +33,13 @@
     """Builds a client without a tight budget."""
     settings = PlatformSettings(platform.address, timeout_s=5.0, calls_per_s=1e6)
     return PlatformClient(settings)
+
+
+def records_of(client: PlatformClient) -> RecordsTask:
+    """Builds the task that follows a platform, for a process without peers."""
+    place = Place("wa-perth", "perth-a", "box-office-1")
+    state = versions.start(versions.VersionsSettings(), "box-office-1", place, 0.0, 1)
+    keys = key_pair()
+    postman = Postman("box-office-1", link("box-office-1", keys, set()))
+    ask = JoinAsk(Address("127.0.0.1", 0), keys.public, WATCHED_PREFIXES)
+    return RecordsTask(client, state, postman, JoinSettings(ask, ()))
--- a/features/run.py
+++ b/features/run.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from pathlib import Path
 
 from behave.configuration import Configuration
+from behave.model import Scenario
 from behave.model_type import Status
 from behave.runner import Runner
 
@@ -21,6 +23,15 @@
     return frozenset(name for name in names if name)
 
 
+def failure_of(scenario: Scenario) -> str:
+    """Returns the step that failed, with its traceback."""
+    for step in scenario.all_steps:
+        if step.exception is not None:
+            trace = traceback.format_exception(step.exception)
+            return f"  {step.keyword} {step.name}\n{''.join(trace)}"
+    return "  outside its steps"
+
+
 def main(arguments: list[str]) -> int:
     """Runs behave and prints the closing line.
 
@@ -40,6 +51,7 @@
     for scenario in failed:
         label = "known red" if scenario.name in allowed else "FAILED"
         print(f"{label}: {scenario.name} ({scenario.location})")
+        print(failure_of(scenario))
     unexpected = [s for s in failed if s.name not in allowed]
     if broken and not failed:
         print("behave stopped on an error outside the scenarios")
--- a/features/steps/caller_fleet_steps.py
+++ b/features/steps/caller_fleet_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then
 
 from features.builders_caller import caller_of
+from features.builders_fleet import free_network
 from features.builders_proxy import pool, request
 from rosemarydeal.caller import Call
 from rosemarydeal.core import Address, Answer, NotRun
@@ -14,7 +15,6 @@
 from rosemarydeal.demo.fleet import DeploymentFleet, FleetPlan
 from rosemarydeal.proxy import find_header, read_whole
 
-NETWORK = 48
 SERVICE = "box-office"
 PATIENCE_S = 5.0
 START_TIMEOUT_S = 20.0
@@ -25,7 +25,7 @@
 
 
 async def started():
-    plan = FleetPlan(Path("examples/fremantle.json"), NETWORK, {SERVICE: 3})
+    plan = FleetPlan(Path("examples/fremantle.json"), free_network(), {SERVICE: 3})
     fleet = DeploymentFleet(plan)
     await fleet.start()
     port = fleet.settings.services[SERVICE].port
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -5,8 +5,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from features.builders_platform import client_of, running_platform
-from rosemarydeal.daemon.records import RecordsTask
+from features.builders_platform import client_of, records_of, running_platform
 from rosemarydeal.platform import PlatformConflict, PlatformUnavailable, budget
 
 FOLLOWED = (
@@ -115,7 +114,7 @@
         await client.put("config/history/000001", b"1", 0, "history-1")
         for number, key in enumerate(FOLLOWED):
             await client.put(key, b"x", 0, f"followed-{number}")
-        records = RecordsTask(client, seed=1)
+        records = records_of(client)
         learnt, wanted = asyncio.Event(), asyncio.Event()
         seen = []
 
