--- a/bench/datapath.py
+++ b/bench/datapath.py
@@ -1,9 +1,9 @@
 """Measures the processor time of a request on its way, and the memory it holds.
 
 All variants run in one process, one after the other in each round, so that
-they meet the same machine. The cost of a relay is the processor time with it
-less the time without it; what the processes do beside the requests is
-measured over idle seconds and taken off.
+they meet the same load of the machine. The cost of a relay is the processor
+time with it less the time without it; what the processes do beside the
+requests is measured over idle seconds and taken off.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 import sys
 import time
 import tracemalloc
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
@@ -37,9 +37,9 @@
     whole_response,
 )
 
-ROUNDS = 5
+ROUNDS = 9
 CONNECTIONS = 8
-REQUESTS_PER_CONNECTION = 150
+REQUESTS_PER_CONNECTION = 100
 MEMORY_CONNECTIONS = 400
 US_PER_S = 1e6
 TIMEOUT_S = 10.0
@@ -51,6 +51,13 @@
 )
 TARGET = b"/shows/7/seats"
 SETTLE_S = 25.0
+DIRECT = "direct"
+BARE = "bare h11 relay"
+OURS = "relay on our server and client"
+STAND_IN = "direct to the stand-in"
+ONE_HOP = "one hop"
+TWO_HOPS = "two hops"
+LIBRARY = "one hop by the caller library"
 START_TRIES = 100
 
 Work = Callable[[], Awaitable[None]]
@@ -104,19 +111,19 @@
     return spent / (CONNECTIONS * REQUESTS_PER_CONNECTION) * US_PER_S
 
 
-async def measure(works: dict[str, Work]) -> dict[str, float]:
-    """Returns the median cost of each variant over interleaved rounds."""
-    costs: dict[str, list[float]] = {name: [] for name in works}
+async def measure(works: dict[str, Work]) -> list[dict[str, float]]:
+    """Returns the cost of each variant in each of the interleaved rounds."""
     for work in works.values():
         await work()
-    for _ in range(ROUNDS):
-        for name, work in works.items():
-            costs[name].append(await cost_us(work))
-    return {name: statistics.median(values) for name, values in costs.items()}
+    return [
+        {name: await cost_us(work) for name, work in works.items()}
+        for _ in range(ROUNDS)
+    ]
 
 
-async def libraries_cost() -> dict[str, float]:
-    """Measures the bare relay beside a relay on our server and client."""
+@contextlib.asynccontextmanager
+async def library_works() -> AsyncIterator[dict[str, Work]]:
+    """Holds a bare relay and a relay on our server and client."""
     upstream, upstream_address = await start_raw_upstream()
     bare, bare_address = await start_bare_relay(upstream_address)
     pool = Pool(PoolSettings())
@@ -125,22 +132,20 @@
         return await pool.send(upstream_address, request, TIMEOUT_S)
 
     ours = await serve(pass_on, Address("127.0.0.1", 0), HttpLimits())
-    found = await measure(
-        {
-            "direct": calls_to(upstream_address),
-            "bare h11 relay": calls_to(bare_address),
-            "relay on our server and client": calls_to(ours.address),
-        }
-    )
+    yield {
+        DIRECT: calls_to(upstream_address),
+        BARE: calls_to(bare_address),
+        OURS: calls_to(ours.address),
+    }
     await ours.close()
     await pool.close()
     bare.close()
     upstream.close()
-    return found
 
 
-async def daemon_cost() -> dict[str, float]:
-    """Measures one and two hops through running processes."""
+@contextlib.asynccontextmanager
+async def daemon_works() -> AsyncIterator[dict[str, Work]]:
+    """Holds running processes, entered at the owner and elsewhere."""
     plan = FleetPlan(Path("examples/fremantle.json"), NETWORK, {SERVICE: 2}, 0.0)
     fleet = DeploymentFleet(plan)
     await fleet.start()
@@ -150,20 +155,16 @@
         for station in fleet.stations
     }
     caller = Caller(CallerSettings(SERVICE, tuple(stations)))
-    try:
-        owner = await _find_owner(caller, tuple(stations))
-        other = next(address for address in stations if address != owner)
-        return await measure(
-            {
-                "direct to the stand-in": calls_to(stations[owner]),
-                "one hop": calls_to(owner),
-                "two hops": calls_to(other),
-                "one hop by the caller library": library_calls(caller),
-            }
-        )
-    finally:
-        await caller.close()
-        await fleet.stop()
+    owner = await _find_owner(caller, tuple(stations))
+    other = next(address for address in stations if address != owner)
+    yield {
+        STAND_IN: calls_to(stations[owner]),
+        ONE_HOP: calls_to(owner),
+        TWO_HOPS: calls_to(other),
+        LIBRARY: library_calls(caller),
+    }
+    await caller.close()
+    await fleet.stop()
 
 
 async def _find_owner(caller: Caller, entries: tuple[Address, ...]) -> Address:
@@ -238,30 +239,34 @@
         await asyncio.sleep(0.01)
 
 
-def as_rows(libraries: dict[str, float], daemon: dict[str, float]) -> list[Row]:
-    """Turns costs into the rows of the result."""
-    bare = libraries["bare h11 relay"] - libraries["direct"]
-    ours = libraries["relay on our server and client"] - libraries["direct"]
-    stand_in = daemon["direct to the stand-in"]
-    relays = {
-        "bare h11 relay": bare,
-        "relay on our server and client": ours,
-        "one hop": daemon["one hop"] - stand_in,
-        "two hops": daemon["two hops"] - stand_in,
-        "one hop by the caller library": daemon["one hop by the caller library"]
-        - stand_in,
-    }
-    rows = [Row("processor time", name, v, "us") for name, v in relays.items()]
-    rows += [Row("ratio to bare", name, v / bare, "") for name, v in relays.items()]
+def relays_of(costs: dict[str, float]) -> dict[str, float]:
+    """Returns what each relay adds in one round, in microseconds."""
+    relays = {name: costs[name] - costs[DIRECT] for name in (BARE, OURS)}
+    for name in (ONE_HOP, TWO_HOPS, LIBRARY):
+        relays[name] = costs[name] - costs[STAND_IN]
+    return relays
+
+
+def as_rows(rounds: list[dict[str, float]]) -> list[Row]:
+    """Turns the costs of all rounds into medians and spreads."""
+    relays = [relays_of(costs) for costs in rounds]
+    rows = []
+    for name in relays[0]:
+        values = [found[name] for found in relays]
+        rows.append(Row("processor time", name, statistics.median(values), "us"))
+    for name in relays[0]:
+        ratios = [found[name] / found[BARE] for found in relays]
+        rows.append(Row("ratio to bare", name, statistics.median(ratios), ""))
+        rows.append(Row("lowest ratio", name, min(ratios), ""))
+        rows.append(Row("highest ratio", name, max(ratios), ""))
     return rows
 
 
 async def run() -> list[Row]:
     """Measures everything and returns the rows."""
     log.configure("critical", sys.stderr)
-    libraries = await libraries_cost()
-    daemon = await daemon_cost()
-    rows = as_rows(libraries, daemon)
+    async with library_works() as libraries, daemon_works() as daemon:
+        rows = as_rows(await measure(libraries | daemon))
     for name, busy in (("idle", False), ("busy", True)):
         held = await memory_bytes(busy)
         rows.append(Row("memory per connection", name, held, "bytes"))
