Give back the ticket that an entry names with an unknown outcome

Cause: An entry names the ticket to which it bound a request when the outcome is unknown, but the caller library gave back the one it had sent, or none, so that a later try under the same id could not be judged by its first ticket.

Change: The library keeps the ticket of an unknown outcome in its reply, and leaves out one that is no number of at most 18 digits.

--- a/features/builders_caller.py
+++ b/features/builders_caller.py
@@ -20,6 +20,7 @@
     encode_routes,
 )
 from rosemarydeal.proxy import (
+    Headers,
     Request,
     Response,
     find_header,
@@ -45,6 +46,7 @@
         self.script = script
         self.table: RouteTable | None = None
         self.owner: Address | None = None
+        self.ticket: int | None = None
         self.seen: list[Request] = []
         self.routes_asked = 0
 
@@ -71,6 +73,10 @@
             200, encode_routes(RoutesReply(self.table.version, newer))
         )
 
+    def _ticket_header(self) -> Headers:
+        """Returns the header of the ticket, where one is set."""
+        return () if self.ticket is None else ((names.TICKET, b"%d" % self.ticket),)
+
     def _respond(self, outcome: Outcome | str) -> Response:
         """Builds the response for an outcome."""
         match outcome:
@@ -80,7 +86,7 @@
                     fields += ((names.OWNER, str(self.owner).encode()),)
                 return whole_response(status, body, fields)
             case NotRun() | Unknown():
-                return refusal_response(outcome)
+                return refusal_response(outcome, self._ticket_header())
             case _:
                 raise asyncio.CancelledError
 
--- a/features/caller.feature
+++ b/features/caller.feature
@@ -16,6 +16,7 @@
     Then the caller keeps one id and a shrinking deadline over all attempts
     And the caller drops a ticket that is stale
     And the caller sends a call again under its old id and ticket
+    And the caller keeps the ticket that comes with an unknown outcome
 
   Scenario: Overload
     Then the caller keeps its retries under overload to a share
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -273,6 +273,22 @@
     asyncio.run(check())
 
 
+@then("the caller keeps the ticket that comes with an unknown outcome")
+def step_ticket_back(context):
+    async def check():
+        async with (
+            fleet(always(Unknown("owner-changed")), count=1) as ((entry,), addresses),
+            caller_of(addresses) as caller,
+        ):
+            for sent, kept in ((2048, 2048), (10**30, None)):
+                entry.ticket = sent
+                reply = await caller.send(ORDER)
+                assert isinstance(reply.outcome, Unknown)
+                assert reply.ticket == kept, reply
+
+    asyncio.run(check())
+
+
 @then("the caller keeps its retries under overload to a share")
 def step_budget(context):
     async def check():
--- a/rosemarydeal/caller/exchange.py
+++ b/rosemarydeal/caller/exchange.py
@@ -7,7 +7,7 @@
 import uuid
 from dataclasses import dataclass
 
-from rosemarydeal.core import Address, NotRun, Outcome, SliceId
+from rosemarydeal.core import Address, NotRun, Outcome, SliceId, Unknown
 from rosemarydeal.core import headers as names
 from rosemarydeal.core.codes import find_code
 from rosemarydeal.proxy import (
@@ -29,6 +29,7 @@
 __all__ = ["Exchange", "Parts"]
 
 MS_PER_S = 1000.0
+MAX_TICKET_DIGITS = 18
 NO_PEER = Address("", 0)
 NOT_RUN = names.OUTCOME_NOT_RUN.decode("ascii")
 STALE_ROUTE_CODES = frozenset(
@@ -108,11 +109,19 @@
         left_s = self._deadline - self._loop.time()
         response = await self._parts.pool.send(entry, request, left_s)
         owner = find_header(response.headers, names.OWNER)
+        ticket = find_header(response.headers, names.TICKET)
         outcome = await read_outcome(response, self._settings.answer_bytes)
         if owner is not None:
             self._learn(slice_id, owner)
+        if ticket is not None and isinstance(outcome, Unknown):
+            self._keep_ticket(ticket)
         return outcome
 
+    def _keep_ticket(self, value: bytes) -> None:
+        """Notes the ticket to which the entry bound the request."""
+        if value.isdigit() and len(value) <= MAX_TICKET_DIGITS:
+            self._ticket = int(value)
+
     def _headers(self) -> Headers:
         """Returns the headers of the next attempt."""
         moment = self._loop.time()
