Measure how each role's cost grows with the fleet

Cause: the capacity page had no slopes to work from. Change: make slopes takes each role at four sizes or more, in virtual time, and lays a line through the values.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,523 @@
+"""Measures how each role's cost grows with the size of the fleet.
+
+Each figure is taken at four sizes or more; the slope of the least squares line
+and the value that it gives at the target's size follow. docs/CAPACITY.md
+is worked out from them. Run by `make slopes`.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from rosemarydeal.core import Address, SliceId, Versioned
+from rosemarydeal.core.request_key import KeyRule
+from rosemarydeal.core.routes import RoutesReply, build_routes, encode_routes
+from rosemarydeal.daemon import objects
+from rosemarydeal.peers import encode
+from rosemarydeal.policy import control, guard, versions
+from rosemarydeal.policy.hotkeys import HotKeySketch
+from rosemarydeal.policy.interface import ChunkRead, MemberRead, RightGained, Send, Tick
+from rosemarydeal.settings import load_deployment
+
+from .slopes_fleet import SERVICE, OwnerDrive, chunks, members
+
+__all__ = ["Slope", "main"]
+
+OUTPUT = Path("build/slopes.json")
+TARGET_NODES = 620
+TARGET_SLICES = 39_680
+TARGET_NAMED = 192
+TARGET_IDS = 200_000
+TARGET_CONFIG_BRANCHES = 620
+PEACE_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Gives a cost at several sizes and the line through them.
+
+    Attributes:
+        role: Role that bears the cost.
+        cost: What was measured.
+        unit: Unit of the values.
+        per: What the sizes count.
+        sizes: The sizes.
+        values: The cost at each size.
+        slope: Cost of one more.
+        base: Cost at size zero, by the line.
+        target: The target's size.
+        at_target: Cost there, by the line.
+    """
+
+    role: str
+    cost: str
+    unit: str
+    per: str
+    sizes: tuple[int, ...]
+    values: tuple[float, ...]
+    slope: float
+    base: float
+    target: int
+    at_target: float
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """Holds what one run cost.
+
+    Attributes:
+        cpu: Processor time, in seconds per second or per operation.
+        memory: Bytes allocated and kept.
+        traffic: Bytes to and from peers, per second.
+        messages: Messages to and from peers, per second.
+    """
+
+    cpu: float = 0.0
+    memory: float = 0.0
+    traffic: float = 0.0
+    messages: float = 0.0
+
+
+def fit(
+    role: str,
+    cost: str,
+    unit: str,
+    per: str,
+    sizes: tuple[int, ...],
+    values: tuple[float, ...],
+    target: int,
+) -> Slope:
+    """Lays a line through the values by least squares."""
+    line = statistics.linear_regression(sizes, values)
+    at_target = line.intercept + line.slope * target
+    return Slope(
+        role,
+        cost,
+        unit,
+        per,
+        sizes,
+        values,
+        line.slope,
+        line.intercept,
+        target,
+        at_target,
+    )
+
+
+def timed(work: Callable[[], object], least_s: float = 0.1) -> float:
+    """Returns the processor time of one call, the least of three rounds."""
+    best = float("inf")
+    for _ in range(3):
+        calls, began = 0, time.process_time()
+        while time.process_time() - began < least_s:
+            work()
+            calls += 1
+        best = min(best, (time.process_time() - began) / calls)
+    return best
+
+
+def kept_bytes(build: Callable[[], object]) -> float:
+    """Returns the bytes that a built object keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = build()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(after - before)
+
+
+def lease_by_nodes() -> list[Slope]:
+    """Measures holder and witness by the number of nodes known."""
+    sizes = (20, 80, 320, 620)
+    runs = [_peace(size, 0) for size in sizes]
+    memory = tuple(kept_bytes(lambda n=size: _learnt(n, 0)) for size in sizes)
+    return [
+        fit(
+            "lease holder and witness",
+            "processor",
+            "s/s",
+            "node",
+            sizes,
+            tuple(r.cpu for r in runs),
+            TARGET_NODES,
+        ),
+        fit(
+            "lease holder and witness",
+            "peer traffic",
+            "B/s",
+            "node",
+            sizes,
+            tuple(r.traffic for r in runs),
+            TARGET_NODES,
+        ),
+        fit(
+            "lease holder and witness",
+            "messages",
+            "1/s",
+            "node",
+            sizes,
+            tuple(r.messages for r in runs),
+            TARGET_NODES,
+        ),
+        fit("members known", "memory", "B", "node", sizes, memory, TARGET_NODES),
+    ]
+
+
+def ownership_by_rows() -> list[Slope]:
+    """Measures ownership by the rows that name the node."""
+    nodes, sizes = 64, (1280, 2560, 4096, 8192)
+    named = tuple(size * 3 // nodes for size in sizes)
+    runs = [_peace(nodes, size) for size in sizes]
+    return [
+        fit(
+            "owner",
+            "processor",
+            "s/s",
+            "row that names the node",
+            named,
+            tuple(r.cpu for r in runs),
+            TARGET_NAMED,
+        )
+    ]
+
+
+def rows_known() -> list[Slope]:
+    """Measures what the knowledge of all rows of the fleet costs."""
+    sizes = (2_560, 5_120, 10_240, 20_480)
+    fleet = members(160)
+    memory = tuple(kept_bytes(lambda n=size: _learnt_rows(fleet, n)) for size in sizes)
+    wire = tuple(
+        float(sum(len(objects.encode(c)) for c in chunks(fleet, size)))
+        for size in sizes
+    )
+    return [
+        fit(
+            "entry and proposer",
+            "memory of rows",
+            "B",
+            "slice",
+            sizes,
+            memory,
+            TARGET_SLICES,
+        ),
+        fit("platform", "bytes of chunks", "B", "slice", sizes, wire, TARGET_SLICES),
+    ]
+
+
+def proposer_by_nodes() -> list[Slope]:
+    """Measures a proposer's look at its slices in peace."""
+    sizes = (20, 40, 80, 160, 320)
+    values = tuple(_proposer_cpu(size) for size in sizes)
+    return [
+        fit(
+            "proposer",
+            "processor",
+            "s/s",
+            "node (64 slices each)",
+            sizes,
+            values,
+            TARGET_NODES,
+        )
+    ]
+
+
+def relay_by_nodes() -> list[Slope]:
+    """Measures the exchange of versions in peace and for one change."""
+    sizes = (20, 80, 320, 620)
+    runs = [_exchange(size) for size in sizes]
+    return [
+        fit(
+            "configuration relay",
+            "peer traffic",
+            "B/s",
+            "node",
+            sizes,
+            tuple(r.traffic for r in runs),
+            TARGET_NODES,
+        ),
+        fit(
+            "configuration relay",
+            "processor",
+            "s/s",
+            "node",
+            sizes,
+            tuple(r.cpu for r in runs),
+            TARGET_NODES,
+        ),
+    ]
+
+
+def guard_by_ids() -> list[Slope]:
+    """Measures the guard by the request ids that it remembers."""
+    sizes = (1_000, 4_000, 16_000, 64_000)
+    memory = tuple(kept_bytes(lambda n=size: _full_guard(n)) for size in sizes)
+    cpu = tuple(_guard_cpu(size) for size in sizes)
+    return [
+        fit("guard", "memory", "B", "request id", sizes, memory, TARGET_IDS),
+        fit(
+            "guard", "processor per request", "s", "request id", sizes, cpu, TARGET_IDS
+        ),
+    ]
+
+
+def hot_keys() -> list[Slope]:
+    """Measures the sketch of hot keys by the keys that pass it."""
+    sizes = (1_000, 10_000, 100_000, 400_000)
+    memory = tuple(kept_bytes(lambda n=size: _sketch(n)) for size in sizes)
+    return [
+        fit(
+            "hot key sketch",
+            "memory",
+            "B",
+            "key in use",
+            sizes,
+            memory,
+            380_000_000 // TARGET_NODES,
+        )
+    ]
+
+
+def configuration() -> list[Slope]:
+    """Measures what one change of the configuration costs a process."""
+    sizes = (1, 40, 160, 620)
+    values = tuple(timed(lambda n=size: _load(n)) for size in sizes)
+    wire = tuple(float(len(_deployment(size))) for size in sizes)
+    return [
+        fit(
+            "configuration relay",
+            "processor per change",
+            "s",
+            "branch",
+            sizes,
+            values,
+            TARGET_CONFIG_BRANCHES,
+        ),
+        fit(
+            "configuration relay",
+            "bytes of a configuration",
+            "B",
+            "branch",
+            sizes,
+            wire,
+            TARGET_CONFIG_BRANCHES,
+        ),
+    ]
+
+
+def caller_table() -> list[Slope]:
+    """Measures the caller library's routing table."""
+    sizes = (2_560, 5_120, 10_240, 20_480)
+    fleet = members(160)
+    entries = {m.node: Address(m.entry_host, 8501) for m in fleet}
+    rule = KeyRule(header="x-key")
+    tables = []
+    for size in sizes:
+        rows = [row for chunk in chunks(fleet, size) for row in chunk.rows]
+        tables.append(build_routes(SERVICE, 1, size, rule, entries, rows))
+    values = tuple(float(len(encode_routes(RoutesReply(1, t)))) for t in tables)
+    return [
+        fit(
+            "caller library",
+            "bytes of the table",
+            "B",
+            "slice",
+            sizes,
+            values,
+            TARGET_SLICES,
+        )
+    ]
+
+
+MEASUREMENTS = (
+    lease_by_nodes,
+    ownership_by_rows,
+    rows_known,
+    proposer_by_nodes,
+    relay_by_nodes,
+    guard_by_ids,
+    hot_keys,
+    configuration,
+    caller_table,
+)
+
+
+def main() -> int:
+    """Measures all slopes, prints them and writes them as JSON."""
+    found: list[Slope] = []
+    for measure in MEASUREMENTS:
+        print(f"measuring {measure.__name__}", file=sys.stderr, flush=True)
+        found += measure()
+    print("role | cost | per | sizes | values | slope | at target")
+    for one in found:
+        values = ", ".join(f"{value:.4g}" for value in one.values)
+        sizes = ", ".join(str(size) for size in one.sizes)
+        print(
+            f"{one.role} | {one.cost} ({one.unit}) | {one.per} | {sizes} | {values} | "
+            f"{one.slope:.3g} | {one.at_target:.4g} at {one.target}"
+        )
+    OUTPUT.parent.mkdir(exist_ok=True)
+    OUTPUT.write_text(json.dumps([asdict(one) for one in found], indent=1), "utf-8")
+    return 0
+
+
+def _learnt(nodes: int, slices: int) -> OwnerDrive:
+    """Returns a node that knows a fleet and holds a lease."""
+    fleet = members(nodes)
+    drive = OwnerDrive(fleet)
+    drive.learn_fleet()
+    if slices:
+        drive.learn_rows(chunks(fleet, slices))
+    return drive
+
+
+def _peace(nodes: int, slices: int) -> Costs:
+    """Measures a node in peace."""
+    drive = _learnt(nodes, slices)
+    drive.run(2.0)
+    drive.traffic.size = drive.traffic.messages = 0
+    began = time.process_time()
+    drive.run(PEACE_S)
+    spent = time.process_time() - began
+    return Costs(
+        cpu=spent / PEACE_S,
+        traffic=drive.traffic.size / PEACE_S,
+        messages=drive.traffic.messages / PEACE_S,
+    )
+
+
+def _learnt_rows(fleet: tuple, slices: int) -> OwnerDrive:
+    """Returns a node that knows all rows of a fleet."""
+    drive = OwnerDrive(fleet)
+    drive.learn_fleet()
+    drive.learn_rows(chunks(fleet, slices))
+    return drive
+
+
+def _proposer_cpu(nodes: int) -> float:
+    """Returns the processor time of a proposer in peace, in s/s."""
+    fleet = members(nodes)
+    slices = 64 * nodes
+    settings = control.ControlSettings(SERVICE, slices)
+    state = control.start(settings, fleet[0].node, 1)
+    for member in fleet:
+        state, _ = control.step(state, MemberRead(1, member), 0.0)
+    for chunk in chunks(fleet, slices):
+        state, _ = control.step(state, ChunkRead(1, chunk), 0.0)
+    now = 30.0
+    for _ in range(50):
+        now += 0.1
+        state, _ = control.step(state, Tick(), now)
+    began = time.process_time()
+    steps = 200
+    for _ in range(steps):
+        now += 0.1
+        state, _ = control.step(state, Tick(), now)
+    return (time.process_time() - began) / (steps * 0.1)
+
+
+def _exchange(nodes: int) -> Costs:
+    """Measures the exchange of versions of one process in peace."""
+    fleet = members(nodes)
+    first = fleet[0]
+    settings = versions.VersionsSettings()
+    state = versions.start(settings, first.node, first.place, 0.0, 1)
+    state = versions.set_peers(state, fleet)
+    for member in fleet:
+        key = objects.member_key(member.node)
+        found = Versioned(key, 1, objects.encode(member))
+        state, _ = versions.learn(state, found)
+    now, sent = 10.0, 0
+    for _ in range(40):
+        now += 0.25
+        state, _ = versions.on_tick(state, now)
+    began = time.process_time()
+    for _ in range(400):
+        now += 0.25
+        state, actions = versions.on_tick(state, now)
+        for action in actions:
+            if isinstance(action, Send):
+                sent += len(encode(first.node, action.message))
+    spent = time.process_time() - began
+    return Costs(cpu=2 * spent / 100.0, traffic=2 * sent / 100.0)
+
+
+def _full_guard(ids: int) -> guard.GuardState:
+    """Returns a guard that remembers ended orders."""
+    settings = guard.GuardSettings(slots=100_000, cold_start_s=0.0, window_s=3600.0)
+    state = guard.start(settings, 0.0, 1)
+    slice_id = SliceId(SERVICE, 1)
+    state, _ = guard.step(state, guard.UpstreamStarted(False), 0.0)
+    state, _ = guard.step(state, RightGained(slice_id, 256), 0.0)
+    for number in range(ids):
+        state = _run_order(state, slice_id, number, 1.0 + number * 1e-3)
+    return state
+
+
+def _run_order(
+    state: guard.GuardState, slice_id: SliceId, number: int, now: float
+) -> guard.GuardState:
+    """Runs one order through a guard."""
+    arrived = guard.RequestArrived(
+        number, f"order-{number:032d}", number, "families", slice_id, False, now + 5.0
+    )
+    state, _ = guard.step(state, arrived, now)
+    answered = guard.UpstreamAnswered(arrived.request_id, 200, 200, 0.001)
+    state, _ = guard.step(state, answered, now + 0.001)
+    return state
+
+
+def _guard_cpu(ids: int) -> float:
+    """Returns the processor time of one order at a guard with many ids."""
+    state = _full_guard(ids)
+    slice_id = SliceId(SERVICE, 1)
+    count = 2_000
+    began = time.process_time()
+    for number in range(ids, ids + count):
+        state = _run_order(state, slice_id, number, 1.0 + number * 1e-3)
+    return (time.process_time() - began) / count
+
+
+def _sketch(keys: int) -> HotKeySketch:
+    """Returns a sketch that many keys passed."""
+    sketch = HotKeySketch()
+    draw = random.Random(1)
+    for _ in range(keys):
+        sketch.offer(draw.getrandbits(62))
+    return sketch
+
+
+def _deployment(branches: int) -> str:
+    """Returns a deployment file with settings for many upstreams."""
+    text = Path("examples/fremantle.json").read_text("utf-8")
+    upstreams = ", ".join(
+        f'"box-office-{n}": {{"settings": {{"limits": {{"slots": {8 + n % 8}}}}}}}'
+        for n in range(branches)
+    )
+    zone = '"perth-a": {'
+    if zone not in text:
+        raise ValueError("the example has no zone perth-a")
+    comma = "" if text.split(zone, 1)[1].lstrip().startswith("}") else ", "
+    return text.replace(zone, f'{zone}"upstreams": {{{upstreams}}}{comma}', 1)
+
+
+def _load(branches: int) -> None:
+    """Loads a deployment file as a process does at each change."""
+    settings, problems = load_deployment(_deployment(branches), "slopes.json")
+    if settings is None:
+        raise ValueError(str(problems[0]))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
