Keep admitting peers after a poll that brought no handshake

Cause: the gate read without looking whether its poll had brought something; an empty poll ended the gate's task, and no new peer was admitted any more. Change: a read that finds nothing goes back to the poll.

--- a/rosemarydeal/peers/gate.py
+++ b/rosemarydeal/peers/gate.py
@@ -53,5 +53,7 @@
         socket = self._authenticator.zap_socket
         while True:
             await self._poller.poll()
-            frames = socket.recv_multipart(zmq.NOBLOCK)
-            await self._authenticator.handle_zap_message(frames)
+            # A poll may end without a handshake to answer.
+            with contextlib.suppress(zmq.Again):
+                frames = socket.recv_multipart(zmq.NOBLOCK)
+                await self._authenticator.handle_zap_message(frames)
