Take the times of the lease from the settings

Cause: The process used the built-in times of the lease, whatever the deployment's settings said.

Change: The times come from the first configuration in force and stay for the life of the process, as docs/SETTINGS.md says.

Measured result: Before, the six settings of `ownership` had no effect; after, a scenario finds all six in the policy's settings.

--- a/features/control.feature
+++ b/features/control.feature
@@ -100,3 +100,6 @@
 
   Scenario: Members that drain, are lost, or whose place is out get no new work
     Then a member may get work exactly if it is up and neither zone nor upstream is out
+
+  Scenario: The lease's times come from the settings, every one of them
+    Then the ownership policy has every time of the lease that the settings give
--- a/rosemarydeal/daemon/configuration.py
+++ b/rosemarydeal/daemon/configuration.py
@@ -11,6 +11,7 @@
 from rosemarydeal.policy.control import ControlSettings
 from rosemarydeal.policy.entry import EntrySettings
 from rosemarydeal.policy.guard import GuardSettings
+from rosemarydeal.policy.ownership import OwnershipSettings
 from rosemarydeal.policy.rebalance import RebalanceSettings
 from rosemarydeal.proxy import HttpLimits
 from rosemarydeal.settings import (
@@ -30,6 +31,7 @@
     "entry_settings",
     "guard_settings",
     "http_limits",
+    "ownership_settings",
 ]
 
 _log = structlog.get_logger()
@@ -124,6 +126,29 @@
     )
 
 
+def ownership_settings(own: Effective) -> OwnershipSettings:
+    """Returns the times of the lease.
+
+    They hold for the whole life of a process: one that changed them while its
+    witnesses count by others could serve a key beside its next owner.
+
+    Args:
+        own: Settings of the first configuration in force.
+
+    Returns:
+        The settings of the ownership policy.
+    """
+    times = own.ownership
+    return OwnershipSettings(
+        lease_s=times.lease_s,
+        ask_interval_s=times.ask_interval_s,
+        silence_s=times.silence_s,
+        window_s=times.window_s,
+        clock_drift=times.clock_drift,
+        dispatch_margin_s=times.dispatch_margin_s,
+    )
+
+
 def http_limits(settings: Effective) -> HttpLimits:
     """Returns the limits of connections with callers."""
     return HttpLimits(
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -36,6 +36,7 @@
     control_settings,
     entry_settings,
     guard_settings,
+    ownership_settings,
 )
 from .control import ControlHooks, ControlTask, GuardNotice
 from .entry import EntryTask, Fleet
@@ -292,7 +293,10 @@
             slots=self._in_force.own.limits.slots,
         )
         state = ownership.start(
-            ownership.OwnershipSettings(), identity, now(), secrets.randbits(64)
+            ownership_settings(self._in_force.own),
+            identity,
+            now(),
+            secrets.randbits(64),
         )
         self._control = ControlTask(
             state,
