--- a/features/fuzz.py
+++ b/features/fuzz.py
@@ -20,7 +20,10 @@
 
 __all__ = ["MACHINES", "fuzz_batch", "main"]
 
-MACHINES = {"ownership": "features.ownership_machine:OwnershipMachine"}
+MACHINES = {
+    "ownership": "features.ownership_machine:OwnershipMachine",
+    "ownership-steered": "features.ownership_steered:SteeredMachine",
+}
 """Each machine to fuzz by its name, as module and class."""
 
 BATCH_EXAMPLES = 20
@@ -34,13 +37,16 @@
     return type(machine.__name__, (machine,), {})
 
 
-def fuzz_batch(name: str, number: int, examples: int) -> Exception | None:
+def fuzz_batch(
+    name: str, number: int, examples: int, steps: int = STEPS
+) -> Exception | None:
     """Runs some examples of a machine.
 
     Args:
         name: The machine.
         number: Seed of the batch.
         examples: How many examples to run.
+        steps: Rules of each example at most.
 
     Returns:
         What went wrong, or None.
@@ -48,7 +54,7 @@
     machine = seed(number)(load(name))
     chosen = settings(
         max_examples=examples,
-        stateful_step_count=STEPS,
+        stateful_step_count=steps,
         deadline=None,
         database=None,
         phases=[Phase.generate],
--- a/features/ownership_budget.py
+++ b/features/ownership_budget.py
@@ -9,7 +9,9 @@
 
 __all__ = ["run_budget"]
 
-EXAMPLES = 60
+EXAMPLES = 40
+STEERED_EXAMPLES = 80
+STEERED_STEPS = 4
 SEED = 20240229
 
 
@@ -19,7 +21,8 @@
     Raises:
         Exception: What the machine found.
     """
-    failure = fuzz_batch("ownership", SEED, EXAMPLES)
+    failure = fuzz_batch("ownership-steered", SEED, STEERED_EXAMPLES, STEERED_STEPS)
+    failure = failure or fuzz_batch("ownership", SEED, EXAMPLES)
     if failure is not None:
         raise failure
 
--- a/features/ownership_machine.py
+++ b/features/ownership_machine.py
@@ -7,67 +7,21 @@
 from __future__ import annotations
 
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+from hypothesis.stateful import rule
 
 from features import ownership_proposer as proposer
 from features.ownership_constants import KEYS, SERVICE, SLICES
-from features.ownership_world import World, WorldSettings
+from features.ownership_steered import SteeredMachine, picks
 from rosemarydeal.core import SliceId
 from rosemarydeal.policy import interface as api
-from rosemarydeal.policy.ownership import OwnershipSettings
 
 __all__ = ["OwnershipMachine"]
 
-SERVED_AGAIN_S = 5.0
-STEP_S = 0.05
-
-picks = st.integers(min_value=0, max_value=59)
 short = st.sampled_from([0.02, 0.1, 0.3, 0.8])
 
 
-class OwnershipMachine(RuleBasedStateMachine):
-    """Drives one ownership world through faults."""
-
-    world: World
-
-    @initialize(
-        seed=st.integers(0, 2**32),
-        nodes=st.integers(4, 6),
-        drift=st.sampled_from([0.02, 0.1]),
-        ask_s=st.sampled_from([0.4, 0.15]),
-        skewed=st.booleans(),
-    )
-    def begin(self, seed, nodes, drift, ask_s, skewed):
-        policy = OwnershipSettings(clock_drift=drift, ask_interval_s=ask_s)
-        settings = WorldSettings(nodes=nodes, drift=drift, skewed=skewed, policy=policy)
-        self.world = World(seed, settings)
-        self.world.advance(5.0)
-        assert not self.world.unserved(), "not served after the start"
-
-    # Choosing whom a fault hits.
-
-    def pick(self, number: int):
-        names = sorted(self.world.nodes)
-        return self.world.nodes[names[number % len(names)]]
-
-    def owner(self, number: int):
-        """Returns an owner, else any node."""
-        now = self.world.now
-        rights = self.world.oracle.rights
-        names = sorted({n for (n, _), (until, _) in rights.items() if until > now})
-        if not names:
-            return self.pick(number)
-        return self.world.nodes[names[number % len(names)]]
-
-    def witness(self, node, number: int):
-        """Returns a witness of a node's incarnation, else any node."""
-        if not node.alive or not node.state.leases:
-            return self.pick(number)
-        witnesses = node.state.leases[-1].witnesses
-        return self.world.nodes[witnesses[number % len(witnesses)]]
-
-    def feed(self, node, event) -> None:
-        self.world.feed(node.name, node.life, event)
+class OwnershipMachine(SteeredMachine):
+    """Drives one ownership world through faults of all kinds."""
 
     # Time.
 
@@ -244,132 +198,3 @@
     @rule()
     def stop_proposers(self):
         self.world.proposing = not self.world.proposing
-
-    # Steered: what needs several steps in the right order.
-
-    def suspect_everywhere(self, owner) -> None:
-        for name, node in sorted(self.world.nodes.items()):
-            if name != owner.name:
-                self.feed(node, api.NodeSuspected(owner.name))
-
-    def restart_node(self, name: str) -> None:
-        self.world.kill(name)
-        self.world.start(name)
-
-    @rule(n=picks, which=picks)
-    def promise_in_two_rounds(self, n, which):
-        """Lets two witnesses promise far apart, the first forgetting in between."""
-        owner = self.owner(n)
-        first, second = self.witness(owner, which), self.witness(owner, which + 1)
-        for witness, restarted in ((first, True), (second, False)):
-            link = (owner.name, witness.name)
-            self.world.blocked.add(link)
-            self.world.advance(1.15)
-            self.suspect_everywhere(owner)
-            self.world.advance(0.1)
-            if restarted:
-                self.restart_node(witness.name)
-            self.world.blocked.discard(link)
-            self.world.advance(3.0)
-
-    @rule(n=picks, which=picks)
-    def forget_majority_promise(self, n, which):
-        """Restarts one of two witnesses right after both promised."""
-        owner = self.owner(n)
-        witnesses = [self.witness(owner, which), self.witness(owner, which + 1)]
-        links = {(owner.name, witness.name) for witness in witnesses}
-        self.world.blocked |= links
-        self.world.advance(1.05)
-        self.suspect_everywhere(owner)
-        self.world.advance(0.05)
-        self.restart_node(witnesses[0].name)
-        self.world.blocked -= links
-        self.world.advance(1.5)
-
-    @rule(n=picks)
-    def isolate(self, n):
-        """Keeps an owner from asking until a successor has followed it."""
-        owner = self.owner(n)
-        links = {(owner.name, name) for name in self.world.nodes}
-        self.world.blocked |= links
-        self.world.advance(2.2)
-        self.world.blocked -= links
-
-    @rule(n=picks, which=picks)
-    def restart_two_witnesses(self, n, which):
-        """Restarts two witnesses that have just vouched, and cuts the third."""
-        owner = self.owner(n)
-        names = {self.witness(owner, which + step).name for step in (0, 1)}
-        third = self.witness(owner, which + 2).name
-        cut = (owner.name, third)
-        links = {(name, other) for name in cut for other in self.world.nodes}
-        self.world.blocked |= links
-        for name in sorted(names - {owner.name}):
-            self.restart_node(name)
-        self.world.advance(1.02)
-        self.suspect_everywhere(owner)
-        self.world.advance(0.6)
-        self.world.blocked -= links
-
-    @rule(n=picks, delay=st.sampled_from([0.6, 1.0]))
-    def answer_late(self, n, delay):
-        """Delays what reaches an owner, and then cuts it off from the others."""
-        owner = self.owner(n)
-        for name in self.world.nodes:
-            self.world.slow[(name, owner.name)] = delay
-        self.world.advance(2.0)
-        for name in self.world.nodes:
-            self.world.blocked.add((owner.name, name))
-        self.world.advance(2.5)
-
-    @rule(n=picks)
-    def release_in_outage(self, n):
-        """Releases slices by message while no record can tell of it."""
-        owner = self.owner(n)
-        self.world.platform.down = True
-        self.world.lose_upstream(owner.name)
-        self.world.advance(0.5)
-        owner.upstream = True
-        self.feed(owner, api.UpstreamReady())
-        self.world.advance(1.0)
-        self.world.platform.down = False
-
-    @rule(n=picks, mover=picks, shift=picks)
-    def move_twice_unheard(self, n, mover, shift):
-        """Moves a slice twice while its owner hears of neither move."""
-        owner, name = self.owner(n), self.pick(mover).name
-        links = {(other, owner.name) for other in self.world.nodes}
-        self.world.blocked |= links
-        self.world.off_platform.add(owner.name)
-        for step in (0, 3):
-            proposer.move(self.world, name, SliceId(SERVICE, 0), shift + step)
-            self.world.advance(0.3)
-        self.world.advance(0.4)
-        self.world.blocked -= links
-        self.world.off_platform.discard(owner.name)
-
-    @rule(n=picks, shift=picks)
-    def carve_move_merge(self, n, shift):
-        """Moves the first key away in its own slice and merges it back."""
-        name = self.pick(n).name
-        slice_id = SliceId(SERVICE, KEYS[0] % SLICES, KEYS[0])
-        proposer.carve(self.world, name)
-        self.world.advance(0.6)
-        proposer.move(self.world, name, slice_id, shift)
-        self.world.advance(0.6)
-        proposer.merge(self.world, name)
-        self.world.advance(0.6)
-
-    def teardown(self):
-        if not hasattr(self, "world"):
-            return
-        world = self.world
-        world.proposing = True
-        world.heal()
-        healed_at = world.now
-        while world.unserved() and world.now - healed_at <= SERVED_AGAIN_S:
-            world.advance(STEP_S)
-        taken = world.now - healed_at
-        assert taken <= SERVED_AGAIN_S, f"unserved {world.unserved()} after {taken:.2f}"
-        world.advance(1.0)
-        assert world.oracle.dispatched > 0
