--- a/features/fuzz.py
+++ b/features/fuzz.py
@@ -23,6 +23,7 @@
 MACHINES = {
     "ownership": "features.ownership_machine:OwnershipMachine",
     "ownership-steered": "features.ownership_steered:SteeredMachine",
+    "requests": "features.requests_machine:RequestsMachine",
 }
 """Each machine to fuzz by its name, as module and class."""
 
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -5,8 +5,7 @@
     Then every caller was told the truth and most work was answered
 
   Scenario: A request that crashes upstreams is refused after two crashes
-    When one request crashes every upstream that runs it, beside lookups
-    Then two upstreams crash, only that request is blamed and lookups go on
+    Then one request that crashes upstreams crashes two, and only it is blamed
 
   Scenario: An operator lets a refused request run again
     Given a guard that was told of two crashes with order A in flight
--- a/features/requests_machine.py
+++ b/features/requests_machine.py
@@ -30,11 +30,46 @@
         self.world = RequestsWorld()
         self.names = 0
 
-    @rule(idempotent=st.sampled_from([False, False, True]))
-    def new_request(self, idempotent):
+    @rule(
+        idempotent=st.sampled_from([False, False, True]),
+        keyed=st.sampled_from([True, True, False]),
+    )
+    def new_request(self, idempotent, keyed):
         self.names += 1
         kind = "lookup" if idempotent else "order"
-        self.world.submit(f"{kind}-{self.names}", idempotent, None, False)
+        name = f"{kind}-{self.names}"
+        self.world.submit(name, idempotent, None, False, keyed)
+
+    @rule(runs=st.booleans())
+    def order_loses_its_answer(self, runs):
+        self.go_on(6)
+        self.new_request(False, True)
+        self.go_on(1)
+        if runs and self.world.jobs:
+            self.world.finish_job(self.world.jobs[-1])
+        if self.world.network:
+            self.world.lose(len(self.world.network) - 1)
+            self.go_on(len(self.world.network))
+
+    @rule(place=PLACES)
+    def caller_repeats_unknown(self, place):
+        sends = self.world.sends.values()
+        unknown = [s for s in sends if isinstance(s.result, Unknown) and s.ticket]
+        if unknown:
+            send = unknown[-1 - place % min(3, len(unknown))]
+            self.world.submit(
+                send.request_id, send.idempotent, send.ticket, True, send.keyed
+            )
+
+    @rule(place=PLACES, busy=st.booleans())
+    def key_moves_as_planned(self, place, busy):
+        world = self.world
+        if not busy:
+            self.go_on(12)
+        world.guards[world.owner].feed(guard.StopAdmitting(SLICE))
+        others = [n for n in NODES if n != world.owner]
+        world.hand_over(others[place % 2], lose_book=False)
+        world.tell_rows()
 
     @precondition(lambda self: self.world.sends)
     @rule(place=PLACES, with_ticket=st.booleans())
@@ -47,7 +82,9 @@
         resent = not isinstance(send.result, NotRun) or send.ticket is None
         others = [s for s in self.world.sends.values() if s is not send]
         same = any(s.request_id == send.request_id for s in others)
-        self.world.submit(send.request_id, send.idempotent, ticket, resent or same)
+        self.world.submit(
+            send.request_id, send.idempotent, ticket, resent or same, send.keyed
+        )
 
     @precondition(lambda self: self.world.network)
     @rule(place=PLACES)
@@ -117,6 +154,9 @@
 
     @rule(count=st.integers(2, 6))
     def things_go_on(self, count):
+        self.go_on(count)
+
+    def go_on(self, count):
         for _ in range(count):
             if self.world.network:
                 self.world.deliver(0)
--- a/features/requests_world.py
+++ b/features/requests_world.py
@@ -40,6 +40,7 @@
     idempotent: bool
     sent_at: float
     ticket: int | None = None
+    keyed: bool = True
     asked_ticket: int | None = None
     resent: bool = False
     result: object = None
@@ -53,6 +54,7 @@
     action: entry.Try
     request_id: str
     idempotent: bool
+    keyed: bool
 
 
 @dataclass
@@ -154,7 +156,7 @@
                 message.request_id,
                 len(message.request_id),
                 "families",
-                SLICE,
+                SLICE if message.keyed else None,
                 message.idempotent,
                 act.deadline,
                 act.ticket,
@@ -286,7 +288,7 @@
                 case entry.Try():
                     send = self.sends[action.request]
                     self.network.append(
-                        TryMessage(action, send.request_id, send.idempotent)
+                        TryMessage(action, send.request_id, send.idempotent, send.keyed)
                     )
                 case entry.Deliver():
                     self.deliver_answer(action)
@@ -345,7 +347,7 @@
 
     def dispatch(self, fake: FakeGuard, action: guard.Dispatch) -> None:
         """Carries out a dispatch if the right holds."""
-        if not self.holds_right(fake, action.token):
+        if action.slice and not self.holds_right(fake, action.token):
             event = guard.UpstreamFailed(action.request_id, False, False)
             fake.feed(event)
             return
@@ -399,7 +401,9 @@
 
     # Callers and the oracle.
 
-    def submit(self, request_id: str, idempotent: bool, ticket, resent: bool) -> None:
+    def submit(
+        self, request_id: str, idempotent: bool, ticket, resent: bool, keyed=True
+    ) -> None:
         """Lets a caller send a request."""
         number = len(self.sends) + 1
         send = Send(
@@ -407,6 +411,7 @@
             request_id,
             idempotent,
             self.now,
+            keyed=keyed,
             asked_ticket=ticket,
             resent=resent,
         )
@@ -416,7 +421,7 @@
                 number,
                 request_id,
                 "box-office",
-                SLICE,
+                SLICE if keyed else None,
                 idempotent,
                 self.now + DEADLINE_S,
                 ticket,
--- a/rosemarydeal/policy/guard.py
+++ b/rosemarydeal/policy/guard.py
@@ -86,8 +86,9 @@
     """
     state, first = _react(state, event, now)
     state, late = _drop_expired(state, now)
+    state, claims = _claim_suspects(state, now)
     state, dispatched = _pump(state, now)
-    return state, (*first, *late, *dispatched)
+    return state, (*first, *late, *claims, *dispatched)
 
 
 def _react(state: GuardState, event: GuardEvent, now: float) -> Step:
@@ -290,7 +291,7 @@
             break
         lone = _suspect_runs(state)
         queue, request_id = fairqueue.pop(
-            state.queue, lambda i, s=state, x=lone: _eligible(s, i, x)
+            state.queue, lambda i, s=state, x=lone: _eligible(s, i, x, now)
         )
         if request_id is None:
             break
@@ -310,12 +311,35 @@
     )
 
 
-def _eligible(state: GuardState, request_id: str, suspect_runs: bool) -> bool:
+def _eligible(
+    state: GuardState, request_id: str, suspect_runs: bool, now: float
+) -> bool:
     """Says whether a waiting request may be dispatched beside what runs."""
-    if not suspect_runs:
-        return True
     fingerprint = state.live[request_id].request.fingerprint
-    return not suspects.is_suspect(state.suspects, fingerprint)
+    if not suspects.is_suspect(state.suspects, fingerprint):
+        return True
+    if suspect_runs:
+        return False
+    return suspects.may_try(state.suspects, state.settings.node, fingerprint, now)
+
+
+def _claim_suspects(state: GuardState, now: float) -> Step:
+    """Claims the suspects that wait, before any of them is tried."""
+    if not state.suspects.records or not state.queue.size:
+        return state, ()
+    settings = state.settings
+    actions: list[GuardAction] = []
+    for live in state.live.values():
+        fingerprint = live.request.fingerprint
+        book = state.suspects
+        waits = not live.runs and suspects.is_suspect(book, fingerprint)
+        if waits and suspects.needs_claim(book, fingerprint, now):
+            book, notice = suspects.claim(
+                book, settings.service, settings.node, fingerprint, now
+            )
+            state = replace(state, suspects=book)
+            actions.append(TellSuspects(notice))
+    return state, tuple(actions)
 
 
 def _dispatch(
--- a/rosemarydeal/policy/suspects.py
+++ b/rosemarydeal/policy/suspects.py
@@ -2,11 +2,11 @@
 
 Each fingerprint in flight when an upstream crashed becomes a suspect of that
 crash, and all processes of the service are told. A suspect of two crashes is
-blamed and refused. Suspects run one at a time beside requests that are not
-suspects, so that a second crash has one suspect of the first in flight and
-nobody is blamed for another's crash. A request that completes is cleared.
-Records only grow by crash and by clearance, so notices may come in any order
-and more than once.
+blamed and refused. A suspect is tried by one process at a time, which claims
+it first, and there beside requests that are not suspects. So a second crash
+has one suspect of the first in flight, and nobody is blamed for another's. A
+request that completes is cleared. Records only grow by crash and by clearance,
+so notices may come in any order and more than once.
 """
 
 from __future__ import annotations
@@ -18,13 +18,17 @@
 from rosemarydeal.core.messages import SuspectNotice
 
 __all__ = [
+    "Claim",
     "Record",
     "Suspects",
+    "claim",
     "clear",
     "crash",
     "expire",
     "is_blamed",
     "is_suspect",
+    "may_try",
+    "needs_claim",
     "receive",
     "retell",
     "suspected",
@@ -35,6 +39,9 @@
 RETELL_S = 1.0
 RETELL_FOR_S = 60.0
 OWN_NOTICES_MAX = 16
+CLAIM_PREFIX = "claim/"
+CLAIM_SETTLES_S = 0.02
+CLAIM_LASTS_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +64,14 @@
         return self.crashes - self.cleared
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Says which process alone may try a suspect, and since when."""
+
+    node: str
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Suspects:
     """Holds the records by fingerprint and what this process tells of them.
@@ -67,6 +82,7 @@
         notices: Notices that are told again, as they may get lost.
         made_at: Moments at which those were made.
         told_at: Moment at which they were last told.
+        claims: Processes that try suspects, by fingerprint.
     """
 
     records: immutables.Map[int, Record] = field(default_factory=immutables.Map)
@@ -74,6 +90,7 @@
     notices: tuple[SuspectNotice, ...] = ()
     made_at: tuple[float, ...] = ()
     told_at: float = 0.0
+    claims: immutables.Map[int, Claim] = field(default_factory=immutables.Map)
 
 
 def _standing(suspects: Suspects, fingerprint: int) -> frozenset[str]:
@@ -149,6 +166,9 @@
 
 def receive(suspects: Suspects, notice: SuspectNotice, now: float) -> Suspects:
     """Merges a notice into the records."""
+    if notice.crash_id.startswith(CLAIM_PREFIX):
+        node = notice.crash_id.removeprefix(CLAIM_PREFIX)
+        return _hear_claim(suspects, node, notice.suspects, now)
     records = suspects.records
     crash_id = frozenset({notice.crash_id})
     for fingerprint in notice.suspects:
@@ -163,6 +183,45 @@
     return _bounded(replace(suspects, records=records))
 
 
+def needs_claim(suspects: Suspects, fingerprint: int, now: float) -> bool:
+    """Says whether nobody claims a suspect, so that it may be claimed."""
+    held = suspects.claims.get(fingerprint)
+    return held is None or now - held.at > CLAIM_LASTS_S
+
+
+def claim(
+    suspects: Suspects, service: str, node: str, fingerprint: int, now: float
+) -> tuple[Suspects, SuspectNotice]:
+    """Claims a suspect for this process, so that no other one tries it.
+
+    Returns:
+        The records and the notice for the other processes.
+    """
+    notice = SuspectNotice(service, CLAIM_PREFIX + node, (fingerprint,))
+    return _hear_claim(suspects, node, (fingerprint,), now), notice
+
+
+def _hear_claim(
+    suspects: Suspects, node: str, fingerprints: tuple[int, ...], now: float
+) -> Suspects:
+    """Takes a claim in; of two at the same time the lower name wins."""
+    claims = suspects.claims
+    for fingerprint in fingerprints:
+        held = claims.get(fingerprint)
+        free = needs_claim(suspects, fingerprint, now)
+        if free or node < held.node:
+            claims = claims.set(fingerprint, Claim(node, now))
+    return replace(suspects, claims=claims)
+
+
+def may_try(suspects: Suspects, node: str, fingerprint: int, now: float) -> bool:
+    """Says whether this process holds a claim that rivals would have met."""
+    held = suspects.claims.get(fingerprint)
+    if held is None or held.node != node:
+        return False
+    return CLAIM_SETTLES_S <= now - held.at <= CLAIM_LASTS_S
+
+
 def _bounded(suspects: Suspects) -> Suspects:
     """Drops the oldest records beyond the bound, blamed ones last."""
     excess = len(suspects.records) - RECORDS_MAX
@@ -203,7 +262,8 @@
 def expire(suspects: Suspects, now: float, window_s: float) -> Suspects:
     """Forgets records without a crash for the length of the window."""
     old = [f for f, record in suspects.records.items() if now - record.at > window_s]
-    records = suspects.records
+    records, claims = suspects.records, suspects.claims
     for fingerprint in old:
         records = records.delete(fingerprint)
-    return replace(suspects, records=records) if old else suspects
+        claims = claims.delete(fingerprint) if fingerprint in claims else claims
+    return replace(suspects, records=records, claims=claims) if old else suspects
