Catch a slice reported idle too early, and ask knowledge of the right tokens only

Change: the world checks the upstream's jobs when a slice is reported idle, lets orders break more often, and demands knowledge only of tokens that an owner served under.

--- a/features/requests_machine.py
+++ b/features/requests_machine.py
@@ -47,6 +47,8 @@
         self.go_on(1)
         if runs and self.world.jobs:
             self.world.finish_job(self.world.jobs[-1])
+        elif self.world.jobs:
+            self.world.break_job(self.world.jobs[-1])
         if self.world.network:
             self.world.lose(len(self.world.network) - 1)
             self.go_on(len(self.world.network))
--- a/features/requests_world.py
+++ b/features/requests_world.py
@@ -142,6 +142,7 @@
                 self.book = action.ledger
                 world.book_made_at = world.now
             case guard.ReportIdle():
+                world.check_idle(self)
                 self.idle = True
 
     def arrive(self, message: TryMessage) -> None:
@@ -387,6 +388,12 @@
         latency = self.now - job.began
         job.guard.feed(guard.UpstreamAnswered(job.request_id, 200, 10, latency))
 
+    def check_idle(self, fake: FakeGuard) -> None:
+        """Checks that nothing of the slice runs at a guard that reports it idle."""
+        names = {job.request_id for job in self.jobs if job.guard is fake}
+        keyed = {s.request_id for s in self.sends.values() if s.keyed}
+        assert not names & keyed, "reported idle while a request runs"
+
     def shed_job(self, job: Job) -> None:
         """Lets the upstream refuse a job that it has not taken up."""
         if not job.ran:
@@ -491,7 +498,9 @@
         if last.node != fake.node:
             return False
         if send.asked_ticket is not None:
-            served = any(era.token == send.asked_ticket for era in self.eras)
-            later = (era for era in self.eras if era.since >= first)
-            return served and all(era.clean for era in later)
+            tokens = [era.token for era in self.eras]
+            if send.asked_ticket not in tokens:
+                return False
+            later = self.eras[tokens.index(send.asked_ticket) + 1 :]
+            return all(era.clean for era in later)
         return self.age_of(send.request_id) is not None and first > last.known_from
