Count the unknowns of first sends apart from those of repeats

Change: the bound of one half holds for requests that are sent for the first time; repeats are counted apart, and an unknown of a repeat that the guard could have known still fails by itself.

--- a/features/requests_world.py
+++ b/features/requests_world.py
@@ -461,7 +461,8 @@
             ran = self.runs[send.request_id] > 0 and not send.idempotent
             assert superseded or not ran, told
         else:
-            self.outcomes["unknown"] += 1
+            again = " again" if send.resent else ""
+            self.outcomes[f"unknown{again}"] += 1
 
     def check_outcome(
         self, fake: FakeGuard, request_id: str, outcome, number: int
