Measure whole processes in peace and the news of a changed chunk

Cause: the slopes left sockets, encryption and the daemon's tasks out. Change: deployments of 3 to 12 VMs run in one process in peace; the bytes of one changed chunk on the wire are taken by its slices.

--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,69 @@
+"""Measures what a whole process costs while no request comes.
+
+All VMs of a small deployment run in one process on loopback, each with its
+stand-in upstream; the slope over their number is the cost of one VM, sockets,
+encryption and announcements included.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from rosemarydeal.daemon import log
+from rosemarydeal.demo.fleet import DeploymentFleet, FleetPlan
+
+__all__ = ["PeaceCosts", "measure_peace"]
+
+NETWORK = 43
+SETTLE_S = 20.0
+SPAN_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeaceCosts:
+    """Holds the costs of a whole deployment in peace, per second.
+
+    Attributes:
+        cpu: Processor time, in seconds.
+        peer_bytes: Bytes sent to peers, without encryption and headers.
+        platform_calls: Calls to the platform, waiting watches included.
+    """
+
+    cpu: float
+    peer_bytes: float
+    platform_calls: float
+
+
+def measure_peace(vms: int) -> PeaceCosts:
+    """Measures a deployment of a number of VMs."""
+    log.configure("error", sys.stderr)
+    return asyncio.run(_measure(vms))
+
+
+async def _measure(vms: int) -> PeaceCosts:
+    """Runs the deployment and measures it once it has settled."""
+    plan = FleetPlan(Path("examples/fremantle.json"), NETWORK, {"box-office": vms})
+    fleet = DeploymentFleet(plan)
+    await fleet.start()
+    try:
+        await asyncio.sleep(SETTLE_S)
+        before = _counters(fleet)
+        cpu = time.process_time()
+        await asyncio.sleep(SPAN_S)
+        cpu = time.process_time() - cpu
+        after = _counters(fleet)
+    finally:
+        await fleet.stop()
+    sent, calls = (late - early for late, early in zip(after, before, strict=True))
+    return PeaceCosts(cpu / SPAN_S, sent / SPAN_S, calls / SPAN_S)
+
+
+def _counters(fleet: DeploymentFleet) -> tuple[int, int]:
+    """Returns the bytes sent to peers and the calls to the platform so far."""
+    links = [station.process.peer_counters for station in fleet.running()]
+    sent = sum(link.sent_bytes for link in links)
+    return sent, sum(fleet.platform.calls.values())
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -14,6 +14,7 @@
 import sys
 import time
 import tracemalloc
+import zlib
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from pathlib import Path
@@ -28,6 +29,7 @@
 from rosemarydeal.policy.interface import ChunkRead, MemberRead, RightGained, Send, Tick
 from rosemarydeal.settings import load_deployment
 
+from .idle import measure_peace
 from .slopes_fleet import SERVICE, OwnerDrive, chunks, members
 
 __all__ = ["Slope", "main"]
@@ -340,7 +342,65 @@
     ]
 
 
+def whole_process() -> list[Slope]:
+    """Measures whole processes in peace, beside their stand-in upstreams."""
+    sizes = (3, 6, 9, 12)
+    runs = [measure_peace(size) for size in sizes]
+    return [
+        fit(
+            "whole process",
+            "processor",
+            "s/s",
+            "VM",
+            sizes,
+            tuple(r.cpu for r in runs),
+            1,
+        ),
+        fit(
+            "whole process",
+            "sent to peers",
+            "B/s",
+            "VM",
+            sizes,
+            tuple(r.peer_bytes for r in runs),
+            1,
+        ),
+        fit(
+            "platform",
+            "calls",
+            "1/s",
+            "VM",
+            sizes,
+            tuple(r.platform_calls for r in runs),
+            12,
+        ),
+    ]
+
+
+def chunk_news() -> list[Slope]:
+    """Measures what one changed chunk costs each process on the wire."""
+    sizes = (8, 16, 32, 64)
+    fleet = members(160)
+    values = tuple(
+        float(len(zlib.compress(objects.encode(chunks(fleet, size)[0]))))
+        for size in sizes
+    )
+    return [
+        fit(
+            "configuration relay",
+            "bytes of a changed chunk",
+            "B",
+            "slice",
+            sizes,
+            values,
+            64,
+        )
+    ]
+
+
 MEASUREMENTS = (
+    whole_process,
+    chunk_news,
     lease_by_nodes,
     ownership_by_rows,
     rows_known,
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -13,7 +13,7 @@
 from rosemarydeal.core.messages import JoinAsk
 from rosemarydeal.core.operator import CONFIG_KEY
 from rosemarydeal.core.status import NodeStatus, SliceStatus
-from rosemarydeal.peers import PeerLink, PeerLinkSettings
+from rosemarydeal.peers import PeerCounters, PeerLink, PeerLinkSettings
 from rosemarydeal.platform import Platform, PlatformClient, PlatformSettings
 from rosemarydeal.policy import alarms, guard, ownership, versions
 from rosemarydeal.policy.interface import (
@@ -114,6 +114,11 @@
         """Returns the client of the platform."""
         return self._platform
 
+    @property
+    def peer_counters(self) -> PeerCounters:
+        """Returns the counters of the link to peers."""
+        return self._link.counters
+
     @property
     def failed(self) -> asyncio.Event:
         """Returns the event that is set when a task of the process fails."""
