Refuse new work at a place that is out, and place only with all orders known

Cause: the guard never asked whether operators had taken its place out, so that the 3 s bound hung on platform writes; a restarted process proposed before it had read the operators' orders. Change: a guard 3 s after its zone or upstream was taken out refuses as not run with the code moving; placement begins once the platform was read in whole.

--- a/rosemarydeal/daemon/control.py
+++ b/rosemarydeal/daemon/control.py
@@ -152,9 +152,12 @@
     def take_orders(self, orders: OperatorOrders) -> None:
         """Takes in which availability zones and upstreams get no new work."""
         self._orders = orders
+        self._hooks.on_view(MembersChanged(self._members_for_entry()))
+        if not self._records.complete.is_set():
+            # Orders may be missing yet; without them nothing is placed.
+            return
         self._step_placement(control.ZonesChanged(orders.zones.names))
         self._step_placement(control.UpstreamsDrained(orders.upstreams.names))
-        self._hooks.on_view(MembersChanged(self._members_for_entry()))
 
     def replay(self) -> None:
         """Queues all objects that were learnt before this task began."""
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -50,6 +50,9 @@
 MS_PER_S = 1000.0
 LATE_ANSWER_S = 2.0
 
+OUT_DETAIL = "Operators took the upstream out; its keys move."
+OUT_RETRY_AFTER_S = 0.1
+
 _log = structlog.get_logger()
 
 
@@ -68,6 +71,7 @@
     """Connects the guard to the other tasks of the process.
 
     Attributes:
+        may_admit: Says whether operators let new work in here.
         right: Returns the right to dispatch in a slice at this moment.
         on_idle: Called when a slice that stopped admitting has drained.
         on_connect_failed: Called when the upstream takes no connection.
@@ -75,6 +79,7 @@
         on_ledger: Called with the ids of a slice that is handed over.
     """
 
+    may_admit: Callable[[], bool]
     right: Callable[[SliceId], Right | None]
     on_idle: Callable[[SliceId], None]
     on_connect_failed: Callable[[], None]
@@ -152,6 +157,8 @@
         Returns:
             The answer, or why there is none.
         """
+        if not self._hooks.may_admit():
+            return Refused(NotRun("moving", OUT_DETAIL, OUT_RETRY_AFTER_S))
         self._waiter_count += 1
         waiter = self._waiter_count
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -25,6 +25,7 @@
     UpstreamDied,
     UpstreamReady,
 )
+from rosemarydeal.policy.zones import ZoneSettings, may_admit_when_out
 from rosemarydeal.proxy import HttpServer
 from rosemarydeal.settings import NodeSettings
 
@@ -74,6 +75,7 @@
         )
         self._in_force = InForce()
         self._orders = OperatorOrders()
+        self._out_since: float | None = None
         self._alarms = alarms.AlarmState()
         self._configured = asyncio.Event()
         self._failed = asyncio.Event()
@@ -248,6 +250,7 @@
     def _guard_hooks(self) -> GuardHooks:
         """Connects the guard to the other tasks."""
         return GuardHooks(
+            may_admit=self._may_admit,
             right=lambda s: self._control.right(s) if self._control else None,
             on_idle=lambda s: self._control.post(SliceIdle(s)),
             on_connect_failed=self._upstream.connect_failed,
@@ -315,10 +318,16 @@
         self._control.take_orders(self._orders)
         self._put_in_force()
         self._spawn(self._report_load())
+        self._spawn(self._take_orders_when_complete())
         if self._upstream.up:
             self._control.post(UpstreamReady())
         await self._control.run()
 
+    async def _take_orders_when_complete(self) -> None:
+        """Lets placement begin once all orders of the operators are known."""
+        await self._records.complete.wait()
+        self._control.take_orders(self._orders)
+
     async def _report_load(self) -> None:
         """Measures the load of the own upstream until cancelled."""
         while True:
@@ -345,6 +354,10 @@
         if orders is self._orders:
             return
         self._orders = orders
+        if not orders.wants_out(self._settings.place):
+            self._out_since = None
+        elif self._out_since is None:
+            self._out_since = now()
         zones, upstreams = sorted(orders.zones.names), sorted(orders.upstreams.names)
         _log.info("orders_in_force", zones_out=zones, upstreams_drained=upstreams)
         if self._control is not None:
@@ -405,6 +418,10 @@
         if self._control is not None:
             self._control.post(DrainAsked())
 
+    def _may_admit(self) -> bool:
+        """Says whether the guard may take new work, by the operators' orders."""
+        return may_admit_when_out(self._out_since, now(), ZoneSettings())
+
     def _tell_suspects(self, action: guard.TellSuspects) -> None:
         """Sends a notice of suspects to all processes of the service."""
         if self._control is not None:
--- a/rosemarydeal/daemon/records.py
+++ b/rosemarydeal/daemon/records.py
@@ -69,6 +69,7 @@
         self._random = random.Random(state.seed)
         self._listeners: list[Callable[[Versioned], None]] = []
         self._reachable = False
+        self._complete = asyncio.Event()
         self._revision = 0
         self._refreshed: dict[str, float] = {}
         self._reads: set[asyncio.Task[None]] = set()
@@ -86,6 +87,11 @@
         """Says whether the platform answered the last call."""
         return self._reachable
 
+    @property
+    def complete(self) -> asyncio.Event:
+        """Returns the event that is set once the platform was read in whole."""
+        return self._complete
+
     def subscribe(self, listener: Callable[[Versioned], None]) -> None:
         """Calls a listener with each new version of an object."""
         self._listeners.append(listener)
@@ -204,6 +210,7 @@
         self._revision = changes.revision
         for found in changes.objects:
             self.learn(found)
+        self._complete.set()
 
     def _note_failure(self, error: PlatformError) -> None:
         """Logs the begin of an outage."""
--- a/rosemarydeal/policy/zones.py
+++ b/rosemarydeal/policy/zones.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from rosemarydeal.core import Member, MemberPhase, Row, SliceId
+from rosemarydeal.core import Row, SliceId
 
 from .fleet import FleetView
 
@@ -20,7 +20,7 @@
     "ZoneVerdict",
     "held_back",
     "judge_zones_out",
-    "may_admit_in_zone",
+    "may_admit_when_out",
 ]
 
 
@@ -110,17 +110,14 @@
     return frozenset(row.slice for row in rows[due:])
 
 
-def may_admit_in_zone(
-    member: Member, out_since: float | None, now: float, settings: ZoneSettings
+def may_admit_when_out(
+    out_since: float | None, now: float, settings: ZoneSettings
 ) -> bool:
     """Tells whether a process may still admit new work, with or without moves.
 
     Args:
-        member: The process's own record.
-        out_since: Moment at which its zone was taken out; None while it is in.
+        out_since: Moment at which operators took its place out; None while in.
         now: The present moment, in seconds.
         settings: Tunes the deadline.
     """
-    if member.phase not in (MemberPhase.UP, MemberPhase.DRAINING):
-        return False
     return out_since is None or now < out_since + settings.deadline_s
