Keep both bounds on outcomes under faults

Cause: the count of unknowns was split into first sends and repeats, and the share of answers lost its own bound on the way.

--- a/features/steps/requests_steps.py
+++ b/features/steps/requests_steps.py
@@ -14,7 +14,11 @@
 @then("every caller was told the truth and most work was answered")
 def step_counts(context):
     print("outcomes under faults:", dict(sorted(context.totals.items())))
-    assert context.totals["answer"] > context.totals["unknown"], context.totals
+    answers, unknown = context.totals["answer"], context.totals["unknown"]
+    told = answers + context.totals["not run"] + unknown
+    assert answers > 0.3 * told, context.totals
+    assert unknown < 0.5 * told, context.totals
+    assert answers > unknown, context.totals
 
 
 @then("one request that crashes upstreams crashes two, and only it is blamed")
