--- a/features/guard.feature
+++ b/features/guard.feature
@@ -70,3 +70,14 @@
     Then the guard has not reported the slice idle
     When the upstream answers order A
     Then the guard reports the slice idle
+
+  Scenario: The very first owner of a key knows that a repeat never ran
+    Given a guard that is the very first owner of the key
+    When order A is sent again without a ticket from waiter 1
+    Then the guard dispatched 1 request
+
+  Scenario: A later owner does not know that, and says so
+    Given a guard that follows an unknown owner of the key
+    When order A is sent again without a ticket from waiter 1
+    Then the guard dispatched 0 request
+    And waiter 1 is told unknown with code owner-changed
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -1,7 +1,7 @@
 from behave import given, then, when
 
 from features.builders_requests import SLICE, GuardDriver
-from rosemarydeal.core import NotRun, Unknown
+from rosemarydeal.core import TOKEN_RANKS, NotRun, Unknown
 from rosemarydeal.core.messages import KnownRequest, LedgerHandOver, TokenRange
 from rosemarydeal.policy import guard
 
@@ -104,3 +104,18 @@
     (action,) = context.guard.of(guard.HandOverLedger)
     assert [entry.request_id for entry in action.ledger.entries] == [name]
     assert context.guard.of(guard.ReportIdle)
+
+
+@given("a guard that is the very first owner of the key")
+def step_first_owner(context):
+    context.guard = GuardDriver(token=TOKEN_RANKS)
+
+
+@given("a guard that follows an unknown owner of the key")
+def step_later_owner(context):
+    context.guard = GuardDriver(token=TOKEN_RANKS + 1)
+
+
+@when("order {name} is sent again without a ticket from waiter {waiter:d}")
+def step_no_ticket(context, name, waiter):
+    context.guard.arrive(waiter, name, resent=True, ticket=None)
--- a/rosemarydeal/policy/tickets.py
+++ b/rosemarydeal/policy/tickets.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from rosemarydeal.core import SliceId
+from rosemarydeal.core import TOKEN_RANKS, SliceId
 from rosemarydeal.core.messages import LedgerHandOver, TokenRange
 
 from .interface import RightGained
@@ -27,6 +27,9 @@
     "lose",
 ]
 
+FIRST_TOKEN = TOKEN_RANKS
+"""Token of a slice's very first owner: rank 0 of a row's first version."""
+
 
 class Verdict(Enum):
     """Says what an unrecorded id means."""
@@ -90,7 +93,7 @@
         held=True,
         admitting=True,
         gained_at=now,
-        since=right.since if follows else now,
+        since=_known_since(right, gained, follows, now),
         given_away=False,
     )
     if gained.token <= right.token:
@@ -105,6 +108,15 @@
     return replace(fresh, since=right.handed_at - handed.complete_s)
 
 
+def _known_since(
+    right: SliceRight, gained: RightGained, follows: bool, now: float
+) -> float:
+    """Returns from when on all requests of a slice came here, in seconds."""
+    if gained.token == FIRST_TOKEN:
+        return float("-inf")
+    return right.since if follows else now
+
+
 def _grown(right: SliceRight, token: int, follows: bool) -> tuple[TokenRange, ...]:
     """Returns the covered tickets with those of a new token."""
     if not follows or not right.covers or right.given_away:
