--- a/features/operators_live.feature
+++ b/features/operators_live.feature
@@ -11,7 +11,7 @@
     And the live command notes "version 2 is in force on all 4"
     When the live operator applies the file again against an old version
     Then the live command exits with 4
-    When the live operator runs "slices box-office"
+    When the live operator runs "slices box-office" until all 256 are placed
     Then the live command shows 256 slices
     When the live operator runs "availability-zone out perth-b"
     Then the live command exits with 0
--- a/features/steps/operators_live_steps.py
+++ b/features/steps/operators_live_steps.py
@@ -118,7 +118,16 @@
     assert text in context.live.results, context.live.results
 
 
+def slice_lines(text):
+    return [line for line in text.splitlines() if line.startswith("box-office")]
+
+
+@when('the live operator runs "{command}" until all {count:d} are placed')
+def step_until_placed(context, command, count):
+    # Each chunk is first written on its own, some a little later than others.
+    run_until(context, command.split(), lambda text: len(slice_lines(text)) >= count)
+
+
 @then("the live command shows {count:d} slices")
 def step_slices(context, count):
-    lines = context.live.results.splitlines()
-    assert len([line for line in lines if line.startswith("box-office")]) == count
+    assert len(slice_lines(context.live.results)) == count
