Split the files that had grown large

Cause: guard, process and slopes had each taken on a second job. Change: exchange.py prepares and reads requests of the upstream, startup.py derives what tasks start with, slopes_states.py brings policies to a size.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,7 +9,6 @@
 
 import gc
 import json
-import random
 import statistics
 import sys
 import time
@@ -19,18 +18,25 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
-from rosemarydeal.core import Address, SliceId, Versioned
+from rosemarydeal.core import Address
 from rosemarydeal.core.request_key import KeyRule
 from rosemarydeal.core.routes import RoutesReply, build_routes, encode_routes
 from rosemarydeal.daemon import objects
-from rosemarydeal.peers import encode
-from rosemarydeal.policy import control, guard, versions
-from rosemarydeal.policy.hotkeys import HotKeySketch
-from rosemarydeal.policy.interface import ChunkRead, MemberRead, RightGained, Send, Tick
-from rosemarydeal.settings import load_deployment
 
 from .idle import measure_peace
-from .slopes_fleet import SERVICE, OwnerDrive, chunks, members
+from .slopes_fleet import SERVICE, chunks, members
+from .slopes_states import (
+    deployment,
+    exchange,
+    full_guard,
+    guard_cpu,
+    learnt,
+    learnt_rows,
+    load,
+    peace,
+    proposer_cpu,
+    sketch,
+)
 
 __all__ = ["Slope", "main"]
 
@@ -72,23 +78,6 @@
     at_target: float
 
 
-@dataclass(frozen=True, slots=True)
-class Costs:
-    """Holds what one run cost.
-
-    Attributes:
-        cpu: Processor time, in seconds per second or per operation.
-        memory: Bytes allocated and kept.
-        traffic: Bytes to and from peers, per second.
-        messages: Messages to and from peers, per second.
-    """
-
-    cpu: float = 0.0
-    memory: float = 0.0
-    traffic: float = 0.0
-    messages: float = 0.0
-
-
 def fit(
     role: str,
     cost: str,
@@ -143,8 +132,8 @@
 def lease_by_nodes() -> list[Slope]:
     """Measures holder and witness by the number of nodes known."""
     sizes = (20, 80, 320, 620)
-    runs = [_peace(size, 0) for size in sizes]
-    memory = tuple(kept_bytes(lambda n=size: _learnt(n, 0)) for size in sizes)
+    runs = [peace(size, 0) for size in sizes]
+    memory = tuple(kept_bytes(lambda n=size: learnt(n, 0)) for size in sizes)
     return [
         fit(
             "lease holder and witness",
@@ -181,7 +170,7 @@
     """Measures ownership by the rows that name the node."""
     nodes, sizes = 64, (1280, 2560, 4096, 8192)
     named = tuple(size * 3 // nodes for size in sizes)
-    runs = [_peace(nodes, size) for size in sizes]
+    runs = [peace(nodes, size) for size in sizes]
     return [
         fit(
             "owner",
@@ -199,7 +188,7 @@
     """Measures what the knowledge of all rows of the fleet costs."""
     sizes = (2_560, 5_120, 10_240, 20_480)
     fleet = members(160)
-    memory = tuple(kept_bytes(lambda n=size: _learnt_rows(fleet, n)) for size in sizes)
+    memory = tuple(kept_bytes(lambda n=size: learnt_rows(fleet, n)) for size in sizes)
     wire = tuple(
         float(sum(len(objects.encode(c)) for c in chunks(fleet, size)))
         for size in sizes
@@ -221,7 +210,7 @@
 def proposer_by_nodes() -> list[Slope]:
     """Measures a proposer's look at its slices in peace."""
     sizes = (20, 40, 80, 160, 320)
-    values = tuple(_proposer_cpu(size) for size in sizes)
+    values = tuple(proposer_cpu(size) for size in sizes)
     return [
         fit(
             "proposer",
@@ -238,7 +227,7 @@
 def relay_by_nodes() -> list[Slope]:
     """Measures the exchange of versions in peace and for one change."""
     sizes = (20, 80, 320, 620)
-    runs = [_exchange(size) for size in sizes]
+    runs = [exchange(size) for size in sizes]
     return [
         fit(
             "configuration relay",
@@ -264,8 +253,8 @@
 def guard_by_ids() -> list[Slope]:
     """Measures the guard by the request ids that it remembers."""
     sizes = (1_000, 4_000, 16_000, 64_000)
-    memory = tuple(kept_bytes(lambda n=size: _full_guard(n)) for size in sizes)
-    cpu = tuple(_guard_cpu(size) for size in sizes)
+    memory = tuple(kept_bytes(lambda n=size: full_guard(n)) for size in sizes)
+    cpu = tuple(guard_cpu(size) for size in sizes)
     return [
         fit("guard", "memory", "B", "request id", sizes, memory, TARGET_IDS),
         fit(
@@ -277,7 +266,7 @@
 def hot_keys() -> list[Slope]:
     """Measures the sketch of hot keys by the keys that pass it."""
     sizes = (1_000, 10_000, 100_000, 400_000)
-    memory = tuple(kept_bytes(lambda n=size: _sketch(n)) for size in sizes)
+    memory = tuple(kept_bytes(lambda n=size: sketch(n)) for size in sizes)
     return [
         fit(
             "hot key sketch",
@@ -294,8 +283,8 @@
 def configuration() -> list[Slope]:
     """Measures what one change of the configuration costs a process."""
     sizes = (1, 40, 160, 620)
-    values = tuple(timed(lambda n=size: _load(n)) for size in sizes)
-    wire = tuple(float(len(_deployment(size))) for size in sizes)
+    values = tuple(timed(lambda n=size: load(n)) for size in sizes)
+    wire = tuple(float(len(deployment(size))) for size in sizes)
     return [
         fit(
             "configuration relay",
@@ -432,152 +421,5 @@
     return 0
 
 
-def _learnt(nodes: int, slices: int) -> OwnerDrive:
-    """Returns a node that knows a fleet and holds a lease."""
-    fleet = members(nodes)
-    drive = OwnerDrive(fleet)
-    drive.learn_fleet()
-    if slices:
-        drive.learn_rows(chunks(fleet, slices))
-    return drive
-
-
-def _peace(nodes: int, slices: int) -> Costs:
-    """Measures a node in peace."""
-    drive = _learnt(nodes, slices)
-    drive.run(2.0)
-    drive.traffic.size = drive.traffic.messages = 0
-    began = time.process_time()
-    drive.run(PEACE_S)
-    spent = time.process_time() - began
-    return Costs(
-        cpu=spent / PEACE_S,
-        traffic=drive.traffic.size / PEACE_S,
-        messages=drive.traffic.messages / PEACE_S,
-    )
-
-
-def _learnt_rows(fleet: tuple, slices: int) -> OwnerDrive:
-    """Returns a node that knows all rows of a fleet."""
-    drive = OwnerDrive(fleet)
-    drive.learn_fleet()
-    drive.learn_rows(chunks(fleet, slices))
-    return drive
-
-
-def _proposer_cpu(nodes: int) -> float:
-    """Returns the processor time of a proposer in peace, in s/s."""
-    fleet = members(nodes)
-    slices = 64 * nodes
-    settings = control.ControlSettings(SERVICE, slices)
-    state = control.start(settings, fleet[0].node, 1)
-    for member in fleet:
-        state, _ = control.step(state, MemberRead(1, member), 0.0)
-    for chunk in chunks(fleet, slices):
-        state, _ = control.step(state, ChunkRead(1, chunk), 0.0)
-    now = 30.0
-    for _ in range(50):
-        now += 0.1
-        state, _ = control.step(state, Tick(), now)
-    began = time.process_time()
-    steps = 200
-    for _ in range(steps):
-        now += 0.1
-        state, _ = control.step(state, Tick(), now)
-    return (time.process_time() - began) / (steps * 0.1)
-
-
-def _exchange(nodes: int) -> Costs:
-    """Measures the exchange of versions of one process in peace."""
-    fleet = members(nodes)
-    first = fleet[0]
-    settings = versions.VersionsSettings()
-    state = versions.start(settings, first.node, first.place, 0.0, 1)
-    state = versions.set_peers(state, fleet)
-    for member in fleet:
-        key = objects.member_key(member.node)
-        found = Versioned(key, 1, objects.encode(member))
-        state, _ = versions.learn(state, found)
-    now, sent = 10.0, 0
-    for _ in range(40):
-        now += 0.25
-        state, _ = versions.on_tick(state, now)
-    began = time.process_time()
-    for _ in range(400):
-        now += 0.25
-        state, actions = versions.on_tick(state, now)
-        for action in actions:
-            if isinstance(action, Send):
-                sent += len(encode(first.node, action.message))
-    spent = time.process_time() - began
-    return Costs(cpu=2 * spent / 100.0, traffic=2 * sent / 100.0)
-
-
-def _full_guard(ids: int) -> guard.GuardState:
-    """Returns a guard that remembers ended orders."""
-    settings = guard.GuardSettings(slots=100_000, cold_start_s=0.0, window_s=3600.0)
-    state = guard.start(settings, 0.0, 1)
-    slice_id = SliceId(SERVICE, 1)
-    state, _ = guard.step(state, guard.UpstreamStarted(False), 0.0)
-    state, _ = guard.step(state, RightGained(slice_id, 256), 0.0)
-    for number in range(ids):
-        state = _run_order(state, slice_id, number, 1.0 + number * 1e-3)
-    return state
-
-
-def _run_order(
-    state: guard.GuardState, slice_id: SliceId, number: int, now: float
-) -> guard.GuardState:
-    """Runs one order through a guard."""
-    arrived = guard.RequestArrived(
-        number, f"order-{number:032d}", number, "families", slice_id, False, now + 5.0
-    )
-    state, _ = guard.step(state, arrived, now)
-    answered = guard.UpstreamAnswered(arrived.request_id, 200, 200, 0.001)
-    state, _ = guard.step(state, answered, now + 0.001)
-    return state
-
-
-def _guard_cpu(ids: int) -> float:
-    """Returns the processor time of one order at a guard with many ids."""
-    state = _full_guard(ids)
-    slice_id = SliceId(SERVICE, 1)
-    count = 2_000
-    began = time.process_time()
-    for number in range(ids, ids + count):
-        state = _run_order(state, slice_id, number, 1.0 + number * 1e-3)
-    return (time.process_time() - began) / count
-
-
-def _sketch(keys: int) -> HotKeySketch:
-    """Returns a sketch that many keys passed."""
-    sketch = HotKeySketch()
-    draw = random.Random(1)
-    for _ in range(keys):
-        sketch.offer(draw.getrandbits(62))
-    return sketch
-
-
-def _deployment(branches: int) -> str:
-    """Returns a deployment file with settings for many upstreams."""
-    text = Path("examples/fremantle.json").read_text("utf-8")
-    upstreams = ", ".join(
-        f'"box-office-{n}": {{"settings": {{"limits": {{"slots": {8 + n % 8}}}}}}}'
-        for n in range(branches)
-    )
-    zone = '"perth-a": {'
-    if zone not in text:
-        raise ValueError("the example has no zone perth-a")
-    comma = "" if text.split(zone, 1)[1].lstrip().startswith("}") else ", "
-    return text.replace(zone, f'{zone}"upstreams": {{{upstreams}}}{comma}', 1)
-
-
-def _load(branches: int) -> None:
-    """Loads a deployment file as a process does at each change."""
-    settings, problems = load_deployment(_deployment(branches), "slopes.json")
-    if settings is None:
-        raise ValueError(str(problems[0]))
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/bench/slopes_states.py
@@ -0,0 +1,184 @@
+"""Brings the policies to a size and measures them there."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from rosemarydeal.core import SliceId, Versioned
+from rosemarydeal.daemon import objects
+from rosemarydeal.peers import encode
+from rosemarydeal.policy import control, guard, versions
+from rosemarydeal.policy.hotkeys import HotKeySketch
+from rosemarydeal.policy.interface import ChunkRead, MemberRead, RightGained, Send, Tick
+from rosemarydeal.settings import load_deployment
+
+from .slopes_fleet import SERVICE, OwnerDrive, chunks, members
+
+PEACE_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """Holds what one run cost.
+
+    Attributes:
+        cpu: Processor time, in seconds per second or per operation.
+        memory: Bytes allocated and kept.
+        traffic: Bytes to and from peers, per second.
+        messages: Messages to and from peers, per second.
+    """
+
+    cpu: float = 0.0
+    memory: float = 0.0
+    traffic: float = 0.0
+    messages: float = 0.0
+
+
+def learnt(nodes: int, slices: int) -> OwnerDrive:
+    """Returns a node that knows a fleet and holds a lease."""
+    fleet = members(nodes)
+    drive = OwnerDrive(fleet)
+    drive.learn_fleet()
+    if slices:
+        drive.learn_rows(chunks(fleet, slices))
+    return drive
+
+
+def peace(nodes: int, slices: int) -> Costs:
+    """Measures a node in peace."""
+    drive = learnt(nodes, slices)
+    drive.run(2.0)
+    drive.traffic.size = drive.traffic.messages = 0
+    began = time.process_time()
+    drive.run(PEACE_S)
+    spent = time.process_time() - began
+    return Costs(
+        cpu=spent / PEACE_S,
+        traffic=drive.traffic.size / PEACE_S,
+        messages=drive.traffic.messages / PEACE_S,
+    )
+
+
+def learnt_rows(fleet: tuple, slices: int) -> OwnerDrive:
+    """Returns a node that knows all rows of a fleet."""
+    drive = OwnerDrive(fleet)
+    drive.learn_fleet()
+    drive.learn_rows(chunks(fleet, slices))
+    return drive
+
+
+def proposer_cpu(nodes: int) -> float:
+    """Returns the processor time of a proposer in peace, in s/s."""
+    fleet = members(nodes)
+    slices = 64 * nodes
+    settings = control.ControlSettings(SERVICE, slices)
+    state = control.start(settings, fleet[0].node, 1)
+    for member in fleet:
+        state, _ = control.step(state, MemberRead(1, member), 0.0)
+    for chunk in chunks(fleet, slices):
+        state, _ = control.step(state, ChunkRead(1, chunk), 0.0)
+    now = 30.0
+    for _ in range(50):
+        now += 0.1
+        state, _ = control.step(state, Tick(), now)
+    began = time.process_time()
+    steps = 200
+    for _ in range(steps):
+        now += 0.1
+        state, _ = control.step(state, Tick(), now)
+    return (time.process_time() - began) / (steps * 0.1)
+
+
+def exchange(nodes: int) -> Costs:
+    """Measures the exchange of versions of one process in peace."""
+    fleet = members(nodes)
+    first = fleet[0]
+    settings = versions.VersionsSettings()
+    state = versions.start(settings, first.node, first.place, 0.0, 1)
+    state = versions.set_peers(state, fleet)
+    for member in fleet:
+        key = objects.member_key(member.node)
+        found = Versioned(key, 1, objects.encode(member))
+        state, _ = versions.learn(state, found)
+    now, sent = 10.0, 0
+    for _ in range(40):
+        now += 0.25
+        state, _ = versions.on_tick(state, now)
+    began = time.process_time()
+    for _ in range(400):
+        now += 0.25
+        state, actions = versions.on_tick(state, now)
+        for action in actions:
+            if isinstance(action, Send):
+                sent += len(encode(first.node, action.message))
+    spent = time.process_time() - began
+    return Costs(cpu=2 * spent / 100.0, traffic=2 * sent / 100.0)
+
+
+def full_guard(ids: int) -> guard.GuardState:
+    """Returns a guard that remembers ended orders."""
+    settings = guard.GuardSettings(slots=100_000, cold_start_s=0.0, window_s=3600.0)
+    state = guard.start(settings, 0.0, 1)
+    slice_id = SliceId(SERVICE, 1)
+    state, _ = guard.step(state, guard.UpstreamStarted(False), 0.0)
+    state, _ = guard.step(state, RightGained(slice_id, 256), 0.0)
+    for number in range(ids):
+        state = run_order(state, slice_id, number, 1.0 + number * 1e-3)
+    return state
+
+
+def run_order(
+    state: guard.GuardState, slice_id: SliceId, number: int, now: float
+) -> guard.GuardState:
+    """Runs one order through a guard."""
+    arrived = guard.RequestArrived(
+        number, f"order-{number:032d}", number, "families", slice_id, False, now + 5.0
+    )
+    state, _ = guard.step(state, arrived, now)
+    answered = guard.UpstreamAnswered(arrived.request_id, 200, 200, 0.001)
+    state, _ = guard.step(state, answered, now + 0.001)
+    return state
+
+
+def guard_cpu(ids: int) -> float:
+    """Returns the processor time of one order at a guard with many ids."""
+    state = full_guard(ids)
+    slice_id = SliceId(SERVICE, 1)
+    count = 2_000
+    began = time.process_time()
+    for number in range(ids, ids + count):
+        state = run_order(state, slice_id, number, 1.0 + number * 1e-3)
+    return (time.process_time() - began) / count
+
+
+def sketch(keys: int) -> HotKeySketch:
+    """Returns a sketch that many keys passed."""
+    sketch = HotKeySketch()
+    draw = random.Random(1)
+    for _ in range(keys):
+        sketch.offer(draw.getrandbits(62))
+    return sketch
+
+
+def deployment(branches: int) -> str:
+    """Returns a deployment file with settings for many upstreams."""
+    text = Path("examples/fremantle.json").read_text("utf-8")
+    upstreams = ", ".join(
+        f'"box-office-{n}": {{"settings": {{"limits": {{"slots": {8 + n % 8}}}}}}}'
+        for n in range(branches)
+    )
+    zone = '"perth-a": {'
+    if zone not in text:
+        raise ValueError("the example has no zone perth-a")
+    comma = "" if text.split(zone, 1)[1].lstrip().startswith("}") else ", "
+    return text.replace(zone, f'{zone}"upstreams": {{{upstreams}}}{comma}', 1)
+
+
+def load(branches: int) -> None:
+    """Loads a deployment file as a process does at each change."""
+    settings, problems = load_deployment(deployment(branches), "slopes.json")
+    if settings is None:
+        raise ValueError(str(problems[0]))
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import structlog
@@ -20,7 +19,6 @@
     Right,
     SliceId,
     Unknown,
-    headers,
     key_hash,
 )
 from rosemarydeal.core.clock import now
@@ -30,7 +28,6 @@
     ConnectFailed,
     Headers,
     Pool,
-    PoolSettings,
     ProxyError,
     Request,
     Response,
@@ -41,6 +38,7 @@
 )
 
 from .classify import Classified
+from .exchange import pool_settings, refusal_in, streamed, upstream_request
 from .loadmeter import UpstreamLoadMeter
 
 __all__ = ["GuardHooks", "GuardTask", "Refused", "Reply"]
@@ -114,7 +112,7 @@
         self._state = guard.start(settings, now(), 0)
         self._upstream = upstream
         self._hooks = hooks
-        self._pool = Pool(_pool_settings(settings))
+        self._pool = Pool(pool_settings(settings))
         self._waiters: dict[int, asyncio.Future[Reply]] = {}
         self._waiter_count = 0
         self._exchanges: dict[str, _Exchange] = {}
@@ -184,7 +182,7 @@
     def _renew_pool(self, settings: guard.GuardSettings) -> None:
         """Puts a changed limit of connections in force."""
         if settings.connections != self._state.settings.connections:
-            old, self._pool = self._pool, Pool(_pool_settings(settings))
+            old, self._pool = self._pool, Pool(pool_settings(settings))
             asyncio.get_running_loop().create_task(old.close())
 
     def _drop_idle_exchange(self, request_id: str) -> None:
@@ -261,12 +259,12 @@
         expires = self._dispatch_until(action)
         if expires is None:
             return guard.UpstreamFailed(action.request_id, sent=False, crashed=False)
-        request = _upstream_request(action, exchange, expires - started)
+        request = upstream_request(action, exchange.request, expires - started)
         timeout_s = action.deadline - started + LATE_ANSWER_S
         async with await self._pool.send(
             self._upstream, request, timeout_s
         ) as response:
-            refusal = _refusal(action.request_id, response)
+            refusal = refusal_in(action.request_id, response)
             if refusal is not None:
                 return refusal
             size = await self._take_answer(action, response)
@@ -316,7 +314,7 @@
         live = self._state.live.get(action.request_id)
         waiter = live.waiters[0] if live is not None and live.waiters else 0
         queue: asyncio.Queue[bytes | ProxyError | None] = asyncio.Queue(1)
-        body = _streamed(queue, pieces, lambda: self._cancel(action.request_id))
+        body = streamed(queue, pieces, lambda: self._cancel(action.request_id))
         length = find_header(response.headers, b"content-length")
         kept = end_to_end(response.headers)
         if length is not None:
@@ -331,77 +329,3 @@
             raise
         await queue.put(None)
         return size
-
-
-async def _streamed(
-    queue: asyncio.Queue[bytes | ProxyError | None],
-    pieces: list[bytes],
-    abandon: Callable[[], None],
-) -> AsyncIterator[bytes]:
-    """Yields the pieces of a large answer as they come.
-
-    Args:
-        queue: Further pieces; None ends them, an error breaks them off.
-        pieces: The pieces that came already.
-        abandon: Called when the reader leaves before the end.
-
-    Yields:
-        The pieces in order.
-    """
-    ended = False
-    try:
-        for piece in pieces:
-            yield piece
-        while not ended:
-            item = await queue.get()
-            ended = not isinstance(item, bytes)
-            if isinstance(item, ProxyError):
-                raise item
-            if item is not None:
-                yield item
-    finally:
-        if not ended:
-            abandon()
-
-
-def _upstream_request(
-    action: guard.Dispatch, exchange: _Exchange, allowed_s: float
-) -> Request:
-    """Returns the request as the upstream gets it, with its grant."""
-    kept = end_to_end(exchange.request.headers)
-    for name in headers.PRIVATE_HEADERS:
-        kept = replace_header(kept, name, None)
-    allowed_ms = b"%d" % max(0, int(allowed_s * MS_PER_S))
-    kept = replace_header(kept, headers.DEADLINE_MS, allowed_ms)
-    request_id = action.request_id.encode("latin-1")
-    kept = replace_header(kept, headers.IDEMPOTENCY_KEY, request_id)
-    if action.slice is not None:
-        grant = f"{_slice_name(action.slice)}={action.token}"
-        kept = replace_header(kept, headers.GRANT, grant.encode("ascii"))
-    return replace(exchange.request, headers=kept)
-
-
-def _slice_name(slice_id: SliceId) -> str:
-    """Returns the name of a slice in a grant."""
-    base = f"{slice_id.service}/{slice_id.index}"
-    return base if slice_id.carved < 0 else f"{base}/{slice_id.carved}"
-
-
-def _refusal(request_id: str, response: Response) -> guard.UpstreamRefused | None:
-    """Returns the upstream's truthful refusal, if the answer is one."""
-    outcome = find_header(response.headers, headers.OUTCOME)
-    if outcome != headers.OUTCOME_NOT_RUN:
-        return None
-    retry_after = find_header(response.headers, headers.RETRY_AFTER) or b""
-    seconds = 0.0
-    with contextlib.suppress(ValueError):
-        seconds = max(0.0, float(retry_after))
-    return guard.UpstreamRefused(request_id, seconds)
-
-
-def _pool_settings(settings: guard.GuardSettings) -> PoolSettings:
-    """Returns the limits of the connections to the upstream."""
-    return PoolSettings(
-        connections_per_address=settings.connections,
-        idle_per_address=settings.connections,
-    )
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -10,12 +10,11 @@
 
 from rosemarydeal.core import SliceId, Versioned, chunk_of, key_hash
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.messages import JoinAsk
 from rosemarydeal.core.operator import CONFIG_KEY
 from rosemarydeal.core.status import NodeStatus, SliceStatus
-from rosemarydeal.peers import PeerCounters, PeerLink, PeerLinkSettings
+from rosemarydeal.peers import PeerCounters, PeerLink
 from rosemarydeal.platform import Platform, PlatformClient, PlatformSettings
-from rosemarydeal.policy import alarms, guard, ownership, versions
+from rosemarydeal.policy import alarms, guard, ownership
 from rosemarydeal.policy.interface import (
     DrainAsked,
     IncarnationLost,
@@ -44,11 +43,11 @@
 from .guard import GuardHooks, GuardTask
 from .listeners import Listeners
 from .metrics import Metrics
-from .objects import WATCHED_PREFIXES
 from .operators import OperatorOrders, adopt_orders
 from .postman import Postman
-from .records import JoinSettings, RecordsTask
+from .records import RecordsTask
 from .routes import RoutesView
+from .startup import join, link_settings, seed_name, versions_state
 from .status import slice_status, with_guard, with_ownership
 from .upstream import UpstreamEvent, UpstreamTask
 
@@ -68,10 +67,10 @@
         self._settings = settings
         self._metrics = Metrics()
         self._platform = PlatformClient(PlatformSettings(settings.platform))
-        self._link = PeerLink(_link_settings(settings))
+        self._link = PeerLink(link_settings(settings))
         self._postman = Postman(settings.node, self._link)
         self._records = RecordsTask(
-            self._platform, _versions_state(settings), self._postman, _join(settings)
+            self._platform, versions_state(settings), self._postman, join(settings)
         )
         self._in_force = InForce()
         self._orders = OperatorOrders()
@@ -134,7 +133,7 @@
         )
         self._admin = await serve_admin(self._settings, views)
         for position, seed in enumerate(self._settings.seeds):
-            self._postman.introduce(_seed_name(position), seed.peer, seed.public_key)
+            self._postman.introduce(seed_name(position), seed.peer, seed.public_key)
         for run in (
             self._postman.run,
             self._records.run,
@@ -431,37 +430,3 @@
         """Sends the ids of a slice to those who may own it next."""
         if self._control is not None:
             self._control.send_to_names(action.slice, action.ledger)
-
-
-def _seed_name(position: int) -> str:
-    """Returns the name under which a seed is addressed."""
-    return f"seed/{position}"
-
-
-def _join(settings: NodeSettings) -> JoinSettings:
-    """Returns how the process gets to know its peers during an outage."""
-    ask = JoinAsk(settings.peer, settings.public_key, WATCHED_PREFIXES)
-    seeds = tuple(_seed_name(position) for position in range(len(settings.seeds)))
-    return JoinSettings(ask, seeds)
-
-
-def _versions_state(settings: NodeSettings) -> versions.VersionsState:
-    """Returns the state of a process that knows no object yet."""
-    return versions.start(
-        versions.VersionsSettings(),
-        settings.node,
-        settings.place,
-        now(),
-        secrets.randbits(64),
-    )
-
-
-def _link_settings(settings: NodeSettings) -> PeerLinkSettings:
-    """Returns the settings of the link to peers."""
-    return PeerLinkSettings(
-        settings.node,
-        settings.peer,
-        settings.public_key,
-        settings.secret_key,
-        frozenset({*settings.peer_keys, settings.public_key}),
-    )
