Say which type has no schema

Cause: the schema's generator answered a type that it doesn't know as if it were unfinished. Change: a TypeError that names the type.

--- a/rosemarydeal/settings/schema.py
+++ b/rosemarydeal/settings/schema.py
@@ -64,7 +64,7 @@
     """Describes the types that are written in another form than they have."""
     if kind is IpNumber:
         return {"type": "string", "anyOf": [{"format": "ipv4"}, {"format": "ipv6"}]}
-    raise NotImplementedError(kind)
+    raise TypeError(f"no schema for {kind}")
 
 
 def _closed(definition: dict[str, Any]) -> dict[str, Any]:
