--- a/features/builders_operators.py
+++ b/features/builders_operators.py
@@ -30,7 +30,7 @@
     chunk_of,
     slice_of,
 )
-from rosemarydeal.platform import Changes, PlatformConflict, PlatformUnavailable
+from rosemarydeal.objects import Changes, PlatformConflict, PlatformUnavailable
 from rosemarydeal.standins.store import ObjectStore
 
 __all__ = ["FakeNodes", "FakePlatform", "Stage", "member_of", "stage"]
--- a/features/builders_platform.py
+++ b/features/builders_platform.py
@@ -11,7 +11,7 @@
 from rosemarydeal.daemon.objects import WATCHED_PREFIXES
 from rosemarydeal.daemon.postman import Postman
 from rosemarydeal.daemon.records import JoinSettings, RecordsTask
-from rosemarydeal.platform import PlatformClient, PlatformSettings
+from rosemarydeal.objects import PlatformClient, PlatformSettings
 from rosemarydeal.policy import versions
 from rosemarydeal.standins.platform import StandInPlatform
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from features.builders_platform import client_of, records_of, running_platform
-from rosemarydeal.platform import PlatformConflict, PlatformUnavailable, budget
+from rosemarydeal.objects import PlatformConflict, PlatformUnavailable, budget
 
 FOLLOWED = (
     "config/current",
--- a/rosemarydeal/cli/config_commands.py
+++ b/rosemarydeal/cli/config_commands.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from rosemarydeal.core import CONFIG_KEY, history_key
-from rosemarydeal.platform import PlatformConflict, PlatformError
+from rosemarydeal.objects import PlatformConflict, PlatformError
 from rosemarydeal.settings import (
     ConfigEnvelope,
     DeploymentSettings,
--- a/rosemarydeal/cli/fleet_commands.py
+++ b/rosemarydeal/cli/fleet_commands.py
@@ -21,7 +21,7 @@
     UpstreamDrain,
     ZoneOut,
 )
-from rosemarydeal.platform import PlatformConflict
+from rosemarydeal.objects import PlatformConflict
 
 from .errors import CliError, ExitCode
 from .records import (
--- a/rosemarydeal/cli/records.py
+++ b/rosemarydeal/cli/records.py
@@ -18,7 +18,7 @@
     OperatorZones,
     history_key,
 )
-from rosemarydeal.platform import Platform, PlatformError
+from rosemarydeal.objects import Platform, PlatformError
 from rosemarydeal.settings import (
     ConfigEnvelope,
     DeploymentSettings,
--- a/rosemarydeal/cli/session.py
+++ b/rosemarydeal/cli/session.py
@@ -16,7 +16,7 @@
 from uuid import uuid4
 
 from rosemarydeal.core import Address
-from rosemarydeal.platform import Platform, PlatformClient, PlatformSettings
+from rosemarydeal.objects import Platform, PlatformClient, PlatformSettings
 from rosemarydeal.settings import parse_address
 
 from .errors import CliError, ExitCode
--- a/rosemarydeal/cli/writes.py
+++ b/rosemarydeal/cli/writes.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from rosemarydeal.platform import PlatformConflict, PlatformError, PlatformUnavailable
+from rosemarydeal.objects import PlatformConflict, PlatformError, PlatformUnavailable
 
 from .errors import CliError, ExitCode
 from .session import Session
--- a/rosemarydeal/daemon/control.py
+++ b/rosemarydeal/daemon/control.py
@@ -24,7 +24,7 @@
 )
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.messages import Message
-from rosemarydeal.platform import (
+from rosemarydeal.objects import (
     Platform,
     PlatformConflict,
     PlatformError,
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -12,8 +12,8 @@
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.operator import CONFIG_KEY
 from rosemarydeal.core.status import NodeStatus, SliceStatus
+from rosemarydeal.objects import Platform, PlatformClient, PlatformSettings
 from rosemarydeal.peers import PeerCounters, PeerLink
-from rosemarydeal.platform import Platform, PlatformClient, PlatformSettings
 from rosemarydeal.policy import alarms, guard, ownership
 from rosemarydeal.policy.interface import (
     DrainAsked,
--- a/rosemarydeal/daemon/records.py
+++ b/rosemarydeal/daemon/records.py
@@ -19,7 +19,7 @@
 from rosemarydeal.core import Member, Versioned
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.messages import JoinAsk, Message
-from rosemarydeal.platform import Platform, PlatformError
+from rosemarydeal.objects import Platform, PlatformError
 from rosemarydeal.policy import versions
 from rosemarydeal.policy.interface import Send
 
--- a/rosemarydeal/demo/fleet.py
+++ b/rosemarydeal/demo/fleet.py
@@ -12,7 +12,7 @@
 from rosemarydeal.core import Address
 from rosemarydeal.core.operator import CONFIG_KEY
 from rosemarydeal.daemon.process import RouterProcess
-from rosemarydeal.platform import PlatformClient, PlatformSettings
+from rosemarydeal.objects import PlatformClient, PlatformSettings
 from rosemarydeal.settings import (
     ConfigEnvelope,
     DeploymentSettings,
--- /dev/null
+++ b/rosemarydeal/node/entry.py
@@ -0,0 +1,302 @@
+"""Takes callers' requests in and has each one run by the right upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import Configuration, NodeIdentity, Route
+from rosemarydeal.core.requests import (
+    CallerRequest,
+    Ending,
+    NotServed,
+    Order,
+    Undecided,
+)
+from rosemarydeal.platform import callers
+from rosemarydeal.platform.errors import Unreadable
+from rosemarydeal.policy.dispatch.retry_budget import RetryBudget
+from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.requests import attempts
+from rosemarydeal.policy.routing.choice import Candidate, choose
+from rosemarydeal.policy.routing.routebook import RouteBook, choose_service
+from rosemarydeal.proxy import BadMessage, Request, Response
+
+from .guard import Guard
+from .health import UpstreamHealth
+from .links import Links
+from .metrics import Metrics
+from .records import Records
+
+__all__ = ["Entry"]
+
+NOT_CONFIGURED = NotServed("not-configured", 0.5)
+NO_ROUTE = NotServed("route-not-found")
+PARK_STEP_S = 0.02
+
+_log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class _Progress:
+    """Is what has happened to a request so far."""
+
+    request: CallerRequest
+    route: Route
+    service: str
+    arrived: float
+    give_up_at: float
+    attempts: attempts.Attempts
+
+
+class Entry:
+    """Routes the requests that arrive at this process."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        records: Records,
+        links: Links,
+        guard: Guard,
+        health: UpstreamHealth,
+        metrics: Metrics,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._identity = identity
+        self._records = records
+        self._links = links
+        self._guard = guard
+        self._health = health
+        self._metrics = metrics
+        self._is_stopping = is_stopping
+        self._configuration: Configuration | None = None
+        self._book: RouteBook | None = None
+        self._start = random.random()
+        self._counts: dict[str, int] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._open = 0
+
+    @property
+    def open(self) -> int:
+        """Returns the number of requests whose callers wait."""
+        return self._open
+
+    def configure(self, configuration: Configuration) -> None:
+        """Puts a configuration in force."""
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._book = RouteBook.of(configuration)
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one request of a caller."""
+        arrived = now()
+        configuration = self._configuration
+        limit = configuration.limits.body_bytes if configuration else 1 << 20
+        try:
+            caller = await callers.decode_request(request, limit)
+        except Unreadable as error:
+            _log.info("request_unreadable", code=error.code, detail=error.detail)
+            return callers.malformed(error)
+        except BadMessage:
+            raise
+        self._open += 1
+        try:
+            ending, progress = await self._serve(caller, arrived)
+        except asyncio.CancelledError:
+            _log.info(
+                "request",
+                request_id=caller.request_id,
+                outcome="caller-left",
+                seconds=round(now() - arrived, 4),
+            )
+            raise
+        finally:
+            self._open -= 1
+        self._note(caller, ending, progress, now() - arrived)
+        return callers.respond(caller.request_id, ending)
+
+    async def _serve(
+        self, caller: CallerRequest, arrived: float
+    ) -> tuple[Ending, _Progress | None]:
+        """Finds the route of a request and has it run."""
+        if self._book is None:
+            return NOT_CONFIGURED, None
+        route = self._book.find(caller.host, caller.target)
+        if route is None:
+            return NO_ROUTE, None
+        service = self._service_of(route)
+        time_left = min(caller.time_left_s or route.timeout_s, route.timeout_s)
+        progress = _Progress(
+            caller,
+            route,
+            service,
+            arrived,
+            arrived + time_left,
+            attempts.Attempts(route.idempotent, route.attempts),
+        )
+        self._budget(service).note_request(arrived)
+        ending = await self._run(progress)
+        return attempts.final(progress.attempts, ending), progress
+
+    async def _run(self, progress: _Progress) -> Ending:
+        """Makes attempts until one ends the request."""
+        tried: set[str] = set()
+        while True:
+            moment = now()
+            if moment >= progress.give_up_at:
+                return attempts.out_of_time(progress.attempts)
+            node = await self._find_node(progress, tried)
+            if isinstance(node, NotServed):
+                return node
+            ending = await self._offer(node, progress)
+            self._health.note(node, ending, self._rank(progress), now())
+            keyed = progress.request.key is not None and self._is_keyed(progress)
+            step = attempts.after(progress.attempts, ending, keyed)
+            if not isinstance(step, attempts.Again):
+                return ending
+            progress.attempts = step.attempts
+            if step.needs_budget and not self._budget(progress.service).take(
+                now(), len(self._records.members)
+            ):
+                return ending
+            if not (keyed and isinstance(ending, NotServed)):
+                tried.add(node)
+            if keyed:
+                tried.clear()
+                await asyncio.sleep(PARK_STEP_S)
+
+    async def _find_node(self, progress: _Progress, tried: set[str]) -> str | NotServed:
+        """Returns the node to send to, waiting for a short gap to end."""
+        park_until = now() + attempts.park_time(progress.give_up_at - now())
+        while True:
+            if self._is_keyed(progress) and progress.request.key is not None:
+                node = self._owner(progress.service, progress.request.key)
+            else:
+                node = self._choose(progress, tried)
+            if node is not None:
+                return node
+            if tried or now() >= park_until:
+                return attempts.no_upstream(progress.give_up_at - now())
+            await asyncio.sleep(PARK_STEP_S)
+
+    async def _offer(self, node: str, progress: _Progress) -> Ending:
+        """Has a node run the request."""
+        moment = now()
+        request, route = progress.request, progress.route
+        order = Order(
+            request_id=request.request_id,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            caller_service=self._identity.service,
+            service=progress.service,
+            key=request.key if self._is_keyed(progress) else None,
+            idempotent=route.idempotent,
+            priority=route.priority,
+            target_s=progress.arrived + route.target_s - moment,
+            time_left_s=progress.give_up_at - moment,
+        )
+        if node != self._identity.node:
+            return await self._links.ask(node, order)
+        try:
+            async with asyncio.timeout(order.time_left_s):
+                return await self._guard.serve(order)
+        except TimeoutError:
+            return Undecided("timeout", timed_out=True)
+
+    def _owner(self, service: str, key: int) -> str | None:
+        """Returns the node that owns a key, if it can be reached."""
+        table = self._records.table(service)
+        if table is None:
+            return None
+        node = tables.lookup(table, key).node
+        if node == self._identity.node or self._links.is_up(node):
+            return node
+        return None
+
+    def _choose(self, progress: _Progress, tried: set[str]) -> str | None:
+        """Returns the best upstream for a request without a key."""
+        out = self._records.zones_out
+        candidates = []
+        mean_s = self._health.mean_service_s(progress.service)
+        for member in self._records.members.values():
+            if member.service != progress.service or not member.accepting:
+                continue
+            if member.node in tried or member.zone in out:
+                continue
+            candidate = self._candidate(member.node, member.slots, member.zone, mean_s)
+            if candidate is not None:
+                candidates.append(candidate)
+        return choose(candidates, random.random())
+
+    def _candidate(
+        self, node: str, slots: int, zone: str, mean_s: float
+    ) -> Candidate | None:
+        """Returns what is known of an upstream that can be reached."""
+        same_zone = zone == self._identity.zone
+        failing = self._health.failing(node, now())
+        speed = self._health.speed(node, mean_s)
+        if node == self._identity.node:
+            load = self._guard.running + self._guard.waiting
+            return Candidate(node, same_zone, slots, load, load, speed, failing)
+        if not self._links.is_up(node) or self._links.is_leaving(node):
+            return None
+        state = self._links.state(node)
+        reported = state.running + state.waiting if state is not None else 0
+        outstanding = self._links.outstanding(node)
+        return Candidate(node, same_zone, slots, outstanding, reported, speed, failing)
+
+    def _service_of(self, route: Route) -> str:
+        """Returns the service that the next request of a route goes to."""
+        count = self._counts.get(route.name, 0)
+        self._counts[route.name] = count + 1
+        return choose_service(route, self._start, count)
+
+    def _is_keyed(self, progress: _Progress) -> bool:
+        """Tells whether the request's service is keyed."""
+        service = self._configuration.services.get(progress.service)
+        return service is not None and service.keyed
+
+    def _rank(self, progress: _Progress) -> tuple[str, int]:
+        """Returns what requests are compared with for their speed."""
+        return progress.service, progress.route.priority
+
+    def _budget(self, service: str) -> RetryBudget:
+        """Returns the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._identity.bounds)
+            self._budgets[service] = budget
+        return budget
+
+    def _note(
+        self,
+        caller: CallerRequest,
+        ending: Ending,
+        progress: _Progress | None,
+        seconds: float,
+    ) -> None:
+        """Writes the ending of a request into log and metrics."""
+        outcome, code = attempts.labels(ending)
+        service = progress.service if progress is not None else ""
+        route = progress.route.name if progress is not None else ""
+        self._metrics.count_request(service, route, outcome, code, seconds)
+        configuration = self._configuration
+        _log.info(
+            "request",
+            request_id=caller.request_id,
+            route=route,
+            service=service,
+            key=caller.key,
+            outcome=outcome,
+            code=code,
+            seconds=round(seconds, 4),
+            attempts=progress.attempts.made if progress is not None else 0,
+            configuration=configuration.version if configuration else None,
+        )
--- /dev/null
+++ b/rosemarydeal/node/links.py
@@ -0,0 +1,457 @@
+"""Owns the links to the other processes.
+
+Each process opens a link to each other one, asks on its own links and answers
+on those that others opened. Pings tell a silent link from an idle one, and
+carry the load and the revisions of the objects that a process knows.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import structlog
+
+from rosemarydeal.core import Address
+from rosemarydeal.core.fleet import Member
+from rosemarydeal.core.requests import Ending, NotServed, Order, Undecided
+
+from .frames import FrameConnection
+from .messages import (
+    AnswerReply,
+    Ask,
+    Blame,
+    Confirm,
+    Confirmed,
+    Fetch,
+    Hello,
+    Leaving,
+    Message,
+    NotServedReply,
+    ObjectNotice,
+    Objects,
+    Ping,
+    Pong,
+    Reply,
+    UndecidedReply,
+    Withdraw,
+)
+
+__all__ = ["LinkHooks", "Links", "PeerState"]
+
+# Silence of two pings and their answers' way is the shortest sure sign.
+PING_PERIOD_S = 0.5
+SILENT_AFTER_S = 1.3
+# Larger fleets ping less often, so that a process spends the same on pings.
+PING_FLEET = 20
+RECONNECT_FIRST_S = 0.1
+RECONNECT_MOST_S = 1.0
+CONNECT_TIME_S = 0.7
+CONFIRM_TIME_S = 0.6
+UNREACHABLE = NotServed("peer-unreachable", elsewhere=True)
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    """Is what a peer said of itself last.
+
+    Attributes:
+        heard_at: When it said so, on the loop's clock.
+        running: Requests at its upstream.
+        waiting: Requests that wait for its upstream.
+        slots: Requests that its upstream runs at a time.
+        load: Its smoothed load, as a share of its slots.
+        service_s: Mean time that a request runs at its upstream.
+    """
+
+    heard_at: float
+    running: int
+    waiting: int
+    slots: int
+    load: float
+    service_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LinkHooks:
+    """Connects the links to the other tasks.
+
+    Attributes:
+        serve: Runs an order of another process at the own upstream.
+        pong: Builds the answer to a ping.
+        known: Returns the revisions of the objects that are known.
+        on_known: Called with a node and the revisions that it knows.
+        fetch: Returns all objects of a kind.
+        on_objects: Called with objects that a peer sent.
+        on_notice: Called with an object that a peer sent.
+        on_blame: Called with requests that are blamed for a crash.
+        confirm: Reads an object from the store for a peer.
+        on_change: Called when a link came up or was lost.
+    """
+
+    serve: Callable[[Order], Awaitable[Ending]]
+    pong: Callable[[Ping], Pong]
+    known: Callable[[], dict[str, int]]
+    on_known: Callable[[str, dict[str, int]], None]
+    fetch: Callable[[str], Objects]
+    on_objects: Callable[[Objects], None]
+    on_notice: Callable[[ObjectNotice], None]
+    on_blame: Callable[[Blame], None]
+    confirm: Callable[[Confirm], Awaitable[Confirmed | None]]
+    on_change: Callable[[str, bool], None]
+
+
+class _Link:
+    """Is the link that this process opened to one other."""
+
+    def __init__(self, node: str, address: Address) -> None:
+        self.node = node
+        self.address = address
+        self.connection: FrameConnection | None = None
+        self.asked: dict[int, asyncio.Future[Ending]] = {}
+        self.confirms: dict[int, asyncio.Future[Confirmed]] = {}
+        self.task: asyncio.Task[None] | None = None
+        self.lost = asyncio.Event()
+        self.state: PeerState | None = None
+        self.leaving = False
+        self.down_since: float | None = None
+
+    @property
+    def up(self) -> bool:
+        """Tells whether messages can be sent."""
+        return self.connection is not None and self.connection.open
+
+
+class Links:
+    """Opens, watches and closes links; sends and receives messages."""
+
+    def __init__(self, node: str, process: str, hooks: LinkHooks) -> None:
+        self._node = node
+        self._process = process
+        self._hooks = hooks
+        self._links: dict[str, _Link] = {}
+        self._accepted: set[FrameConnection] = set()
+        self._serving: dict[tuple[FrameConnection, int], asyncio.Task[None]] = {}
+        self._background: set[asyncio.Task[None]] = set()
+        self._count = 0
+        self._listener: asyncio.Server | None = None
+
+    @property
+    def up(self) -> frozenset[str]:
+        """Returns the nodes that can be reached."""
+        return frozenset(n for n, link in self._links.items() if link.up)
+
+    @property
+    def serving(self) -> int:
+        """Returns the number of orders of others that are being served."""
+        return len(self._serving)
+
+    def is_up(self, node: str) -> bool:
+        """Tells whether a node can be reached."""
+        link = self._links.get(node)
+        return link is not None and link.up
+
+    def is_leaving(self, node: str) -> bool:
+        """Tells whether a node's process has said that it is about to end."""
+        link = self._links.get(node)
+        return link is not None and link.leaving
+
+    def down_since(self, node: str) -> float | None:
+        """Returns since when a node can't be reached, None while it can."""
+        link = self._links.get(node)
+        return link.down_since if link is not None else None
+
+    def state(self, node: str) -> PeerState | None:
+        """Returns what a node said of itself last."""
+        link = self._links.get(node)
+        return link.state if link is not None else None
+
+    def outstanding(self, node: str) -> int:
+        """Returns the number of orders that a node has not ended."""
+        link = self._links.get(node)
+        return len(link.asked) if link is not None else 0
+
+    async def start(self, address: Address) -> None:
+        """Opens the listening socket."""
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: FrameConnection(
+                self._take_question, self._accepted.add, self._forget_accepted
+            ),
+            address.host,
+            address.port,
+            backlog=1024,
+        )
+
+    def follow(self, members: dict[str, Member]) -> None:
+        """Opens links to new members and closes those to members that are gone."""
+        for node, member in members.items():
+            link = self._links.get(node)
+            if node == self._node or (link and link.address == member.peer):
+                continue
+            self._drop(node)
+            link = _Link(node, member.peer)
+            self._links[node] = link
+            link.down_since = asyncio.get_running_loop().time()
+            link.task = asyncio.create_task(self._keep(link))
+        for node in [n for n in self._links if n not in members]:
+            self._drop(node)
+
+    async def ask(self, node: str, order: Order) -> Ending:
+        """Has a request run by another process.
+
+        Returns:
+            Its ending; *undecided* if the link was lost after it was sent.
+        """
+        link = self._links.get(node)
+        if link is None or not link.up:
+            return UNREACHABLE
+        self._count += 1
+        number = self._count
+        future: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
+        if not link.connection.send(Ask(number, order)):
+            return UNREACHABLE
+        link.asked[number] = future
+        try:
+            async with asyncio.timeout(order.time_left_s):
+                return await future
+        except TimeoutError:
+            return Undecided("peer-timeout", timed_out=True)
+        finally:
+            if (
+                link.asked.pop(number, None)
+                and not future.done()
+                or (future.cancelled())
+            ):
+                self._send(link, Withdraw(number))
+
+    async def confirm(self, node: str, kind: str, name: str) -> Confirmed | None:
+        """Has another process read an object from the store."""
+        link = self._links.get(node)
+        if link is None or not link.up:
+            return None
+        self._count += 1
+        number = self._count
+        future: asyncio.Future[Confirmed] = asyncio.get_running_loop().create_future()
+        link.confirms[number] = future
+        try:
+            link.connection.send(Confirm(number, kind, name))
+            async with asyncio.timeout(CONFIRM_TIME_S):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            link.confirms.pop(number, None)
+
+    def send(self, node: str, message: Message) -> None:
+        """Sends a message to a node, if it can be reached."""
+        link = self._links.get(node)
+        if link is not None:
+            self._send(link, message)
+
+    def broadcast(self, message: Message) -> None:
+        """Sends a message to all nodes that can be reached."""
+        for link in self._links.values():
+            self._send(link, message)
+
+    async def close(self) -> None:
+        """Closes all links."""
+        if self._listener is not None:
+            self._listener.close()
+        for node in list(self._links):
+            self._drop(node)
+        for connection in list(self._accepted):
+            connection.abort()
+
+    def _drop(self, node: str) -> None:
+        """Closes the link to a node, if there is one."""
+        link = self._links.pop(node, None)
+        if link is None:
+            return
+        if link.task is not None:
+            link.task.cancel()
+        if link.connection is not None:
+            link.connection.abort()
+
+    async def _keep(self, link: _Link) -> None:
+        """Opens a link again and again, and pings while it is up."""
+        pause = RECONNECT_FIRST_S
+        while True:
+            if await self._open(link):
+                pause = RECONNECT_FIRST_S
+                await self._ping_until_lost(link)
+            await asyncio.sleep(pause)
+            pause = min(RECONNECT_MOST_S, 2 * pause)
+
+    async def _open(self, link: _Link) -> bool:
+        """Opens the connection of a link and tells whether it came about."""
+        loop = asyncio.get_running_loop()
+        link.lost.clear()
+        try:
+            async with asyncio.timeout(CONNECT_TIME_S):
+                _, connection = await loop.create_connection(
+                    lambda: FrameConnection(
+                        lambda _, message: self._take_answer(link, message),
+                        lambda _: None,
+                        lambda _: self._lose(link),
+                    ),
+                    link.address.host,
+                    link.address.port,
+                )
+        except (OSError, TimeoutError):
+            if link.down_since is None:
+                link.down_since = loop.time()
+            return False
+        link.connection = connection
+        connection.peer = link.node
+        connection.send(Hello(self._node, self._process))
+        link.leaving = False
+        link.down_since = None
+        _log.info("peer_link_up", peer=link.node)
+        self._hooks.on_change(link.node, True)
+        return True
+
+    async def _ping_until_lost(self, link: _Link) -> None:
+        """Pings at a steady pace; cuts a link whose peer is silent."""
+        loop = asyncio.get_running_loop()
+        while not link.lost.is_set():
+            stretch = max(1.0, len(self._links) / PING_FLEET)
+            self._send(link, Ping(loop.time(), self._hooks.known()))
+            try:
+                async with asyncio.timeout(PING_PERIOD_S * stretch):
+                    await link.lost.wait()
+            except TimeoutError:
+                silent = loop.time() - link.connection.heard_at
+                if silent > SILENT_AFTER_S * stretch:
+                    _log.warning("peer_silent", peer=link.node, silent_s=silent)
+                    link.connection.abort()
+                    await link.lost.wait()
+
+    def _lose(self, link: _Link) -> None:
+        """Ends all that waits on a link that is lost."""
+        link.connection = None
+        link.state = None
+        link.down_since = asyncio.get_running_loop().time()
+        for future in link.asked.values():
+            if not future.done():
+                future.set_result(Undecided("peer-lost"))
+        link.asked.clear()
+        link.lost.set()
+        _log.warning("peer_link_lost", peer=link.node)
+        self._hooks.on_change(link.node, False)
+
+    def _send(self, link: _Link, message: Message) -> None:
+        """Sends a message if the link is up; all of these may get lost."""
+        if link.connection is not None:
+            link.connection.send(message)
+
+    def _take_answer(self, link: _Link, message: Message) -> None:
+        """Takes a message on a link that this process opened."""
+        match message:
+            case AnswerReply(number, ending):
+                self._end(link, number, ending)
+            case NotServedReply(number, ending) | UndecidedReply(number, ending):
+                self._end(link, number, ending)
+            case Pong():
+                self._take_pong(link, message)
+            case Objects():
+                self._hooks.on_objects(message)
+            case ObjectNotice():
+                self._hooks.on_notice(message)
+            case Leaving():
+                link.leaving = True
+                self._hooks.on_change(link.node, True)
+            case Confirmed():
+                future = link.confirms.get(message.number)
+                if future is not None and not future.done():
+                    future.set_result(message)
+
+    def _end(self, link: _Link, number: int, ending: Ending) -> None:
+        """Ends an order that was asked of a peer."""
+        future = link.asked.get(number)
+        if future is not None and not future.done():
+            future.set_result(ending)
+
+    def _take_pong(self, link: _Link, pong: Pong) -> None:
+        """Notes what a peer says of itself."""
+        link.state = PeerState(
+            asyncio.get_running_loop().time(),
+            pong.running,
+            pong.waiting,
+            pong.slots,
+            pong.load,
+            pong.service_s,
+        )
+        self._hooks.on_known(link.node, pong.known)
+
+    def _take_question(self, connection: FrameConnection, message: Message) -> None:
+        """Takes a message on a link that another process opened."""
+        match message:
+            case Hello():
+                connection.peer = message.node
+            case Ask(number, order):
+                task = asyncio.create_task(self._serve(connection, number, order))
+                self._serving[connection, number] = task
+            case Withdraw(number):
+                task = self._serving.get((connection, number))
+                if task is not None:
+                    task.cancel()
+            case Ping():
+                self._hooks.on_known(connection.peer, message.known)
+                connection.send(self._hooks.pong(message))
+            case Fetch():
+                connection.send(self._hooks.fetch(message.kind))
+            case ObjectNotice():
+                self._hooks.on_notice(message)
+            case Blame():
+                self._hooks.on_blame(message)
+            case Confirm():
+                self._spawn(self._confirm(connection, message))
+
+    async def _serve(
+        self, connection: FrameConnection, number: int, order: Order
+    ) -> None:
+        """Has a peer's order run and sends its ending."""
+        try:
+            ending = await self._hooks.serve(order)
+            connection.send(_reply(number, ending))
+        finally:
+            self._serving.pop((connection, number), None)
+
+    async def _confirm(self, connection: FrameConnection, question: Confirm) -> None:
+        """Reads an object for a peer."""
+        answer = await self._hooks.confirm(question)
+        if answer is not None:
+            connection.send(answer)
+
+    def _forget_accepted(self, connection: FrameConnection) -> None:
+        """Cancels what was served for a connection that is lost."""
+        self._accepted.discard(connection)
+        for (owner, _), task in list(self._serving.items()):
+            if owner is connection:
+                task.cancel()
+
+    def announce_leaving(self) -> None:
+        """Tells all processes with a link to this one that it is about to end."""
+        for connection in self._accepted:
+            connection.send(Leaving(self._node))
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        """Runs work in the background until it ends."""
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _reply(number: int, ending: Ending) -> Reply:
+    """Builds the message that ends an order."""
+    match ending:
+        case NotServed():
+            return NotServedReply(number, ending)
+        case Undecided():
+            return UndecidedReply(number, ending)
+        case _:
+            return AnswerReply(number, ending)
--- /dev/null
+++ b/rosemarydeal/node/main.py
@@ -0,0 +1,77 @@
+"""Runs the process beside an upstream on an operator's platform."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+
+import structlog
+
+from rosemarydeal.platform.errors import SettingsWrong
+from rosemarydeal.platform.node_settings import load_identity
+
+from . import log
+from .process import NodeProcess
+
+__all__ = ["main"]
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 2
+# Full collections of the modules' objects would stall requests.
+GC_THRESHOLDS = (20_000, 20, 50)
+
+_log = structlog.get_logger()
+
+
+def main() -> int:
+    """Runs until SIGTERM.
+
+    Returns:
+        Exit code: 0 after a graceful shutdown, 1 if a task failed, 2 if the
+        settings are wrong.
+    """
+    try:
+        identity = load_identity()
+    except SettingsWrong as error:
+        print(f"{error.code}: {error.detail}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    sink = log.configure(identity.node)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    try:
+        return asyncio.run(_serve(NodeProcess, identity, sink))
+    finally:
+        sink.flush()
+
+
+async def _serve(process_type: type[NodeProcess], identity, sink: log.LogSink) -> int:
+    """Runs the process until a signal or a failure ends it."""
+    loop = asyncio.get_running_loop()
+    ended = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload)
+    flusher = asyncio.create_task(sink.run())
+    process = process_type(identity)
+    await process.start()
+    stop = asyncio.create_task(ended.wait())
+    failure = asyncio.create_task(process.wait_failed())
+    await asyncio.wait((stop, failure), return_when=asyncio.FIRST_COMPLETED)
+    if failure.done():
+        return EXIT_FAILED
+    await process.shut_down()
+    flusher.cancel()
+    return EXIT_OK
+
+
+def _reload() -> None:
+    """Notes SIGHUP: what a process needs of its settings is fixed at its start."""
+    _log.info("settings_reloaded", changed=False)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rosemarydeal/node/messages.py
@@ -0,0 +1,200 @@
+"""Messages between processes, and their frames.
+
+A frame is the length of a message in four bytes and the message in MessagePack.
+The processes use plain TCP and not ZeroMQ, because a truthful *not run* needs to
+know whether a message has left, and an order that was sent must be given up at
+once when its connection breaks; ZeroMQ hides both.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from rosemarydeal.core.requests import Answered, NotServed, Order, Undecided
+
+__all__ = [
+    "AnswerReply",
+    "Ask",
+    "Blame",
+    "Confirm",
+    "Confirmed",
+    "Fetch",
+    "Hello",
+    "Leaving",
+    "Message",
+    "NotServedReply",
+    "ObjectNotice",
+    "ObjectState",
+    "Objects",
+    "Ping",
+    "Pong",
+    "Reply",
+    "UndecidedReply",
+    "Withdraw",
+    "decode",
+    "encode",
+]
+
+HEAD_BYTES = 4
+MAX_MESSAGE_BYTES = 80 * 1024 * 1024
+
+
+class _Base(msgspec.Struct, frozen=True, array_like=True):
+    """Is the base of all messages: fields in order, without names."""
+
+
+class Hello(_Base, tag=1):
+    """Opens a link and names the process that opened it."""
+
+    node: str
+    process: str
+
+
+class Ask(_Base, tag=2):
+    """Asks for a request to be run."""
+
+    number: int
+    order: Order
+
+
+class Withdraw(_Base, tag=3):
+    """Says that nobody waits for the answer any more."""
+
+    number: int
+
+
+class AnswerReply(_Base, tag=4):
+    """Ends an asked request with the upstream's answer."""
+
+    number: int
+    answer: Answered
+
+
+class NotServedReply(_Base, tag=5):
+    """Ends an asked request that has not run and never will."""
+
+    number: int
+    outcome: NotServed
+
+
+class UndecidedReply(_Base, tag=6):
+    """Ends an asked request that may have run."""
+
+    number: int
+    outcome: Undecided
+
+
+class Ping(_Base, tag=7):
+    """Asks whether the peer lives; tells which objects the sender knows."""
+
+    sent_at: float
+    known: dict[str, int]
+
+
+class Pong(_Base, tag=8):
+    """Answers a ping; tells the load and which objects the sender knows."""
+
+    sent_at: float
+    known: dict[str, int]
+    running: int
+    waiting: int
+    slots: int
+    load: float
+    service_s: float
+    links_up: int
+
+
+class Fetch(_Base, tag=9):
+    """Asks for all objects of a kind."""
+
+    kind: str
+
+
+class ObjectState(_Base):
+    """Is an object as the store holds it; no content where it is deleted."""
+
+    name: str
+    revision: int
+    content: bytes | None
+
+
+class Objects(_Base, tag=10):
+    """Gives all objects of a kind, as they were at a revision of the store."""
+
+    kind: str
+    revision: int
+    changed: int
+    objects: tuple[ObjectState, ...]
+
+
+class ObjectNotice(_Base, tag=11):
+    """Gives one object that has changed."""
+
+    kind: str
+    state: ObjectState
+
+
+class Blame(_Base, tag=12):
+    """Names the requests that ran when an upstream crashed."""
+
+    marks: tuple[str, ...]
+
+
+class Leaving(_Base, tag=13):
+    """Says that the process is about to end."""
+
+    node: str
+
+
+class Confirm(_Base, tag=14):
+    """Asks the peer to read an object from the store now."""
+
+    number: int
+    kind: str
+    name: str
+
+
+class Confirmed(_Base, tag=15):
+    """Gives the object as the store held it after the question."""
+
+    number: int
+    kind: str
+    state: ObjectState | None
+
+
+Message = (
+    Hello
+    | Ask
+    | Withdraw
+    | AnswerReply
+    | NotServedReply
+    | UndecidedReply
+    | Ping
+    | Pong
+    | Fetch
+    | Objects
+    | ObjectNotice
+    | Blame
+    | Leaving
+    | Confirm
+    | Confirmed
+)
+Reply = AnswerReply | NotServedReply | UndecidedReply
+
+_DECODER = msgspec.msgpack.Decoder(Message)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(message: Message) -> bytes:
+    """Returns the frame of a message."""
+    body = _ENCODER.encode(message)
+    return len(body).to_bytes(HEAD_BYTES, "big") + body
+
+
+def decode(body: bytes) -> Message:
+    """Returns the message of a frame's body.
+
+    Raises:
+        msgspec.MsgspecError: If the body is no message.
+    """
+    return _DECODER.decode(body)
--- /dev/null
+++ b/rosemarydeal/node/metrics.py
@@ -0,0 +1,76 @@
+"""Counters, gauges and latency histograms of the process."""
+
+from __future__ import annotations
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+__all__ = ["Metrics"]
+
+BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 3.0, 6.0)
+
+
+class Metrics:
+    """Holds the metrics of one process."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "rosemarydeal_requests",
+            "Requests of callers by their ending.",
+            ("service", "route", "outcome", "code"),
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "rosemarydeal_request_seconds",
+            "Time from a request's arrival to its ending.",
+            ("service", "route", "outcome"),
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+        self._dispatches = Counter(
+            "rosemarydeal_dispatches",
+            "Orders at the upstream of this VM by their ending.",
+            ("service", "outcome", "code"),
+            registry=self._registry,
+        )
+        self._dispatch_latency = Histogram(
+            "rosemarydeal_dispatch_seconds",
+            "Time that orders ran at the upstream of this VM.",
+            ("service", "outcome"),
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+        self._gauges: dict[str, Gauge] = {}
+
+    def count_request(
+        self, service: str, route: str, outcome: str, code: str, seconds: float
+    ) -> None:
+        """Counts the ending of a caller's request."""
+        self._requests.labels(service, route, outcome, code).inc()
+        self._latency.labels(service, route, outcome).observe(seconds)
+
+    def count_dispatch(
+        self, service: str, outcome: str, code: str, seconds: float
+    ) -> None:
+        """Counts the ending of an order at the upstream."""
+        self._dispatches.labels(service, outcome, code).inc()
+        self._dispatch_latency.labels(service, outcome).observe(seconds)
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Sets a gauge, which is made at its first use."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            full = f"rosemarydeal_{name}"
+            gauge = Gauge(full, name.replace("_", " "), registry=self._registry)
+            self._gauges[name] = gauge
+        gauge.set(value)
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/rosemarydeal/node/ownership.py
@@ -0,0 +1,502 @@
+"""Owns the keys of the upstream beside this process.
+
+Confirms the tenure, keeps the upstream's grants up to date, hands keys over,
+and proposes changes of the service's table when owners are gone. The store's
+conditional writes decide between processes that propose at the same time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import KeyRange, Member, NodeIdentity, RangeTable, Stored
+from rosemarydeal.platform.errors import StoreConflict, StoreError
+from rosemarydeal.platform.upstream import (
+    GrantRefused,
+    UpstreamCallFailed,
+    UpstreamClient,
+)
+from rosemarydeal.policy.dispatch.queue import Admission
+from rosemarydeal.policy.keyranges import balance, proposals, tenure
+from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges.balance import Burden
+
+from .guard import Guard
+from .links import Links
+from .messages import Confirm, Confirmed, ObjectNotice, ObjectState
+from .records import RANGES, Records, table_name
+from .upstream import UpstreamWatch
+
+__all__ = ["Ownership"]
+
+STEP_S = 0.1
+GRANT_TIMEOUT_S = 0.4
+# A third of a grant's hold: two renewals may get lost.
+RENEW_AFTER_S = 1.6
+GRANT_RETRY_S = 0.15
+RELEASE_TIMEOUT_S = 1.5
+BALANCE_PERIOD_S = 0.7
+# A request that starts must not outlast the grant by the check's own delay.
+HOLD_MARGIN_S = 0.1
+CONFIRM_PEERS = 2
+
+_log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class _Grant:
+    """Is what the upstream was told of a range.
+
+    Attributes:
+        valid_until: Until when it surely holds the keys.
+        may_hold_until: Until when it may hold them.
+        renew_at: When it is to be told again.
+        busy: Whether a call is on its way.
+        unanswered_until: Until when a call without an answer may take effect.
+    """
+
+    valid_until: float = 0.0
+    may_hold_until: float = 0.0
+    renew_at: float = 0.0
+    busy: bool = False
+    unanswered_until: float = 0.0
+
+
+class Ownership:
+    """Drives the ownership of the keys of one keyed service."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        records: Records,
+        links: Links,
+        client: UpstreamClient,
+        watch: UpstreamWatch,
+        keyed: Callable[[], bool],
+    ) -> None:
+        self._identity = identity
+        self._records = records
+        self._links = links
+        self._client = client
+        self._watch = watch
+        self._keyed = keyed
+        self._guard: Guard | None = None
+        self._tenure = tenure.Tenure()
+        self._confirm_at = 0.0
+        self._confirming = False
+        self._grants: dict[tuple[int, int, int], _Grant] = {}
+        self._moving: list[KeyRange] = []
+        self._writing = False
+        self._background: set[asyncio.Task[None]] = set()
+        self._suspicions: dict[tuple[str, int], float] = {}
+        self._balance_at = 0.0
+        self._stopping = False
+
+    def attach(self, guard: Guard) -> None:
+        """Names the guard whose queue waits for keys."""
+        self._guard = guard
+
+    @property
+    def table(self) -> RangeTable | None:
+        """Returns the table of the own service."""
+        return self._records.table(self._identity.service)
+
+    @property
+    def owned(self) -> tuple[KeyRange, ...]:
+        """Returns the ranges that the table gives to this node."""
+        found = self.table
+        return tables.owned_by(found, self._identity.node) if found else ()
+
+    def admits(self, key: int) -> Admission:
+        """Tells whether requests for a key may run here now."""
+        found = self.table
+        if found is None:
+            return Admission.WAIT
+        keys = tables.lookup(found, key)
+        if keys.node != self._identity.node:
+            return Admission.ELSEWHERE
+        if any(key in moving for moving in self._moving):
+            return Admission.WAIT
+        grant = self._grants.get(_id(keys))
+        moment = now()
+        if grant is None or moment > grant.valid_until - HOLD_MARGIN_S:
+            return Admission.WAIT
+        if moment > tenure.tenure_until(self._tenure):
+            return Admission.WAIT
+        return Admission.RUN
+
+    async def run(self) -> None:
+        """Takes a step again and again until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            if self._keyed() and self._watch.state is not None:
+                self._step()
+
+    async def confirm_for(self, question: Confirm) -> Confirmed | None:
+        """Reads an object from the store for a peer that can't."""
+        if question.kind != RANGES:
+            return None
+        try:
+            stored = await self._records.read(question.kind, question.name)
+        except StoreError as error:
+            _log.info("confirm_for_peer_failed", detail=error.detail)
+            return None
+        state = None
+        if stored is not None:
+            state = ObjectState(stored.name, stored.revision, stored.content)
+        return Confirmed(question.number, question.kind, state)
+
+    def follow_table(self) -> None:
+        """Follows a change of the table without waiting for the next step."""
+        if self._keyed() and self._watch.state is not None:
+            self._step()
+            if self._guard is not None:
+                self._guard.advance()
+
+    def upstream_changed(self) -> None:
+        """Forgets what a former life of the upstream was granted."""
+        state = self._watch.state
+        if state is None or not state.alive:
+            self._grants.clear()
+        self.follow_table()
+
+    def _step(self) -> None:
+        """Does what is due."""
+        moment = now()
+        if moment >= self._confirm_at and not self._confirming:
+            if self.owned:
+                self._confirming = True
+                self._spawn(self._confirm())
+        self._drop_old_grants()
+        self._renew_grants(moment)
+        self._note_suspicions(moment)
+        if not self._writing:
+            self._propose(moment)
+
+    async def _confirm(self) -> None:
+        """Reads the table from the store, through a peer if need be."""
+        asked_at = now()
+        name = table_name(self._identity.service)
+        try:
+            stored = await self._records.read(RANGES, name)
+            self._take_confirmation(stored, asked_at)
+        except StoreError as error:
+            await self._confirm_through_peers(name, error.detail)
+        finally:
+            self._confirming = False
+            self._confirm_at = asked_at + tenure.CONFIRM_PERIOD_S
+
+    async def _confirm_through_peers(self, name: str, reason: str) -> None:
+        """Asks peers to read the table from the store."""
+        up = sorted(self._links.up)
+        for node in random.sample(up, min(CONFIRM_PEERS, len(up))):
+            asked_at = now()
+            answer = await self._links.confirm(node, RANGES, name)
+            if answer is None:
+                continue
+            state = answer.state
+            stored = None
+            if state is not None:
+                stored = Stored(RANGES, state.name, state.revision, state.content)
+                self._records.take(stored)
+            self._take_confirmation(stored, asked_at)
+            return
+        _log.warning(
+            "tenure_not_confirmed",
+            reason=reason,
+            left_s=tenure.tenure_until(self._tenure) - now(),
+        )
+
+    def _take_confirmation(self, stored: Stored | None, asked_at: float) -> None:
+        """Extends the tenure by a read of the table."""
+        found = self.table
+        known = self._records.stored(RANGES, table_name(self._identity.service))
+        if stored is None or found is None or known is None:
+            return
+        if known.revision < stored.revision:
+            return
+        self._tenure = tenure.confirm(
+            self._tenure, found, self._identity.node, asked_at
+        )
+        self._renew_grants(now())
+
+    def _drop_old_grants(self) -> None:
+        """Forgets grants of ranges that the table does not give any more."""
+        current = {_id(keys) for keys in self.owned}
+        for known in [k for k in self._grants if k not in current]:
+            grant = self._grants[known]
+            if not grant.busy:
+                del self._grants[known]
+
+    def _renew_grants(self, moment: float) -> None:
+        """Tells the upstream of ranges that are due."""
+        state = self._watch.state
+        if state is None or not state.alive or self._stopping:
+            return
+        hold_s = tenure.hold_for(self._tenure, moment, self._identity.bounds.max_hold_s)
+        if hold_s < 2 * HOLD_MARGIN_S:
+            return
+        for keys in self.owned:
+            if keys.life != state.life or self._is_moving(keys):
+                continue
+            grant = self._grants.setdefault(_id(keys), _Grant())
+            if not grant.busy and moment >= grant.renew_at:
+                grant.busy = True
+                self._spawn(self._grant(keys, grant, hold_s))
+
+    async def _grant(self, keys: KeyRange, grant: _Grant, hold_s: float) -> None:
+        """Grants a range to the upstream and notes for how long."""
+        sent_at = now()
+        first = grant.valid_until == 0.0
+        try:
+            await self._client.grant(keys, hold_s, GRANT_TIMEOUT_S)
+            grant.valid_until = max(grant.valid_until, sent_at + hold_s)
+            grant.renew_at = sent_at + RENEW_AFTER_S
+            if first:
+                _log.info(
+                    "keys_granted",
+                    first=keys.first,
+                    last=keys.last,
+                    token=keys.token,
+                    handover=bool(keys.handover),
+                    hold_s=hold_s,
+                )
+        except GrantRefused as error:
+            _log.warning("grant_refused", detail=error.detail)
+            grant.renew_at = now() + 1.0
+            self._spawn(self._renew_token())
+        except UpstreamCallFailed as error:
+            _log.info("grant_unanswered", detail=error.detail)
+            grant.renew_at = now() + GRANT_RETRY_S
+            grant.unanswered_until = max(grant.unanswered_until, sent_at + hold_s)
+        finally:
+            grant.busy = False
+            grant.may_hold_until = max(
+                grant.may_hold_until, (now() + hold_s * (1 + tenure.CLOCK_DRIFT))
+            )
+        if self._guard is not None:
+            self._guard.advance()
+
+    async def _renew_token(self) -> None:
+        """Gets a higher token for ranges whose token the upstream refused."""
+        found = self.table
+        state = self._watch.state
+        if found is None or state is None or self._writing:
+            return
+        member = self._records.members.get(self._identity.node)
+        if member is None:
+            return
+        changed = proposals.renew_tokens(found, member, _writer())
+        await self._write(changed, "token-refused")
+
+    def _note_suspicions(self, moment: float) -> None:
+        """Notes since when this process knows of each suspicion."""
+        found = self.table
+        current = {(s.node, s.number) for s in found.suspicions} if found else set()
+        for known in current:
+            self._suspicions.setdefault(known, moment)
+        for known in [k for k in self._suspicions if k not in current]:
+            del self._suspicions[known]
+
+    def _propose(self, moment: float) -> None:
+        """Starts the change of the table that is due, if one is."""
+        view = self._view(moment)
+        proposal = proposals.propose(self.table, view)
+        match proposal:
+            case proposals.Write(changed, reason):
+                self._writing = True
+                self._spawn(self._write_alone(changed, reason))
+            case proposals.HandOver(parts):
+                self._writing = True
+                self._spawn(self._hand_over(parts))
+            case None:
+                self._balance(moment, view)
+
+    def _view(self, moment: float) -> proposals.View:
+        """Collects what a proposal is decided by."""
+        identity = self._identity
+        service = identity.service
+        out = self._records.zones_out
+        members = tuple(
+            sorted(
+                (m for m in self._records.members.values() if m.service == service),
+                key=lambda m: m.node,
+            )
+        )
+        state = self._watch.state
+        loop_now = asyncio.get_running_loop().time()
+        silent = {}
+        for member in members:
+            since = self._links.down_since(member.node)
+            if since is not None:
+                silent[member.node] = loop_now - since
+        waited = frozenset(
+            node
+            for (node, _), since in self._suspicions.items()
+            if moment - since >= tenure.takeover_wait()
+        )
+        return proposals.View(
+            node=identity.node,
+            service=service,
+            life=state.life if state is not None else "",
+            accepting=state is not None and state.accepting,
+            alive=state is not None and state.alive,
+            members=members,
+            zones_out=out,
+            silent_s=silent,
+            links_up=len(self._links.up),
+            nodes=len(self._records.members),
+            waited_out=waited,
+            settled_s=moment - self._records.members_changed_at,
+            complete=self._records.complete and self._records.reachable,
+            writer=_writer(),
+        )
+
+    def _balance(self, moment: float, view: proposals.View) -> None:
+        """Gives keys away if that pays."""
+        if moment < self._balance_at or self._guard is None or not self.owned:
+            return
+        self._balance_at = moment + BALANCE_PERIOD_S * random.uniform(0.8, 1.2)
+        others = []
+        for member in proposals.heirs(view):
+            state = self._links.state(member.node)
+            if state is not None and state.slots:
+                others.append(Burden(member.node, state.load))
+        transfer = balance.plan_transfer(
+            Burden(self._identity.node, self._guard.load),
+            others,
+            self.owned,
+            self._guard.recent_keys,
+        )
+        if transfer is None:
+            return
+        heir = self._records.members.get(transfer.heir)
+        if heir is None:
+            return
+        self._writing = True
+        self._balance_at = moment + 2 * BALANCE_PERIOD_S
+        self._spawn(self._hand_over(((transfer.keys, heir),)))
+
+    async def _hand_over(self, parts: tuple[tuple[KeyRange, Member], ...]) -> None:
+        """Takes ranges back from the upstream and gives them to heirs."""
+        try:
+            moving = [keys for keys, _ in parts]
+            self._moving += moving
+            await asyncio.gather(
+                *(self._hand_over_one(keys, heir) for keys, heir in parts)
+            )
+        finally:
+            self._moving = []
+            self._writing = False
+            if self._guard is not None:
+                self._guard.advance()
+
+    async def _hand_over_one(self, keys: KeyRange, heir: Member) -> None:
+        """Takes one range back and writes its heir into the table."""
+        handover = await self._release(keys)
+        for _ in range(8):
+            found = self.table
+            if found is None:
+                return
+            if not proposals.still_owned(found, keys, self._identity.node):
+                return
+            changed = tables.move(found, keys, heir, handover, _writer())
+            if await self._write(changed, "hand-over"):
+                return
+            await asyncio.sleep(0.05 * random.uniform(0.5, 1.5))
+
+    async def _release(self, keys: KeyRange) -> str:
+        """Takes a range back; waits its hold out if the upstream is silent."""
+        state = self._watch.state
+        covering = [
+            (known, grant)
+            for known, grant in self._grants.items()
+            if known[0] <= keys.first and keys.last <= known[1]
+        ]
+        if state is None or not state.alive or state.life != keys.life:
+            return ""
+        if not covering:
+            return ""
+        grant = covering[0][1]
+        handover = ""
+        while True:
+            try:
+                handover = await self._client.release(keys, RELEASE_TIMEOUT_S)
+                break
+            except UpstreamCallFailed as error:
+                _log.info("release_unanswered", detail=error.detail)
+                if now() > grant.may_hold_until or not self._watch.state.alive:
+                    return ""
+                await asyncio.sleep(GRANT_RETRY_S)
+        # A grant without an answer could take effect after the release.
+        late = grant.unanswered_until - now()
+        if late > 0 and self._watch.state.alive:
+            _log.info("release_waits_for_late_grant", seconds=late)
+            await asyncio.sleep(late)
+        _log.info("keys_released", first=keys.first, last=keys.last, token=keys.token)
+        return handover
+
+    async def _write_alone(self, changed: RangeTable, reason: str) -> None:
+        """Writes a table and lets the next change begin."""
+        try:
+            if not await self._write(changed, reason):
+                await asyncio.sleep(0.3 * random.uniform(0.5, 1.5))
+        finally:
+            self._writing = False
+
+    async def _write(self, changed: RangeTable, reason: str) -> bool:
+        """Writes a table over the revision that is known; tells the peers."""
+        name = table_name(changed.service)
+        try:
+            stored = await self._records.write(
+                RANGES, name, msgspec.json.encode(changed)
+            )
+        except StoreConflict:
+            found = self.table
+            done = found is not None and found.writer == changed.writer
+            _log.info("table_conflict", reason=reason, done=done)
+            return done
+        except StoreError as error:
+            _log.warning("table_not_written", reason=reason, detail=error.detail)
+            return False
+        _log.info(
+            "table_written",
+            reason=reason,
+            revision=stored.revision,
+            top_token=changed.top_token,
+            ranges=len(changed.ranges),
+        )
+        state = ObjectState(name, stored.revision, stored.content)
+        self._links.broadcast(ObjectNotice(RANGES, state))
+        return True
+
+    def _is_moving(self, keys: KeyRange) -> bool:
+        """Tells whether a range, or a part of it, is being handed over."""
+        return any(
+            moving.first <= keys.last and keys.first <= moving.last
+            for moving in self._moving
+        )
+
+    def _spawn(self, work: object) -> None:
+        """Runs work in the background until it ends."""
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _id(keys: KeyRange) -> tuple[int, int, int]:
+    """Returns what names a grant."""
+    return keys.first, keys.last, keys.token
+
+
+def _writer() -> str:
+    """Returns a new name for a write."""
+    return secrets.token_hex(8)
--- /dev/null
+++ b/rosemarydeal/node/process.py
@@ -0,0 +1,357 @@
+"""Puts the tasks of a process together, starts and ends them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Coroutine
+
+import msgspec
+import structlog
+
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import Member, NodeIdentity, Service
+from rosemarydeal.core.requests import NotServed
+from rosemarydeal.platform import announcements, callers
+from rosemarydeal.platform.errors import StoreError, Unreadable
+from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
+from rosemarydeal.platform.store import StoreClient, StoreSettings
+from rosemarydeal.platform.upstream import UpstreamClient
+from rosemarydeal.proxy import (
+    HttpLimits,
+    HttpServer,
+    Request,
+    Response,
+    serve,
+    whole_response,
+)
+
+from .entry import Entry
+from .guard import Guard, GuardHooks
+from .health import UpstreamHealth
+from .links import LinkHooks, Links
+from .messages import Blame, Ping, Pong
+from .metrics import Metrics
+from .ownership import Ownership
+from .records import MEMBERS, RANGES, Records
+from .upstream import UpstreamState, UpstreamWatch
+
+__all__ = ["NodeProcess"]
+
+# Connections to the upstream beside the slots: grants, and some that close.
+SPARE_CONNECTIONS = 12
+CALLER_CONNECTIONS = 3000
+PUBLISH_RETRY_S = 0.3
+# The platform asks once a second and takes a node out after two misses.
+READINESS_NOTICE_S = 2.2
+END_MARGIN_S = 0.7
+# A member that nobody has reached for so long is not coming back.
+FORGET_MEMBER_AFTER_S = 25.0
+SWEEP_PERIOD_S = 2.0
+ZONE_OUT = NotServed("zone-out", elsewhere=True)
+
+_log = structlog.get_logger()
+
+
+class NodeProcess:
+    """Runs all tasks of the process beside one upstream."""
+
+    def __init__(self, identity: NodeIdentity) -> None:
+        self._identity = identity
+        self._process = f"{time.time_ns():x}-{secrets.token_hex(3)}"
+        self._metrics = Metrics()
+        self._store = StoreClient(StoreSettings(identity.store))
+        self._health = UpstreamHealth()
+        self._client = UpstreamClient(identity.upstream, 100)
+        self._links = Links(identity.node, self._process, self._link_hooks())
+        self._records = Records(self._store, self._links.send)
+        self._watch = UpstreamWatch(identity, self._take_upstream)
+        self._ownership = Ownership(
+            identity,
+            self._records,
+            self._links,
+            self._client,
+            self._watch,
+            self._is_keyed,
+        )
+        self._guard = Guard(
+            identity, self._client, self._watch, self._guard_hooks(), self._metrics
+        )
+        self._ownership.attach(self._guard)
+        self._entry = Entry(
+            identity,
+            self._records,
+            self._links,
+            self._guard,
+            self._health,
+            self._metrics,
+            lambda: self._stopping,
+        )
+        self._stopping = False
+        self._ended = asyncio.Event()
+        self._publish = asyncio.Event()
+        self._servers: list[HttpServer] = []
+        self._callers: HttpServer | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._was_zone_out = False
+
+    async def start(self) -> None:
+        """Opens all sockets and starts all tasks."""
+        identity = self._identity
+        limits = HttpLimits(connections_per_address=CALLER_CONNECTIONS)
+        for handler, address in (
+            (self._answer_readiness, identity.readiness),
+            (self._answer_announcement, identity.announcements),
+            (self._answer_metrics, identity.metrics),
+        ):
+            self._servers.append(await serve(handler, address, limits))
+        self._callers = await serve(self._entry.handle, identity.callers, limits)
+        await self._links.start(identity.peer)
+        self._records.subscribe(self._take_change)
+        self._records.start()
+        for work in (
+            self._ownership.run(),
+            self._guard.measure_load(),
+            self._publish_member(),
+            self._forget_members(),
+        ):
+            self._spawn(work)
+        _log.info("started", process=self._process, zone=identity.zone)
+
+    async def wait_failed(self) -> None:
+        """Waits until a task of the process has failed."""
+        await self._ended.wait()
+
+    async def shut_down(self) -> None:
+        """Finishes what runs and closes everything, within the grace time."""
+        ends = now() + self._identity.bounds.grace_s - END_MARGIN_S
+        self._stopping = True
+        _log.info("stopping", open=self._entry.open, serving=self._links.serving)
+        state = self._watch.state
+        removed = state is None or not state.accepting
+        notice = now() + READINESS_NOTICE_S
+        while now() < notice:
+            await asyncio.sleep(0.05)
+        if removed:
+            await self._retire()
+        self._links.announce_leaving()
+        await self._callers.drain(max(0.1, ends - now() - 0.3))
+        while self._links.serving and now() < ends:
+            await asyncio.sleep(0.02)
+        _log.info("stopped", open=self._entry.open, serving=self._links.serving)
+
+    def _is_ready(self) -> bool:
+        """Tells whether callers may be sent here."""
+        return not self._stopping and self._records.configuration is not None
+
+    def _is_keyed(self) -> bool:
+        """Tells whether the own service is keyed."""
+        service = self._own_service()
+        return service is not None and service.keyed
+
+    def _own_service(self) -> Service | None:
+        """Returns the settings of the own service."""
+        configuration = self._records.configuration
+        if configuration is None:
+            return None
+        return configuration.services.get(self._identity.service)
+
+    def _is_zone_out(self) -> bool:
+        """Tells whether operators took the own zone out."""
+        return self._identity.zone in self._records.zones_out
+
+    def _link_hooks(self) -> LinkHooks:
+        """Connects the links to the other tasks."""
+        return LinkHooks(
+            serve=lambda order: self._guard.serve(order),
+            pong=self._pong,
+            known=lambda: self._records.known,
+            on_known=lambda node, known: self._records.note_known(node, known),
+            fetch=lambda kind: self._records.export(kind),
+            on_objects=lambda objects: self._records.take_objects(objects),
+            on_notice=lambda notice: self._records.take_notice(notice),
+            on_blame=lambda blame: self._guard.take_blame(blame.marks),
+            confirm=lambda question: self._ownership.confirm_for(question),
+            on_change=lambda node, up: None,
+        )
+
+    def _guard_hooks(self) -> GuardHooks:
+        """Connects the guard to the other tasks."""
+        return GuardHooks(
+            admits=self._ownership.admits,
+            zone_out=self._is_zone_out,
+            on_crash=lambda marks: self._links.broadcast(Blame(marks)),
+            service=self._own_service,
+        )
+
+    def _pong(self, ping: Ping) -> Pong:
+        """Builds the answer to a ping."""
+        return Pong(
+            ping.sent_at,
+            self._records.known,
+            self._guard.running,
+            self._guard.waiting,
+            self._guard.slots,
+            round(self._guard.load, 3),
+            round(self._guard.service_s, 4),
+            len(self._links.up),
+        )
+
+    def _take_change(self, kind: str) -> None:
+        """Follows a change of the store's objects."""
+        if kind == CONFIGURATION_KIND:
+            if self._records.configuration is not None:
+                self._entry.configure(self._records.configuration)
+        elif kind == ZONES_OUT_KIND:
+            self._take_zones()
+        elif kind == MEMBERS:
+            self._links.follow(self._records.members)
+            self._check_own_member()
+        elif kind == RANGES:
+            self._ownership.follow_table()
+
+    def _take_zones(self) -> None:
+        """Stops or resumes the work at the upstream by the operators' order."""
+        out = self._is_zone_out()
+        if out == self._was_zone_out:
+            return
+        self._was_zone_out = out
+        if out:
+            self._guard.close_for(ZONE_OUT)
+        else:
+            service = self._own_service()
+            if service is not None:
+                self._guard.set_cold_again(service.cold_period_s, service.cold_per_s)
+            self._guard.reopen()
+        self._ownership.follow_table()
+
+    def _take_upstream(self, state: UpstreamState, old: UpstreamState | None) -> None:
+        """Follows the life of the upstream."""
+        self._guard.take_state(state, old)
+        if self._is_zone_out():
+            self._guard.close_for(ZONE_OUT)
+        changed = (
+            old is None
+            or old.life != state.life
+            or old.accepting != state.accepting
+            or old.alive != state.alive
+        )
+        if changed:
+            self._ownership.upstream_changed()
+            self._publish.set()
+
+    def _own_member(self) -> Member:
+        """Returns what is published of this process."""
+        identity, state = self._identity, self._watch.state
+        announced = state.announcement if state is not None else None
+        return Member(
+            node=identity.node,
+            process=self._process,
+            peer=identity.peer,
+            zone=identity.zone,
+            service=identity.service,
+            instance=announced.instance if announced else "",
+            born_ms=announced.born_ms if announced else 0,
+            slots=announced.slots if announced else 0,
+            accepting=state is not None and state.accepting,
+        )
+
+    def _check_own_member(self) -> None:
+        """Has the own member written again if somebody removed it."""
+        known = self._records.members.get(self._identity.node)
+        if self._watch.state is not None and known != self._own_member():
+            self._publish.set()
+
+    async def _publish_member(self) -> None:
+        """Writes the own member whenever it has changed, until cancelled."""
+        while True:
+            await self._publish.wait()
+            self._publish.clear()
+            if self._stopping or not self._records.complete:
+                await asyncio.sleep(PUBLISH_RETRY_S / 3)
+                self._publish.set()
+                continue
+            member = self._own_member()
+            if self._records.members.get(member.node) == member:
+                continue
+            try:
+                await self._records.write(
+                    MEMBERS, member.node, msgspec.json.encode(member)
+                )
+                _log.info("member_published", life=member.life, ok=member.accepting)
+            except StoreError as error:
+                _log.info("member_not_published", detail=error.detail)
+                await asyncio.sleep(PUBLISH_RETRY_S * random.uniform(0.7, 1.3))
+                self._publish.set()
+
+    async def _retire(self) -> None:
+        """Removes the own member, since the upstream does not come back."""
+        try:
+            await self._records.remove(MEMBERS, self._identity.node)
+        except StoreError as error:
+            _log.warning("member_not_removed", detail=error.detail)
+
+    async def _forget_members(self) -> None:
+        """Removes members that nobody has reached for long, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S * random.uniform(0.8, 1.2))
+            loop_now = asyncio.get_running_loop().time()
+            up = sorted([self._identity.node, *self._links.up])
+            if up[0] != self._identity.node or not self._records.reachable:
+                continue
+            for node in list(self._records.members):
+                since = self._links.down_since(node)
+                if since is None or loop_now - since < FORGET_MEMBER_AFTER_S:
+                    continue
+                try:
+                    await self._records.remove(MEMBERS, node)
+                    _log.info("member_forgotten", member=node)
+                except StoreError as error:
+                    _log.info("member_not_forgotten", detail=error.detail)
+
+    async def _answer_readiness(self, request: Request) -> Response:
+        """Answers the platform's question whether callers may come."""
+        return callers.readiness_response(self._is_ready())
+
+    async def _answer_announcement(self, request: Request) -> Response:
+        """Answers what the upstream says of itself."""
+        try:
+            call = await announcements.decode_call(request)
+        except Unreadable as error:
+            _log.warning("announcement_unreadable", detail=error.detail)
+            return announcements.reject()
+        if self._watch.take(call):
+            return announcements.acknowledge()
+        return announcements.reject()
+
+    async def _answer_metrics(self, request: Request) -> Response:
+        """Answers with all metrics."""
+        for name, value in (
+            ("running", self._guard.running),
+            ("waiting", self._guard.waiting),
+            ("slots", self._guard.slots),
+            ("load", self._guard.load),
+            ("key_ranges", len(self._ownership.owned)),
+            ("peer_links", len(self._links.up)),
+            ("store_calls", self._store.calls),
+            ("store_reachable", self._records.reachable),
+        ):
+            self._metrics.set_gauge(name, value)
+        kind = ((b"content-type", b"text/plain; version=0.0.4"),)
+        return whole_response(200, self._metrics.render(), kind)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Starts a task whose failure ends the process."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._note_end)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        """Logs a task that failed and ends the process."""
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        _log.critical("task_failed", exc_info=task.exception())
+        self._ended.set()
--- /dev/null
+++ b/rosemarydeal/node/upstream.py
@@ -0,0 +1,164 @@
+"""Owns what this process knows of the upstream beside it.
+
+The upstream's announcements, its departure and failed connections make up its
+state. An older announcement, one of a former incarnation, or one that names
+another service or address changes nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import Announcement, Departure, NodeIdentity
+
+__all__ = ["UpstreamState", "UpstreamWatch"]
+
+# An upstream that has missed three announcements and refuses a connection is
+# gone; one that has missed many more is gone whatever its connections do.
+SILENT_PERIODS = 3.0
+GONE_PERIODS = 9.0
+
+_log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamState:
+    """Is what is known of the upstream.
+
+    Attributes:
+        announcement: Its last announcement.
+        heard_at: When that came.
+        leaving_since: When it first said that it leaves, None if it stays.
+        alive: Whether it is thought to run.
+    """
+
+    announcement: Announcement
+    heard_at: float
+    leaving_since: float | None
+    alive: bool
+
+    @property
+    def life(self) -> str:
+        """Returns the name of its life."""
+        return f"{self.announcement.instance}@{self.announcement.born_ms}"
+
+    @property
+    def accepting(self) -> bool:
+        """Tells whether it takes new work."""
+        return self.alive and self.leaving_since is None
+
+
+class UpstreamWatch:
+    """Follows the upstream's life and tells when it changes."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        on_change: Callable[[UpstreamState, UpstreamState | None], None],
+    ) -> None:
+        """Makes a watch that knows no upstream yet.
+
+        Args:
+            identity: This process.
+            on_change: Called with the new and the former state.
+        """
+        self._identity = identity
+        self._on_change = on_change
+        self._state: UpstreamState | None = None
+
+    @property
+    def state(self) -> UpstreamState | None:
+        """Returns what is known, None before the first announcement."""
+        return self._state
+
+    def take(self, call: Announcement | Departure) -> bool:
+        """Takes a call of the upstream in.
+
+        Returns:
+            Whether the call is acknowledged.
+        """
+        match call:
+            case Announcement():
+                return self._take_announcement(call)
+            case Departure():
+                return self._take_departure(call)
+
+    def note_connect_failed(self) -> None:
+        """Takes it that the upstream does not run: it refused a connection."""
+        state = self._state
+        if state is not None and state.alive:
+            _log.warning("upstream_gone", life=state.life, reason="connect-failed")
+            self._set(
+                UpstreamState(
+                    state.announcement, state.heard_at, state.leaving_since, False
+                )
+            )
+
+    def check_silence(self) -> None:
+        """Takes it that an upstream is gone which has been silent for long."""
+        state = self._state
+        if state is None or not state.alive:
+            return
+        silent = now() - state.heard_at
+        if silent > GONE_PERIODS * self._identity.announce_period_s:
+            _log.warning("upstream_gone", life=state.life, silent_s=silent)
+            self._set(
+                UpstreamState(
+                    state.announcement, state.heard_at, state.leaving_since, False
+                )
+            )
+
+    def _take_announcement(self, new: Announcement) -> bool:
+        """Takes an announcement in unless it is old or somebody else's."""
+        if new.service != self._identity.service or (
+            new.address != self._identity.upstream
+        ):
+            _log.warning(
+                "announcement_ignored",
+                instance=new.instance,
+                service=new.service,
+                address=str(new.address),
+            )
+            return False
+        state = self._state
+        if state is not None:
+            old = state.announcement
+            same = (old.instance, old.born_ms) == (new.instance, new.born_ms)
+            if new.born_ms < old.born_ms or (same and new.sequence <= old.sequence):
+                return True
+            if not same:
+                state = None
+        leaving = state.leaving_since if state is not None else None
+        if new.draining and leaving is None:
+            leaving = now()
+            _log.info("upstream_draining", instance=new.instance)
+        self._set(UpstreamState(new, now(), leaving, True))
+        return True
+
+    def _take_departure(self, call: Departure) -> bool:
+        """Notes that the upstream leaves without having said so before."""
+        state = self._state
+        if state is None or state.announcement.instance != call.instance:
+            return True
+        if call.born_ms is not None and call.born_ms != state.announcement.born_ms:
+            return True
+        if state.leaving_since is None:
+            _log.info("upstream_left", instance=call.instance)
+            self._set(UpstreamState(state.announcement, now(), now(), state.alive))
+        return True
+
+    def _set(self, state: UpstreamState) -> None:
+        """Takes a new state over."""
+        old, self._state = self._state, state
+        if old is None or old.life != state.life:
+            _log.info(
+                "upstream_known",
+                instance=state.announcement.instance,
+                born_ms=state.announcement.born_ms,
+                cold_left_s=state.announcement.cold_left_s,
+            )
+        self._on_change(state, old)
--- a/rosemarydeal/platform/__init__.py
+++ b/rosemarydeal/platform/__init__.py
@@ -1,17 +1,6 @@
-"""The client of the platform's object API."""
+"""The adapter to the operator's platform: names, formats and calls.
 
-from .budget import CallBudget
-from .client import PlatformClient, PlatformSettings
-from .errors import PlatformConflict, PlatformError, PlatformUnavailable
-from .interface import Changes, Platform
-
-__all__ = [
-    "CallBudget",
-    "Changes",
-    "Platform",
-    "PlatformClient",
-    "PlatformConflict",
-    "PlatformError",
-    "PlatformSettings",
-    "PlatformUnavailable",
-]
+Nothing here decides anything, and nothing outside knows the platform's names.
+Each module turns one kind of wire format into the types of `rosemarydeal.core`
+and back.
+"""
--- /dev/null
+++ b/rosemarydeal/platform/callers.py
@@ -0,0 +1,120 @@
+"""Decodes callers' requests and builds the responses that they get."""
+
+from __future__ import annotations
+
+from rosemarydeal.core.fleet import LAST_KEY
+from rosemarydeal.core.requests import (
+    Answered,
+    CallerRequest,
+    Ending,
+    NotServed,
+    Undecided,
+)
+from rosemarydeal.proxy import (
+    Headers,
+    Request,
+    Response,
+    find_header,
+    read_whole,
+    whole_response,
+)
+
+from . import names
+from .errors import Unreadable
+
+__all__ = ["decode_request", "is_readiness", "readiness_response", "respond"]
+
+MS_PER_S = 1000.0
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+NO_ROUTE_CODE = "route-not-found"
+
+
+async def decode_request(request: Request, body_limit: int) -> CallerRequest:
+    """Reads a caller's request as a whole.
+
+    Raises:
+        Unreadable: If it lacks its id, or a number in it is none.
+    """
+    headers = request.headers
+    identity = find_header(headers, names.REQUEST_ID)
+    if not identity:
+        raise Unreadable("the request has no id", "request-id-missing")
+    host = find_header(headers, b"host") or b""
+    return CallerRequest(
+        request_id=identity.decode("ascii", "replace"),
+        host=host.partition(b":")[0].decode("ascii", "replace").lower(),
+        method=request.method,
+        target=request.target,
+        headers=headers,
+        body=await read_whole(request.body, body_limit),
+        time_left_s=_time_left(find_header(headers, names.TIME_LEFT)),
+        key=_key(find_header(headers, names.KEY)),
+    )
+
+
+def respond(request_id: str, ending: Ending) -> Response:
+    """Builds the response for the ending of a request."""
+    match ending:
+        case Answered(status, headers, body):
+            return whole_response(status, body, headers)
+        case NotServed(code, retry_after_s):
+            status = NOT_FOUND if code == NO_ROUTE_CODE else UNAVAILABLE
+            return _own(status, request_id, code, retry_after_s)
+        case Undecided(code, timed_out):
+            status = GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY
+            return _own(status, request_id, code, None)
+
+
+def malformed(error: Unreadable) -> Response:
+    """Builds the response to a request that can't be read."""
+    return _own(BAD_REQUEST, "", error.code, None)
+
+
+def is_readiness(request: Request) -> bool:
+    """Tells whether the platform asks for readiness."""
+    return request.target.partition(b"?")[0] == names.READY_PATH
+
+
+def readiness_response(ready: bool) -> Response:
+    """Builds the answer about readiness."""
+    return whole_response(OK if ready else UNAVAILABLE, b"")
+
+
+def _own(
+    status: int, request_id: str, code: str, retry_after_s: float | None
+) -> Response:
+    """Builds a response of our own, with its code as the body."""
+    headers: Headers = ((b"content-type", b"text/plain"),)
+    if request_id:
+        headers += ((names.REQUEST_ID, request_id.encode("ascii", "replace")),)
+    if retry_after_s is not None:
+        headers += ((names.RETRY_AFTER, b"%.3f" % retry_after_s),)
+    return whole_response(status, code.encode("ascii"), headers)
+
+
+def _time_left(value: bytes | None) -> float | None:
+    """Reads how long the caller waits, in seconds."""
+    if value is None:
+        return None
+    try:
+        return int(value) / MS_PER_S
+    except ValueError as error:
+        raise Unreadable(f"time left: {value!r}", "time-left-invalid") from error
+
+
+def _key(value: bytes | None) -> int | None:
+    """Reads the key of a request."""
+    if value is None:
+        return None
+    try:
+        key = int(value)
+    except ValueError as error:
+        raise Unreadable(f"key: {value!r}", "key-invalid") from error
+    if not 0 <= key <= LAST_KEY:
+        raise Unreadable(f"key: {key}", "key-invalid")
+    return key
--- a/rosemarydeal/platform/errors.py
+++ b/rosemarydeal/platform/errors.py
@@ -1,25 +1,58 @@
-"""Defines the errors of the platform's client."""
+"""Errors of the adapter; failures of HTTP and of codecs become these."""
 
 from __future__ import annotations
 
 from rosemarydeal.core import CodedError
 
-__all__ = ["PlatformConflict", "PlatformError", "PlatformUnavailable"]
+__all__ = [
+    "HistoryGone",
+    "SettingsWrong",
+    "StoreConflict",
+    "StoreError",
+    "StoreUnavailable",
+    "Unreadable",
+]
 
 
-class PlatformError(CodedError):
-    """Says that the platform refused a call, which repeating won't mend."""
+class Unreadable(CodedError):
+    """Says that a body from outside doesn't have the form it must have."""
 
-    code = "platform_refused"
+    code = "unreadable"
 
 
-class PlatformConflict(PlatformError):
-    """Says that another write came first, so that this one took no effect."""
+class SettingsWrong(CodedError):
+    """Says that a setting of the process is missing or wrong."""
 
-    code = "platform_conflict"
+    code = "settings-wrong"
 
 
-class PlatformUnavailable(PlatformError):
-    """Says that no answer came; a write may or may not have taken effect."""
+class StoreError(CodedError):
+    """Covers all failures of calls to the store."""
 
-    code = "platform_unavailable"
+    code = "store-failed"
+
+
+class StoreUnavailable(StoreError):
+    """Says that no answer came, or that the store turned the call away.
+
+    Attributes:
+        maybe_done: Whether a write may have taken effect, or still may.
+    """
+
+    code = "store-unavailable"
+
+    def __init__(self, detail: str, maybe_done: bool = False) -> None:
+        super().__init__(detail)
+        self.maybe_done = maybe_done
+
+
+class StoreConflict(StoreError):
+    """Says that the object is at another revision than the write expected."""
+
+    code = "store-conflict"
+
+
+class HistoryGone(StoreError):
+    """Says that a watch can't go on from its revision; list anew."""
+
+    code = "store-history-gone"
--- /dev/null
+++ b/rosemarydeal/platform/names.py
@@ -0,0 +1,32 @@
+"""Header names and paths of the platform, each spelled once."""
+
+from __future__ import annotations
+
+REQUEST_ID = b"request-id"
+# Milliseconds that are left, although the name says a moment.
+TIME_LEFT = b"deadline-ms"
+KEY = b"shard-key"
+CALLER_SERVICE = b"caller-service"
+EXPECTED_INSTANCE = b"target-instance"
+NOT_RUN = b"not-executed"
+SIGNATURE = b"response-signature"
+LOAD = b"server-load"
+COLD_LEFT = b"cold-ms"
+INSTANCE = b"instance-id"
+HANDOVER = b"handover"
+RETRY_AFTER = b"retry-after"
+
+READY_PATH = b"/v1/ready"
+INSTANCES_PATH = b"/v1/instances/"
+ANNOUNCE_CALL = b"heartbeat"
+LEAVE_CALL = b"deregister"
+GRANT_PATH = b"/v1/grant"
+RELEASE_PATH = b"/v1/release"
+OBJECTS_PATH = "/v1/objects/"
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+ZONES_OUT_KIND = "evacuations"
+
+SETTINGS_VARIABLE = "ROSEMARYDEAL_NODE_FILE"
+SETTINGS_FILE = "/etc/rosemarydeal/node.toml"
--- /dev/null
+++ b/rosemarydeal/platform/store.py
@@ -0,0 +1,252 @@
+"""Calls the platform's store: the one client of it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from rosemarydeal.core import Address, CodedError
+from rosemarydeal.core.fleet import Stored
+from rosemarydeal.proxy import Pool, PoolSettings, Request, WholeBody, read_whole
+
+from .errors import (
+    HistoryGone,
+    StoreConflict,
+    StoreError,
+    StoreUnavailable,
+)
+from .names import OBJECTS_PATH
+
+__all__ = ["Listing", "StoreClient", "StoreSettings"]
+
+MS_PER_S = 1000.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+FOUND = (200, 201)
+MISSING = 404
+CONFLICT = 409
+GONE = 410
+TURNED_AWAY = (429, 503)
+_Body = TypeVar("_Body")
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """Sets up the client.
+
+    Attributes:
+        address: Where the store answers.
+        timeout_s: Longest wait for an answer; 75 times the usual answer time.
+        watch_slack_s: Longest wait beyond the time that a watch may take.
+    """
+
+    address: Address
+    timeout_s: float = 0.3
+    watch_slack_s: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Gives objects of a kind, as they are or as they changed.
+
+    Attributes:
+        objects: The objects; deleted ones have no content.
+        revision: Revision of the store that the objects reflect.
+    """
+
+    objects: tuple[Stored, ...]
+    revision: int
+
+
+class _Metadata(msgspec.Struct):
+    """Names an object and its revision."""
+
+    name: str
+    rev: int = 0
+    deleting: bool = False
+
+
+class _Object(msgspec.Struct):
+    """Is an object; only the part that its owner writes is of use."""
+
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _ListBody(msgspec.Struct):
+    """Is one page of a listing."""
+
+    items: list[msgspec.Raw]
+    current_rev: int
+    truncated: bool = False
+
+
+class _Event(msgspec.Struct):
+    """Is one change."""
+
+    object: msgspec.Raw
+    deleted: bool = False
+
+
+class _WatchBody(msgspec.Struct):
+    """Is the answer to a watch."""
+
+    events: list[_Event]
+    current_rev: int
+
+
+class StoreClient:
+    """Reads, writes and watches objects; counts its calls."""
+
+    def __init__(self, settings: StoreSettings) -> None:
+        self._settings = settings
+        self._pool = Pool(PoolSettings(connect_time_s=settings.timeout_s))
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Returns the number of calls made, refused ones included."""
+        return self._calls
+
+    async def list(self, kind: str) -> Listing:
+        """Returns all objects of a kind, page by page.
+
+        Raises:
+            StoreUnavailable: No answer came, or the call was turned away.
+            StoreError: The answer can't be read.
+        """
+        objects: list[Stored] = []
+        after = ""
+        while True:
+            query = f"?after={after}" if after else ""
+            status, body = await self._call(b"GET", f"{kind}{query}")
+            page = _decode(body, _ListBody, status)
+            objects += [_stored(kind, item) for item in page.items]
+            if not page.truncated or not page.items:
+                return Listing(tuple(objects), page.current_rev)
+            after = objects[-1].name
+
+    async def get(self, kind: str, name: str) -> Stored | None:
+        """Returns an object as it is now, or None where there is none."""
+        status, body = await self._call(b"GET", f"{kind}/{name}")
+        return None if status == MISSING else _whole(kind, status, body)
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> Listing:
+        """Waits for changes of a kind after a revision.
+
+        Raises:
+            HistoryGone: The store has dropped the history since that revision.
+        """
+        query = f"?watch={revision}&wait_ms={int(wait_s * MS_PER_S)}"
+        wait = wait_s + self._settings.watch_slack_s
+        status, body = await self._call(b"GET", kind + query, wait=wait)
+        if status == GONE:
+            raise HistoryGone(f"{kind}: history since {revision} is gone")
+        answer = _decode(body, _WatchBody, status)
+        changes = [_stored(kind, e.object, e.deleted) for e in answer.events]
+        return Listing(tuple(changes), answer.current_rev)
+
+    async def create(self, kind: str, name: str, content: bytes) -> Stored:
+        """Creates an object.
+
+        Raises:
+            StoreConflict: It exists already.
+            StoreUnavailable: The outcome is not known, or it was turned away.
+        """
+        body = _body(name, content, None)
+        status, answer = await self._call(b"POST", kind, body)
+        return _whole(kind, status, answer)
+
+    async def replace(
+        self, kind: str, name: str, content: bytes, revision: int
+    ) -> Stored:
+        """Replaces an object that is still at a revision.
+
+        Raises:
+            StoreConflict: It changed since, or is gone.
+            StoreUnavailable: The outcome is not known, or it was turned away.
+        """
+        body = _body(name, content, revision)
+        status, answer = await self._call(b"PUT", f"{kind}/{name}", body)
+        return _whole(kind, status, answer)
+
+    async def remove(self, kind: str, name: str, revision: int) -> None:
+        """Removes an object that is still at a revision; one that is gone is fine."""
+        status, answer = await self._call(b"DELETE", f"{kind}/{name}?rev={revision}")
+        if status != MISSING:
+            _check(kind, status, answer)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pool.close()
+
+    async def _call(
+        self, method: bytes, target: str, body: bytes = b"", wait: float | None = None
+    ) -> tuple[int, bytes]:
+        """Makes one call and reads its whole answer."""
+        self._calls += 1
+        address = self._settings.address
+        headers = [(b"host", str(address).encode("ascii"))]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        path = (OBJECTS_PATH + target).encode("ascii")
+        request = Request(method, path, tuple(headers), WholeBody(body), address)
+        timeout_s = wait or self._settings.timeout_s
+        writes = method != b"GET"
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self._pool.send(address, request, timeout_s)
+                whole = await read_whole(response.body, MAX_ANSWER_BYTES)
+        except (CodedError, OSError, TimeoutError) as error:
+            maybe_done = writes and getattr(error, "sent", True)
+            raise StoreUnavailable(f"{target}: {error!r}", maybe_done) from error
+        if response.status in TURNED_AWAY:
+            raise StoreUnavailable(f"{target}: status {response.status}")
+        return response.status, whole
+
+
+def _body(name: str, content: bytes, revision: int | None) -> bytes:
+    """Builds the body of a write."""
+    metadata: dict[str, object] = {"name": name}
+    if revision is not None:
+        metadata["rev"] = revision
+    return msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(content)})
+
+
+def _check(kind: str, status: int, body: bytes) -> None:
+    """Turns the status of an answer into an error where it is one."""
+    if status in (CONFLICT, MISSING):
+        raise StoreConflict(f"{kind}: status {status}")
+    if status not in FOUND:
+        raise StoreError(f"{kind}: status {status}: {body[:200]!r}")
+
+
+def _whole(kind: str, status: int, body: bytes) -> Stored:
+    """Decodes the answer that holds one object."""
+    _check(kind, status, body)
+    stored = _stored(kind, msgspec.Raw(body))
+    if stored.unreadable:
+        raise StoreError(f"{kind}: {stored.unreadable}")
+    return stored
+
+
+def _decode(body: bytes, form: type[_Body], status: int) -> _Body:
+    """Decodes an answer that must be a success."""
+    _check("answer", status, body)
+    try:
+        return msgspec.json.decode(body, type=form)
+    except msgspec.MsgspecError as error:
+        raise StoreError(f"answer: {error}") from error
+
+
+def _stored(kind: str, raw: msgspec.Raw, deleted: bool = False) -> Stored:
+    """Decodes one object; an unreadable one names nothing and harms nothing."""
+    try:
+        found = msgspec.json.decode(raw, type=_Object)
+    except msgspec.MsgspecError as error:
+        return Stored(kind, "", 0, None, str(error))
+    gone = deleted or found.metadata.deleting
+    content = None if gone else bytes(found.spec)
+    return Stored(kind, found.metadata.name, found.metadata.rev, content)
--- /dev/null
+++ b/rosemarydeal/platform/upstream.py
@@ -0,0 +1,200 @@
+"""Calls the upstream beside the process: grants, releases and requests."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from rosemarydeal.core import Address, CodedError
+from rosemarydeal.core.fleet import KeyRange, UpstreamLoad
+from rosemarydeal.core.requests import (
+    Answered,
+    Dispatched,
+    Failed,
+    Order,
+    Rejected,
+    UpstreamResult,
+)
+from rosemarydeal.proxy import (
+    Headers,
+    Pool,
+    PoolSettings,
+    ProxyError,
+    ProxyTimeout,
+    Request,
+    Response,
+    WholeBody,
+    find_header,
+    read_whole,
+)
+
+from . import names
+
+__all__ = ["GrantRefused", "UpstreamCallFailed", "UpstreamClient"]
+
+MS_PER_S = 1000.0
+# The shortest idle time of an upstream that the pages show is 10 s.
+IDLE_TIME_S = 4.0
+CONNECT_TIME_S = 1.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+OK = 200
+CONFLICT = 409
+MISDIRECTED = 421
+SUCCESSES = range(200, 300)
+
+
+class UpstreamCallFailed(CodedError):
+    """Says that a call of the upstream got no answer that could be used."""
+
+    code = "upstream-call-failed"
+
+
+class GrantRefused(CodedError):
+    """Says that the upstream has seen a higher token on one of the keys."""
+
+    code = "grant-refused"
+
+
+class UpstreamClient:
+    """Owns the connections to the upstream of this VM."""
+
+    def __init__(self, address: Address, connections: int) -> None:
+        self._address = address
+        settings = PoolSettings(
+            connections_per_address=connections,
+            idle_time_s=IDLE_TIME_S,
+            connect_time_s=CONNECT_TIME_S,
+        )
+        self._pool = Pool(settings)
+
+    async def grant(self, keys: KeyRange, hold_s: float, timeout_s: float) -> None:
+        """Grants a range of keys, or renews the grant.
+
+        Raises:
+            GrantRefused: The upstream has seen a higher token.
+            UpstreamCallFailed: No answer; the grant may yet take effect.
+        """
+        body: dict[str, object] = {
+            "from": keys.first,
+            "to": keys.last,
+            "fence": keys.token,
+            "hold_ms": int(hold_s * MS_PER_S),
+        }
+        if keys.handover:
+            body["handover"] = keys.handover
+        response = await self._call(names.GRANT_PATH, body, timeout_s)
+        if response.status == CONFLICT:
+            raise GrantRefused(f"keys {keys.first}-{keys.last}, token {keys.token}")
+        if response.status != OK:
+            raise UpstreamCallFailed(f"grant: status {response.status}")
+
+    async def release(self, keys: KeyRange, timeout_s: float) -> str:
+        """Takes a range of keys back once the work on them has ended.
+
+        Returns:
+            What the next owner needs to go on without a warm-up.
+
+        Raises:
+            UpstreamCallFailed: No answer; the upstream may still hold the keys.
+        """
+        body = {"from": keys.first, "to": keys.last, "fence": keys.token}
+        response = await self._call(names.RELEASE_PATH, body, timeout_s)
+        if response.status != OK:
+            raise UpstreamCallFailed(f"release: status {response.status}")
+        token = find_header(response.headers, names.HANDOVER) or b""
+        return token.decode("ascii", "replace")
+
+    async def run(self, dispatched: Dispatched) -> UpstreamResult:
+        """Sends a request and reads its whole answer.
+
+        Args:
+            dispatched: The request, and the instance that is to run it.
+
+        Returns:
+            How it ended; never an answer that belongs to another request.
+        """
+        order = dispatched.order
+        request = Request(
+            order.method,
+            order.target,
+            _headers(dispatched),
+            WholeBody(order.body),
+            self._address,
+        )
+        try:
+            response = await self._pool.send(
+                self._address, request, dispatched.time_left_s
+            )
+            body = await read_whole(response.body, MAX_ANSWER_BYTES)
+        except ProxyTimeout as error:
+            return Failed(error.code, error.sent, timed_out=True)
+        except ProxyError as error:
+            return Failed(error.code, getattr(error, "sent", True))
+        return _judge(order, response, body)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pool.close()
+
+    async def _call(
+        self, path: bytes, body: dict[str, object], timeout_s: float
+    ) -> Response:
+        """Makes one control call and reads its whole answer."""
+        headers = (
+            (b"host", str(self._address).encode("ascii")),
+            (b"content-type", b"application/json"),
+        )
+        encoded = WholeBody(msgspec.json.encode(body))
+        request = Request(b"POST", path, headers, encoded, self._address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self._pool.send(self._address, request, timeout_s)
+                await read_whole(response.body, MAX_ANSWER_BYTES)
+        except (ProxyError, TimeoutError) as error:
+            raise UpstreamCallFailed(f"{path!r}: {error!r}") from error
+        return response
+
+
+def _headers(dispatched: Dispatched) -> Headers:
+    """Returns the headers that the upstream gets."""
+    order = dispatched.order
+    own = {names.TIME_LEFT, names.CALLER_SERVICE, names.EXPECTED_INSTANCE}
+    kept = tuple(field for field in order.headers if field[0] not in own)
+    left_ms = max(1, int(dispatched.time_left_s * MS_PER_S))
+    return (
+        *kept,
+        (names.TIME_LEFT, b"%d" % left_ms),
+        (names.CALLER_SERVICE, order.caller_service.encode("ascii")),
+        (names.EXPECTED_INSTANCE, dispatched.instance.encode("ascii")),
+    )
+
+
+def _judge(order: Order, response: Response, body: bytes) -> UpstreamResult:
+    """Tells an answer to the request from a rejection and from foreign bytes."""
+    headers = response.headers
+    load = _load(find_header(headers, names.LOAD))
+    not_run = find_header(headers, names.NOT_RUN) is not None
+    if not_run or response.status == MISDIRECTED:
+        return Rejected(response.status, load)
+    echoed = find_header(headers, names.REQUEST_ID)
+    if echoed is not None and echoed.decode("ascii", "replace") != order.request_id:
+        return Failed("foreign-answer", sent=True)
+    signed = find_header(headers, names.SIGNATURE) is not None
+    if response.status in SUCCESSES and not (signed and echoed):
+        return Failed("unsigned-answer", sent=True)
+    if find_header(headers, b"content-encoding") is not None:
+        return Failed("encoded-answer", sent=True)
+    return Answered(response.status, headers, body, load)
+
+
+def _load(value: bytes | None) -> UpstreamLoad | None:
+    """Reads the figures of an upstream's load, None where they can't be read."""
+    if value is None:
+        return None
+    try:
+        figures = [int(part) for part in value.split(b",")]
+        pace = figures[3] / 100.0 if len(figures) > 3 else 1.0
+        return UpstreamLoad(figures[0], figures[1], figures[2], pace)
+    except (ValueError, IndexError):
+        return None
--- /dev/null
+++ b/rosemarydeal/policy/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decides what runs at the upstream, in which order, and what is turned away."""
--- /dev/null
+++ b/rosemarydeal/policy/dispatch/crashers.py
@@ -0,0 +1,65 @@
+"""Finds requests that crash the upstreams which run them.
+
+Load pattern: a request that ends each upstream that begins it, sent again at
+any process after each crash. What ran when an upstream crashed is blamed; a
+request that was blamed twice, at any process, and has not succeeded since, is
+turned away for a while.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from dataclasses import dataclass
+
+__all__ = ["CrashBlame", "fingerprint"]
+
+CRASHES_TO_REFUSE = 2
+FORGET_AFTER_S = 60.0
+MAX_ENTRIES = 4096
+
+
+def fingerprint(method: bytes, target: bytes, body: bytes) -> str:
+    """Returns what is the same for each sending of a request."""
+    digest = hashlib.blake2b(digest_size=12)
+    for part in (method, target, body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+@dataclass(slots=True)
+class _Entry:
+    """Counts the crashes that a request is blamed for."""
+
+    crashes: int
+    last: float
+
+
+class CrashBlame:
+    """Counts crashes by request, in bounded memory."""
+
+    def __init__(self) -> None:
+        self._entries: OrderedDict[str, _Entry] = OrderedDict()
+
+    def blame(self, running: tuple[str, ...], now: float) -> None:
+        """Counts a crash against all requests that ran."""
+        for mark in running:
+            entry = self._entries.pop(mark, None) or _Entry(0, now)
+            self._entries[mark] = _Entry(entry.crashes + 1, now)
+        while len(self._entries) > MAX_ENTRIES:
+            self._entries.popitem(last=False)
+
+    def clear(self, mark: str) -> None:
+        """Forgets a request that an upstream has run to its end."""
+        self._entries.pop(mark, None)
+
+    def refuses(self, mark: str, now: float) -> bool:
+        """Tells whether a request is turned away."""
+        entry = self._entries.get(mark)
+        if entry is None:
+            return False
+        if now - entry.last > FORGET_AFTER_S:
+            del self._entries[mark]
+            return False
+        return entry.crashes >= CRASHES_TO_REFUSE
--- /dev/null
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -0,0 +1,256 @@
+"""Orders the requests that wait for the upstream, and turns away the rest.
+
+Load pattern: more work than the upstream can do, in bursts of seconds or for
+long. What can still be answered within its target goes first, the more urgent
+rank before the less urgent one, then the one whose target ends first. What
+could only be late waits behind. What can't be answered at all, by the pace at
+which the upstream works now, is turned away on arrival, or as soon as that
+becomes known, with the time after which there will be room.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from rosemarydeal.core.requests import NotServed
+
+from .cold_start import ColdLimiter
+from .service_time import ServiceTimes
+
+__all__ = ["Admission", "DispatchQueue", "Refuse", "Start", "Waiting"]
+
+# Requests wait in our queue, never in the upstream's own.
+CODE_OVERLOADED = "overloaded"
+CODE_NOT_IN_TIME = "not-in-time"
+# A caller that comes back at once meets the same queue.
+MIN_RETRY_AFTER_S = 0.1
+
+
+class Admission(Enum):
+    """Says whether the keys of a request allow it to run now."""
+
+    RUN = auto()
+    WAIT = auto()
+    ELSEWHERE = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """Is a request that waits.
+
+    Attributes:
+        number: Number by which the queue's user knows it.
+        rank: Its route's priority; 0 is the most urgent.
+        key: Key that it is about, if any.
+        arrived: When it came.
+        target_at: When its answer begins to be worth less.
+        give_up_at: When nobody waits for its answer any more.
+    """
+
+    number: int
+    rank: int
+    key: int | None
+    arrived: float
+    target_at: float
+    give_up_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Says that a request goes to the upstream now."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Says that a request is turned away."""
+
+    number: int
+    outcome: NotServed
+
+
+Decision = Start | Refuse
+
+
+class DispatchQueue:
+    """Holds what waits and counts what runs."""
+
+    def __init__(self, cold: ColdLimiter, admits: Callable[[int], Admission]) -> None:
+        """Makes an empty queue.
+
+        Args:
+            cold: Limits the upstream's cold start.
+            admits: Tells whether requests for a key may run.
+        """
+        self._cold = cold
+        self._admits = admits
+        self._times = ServiceTimes()
+        self._waiting: dict[int, Waiting] = {}
+        self._running: dict[int, tuple[int, float]] = {}
+        self._slots = 1
+        self._open = False
+
+    @property
+    def running(self) -> int:
+        """Returns the number of requests at the upstream."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Returns the number of requests that wait."""
+        return len(self._waiting)
+
+    @property
+    def slots(self) -> int:
+        """Returns the number of requests that may run at a time."""
+        return self._slots
+
+    @property
+    def times(self) -> ServiceTimes:
+        """Returns the measured service times."""
+        return self._times
+
+    def set_slots(self, slots: int) -> None:
+        """Sets how many requests may run at a time."""
+        self._slots = max(1, slots)
+
+    def open(self) -> None:
+        """Lets requests go to the upstream."""
+        self._open = True
+
+    def close(self, outcome: NotServed) -> list[Decision]:
+        """Lets nothing go to the upstream any more and refuses what waits."""
+        self._open = False
+        refused = [Refuse(number, outcome) for number in self._waiting]
+        self._waiting.clear()
+        return refused
+
+    def offer(self, waiting: Waiting, now: float) -> list[Decision]:
+        """Takes a request in, or turns it away at once."""
+        self._times.note_arrival(waiting.rank, now)
+        self._waiting[waiting.number] = waiting
+        refused = self._check_room(waiting, now)
+        if refused is not None:
+            del self._waiting[waiting.number]
+            return [refused]
+        return self.advance(now)
+
+    def withdraw(self, number: int) -> None:
+        """Forgets a request that nobody waits for any more."""
+        self._waiting.pop(number, None)
+
+    def ended(self, number: int, now: float, completed: bool) -> list[Decision]:
+        """Notes that a request has left the upstream, and lets others go."""
+        rank, since = self._running.pop(number, (0, now))
+        if completed:
+            self._times.note_service(rank, now - since)
+        return self.advance(now)
+
+    def advance(self, now: float) -> list[Decision]:
+        """Lets go what may run, and turns away what can't be in time."""
+        decisions = self._drop_hopeless(now)
+        if not self._open:
+            return decisions
+        for waiting in self._ordered(now):
+            if len(self._running) >= self._slots or not self._cold.may_send(now):
+                break
+            match self._admission(waiting):
+                case Admission.RUN:
+                    decisions.append(self._start(waiting, now))
+                case Admission.ELSEWHERE:
+                    decisions.append(self._send_elsewhere(waiting))
+                case Admission.WAIT:
+                    continue
+        return decisions
+
+    def wake_at(self, now: float) -> float | None:
+        """Returns when to call `advance` again although nothing happens."""
+        if not self._waiting:
+            return None
+        moments = [w.give_up_at - self._expected(w) for w in self._waiting.values()]
+        if self._open and len(self._running) < self._slots:
+            moments.append(self._cold.next_at(now))
+        return min(moments)
+
+    def wait_ahead(self, rank: int, target_at: float) -> float:
+        """Returns how long a request of a rank would wait now, in seconds."""
+        ahead = sum(
+            self._expected(other)
+            for other in self._waiting.values()
+            if (other.rank, other.target_at) <= (rank, target_at)
+        )
+        free = self._slots - len(self._running)
+        if free > len(self._waiting):
+            return 0.0
+        urgent = self._times.work_rate_above(rank)
+        width = max(0.2 * self._slots, self._slots - urgent)
+        residual = 0.5 * self._times.mean() if free <= 0 else 0.0
+        return ahead / width + residual / self._slots
+
+    def _check_room(self, waiting: Waiting, now: float) -> Refuse | None:
+        """Refuses a request that can't be answered while somebody waits for it."""
+        if waiting.key is not None:
+            if self._admits(waiting.key) is Admission.ELSEWHERE:
+                return self._not_here(waiting)
+        expected = self._expected(waiting)
+        del self._waiting[waiting.number]
+        wait = self.wait_ahead(waiting.rank, waiting.target_at)
+        self._waiting[waiting.number] = waiting
+        if now + wait + expected <= waiting.give_up_at:
+            return None
+        return Refuse(waiting.number, self._refusal(CODE_OVERLOADED, waiting, now))
+
+    def _drop_hopeless(self, now: float) -> list[Decision]:
+        """Turns away what would not be answered even if it ran now."""
+        refused = []
+        for waiting in list(self._waiting.values()):
+            if now + 0.7 * self._expected(waiting) <= waiting.give_up_at:
+                continue
+            del self._waiting[waiting.number]
+            outcome = self._refusal(CODE_NOT_IN_TIME, waiting, now)
+            refused.append(Refuse(waiting.number, outcome))
+        return refused
+
+    def _ordered(self, now: float) -> list[Waiting]:
+        """Returns what waits, in the order in which it should run."""
+
+        def order(waiting: Waiting) -> tuple[bool, int, float]:
+            late = now + self._expected(waiting) > waiting.target_at
+            return late, waiting.rank, waiting.target_at
+
+        return sorted(self._waiting.values(), key=order)
+
+    def _admission(self, waiting: Waiting) -> Admission:
+        """Tells whether a request's key allows it to run."""
+        return Admission.RUN if waiting.key is None else self._admits(waiting.key)
+
+    def _start(self, waiting: Waiting, now: float) -> Start:
+        """Moves a request from the queue to the upstream."""
+        del self._waiting[waiting.number]
+        self._running[waiting.number] = (waiting.rank, now)
+        self._cold.note_sent(now)
+        return Start(waiting.number)
+
+    def _send_elsewhere(self, waiting: Waiting) -> Refuse:
+        """Turns a request away whose key has another owner."""
+        del self._waiting[waiting.number]
+        return self._not_here(waiting)
+
+    def _not_here(self, waiting: Waiting) -> Refuse:
+        """Builds the refusal that lets the caller's process look again."""
+        return Refuse(waiting.number, NotServed("not-owner", elsewhere=True))
+
+    def _expected(self, waiting: Waiting) -> float:
+        """Returns how long a request is expected to run, in seconds."""
+        return self._times.expected(waiting.rank)
+
+    def _refusal(self, code: str, waiting: Waiting, now: float) -> NotServed:
+        """Says when there will be room for a request that is turned away."""
+        wait = self.wait_ahead(waiting.rank, waiting.target_at)
+        room_after = max(MIN_RETRY_AFTER_S, wait - self._expected(waiting))
+        most = max(0.0, waiting.give_up_at - now) / 3.0
+        retry_after = room_after if room_after <= most else None
+        return NotServed(code, retry_after, elsewhere=True)
--- /dev/null
+++ b/rosemarydeal/policy/dispatch/retry_budget.py
@@ -0,0 +1,54 @@
+"""Keeps retries within a share of the requests.
+
+Load pattern: an upstream that fails a part of its requests, or loses answers,
+while retries would double the load on the rest. The deployment's budget counts
+over all processes; each keeps to its own requests' share and to an equal part
+of the fixed slack, so that the sum is never over it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from rosemarydeal.core.fleet import Bounds
+
+__all__ = ["RetryBudget"]
+
+# Part of the budget that is used, since windows of others may begin elsewhere.
+USED_PART = 0.7
+
+
+class RetryBudget:
+    """Counts requests and retries of one service at one process."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self._bounds = bounds
+        self._requests: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Counts a request."""
+        self._requests.append(now)
+        self._trim(now)
+
+    def take(self, now: float, processes: int) -> bool:
+        """Takes one retry out of the budget, if it has one.
+
+        Args:
+            now: The present moment.
+            processes: Processes that share the fixed slack.
+        """
+        self._trim(now)
+        slack = self._bounds.retry_slack / max(1, processes)
+        allowed = self._bounds.retry_ratio * len(self._requests) + slack
+        if len(self._retries) + 1 > allowed * USED_PART:
+            return False
+        self._retries.append(now)
+        return True
+
+    def _trim(self, now: float) -> None:
+        """Forgets what left the window."""
+        begin = now - self._bounds.retry_window_s
+        for moments in (self._requests, self._retries):
+            while moments and moments[0] < begin:
+                moments.popleft()
--- /dev/null
+++ b/rosemarydeal/policy/keyranges/balance.py
@@ -0,0 +1,115 @@
+"""Decides which keys an owner gives away because it has too much to do.
+
+Load pattern: busy keys lie close together, become busy at once and stay so for
+seconds, and upstreams differ in speed up to threefold. The busiest owner cuts a
+piece off an end of one of its ranges, at the key that leaves both with the
+same load, and gives it to the least busy one. A move stops work on its keys for
+a moment and has a price, so that small differences are left alone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from rosemarydeal.core.fleet import KeyRange
+
+__all__ = ["Burden", "Transfer", "plan_transfer"]
+
+# Difference of burdens, as a share of an upstream's slots, that pays a move.
+WORTHWHILE_GAP = 0.35
+# An owner below this burden answers in time whatever the others do.
+BUSY_BURDEN = 0.7
+# Fewer arrivals say too little about where a range should be cut.
+MIN_ARRIVALS = 12
+# Most of its arrivals that an owner gives away at once.
+MAX_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Burden:
+    """Says how busy an owner is.
+
+    Attributes:
+        node: The owner's node.
+        load: Requests that run and wait, as a share of its slots, smoothed.
+    """
+
+    node: str
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class Transfer:
+    """Is a piece of a range that is to change hands."""
+
+    keys: KeyRange
+    heir: str
+
+
+def plan_transfer(
+    own: Burden,
+    others: Sequence[Burden],
+    ranges: Sequence[KeyRange],
+    arrivals: Mapping[int, float],
+) -> Transfer | None:
+    """Returns what to give away now, or None.
+
+    Args:
+        own: This owner's burden.
+        others: Burdens of the other upstreams that could own keys.
+        ranges: This owner's ranges.
+        arrivals: Work that arrived lately, by key.
+    """
+    if not others or own.load < BUSY_BURDEN:
+        return None
+    if any(other.load > own.load for other in others):
+        return None
+    least = min(others, key=lambda burden: (burden.load, burden.node))
+    gap = own.load - least.load
+    if gap < WORTHWHILE_GAP:
+        return None
+    share = min(MAX_SHARE, gap / 2.0 / own.load)
+    keys = _piece(ranges, arrivals, share)
+    return Transfer(keys, least.node) if keys is not None else None
+
+
+def _piece(
+    ranges: Sequence[KeyRange], arrivals: Mapping[int, float], share: float
+) -> KeyRange | None:
+    """Returns the piece whose work comes nearest to a share of all."""
+    if len(arrivals) < MIN_ARRIVALS:
+        return None
+    wanted = share * sum(arrivals.values())
+    best: tuple[float, KeyRange] | None = None
+    for keys in ranges:
+        inside = sorted((k, work) for k, work in arrivals.items() if k in keys)
+        for piece, work in _end_pieces(keys, inside, wanted):
+            off = abs(work - wanted)
+            if best is None or off < best[0]:
+                best = (off, piece)
+    if best is None or best[0] > 0.7 * wanted:
+        return None
+    return best[1]
+
+
+def _end_pieces(
+    keys: KeyRange, inside: Sequence[tuple[int, float]], wanted: float
+) -> list[tuple[KeyRange, float]]:
+    """Returns the pieces at both ends of a range that come nearest to the work."""
+    pieces = []
+    total = 0.0
+    for key, work in inside:
+        total += work
+        if total >= wanted and key < keys.last:
+            pieces.append((replace(keys, last=key), total))
+            break
+    total = 0.0
+    for key, work in reversed(inside):
+        total += work
+        if total >= wanted and key > keys.first:
+            pieces.append((replace(keys, first=key), total))
+            break
+    whole = sum(work for _, work in inside)
+    pieces.append((keys, whole))
+    return pieces
--- /dev/null
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -0,0 +1,289 @@
+"""Decides which change of a service's table this process proposes now.
+
+An owner moves its own keys: it knows when its upstream leaves, is gone or lies
+in a zone that is out, so that nothing has to be waited out. Keys of a process
+that is silent are given away by the first of the others, once a suspicion has
+stood for as long as the silent one may still use them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from rosemarydeal.core.fleet import KeyRange, Member, RangeTable
+
+from . import table as tables
+
+__all__ = [
+    "HandOver",
+    "View",
+    "Write",
+    "heirs",
+    "propose",
+    "renew_tokens",
+    "still_owned",
+]
+
+# Members of a deployment that starts come within a second or two.
+SETTLE_S = 1.2
+# Processes that are restarted are back sooner; a pause of the peer is longer
+# than that only if something is wrong.
+SUSPECT_AFTER_S = 2.0
+# The second and later processes propose only if the first did not.
+RANK_DELAY_S = 1.0
+# A member that has joined should own something soon, but be linked first.
+JOIN_SETTLE_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Is what a proposal is decided by.
+
+    Attributes:
+        node: This node.
+        service: Its service.
+        life: Life of its upstream, empty if none is known.
+        accepting: Whether its upstream takes new work.
+        alive: Whether its upstream runs.
+        members: Members of the service, by node.
+        zones_out: Availability zones that operators took out.
+        silent_s: For how long members could not be reached.
+        links_up: Other processes that can be reached, of all services.
+        nodes: Processes of all services, this one included.
+        waited_out: Suspected nodes whose tenure has surely ended.
+        settled_s: Time since the members changed.
+        complete: Whether the store was read and answers.
+        writer: Name for the write.
+    """
+
+    node: str
+    service: str
+    life: str
+    accepting: bool
+    alive: bool
+    members: tuple[Member, ...]
+    zones_out: frozenset[str]
+    silent_s: Mapping[str, float]
+    links_up: int
+    nodes: int
+    waited_out: frozenset[str]
+    settled_s: float
+    complete: bool
+    writer: str
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Says to write a table."""
+
+    table: RangeTable
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Says to take ranges back from the own upstream and give them away."""
+
+    parts: tuple[tuple[KeyRange, Member], ...]
+
+
+Proposal = Write | HandOver | None
+
+
+def heirs(view: View) -> list[Member]:
+    """Returns the other members that could take keys now."""
+    return [
+        member
+        for member in view.members
+        if member.node != view.node
+        and member.accepting
+        and member.life
+        and member.zone not in view.zones_out
+        and member.node not in view.silent_s
+    ]
+
+
+def propose(table: RangeTable | None, view: View) -> Proposal:
+    """Returns the change that is due, or None.
+
+    Args:
+        table: The table as it is known.
+        view: What is known otherwise.
+    """
+    if not view.complete:
+        return None
+    own = _own_member(view)
+    if table is None:
+        return _first_table(view, own)
+    for step in (_answer_suspicion, _leave, _renew, _take_over, _suspect, _welcome):
+        proposal = step(table, view, own)
+        if proposal is not None:
+            return proposal
+    return None
+
+
+def renew_tokens(table: RangeTable, member: Member, writer: str) -> RangeTable:
+    """Returns the table with new tokens for all ranges of a member."""
+    token = table.top_token + 1
+    ranges = tuple(
+        replace(keys, token=token, life=member.life, handover="")
+        if keys.node == member.node
+        else keys
+        for keys in table.ranges
+    )
+    return replace(table, ranges=ranges, top_token=token, writer=writer)
+
+
+def still_owned(table: RangeTable, part: KeyRange, node: str) -> bool:
+    """Tells whether a part of a range is still a node's, with the same token."""
+    found = tables.lookup(table, part.first)
+    return found.node == node and found.token == part.token and part.last in found
+
+
+def _own_member(view: View) -> Member | None:
+    """Returns the own member if it could own keys now."""
+    for member in view.members:
+        if member.node == view.node:
+            usable = (
+                view.accepting
+                and member.accepting
+                and member.life == view.life
+                and member.zone not in view.zones_out
+            )
+            return member if usable else None
+    return None
+
+
+def _first_table(view: View, own: Member | None) -> Proposal:
+    """Creates the table once the members have come."""
+    if own is None:
+        return None
+    present = [own, *heirs(view)]
+    present.sort(key=lambda member: member.node)
+    rank = present.index(own)
+    if view.settled_s < SETTLE_S + rank * RANK_DELAY_S:
+        return None
+    table = tables.initial_table(view.service, present, view.writer)
+    return Write(table, "first-table")
+
+
+def _answer_suspicion(table: RangeTable, view: View, own: Member | None) -> Proposal:
+    """Denies a suspicion, or gives the keys up if most others are out of reach."""
+    if all(suspicion.node != view.node for suspicion in table.suspicions):
+        return None
+    others = view.nodes - 1
+    if own is not None and 2 * view.links_up >= others:
+        cleared = tables.without_suspicion(table, view.node, view.writer)
+        return Write(cleared, "suspicion-denied")
+    by = next(s.by for s in table.suspicions if s.node == view.node)
+    named = [m for m in view.members if m.node == by and m.accepting]
+    return _give_away(table, view, heirs(view) or named)
+
+
+def _leave(table: RangeTable, view: View, own: Member | None) -> Proposal:
+    """Gives all keys away if the own upstream can't serve them."""
+    if own is not None or not view.life:
+        return None
+    member = next((m for m in view.members if m.node == view.node), None)
+    if view.accepting and (member is None or member.zone not in view.zones_out):
+        # The own record has not caught up with the upstream yet.
+        return None
+    return _give_away(table, view, heirs(view))
+
+
+def _give_away(table: RangeTable, view: View, takers: list[Member]) -> Proposal:
+    """Hands all own ranges over, each to the member with the fewest keys."""
+    owned = tables.owned_by(table, view.node)
+    if not owned or not takers:
+        return None
+    if not view.alive:
+        lost = [(keys, "") for keys in owned]
+        return Write(tables.spread(table, lost, takers, view.writer), "upstream-gone")
+    widths = {member.node: 0 for member in takers}
+    for keys in table.ranges:
+        if keys.node in widths:
+            widths[keys.node] += keys.width
+    parts = []
+    for keys in owned:
+        cuts = tables.spread(
+            replace(table, ranges=(keys,)), [(keys, "")], takers, view.writer
+        )
+        for cut in cuts.ranges:
+            heir = next(m for m in takers if m.node == cut.node)
+            part = replace(keys, first=cut.first, last=cut.last)
+            parts.append((part, heir))
+    return HandOver(tuple(parts))
+
+
+def _renew(table: RangeTable, view: View, own: Member | None) -> Proposal:
+    """Gives the own ranges to the present life of the upstream."""
+    if own is None:
+        return None
+    stale = [k for k in tables.owned_by(table, view.node) if k.life != own.life]
+    if not stale:
+        return None
+    return Write(tables.renew_life(table, own, view.writer), "upstream-reborn")
+
+
+def _take_over(table: RangeTable, view: View, own: Member | None) -> Proposal:
+    """Gives keys away whose owner is gone or was silent for long enough."""
+    if own is None:
+        return None
+    takers = [own, *heirs(view)]
+    known = frozenset(member.node for member in view.members)
+    suspected = frozenset(s.node for s in table.suspicions)
+    lost_nodes = {
+        keys.node
+        for keys in table.ranges
+        if keys.node not in known or keys.node in (view.waited_out & suspected)
+    }
+    if not lost_nodes or not _is_my_turn(view, own, view.settled_s):
+        return None
+    lost = [(keys, "") for keys in table.ranges if keys.node in lost_nodes]
+    changed = tables.spread(table, lost, takers, view.writer)
+    for node in lost_nodes:
+        changed = tables.without_suspicion(changed, node, view.writer)
+    return Write(changed, "owner-gone")
+
+
+def _suspect(table: RangeTable, view: View, own: Member | None) -> Proposal:
+    """Records a suspicion against an owner that has been silent."""
+    if own is None:
+        return None
+    suspected = frozenset(s.node for s in table.suspicions)
+    for node in sorted({keys.node for keys in table.ranges}):
+        silent = view.silent_s.get(node, 0.0)
+        if node == view.node or node in suspected or silent < SUSPECT_AFTER_S:
+            continue
+        if _is_my_turn(view, own, silent - SUSPECT_AFTER_S):
+            changed = tables.suspect(table, node, view.node, view.writer)
+            return Write(changed, "owner-silent")
+    return None
+
+
+def _welcome(table: RangeTable, view: View, own: Member | None) -> Proposal:
+    """Gives a member without keys a part of the widest owner's."""
+    if own is None or view.settled_s < JOIN_SETTLE_S:
+        return None
+    owners = {keys.node for keys in table.ranges}
+    empty = [member for member in heirs(view) if member.node not in owners]
+    if not empty or view.node not in owners:
+        return None
+    widths: dict[str, int] = {}
+    for keys in table.ranges:
+        widths[keys.node] = widths.get(keys.node, 0) + keys.width
+    widest = max(widths, key=lambda node: (widths[node], node))
+    if widest != view.node:
+        return None
+    keys = max(tables.owned_by(table, view.node), key=lambda k: k.width)
+    if keys.width < 2:
+        return None
+    middle = keys.first + keys.width // 2
+    return HandOver(((replace(keys, first=middle), empty[0]),))
+
+
+def _is_my_turn(view: View, own: Member, since_s: float) -> bool:
+    """Tells whether this process should propose, by its rank and the time."""
+    present = sorted([own, *heirs(view)], key=lambda member: member.node)
+    return since_s >= present.index(own) * RANK_DELAY_S
--- /dev/null
+++ b/rosemarydeal/policy/keyranges/tenure.py
@@ -0,0 +1,84 @@
+"""Bounds how long a process may use its ownership of keys.
+
+A process confirms its ownership by reads of the table from the store; each
+confirmed read gives it a tenure from the moment at which the read was asked
+for. Whoever wants the keys of a silent process records a suspicion in the table
+first. A read that shows the suspicion confirms nothing, so that the tenure of
+the silent process has ended once `takeover_wait` has passed since the write.
+
+Trouble that it answers: a store that is out or slow for up to nine seconds
+ends no tenure; a process that is gone without a word loses its keys soon after.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from rosemarydeal.core.fleet import RangeTable
+
+__all__ = [
+    "CONFIRM_PERIOD_S",
+    "TENURE_S",
+    "Tenure",
+    "confirm",
+    "hold_for",
+    "takeover_wait",
+    "tenure_until",
+]
+
+# Store outages of nine seconds are planned for, a confirmation is at most a
+# period and an answer's time old when one begins.
+TENURE_S = 11.5
+CONFIRM_PERIOD_S = 1.5
+# Clocks that measure holds may run 2% slow; the rest covers a pause between
+# the check of the clock and the send.
+CLOCK_DRIFT = 0.02
+MARGIN_S = 0.3
+# A grant is renewed well before its end, so that no work outlasts it; a short
+# one lets keys move soon although a release got no answer.
+GRANT_HOLD_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """Is what a process knows of its right to the keys that the table gives it.
+
+    Attributes:
+        confirmed_at: When the last read that confirmed it was asked for.
+    """
+
+    confirmed_at: float | None = None
+
+
+def confirm(tenure: Tenure, table: RangeTable, node: str, asked_at: float) -> Tenure:
+    """Takes the result of a read of the table into account.
+
+    Args:
+        tenure: What was known before.
+        table: The table as the read showed it.
+        node: This node.
+        asked_at: When the read was asked for.
+    """
+    if any(suspicion.node == node for suspicion in table.suspicions):
+        return tenure
+    if tenure.confirmed_at is not None and asked_at < tenure.confirmed_at:
+        return tenure
+    return replace(tenure, confirmed_at=asked_at)
+
+
+def tenure_until(tenure: Tenure) -> float:
+    """Returns the moment at which the right ends unless it is confirmed anew."""
+    if tenure.confirmed_at is None:
+        return 0.0
+    return tenure.confirmed_at + TENURE_S - MARGIN_S
+
+
+def hold_for(tenure: Tenure, now: float, max_hold_s: float) -> float:
+    """Returns how long a grant given now may run, in seconds; 0 for not at all."""
+    left = (tenure_until(tenure) - now) / (1.0 + CLOCK_DRIFT)
+    return max(0.0, min(left, GRANT_HOLD_S, max_hold_s))
+
+
+def takeover_wait() -> float:
+    """Returns how long a suspicion stands before its keys may be given away."""
+    return TENURE_S * (1.0 + CLOCK_DRIFT) + MARGIN_S
--- /dev/null
+++ b/rosemarydeal/policy/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decides how often a request is attempted, and how it ends."""
--- /dev/null
+++ b/rosemarydeal/policy/routing/routebook.py
@@ -0,0 +1,59 @@
+"""Finds the route of a request and splits its requests over services.
+
+Load pattern: routes split by weight, with few requests at each of many
+processes. A low-discrepancy sequence with a random start keeps the shares
+right from the first requests on, at one process and over all of them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from rosemarydeal.core.fleet import Configuration, Route
+
+__all__ = ["RouteBook", "choose_service"]
+
+# Steps by the golden section spread points over [0, 1) most evenly.
+GOLDEN_STEP = 0.618033988749895
+
+
+@dataclass(frozen=True, slots=True)
+class RouteBook:
+    """Holds the routes by host, those with the longest prefix first."""
+
+    by_host: dict[str, tuple[Route, ...]]
+
+    @classmethod
+    def of(cls, configuration: Configuration) -> RouteBook:
+        """Builds the book of a configuration."""
+        by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        return cls({host: tuple(routes) for host, routes in by_host.items()})
+
+    def find(self, host: str, target: bytes) -> Route | None:
+        """Returns the route with the longest prefix that begins the path."""
+        path = target.partition(b"?")[0].decode("ascii", "replace")
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def choose_service(route: Route, start: float, count: int) -> str:
+    """Returns the service that the next request of a route goes to.
+
+    Args:
+        route: The route.
+        start: Random number of this process, from 0 to 1.
+        count: Requests of the route so far at this process.
+    """
+    total = sum(backend.weight for backend in route.backends)
+    point = ((start + count * GOLDEN_STEP) % 1.0) * total
+    for backend in route.backends:
+        point -= backend.weight
+        if point < 0:
+            return backend.service
+    return route.backends[-1].service
--- a/rosemarydeal/standins/platform.py
+++ b/rosemarydeal/standins/platform.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from rosemarydeal.core import Address
-from rosemarydeal.platform.wire import ChangesBody, ObjectBody
+from rosemarydeal.objects.wire import ChangesBody, ObjectBody
 from rosemarydeal.proxy import (
     HttpLimits,
     HttpServer,
