Release keys only after their renewals; one write for a hand-over

Change: releases wait for calls on their way, one write names all heirs, keys are given away at SIGTERM, ranges are cut by the pace probed at the start, retries after a run use a fifth of the budget.

--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -240,6 +240,7 @@
         born_ms: Start of the upstream in Unix milliseconds.
         slots: Requests that the upstream runs at a time.
         accepting: Whether the upstream takes new work.
+        pace: How long work took there at its start, 1.0 as usual.
     """
 
     node: str
@@ -251,6 +252,12 @@
     born_ms: int = 0
     slots: int = 0
     accepting: bool = False
+    pace: float = 1.0
+
+    @property
+    def weight(self) -> float:
+        """Returns the work that the upstream can do, in usual slots."""
+        return max(1, self.slots) / max(0.1, self.pace)
 
     @property
     def life(self) -> str:
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -10,7 +10,7 @@
 import structlog
 
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.fleet import Configuration, NodeIdentity, Route
+from rosemarydeal.core.fleet import Configuration, Member, NodeIdentity, Route
 from rosemarydeal.core.requests import (
     CallerRequest,
     Ending,
@@ -154,15 +154,15 @@
             if isinstance(node, NotServed):
                 return node
             ending = await self._offer(node, progress)
-            self._health.note(node, ending, self._rank(progress), now())
+            self._health.note(node, ending, now())
             keyed = progress.request.key is not None and self._is_keyed(progress)
             step = attempts.after(progress.attempts, ending, keyed)
             if not isinstance(step, attempts.Again):
                 return ending
             progress.attempts = step.attempts
-            if step.needs_budget and not self._budget(progress.service).take(
-                now(), len(self._records.members)
-            ):
+            budget = self._budget(progress.service)
+            nodes = len(self._records.members)
+            if step.part and not budget.take(now(), nodes, step.part):
                 return ending
             if not (keyed and isinstance(ending, NotServed)):
                 tried.add(node)
@@ -224,33 +224,32 @@
         """Returns the best upstream for a request without a key."""
         out = self._records.zones_out
         candidates = []
-        mean_s = self._health.mean_service_s(progress.service)
         for member in self._records.members.values():
             if member.service != progress.service or not member.accepting:
                 continue
             if member.node in tried or member.zone in out:
                 continue
-            candidate = self._candidate(member.node, member.slots, member.zone, mean_s)
+            candidate = self._candidate(member)
             if candidate is not None:
                 candidates.append(candidate)
         return choose(candidates, random.random())
 
-    def _candidate(
-        self, node: str, slots: int, zone: str, mean_s: float
-    ) -> Candidate | None:
+    def _candidate(self, member: Member) -> Candidate | None:
         """Returns what is known of an upstream that can be reached."""
-        same_zone = zone == self._identity.zone
+        node, slots = member.node, member.slots
+        same_zone = member.zone == self._identity.zone
         failing = self._health.failing(node, now())
-        speed = self._health.speed(node, mean_s)
         if node == self._identity.node:
             load = self._guard.running + self._guard.waiting
-            return Candidate(node, same_zone, slots, load, load, speed, failing)
+            pace = self._guard.pace
+            return Candidate(node, same_zone, slots, load, load, pace, failing)
         if not self._links.is_up(node) or self._links.is_leaving(node):
             return None
         state = self._links.state(node)
         reported = state.running + state.waiting if state is not None else 0
+        pace = state.pace if state is not None else member.pace
         outstanding = self._links.outstanding(node)
-        return Candidate(node, same_zone, slots, outstanding, reported, speed, failing)
+        return Candidate(node, same_zone, slots, outstanding, reported, pace, failing)
 
     def _service_of(self, route: Route) -> str:
         """Returns the service that the next request of a route goes to."""
@@ -263,10 +262,6 @@
         service = self._configuration.services.get(progress.service)
         return service is not None and service.keyed
 
-    def _rank(self, progress: _Progress) -> tuple[str, int]:
-        """Returns what requests are compared with for their speed."""
-        return progress.service, progress.route.priority
-
     def _budget(self, service: str) -> RetryBudget:
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -46,6 +46,8 @@
 LOAD_PERIOD_S = 0.25
 # Load figures follow the last second and a half.
 LOAD_WEIGHT = 0.2
+# The pace changes many times a second; its mean is what counts.
+PACE_WEIGHT = 0.03
 # Keys of the last seconds show where a range should be cut.
 ARRIVALS_KEPT_S = 3.0
 MAX_ARRIVALS = 600
@@ -109,6 +111,7 @@
         self._served: dict[int, _Served] = {}
         self._count = 0
         self._load = 0.0
+        self._pace = 1.0
         self._arrivals: deque[tuple[float, int]] = deque(maxlen=MAX_ARRIVALS)
         self._timer: asyncio.TimerHandle | None = None
         self._idle: list[asyncio.Future[None]] = []
@@ -134,9 +137,13 @@
         return self._load
 
     @property
-    def service_s(self) -> float:
-        """Returns the mean time that a request runs."""
-        return self._queue.times.mean()
+    def pace(self) -> float:
+        """Returns how long work takes at the upstream, 1.0 as usual, smoothed."""
+        return self._pace
+
+    def set_pace(self, pace: float) -> None:
+        """Sets the pace that was measured before any request ran."""
+        self._pace = pace
 
     @property
     def recent_keys(self) -> dict[int, float]:
@@ -314,9 +321,11 @@
     def _ending(self, served: _Served, result: UpstreamResult) -> Ending:
         """Turns the upstream's result into the ending that the caller gets."""
         match result:
-            case Answered(status):
+            case Answered(status, load=load):
                 if status in SUCCESSES:
                     self._blame.clear(served.mark)
+                if load is not None:
+                    self._pace += PACE_WEIGHT * (load.pace - self._pace)
                 return result
             case Rejected(status):
                 return NotServed(
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -41,8 +41,8 @@
 __all__ = ["LinkHooks", "Links", "PeerState"]
 
 # Silence of two pings and their answers' way is the shortest sure sign.
-PING_PERIOD_S = 0.5
-SILENT_AFTER_S = 1.3
+PING_PERIOD_S = 0.6
+SILENT_AFTER_S = 1.5
 # Larger fleets ping less often, so that a process spends the same on pings.
 PING_FLEET = 20
 RECONNECT_FIRST_S = 0.1
@@ -64,7 +64,7 @@
         waiting: Requests that wait for its upstream.
         slots: Requests that its upstream runs at a time.
         load: Its smoothed load, as a share of its slots.
-        service_s: Mean time that a request runs at its upstream.
+        pace: Smoothed pace of its upstream, 1.0 as usual.
     """
 
     heard_at: float
@@ -72,7 +72,7 @@
     waiting: int
     slots: int
     load: float
-    service_s: float
+    pace: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,9 +93,9 @@
     """
 
     serve: Callable[[Order], Awaitable[Ending]]
-    pong: Callable[[Ping], Pong]
-    known: Callable[[], dict[str, int]]
-    on_known: Callable[[str, dict[str, int]], None]
+    pong: Callable[[], Pong]
+    known: Callable[[], tuple[int, ...]]
+    on_known: Callable[[str, tuple[int, ...]], None]
     fetch: Callable[[str], Objects]
     on_objects: Callable[[Objects], None]
     on_notice: Callable[[ObjectNotice], None]
@@ -212,7 +212,7 @@
         self._count += 1
         number = self._count
         future: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
-        if not link.connection.send(Ask(number, order)):
+        if not link.connection.send(Ask.of(number, order)):
             return UNREACHABLE
         link.asked[number] = future
         try:
@@ -319,7 +319,7 @@
         loop = asyncio.get_running_loop()
         while not link.lost.is_set():
             stretch = max(1.0, len(self._links) / PING_FLEET)
-            self._send(link, Ping(loop.time(), self._hooks.known()))
+            self._send(link, Ping(self._hooks.known()))
             try:
                 async with asyncio.timeout(PING_PERIOD_S * stretch):
                     await link.lost.wait()
@@ -351,8 +351,8 @@
     def _take_answer(self, link: _Link, message: Message) -> None:
         """Takes a message on a link that this process opened."""
         match message:
-            case AnswerReply(number, ending):
-                self._end(link, number, ending)
+            case AnswerReply():
+                self._end(link, message.number, message.read())
             case NotServedReply(number, ending) | UndecidedReply(number, ending):
                 self._end(link, number, ending)
             case Pong():
@@ -382,8 +382,8 @@
             pong.running,
             pong.waiting,
             pong.slots,
-            pong.load,
-            pong.service_s,
+            pong.load_percent / 100.0,
+            pong.pace_percent / 100.0,
         )
         self._hooks.on_known(link.node, pong.known)
 
@@ -392,7 +392,8 @@
         match message:
             case Hello():
                 connection.peer = message.node
-            case Ask(number, order):
+            case Ask(number):
+                order = message.read()
                 task = asyncio.create_task(self._serve(connection, number, order))
                 self._serving[connection, number] = task
             case Withdraw(number):
@@ -401,7 +402,7 @@
                     task.cancel()
             case Ping():
                 self._hooks.on_known(connection.peer, message.known)
-                connection.send(self._hooks.pong(message))
+                connection.send(self._hooks.pong())
             case Fetch():
                 connection.send(self._hooks.fetch(message.kind))
             case ObjectNotice():
@@ -454,4 +455,4 @@
         case Undecided():
             return UndecidedReply(number, ending)
         case _:
-            return AnswerReply(number, ending)
+            return AnswerReply.of(number, ending)
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from rosemarydeal.core.fleet import UpstreamLoad
 from rosemarydeal.core.requests import Answered, NotServed, Order, Undecided
 
 __all__ = [
@@ -50,11 +51,39 @@
     process: str
 
 
+class OrderFields(_Base):
+    """Holds the fields of an `Order` without their names, to save bytes."""
+
+    request_id: str
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    caller_service: str
+    service: str
+    key: int | None
+    idempotent: bool
+    priority: int
+    target_s: float
+    time_left_s: float
+
+
 class Ask(_Base, tag=2):
-    """Asks for a request to be run."""
+    """Asks for a request to be run; `order` has the fields of an `Order`."""
 
     number: int
-    order: Order
+    order: OrderFields
+
+    @classmethod
+    def of(cls, number: int, order: Order) -> Ask:
+        """Builds the question for an order."""
+        fields = (getattr(order, name) for name in Order.__slots__)
+        return cls(number, OrderFields(*fields))
+
+    def read(self) -> Order:
+        """Returns the order."""
+        names = Order.__slots__
+        return Order(*(getattr(self.order, name) for name in names))
 
 
 class Withdraw(_Base, tag=3):
@@ -67,7 +96,24 @@
     """Ends an asked request with the upstream's answer."""
 
     number: int
-    answer: Answered
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    pace_percent: int
+
+    @classmethod
+    def of(cls, number: int, answer: Answered) -> AnswerReply:
+        """Builds the reply for an answer."""
+        load = answer.load
+        pace = round(100 * load.pace) if load is not None else 0
+        return cls(number, answer.status, answer.headers, answer.body, pace)
+
+    def read(self) -> Answered:
+        """Returns the answer; of its load only the pace is passed on."""
+        load = None
+        if self.pace_percent:
+            load = UpstreamLoad(0, 0, 0, self.pace_percent / 100.0)
+        return Answered(self.status, self.headers, self.body, load)
 
 
 class NotServedReply(_Base, tag=5):
@@ -85,23 +131,20 @@
 
 
 class Ping(_Base, tag=7):
-    """Asks whether the peer lives; tells which objects the sender knows."""
+    """Asks whether the peer lives; tells which changes the sender knows."""
 
-    sent_at: float
-    known: dict[str, int]
+    known: tuple[int, ...]
 
 
 class Pong(_Base, tag=8):
-    """Answers a ping; tells the load and which objects the sender knows."""
+    """Answers a ping; tells the load and which changes the sender knows."""
 
-    sent_at: float
-    known: dict[str, int]
+    known: tuple[int, ...]
     running: int
     waiting: int
     slots: int
-    load: float
-    service_s: float
-    links_up: int
+    load_percent: int
+    pace_percent: int
 
 
 class Fetch(_Base, tag=9):
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -47,6 +47,9 @@
 # A request that starts must not outlast the grant by the check's own delay.
 HOLD_MARGIN_S = 0.1
 CONFIRM_PEERS = 2
+CALL_STEP_S = 0.01
+WRITE_RETRY_S = 0.05
+WRITE_RETRY_MOST_S = 0.5
 
 _log = structlog.get_logger()
 
@@ -56,6 +59,7 @@
     """Is what the upstream was told of a range.
 
     Attributes:
+        keys: The range.
         valid_until: Until when it surely holds the keys.
         may_hold_until: Until when it may hold them.
         renew_at: When it is to be told again.
@@ -63,6 +67,7 @@
         unanswered_until: Until when a call without an answer may take effect.
     """
 
+    keys: KeyRange
     valid_until: float = 0.0
     may_hold_until: float = 0.0
     renew_at: float = 0.0
@@ -93,6 +98,7 @@
         self._confirm_at = 0.0
         self._confirming = False
         self._grants: dict[tuple[int, int, int], _Grant] = {}
+        self._calls: dict[KeyRange, int] = {}
         self._moving: list[KeyRange] = []
         self._writing = False
         self._background: set[asyncio.Task[None]] = set()
@@ -123,15 +129,16 @@
         keys = tables.lookup(found, key)
         if keys.node != self._identity.node:
             return Admission.ELSEWHERE
-        if any(key in moving for moving in self._moving):
-            return Admission.WAIT
-        grant = self._grants.get(_id(keys))
         moment = now()
-        if grant is None or moment > grant.valid_until - HOLD_MARGIN_S:
-            return Admission.WAIT
         if moment > tenure.tenure_until(self._tenure):
             return Admission.WAIT
-        return Admission.RUN
+        if any(key in moving for moving in self._moving):
+            return Admission.WAIT
+        for grant in self._grants.values():
+            if key in grant.keys and grant.keys.token == keys.token:
+                valid = moment < grant.valid_until - HOLD_MARGIN_S
+                return Admission.RUN if valid else Admission.WAIT
+        return Admission.WAIT
 
     async def run(self) -> None:
         """Takes a step again and again until cancelled."""
@@ -154,6 +161,10 @@
             state = ObjectState(stored.name, stored.revision, stored.content)
         return Confirmed(question.number, question.kind, state)
 
+    def stop(self) -> None:
+        """Gives all keys to others, since this process is about to end."""
+        self._stopping = True
+
     def follow_table(self) -> None:
         """Follows a change of the table without waiting for the next step."""
         if self._keyed() and self._watch.state is not None:
@@ -175,7 +186,6 @@
             if self.owned:
                 self._confirming = True
                 self._spawn(self._confirm())
-        self._drop_old_grants()
         self._renew_grants(moment)
         self._note_suspicions(moment)
         if not self._writing:
@@ -228,29 +238,48 @@
         )
         self._renew_grants(now())
 
-    def _drop_old_grants(self) -> None:
-        """Forgets grants of ranges that the table does not give any more."""
-        current = {_id(keys) for keys in self.owned}
-        for known in [k for k in self._grants if k not in current]:
-            grant = self._grants[known]
-            if not grant.busy:
-                del self._grants[known]
+    def _pieces(self) -> list[KeyRange]:
+        """Returns the own ranges without the parts that are being moved."""
+        pieces = list(self.owned)
+        for moving in self._moving:
+            pieces = [part for keys in pieces for part in tables.without(keys, moving)]
+        return pieces
+
+    def _sync_grants(self) -> list[_Grant]:
+        """Returns the grants of the present pieces; others are forgotten.
+
+        A piece of a range that was granted as a whole is granted already.
+        """
+        old = self._grants
+        self._grants = {}
+        for keys in self._pieces():
+            grant = old.get(_id(keys))
+            if grant is None:
+                grant = _Grant(keys)
+                for known in old.values():
+                    if tables.covers(known.keys, keys):
+                        grant.valid_until = known.valid_until
+                        grant.may_hold_until = known.may_hold_until
+                        grant.unanswered_until = known.unanswered_until
+            self._grants[_id(keys)] = grant
+        return list(self._grants.values())
 
     def _renew_grants(self, moment: float) -> None:
         """Tells the upstream of ranges that are due."""
         state = self._watch.state
-        if state is None or not state.alive or self._stopping:
+        grants = self._sync_grants()
+        if state is None or not state.alive:
             return
         hold_s = tenure.hold_for(self._tenure, moment, self._identity.bounds.max_hold_s)
         if hold_s < 2 * HOLD_MARGIN_S:
             return
-        for keys in self.owned:
-            if keys.life != state.life or self._is_moving(keys):
+        for grant in grants:
+            if grant.keys.life != state.life or grant.busy:
                 continue
-            grant = self._grants.setdefault(_id(keys), _Grant())
-            if not grant.busy and moment >= grant.renew_at:
+            if moment >= grant.renew_at:
                 grant.busy = True
-                self._spawn(self._grant(keys, grant, hold_s))
+                self._calls[grant.keys] = self._calls.get(grant.keys, 0) + 1
+                self._spawn(self._grant(grant.keys, grant, hold_s))
 
     async def _grant(self, keys: KeyRange, grant: _Grant, hold_s: float) -> None:
         """Grants a range to the upstream and notes for how long."""
@@ -279,6 +308,7 @@
             grant.unanswered_until = max(grant.unanswered_until, sent_at + hold_s)
         finally:
             grant.busy = False
+            self._end_call(keys)
             grant.may_hold_until = max(
                 grant.may_hold_until, (now() + hold_s * (1 + tenure.CLOCK_DRIFT))
             )
@@ -338,6 +368,8 @@
             since = self._links.down_since(member.node)
             if since is not None:
                 silent[member.node] = loop_now - since
+            elif self._links.is_leaving(member.node):
+                silent[member.node] = 0.0
         waited = frozenset(
             node
             for (node, _), since in self._suspicions.items()
@@ -347,7 +379,7 @@
             node=identity.node,
             service=service,
             life=state.life if state is not None else "",
-            accepting=state is not None and state.accepting,
+            accepting=state is not None and state.accepting and not self._stopping,
             alive=state is not None and state.alive,
             members=members,
             zones_out=out,
@@ -362,7 +394,7 @@
 
     def _balance(self, moment: float, view: proposals.View) -> None:
         """Gives keys away if that pays."""
-        if moment < self._balance_at or self._guard is None or not self.owned:
+        if moment < self._balance_at or not view.complete or not self.owned:
             return
         self._balance_at = moment + BALANCE_PERIOD_S * random.uniform(0.8, 1.2)
         others = []
@@ -387,63 +419,88 @@
 
     async def _hand_over(self, parts: tuple[tuple[KeyRange, Member], ...]) -> None:
         """Takes ranges back from the upstream and gives them to heirs."""
+        self._moving = [keys for keys, _ in parts]
         try:
-            moving = [keys for keys, _ in parts]
-            self._moving += moving
-            await asyncio.gather(
-                *(self._hand_over_one(keys, heir) for keys, heir in parts)
+            handovers = await asyncio.gather(
+                *(self._release(keys) for keys, _ in parts)
             )
+            await self._write_heirs(parts, handovers)
         finally:
             self._moving = []
             self._writing = False
+            self._forget_released([keys for keys, _ in parts])
+            self._renew_grants(now())
             if self._guard is not None:
                 self._guard.advance()
 
-    async def _hand_over_one(self, keys: KeyRange, heir: Member) -> None:
-        """Takes one range back and writes its heir into the table."""
-        handover = await self._release(keys)
-        for _ in range(8):
+    async def _write_heirs(
+        self, parts: tuple[tuple[KeyRange, Member], ...], handovers: list[str]
+    ) -> None:
+        """Writes the heirs of released ranges into the table.
+
+        A write without an answer may take effect later, so that the keys can't
+        be used here again before a later write or read has settled it.
+        """
+        pause = WRITE_RETRY_S
+        while True:
             found = self.table
-            if found is None:
-                return
-            if not proposals.still_owned(found, keys, self._identity.node):
+            changed = found
+            for (keys, heir), handover in zip(parts, handovers, strict=True):
+                if proposals.still_owned(changed, keys, self._identity.node):
+                    changed = tables.move(changed, keys, heir, handover, _writer())
+            if changed is found or await self._write(changed, "hand-over"):
                 return
-            changed = tables.move(found, keys, heir, handover, _writer())
-            if await self._write(changed, "hand-over"):
-                return
-            await asyncio.sleep(0.05 * random.uniform(0.5, 1.5))
+            await asyncio.sleep(pause * random.uniform(0.7, 1.3))
+            pause = min(WRITE_RETRY_MOST_S, 2 * pause)
+
+    def _forget_released(self, parts: list[KeyRange]) -> None:
+        """Has ranges that were released granted anew if they are still owned."""
+        for grant in self._grants.values():
+            if any(tables.overlaps(grant.keys, keys) for keys in parts):
+                grant.valid_until = 0.0
+                grant.renew_at = 0.0
 
     async def _release(self, keys: KeyRange) -> str:
-        """Takes a range back; waits its hold out if the upstream is silent."""
-        state = self._watch.state
-        covering = [
-            (known, grant)
-            for known, grant in self._grants.items()
-            if known[0] <= keys.first and keys.last <= known[1]
-        ]
-        if state is None or not state.alive or state.life != keys.life:
-            return ""
+        """Takes a range back; waits its hold out if the upstream is silent.
+
+        Returns:
+            What the next owner needs to go on without a warm-up, or "".
+        """
+        covering = [g for g in self._grants.values() if tables.overlaps(g.keys, keys)]
+        until = max((g.may_hold_until for g in covering), default=0.0)
+        late = max((g.unanswered_until for g in covering), default=0.0)
+        # A renewal that is on its way could arrive after the release.
+        while any(tables.overlaps(calling, keys) for calling in self._calls):
+            await asyncio.sleep(CALL_STEP_S)
         if not covering:
             return ""
-        grant = covering[0][1]
         handover = ""
-        while True:
+        while self._holds(keys):
             try:
                 handover = await self._client.release(keys, RELEASE_TIMEOUT_S)
                 break
             except UpstreamCallFailed as error:
                 _log.info("release_unanswered", detail=error.detail)
-                if now() > grant.may_hold_until or not self._watch.state.alive:
+                if now() > until:
                     return ""
                 await asyncio.sleep(GRANT_RETRY_S)
         # A grant without an answer could take effect after the release.
-        late = grant.unanswered_until - now()
-        if late > 0 and self._watch.state.alive:
-            _log.info("release_waits_for_late_grant", seconds=late)
-            await asyncio.sleep(late)
+        while self._holds(keys) and now() < late:
+            await asyncio.sleep(GRANT_RETRY_S)
         _log.info("keys_released", first=keys.first, last=keys.last, token=keys.token)
         return handover
 
+    def _holds(self, keys: KeyRange) -> bool:
+        """Tells whether the upstream may hold keys that it was granted."""
+        state = self._watch.state
+        return state is not None and state.alive and state.life == keys.life
+
+    def _end_call(self, keys: KeyRange) -> None:
+        """Notes that a grant call has ended."""
+        left = self._calls.pop(keys, 0) - 1
+        if left > 0:
+            self._calls[keys] = left
+
     async def _write_alone(self, changed: RangeTable, reason: str) -> None:
         """Writes a table and lets the next change begin."""
         try:
@@ -478,13 +535,6 @@
         self._links.broadcast(ObjectNotice(RANGES, state))
         return True
 
-    def _is_moving(self, keys: KeyRange) -> bool:
-        """Tells whether a range, or a part of it, is being handed over."""
-        return any(
-            moving.first <= keys.last and keys.first <= moving.last
-            for moving in self._moving
-        )
-
     def _spawn(self, work: object) -> None:
         """Runs work in the background until it ends."""
         task = asyncio.ensure_future(work)
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import secrets
+import statistics
 import time
 from collections.abc import Coroutine
 
@@ -18,7 +19,7 @@
 from rosemarydeal.platform.errors import StoreError, Unreadable
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
 from rosemarydeal.platform.store import StoreClient, StoreSettings
-from rosemarydeal.platform.upstream import UpstreamClient
+from rosemarydeal.platform.upstream import UpstreamCallFailed, UpstreamClient
 from rosemarydeal.proxy import (
     HttpLimits,
     HttpServer,
@@ -32,7 +33,7 @@
 from .guard import Guard, GuardHooks
 from .health import UpstreamHealth
 from .links import LinkHooks, Links
-from .messages import Blame, Ping, Pong
+from .messages import Blame, Pong
 from .metrics import Metrics
 from .ownership import Ownership
 from .records import MEMBERS, RANGES, Records
@@ -41,12 +42,16 @@
 __all__ = ["NodeProcess"]
 
 # Connections to the upstream beside the slots: grants, and some that close.
-SPARE_CONNECTIONS = 12
+PACE_PROBES = 3
+PROBE_PAUSE_S = 0.42
+PROBE_TIMEOUT_S = 0.5
 CALLER_CONNECTIONS = 3000
 PUBLISH_RETRY_S = 0.3
 # The platform asks once a second and takes a node out after two misses.
 READINESS_NOTICE_S = 2.2
-END_MARGIN_S = 0.7
+# Other processes stop sending this long before the listener closes.
+LAST_ORDERS_S = 0.8
+END_MARGIN_S = 0.5
 # A member that nobody has reached for so long is not coming back.
 FORGET_MEMBER_AFTER_S = 25.0
 SWEEP_PERIOD_S = 2.0
@@ -96,6 +101,7 @@
         self._callers: HttpServer | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._was_zone_out = False
+        self._probed_pace: float | None = None
 
     async def start(self) -> None:
         """Opens all sockets and starts all tasks."""
@@ -128,18 +134,21 @@
         """Finishes what runs and closes everything, within the grace time."""
         ends = now() + self._identity.bounds.grace_s - END_MARGIN_S
         self._stopping = True
+        self._ownership.stop()
+        if self._is_keyed():
+            self._links.announce_leaving()
         _log.info("stopping", open=self._entry.open, serving=self._links.serving)
         state = self._watch.state
         removed = state is None or not state.accepting
-        notice = now() + READINESS_NOTICE_S
-        while now() < notice:
-            await asyncio.sleep(0.05)
+        await asyncio.sleep(READINESS_NOTICE_S - LAST_ORDERS_S)
         if removed:
             await self._retire()
         self._links.announce_leaving()
+        await asyncio.sleep(LAST_ORDERS_S)
         await self._callers.drain(max(0.1, ends - now() - 0.3))
         while self._links.serving and now() < ends:
             await asyncio.sleep(0.02)
+        await self._records.close()
         _log.info("stopped", open=self._entry.open, serving=self._links.serving)
 
     def _is_ready(self) -> bool:
@@ -186,17 +195,15 @@
             service=self._own_service,
         )
 
-    def _pong(self, ping: Ping) -> Pong:
+    def _pong(self) -> Pong:
         """Builds the answer to a ping."""
         return Pong(
-            ping.sent_at,
             self._records.known,
             self._guard.running,
             self._guard.waiting,
             self._guard.slots,
-            round(self._guard.load, 3),
-            round(self._guard.service_s, 4),
-            len(self._links.up),
+            round(100 * self._guard.load),
+            round(100 * self._guard.pace),
         )
 
     def _take_change(self, kind: str) -> None:
@@ -256,6 +263,7 @@
             born_ms=announced.born_ms if announced else 0,
             slots=announced.slots if announced else 0,
             accepting=state is not None and state.accepting,
+            pace=self._probed_pace or 1.0,
         )
 
     def _check_own_member(self) -> None:
@@ -269,6 +277,9 @@
         while True:
             await self._publish.wait()
             self._publish.clear()
+            if self._probed_pace is None and self._watch.state is not None:
+                self._probed_pace = await self._probe_pace()
+                self._guard.set_pace(self._probed_pace)
             if self._stopping or not self._records.complete:
                 await asyncio.sleep(PUBLISH_RETRY_S / 3)
                 self._publish.set()
@@ -286,6 +297,32 @@
                 await asyncio.sleep(PUBLISH_RETRY_S * random.uniform(0.7, 1.3))
                 self._publish.set()
 
+    async def _probe_pace(self) -> float:
+        """Asks the upstream a few times how long work takes there now.
+
+        Neighbours slow it for moments, so that the median counts.
+        """
+        known = self._records.members.get(self._identity.node)
+        state = self._watch.state
+        if known is not None and state is not None and known.life == state.life:
+            return known.pace
+        service = self._own_service()
+        path = service.health_path if service is not None else "/healthz"
+        paces = []
+        for _ in range(PACE_PROBES):
+            try:
+                load = await self._client.probe(path, PROBE_TIMEOUT_S)
+            except UpstreamCallFailed as error:
+                _log.info("probe_failed", detail=error.detail)
+                break
+            if load is None:
+                break
+            paces.append(load.pace)
+            await asyncio.sleep(PROBE_PAUSE_S)
+        pace = statistics.median(paces) if paces else 1.0
+        _log.info("pace_probed", pace=pace, probes=len(paces))
+        return pace
+
     async def _retire(self) -> None:
         """Removes the own member, since the upstream does not come back."""
         try:
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -66,6 +66,14 @@
     listed: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Ahead:
+    """Notes since when a peer has known a change that is not known here."""
+
+    changed: int
+    since: float
+
+
 class Records:
     """Follows the store and answers what its objects say."""
 
@@ -86,7 +94,7 @@
         self._tables: dict[str, RangeTable] = {}
         self._zones_out: frozenset[str] = frozenset()
         self._reachable = True
-        self._fetching: dict[str, float] = {}
+        self._ahead: dict[str, _Ahead] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -120,9 +128,9 @@
         return all(kind.listed for kind in self._kinds.values())
 
     @property
-    def known(self) -> dict[str, int]:
-        """Returns the revision of the last change that is known, by kind."""
-        return {name: kind.changed for name, kind in self._kinds.items()}
+    def known(self) -> tuple[int, ...]:
+        """Returns the revision of the last change that is known of each kind."""
+        return tuple(self._kinds[name].changed for name in KINDS)
 
     def table(self, service: str) -> RangeTable | None:
         """Returns the table of a service."""
@@ -186,17 +194,18 @@
         self._take_listing(objects.kind, listing)
         kind.changed = max(kind.changed, objects.changed)
 
-    def note_known(self, node: str, known: dict[str, int]) -> None:
+    def note_known(self, node: str, known: tuple[int, ...]) -> None:
         """Asks a peer for a kind of which it has known more for a while."""
         moment = now()
-        for name, changed in known.items():
-            kind = self._kinds.get(name)
-            if kind is None or changed <= kind.changed:
-                self._fetching.pop(name, None)
+        for name, changed in zip(KINDS, known, strict=False):
+            kind = self._kinds[name]
+            if changed <= kind.changed:
                 continue
-            since = self._fetching.setdefault(name, moment)
-            if moment - since >= PEER_AHEAD_S or not kind.listed:
-                self._fetching[name] = moment
+            ahead = self._ahead.get(name)
+            if ahead is None or kind.changed >= ahead.changed:
+                self._ahead[name] = _Ahead(changed, moment)
+            elif moment - ahead.since >= PEER_AHEAD_S:
+                self._ahead[name] = _Ahead(changed, moment)
                 self._send(node, Fetch(name))
 
     def export(self, kind: str) -> Objects:
@@ -244,6 +253,9 @@
         except StoreConflict:
             await self.read(kind, name)
             raise
+        except StoreError as error:
+            self._note_reachable(False, str(error))
+            raise
         self.take(stored)
         return stored
 
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -105,6 +105,16 @@
         token = find_header(response.headers, names.HANDOVER) or b""
         return token.decode("ascii", "replace")
 
+    async def probe(self, health_path: str, timeout_s: float) -> UpstreamLoad | None:
+        """Asks the upstream's health path for its load.
+
+        Raises:
+            UpstreamCallFailed: No answer came.
+        """
+        path = health_path.encode("ascii")
+        response = await self._call(path, None, timeout_s)
+        return _load(find_header(response.headers, names.LOAD))
+
     async def run(self, dispatched: Dispatched) -> UpstreamResult:
         """Sends a request and reads its whole answer.
 
@@ -138,15 +148,17 @@
         await self._pool.close()
 
     async def _call(
-        self, path: bytes, body: dict[str, object], timeout_s: float
+        self, path: bytes, body: dict[str, object] | None, timeout_s: float
     ) -> Response:
-        """Makes one control call and reads its whole answer."""
-        headers = (
-            (b"host", str(self._address).encode("ascii")),
-            (b"content-type", b"application/json"),
+        """Makes one call without a body, or with one, and reads its whole answer."""
+        method, encoded = b"GET", b""
+        headers = [(b"host", str(self._address).encode("ascii"))]
+        if body is not None:
+            method, encoded = b"POST", msgspec.json.encode(body)
+            headers.append((b"content-type", b"application/json"))
+        request = Request(
+            method, path, tuple(headers), WholeBody(encoded), self._address
         )
-        encoded = WholeBody(msgspec.json.encode(body))
-        request = Request(b"POST", path, headers, encoded, self._address)
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._pool.send(self._address, request, timeout_s)
--- a/rosemarydeal/policy/dispatch/retry_budget.py
+++ b/rosemarydeal/policy/dispatch/retry_budget.py
@@ -14,9 +14,6 @@
 
 __all__ = ["RetryBudget"]
 
-# Part of the budget that is used, since windows of others may begin elsewhere.
-USED_PART = 0.7
-
 
 class RetryBudget:
     """Counts requests and retries of one service at one process."""
@@ -31,17 +28,18 @@
         self._requests.append(now)
         self._trim(now)
 
-    def take(self, now: float, processes: int) -> bool:
+    def take(self, now: float, processes: int, part: float) -> bool:
         """Takes one retry out of the budget, if it has one.
 
         Args:
             now: The present moment.
             processes: Processes that share the fixed slack.
+            part: Part of the budget that retries of this kind may use up.
         """
         self._trim(now)
         slack = self._bounds.retry_slack / max(1, processes)
         allowed = self._bounds.retry_ratio * len(self._requests) + slack
-        if len(self._retries) + 1 > allowed * USED_PART:
+        if len(self._retries) + 1 > allowed * part:
             return False
         self._retries.append(now)
         return True
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
-from rosemarydeal.core.fleet import KeyRange, Member, RangeTable
+from rosemarydeal.core.fleet import LAST_KEY, KeyRange, Member, RangeTable
 
 from . import table as tables
 
@@ -273,14 +273,19 @@
     widths: dict[str, int] = {}
     for keys in table.ranges:
         widths[keys.node] = widths.get(keys.node, 0) + keys.width
-    widest = max(widths, key=lambda node: (widths[node], node))
+    present = {member.node: member for member in [own, *heirs(view)]}
+    crowding = {n: widths[n] / m.weight for n, m in present.items() if n in widths}
+    widest = max(crowding, key=lambda node: (crowding[node], node))
     if widest != view.node:
         return None
+    total = sum(member.weight for member in present.values())
+    fair = int((LAST_KEY + 1) * empty[0].weight / total)
     keys = max(tables.owned_by(table, view.node), key=lambda k: k.width)
-    if keys.width < 2:
+    given = min(fair, keys.width // 2)
+    if given < 1:
         return None
-    middle = keys.first + keys.width // 2
-    return HandOver(((replace(keys, first=middle), empty[0]),))
+    part = replace(keys, first=keys.last - given + 1)
+    return HandOver(((part, empty[0]),))
 
 
 def _is_my_turn(view: View, own: Member, since_s: float) -> bool:
--- a/rosemarydeal/policy/keyranges/table.py
+++ b/rosemarydeal/policy/keyranges/table.py
@@ -19,20 +19,23 @@
 )
 
 __all__ = [
+    "covers",
     "initial_table",
     "lookup",
     "move",
     "orphans",
+    "overlaps",
     "owned_by",
     "renew_life",
     "spread",
     "suspect",
+    "without",
     "without_suspicion",
 ]
 
 
 def initial_table(service: str, members: Sequence[Member], writer: str) -> RangeTable:
-    """Returns the first table of a service: ranges by the upstreams' slots.
+    """Returns the first table of a service: ranges by the upstreams' weights.
 
     Args:
         service: Name of the service.
@@ -46,6 +49,29 @@
     return RangeTable(service, ranges, 1, (), writer)
 
 
+def overlaps(one: KeyRange, other: KeyRange) -> bool:
+    """Tells whether two ranges share a key."""
+    return one.first <= other.last and other.first <= one.last
+
+
+def covers(whole: KeyRange, part: KeyRange) -> bool:
+    """Tells whether a range of the same assignment has all keys of another."""
+    same = (whole.token, whole.life) == (part.token, part.life)
+    return same and whole.first <= part.first and part.last <= whole.last
+
+
+def without(keys: KeyRange, taken: KeyRange) -> list[KeyRange]:
+    """Returns what is left of a range without the keys of another."""
+    if not overlaps(keys, taken):
+        return [keys]
+    left = []
+    if keys.first < taken.first:
+        left.append(replace(keys, last=taken.first - 1))
+    if keys.last > taken.last:
+        left.append(replace(keys, first=taken.last + 1))
+    return left
+
+
 def lookup(table: RangeTable, key: int) -> KeyRange:
     """Returns the range that a key is in."""
     at = bisect_right(table.ranges, key, key=lambda keys: keys.first)
@@ -115,7 +141,7 @@
             widths[keys.node] += keys.width
     for keys, handover in lost:
         # A hand-over is good for the whole range only.
-        takers = sorted(heirs, key=lambda h: (widths[h.node] / max(1, h.slots), h.node))
+        takers = sorted(heirs, key=lambda h: (widths[h.node] / h.weight, h.node))
         chosen = takers[:1] if handover else takers
         for heir, first, last in _shares(chosen, keys.first, keys.last):
             part = replace(keys, first=first, last=last)
@@ -140,13 +166,13 @@
 def _shares(
     members: Sequence[Member], first: int, last: int
 ) -> list[tuple[Member, int, int]]:
-    """Cuts a range into one part for each member, by their slots."""
-    total = sum(max(1, member.slots) for member in members)
+    """Cuts a range into one part for each member, by their weights."""
+    total = sum(member.weight for member in members)
     width = last - first + 1
-    parts, begin, seen = [], first, 0
+    parts, begin, seen = [], first, 0.0
     for member in members:
-        seen += max(1, member.slots)
-        end = first + width * seen // total - 1
+        seen += member.weight
+        end = first + round(width * seen / total) - 1
         if end >= begin:
             parts.append((member, begin, end))
             begin = end + 1
@@ -155,13 +181,8 @@
 
 def _cut(keys: KeyRange, gained: KeyRange) -> list[KeyRange]:
     """Returns a range with the part that another one takes replaced."""
-    if gained.first > keys.last or gained.last < keys.first:
+    if not overlaps(keys, gained):
         return [keys]
-    parts = []
-    if keys.first < gained.first:
-        parts.append(replace(keys, last=gained.first - 1))
-    if keys.first <= gained.first <= keys.last:
-        parts.append(gained)
-    if keys.last > gained.last:
-        parts.append(replace(keys, first=gained.last + 1))
-    return parts
+    begins_here = [gained] if gained.first in keys else []
+    parts = [*without(keys, gained), *begins_here]
+    return sorted(parts, key=lambda part: part.first)
--- a/rosemarydeal/policy/requests/attempts.py
+++ b/rosemarydeal/policy/requests/attempts.py
@@ -32,6 +32,10 @@
 # A process that is restarted is back after about this long.
 RETURN_AFTER_S = 0.6
 SERVER_ERROR = 500
+# Parts of the retry budget. Repeating what has run repeats its calls too, which
+# count at the services called.
+REJECTED_PART = 0.5
+RUN_PART = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,10 +59,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Again:
-    """Says to attempt the request again."""
+    """Says to attempt the request again.
+
+    Attributes:
+        attempts: What will have been done by then.
+        part: Part of the retry budget that such retries may use; 0 for free.
+    """
 
     attempts: Attempts
-    needs_budget: bool
+    part: float
 
 
 def after(attempts: Attempts, ending: Ending, keyed: bool) -> Again | None:
@@ -80,19 +89,20 @@
                 return None
             if keyed and ending.retry_after_s is not None:
                 return None
-            return Again(replace(attempts, made=made, hops=hops), reached)
+            part = REJECTED_PART if reached else 0.0
+            return Again(replace(attempts, made=made, hops=hops), part)
         case Undecided(timed_out=False):
             made = attempts.made + 1
             if not attempts.idempotent or made >= attempts.most:
                 return None
             again = replace(attempts, made=made, hops=hops, maybe_run=True)
-            return Again(again, True)
+            return Again(again, RUN_PART)
         case Answered(status) if status >= SERVER_ERROR and attempts.idempotent:
             made = attempts.made + 1
             if made >= attempts.most or hops >= MAX_HOPS:
                 return None
             again = replace(attempts, made=made, hops=hops, maybe_run=True)
-            return Again(again, True)
+            return Again(again, RUN_PART)
         case _:
             return None
 
--- a/rosemarydeal/policy/routing/choice.py
+++ b/rosemarydeal/policy/routing/choice.py
@@ -31,7 +31,7 @@
         slots: Requests that it runs at a time.
         outstanding: Requests sent from here that have not ended.
         reported: Requests running and waiting there, as it said last.
-        speed: Pace at which it works, 1.0 for the mean of its service.
+        pace: How long work takes there, 1.0 as usual.
         failing: Share of its recent requests that failed, 0 to 1.
     """
 
@@ -40,7 +40,7 @@
     slots: int
     outstanding: int
     reported: int
-    speed: float
+    pace: float
     failing: float
 
 
@@ -64,6 +64,6 @@
     load = max(candidate.outstanding, candidate.reported) + 1
     per_slot = load / max(1, candidate.slots)
     # Below full slots only the speed of a single request counts.
-    done_after = (1.0 + max(0.0, per_slot - 1.0) + 0.3 * per_slot) / candidate.speed
+    done_after = (1.0 + max(0.0, per_slot - 1.0) + 0.3 * per_slot) * candidate.pace
     distance = 0.0 if candidate.same_zone else OTHER_ZONE_PENALTY
     return done_after + distance + FAILURE_PENALTY * 4.0 * candidate.failing
