Serve in time first; call the store through peers

Change: a request that could only be late is refused under a backlog; service times by route; peers read and write objects for a process that is turned away; unkeyed work goes where its answer is in time, carriage weighed.

--- a/rosemarydeal/core/requests.py
+++ b/rosemarydeal/core/requests.py
@@ -59,6 +59,7 @@
         body: Whole body.
         caller_service: Service on the VM where the request began.
         service: Service that is to run it.
+        route: Name of its route, whose requests are alike.
         key: Key that it is about, if the service is keyed.
         idempotent: Whether it may run more than once.
         priority: Rank; 0 is the most urgent.
@@ -73,6 +74,7 @@
     body: bytes
     caller_service: str
     service: str
+    route: str
     key: int | None
     idempotent: bool
     priority: int
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -12,6 +12,7 @@
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import Configuration, Member, NodeIdentity, Route
 from rosemarydeal.core.requests import (
+    Answered,
     CallerRequest,
     Ending,
     NotServed,
@@ -20,10 +21,13 @@
 )
 from rosemarydeal.platform import callers
 from rosemarydeal.platform.errors import Unreadable
+from rosemarydeal.policy.dispatch.crashers import fingerprint
 from rosemarydeal.policy.dispatch.retry_budget import RetryBudget
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.requests import attempts
+from rosemarydeal.policy.requests.returning import ReturningCallers
 from rosemarydeal.policy.routing.choice import Candidate, choose
+from rosemarydeal.policy.routing.jobs import JobEstimates
 from rosemarydeal.policy.routing.routebook import RouteBook, choose_service
 from rosemarydeal.proxy import BadMessage, Request, Response
 
@@ -50,6 +54,7 @@
     route: Route
     service: str
     arrived: float
+    first_arrived: float | None
     give_up_at: float
     attempts: attempts.Attempts
 
@@ -79,6 +84,8 @@
         self._start = random.random()
         self._counts: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self._returning = ReturningCallers()
+        self._jobs = JobEstimates()
         self._open = 0
 
     @property
@@ -131,17 +138,21 @@
             return NO_ROUTE, None
         service = self._service_of(route)
         time_left = min(caller.time_left_s or route.timeout_s, route.timeout_s)
+        mark = fingerprint(caller.method, caller.target, caller.body)
         progress = _Progress(
             caller,
             route,
             service,
             arrived,
+            self._returning.claim(mark, arrived),
             arrived + time_left,
             attempts.Attempts(route.idempotent, route.attempts),
         )
         self._budget(service).note_request(arrived)
-        ending = await self._run(progress)
-        return attempts.final(progress.attempts, ending), progress
+        ending = attempts.final(progress.attempts, await self._run(progress))
+        if isinstance(ending, NotServed) and progress.first_arrived is None:
+            self._returning.note_refused(mark, arrived)
+        return ending, progress
 
     async def _run(self, progress: _Progress) -> Ending:
         """Makes attempts until one ends the request."""
@@ -154,6 +165,8 @@
             if isinstance(node, NotServed):
                 return node
             ending = await self._offer(node, progress)
+            if isinstance(ending, Answered):
+                self._jobs.note(progress.route, ending, now() - moment)
             self._health.note(node, ending, now())
             keyed = progress.request.key is not None and self._is_keyed(progress)
             step = attempts.after(progress.attempts, ending, keyed)
@@ -188,6 +201,8 @@
         """Has a node run the request."""
         moment = now()
         request, route = progress.request, progress.route
+        first = progress.first_arrived
+        counted_from = progress.arrived if first is None else first
         order = Order(
             request_id=request.request_id,
             method=request.method,
@@ -196,10 +211,11 @@
             body=request.body,
             caller_service=self._identity.service,
             service=progress.service,
+            route=route.name,
             key=request.key if self._is_keyed(progress) else None,
             idempotent=route.idempotent,
             priority=route.priority,
-            target_s=progress.arrived + route.target_s - moment,
+            target_s=counted_from + route.target_s - moment,
             time_left_s=progress.give_up_at - moment,
         )
         if node != self._identity.node:
@@ -232,7 +248,7 @@
             candidate = self._candidate(member)
             if candidate is not None:
                 candidates.append(candidate)
-        return choose(candidates, random.random())
+        return choose(candidates, self._jobs.job(progress.route), random.random())
 
     def _candidate(self, member: Member) -> Candidate | None:
         """Returns what is known of an upstream that can be reached."""
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -14,7 +14,7 @@
 import structlog
 
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.fleet import NodeIdentity, Service
+from rosemarydeal.core.fleet import NodeIdentity, Service, UpstreamLoad
 from rosemarydeal.core.requests import (
     Answered,
     Dispatched,
@@ -179,6 +179,7 @@
             self._arrivals.append((moment, order.key))
         waiting = Waiting(
             number,
+            order.route,
             order.priority,
             order.key,
             moment,
@@ -314,7 +315,8 @@
             decisions = self._queue.ended(number, now(), completed)
             self._perform(decisions)
         ending = self._ending(served, result)
-        self._note(served.order, *_labels(ending), now() - started)
+        load = result.load if isinstance(result, Answered | Rejected) else None
+        self._note(served.order, *_labels(ending), now() - started, load)
         if not served.future.done():
             served.future.set_result(ending)
 
@@ -353,13 +355,21 @@
         if served.task is not None and not served.task.done():
             served.task.cancel()
 
-    def _note(self, order: Order, outcome: str, code: str, seconds: float) -> None:
+    def _note(
+        self,
+        order: Order,
+        outcome: str,
+        code: str,
+        seconds: float,
+        load: UpstreamLoad | None = None,
+    ) -> None:
         """Writes an ending into log and metrics."""
         self._metrics.count_dispatch(order.service, outcome, code, seconds)
         _log.info(
             "dispatch",
             request_id=order.request_id,
             key=order.key,
+            route=order.route,
             rank=order.priority,
             outcome=outcome,
             code=code,
@@ -367,6 +377,7 @@
             running=self.running,
             waiting=self.waiting,
             slots=self.slots,
+            pace=load.pace if load is not None else None,
         )
 
 
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+import msgspec
 import structlog
 
 from rosemarydeal.core import Address
@@ -22,8 +23,6 @@
     AnswerReply,
     Ask,
     Blame,
-    Confirm,
-    Confirmed,
     Fetch,
     Hello,
     Leaving,
@@ -34,6 +33,8 @@
     Ping,
     Pong,
     Reply,
+    StoreAnswer,
+    StoreCall,
     UndecidedReply,
     Withdraw,
 )
@@ -48,7 +49,7 @@
 RECONNECT_FIRST_S = 0.1
 RECONNECT_MOST_S = 1.0
 CONNECT_TIME_S = 0.7
-CONFIRM_TIME_S = 0.6
+RELAY_TIME_S = 0.5
 UNREACHABLE = NotServed("peer-unreachable", elsewhere=True)
 
 _log = structlog.get_logger()
@@ -88,7 +89,7 @@
         on_objects: Called with objects that a peer sent.
         on_notice: Called with an object that a peer sent.
         on_blame: Called with requests that are blamed for a crash.
-        confirm: Reads an object from the store for a peer.
+        relay: Calls the store for a peer.
         on_change: Called when a link came up or was lost.
     """
 
@@ -100,7 +101,7 @@
     on_objects: Callable[[Objects], None]
     on_notice: Callable[[ObjectNotice], None]
     on_blame: Callable[[Blame], None]
-    confirm: Callable[[Confirm], Awaitable[Confirmed | None]]
+    relay: Callable[[StoreCall], Awaitable[StoreAnswer | None]]
     on_change: Callable[[str, bool], None]
 
 
@@ -112,7 +113,7 @@
         self.address = address
         self.connection: FrameConnection | None = None
         self.asked: dict[int, asyncio.Future[Ending]] = {}
-        self.confirms: dict[int, asyncio.Future[Confirmed]] = {}
+        self.relayed: dict[int, asyncio.Future[StoreAnswer]] = {}
         self.task: asyncio.Task[None] | None = None
         self.lost = asyncio.Event()
         self.state: PeerState | None = None
@@ -228,23 +229,24 @@
             ):
                 self._send(link, Withdraw(number))
 
-    async def confirm(self, node: str, kind: str, name: str) -> Confirmed | None:
-        """Has another process read an object from the store."""
+    async def call_store(self, node: str, call: StoreCall) -> StoreAnswer | None:
+        """Has another process call the store; None without an answer."""
         link = self._links.get(node)
         if link is None or not link.up:
             return None
         self._count += 1
         number = self._count
-        future: asyncio.Future[Confirmed] = asyncio.get_running_loop().create_future()
-        link.confirms[number] = future
+        future: asyncio.Future[StoreAnswer]
+        future = asyncio.get_running_loop().create_future()
+        link.relayed[number] = future
         try:
-            link.connection.send(Confirm(number, kind, name))
-            async with asyncio.timeout(CONFIRM_TIME_S):
+            link.connection.send(msgspec.structs.replace(call, number=number))
+            async with asyncio.timeout(RELAY_TIME_S):
                 return await future
         except TimeoutError:
             return None
         finally:
-            link.confirms.pop(number, None)
+            link.relayed.pop(number, None)
 
     def send(self, node: str, message: Message) -> None:
         """Sends a message to a node, if it can be reached."""
@@ -364,8 +366,8 @@
             case Leaving():
                 link.leaving = True
                 self._hooks.on_change(link.node, True)
-            case Confirmed():
-                future = link.confirms.get(message.number)
+            case StoreAnswer():
+                future = link.relayed.get(message.number)
                 if future is not None and not future.done():
                     future.set_result(message)
 
@@ -409,8 +411,8 @@
                 self._hooks.on_notice(message)
             case Blame():
                 self._hooks.on_blame(message)
-            case Confirm():
-                self._spawn(self._confirm(connection, message))
+            case StoreCall():
+                self._spawn(self._relay(connection, message))
 
     async def _serve(
         self, connection: FrameConnection, number: int, order: Order
@@ -422,9 +424,9 @@
         finally:
             self._serving.pop((connection, number), None)
 
-    async def _confirm(self, connection: FrameConnection, question: Confirm) -> None:
-        """Reads an object for a peer."""
-        answer = await self._hooks.confirm(question)
+    async def _relay(self, connection: FrameConnection, call: StoreCall) -> None:
+        """Calls the store for a peer."""
+        answer = await self._hooks.relay(call)
         if answer is not None:
             connection.send(answer)
 
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -17,8 +17,6 @@
     "AnswerReply",
     "Ask",
     "Blame",
-    "Confirm",
-    "Confirmed",
     "Fetch",
     "Hello",
     "Leaving",
@@ -30,6 +28,8 @@
     "Ping",
     "Pong",
     "Reply",
+    "StoreAnswer",
+    "StoreCall",
     "UndecidedReply",
     "Withdraw",
     "decode",
@@ -61,6 +61,7 @@
     body: bytes
     caller_service: str
     service: str
+    route: str
     key: int | None
     idempotent: bool
     priority: int
@@ -189,20 +190,30 @@
     node: str
 
 
-class Confirm(_Base, tag=14):
-    """Asks the peer to read an object from the store now."""
+class StoreCall(_Base, tag=14):
+    """Asks the peer to call the store for a process that it turns away.
+
+    Without content it reads an object; with content it writes one that is still
+    at the revision, or creates it where the revision is 0.
+    """
 
     number: int
     kind: str
     name: str
+    content: bytes | None = None
+    revision: int = 0
 
 
-class Confirmed(_Base, tag=15):
-    """Gives the object as the store held it after the question."""
+class StoreAnswer(_Base, tag=15):
+    """Gives the object as the store held it after the call.
+
+    `done` is false for a write that met another revision.
+    """
 
     number: int
     kind: str
     state: ObjectState | None
+    done: bool = True
 
 
 Message = (
@@ -219,8 +230,8 @@
     | ObjectNotice
     | Blame
     | Leaving
-    | Confirm
-    | Confirmed
+    | StoreCall
+    | StoreAnswer
 )
 Reply = AnswerReply | NotServedReply | UndecidedReply
 
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -31,7 +31,7 @@
 
 from .guard import Guard
 from .links import Links
-from .messages import Confirm, Confirmed, ObjectNotice, ObjectState
+from .messages import ObjectNotice, ObjectState
 from .records import RANGES, Records, table_name
 from .upstream import UpstreamWatch
 
@@ -46,7 +46,6 @@
 BALANCE_PERIOD_S = 0.7
 # A request that starts must not outlast the grant by the check's own delay.
 HOLD_MARGIN_S = 0.1
-CONFIRM_PEERS = 2
 CALL_STEP_S = 0.01
 WRITE_RETRY_S = 0.05
 WRITE_RETRY_MOST_S = 0.5
@@ -147,20 +146,6 @@
             if self._keyed() and self._watch.state is not None:
                 self._step()
 
-    async def confirm_for(self, question: Confirm) -> Confirmed | None:
-        """Reads an object from the store for a peer that can't."""
-        if question.kind != RANGES:
-            return None
-        try:
-            stored = await self._records.read(question.kind, question.name)
-        except StoreError as error:
-            _log.info("confirm_for_peer_failed", detail=error.detail)
-            return None
-        state = None
-        if stored is not None:
-            state = ObjectState(stored.name, stored.revision, stored.content)
-        return Confirmed(question.number, question.kind, state)
-
     def stop(self) -> None:
         """Gives all keys to others, since this process is about to end."""
         self._stopping = True
@@ -192,39 +177,19 @@
             self._propose(moment)
 
     async def _confirm(self) -> None:
-        """Reads the table from the store, through a peer if need be."""
+        """Reads the table from the store to extend the tenure."""
         asked_at = now()
         name = table_name(self._identity.service)
         try:
             stored = await self._records.read(RANGES, name)
             self._take_confirmation(stored, asked_at)
         except StoreError as error:
-            await self._confirm_through_peers(name, error.detail)
+            left_s = tenure.tenure_until(self._tenure) - now()
+            _log.warning("tenure_not_confirmed", detail=error.detail, left_s=left_s)
         finally:
             self._confirming = False
             self._confirm_at = asked_at + tenure.CONFIRM_PERIOD_S
 
-    async def _confirm_through_peers(self, name: str, reason: str) -> None:
-        """Asks peers to read the table from the store."""
-        up = sorted(self._links.up)
-        for node in random.sample(up, min(CONFIRM_PEERS, len(up))):
-            asked_at = now()
-            answer = await self._links.confirm(node, RANGES, name)
-            if answer is None:
-                continue
-            state = answer.state
-            stored = None
-            if state is not None:
-                stored = Stored(RANGES, state.name, state.revision, state.content)
-                self._records.take(stored)
-            self._take_confirmation(stored, asked_at)
-            return
-        _log.warning(
-            "tenure_not_confirmed",
-            reason=reason,
-            left_s=tenure.tenure_until(self._tenure) - now(),
-        )
-
     def _take_confirmation(self, stored: Stored | None, asked_at: float) -> None:
         """Extends the tenure by a read of the table."""
         found = self.table
@@ -388,13 +353,13 @@
             nodes=len(self._records.members),
             waited_out=waited,
             settled_s=moment - self._records.members_changed_at,
-            complete=self._records.complete and self._records.reachable,
+            complete=self._records.complete,
             writer=_writer(),
         )
 
     def _balance(self, moment: float, view: proposals.View) -> None:
         """Gives keys away if that pays."""
-        if moment < self._balance_at or not view.complete or not self.owned:
+        if moment < self._balance_at or not self._records.reachable:
             return
         self._balance_at = moment + BALANCE_PERIOD_S * random.uniform(0.8, 1.2)
         others = []
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -71,7 +71,7 @@
         self._health = UpstreamHealth()
         self._client = UpstreamClient(identity.upstream, 100)
         self._links = Links(identity.node, self._process, self._link_hooks())
-        self._records = Records(self._store, self._links.send)
+        self._records = Records(self._store, self._links)
         self._watch = UpstreamWatch(identity, self._take_upstream)
         self._ownership = Ownership(
             identity,
@@ -182,7 +182,7 @@
             on_objects=lambda objects: self._records.take_objects(objects),
             on_notice=lambda notice: self._records.take_notice(notice),
             on_blame=lambda blame: self._guard.take_blame(blame.marks),
-            confirm=lambda question: self._ownership.confirm_for(question),
+            relay=lambda call: self._records.relay(call),
             on_change=lambda node, up: None,
         )
 
@@ -304,7 +304,8 @@
         """
         known = self._records.members.get(self._identity.node)
         state = self._watch.state
-        if known is not None and state is not None and known.life == state.life:
+        if known is not None and state is not None:
+            # The VM is the same, so that its upstream's pace is too.
             return known.pace
         service = self._own_service()
         path = service.health_path if service is not None else "/healthz"
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -32,7 +32,15 @@
 from rosemarydeal.platform.operator import decode_configuration
 from rosemarydeal.platform.store import Listing, StoreClient
 
-from .messages import Fetch, ObjectNotice, Objects, ObjectState
+from .links import Links
+from .messages import (
+    Fetch,
+    ObjectNotice,
+    Objects,
+    ObjectState,
+    StoreAnswer,
+    StoreCall,
+)
 
 __all__ = ["MEMBERS", "RANGES", "Records", "table_name"]
 
@@ -45,6 +53,8 @@
 RETRY_MOST_S = 0.6
 # A watch on the same revision needs so long at most to show what a peer knows.
 PEER_AHEAD_S = 0.4
+# Peers that are asked to call the store for a process that it turns away.
+RELAY_PEERS = 3
 
 _log = structlog.get_logger()
 
@@ -77,15 +87,15 @@
 class Records:
     """Follows the store and answers what its objects say."""
 
-    def __init__(self, store: StoreClient, send: Callable[[str, Fetch], None]) -> None:
+    def __init__(self, store: StoreClient, links: Links) -> None:
         """Makes an empty view.
 
         Args:
             store: Client of the store.
-            send: Sends a message to a node.
+            links: Links to peers, who call the store if it turns this one away.
         """
         self._store = store
-        self._send = send
+        self._links = links
         self._kinds = {kind: _Kind() for kind in KINDS}
         self._listeners: list[Callable[[str], None]] = []
         self._configuration: Configuration | None = None
@@ -206,7 +216,7 @@
                 self._ahead[name] = _Ahead(changed, moment)
             elif moment - ahead.since >= PEER_AHEAD_S:
                 self._ahead[name] = _Ahead(changed, moment)
-                self._send(node, Fetch(name))
+                self._links.send(node, Fetch(name))
 
     def export(self, kind: str) -> Objects:
         """Returns all objects of a kind, for a peer."""
@@ -219,20 +229,21 @@
         return Objects(kind, found.revision, found.changed, states)
 
     async def read(self, kind: str, name: str) -> Stored | None:
-        """Reads an object from the store now.
+        """Reads an object from the store now, through a peer if need be.
 
         Returns:
             The object, or None where there is none.
 
         Raises:
-            StoreError: No answer that could be used.
+            StoreError: No answer that could be used, from the store or a peer.
         """
         try:
             stored = await self._store.get(kind, name)
-        except StoreError:
-            self._note_reachable(False)
-            raise
-        self._note_reachable(True)
+        except StoreError as error:
+            self._note_reachable(False, str(error))
+            stored = (await self._ask_peers(StoreCall(0, kind, name), error))[0]
+        else:
+            self._note_reachable(True)
         if stored is not None:
             self.take(stored)
         return stored
@@ -255,10 +266,71 @@
             raise
         except StoreError as error:
             self._note_reachable(False, str(error))
-            raise
+            known = old.revision if old is not None and old.content else 0
+            call = StoreCall(0, kind, name, content, known)
+            stored, done = await self._ask_peers(call, error)
+            if stored is not None:
+                self.take(stored)
+            if not done or stored is None:
+                raise StoreConflict(f"{kind}/{name}: changed meanwhile") from error
         self.take(stored)
         return stored
 
+    async def relay(self, call: StoreCall) -> StoreAnswer | None:
+        """Calls the store for a peer; without an answer there is none."""
+        if call.kind not in (MEMBERS, RANGES):
+            return None
+        done = True
+        try:
+            if call.content is None:
+                stored = await self._store.get(call.kind, call.name)
+            else:
+                try:
+                    stored = await self._write_at(call)
+                except StoreConflict:
+                    done = False
+                    stored = await self._store.get(call.kind, call.name)
+        except StoreError as error:
+            _log.info("relay_failed", name=call.name, detail=error.detail)
+            return None
+        state = None
+        if stored is not None:
+            self.take(stored)
+            state = ObjectState(stored.name, stored.revision, stored.content)
+        return StoreAnswer(call.number, call.kind, state, done)
+
+    async def _write_at(self, call: StoreCall) -> Stored:
+        """Writes an object that is still at a revision, for a peer."""
+        if not call.revision:
+            return await self._store.create(call.kind, call.name, call.content)
+        return await self._store.replace(
+            call.kind, call.name, call.content, call.revision
+        )
+
+    async def _ask_peers(
+        self, call: StoreCall, error: StoreError
+    ) -> tuple[Stored | None, bool]:
+        """Has a peer call the store.
+
+        Returns:
+            The object after the call, and whether a write was done.
+
+        Raises:
+            StoreError: The given one, if no peer has an answer.
+        """
+        up = sorted(self._links.up)
+        for node in random.sample(up, min(RELAY_PEERS, len(up))):
+            answer = await self._links.call_store(node, call)
+            if answer is None:
+                continue
+            _log.info("store_called_by_peer", peer=node, name=call.name)
+            state = answer.state
+            if state is None:
+                return None, answer.done
+            stored = Stored(call.kind, state.name, state.revision, state.content)
+            return stored, answer.done
+        raise error
+
     async def remove(self, kind: str, name: str) -> None:
         """Removes an object at the revision that is known."""
         old = self.stored(kind, name)
--- a/rosemarydeal/policy/dispatch/queue.py
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -2,8 +2,10 @@
 
 Load pattern: more work than the upstream can do, in bursts of seconds or for
 long. What can still be answered within its target goes first, the more urgent
-rank before the less urgent one, then the one whose target ends first. What
-could only be late waits behind. What can't be answered at all, by the pace at
+rank before the less urgent one, then the one whose target ends first; a caller
+that was turned away and came back is counted from its first arrival. Under a
+backlog a request that could only be late is turned away at once, since it would
+take the place of one in time. What can't be answered at all, by the pace at
 which the upstream works now, is turned away on arrival, or as soon as that
 becomes known, with the time after which there will be room.
 """
@@ -24,6 +26,9 @@
 # Requests wait in our queue, never in the upstream's own.
 CODE_OVERLOADED = "overloaded"
 CODE_NOT_IN_TIME = "not-in-time"
+# Late requests fill slots that would be idle otherwise, and no more of them
+# wait than this part of the slots.
+LATE_PART = 0.25
 # A caller that comes back at once meets the same queue.
 MIN_RETRY_AFTER_S = 0.1
 
@@ -42,7 +47,8 @@
 
     Attributes:
         number: Number by which the queue's user knows it.
-        rank: Its route's priority; 0 is the most urgent.
+        route: Its route, whose requests run for about the same time.
+        rank: The route's priority; 0 is the most urgent.
         key: Key that it is about, if any.
         arrived: When it came.
         target_at: When its answer begins to be worth less.
@@ -50,6 +56,7 @@
     """
 
     number: int
+    route: str
     rank: int
     key: int | None
     arrived: float
@@ -89,7 +96,7 @@
         self._admits = admits
         self._times = ServiceTimes()
         self._waiting: dict[int, Waiting] = {}
-        self._running: dict[int, tuple[int, float]] = {}
+        self._running: dict[int, tuple[str, float]] = {}
         self._slots = 1
         self._open = False
 
@@ -130,12 +137,11 @@
 
     def offer(self, waiting: Waiting, now: float) -> list[Decision]:
         """Takes a request in, or turns it away at once."""
-        self._times.note_arrival(waiting.rank, now)
-        self._waiting[waiting.number] = waiting
+        self._times.note_arrival(waiting.rank, waiting.route, now)
         refused = self._check_room(waiting, now)
         if refused is not None:
-            del self._waiting[waiting.number]
             return [refused]
+        self._waiting[waiting.number] = waiting
         return self.advance(now)
 
     def withdraw(self, number: int) -> None:
@@ -144,9 +150,9 @@
 
     def ended(self, number: int, now: float, completed: bool) -> list[Decision]:
         """Notes that a request has left the upstream, and lets others go."""
-        rank, since = self._running.pop(number, (0, now))
+        route, since = self._running.pop(number, ("", now))
         if completed:
-            self._times.note_service(rank, now - since)
+            self._times.note_service(route, now - since)
         return self.advance(now)
 
     def advance(self, now: float) -> list[Decision]:
@@ -175,31 +181,32 @@
             moments.append(self._cold.next_at(now))
         return min(moments)
 
-    def wait_ahead(self, rank: int, target_at: float) -> float:
-        """Returns how long a request of a rank would wait now, in seconds."""
+    def wait_ahead(self, waiting: Waiting) -> float:
+        """Returns how long a request would wait now, in seconds."""
+        place = _place(waiting)
         ahead = sum(
             self._expected(other)
             for other in self._waiting.values()
-            if (other.rank, other.target_at) <= (rank, target_at)
+            if _place(other) <= place and other is not waiting
         )
         free = self._slots - len(self._running)
         if free > len(self._waiting):
             return 0.0
-        urgent = self._times.work_rate_above(rank)
+        urgent = self._times.work_rate_above(waiting.rank)
         width = max(0.2 * self._slots, self._slots - urgent)
         residual = 0.5 * self._times.mean() if free <= 0 else 0.0
         return ahead / width + residual / self._slots
 
     def _check_room(self, waiting: Waiting, now: float) -> Refuse | None:
         """Refuses a request that can't be answered while somebody waits for it."""
-        if waiting.key is not None:
-            if self._admits(waiting.key) is Admission.ELSEWHERE:
-                return self._not_here(waiting)
-        expected = self._expected(waiting)
-        del self._waiting[waiting.number]
-        wait = self.wait_ahead(waiting.rank, waiting.target_at)
-        self._waiting[waiting.number] = waiting
-        if now + wait + expected <= waiting.give_up_at:
+        if self._admission(waiting) is Admission.ELSEWHERE:
+            return self._not_here(waiting)
+        if not self._waiting and len(self._running) < self._slots:
+            return None
+        done_at = now + self.wait_ahead(waiting) + self._expected(waiting)
+        in_time = done_at <= waiting.target_at
+        backlog = len(self._waiting) > LATE_PART * self._slots
+        if done_at <= waiting.give_up_at and (in_time or not backlog):
             return None
         return Refuse(waiting.number, self._refusal(CODE_OVERLOADED, waiting, now))
 
@@ -219,7 +226,7 @@
 
         def order(waiting: Waiting) -> tuple[bool, int, float]:
             late = now + self._expected(waiting) > waiting.target_at
-            return late, waiting.rank, waiting.target_at
+            return late, *_place(waiting)
 
         return sorted(self._waiting.values(), key=order)
 
@@ -230,7 +237,7 @@
     def _start(self, waiting: Waiting, now: float) -> Start:
         """Moves a request from the queue to the upstream."""
         del self._waiting[waiting.number]
-        self._running[waiting.number] = (waiting.rank, now)
+        self._running[waiting.number] = (waiting.route, now)
         self._cold.note_sent(now)
         return Start(waiting.number)
 
@@ -245,12 +252,17 @@
 
     def _expected(self, waiting: Waiting) -> float:
         """Returns how long a request is expected to run, in seconds."""
-        return self._times.expected(waiting.rank)
+        return self._times.expected(waiting.route)
 
     def _refusal(self, code: str, waiting: Waiting, now: float) -> NotServed:
         """Says when there will be room for a request that is turned away."""
-        wait = self.wait_ahead(waiting.rank, waiting.target_at)
+        wait = self.wait_ahead(waiting)
         room_after = max(MIN_RETRY_AFTER_S, wait - self._expected(waiting))
         most = max(0.0, waiting.give_up_at - now) / 3.0
         retry_after = room_after if room_after <= most else None
         return NotServed(code, retry_after, elsewhere=True)
+
+
+def _place(waiting: Waiting) -> tuple[int, float]:
+    """Returns the place of a request among those that can be in time."""
+    return waiting.rank, waiting.target_at
--- a/rosemarydeal/policy/dispatch/service_time.py
+++ b/rosemarydeal/policy/dispatch/service_time.py
@@ -1,7 +1,7 @@
 """Estimates how long requests run at the upstream, and how much work comes.
 
 Load pattern: kinds of request with different work on an upstream whose pace
-changes within seconds. Estimates follow the last dozen requests of each rank.
+changes within seconds. Estimates follow the last dozen requests of each route.
 """
 
 from __future__ import annotations
@@ -19,40 +19,35 @@
 
 
 class ServiceTimes:
-    """Keeps smoothed service times and arrival rates by rank."""
+    """Keeps smoothed service times by route and arrival rates by rank."""
 
     def __init__(self) -> None:
-        self._mean_s: dict[int, float] = {}
-        self._rate: dict[int, float] = {}
+        self._mean_s: dict[str, float] = {}
+        self._work_s: dict[int, float] = {}
         self._last: dict[int, float] = {}
 
-    def expected(self, rank: int) -> float:
-        """Returns how long a request of a rank runs, in seconds."""
-        return self._mean_s.get(rank, UNKNOWN_S)
+    def expected(self, route: str) -> float:
+        """Returns how long a request of a route runs, in seconds."""
+        return self._mean_s.get(route, UNKNOWN_S)
 
     def mean(self) -> float:
-        """Returns the mean over all ranks, in seconds."""
+        """Returns the mean over all routes, in seconds."""
         values = self._mean_s.values()
         return sum(values) / len(values) if values else UNKNOWN_S
 
-    def note_service(self, rank: int, seconds: float) -> None:
+    def note_service(self, route: str, seconds: float) -> None:
         """Takes the time that a request ran."""
-        old = self._mean_s.get(rank)
-        self._mean_s[rank] = (
-            seconds if old is None else old + NEW_WEIGHT * (seconds - old)
-        )
+        old = self._mean_s.get(route, seconds)
+        self._mean_s[route] = old + NEW_WEIGHT * (seconds - old)
 
-    def note_arrival(self, rank: int, now: float) -> None:
-        """Counts an arrival."""
+    def note_arrival(self, rank: int, route: str, now: float) -> None:
+        """Counts an arrival and the work that it brings."""
         since = now - self._last.get(rank, now)
-        faded = self._rate.get(rank, 0.0) * math.exp(-since / RATE_MEMORY_S)
-        self._rate[rank] = faded + 1.0 / RATE_MEMORY_S
+        fading = math.exp(-since / RATE_MEMORY_S)
+        brought = self.expected(route) / RATE_MEMORY_S
+        self._work_s[rank] = self._work_s.get(rank, 0.0) * fading + brought
         self._last[rank] = now
 
     def work_rate_above(self, rank: int) -> float:
         """Returns the work a second of all ranks more urgent than one."""
-        return sum(
-            rate * self.expected(other)
-            for other, rate in self._rate.items()
-            if other < rank
-        )
+        return sum(work for other, work in self._work_s.items() if other < rank)
--- /dev/null
+++ b/rosemarydeal/policy/requests/returning.py
@@ -0,0 +1,52 @@
+"""Recognises callers that come back after they were turned away.
+
+Load pattern: an overload in which most callers that were turned away come back
+once. Its caller has waited since it came first, so that the target of a request
+that comes back is counted from then. A request that is the same as one turned
+away a moment ago, at the same process, is taken for its return.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+__all__ = ["ReturningCallers"]
+
+# Callers come back within a third of their deadline, which is seconds.
+REMEMBER_S = 2.5
+MAX_ENTRIES = 8192
+
+
+class ReturningCallers:
+    """Remembers when requests were first made that were turned away."""
+
+    def __init__(self) -> None:
+        self._turned_away: OrderedDict[str, list[float]] = OrderedDict()
+
+    def note_refused(self, mark: str, arrived: float) -> None:
+        """Notes a request that was turned away.
+
+        Args:
+            mark: Fingerprint of the request.
+            arrived: When it arrived.
+        """
+        self._turned_away.setdefault(mark, []).append(arrived)
+        self._turned_away.move_to_end(mark)
+        while len(self._turned_away) > MAX_ENTRIES:
+            self._turned_away.popitem(last=False)
+
+    def claim(self, mark: str, now: float) -> float | None:
+        """Returns when a request came first that comes back now, or None.
+
+        Each request that was turned away is taken to come back once.
+        """
+        arrivals = self._turned_away.get(mark)
+        if arrivals is None:
+            return None
+        first = next((a for a in arrivals if now - a <= REMEMBER_S), None)
+        left = [a for a in arrivals if now - a <= REMEMBER_S and a != first]
+        if left:
+            self._turned_away[mark] = left
+        else:
+            del self._turned_away[mark]
+        return first
--- a/rosemarydeal/policy/routing/choice.py
+++ b/rosemarydeal/policy/routing/choice.py
@@ -2,9 +2,9 @@
 
 Load pattern: upstreams that differ in speed up to threefold, neighbours that
 slow them for moments, and answers that are dear to carry between availability
-zones. Work goes where it would be done first, by what is outstanding from here
-and what the upstream's process said last; an upstream in another zone has to
-be better by more than the carriage is worth.
+zones. What counts is whether the answer comes within its target: an upstream
+nearby is taken though it is slower, as long as it is fast enough, and one in
+another zone has to be better by what the carriage of the answer is worth.
 """
 
 from __future__ import annotations
@@ -12,13 +12,30 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["Candidate", "choose"]
+__all__ = ["Candidate", "Job", "choose"]
 
-# Share of a busy upstream's slots by which another zone has to be better: an
-# answer carried between zones costs about a quarter of what it is worth.
-OTHER_ZONE_PENALTY = 0.45
-# An upstream that failed a request is avoided for this long at first.
-FAILURE_PENALTY = 1.0
+# An answer of this length is worth as much as its carriage between zones.
+ANSWER_WORTH_BYTES = 22_000
+# Part of the target at which an answer is half as likely to be late.
+LATE_STEEPNESS = 2.0
+# Cost of an upstream that fails all its requests.
+FAILURE_COST = 4.0
+EQUAL_COST = 1e-6
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """Is what is known of a route's requests.
+
+    Attributes:
+        work_s: Time that one runs at an upstream of the usual pace.
+        target_s: Time within which the answer is worth most.
+        answer_bytes: Mean length of the answer.
+    """
+
+    work_s: float
+    target_s: float
+    answer_bytes: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,26 +61,29 @@
     failing: float
 
 
-def choose(candidates: Iterable[Candidate], chance: float) -> str | None:
+def choose(candidates: Iterable[Candidate], job: Job, chance: float) -> str | None:
     """Returns the node to send to, or None without candidates.
 
     Args:
         candidates: Upstreams that take work and have not been tried yet.
+        job: What is known of requests like this one.
         chance: Random number from 0 to 1 that decides between equals.
     """
-    ranked = sorted(candidates, key=lambda c: (_cost(c), c.node))
-    if not ranked:
+    costs = [(_cost(candidate, job), candidate.node) for candidate in candidates]
+    if not costs:
         return None
-    best = _cost(ranked[0])
-    equals = [c for c in ranked if _cost(c) - best < 1e-9]
-    return equals[int(chance * len(equals)) % len(equals)].node
+    least = min(costs)[0]
+    equals = sorted(node for cost, node in costs if cost - least < EQUAL_COST)
+    return equals[int(chance * len(equals)) % len(equals)]
 
 
-def _cost(candidate: Candidate) -> float:
-    """Returns the time until the request would be done, in usual service times."""
+def _cost(candidate: Candidate, job: Job) -> float:
+    """Returns the worth that is likely lost by sending a request there."""
     load = max(candidate.outstanding, candidate.reported) + 1
-    per_slot = load / max(1, candidate.slots)
-    # Below full slots only the speed of a single request counts.
-    done_after = (1.0 + max(0.0, per_slot - 1.0) + 0.3 * per_slot) * candidate.pace
-    distance = 0.0 if candidate.same_zone else OTHER_ZONE_PENALTY
-    return done_after + distance + FAILURE_PENALTY * 4.0 * candidate.failing
+    filled = load / max(1, candidate.slots)
+    # Below full slots nobody waits, but a fuller upstream is nearer to it.
+    stretch = 1.0 + 0.3 * filled + max(0.0, filled - 1.0)
+    done_s = job.work_s * candidate.pace * stretch
+    late = min(3.0, done_s / max(0.001, job.target_s)) ** LATE_STEEPNESS
+    carriage = 0.0 if candidate.same_zone else job.answer_bytes / ANSWER_WORTH_BYTES
+    return late + carriage + FAILURE_COST * candidate.failing
