Balance keys by demand and pace

Cause: what runs and waits is cut off by refusals, so that an owner with three times its capacity looked like one with 1.3 times; only the busiest owner moved. Change: the work that arrives in a second, refused included, is compared; the k-th busiest owner gives to the k-th least busy; the paces of both say how much.

--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -43,13 +43,11 @@
 
 __all__ = ["Guard", "GuardHooks"]
 
-LOAD_PERIOD_S = 0.25
-# Load figures follow the last second and a half.
-LOAD_WEIGHT = 0.2
+SILENCE_PERIOD_S = 0.25
 # The pace changes many times a second; its mean is what counts.
 PACE_WEIGHT = 0.03
 # Keys of the last seconds show where a range should be cut.
-ARRIVALS_KEPT_S = 3.0
+ARRIVALS_KEPT_S = 1.5
 MAX_ARRIVALS = 600
 LEAVING = NotServed("upstream-leaving", elsewhere=True)
 NO_UPSTREAM = NotServed("upstream-unknown", elsewhere=True)
@@ -110,7 +108,6 @@
         self._blame = CrashBlame()
         self._served: dict[int, _Served] = {}
         self._count = 0
-        self._load = 0.0
         self._pace = 1.0
         self._arrivals: deque[tuple[float, int]] = deque(maxlen=MAX_ARRIVALS)
         self._timer: asyncio.TimerHandle | None = None
@@ -132,9 +129,9 @@
         return self._queue.slots
 
     @property
-    def load(self) -> float:
-        """Returns the smoothed load, as a share of the slots."""
-        return self._load
+    def demand(self) -> float:
+        """Returns the work that arrives, as a share of what the slots can do."""
+        return self._queue.times.demand(now()) / self.slots
 
     @property
     def pace(self) -> float:
@@ -250,12 +247,10 @@
         """Lets the queue go on."""
         self._perform(self._queue.advance(now()))
 
-    async def measure_load(self) -> None:
-        """Keeps the smoothed load up to date until cancelled."""
+    async def watch_upstream(self) -> None:
+        """Looks again and again whether the upstream is silent, until cancelled."""
         while True:
-            await asyncio.sleep(LOAD_PERIOD_S)
-            present = (self.running + self.waiting) / self.slots
-            self._load += LOAD_WEIGHT * (present - self._load)
+            await asyncio.sleep(SILENCE_PERIOD_S)
             self._watch.check_silence()
 
     def _refusal(self, order: Order) -> NotServed | None:
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -64,7 +64,7 @@
         running: Requests at its upstream.
         waiting: Requests that wait for its upstream.
         slots: Requests that its upstream runs at a time.
-        load: Its smoothed load, as a share of its slots.
+        demand: Work that arrives there, as a share of what its slots can do.
         pace: Smoothed pace of its upstream, 1.0 as usual.
     """
 
@@ -72,7 +72,7 @@
     running: int
     waiting: int
     slots: int
-    load: float
+    demand: float
     pace: float
 
 
@@ -384,7 +384,7 @@
             pong.running,
             pong.waiting,
             pong.slots,
-            pong.load_percent / 100.0,
+            pong.demand_percent / 100.0,
             pong.pace_percent / 100.0,
         )
         self._hooks.on_known(link.node, pong.known)
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -144,7 +144,7 @@
     running: int
     waiting: int
     slots: int
-    load_percent: int
+    demand_percent: int
     pace_percent: int
 
 
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -43,7 +43,9 @@
 RENEW_AFTER_S = 1.6
 GRANT_RETRY_S = 0.15
 RELEASE_TIMEOUT_S = 1.5
-BALANCE_PERIOD_S = 0.7
+BALANCE_PERIOD_S = 0.4
+# Demand is measured over a second, so that a move shows after one.
+AFTER_MOVE_S = 1.0
 # A request that starts must not outlast the grant by the check's own delay.
 HOLD_MARGIN_S = 0.1
 CALL_STEP_S = 0.01
@@ -366,9 +368,9 @@
         for member in proposals.heirs(view):
             state = self._links.state(member.node)
             if state is not None and state.slots:
-                others.append(Burden(member.node, state.load))
+                others.append(Burden(member.node, state.demand, state.pace))
         transfer = balance.plan_transfer(
-            Burden(self._identity.node, self._guard.load),
+            Burden(self._identity.node, self._guard.demand, self._guard.pace),
             others,
             self.owned,
             self._guard.recent_keys,
@@ -379,7 +381,7 @@
         if heir is None:
             return
         self._writing = True
-        self._balance_at = moment + 2 * BALANCE_PERIOD_S
+        self._balance_at = moment + AFTER_MOVE_S
         self._spawn(self._hand_over(((transfer.keys, heir),)))
 
     async def _hand_over(self, parts: tuple[tuple[KeyRange, Member], ...]) -> None:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import secrets
-import statistics
 import time
 from collections.abc import Coroutine
 
@@ -119,7 +118,7 @@
         self._records.start()
         for work in (
             self._ownership.run(),
-            self._guard.measure_load(),
+            self._guard.watch_upstream(),
             self._publish_member(),
             self._forget_members(),
         ):
@@ -202,7 +201,7 @@
             self._guard.running,
             self._guard.waiting,
             self._guard.slots,
-            round(100 * self._guard.load),
+            round(100 * self._guard.demand),
             round(100 * self._guard.pace),
         )
 
@@ -300,7 +299,7 @@
     async def _probe_pace(self) -> float:
         """Asks the upstream a few times how long work takes there now.
 
-        Neighbours slow it for moments, so that the median counts.
+        Neighbours slow it for moments, so that the least counts.
         """
         known = self._records.members.get(self._identity.node)
         state = self._watch.state
@@ -320,7 +319,7 @@
                 break
             paces.append(load.pace)
             await asyncio.sleep(PROBE_PAUSE_S)
-        pace = statistics.median(paces) if paces else 1.0
+        pace = min(paces) if paces else 1.0
         _log.info("pace_probed", pace=pace, probes=len(paces))
         return pace
 
@@ -370,7 +369,7 @@
             ("running", self._guard.running),
             ("waiting", self._guard.waiting),
             ("slots", self._guard.slots),
-            ("load", self._guard.load),
+            ("demand", self._guard.demand),
             ("key_ranges", len(self._ownership.owned)),
             ("peer_links", len(self._links.up)),
             ("store_calls", self._store.calls),
--- a/rosemarydeal/policy/dispatch/service_time.py
+++ b/rosemarydeal/policy/dispatch/service_time.py
@@ -14,8 +14,8 @@
 NEW_WEIGHT = 0.12
 # Assumed before the first request has ended, in seconds.
 UNKNOWN_S = 0.1
-# Arrival rates follow the last seconds.
-RATE_MEMORY_S = 2.0
+# Arrival rates follow the last second, in which a key can become busy.
+RATE_MEMORY_S = 1.0
 
 
 class ServiceTimes:
@@ -48,6 +48,13 @@
         self._work_s[rank] = self._work_s.get(rank, 0.0) * fading + brought
         self._last[rank] = now
 
+    def demand(self, now: float) -> float:
+        """Returns the work that arrives a second, in seconds of one slot."""
+        return sum(
+            work * math.exp((self._last[rank] - now) / RATE_MEMORY_S)
+            for rank, work in self._work_s.items()
+        )
+
     def work_rate_above(self, rank: int) -> float:
         """Returns the work a second of all ranks more urgent than one."""
         return sum(work for other, work in self._work_s.items() if other < rank)
--- a/rosemarydeal/policy/keyranges/balance.py
+++ b/rosemarydeal/policy/keyranges/balance.py
@@ -16,14 +16,14 @@
 
 __all__ = ["Burden", "Transfer", "plan_transfer"]
 
-# Difference of burdens, as a share of an upstream's slots, that pays a move.
-WORTHWHILE_GAP = 0.35
-# An owner below this burden answers in time whatever the others do.
-BUSY_BURDEN = 0.7
+# Difference of demands, as a share of an upstream's slots, that pays a move.
+WORTHWHILE_GAP = 0.25
+# An owner below this demand answers in time whatever the others do.
+BUSY_DEMAND = 0.8
 # Fewer arrivals say too little about where a range should be cut.
-MIN_ARRIVALS = 12
+MIN_ARRIVALS = 8
 # Most of its arrivals that an owner gives away at once.
-MAX_SHARE = 0.5
+MAX_SHARE = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,11 +32,13 @@
 
     Attributes:
         node: The owner's node.
-        load: Requests that run and wait, as a share of its slots, smoothed.
+        demand: Work that arrives, as a share of what its slots can do.
+        pace: How long work takes there, 1.0 as usual.
     """
 
     node: str
-    load: float
+    demand: float
+    pace: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,17 +63,29 @@
         ranges: This owner's ranges.
         arrivals: Work that arrived lately, by key.
     """
-    if not others or own.load < BUSY_BURDEN:
+    if not others or own.demand < BUSY_DEMAND:
         return None
-    if any(other.load > own.load for other in others):
+    heir = _heir(own, others)
+    if heir is None or own.demand - heir.demand < WORTHWHILE_GAP:
         return None
-    least = min(others, key=lambda burden: (burden.load, burden.node))
-    gap = own.load - least.load
-    if gap < WORTHWHILE_GAP:
-        return None
-    share = min(MAX_SHARE, gap / 2.0 / own.load)
+    # A piece of work takes the heir longer, or shorter, than this owner.
+    stretch = heir.pace / max(0.1, own.pace)
+    given = (own.demand - heir.demand) / (1.0 + stretch)
+    share = min(MAX_SHARE, given / own.demand)
     keys = _piece(ranges, arrivals, share)
-    return Transfer(keys, least.node) if keys is not None else None
+    return Transfer(keys, heir.node) if keys is not None else None
+
+
+def _heir(own: Burden, others: Sequence[Burden]) -> Burden | None:
+    """Returns who gets this owner's keys: the busiest gives to the least busy.
+
+    The second busiest gives to the second least busy, and so on, so that owners
+    who decide at the same time don't give to the same heir.
+    """
+    by_demand = sorted([own, *others], key=lambda b: (-b.demand, b.node))
+    rank = by_demand.index(own)
+    heir = by_demand[-1 - rank]
+    return heir if rank < len(by_demand) - 1 - rank else None
 
 
 def _piece(
