--- /dev/null
+++ b/features/builders_fleet_types.py
@@ -0,0 +1,112 @@
+"""Builders of members, tables, views and queued requests."""
+
+from __future__ import annotations
+
+from rosemarydeal.core import Address
+from rosemarydeal.core.fleet import Bounds, Member, NodeIdentity, Route, WeightedService
+from rosemarydeal.core.requests import Order
+from rosemarydeal.policy.dispatch.cold_start import ColdLimiter
+from rosemarydeal.policy.dispatch.queue import Admission, DispatchQueue, Waiting
+from rosemarydeal.policy.keyranges.proposals import View
+
+SERVICE = "box-office"
+
+
+def a_member(node, slots=12, pace=1.0, zone="perth-a", accepting=True, born_ms=1000):
+    return Member(
+        node=node,
+        process=f"{node}-1",
+        peer=Address("127.0.0.1", 7000),
+        zone=zone,
+        service=SERVICE,
+        instance=f"i-{node}",
+        born_ms=born_ms,
+        slots=slots,
+        accepting=accepting,
+        pace=pace,
+    )
+
+
+def a_view(node, members, **changes):
+    own = next((m for m in members if m.node == node), None)
+    fields = {
+        "node": node,
+        "service": SERVICE,
+        "life": own.life if own else "",
+        "accepting": own is not None and own.accepting,
+        "alive": True,
+        "members": tuple(members),
+        "zones_out": frozenset(),
+        "silent_s": {},
+        "links_up": len(members) - 1,
+        "nodes": len(members),
+        "waited_out": frozenset(),
+        "settled_s": 10.0,
+        "complete": True,
+        "writer": "w",
+    }
+    return View(**(fields | changes))
+
+
+def a_queue(slots=2, service_s=None, admits=lambda key: Admission.RUN, cold=None):
+    queue = DispatchQueue(cold or ColdLimiter(), admits)
+    queue.set_slots(slots)
+    for route, seconds in (service_s or {}).items():
+        queue.times.note_service(route, seconds)
+    queue.open()
+    return queue
+
+
+def a_waiting(number, now, route="lookup", rank=2, target_s=0.6, left_s=2.5, key=None):
+    return Waiting(number, route, rank, key, now, now + target_s, now + left_s)
+
+
+def a_route(*backends, name="r", prefix="/a/", idempotent=True, attempts=2):
+    return Route(
+        name=name,
+        host="h.example",
+        prefix=prefix,
+        backends=tuple(WeightedService(s, w) for s, w in backends),
+        idempotent=idempotent,
+        attempts=attempts,
+        timeout_s=1.5,
+        target_s=0.6,
+        priority=2,
+    )
+
+
+def an_order(**changes):
+    fields = {
+        "request_id": "r1",
+        "method": b"GET",
+        "target": b"/a/1",
+        "headers": ((b"host", b"h.example"), (b"request-id", b"r1")),
+        "body": b"",
+        "caller_service": "shop",
+        "service": SERVICE,
+        "route": "r",
+        "key": 7,
+        "idempotent": True,
+        "priority": 2,
+        "target_s": 0.6,
+        "time_left_s": 1.5,
+    }
+    return Order(**(fields | changes))
+
+
+def an_identity(node, host, store, bounds=None, service=SERVICE, zone="perth-a"):
+    return NodeIdentity(
+        node=node,
+        zone=zone,
+        zones=("perth-a", "perth-b"),
+        service=service,
+        upstream=Address(host, 9001),
+        callers=Address(host, 9002),
+        readiness=Address(host, 9003),
+        announcements=Address(host, 9004),
+        peer=Address(host, 9005),
+        metrics=Address(host, 9006),
+        store=store,
+        announce_period_s=0.3,
+        bounds=bounds or Bounds(),
+    )
--- /dev/null
+++ b/features/builders_node.py
@@ -0,0 +1,139 @@
+"""Builds a deployment of real node processes beside stand-ins, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+import structlog
+
+from features.builders_fleet_types import an_identity
+from features.standin_endpoint import StandInEndpoint
+from features.standin_store import StandInStore
+from rosemarydeal.core import Address
+from rosemarydeal.node.process import NodeProcess
+from rosemarydeal.proxy import Pool, PoolSettings, Request, WholeBody, read_whole
+
+HOST = "h.example"
+
+
+def a_configuration(version=1, service="box-office", prefix="/a/", timeout_ms=1500):
+    def route(name, kind, path, priority):
+        spec = {
+            "hostname": HOST,
+            "path_prefix": path,
+            "kind": kind,
+            "timeout_ms": timeout_ms,
+            "latency_target_ms": 600,
+            "priority": priority,
+            "service": service,
+            "attempts": 2,
+        }
+        return {"type": "routes", "metadata": {"name": name}, "spec": spec}
+
+    spec = {
+        "health_path": "/healthz",
+        "max_conns": 80,
+        "cold_period_s": 0.5,
+        "cold_per_s": 15.0,
+        "sharded": True,
+        "warmup_s": 1.0,
+        "grants": "call",
+    }
+    resources = [
+        route("lookup", "idempotent", prefix, 2),
+        route("order", "non_idempotent", "/order/", 1),
+        {"type": "services", "metadata": {"name": service}, "spec": spec},
+        {"type": "limits", "metadata": {}, "spec": {"idle_timeout_ms": 15000}},
+    ]
+    return {"version": version, "resources": resources}
+
+
+@dataclass
+class Answer:
+    status: int
+    body: bytes
+    headers: dict
+    seconds: float
+
+
+class Deployment:
+    """Runs nodes with their upstreams; every VM has a loopback address."""
+
+    def __init__(self, count, work_s=0.01):
+        self.store = StandInStore()
+        self.nodes, self.endpoints, self.hosts = {}, {}, {}
+        self._names = [f"vm-{chr(ord('a') + i)}" for i in range(count)]
+        self._work_s = work_s
+        self._pool = Pool(PoolSettings())
+        self._count = 0
+
+    async def start(self):
+        structlog.configure(
+            wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+        )
+        self.address = await self.store.start("127.0.0.1")
+        self.store.put("config", "main", a_configuration())
+        for index, name in enumerate(self._names):
+            self.hosts[name] = f"127.0.1.{index + 1}"
+            await self.start_node(name)
+            await self.start_endpoint(name)
+        await self.wait(lambda: all(self.serves(key) for key in self.sample()))
+
+    async def start_node(self, name):
+        zone = "perth-a" if self._names.index(name) % 2 == 0 else "perth-b"
+        identity = an_identity(name, self.hosts[name], self.address, zone=zone)
+        self.nodes[name] = NodeProcess(identity)
+        await self.nodes[name].start()
+
+    async def start_endpoint(self, name):
+        zone = "perth-a" if self._names.index(name) % 2 == 0 else "perth-b"
+        found = StandInEndpoint(
+            name, self.hosts[name], "box-office", zone, self._work_s
+        )
+        self.endpoints[name] = found
+        await found.start()
+
+    async def close(self):
+        for endpoint in self.endpoints.values():
+            await endpoint.stop()
+        for node in self.nodes.values():
+            await node.close()
+        await self._pool.close()
+        await self.store.close()
+
+    def sample(self):
+        return range(0, 65536, 4096)
+
+    def holders(self, key):
+        return [n for n, endpoint in self.endpoints.items() if endpoint.held(key)]
+
+    def serves(self, key):
+        return len(self.holders(key)) == 1
+
+    async def wait(self, condition, patience_s=8.0):
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + patience_s
+        while not condition():
+            assert loop.time() < ends, "the condition did not come true in time"
+            await asyncio.sleep(0.02)
+
+    async def ask(self, name, key, path="/a/1", identity=None, left_ms=1500, host=HOST):
+        """Sends a request as a caller on a VM does."""
+        self._count += 1
+        identity = identity or f"r{self._count}"
+        headers = (
+            (b"host", host.encode()),
+            (b"request-id", identity.encode()),
+            (b"deadline-ms", b"%d" % left_ms),
+            (b"shard-key", b"%d" % key),
+        )
+        address = Address(self.hosts[name], 9002)
+        method = b"POST" if path.startswith("/order") else b"GET"
+        request = Request(method, path.encode(), headers, WholeBody(b""), address)
+        began = asyncio.get_running_loop().time()
+        response = await self._pool.send(address, request, 5.0)
+        body = await read_whole(response.body, 1 << 20)
+        seconds = asyncio.get_running_loop().time() - began
+        return Answer(response.status, body, dict(response.headers), seconds)
--- /dev/null
+++ b/features/node.feature
@@ -0,0 +1,79 @@
+Feature: Node processes on a platform, with stand-ins for store and upstreams
+
+  Scenario: A request reaches the owner of its key from any VM, with its own answer
+    Given a deployment of 3 VMs
+    When each VM is asked for 16 keys
+    Then each caller got its own answer, signed by the upstream
+    And each request ran once, at the upstream that holds its key
+    And the upstreams got the caller's service and a shrinking deadline
+
+  Scenario: Foreign and unsigned answers never reach a caller
+    Given a deployment of 2 VMs
+    When an upstream answers an order with another request's answer
+    Then its caller is told 502 and the order ran once
+    When an upstream answers a lookup without its signature
+    Then its caller gets its own answer
+
+  Scenario: An unknown route is 404, and a process without a configuration says 503
+    Given a deployment of 1 VM
+    When a request names a path that no route has
+    Then it is answered 404
+    When a VM starts while the store turns it away
+    Then it is not ready, and answers 503
+
+  Scenario: Keys of an upstream that drains move, and it gets nothing later
+    Given a deployment of 3 VMs
+    When requests go on while the upstream of vm-b drains
+    Then no request failed
+    And vm-b holds no key, and got nothing 2 seconds after its acknowledgement
+
+  Scenario: A crashed upstream's keys are served by others within 2 seconds
+    Given a deployment of 3 VMs
+    When the upstream of vm-b crashes
+    Then all keys are served again within 2 seconds
+
+  Scenario: A process that the store turns away hands its keys over through peers
+    Given a deployment of 3 VMs
+    When the store turns vm-b away and its upstream drains
+    Then vm-b holds no key within 3 seconds
+    And all keys are served again within 2 seconds
+
+  Scenario: A store that is out for 4 seconds stops no request
+    Given a deployment of 2 VMs
+    When the store is out for 4 seconds while requests go on
+    Then no request failed
+
+  Scenario: A change of the configuration reaches a process that the store turns away
+    Given a deployment of 2 VMs
+    When the store turns vm-b away and the operator moves the route to /b/
+    Then vm-b serves /b/ and no longer /a/ within 2 seconds
+
+  Scenario: A zone that is taken out gets nothing, and comes back
+    Given a deployment of 2 VMs
+    When the operator takes perth-b out
+    Then vm-b holds no key within 3 seconds
+    And all keys are served again within 2 seconds
+    When the operator takes perth-b back
+    Then vm-b holds keys within 3 seconds
+
+  Scenario: A write whose answer is lost gives no key to two upstreams
+    Given a deployment of 3 VMs
+    When the answers to the next 2 writes are lost while vm-b drains
+    Then vm-b holds no key within 4 seconds
+    And no key was ever held by two upstreams
+
+  Scenario: A restart of the process alone keeps the keys of its upstream
+    Given a deployment of 2 VMs
+    When the process of vm-b is killed and started again
+    Then all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+
+  Scenario: Announcements that are late, foreign or unreadable change nothing
+    Given a deployment of 1 VM
+    When announcements come that are late, foreign, or unreadable
+    Then the upstream still serves its keys
+
+  Scenario: History that the store has dropped is listed anew
+    Given a deployment of 1 VM
+    When the store drops its history and the operator moves the route to /b/
+    Then vm-a serves /b/ and no longer /a/ within 2 seconds
--- /dev/null
+++ b/features/standin_endpoint.py
@@ -0,0 +1,157 @@
+"""A stand-in for an upstream that takes grants of keys, as published.
+
+Records what it ran and which keys it held when, for the checks of the tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+import time
+
+from rosemarydeal.core import Address
+from rosemarydeal.proxy import (
+    HttpLimits,
+    Pool,
+    PoolSettings,
+    Request,
+    WholeBody,
+    find_header,
+    read_whole,
+    serve,
+    whole_response,
+)
+
+ANNOUNCE_S = 0.15
+SIGNATURE = b"response-signature"
+
+
+class StandInEndpoint:
+    """Runs requests for keys that it holds."""
+
+    def __init__(self, node, host, service, zone, work_s=0.01):
+        self.instance = f"i-{node}-{secrets.token_hex(2)}"
+        self.ran = []
+        self.holds = []
+        self.work_s = work_s
+        self.state = "ready"
+        self.acknowledged_draining = None
+        self.arrived_after_drain = 0
+        self.broken = {}
+        self.deadlines = []
+        self.callers = []
+        self._host, self._service, self._zone = host, service, zone
+        self._sequence = 0
+        self._born = 1_000
+        self._server = None
+        self._task = None
+        self._pool = Pool(PoolSettings())
+
+    async def start(self):
+        address = Address(self._host, 9001)
+        self._server = await serve(self.answer, address, HttpLimits())
+        self._task = asyncio.create_task(self._announce())
+
+    async def stop(self):
+        """Ends as a crashed upstream does: nothing is said."""
+        self._task.cancel()
+        await self._server.close()
+        await self._pool.close()
+
+    async def call(self, name, body):
+        """Calls the process beside it and returns the status."""
+        address = Address(self._host, 9004)
+        path = f"/v1/instances/{self.instance}/{name}".encode()
+        encoded = WholeBody(json.dumps(body).encode())
+        request = Request(b"POST", path, ((b"host", b"x"),), encoded, address)
+        response = await self._pool.send(address, request, 1.0)
+        await read_whole(response.body, 4096)
+        return response.status
+
+    def announcement(self, **changes):
+        self._sequence += 1
+        fields = {
+            "service": self._service,
+            "addr": f"{self._host}:9001",
+            "zone": self._zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "seq": self._sequence,
+            "born": self._born,
+        }
+        return fields | changes
+
+    def held(self, key):
+        """Tells whether the upstream holds a key now."""
+        moment = time.monotonic()
+        return any(a <= key <= b and moment < until for a, b, _, until in self.holds)
+
+    async def answer(self, request: Request):
+        body = await read_whole(request.body, 1 << 20)
+        if request.target == b"/v1/grant":
+            return self._grant(json.loads(body))
+        if request.target == b"/v1/release":
+            return self._release(json.loads(body))
+        if request.target == b"/healthz":
+            load = ((b"server-load", b"0,0,8,100"),)
+            return whole_response(200, b"", load)
+        return await self._run(request)
+
+    async def _run(self, request):
+        identity = find_header(request.headers, b"request-id")
+        if self.acknowledged_draining is not None:
+            late = time.monotonic() - self.acknowledged_draining
+            self.arrived_after_drain += late > 2.0
+        expected = find_header(request.headers, b"target-instance")
+        key = find_header(request.headers, b"shard-key")
+        held = key is None or self.held(int(key))
+        if expected != self.instance.encode() or not held:
+            refused = ((b"not-executed", b"1"), (b"request-id", identity))
+            return whole_response(421, b"", refused)
+        self.ran.append(identity.decode())
+        self.deadlines.append(int(find_header(request.headers, b"deadline-ms")))
+        self.callers.append(find_header(request.headers, b"caller-service"))
+        await asyncio.sleep(self.work_s)
+        answered = ((b"request-id", identity), (SIGNATURE, b"sig-" + identity))
+        match self.broken.pop(identity.decode(), None):
+            case "foreign":
+                other = ((b"request-id", b"other"), (SIGNATURE, b"sig-other"))
+                return whole_response(200, b"other", other)
+            case "unsigned":
+                return whole_response(200, b"x", answered[:1])
+        return whole_response(200, b"ran " + identity, answered)
+
+    def _grant(self, call):
+        first, last, token = call["from"], call["to"], call["fence"]
+        overlapping = [h for h in self.holds if h[0] <= last and first <= h[1]]
+        if any(h[2] > token for h in overlapping):
+            return whole_response(409, b"")
+        moment = time.monotonic()
+        self.holds = [h for h in self.holds if h not in overlapping]
+        self.holds.append((first, last, token, moment + call["hold_ms"] / 1000))
+        return whole_response(200, b"")
+
+    def _release(self, call):
+        first, last = call["from"], call["to"]
+        kept = []
+        for a, b, token, until in self.holds:
+            if a < first:
+                kept.append((a, min(b, first - 1), token, until))
+            if b > last:
+                kept.append((max(a, last + 1), b, token, until))
+        self.holds = [h for h in kept if h[0] <= h[1]]
+        return whole_response(200, b"", ((b"handover", b"h-1"),))
+
+    async def _announce(self):
+        while True:
+            try:
+                status = await self.call("heartbeat", self.announcement())
+            except Exception:  # noqa: BLE001 - the process may be starting
+                status = 0
+            if status == 200 and self.state == "draining":
+                moment = time.monotonic()
+                self.acknowledged_draining = self.acknowledged_draining or moment
+            await asyncio.sleep(ANNOUNCE_S)
--- /dev/null
+++ b/features/standin_store.py
@@ -0,0 +1,127 @@
+"""A stand-in for the platform's store, with trouble that tests switch on.
+
+Speaks the published protocol: lists, watches, conditional writes, a history that
+can be dropped, calls that are turned away, and writes that take effect without
+an answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from rosemarydeal.core import Address
+from rosemarydeal.proxy import HttpLimits, Request, read_whole, serve, whole_response
+
+PREFIX = "/v1/objects/"
+
+
+class StandInStore:
+    """Holds objects by kind and name."""
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 1
+        self.events = []
+        self.oldest = 0
+        self.turns_away = set()
+        self.lose_answers = 0
+        self.calls = []
+        self._changed = asyncio.Event()
+        self._server = None
+
+    async def start(self, host):
+        """Starts to listen on a free port and returns the address."""
+        self._server = await serve(self.answer, Address(host, 0), HttpLimits())
+        return self._server.address
+
+    async def close(self):
+        await self._server.close()
+
+    def put(self, kind, name, spec):
+        """Writes an object as the operator does."""
+        return self._change(kind, name, spec)
+
+    def remove(self, kind, name):
+        self._change(kind, name, None)
+
+    def drop_history(self):
+        """Forgets all changes so far; watches must list anew."""
+        self.oldest = self.revision
+
+    async def answer(self, request: Request):
+        url = urlsplit(request.target.decode())
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        kind, _, name = url.path[len(PREFIX) :].partition("/")
+        body = await read_whole(request.body, 1 << 20)
+        method = request.method.decode()
+        self.calls.append((request.peer.host, method, kind))
+        if request.peer.host in self.turns_away or "*" in self.turns_away:
+            return whole_response(503, b"{}")
+        if "watch" in query:
+            return await self._watch(kind, int(query["watch"]), query)
+        if method == "GET":
+            return self._read(kind, name)
+        return await self._write(method, kind, name, query, body)
+
+    def _read(self, kind, name):
+        if name:
+            found = self.objects.get((kind, name))
+            return _json(200, found) if found else _json(404, {})
+        items = [o for (k, _), o in sorted(self.objects.items()) if k == kind]
+        page = {"items": items, "truncated": False, "current_rev": self.revision}
+        return _json(200, page)
+
+    async def _watch(self, kind, after, query):
+        if after < self.oldest:
+            return _json(410, {})
+        ends = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        while True:
+            found = [e for r, k, e in self.events if k == kind and r > after]
+            left = ends - asyncio.get_running_loop().time()
+            if found or left <= 0:
+                return _json(200, {"events": found, "current_rev": self.revision})
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _write(self, method, kind, name, query, body):
+        given = json.loads(body) if body else {}
+        metadata = given.get("metadata", {})
+        name = name or metadata["name"]
+        expected = metadata.get("rev", query.get("rev"))
+        old = self.objects.get((kind, name))
+        if method == "POST" and old is not None:
+            return _json(409, old)
+        if method != "POST" and old is None:
+            return _json(404, {})
+        if expected is not None and old and int(expected) != old["metadata"]["rev"]:
+            return _json(409, old)
+        spec = None if method == "DELETE" else given["spec"]
+        stored = self._change(kind, name, spec)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            await asyncio.sleep(30)
+        return _json(200, stored)
+
+    def _change(self, kind, name, spec):
+        self.revision += 1
+        old = self.objects.pop((kind, name), None)
+        metadata = {"name": name, "rev": self.revision, "finalizers": []}
+        stored = {"metadata": metadata, "spec": spec, "status": None}
+        if spec is not None:
+            self.objects[kind, name] = stored
+        if spec is not None or old is not None:
+            event = {"object": stored, "deleted": spec is None}
+            self.events.append((self.revision, kind, event))
+        self._changed.set()
+        return stored
+
+
+def _json(status, value):
+    kind = ((b"content-type", b"application/json"),)
+    return whole_response(status, json.dumps(value).encode(), kind)
--- /dev/null
+++ b/features/steps/adapter_steps.py
@@ -0,0 +1,194 @@
+"""Steps for the adapter to the operator's platform."""
+
+from __future__ import annotations
+
+import json
+import re
+from pathlib import Path
+
+import msgspec
+from behave import given, then, when
+
+from features.builders_fleet_types import a_member
+from features.builders_node import a_configuration
+from rosemarydeal.core import Address
+from rosemarydeal.core.fleet import Stored
+from rosemarydeal.node.records import MEMBERS, Records
+from rosemarydeal.platform.errors import SettingsWrong, Unreadable
+from rosemarydeal.platform.node_settings import parse_identity
+from rosemarydeal.platform.operator import decode_configuration
+from rosemarydeal.platform.store import StoreClient, StoreSettings
+
+FOREIGN_NAMES = re.compile(
+    "shard-key|target-instance|not-executed|response-signature|server-load"
+    "|heartbeat_addr|(?<!rosemarydeal-)deadline-ms|caller-service|finalizers|/v1/"
+    "|hostname|path_prefix|current_rev|evacuations",
+    re.IGNORECASE,
+)
+SETTINGS = """
+node_name = "sidecar-bergen-a-1"
+service = "huvo11a"
+ip = "10.1.0.35"
+zone = "bergen-a"
+internal_ports = [7660,7675]
+heartbeat_ms = 870
+bounds = ["drain_ms=2000","grace_s=6","retry_budget_slack=58","exact=true"]
+app_addr = "10.1.0.35:8147"
+[zones]
+bergen-a = "vestland"
+voss-b = "vestland"
+[listen]
+inbound = "10.1.0.35:8145"
+outbound = "10.1.0.35:8141"
+ready = "10.1.0.35:8140"
+control = "10.1.0.35:8146"
+[provider]
+addr = "10.200.1.7:8142"
+"""
+CONFIGURATION = {
+    "version": 7,
+    "resources": [
+        {
+            "type": "routes",
+            "metadata": {"name": "r-x73d3zj"},
+            "spec": {
+                "hostname": "Ficu95.example",
+                "path_prefix": "/lohu930/",
+                "kind": "idempotent",
+                "timeout_ms": 1200,
+                "latency_target_ms": 600,
+                "priority": 2,
+                "backends": [
+                    {"service": "huvo11a", "weight": 90},
+                    {"service": "wuno96b", "weight": 10},
+                ],
+                "attempts": 2,
+            },
+        },
+        {
+            "type": "services",
+            "metadata": {"name": "huvo11a"},
+            "spec": {"cold_per_s": 15.0, "sharded": True, "max_conns": 110},
+        },
+        {"type": "something-new", "metadata": {}, "spec": {"a": 1}},
+    ],
+}
+
+
+@then("no other module of the product has a header, path or kind of the platform")
+def step_names(context):
+    found = []
+    for path in Path("rosemarydeal").rglob("*.py"):
+        if path.parts[1] == "platform":
+            continue
+        for number, line in enumerate(path.read_text("utf-8").splitlines(), 1):
+            if FOREIGN_NAMES.search(line):
+                found.append(f"{path}:{number}: {line.strip()}")
+    assert not found, "\n".join(found)
+
+
+@given("the settings file of the pages' example")
+def step_settings(context):
+    context.toml = SETTINGS
+
+
+@then("the identity of the process is what the file says")
+def step_identity(context):
+    found = parse_identity(context.toml)
+    assert found.node == "sidecar-bergen-a-1"
+    assert found.callers == Address("10.1.0.35", 8141)
+    assert found.upstream == Address("10.1.0.35", 8147)
+    assert found.zones == ("bergen-a", "voss-b")
+    assert found.announce_period_s == 0.87
+    assert found.bounds.drain_s == 2.0 and found.bounds.retry_slack == 58.0
+
+
+@then("an unknown field changes nothing")
+def step_unknown(context):
+    more = 'novelty = "x"\n' + context.toml
+    assert parse_identity(more) == parse_identity(context.toml)
+
+
+@when("the setting {field} is {broken}")
+def step_broken(context, field, broken):
+    if broken == "no TOML":
+        context.toml = "= = ="
+        return
+    line = next(x for x in context.toml.splitlines() if x.startswith(field))
+    new = "" if broken == "missing" else f'{field} = "word"'
+    context.toml = context.toml.replace(line, new)
+
+
+@then("reading it fails with the code {code}")
+def step_code(context, code):
+    try:
+        parse_identity(context.toml)
+    except SettingsWrong as error:
+        assert error.code == code, error.code
+        return
+    raise AssertionError("the settings were read")
+
+
+@given("the configuration of the pages' example")
+def step_configuration(context):
+    context.body = json.dumps(CONFIGURATION).encode()
+
+
+@then("the route {prefix} is split 90 to 10 and idempotent")
+def step_split(context, prefix):
+    (route,) = decode_configuration(context.body).routes
+    assert route.prefix == prefix and route.idempotent
+    assert route.host == "ficu95.example"
+    assert [b.weight for b in route.backends] == [90.0, 10.0]
+
+
+@then("the service {name} is keyed and bears {rate:d} a second while cold")
+def step_service(context, name, rate):
+    service = decode_configuration(context.body).services[name]
+    assert service.keyed and service.cold_per_s == rate
+
+
+@then("a configuration without its version is unreadable")
+def step_unversioned(context):
+    body = json.dumps({"resources": []}).encode()
+    try:
+        decode_configuration(body)
+    except Unreadable:
+        return
+    raise AssertionError("it was decoded")
+
+
+def records():
+    return Records(StoreClient(StoreSettings(Address("127.0.0.1", 1))), None)
+
+
+@given("a store with a good, a foreign and a broken member")
+def step_members(context):
+    context.records = records()
+    good = msgspec.json.encode(a_member("vm-a"))
+    contents = {"vm-a": good, "vm-b": b'{"node":3}', "vm-c": b'"x"', "vm-d": good}
+    for number, (name, content) in enumerate(contents.items()):
+        context.records.take(Stored(MEMBERS, name, 10 + number, content))
+
+
+@then("the records name the good member only")
+def step_good(context):
+    assert set(context.records.members) == {"vm-a"}
+
+
+@given("records that know version {version:d} of the configuration")
+def step_known_version(context, version):
+    context.records = records()
+    body = json.dumps(a_configuration(version)).encode()
+    context.records.take(Stored("config", "main", 10, body))
+
+
+@when("the store gives version {version:d} at a later revision")
+def step_older(context, version):
+    body = json.dumps(a_configuration(version)).encode()
+    context.records.take(Stored("config", "main", 20, body))
+
+
+@then("version {version:d} stays in force")
+def step_stays(context, version):
+    assert context.records.configuration.version == version
--- /dev/null
+++ b/features/steps/dispatch_steps.py
@@ -0,0 +1,283 @@
+"""Steps for the queue, retries and the choice of an upstream."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+
+from behave import given, then, when
+
+from features.builders_fleet_types import a_queue, a_route, a_waiting
+from rosemarydeal.core.fleet import Bounds
+from rosemarydeal.core.requests import Answered, NotServed, Undecided
+from rosemarydeal.policy.dispatch.cold_start import ColdLimiter
+from rosemarydeal.policy.dispatch.crashers import CrashBlame, fingerprint
+from rosemarydeal.policy.dispatch.queue import Admission, Refuse, Start
+from rosemarydeal.policy.dispatch.retry_budget import RetryBudget
+from rosemarydeal.policy.requests import attempts
+from rosemarydeal.policy.routing.choice import Candidate, Job, choose
+from rosemarydeal.policy.routing.routebook import choose_service
+
+ENDINGS = {
+    "lost after sending": Undecided("send-failed"),
+    "rejected by upstream": NotServed("upstream-rejected-503", None, True, True),
+    "refused by a process": NotServed("overloaded", 0.2, elsewhere=True),
+    "a server error": Answered(500, (), b""),
+    "out of time": Undecided("upstream-timeout", timed_out=True),
+}
+SERVICE_TIMES = {"lookup": 0.2, "order": 0.2}
+STEP_S = 0.005
+
+
+@given("a queue of {slots:d} slot whose lookups and orders run for {seconds:f} seconds")
+def step_queue_both(context, slots, seconds):
+    times = {"lookup": seconds, "order": seconds}
+    context.queue = a_queue(slots, times)
+
+
+@given("a queue of {slots:d} slots whose {route}s run for {seconds:f} seconds")
+@given("a queue of {slots:d} slot whose {route}s run for {seconds:f} seconds")
+def step_queue(context, slots, route, seconds):
+    context.service_s = seconds
+    context.queue = a_queue(slots, {route: seconds})
+
+
+@given("a queue whose upstream owns no key")
+def step_ownerless(context):
+    context.queue = a_queue(2, {}, admits=lambda key: Admission.ELSEWHERE)
+
+
+@given("a queue of {slots:d} slots with a cold upstream that bears {rate:d} a second")
+def step_cold(context, slots, rate):
+    cold = ColdLimiter()
+    cold.set_cold(100.0, rate)
+    context.service_s = 0.05
+    context.queue = a_queue(slots, {"lookup": 0.05}, cold=cold)
+
+
+@when("a lookup runs and lookup 2 and order 3 wait")
+def step_two_wait(context):
+    context.queue.offer(a_waiting(1, 0.0), 0.0)
+    context.queue.offer(a_waiting(2, 0.01), 0.01)
+    context.queue.offer(a_waiting(3, 0.02, "order", rank=1), 0.02)
+    context.decisions = context.queue.ended(1, 0.2, True)
+
+
+@when("a lookup runs and lookup 2 with {left:f} seconds left arrives")
+def step_second(context, left):
+    context.queue.offer(a_waiting(1, 0.0, left_s=30.0), 0.0)
+    second = a_waiting(2, 0.0, target_s=left, left_s=left)
+    context.decisions = context.queue.offer(second, 0.0)
+
+
+@when("lookup 1 with {left:f} seconds left arrives")
+def step_first(context, left):
+    context.decisions = context.queue.offer(a_waiting(1, 0.0, left_s=left), 0.0)
+
+
+@when("lookup 1 for key {key:d} arrives")
+def step_keyed(context, key):
+    context.decisions = context.queue.offer(a_waiting(1, 0.0, key=key), 0.0)
+
+
+@when("{rate:d} lookups a second of target {target:f} s come for {s:d} s")
+def step_burst(context, rate, target, s):
+    """Plays the load in virtual time; requests run for the usual time."""
+    now, number = 0.0, 0
+    arrived, ends = {}, {}
+    context.latencies, context.refusals, context.starts = [], [], []
+    context.target, context.span, busy = target, float(s), 0.0
+
+    def carry_out(decisions):
+        for decision in decisions:
+            match decision:
+                case Start(n):
+                    ends[n] = now + context.service_s
+                    context.starts.append(now)
+                case Refuse(n):
+                    context.refusals.append(now - arrived[n])
+
+    while now < s:
+        for n in [n for n, end in ends.items() if end <= now]:
+            del ends[n]
+            context.latencies.append(now - arrived[n])
+            carry_out(context.queue.ended(n, now, True))
+        while number < now * rate:
+            number += 1
+            arrived[number] = now
+            waiting = a_waiting(number, now, target_s=target)
+            carry_out(context.queue.offer(waiting, now))
+        carry_out(context.queue.advance(now))
+        busy += context.queue.running * STEP_S
+        now += STEP_S
+    context.busy = busy / (context.queue.slots * s)
+
+
+@then("order 3 runs next")
+def step_order_next(context):
+    assert context.decisions == [Start(3)], context.decisions
+
+
+@then("at least {percent:d} percent of the answers are in time")
+def step_in_time(context, percent):
+    in_time = sum(1 for seconds in context.latencies if seconds <= context.target)
+    share = 100 * in_time / len(context.latencies)
+    assert share >= percent, share
+
+
+@then("the slots are busy at least {percent:d} percent of the time")
+def step_busy(context, percent):
+    assert 100 * context.busy >= percent, context.busy
+
+
+@then("a refusal takes less than {seconds:f} seconds for at least {percent:d} percent")
+def step_refusals(context, seconds, percent):
+    assert context.refusals
+    quick = sum(1 for held in context.refusals if held < seconds)
+    share = 100 * quick / len(context.refusals)
+    assert share >= percent, share
+
+
+@then("lookup {number:d} is turned away as overloaded")
+def step_turned_away(context, number):
+    (refused,) = context.decisions
+    assert refused.number == number
+    assert refused.outcome.code == "overloaded"
+
+
+@then("lookup {number:d} runs")
+def step_runs(context, number):
+    assert context.decisions == [Start(number)], context.decisions
+
+
+@then("lookup {number:d} waits")
+def step_waits(context, number):
+    assert context.decisions == [], context.decisions
+
+
+@then("lookup {number:d} is sent elsewhere")
+def step_elsewhere(context, number):
+    (refused,) = context.decisions
+    assert refused.number == number and refused.outcome.elsewhere
+
+
+@then("no second sees more than {most:d} starts")
+def step_seconds(context, most):
+    starts = sorted(context.starts)
+    assert starts
+    for index, moment in enumerate(starts):
+        within = bisect_right(starts, moment + 1.0) - index
+        assert within <= most, (moment, within)
+
+
+@then("{n:d} processes of ratio {ratio:f} and slack {slack:d} stay in budget")
+def step_budget(context, n, ratio, slack):
+    bounds = Bounds(retry_ratio=ratio, retry_slack=float(slack), retry_window_s=10.0)
+    budgets = [RetryBudget(bounds) for _ in range(n)]
+    taken = []
+    for tick in range(3000):
+        moment = tick * 0.01
+        for budget in budgets:
+            if tick % 4 == 0:
+                budget.note_request(moment)
+            if budget.take(moment, n, attempts.REJECTED_PART):
+                taken.append(moment)
+    for start in range(20):
+        window = [t for t in taken if start <= t < start + 10]
+        requests = n * 25 * 10
+        assert 0 < len(window) <= ratio * requests + slack
+
+
+@given("a request that ran when two upstreams crashed")
+def step_crasher(context):
+    context.blame = CrashBlame()
+    context.mark = fingerprint(b"GET", b"/bad", b"")
+    context.good = fingerprint(b"GET", b"/good", b"")
+    context.blame.blame((context.mark, context.good), 1.0)
+    context.blame.clear(context.good)
+    context.blame.blame((context.mark, context.good), 5.0)
+
+
+@then("it is turned away")
+def step_crasher_refused(context):
+    assert context.blame.refuses(context.mark, 6.0)
+
+
+@then("a request that ran once and then succeeded is not")
+def step_good_served(context):
+    assert not context.blame.refuses(context.good, 6.0)
+
+
+@given("an idempotent request that may reach {most:d} upstreams")
+def step_idempotent(context, most):
+    context.attempts = attempts.Attempts(True, most)
+
+
+@given("a non-idempotent request that may reach {most:d} upstreams")
+def step_once(context, most):
+    context.attempts = attempts.Attempts(False, most)
+
+
+@when("an attempt ends as {ending}")
+@when("the next attempt ends as {ending}")
+def step_ends(context, ending):
+    context.ending = ENDINGS[ending]
+    context.step = attempts.after(context.attempts, context.ending, False)
+    if context.step is not None:
+        context.attempts = context.step.attempts
+
+
+@then("it is attempted again")
+def step_again(context):
+    assert isinstance(context.step, attempts.Again)
+
+
+@then("it is ended as {kind}")
+def step_ended(context, kind):
+    assert context.step is None
+    found, _ = attempts.labels(attempts.final(context.attempts, context.ending))
+    assert found == kind, found
+
+
+@then("its caller is told that it is undecided")
+def step_undecided(context):
+    final = attempts.final(context.attempts, context.ending)
+    assert isinstance(final, Undecided), final
+
+
+@then("{n:d} processes with {count:d} requests each are within {off:f} of 90 to 10")
+def step_shares(context, n, count, off):
+    route = a_route(("x", 90), ("y", 10))
+    chosen = [
+        choose_service(route, (seed * 0.377) % 1.0, number)
+        for seed in range(n)
+        for number in range(count)
+    ]
+    assert abs(chosen.count("x") / len(chosen) - 0.9) <= off
+
+
+@given(
+    "lookups of {work:f} seconds with a target of {target:f} seconds and long answers"
+)
+def step_job(context, work, target):
+    context.job = Job(work, target, 5000.0)
+
+
+def chosen_of(context, near_pace, far_pace, near_failing=0.0):
+    near = Candidate("near", True, 12, 2, 2, near_pace, near_failing)
+    far = Candidate("far", False, 12, 2, 2, far_pace, 0.0)
+    return choose([near, far], context.job, 0.5)
+
+
+@then("a nearby upstream of pace {near:f} goes before a remote one of pace {far:f}")
+def step_near(context, near, far):
+    assert chosen_of(context, near, far) == "near"
+
+
+@then("a nearby upstream of pace {near:f} goes after a remote one of pace {far:f}")
+def step_far(context, near, far):
+    assert chosen_of(context, near, far) == "far"
+
+
+@then("a nearby upstream that fails its requests goes after a remote one")
+def step_failing(context):
+    assert chosen_of(context, 1.0, 1.0, near_failing=0.8) == "far"
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -259,6 +259,11 @@
         for link in self._links.values():
             self._send(link, message)
 
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Waits until no order of another process is being served."""
+        if self._serving:
+            await asyncio.wait(list(self._serving.values()), timeout=timeout_s)
+
     async def close(self) -> None:
         """Closes all links."""
         if self._listener is not None:
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
 import msgspec
@@ -48,7 +48,6 @@
 AFTER_MOVE_S = 1.0
 # A request that starts must not outlast the grant by the check's own delay.
 HOLD_MARGIN_S = 0.1
-CALL_STEP_S = 0.01
 WRITE_RETRY_S = 0.05
 WRITE_RETRY_MOST_S = 0.5
 
@@ -99,7 +98,7 @@
         self._confirm_at = 0.0
         self._confirming = False
         self._grants: dict[tuple[int, int, int], _Grant] = {}
-        self._calls: dict[KeyRange, int] = {}
+        self._calls: dict[asyncio.Task[None], KeyRange] = {}
         self._moving: list[KeyRange] = []
         self._writing = False
         self._background: set[asyncio.Task[None]] = set()
@@ -169,10 +168,9 @@
     def _step(self) -> None:
         """Does what is due."""
         moment = now()
-        if moment >= self._confirm_at and not self._confirming:
-            if self.owned:
-                self._confirming = True
-                self._spawn(self._confirm())
+        if moment >= self._confirm_at and not self._confirming and self.owned:
+            self._confirming = True
+            self._spawn(self._confirm())
         self._renew_grants(moment)
         self._note_suspicions(moment)
         if not self._writing:
@@ -245,8 +243,9 @@
                 continue
             if moment >= grant.renew_at:
                 grant.busy = True
-                self._calls[grant.keys] = self._calls.get(grant.keys, 0) + 1
-                self._spawn(self._grant(grant.keys, grant, hold_s))
+                call = self._spawn(self._grant(grant.keys, grant, hold_s))
+                self._calls[call] = grant.keys
+                call.add_done_callback(self._calls.pop)
 
     async def _grant(self, keys: KeyRange, grant: _Grant, hold_s: float) -> None:
         """Grants a range to the upstream and notes for how long."""
@@ -275,7 +274,6 @@
             grant.unanswered_until = max(grant.unanswered_until, sent_at + hold_s)
         finally:
             grant.busy = False
-            self._end_call(keys)
             grant.may_hold_until = max(
                 grant.may_hold_until, (now() + hold_s * (1 + tenure.CLOCK_DRIFT))
             )
@@ -437,8 +435,9 @@
         until = max((g.may_hold_until for g in covering), default=0.0)
         late = max((g.unanswered_until for g in covering), default=0.0)
         # A renewal that is on its way could arrive after the release.
-        while any(tables.overlaps(calling, keys) for calling in self._calls):
-            await asyncio.sleep(CALL_STEP_S)
+        calling = [c for c, of in self._calls.items() if tables.overlaps(of, keys)]
+        if calling:
+            await asyncio.wait(calling)
         if not covering:
             return ""
         handover = ""
@@ -452,8 +451,8 @@
                     return ""
                 await asyncio.sleep(GRANT_RETRY_S)
         # A grant without an answer could take effect after the release.
-        while self._holds(keys) and now() < late:
-            await asyncio.sleep(GRANT_RETRY_S)
+        if self._holds(keys):
+            await asyncio.sleep(max(0.0, late - now()))
         _log.info("keys_released", first=keys.first, last=keys.last, token=keys.token)
         return handover
 
@@ -462,12 +461,6 @@
         state = self._watch.state
         return state is not None and state.alive and state.life == keys.life
 
-    def _end_call(self, keys: KeyRange) -> None:
-        """Notes that a grant call has ended."""
-        left = self._calls.pop(keys, 0) - 1
-        if left > 0:
-            self._calls[keys] = left
-
     async def _write_alone(self, changed: RangeTable, reason: str) -> None:
         """Writes a table and lets the next change begin."""
         try:
@@ -502,11 +495,12 @@
         self._links.broadcast(ObjectNotice(RANGES, state))
         return True
 
-    def _spawn(self, work: object) -> None:
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
         """Runs work in the background until it ends."""
-        task = asyncio.ensure_future(work)
+        task = asyncio.create_task(work)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
+        return task
 
 
 def _id(keys: KeyRange) -> tuple[int, int, int]:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -102,6 +102,16 @@
         self._was_zone_out = False
         self._probed_pace: float | None = None
 
+    @property
+    def ready(self) -> bool:
+        """Tells whether callers may be sent here."""
+        return not self._stopping and self._records.configuration is not None
+
+    @property
+    def store(self) -> StoreClient:
+        """Returns the client of the store."""
+        return self._store
+
     async def start(self) -> None:
         """Opens all sockets and starts all tasks."""
         identity = self._identity
@@ -145,14 +155,22 @@
         self._links.announce_leaving()
         await asyncio.sleep(LAST_ORDERS_S)
         await self._callers.drain(max(0.1, ends - now() - 0.3))
-        while self._links.serving and now() < ends:
-            await asyncio.sleep(0.02)
-        await self._records.close()
+        await self._links.wait_idle(max(0.0, ends - now()))
         _log.info("stopped", open=self._entry.open, serving=self._links.serving)
+        await self.close()
 
-    def _is_ready(self) -> bool:
-        """Tells whether callers may be sent here."""
-        return not self._stopping and self._records.configuration is not None
+    async def close(self) -> None:
+        """Closes everything at once, whatever runs."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._records.close()
+        await self._links.close()
+        for server in [*self._servers, self._callers]:
+            if server is not None:
+                await server.close()
+        await self._client.close()
+        await self._store.close()
 
     def _is_keyed(self) -> bool:
         """Tells whether the own service is keyed."""
@@ -350,7 +368,7 @@
 
     async def _answer_readiness(self, request: Request) -> Response:
         """Answers the platform's question whether callers may come."""
-        return callers.readiness_response(self._is_ready())
+        return callers.readiness_response(self.ready)
 
     async def _answer_announcement(self, request: Request) -> Response:
         """Answers what the upstream says of itself."""
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -384,15 +384,13 @@
 
     def _interpret(self, kind: str) -> None:
         """Decodes the objects of a kind and tells the listeners."""
-        match kind:
-            case "config":
-                self._interpret_configuration()
-            case "evacuations":
-                self._interpret_zones()
-            case "rosemarydeal-members":
-                self._interpret_members()
-            case "rosemarydeal-ranges":
-                self._interpret_tables()
+        interpreters = {
+            CONFIGURATION_KIND: self._interpret_configuration,
+            ZONES_OUT_KIND: self._interpret_zones,
+            MEMBERS: self._interpret_members,
+            RANGES: self._interpret_tables,
+        }
+        interpreters[kind]()
         for listener in self._listeners:
             listener(kind)
 
--- a/rosemarydeal/policy/dispatch/queue.py
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -157,9 +157,9 @@
 
     def advance(self, now: float) -> list[Decision]:
         """Lets go what may run, and turns away what can't be in time."""
-        decisions = self._drop_hopeless(now)
         if not self._open:
-            return decisions
+            return self._drop_hopeless(now)
+        decisions: list[Decision] = []
         for waiting in self._ordered(now):
             if len(self._running) >= self._slots or not self._cold.may_send(now):
                 break
@@ -170,7 +170,9 @@
                     decisions.append(self._send_elsewhere(waiting))
                 case Admission.WAIT:
                     continue
-        return decisions
+        # What could start has started, even if it may end too late: nobody
+        # else wanted the slot.
+        return decisions + self._drop_hopeless(now)
 
     def wake_at(self, now: float) -> float | None:
         """Returns when to call `advance` again although nothing happens."""
@@ -194,8 +196,14 @@
             return 0.0
         urgent = self._times.work_rate_above(waiting.rank)
         width = max(0.2 * self._slots, self._slots - urgent)
-        residual = 0.5 * self._times.mean() if free <= 0 else 0.0
-        return ahead / width + residual / self._slots
+        residual = self._residual() if free <= 0 else 0.0
+        return ahead / width + residual
+
+    def _residual(self) -> float:
+        """Returns how soon the next of the running requests ends, in seconds."""
+        routes = [route for route, _ in self._running.values()]
+        expected = [self._times.expected(route) for route in routes]
+        return 0.5 * sum(expected) / len(expected) / self._slots
 
     def _check_room(self, waiting: Waiting, now: float) -> Refuse | None:
         """Refuses a request that can't be answered while somebody waits for it."""
--- a/rosemarydeal/policy/dispatch/service_time.py
+++ b/rosemarydeal/policy/dispatch/service_time.py
@@ -30,11 +30,6 @@
         """Returns how long a request of a route runs, in seconds."""
         return self._mean_s.get(route, UNKNOWN_S)
 
-    def mean(self) -> float:
-        """Returns the mean over all routes, in seconds."""
-        values = self._mean_s.values()
-        return sum(values) / len(values) if values else UNKNOWN_S
-
     def note_service(self, route: str, seconds: float) -> None:
         """Takes the time that a request ran."""
         old = self._mean_s.get(route, seconds)
