Ask peers for what they know only after the own watch had its time

Change: a peer is asked after the time for gathering and 0.5 s more, one of another zone after 0.8 s more.

--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -159,7 +159,8 @@
 
 
 def records():
-    return Records(StoreClient(StoreSettings(Address("127.0.0.1", 1))), None)
+    store = StoreClient(StoreSettings(Address("127.0.0.1", 1)))
+    return Records("perth-a", store, None)
 
 
 @given("a store with a good, a foreign and a broken member")
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -70,7 +70,7 @@
         self._health = UpstreamHealth()
         self._client = UpstreamClient(identity.upstream, 100)
         self._links = Links(identity.node, self._process, self._link_hooks())
-        self._records = Records(self._store, self._links)
+        self._records = Records(identity.zone, self._store, self._links)
         self._watch = UpstreamWatch(identity, self._take_upstream)
         self._ownership = Ownership(
             identity,
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -55,8 +55,10 @@
 GATHER_S = {CONFIGURATION_KIND: 0.15, ZONES_OUT_KIND: 0.15, MEMBERS: 0.6, RANGES: 0.8}
 RETRY_FIRST_S = 0.15
 RETRY_MOST_S = 0.6
-# A watch on the same revision needs so long at most to show what a peer knows.
-PEER_AHEAD_S = 0.4
+# A watch shows what a peer knows within the time for gathering and this one.
+PEER_AHEAD_S = 0.5
+# A whole kind is long, so that peers of other zones are asked later.
+OTHER_ZONE_AHEAD_S = 0.8
 # Peers that are asked to call the store for a process that it turns away.
 RELAY_PEERS = 3
 
@@ -91,13 +93,15 @@
 class Records:
     """Follows the store and answers what its objects say."""
 
-    def __init__(self, store: StoreClient, links: Links) -> None:
+    def __init__(self, zone: str, store: StoreClient, links: Links) -> None:
         """Makes an empty view.
 
         Args:
+            zone: Availability zone of this process.
             store: Client of the store.
             links: Links to peers, who call the store if it turns this one away.
         """
+        self._zone = zone
         self._store = store
         self._links = links
         self._kinds = {kind: _Kind() for kind in KINDS}
@@ -218,10 +222,16 @@
             ahead = self._ahead.get(name)
             if ahead is None or kind.changed >= ahead.changed:
                 self._ahead[name] = _Ahead(changed, moment)
-            elif moment - ahead.since >= PEER_AHEAD_S:
+            elif moment - ahead.since >= GATHER_S[name] + self._patience(node):
                 self._ahead[name] = _Ahead(changed, moment)
                 self._links.send(node, Fetch(name))
 
+    def _patience(self, node: str) -> float:
+        """Returns how long a peer may be ahead before it is asked, in seconds."""
+        member = self._members.get(node)
+        near = member is not None and member.zone == self._zone
+        return PEER_AHEAD_S if near else OTHER_ZONE_AHEAD_S
+
     def export(self, kind: str) -> Objects:
         """Returns all objects of a kind, for a peer."""
         found = self._kinds.get(kind) or _Kind()
