Split the node's large files; capture what a release covers before it begins

Cause: ownership, records, links and process had taken on second jobs. Reading them showed a fault: a step between the begin of a hand-over and its release forgot the grant, and the keys went on without a release; and a grant that lost its answer while the release waited for it was not waited out. Change: grants.py (calls of the upstream), contents.py (decoding), membership.py, link.py; the grants that a release covers are taken before the keys begin to move, and what they may still hold is read after the calls have ended.

--- /dev/null
+++ b/rosemarydeal/node/grants.py
@@ -0,0 +1,234 @@
+"""Tells the upstream beside this process which keys it may serve.
+
+Owns the grants: renews them well before their end, takes keys back before they
+go to another upstream, and knows what the upstream may still hold although a
+call got no answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import structlog
+
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import KeyRange
+from rosemarydeal.platform.upstream import (
+    GrantRefused,
+    UpstreamCallFailed,
+    UpstreamClient,
+)
+from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges import tenure
+
+from .upstream import UpstreamWatch
+
+__all__ = ["Grant", "Grants"]
+
+GRANT_TIMEOUT_S = 0.4
+# A third of a grant's hold: two renewals may get lost.
+RENEW_AFTER_S = 1.6
+GRANT_RETRY_S = 0.15
+# A token that was refused is not used again before a new one is there.
+REFUSED_PAUSE_S = 1.0
+RELEASE_TIMEOUT_S = 1.5
+# A request that starts must not outlast the grant by the check's own delay.
+HOLD_MARGIN_S = 0.1
+
+_log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class Grant:
+    """Is what the upstream was told of a range.
+
+    Attributes:
+        keys: The range.
+        valid_until: Until when it surely holds the keys.
+        may_hold_until: Until when it may hold them.
+        renew_at: When it is to be told again.
+        busy: Whether a call is on its way.
+        unanswered_until: Until when a call without an answer may take effect.
+    """
+
+    keys: KeyRange
+    valid_until: float = 0.0
+    may_hold_until: float = 0.0
+    renew_at: float = 0.0
+    busy: bool = False
+    unanswered_until: float = 0.0
+
+
+class Grants:
+    """Holds the grants of the ranges that the upstream serves now."""
+
+    def __init__(
+        self,
+        client: UpstreamClient,
+        watch: UpstreamWatch,
+        on_granted: Callable[[], None],
+        on_refused: Callable[[], None],
+    ) -> None:
+        """Makes an empty set of grants.
+
+        Args:
+            client: Client of the upstream.
+            watch: Follows the upstream's life.
+            on_granted: Called when a range was granted or renewed.
+            on_refused: Called when the upstream has seen a higher token.
+        """
+        self._client = client
+        self._watch = watch
+        self._on_granted = on_granted
+        self._on_refused = on_refused
+        self._grants: dict[tuple[int, int, int], Grant] = {}
+        self._calls: dict[asyncio.Task[None], KeyRange] = {}
+
+    def allows(self, key: int, token: int) -> bool:
+        """Tells whether the upstream surely holds a key under a token."""
+        for grant in self._grants.values():
+            if key in grant.keys and grant.keys.token == token:
+                return now() < grant.valid_until - HOLD_MARGIN_S
+        return False
+
+    def covering(self, keys: KeyRange) -> list[Grant]:
+        """Returns the grants that have a key of a range."""
+        return [g for g in self._grants.values() if tables.overlaps(g.keys, keys)]
+
+    def clear(self) -> None:
+        """Forgets all grants, since the upstream is gone."""
+        self._grants.clear()
+
+    def follow(self, pieces: Sequence[KeyRange], hold_s: float) -> None:
+        """Grants the given ranges, and renews those that are due.
+
+        Args:
+            pieces: All ranges that the upstream is to hold.
+            hold_s: How long a grant may run, in seconds.
+        """
+        self._sync(pieces)
+        state = self._watch.state
+        if state is None or not state.alive or hold_s < 2 * HOLD_MARGIN_S:
+            return
+        moment = now()
+        for grant in self._grants.values():
+            if grant.keys.life != state.life or grant.busy:
+                continue
+            if moment >= grant.renew_at:
+                grant.busy = True
+                call = asyncio.create_task(self._grant(grant, hold_s))
+                self._calls[call] = grant.keys
+                call.add_done_callback(self._calls.pop)
+
+    def forget_released(self, parts: Sequence[KeyRange]) -> None:
+        """Has ranges that were released granted anew if they are still owned."""
+        for grant in self._grants.values():
+            if any(tables.overlaps(grant.keys, keys) for keys in parts):
+                grant.valid_until = 0.0
+                grant.renew_at = 0.0
+
+    async def release(self, keys: KeyRange, covering: Sequence[Grant]) -> str:
+        """Takes a range back; waits its hold out if the upstream is silent.
+
+        Args:
+            keys: The range.
+            covering: The grants that had its keys before it began to move.
+
+        Returns:
+            What the next owner needs to go on without a warm-up, or "".
+        """
+        if not covering:
+            return ""
+        # A renewal that is on its way could arrive after the release.
+        calling = [c for c, of in self._calls.items() if tables.overlaps(of, keys)]
+        if calling:
+            await asyncio.wait(calling)
+        handover = ""
+        while self._holds(keys):
+            try:
+                handover = await self._client.release(keys, RELEASE_TIMEOUT_S)
+                break
+            except UpstreamCallFailed as error:
+                _log.info("release_unanswered", detail=error.detail)
+                if now() > max(grant.may_hold_until for grant in covering):
+                    return ""
+                await asyncio.sleep(GRANT_RETRY_S)
+        # A grant without an answer could take effect after the release.
+        late = max(grant.unanswered_until for grant in covering) - now()
+        if late > 0 and self._holds(keys):
+            await asyncio.sleep(late)
+        _log.info("keys_released", first=keys.first, last=keys.last, token=keys.token)
+        return handover
+
+    async def close(self) -> None:
+        """Ends all calls that are on their way."""
+        calls = list(self._calls)
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    def _sync(self, pieces: Sequence[KeyRange]) -> None:
+        """Keeps the grants of the given ranges; others are forgotten.
+
+        A piece of a range that was granted as a whole is granted already.
+        """
+        old = self._grants
+        self._grants = {}
+        for keys in pieces:
+            grant = old.get(_id(keys))
+            if grant is None:
+                grant = Grant(keys)
+                for known in old.values():
+                    if tables.covers(known.keys, keys):
+                        grant.valid_until = known.valid_until
+                        grant.may_hold_until = known.may_hold_until
+                        grant.unanswered_until = known.unanswered_until
+            self._grants[_id(keys)] = grant
+
+    async def _grant(self, grant: Grant, hold_s: float) -> None:
+        """Grants a range to the upstream and notes for how long."""
+        sent_at = now()
+        first = grant.valid_until == 0.0
+        try:
+            await self._client.grant(grant.keys, hold_s, GRANT_TIMEOUT_S)
+            grant.valid_until = max(grant.valid_until, sent_at + hold_s)
+            grant.renew_at = sent_at + RENEW_AFTER_S
+            if first:
+                _note_granted(grant.keys, hold_s)
+        except GrantRefused as error:
+            _log.warning("grant_refused", detail=error.detail)
+            grant.renew_at = now() + REFUSED_PAUSE_S
+            self._on_refused()
+        except UpstreamCallFailed as error:
+            _log.info("grant_unanswered", detail=error.detail)
+            grant.renew_at = now() + GRANT_RETRY_S
+            grant.unanswered_until = max(grant.unanswered_until, sent_at + hold_s)
+        finally:
+            grant.busy = False
+            longest = now() + hold_s * (1.0 + tenure.CLOCK_DRIFT)
+            grant.may_hold_until = max(grant.may_hold_until, longest)
+        self._on_granted()
+
+    def _holds(self, keys: KeyRange) -> bool:
+        """Tells whether the upstream may hold keys that it was granted."""
+        state = self._watch.state
+        return state is not None and state.alive and state.life == keys.life
+
+
+def _id(keys: KeyRange) -> tuple[int, int, int]:
+    """Returns what names a grant."""
+    return keys.first, keys.last, keys.token
+
+
+def _note_granted(keys: KeyRange, hold_s: float) -> None:
+    """Logs the first grant of a range."""
+    _log.info(
+        "keys_granted",
+        first=keys.first,
+        last=keys.last,
+        token=keys.token,
+        handover=bool(keys.handover),
+        hold_s=hold_s,
+    )
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -37,6 +37,7 @@
     Start,
     Waiting,
 )
+from rosemarydeal.policy.requests import attempts
 
 from .metrics import Metrics
 from .upstream import UpstreamState, UpstreamWatch
@@ -320,7 +321,7 @@
             self._perform(decisions)
         ending = self._ending(served, result)
         load = result.load if isinstance(result, Answered | Rejected) else None
-        self._note(served.order, *_labels(ending), now() - started, load)
+        self._note(served.order, *attempts.labels(ending), now() - started, load)
         if not served.future.done():
             served.future.set_result(ending)
 
@@ -383,14 +384,3 @@
             slots=self.slots,
             pace=load.pace if load is not None else None,
         )
-
-
-def _labels(ending: Ending) -> tuple[str, str]:
-    """Returns outcome and code of an ending, for log and metrics."""
-    match ending:
-        case Answered(status):
-            return "answered", str(status)
-        case NotServed(code):
-            return "not-run", code
-        case Undecided(code):
-            return "undecided", code
--- /dev/null
+++ b/rosemarydeal/node/link.py
@@ -0,0 +1,86 @@
+"""Holds what is known of the link to one peer, and connects it to other tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from rosemarydeal.core import Address
+from rosemarydeal.core.requests import Ending, Order
+
+from .frames import FrameConnection
+from .messages import Blame, ObjectNotice, Objects, Pong, StoreAnswer, StoreCall
+
+__all__ = ["Link", "LinkHooks", "PeerState"]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    """Is what a peer said of itself last.
+
+    Attributes:
+        heard_at: When it said so, on the loop's clock.
+        running: Requests at its upstream.
+        waiting: Requests that wait for its upstream.
+        slots: Requests that its upstream runs at a time.
+        demand: Work that arrives there, as a share of what its slots can do.
+        pace: Smoothed pace of its upstream, 1.0 as usual.
+    """
+
+    heard_at: float
+    running: int
+    waiting: int
+    slots: int
+    demand: float
+    pace: float
+
+
+@dataclass(frozen=True, slots=True)
+class LinkHooks:
+    """Connects the links to the other tasks.
+
+    Attributes:
+        serve: Runs an order of another process at the own upstream.
+        pong: Builds the answer to a ping.
+        known: Returns the revisions of the objects that are known.
+        on_known: Called with a node and the revisions that it knows.
+        fetch: Returns all objects of a kind.
+        on_objects: Called with objects that a peer sent.
+        on_notice: Called with an object that a peer sent.
+        on_blame: Called with requests that are blamed for a crash.
+        relay: Calls the store for a peer.
+        on_change: Called when a link came up or was lost.
+    """
+
+    serve: Callable[[Order], Awaitable[Ending]]
+    pong: Callable[[], Pong]
+    known: Callable[[], tuple[int, ...]]
+    on_known: Callable[[str, tuple[int, ...]], None]
+    fetch: Callable[[str], Objects]
+    on_objects: Callable[[Objects], None]
+    on_notice: Callable[[ObjectNotice], None]
+    on_blame: Callable[[Blame], None]
+    relay: Callable[[StoreCall], Awaitable[StoreAnswer | None]]
+    on_change: Callable[[str, bool], None]
+
+
+class Link:
+    """Is the link that this process opened to one other."""
+
+    def __init__(self, node: str, address: Address) -> None:
+        self.node = node
+        self.address = address
+        self.connection: FrameConnection | None = None
+        self.asked: dict[int, asyncio.Future[Ending]] = {}
+        self.relayed: dict[int, asyncio.Future[StoreAnswer]] = {}
+        self.task: asyncio.Task[None] | None = None
+        self.lost = asyncio.Event()
+        self.state: PeerState | None = None
+        self.leaving = False
+        self.down_since: float | None = None
+
+    @property
+    def up(self) -> bool:
+        """Tells whether messages can be sent."""
+        return self.connection is not None and self.connection.open
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable
 
 import msgspec
 import structlog
@@ -19,6 +18,7 @@
 from rosemarydeal.core.requests import Ending, NotServed, Order, Undecided
 
 from .frames import FrameConnection
+from .link import Link, LinkHooks, PeerState
 from .messages import (
     AnswerReply,
     Ask,
@@ -32,11 +32,11 @@
     Objects,
     Ping,
     Pong,
-    Reply,
     StoreAnswer,
     StoreCall,
     UndecidedReply,
     Withdraw,
+    reply_of,
 )
 
 __all__ = ["LinkHooks", "Links", "PeerState"]
@@ -55,77 +55,6 @@
 _log = structlog.get_logger()
 
 
-@dataclass(frozen=True, slots=True)
-class PeerState:
-    """Is what a peer said of itself last.
-
-    Attributes:
-        heard_at: When it said so, on the loop's clock.
-        running: Requests at its upstream.
-        waiting: Requests that wait for its upstream.
-        slots: Requests that its upstream runs at a time.
-        demand: Work that arrives there, as a share of what its slots can do.
-        pace: Smoothed pace of its upstream, 1.0 as usual.
-    """
-
-    heard_at: float
-    running: int
-    waiting: int
-    slots: int
-    demand: float
-    pace: float
-
-
-@dataclass(frozen=True, slots=True)
-class LinkHooks:
-    """Connects the links to the other tasks.
-
-    Attributes:
-        serve: Runs an order of another process at the own upstream.
-        pong: Builds the answer to a ping.
-        known: Returns the revisions of the objects that are known.
-        on_known: Called with a node and the revisions that it knows.
-        fetch: Returns all objects of a kind.
-        on_objects: Called with objects that a peer sent.
-        on_notice: Called with an object that a peer sent.
-        on_blame: Called with requests that are blamed for a crash.
-        relay: Calls the store for a peer.
-        on_change: Called when a link came up or was lost.
-    """
-
-    serve: Callable[[Order], Awaitable[Ending]]
-    pong: Callable[[], Pong]
-    known: Callable[[], tuple[int, ...]]
-    on_known: Callable[[str, tuple[int, ...]], None]
-    fetch: Callable[[str], Objects]
-    on_objects: Callable[[Objects], None]
-    on_notice: Callable[[ObjectNotice], None]
-    on_blame: Callable[[Blame], None]
-    relay: Callable[[StoreCall], Awaitable[StoreAnswer | None]]
-    on_change: Callable[[str, bool], None]
-
-
-class _Link:
-    """Is the link that this process opened to one other."""
-
-    def __init__(self, node: str, address: Address) -> None:
-        self.node = node
-        self.address = address
-        self.connection: FrameConnection | None = None
-        self.asked: dict[int, asyncio.Future[Ending]] = {}
-        self.relayed: dict[int, asyncio.Future[StoreAnswer]] = {}
-        self.task: asyncio.Task[None] | None = None
-        self.lost = asyncio.Event()
-        self.state: PeerState | None = None
-        self.leaving = False
-        self.down_since: float | None = None
-
-    @property
-    def up(self) -> bool:
-        """Tells whether messages can be sent."""
-        return self.connection is not None and self.connection.open
-
-
 class Links:
     """Opens, watches and closes links; sends and receives messages."""
 
@@ -133,7 +62,7 @@
         self._node = node
         self._process = process
         self._hooks = hooks
-        self._links: dict[str, _Link] = {}
+        self._links: dict[str, Link] = {}
         self._accepted: set[FrameConnection] = set()
         self._serving: dict[tuple[FrameConnection, int], asyncio.Task[None]] = {}
         self._background: set[asyncio.Task[None]] = set()
@@ -194,7 +123,7 @@
             if node == self._node or (link and link.address == member.peer):
                 continue
             self._drop(node)
-            link = _Link(node, member.peer)
+            link = Link(node, member.peer)
             self._links[node] = link
             link.down_since = asyncio.get_running_loop().time()
             link.task = asyncio.create_task(self._keep(link))
@@ -283,7 +212,7 @@
         if link.connection is not None:
             link.connection.abort()
 
-    async def _keep(self, link: _Link) -> None:
+    async def _keep(self, link: Link) -> None:
         """Opens a link again and again, and pings while it is up."""
         pause = RECONNECT_FIRST_S
         while True:
@@ -293,7 +222,7 @@
             await asyncio.sleep(pause)
             pause = min(RECONNECT_MOST_S, 2 * pause)
 
-    async def _open(self, link: _Link) -> bool:
+    async def _open(self, link: Link) -> bool:
         """Opens the connection of a link and tells whether it came about."""
         loop = asyncio.get_running_loop()
         link.lost.clear()
@@ -321,7 +250,7 @@
         self._hooks.on_change(link.node, True)
         return True
 
-    async def _ping_until_lost(self, link: _Link) -> None:
+    async def _ping_until_lost(self, link: Link) -> None:
         """Pings at a steady pace; cuts a link whose peer is silent."""
         loop = asyncio.get_running_loop()
         while not link.lost.is_set():
@@ -337,7 +266,7 @@
                     link.connection.abort()
                     await link.lost.wait()
 
-    def _lose(self, link: _Link) -> None:
+    def _lose(self, link: Link) -> None:
         """Ends all that waits on a link that is lost."""
         link.connection = None
         link.state = None
@@ -350,12 +279,12 @@
         _log.warning("peer_link_lost", peer=link.node)
         self._hooks.on_change(link.node, False)
 
-    def _send(self, link: _Link, message: Message) -> None:
+    def _send(self, link: Link, message: Message) -> None:
         """Sends a message if the link is up; all of these may get lost."""
         if link.connection is not None:
             link.connection.send(message)
 
-    def _take_answer(self, link: _Link, message: Message) -> None:
+    def _take_answer(self, link: Link, message: Message) -> None:
         """Takes a message on a link that this process opened."""
         match message:
             case AnswerReply():
@@ -376,13 +305,13 @@
                 if future is not None and not future.done():
                     future.set_result(message)
 
-    def _end(self, link: _Link, number: int, ending: Ending) -> None:
+    def _end(self, link: Link, number: int, ending: Ending) -> None:
         """Ends an order that was asked of a peer."""
         future = link.asked.get(number)
         if future is not None and not future.done():
             future.set_result(ending)
 
-    def _take_pong(self, link: _Link, pong: Pong) -> None:
+    def _take_pong(self, link: Link, pong: Pong) -> None:
         """Notes what a peer says of itself."""
         link.state = PeerState(
             asyncio.get_running_loop().time(),
@@ -428,7 +357,7 @@
         """Has a peer's order run and sends its ending."""
         try:
             ending = await self._hooks.serve(order)
-            connection.send(_reply(number, ending))
+            connection.send(reply_of(number, ending))
         finally:
             self._serving.pop((connection, number), None)
 
@@ -455,14 +384,3 @@
         task = asyncio.ensure_future(work)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
-
-
-def _reply(number: int, ending: Ending) -> Reply:
-    """Builds the message that ends an order."""
-    match ending:
-        case NotServed():
-            return NotServedReply(number, ending)
-        case Undecided():
-            return UndecidedReply(number, ending)
-        case _:
-            return AnswerReply.of(number, ending)
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from rosemarydeal.core.fleet import UpstreamLoad
-from rosemarydeal.core.requests import Answered, NotServed, Order, Undecided
+from rosemarydeal.core.requests import Answered, Ending, NotServed, Order, Undecided
 
 __all__ = [
     "AnswerReply",
@@ -34,6 +34,7 @@
     "Withdraw",
     "decode",
     "encode",
+    "reply_of",
 ]
 
 HEAD_BYTES = 4
@@ -256,3 +257,14 @@
         msgspec.MsgspecError: If the body is no message.
     """
     return _DECODER.decode(body)
+
+
+def reply_of(number: int, ending: Ending) -> Reply:
+    """Builds the message that ends an order."""
+    match ending:
+        case NotServed():
+            return NotServedReply(number, ending)
+        case Undecided():
+            return UndecidedReply(number, ending)
+        case _:
+            return AnswerReply.of(number, ending)
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -11,7 +11,6 @@
 import random
 import secrets
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 
 import msgspec
 import structlog
@@ -20,8 +19,6 @@
 from rosemarydeal.core.fleet import KeyRange, Member, NodeIdentity, RangeTable, Stored
 from rosemarydeal.platform.errors import StoreConflict, StoreError
 from rosemarydeal.platform.upstream import (
-    GrantRefused,
-    UpstreamCallFailed,
     UpstreamClient,
 )
 from rosemarydeal.policy.dispatch.queue import Admission
@@ -29,52 +26,26 @@
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.balance import Burden
 
+from .contents import table_name
+from .grants import Grants
 from .guard import Guard
 from .links import Links
 from .messages import ObjectNotice, ObjectState
-from .records import RANGES, Records, table_name
+from .records import RANGES, Records
 from .upstream import UpstreamWatch
 
 __all__ = ["Ownership"]
 
 STEP_S = 0.1
-GRANT_TIMEOUT_S = 0.4
-# A third of a grant's hold: two renewals may get lost.
-RENEW_AFTER_S = 1.6
-GRANT_RETRY_S = 0.15
-RELEASE_TIMEOUT_S = 1.5
 BALANCE_PERIOD_S = 0.4
 # Demand is measured over a second, so that a move shows after one.
 AFTER_MOVE_S = 1.0
-# A request that starts must not outlast the grant by the check's own delay.
-HOLD_MARGIN_S = 0.1
 WRITE_RETRY_S = 0.05
 WRITE_RETRY_MOST_S = 0.5
 
 _log = structlog.get_logger()
 
 
-@dataclass(slots=True)
-class _Grant:
-    """Is what the upstream was told of a range.
-
-    Attributes:
-        keys: The range.
-        valid_until: Until when it surely holds the keys.
-        may_hold_until: Until when it may hold them.
-        renew_at: When it is to be told again.
-        busy: Whether a call is on its way.
-        unanswered_until: Until when a call without an answer may take effect.
-    """
-
-    keys: KeyRange
-    valid_until: float = 0.0
-    may_hold_until: float = 0.0
-    renew_at: float = 0.0
-    busy: bool = False
-    unanswered_until: float = 0.0
-
-
 class Ownership:
     """Drives the ownership of the keys of one keyed service."""
 
@@ -90,15 +61,18 @@
         self._identity = identity
         self._records = records
         self._links = links
-        self._client = client
         self._watch = watch
         self._keyed = keyed
         self._guard: Guard | None = None
         self._tenure = tenure.Tenure()
         self._confirm_at = 0.0
         self._confirming = False
-        self._grants: dict[tuple[int, int, int], _Grant] = {}
-        self._calls: dict[asyncio.Task[None], KeyRange] = {}
+        self._grants = Grants(
+            client,
+            watch,
+            self._advance_guard,
+            lambda: self._spawn(self._renew_token()),
+        )
         self._moving: list[KeyRange] = []
         self._writing = False
         self._background: set[asyncio.Task[None]] = set()
@@ -134,11 +108,8 @@
             return Admission.WAIT
         if any(key in moving for moving in self._moving):
             return Admission.WAIT
-        for grant in self._grants.values():
-            if key in grant.keys and grant.keys.token == keys.token:
-                valid = moment < grant.valid_until - HOLD_MARGIN_S
-                return Admission.RUN if valid else Admission.WAIT
-        return Admission.WAIT
+        granted = self._grants.allows(key, keys.token)
+        return Admission.RUN if granted else Admission.WAIT
 
     async def run(self) -> None:
         """Takes a step again and again until cancelled."""
@@ -173,13 +144,13 @@
         for task in list(self._background):
             task.cancel()
         await asyncio.gather(*self._background, return_exceptions=True)
+        await self._grants.close()
 
     def follow_table(self) -> None:
         """Follows a change of the table without waiting for the next step."""
         if self._keyed() and self._watch.state is not None:
             self._step()
-            if self._guard is not None:
-                self._guard.advance()
+            self._advance_guard()
 
     def upstream_changed(self) -> None:
         """Forgets what a former life of the upstream was granted."""
@@ -194,7 +165,7 @@
         if moment >= self._confirm_at and not self._confirming and self.owned:
             self._confirming = True
             self._spawn(self._confirm())
-        self._renew_grants(moment)
+        self._follow_grants()
         self._note_suspicions(moment)
         if not self._writing:
             self._propose(moment)
@@ -225,82 +196,18 @@
         self._tenure = tenure.confirm(
             self._tenure, found, self._identity.node, asked_at
         )
-        self._renew_grants(now())
+        self._follow_grants()
 
-    def _pieces(self) -> list[KeyRange]:
-        """Returns the own ranges without the parts that are being moved."""
+    def _follow_grants(self) -> None:
+        """Has the upstream told of the own ranges, but for parts that move."""
         pieces = list(self.owned)
         for moving in self._moving:
             pieces = [part for keys in pieces for part in tables.without(keys, moving)]
-        return pieces
-
-    def _sync_grants(self) -> list[_Grant]:
-        """Returns the grants of the present pieces; others are forgotten.
+        most = self._identity.bounds.max_hold_s
+        self._grants.follow(pieces, tenure.hold_for(self._tenure, now(), most))
 
-        A piece of a range that was granted as a whole is granted already.
-        """
-        old = self._grants
-        self._grants = {}
-        for keys in self._pieces():
-            grant = old.get(_id(keys))
-            if grant is None:
-                grant = _Grant(keys)
-                for known in old.values():
-                    if tables.covers(known.keys, keys):
-                        grant.valid_until = known.valid_until
-                        grant.may_hold_until = known.may_hold_until
-                        grant.unanswered_until = known.unanswered_until
-            self._grants[_id(keys)] = grant
-        return list(self._grants.values())
-
-    def _renew_grants(self, moment: float) -> None:
-        """Tells the upstream of ranges that are due."""
-        state = self._watch.state
-        grants = self._sync_grants()
-        if state is None or not state.alive:
-            return
-        hold_s = tenure.hold_for(self._tenure, moment, self._identity.bounds.max_hold_s)
-        if hold_s < 2 * HOLD_MARGIN_S:
-            return
-        for grant in grants:
-            if grant.keys.life != state.life or grant.busy:
-                continue
-            if moment >= grant.renew_at:
-                grant.busy = True
-                call = self._spawn(self._grant(grant.keys, grant, hold_s))
-                self._calls[call] = grant.keys
-                call.add_done_callback(self._calls.pop)
-
-    async def _grant(self, keys: KeyRange, grant: _Grant, hold_s: float) -> None:
-        """Grants a range to the upstream and notes for how long."""
-        sent_at = now()
-        first = grant.valid_until == 0.0
-        try:
-            await self._client.grant(keys, hold_s, GRANT_TIMEOUT_S)
-            grant.valid_until = max(grant.valid_until, sent_at + hold_s)
-            grant.renew_at = sent_at + RENEW_AFTER_S
-            if first:
-                _log.info(
-                    "keys_granted",
-                    first=keys.first,
-                    last=keys.last,
-                    token=keys.token,
-                    handover=bool(keys.handover),
-                    hold_s=hold_s,
-                )
-        except GrantRefused as error:
-            _log.warning("grant_refused", detail=error.detail)
-            grant.renew_at = now() + 1.0
-            self._spawn(self._renew_token())
-        except UpstreamCallFailed as error:
-            _log.info("grant_unanswered", detail=error.detail)
-            grant.renew_at = now() + GRANT_RETRY_S
-            grant.unanswered_until = max(grant.unanswered_until, sent_at + hold_s)
-        finally:
-            grant.busy = False
-            grant.may_hold_until = max(
-                grant.may_hold_until, (now() + hold_s * (1 + tenure.CLOCK_DRIFT))
-            )
+    def _advance_guard(self) -> None:
+        """Lets requests go that waited for a grant."""
         if self._guard is not None:
             self._guard.advance()
 
@@ -408,19 +315,19 @@
 
     async def _hand_over(self, parts: tuple[tuple[KeyRange, Member], ...]) -> None:
         """Takes ranges back from the upstream and gives them to heirs."""
-        self._moving = [keys for keys, _ in parts]
+        moving = [keys for keys, _ in parts]
+        # Ranges that move are forgotten as grants with the next step.
+        covering = [self._grants.covering(keys) for keys in moving]
+        self._moving = moving
         try:
-            handovers = await asyncio.gather(
-                *(self._release(keys) for keys, _ in parts)
-            )
-            await self._write_heirs(parts, handovers)
+            releases = map(self._grants.release, moving, covering)
+            await self._write_heirs(parts, await asyncio.gather(*releases))
         finally:
             self._moving = []
             self._writing = False
-            self._forget_released([keys for keys, _ in parts])
-            self._renew_grants(now())
-            if self._guard is not None:
-                self._guard.advance()
+            self._grants.forget_released(moving)
+            self._follow_grants()
+            self._advance_guard()
 
     async def _write_heirs(
         self, parts: tuple[tuple[KeyRange, Member], ...], handovers: list[str]
@@ -446,49 +353,6 @@
             await asyncio.sleep(pause * random.uniform(0.7, 1.3))
             pause = min(WRITE_RETRY_MOST_S, 2 * pause)
 
-    def _forget_released(self, parts: list[KeyRange]) -> None:
-        """Has ranges that were released granted anew if they are still owned."""
-        for grant in self._grants.values():
-            if any(tables.overlaps(grant.keys, keys) for keys in parts):
-                grant.valid_until = 0.0
-                grant.renew_at = 0.0
-
-    async def _release(self, keys: KeyRange) -> str:
-        """Takes a range back; waits its hold out if the upstream is silent.
-
-        Returns:
-            What the next owner needs to go on without a warm-up, or "".
-        """
-        covering = [g for g in self._grants.values() if tables.overlaps(g.keys, keys)]
-        until = max((g.may_hold_until for g in covering), default=0.0)
-        late = max((g.unanswered_until for g in covering), default=0.0)
-        # A renewal that is on its way could arrive after the release.
-        calling = [c for c, of in self._calls.items() if tables.overlaps(of, keys)]
-        if calling:
-            await asyncio.wait(calling)
-        if not covering:
-            return ""
-        handover = ""
-        while self._holds(keys):
-            try:
-                handover = await self._client.release(keys, RELEASE_TIMEOUT_S)
-                break
-            except UpstreamCallFailed as error:
-                _log.info("release_unanswered", detail=error.detail)
-                if now() > until:
-                    return ""
-                await asyncio.sleep(GRANT_RETRY_S)
-        # A grant without an answer could take effect after the release.
-        if self._holds(keys):
-            await asyncio.sleep(max(0.0, late - now()))
-        _log.info("keys_released", first=keys.first, last=keys.last, token=keys.token)
-        return handover
-
-    def _holds(self, keys: KeyRange) -> bool:
-        """Tells whether the upstream may hold keys that it was granted."""
-        state = self._watch.state
-        return state is not None and state.alive and state.life == keys.life
-
     async def _write_alone(self, changed: RangeTable, reason: str) -> None:
         """Writes a table and lets the next change begin."""
         try:
@@ -531,11 +395,6 @@
         return task
 
 
-def _id(keys: KeyRange) -> tuple[int, int, int]:
-    """Returns what names a grant."""
-    return keys.first, keys.last, keys.token
-
-
 def _writer() -> str:
     """Returns a new name for a write."""
     return secrets.token_hex(8)
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -3,22 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import secrets
 import time
 from collections.abc import Coroutine
 
-import msgspec
 import structlog
 
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.fleet import Member, NodeIdentity, Service
+from rosemarydeal.core.fleet import NodeIdentity, Service
 from rosemarydeal.core.requests import NotServed
 from rosemarydeal.platform import announcements, callers
-from rosemarydeal.platform.errors import StoreError, Unreadable
+from rosemarydeal.platform.errors import Unreadable
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
 from rosemarydeal.platform.store import StoreClient, StoreSettings
-from rosemarydeal.platform.upstream import UpstreamCallFailed, UpstreamClient
+from rosemarydeal.platform.upstream import UpstreamClient
 from rosemarydeal.proxy import (
     HttpLimits,
     HttpServer,
@@ -32,6 +30,7 @@
 from .guard import Guard, GuardHooks
 from .health import UpstreamHealth
 from .links import LinkHooks, Links
+from .membership import Membership
 from .messages import Blame, Pong
 from .metrics import Metrics
 from .ownership import Ownership
@@ -41,19 +40,12 @@
 __all__ = ["NodeProcess"]
 
 # Connections to the upstream beside the slots: grants, and some that close.
-PACE_PROBES = 3
-PROBE_PAUSE_S = 0.42
-PROBE_TIMEOUT_S = 0.5
 CALLER_CONNECTIONS = 3000
-PUBLISH_RETRY_S = 0.3
 # The platform asks once a second and takes a node out after two misses.
 READINESS_NOTICE_S = 2.2
 # Other processes stop sending this long before the listener closes.
 LAST_ORDERS_S = 0.8
 END_MARGIN_S = 0.5
-# A member that nobody has reached for so long is not coming back.
-FORGET_MEMBER_AFTER_S = 25.0
-SWEEP_PERIOD_S = 2.0
 ZONE_OUT = NotServed("zone-out", elsewhere=True)
 
 _log = structlog.get_logger()
@@ -93,14 +85,21 @@
             self._metrics,
             lambda: self._stopping,
         )
+        self._membership = Membership(
+            identity,
+            self._process,
+            self._records,
+            self._links,
+            self._client,
+            self._watch,
+            self._guard,
+        )
         self._stopping = False
         self._ended = asyncio.Event()
-        self._publish = asyncio.Event()
         self._servers: list[HttpServer] = []
         self._callers: HttpServer | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._was_zone_out = False
-        self._probed_pace: float | None = None
 
     @property
     def ready(self) -> bool:
@@ -129,8 +128,8 @@
         for work in (
             self._ownership.run(),
             self._guard.watch_upstream(),
-            self._publish_member(),
-            self._forget_members(),
+            self._membership.run(),
+            self._membership.forget_lost(),
         ):
             self._spawn(work)
         _log.info("started", process=self._process, zone=identity.zone)
@@ -143,12 +142,13 @@
         """Finishes what runs and closes everything, within the grace time."""
         ends = now() + self._identity.bounds.grace_s - END_MARGIN_S
         self._stopping = True
+        self._membership.stop()
         _log.info("stopping", open=self._entry.open, serving=self._links.serving)
         state = self._watch.state
         removed = state is None or not state.accepting
         await asyncio.sleep(READINESS_NOTICE_S - LAST_ORDERS_S)
         if removed:
-            await self._retire()
+            await self._membership.retire()
         if not self._is_keyed() or self._ownership.stop():
             self._links.announce_leaving()
         await asyncio.sleep(LAST_ORDERS_S)
@@ -232,7 +232,7 @@
             self._take_zones()
         elif kind == MEMBERS:
             self._links.follow(self._records.members)
-            self._check_own_member()
+            self._membership.check()
         elif kind == RANGES:
             self._ownership.follow_table()
 
@@ -264,107 +264,7 @@
         )
         if changed:
             self._ownership.upstream_changed()
-            self._publish.set()
-
-    def _own_member(self) -> Member:
-        """Returns what is published of this process."""
-        identity, state = self._identity, self._watch.state
-        announced = state.announcement if state is not None else None
-        return Member(
-            node=identity.node,
-            process=self._process,
-            peer=identity.peer,
-            zone=identity.zone,
-            service=identity.service,
-            instance=announced.instance if announced else "",
-            born_ms=announced.born_ms if announced else 0,
-            slots=announced.slots if announced else 0,
-            accepting=state is not None and state.accepting,
-            pace=self._probed_pace or 1.0,
-        )
-
-    def _check_own_member(self) -> None:
-        """Has the own member written again if somebody removed it."""
-        known = self._records.members.get(self._identity.node)
-        if self._watch.state is not None and known != self._own_member():
-            self._publish.set()
-
-    async def _publish_member(self) -> None:
-        """Writes the own member whenever it has changed, until cancelled."""
-        while True:
-            await self._publish.wait()
-            self._publish.clear()
-            if self._probed_pace is None and self._watch.state is not None:
-                self._probed_pace = await self._probe_pace()
-                self._guard.set_pace(self._probed_pace)
-            if self._stopping or not self._records.complete:
-                await asyncio.sleep(PUBLISH_RETRY_S / 3)
-                self._publish.set()
-                continue
-            member = self._own_member()
-            if self._records.members.get(member.node) == member:
-                continue
-            try:
-                await self._records.write(
-                    MEMBERS, member.node, msgspec.json.encode(member)
-                )
-                _log.info("member_published", life=member.life, ok=member.accepting)
-            except StoreError as error:
-                _log.info("member_not_published", detail=error.detail)
-                await asyncio.sleep(PUBLISH_RETRY_S * random.uniform(0.7, 1.3))
-                self._publish.set()
-
-    async def _probe_pace(self) -> float:
-        """Asks the upstream a few times how long work takes there now.
-
-        Neighbours slow it for moments, so that the least counts.
-        """
-        known = self._records.members.get(self._identity.node)
-        state = self._watch.state
-        if known is not None and state is not None:
-            # The VM is the same, so that its upstream's pace is too.
-            return known.pace
-        service = self._own_service()
-        path = service.health_path if service is not None else "/healthz"
-        paces = []
-        for _ in range(PACE_PROBES):
-            try:
-                load = await self._client.probe(path, PROBE_TIMEOUT_S)
-            except UpstreamCallFailed as error:
-                _log.info("probe_failed", detail=error.detail)
-                break
-            if load is None:
-                break
-            paces.append(load.pace)
-            await asyncio.sleep(PROBE_PAUSE_S)
-        pace = min(paces) if paces else 1.0
-        _log.info("pace_probed", pace=pace, probes=len(paces))
-        return pace
-
-    async def _retire(self) -> None:
-        """Removes the own member, since the upstream does not come back."""
-        try:
-            await self._records.remove(MEMBERS, self._identity.node)
-        except StoreError as error:
-            _log.warning("member_not_removed", detail=error.detail)
-
-    async def _forget_members(self) -> None:
-        """Removes members that nobody has reached for long, until cancelled."""
-        while True:
-            await asyncio.sleep(SWEEP_PERIOD_S * random.uniform(0.8, 1.2))
-            loop_now = asyncio.get_running_loop().time()
-            up = sorted([self._identity.node, *self._links.up])
-            if up[0] != self._identity.node or not self._records.reachable:
-                continue
-            for node in list(self._records.members):
-                since = self._links.down_since(node)
-                if since is None or loop_now - since < FORGET_MEMBER_AFTER_S:
-                    continue
-                try:
-                    await self._records.remove(MEMBERS, node)
-                    _log.info("member_forgotten", member=node)
-                except StoreError as error:
-                    _log.info("member_not_forgotten", detail=error.detail)
+            self._membership.publish()
 
     async def _answer_readiness(self, request: Request) -> Response:
         """Answers the platform's question whether callers may come."""
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -13,26 +13,23 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import msgspec
 import structlog
 
-from rosemarydeal.core import Address
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import Configuration, Member, RangeTable, Stored
 from rosemarydeal.platform.errors import (
     HistoryGone,
     StoreConflict,
     StoreError,
-    Unreadable,
 )
 from rosemarydeal.platform.names import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     ZONES_OUT_KIND,
 )
-from rosemarydeal.platform.operator import decode_configuration
 from rosemarydeal.platform.store import Listing, StoreClient
 
+from . import contents
 from .links import Links
 from .messages import (
     Fetch,
@@ -43,7 +40,7 @@
     StoreCall,
 )
 
-__all__ = ["MEMBERS", "RANGES", "Records", "table_name"]
+__all__ = ["MEMBERS", "RANGES", "Records"]
 
 MEMBERS = "rosemarydeal-members"
 RANGES = "rosemarydeal-ranges"
@@ -414,57 +411,35 @@
     def _interpret_configuration(self) -> None:
         """Puts the configuration in force unless it is older."""
         stored = self.stored(CONFIGURATION_KIND, CONFIGURATION_NAME)
-        if stored is None or stored.content is None:
-            return
-        try:
-            found = decode_configuration(stored.content)
-        except Unreadable as error:
-            _log.warning("configuration_unreadable", detail=error.detail)
-            return
+        found = contents.configuration_of(stored)
         old = self._configuration
-        if old is None or found.version > old.version:
-            self._configuration = found
-            _log.info(
-                "configuration_in_force",
-                version=found.version,
-                before=old.version if old else None,
-                revision=stored.revision,
-            )
+        if found is None or (old is not None and found.version <= old.version):
+            return
+        self._configuration = found
+        _log.info(
+            "configuration_in_force",
+            version=found.version,
+            before=old.version if old else None,
+            revision=stored.revision,
+        )
 
     def _interpret_zones(self) -> None:
         """Notes which zones are out."""
-        out = frozenset(
-            stored.name
-            for stored in self._kinds[ZONES_OUT_KIND].objects.values()
-            if stored.content is not None
-        )
+        out = contents.names_of(self._kinds[ZONES_OUT_KIND].objects.values())
         if out != self._zones_out:
             _log.info("zones_out", zones=sorted(out), before=sorted(self._zones_out))
             self._zones_out = out
 
     def _interpret_members(self) -> None:
-        """Decodes the members that can be read."""
-        members: dict[str, Member] = {}
-        at_address: dict[Address, str] = {}
-        objects = self._kinds[MEMBERS].objects.values()
-        for stored in sorted(objects, key=lambda stored: stored.revision):
-            found = _decode(stored, Member)
-            if found is None or found.node != stored.name:
-                continue
-            # Whoever had the address before has ended, and its upstream too.
-            members.pop(at_address.get(found.peer, ""), None)
-            at_address[found.peer] = found.node
-            members[found.node] = found
+        """Takes over the members that can be read."""
+        members = contents.members_of(self._kinds[MEMBERS].objects.values())
         if members != self._members:
             self._members = members
             self._members_changed_at = now()
 
     def _interpret_tables(self) -> None:
-        """Decodes the tables that can be read."""
-        for stored in self._kinds[RANGES].objects.values():
-            found = _decode(stored, RangeTable)
-            if found is not None and table_name(found.service) == stored.name:
-                self._tables[found.service] = found
+        """Takes over the tables that can be read."""
+        self._tables |= contents.tables_of(self._kinds[RANGES].objects.values())
 
     def _note_reachable(self, reachable: bool, detail: str = "") -> None:
         """Logs when the store is lost or answers again."""
@@ -475,19 +450,3 @@
             _log.info("store_reachable")
         else:
             _log.warning("store_unreachable", detail=detail)
-
-
-def table_name(service: str) -> str:
-    """Returns the name of the object that holds a service's table."""
-    return service
-
-
-def _decode(stored: Stored, form: type) -> object | None:
-    """Decodes an object's content; one that can't be read names nothing."""
-    if stored.content is None:
-        return None
-    try:
-        return msgspec.json.decode(stored.content, type=form)
-    except msgspec.MsgspecError as error:
-        _log.warning("object_unreadable", name=stored.name, detail=str(error))
-        return None
