Remove what nobody uses in the node, and name its last bare figures

Cause: read as a newcomer: hooks that did nothing, a parameter, a function and a bound without a user, a value that stood twice, three figures without a name. Change: removed or named; nothing is decided otherwise.

--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -47,7 +47,6 @@
         cold_burst_factor: Factor on a cold upstream's rate within one second.
         cold_slack: Requests that a cold upstream bears beside that.
         max_hold_s: Longest time that one grant of keys may run.
-        address_reuse_s: Time before the address of a lost upstream is reused.
     """
 
     drain_s: float = 2.0
@@ -58,7 +57,6 @@
     cold_burst_factor: float = 1.5
     cold_slack: float = 5.0
     max_hold_s: float = 10.0
-    address_reuse_s: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import structlog
@@ -29,7 +28,7 @@
 from rosemarydeal.policy.routing.choice import Candidate, choose
 from rosemarydeal.policy.routing.jobs import JobEstimates
 from rosemarydeal.policy.routing.routebook import RouteBook, choose_service
-from rosemarydeal.proxy import BadMessage, Request, Response
+from rosemarydeal.proxy import Request, Response
 
 from .guard import Guard
 from .health import UpstreamHealth
@@ -42,6 +41,8 @@
 NOT_CONFIGURED = NotServed("not-configured", 0.5)
 NO_ROUTE = NotServed("route-not-found")
 PARK_STEP_S = 0.02
+# Longest body that is read before a configuration says how long one may be.
+UNCONFIGURED_BODY_BYTES = 1_048_576
 
 _log = structlog.get_logger()
 
@@ -70,7 +71,6 @@
         guard: Guard,
         health: UpstreamHealth,
         metrics: Metrics,
-        is_stopping: Callable[[], bool],
     ) -> None:
         self._identity = identity
         self._records = records
@@ -78,7 +78,6 @@
         self._guard = guard
         self._health = health
         self._metrics = metrics
-        self._is_stopping = is_stopping
         self._configuration: Configuration | None = None
         self._book: RouteBook | None = None
         self._start = random.random()
@@ -103,14 +102,16 @@
         """Answers one request of a caller."""
         arrived = now()
         configuration = self._configuration
-        limit = configuration.limits.body_bytes if configuration else 1 << 20
+        limit = (
+            configuration.limits.body_bytes
+            if configuration
+            else UNCONFIGURED_BODY_BYTES
+        )
         try:
             caller = await callers.decode_request(request, limit)
         except Unreadable as error:
             _log.info("request_unreadable", code=error.code, detail=error.detail)
             return callers.malformed(error)
-        except BadMessage:
-            raise
         self._open += 1
         try:
             ending, progress = await self._serve(caller, arrived)
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -42,7 +42,7 @@
 from .metrics import Metrics
 from .upstream import UpstreamState, UpstreamWatch
 
-__all__ = ["Guard", "GuardHooks"]
+__all__ = ["ZONE_OUT", "Guard", "GuardHooks"]
 
 SILENCE_PERIOD_S = 0.25
 # The pace changes many times a second; its mean is what counts.
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -20,7 +20,6 @@
     """Is what a peer said of itself last.
 
     Attributes:
-        heard_at: When it said so, on the loop's clock.
         running: Requests at its upstream.
         waiting: Requests that wait for its upstream.
         slots: Requests that its upstream runs at a time.
@@ -28,7 +27,6 @@
         pace: Smoothed pace of its upstream, 1.0 as usual.
     """
 
-    heard_at: float
     running: int
     waiting: int
     slots: int
@@ -50,7 +48,6 @@
         on_notice: Called with an object that a peer sent.
         on_blame: Called with requests that are blamed for a crash.
         relay: Calls the store for a peer.
-        on_change: Called when a link came up or was lost.
     """
 
     serve: Callable[[Order], Awaitable[Ending]]
@@ -62,7 +59,6 @@
     on_notice: Callable[[ObjectNotice], None]
     on_blame: Callable[[Blame], None]
     relay: Callable[[StoreCall], Awaitable[StoreAnswer | None]]
-    on_change: Callable[[str, bool], None]
 
 
 class Link:
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -247,7 +247,6 @@
         link.leaving = False
         link.down_since = None
         _log.info("peer_link_up", peer=link.node)
-        self._hooks.on_change(link.node, True)
         return True
 
     async def _ping_until_lost(self, link: Link) -> None:
@@ -277,7 +276,6 @@
         link.asked.clear()
         link.lost.set()
         _log.warning("peer_link_lost", peer=link.node)
-        self._hooks.on_change(link.node, False)
 
     def _send(self, link: Link, message: Message) -> None:
         """Sends a message if the link is up; all of these may get lost."""
@@ -299,7 +297,6 @@
                 self._hooks.on_notice(message)
             case Leaving():
                 link.leaving = True
-                self._hooks.on_change(link.node, True)
             case StoreAnswer():
                 future = link.relayed.get(message.number)
                 if future is not None and not future.done():
@@ -314,7 +311,6 @@
     def _take_pong(self, link: Link, pong: Pong) -> None:
         """Notes what a peer says of itself."""
         link.state = PeerState(
-            asyncio.get_running_loop().time(),
             pong.running,
             pong.waiting,
             pong.slots,
--- a/rosemarydeal/node/main.py
+++ b/rosemarydeal/node/main.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from rosemarydeal.core.fleet import NodeIdentity
 from rosemarydeal.platform.errors import SettingsWrong
 from rosemarydeal.platform.node_settings import load_identity
 
@@ -43,12 +44,12 @@
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     try:
-        return asyncio.run(_serve(NodeProcess, identity, sink))
+        return asyncio.run(_serve(identity, sink))
     finally:
         sink.flush()
 
 
-async def _serve(process_type: type[NodeProcess], identity, sink: log.LogSink) -> int:
+async def _serve(identity: NodeIdentity, sink: log.LogSink) -> int:
     """Runs the process until a signal or a failure ends it."""
     loop = asyncio.get_running_loop()
     ended = asyncio.Event()
@@ -56,7 +57,7 @@
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGHUP, _reload)
     flusher = asyncio.create_task(sink.run())
-    process = process_type(identity)
+    process = NodeProcess(identity)
     await process.start()
     stop = asyncio.create_task(ended.wait())
     failure = asyncio.create_task(process.wait_failed())
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -11,7 +11,6 @@
 
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import NodeIdentity, Service
-from rosemarydeal.core.requests import NotServed
 from rosemarydeal.platform import announcements, callers
 from rosemarydeal.platform.errors import Unreadable
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
@@ -27,7 +26,7 @@
 )
 
 from .entry import Entry
-from .guard import Guard, GuardHooks
+from .guard import ZONE_OUT, Guard, GuardHooks
 from .health import UpstreamHealth
 from .links import LinkHooks, Links
 from .membership import Membership
@@ -39,14 +38,15 @@
 
 __all__ = ["NodeProcess"]
 
-# Connections to the upstream beside the slots: grants, and some that close.
+# All callers of a VM may come from one address; descriptors are 4,100 and more.
 CALLER_CONNECTIONS = 3000
+# More than any upstream has slots; the queue keeps to the slots.
+UPSTREAM_CONNECTIONS = 100
 # The platform asks once a second and takes a node out after two misses.
 READINESS_NOTICE_S = 2.2
 # Other processes stop sending this long before the listener closes.
 LAST_ORDERS_S = 0.8
 END_MARGIN_S = 0.5
-ZONE_OUT = NotServed("zone-out", elsewhere=True)
 
 _log = structlog.get_logger()
 
@@ -60,7 +60,7 @@
         self._metrics = Metrics()
         self._store = StoreClient(StoreSettings(identity.store))
         self._health = UpstreamHealth()
-        self._client = UpstreamClient(identity.upstream, 100)
+        self._client = UpstreamClient(identity.upstream, UPSTREAM_CONNECTIONS)
         self._links = Links(identity.node, self._process, self._link_hooks())
         self._records = Records(identity.zone, self._store, self._links)
         self._watch = UpstreamWatch(identity, self._take_upstream)
@@ -83,7 +83,6 @@
             self._guard,
             self._health,
             self._metrics,
-            lambda: self._stopping,
         )
         self._membership = Membership(
             identity,
@@ -200,7 +199,6 @@
             on_notice=lambda notice: self._records.take_notice(notice),
             on_blame=lambda blame: self._guard.take_blame(blame.marks),
             relay=lambda call: self._records.relay(call),
-            on_change=lambda node, up: None,
         )
 
     def _guard_hooks(self) -> GuardHooks:
--- a/rosemarydeal/platform/node_settings.py
+++ b/rosemarydeal/platform/node_settings.py
@@ -92,7 +92,6 @@
         cold_burst_factor=number("cold_burst_factor", usual.cold_burst_factor),
         cold_slack=number("cold_slack", usual.cold_slack),
         max_hold_s=number("max_hold_ms", usual.max_hold_s, MS_PER_S),
-        address_reuse_s=number("reuse_after_s", usual.address_reuse_s),
     )
 
 
--- a/rosemarydeal/policy/keyranges/table.py
+++ b/rosemarydeal/policy/keyranges/table.py
@@ -23,7 +23,6 @@
     "initial_table",
     "lookup",
     "move_all",
-    "orphans",
     "overlaps",
     "owned_by",
     "renew_life",
@@ -122,11 +121,6 @@
     return replace(table, ranges=ranges, top_token=token, writer=writer)
 
 
-def orphans(table: RangeTable, nodes: frozenset[str]) -> tuple[KeyRange, ...]:
-    """Returns the ranges whose node is none of some nodes."""
-    return tuple(keys for keys in table.ranges if keys.node not in nodes)
-
-
 def share_out(
     table: RangeTable, ranges: Sequence[KeyRange], heirs: Sequence[Member]
 ) -> list[tuple[KeyRange, Member]]:
