Close no idle connection over a request that came in the same turn

Change: the idle end waits for the reader's turn, and a request on a connection that is closing is not begun. Measured result: the new scenario fails before and passes after.

--- a/features/node.feature
+++ b/features/node.feature
@@ -82,3 +82,7 @@
     Given a deployment of 3 VMs
     When vm-b is lost and another VM of its name's address joins
     Then all keys are served again within 4 seconds
+
+  Scenario: A request that comes as its idle connection is closed is not lost
+    Given a server whose process pauses from before a request until its idle time
+    Then the caller gets its answer
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from behave import given, then, when
 
 from features.builders_fleet_types import an_identity
 from features.builders_node import Deployment, a_configuration
+from rosemarydeal.core import Address
 from rosemarydeal.node.process import NodeProcess
 from rosemarydeal.platform.errors import StoreUnavailable
+from rosemarydeal.proxy import HttpLimits, serve, whole_response
 
 # All processes share one thread, which a load of 100 requests a second fills by a
 # fifth on a quiet machine.
 LOAD_PAUSE_S = 0.03
 LEAST_REQUESTS = 201
+IDLE_S = 0.2
 
 
 def run(context, work):
@@ -357,3 +361,33 @@
         await deployment.replace("vm-b", "vm-x")
 
     run(context, reuse())
+
+
+async def pause_over_idle_end():
+    """Returns what a caller gets whose request and idle end come in one turn."""
+
+    async def answer(request):
+        return whole_response(200, b"ok")
+
+    limits = HttpLimits(idle_time_s=IDLE_S)
+    server = await serve(answer, Address("127.0.0.1", 0), limits)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.address.port)
+    await asyncio.sleep(IDLE_S / 2)
+    writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+    time.sleep(IDLE_S)  # noqa: ASYNC251 - the pause is what is tested
+    received = await reader.read(4096)
+    writer.close()
+    await server.close()
+    return received
+
+
+@given("a server whose process pauses from before a request until its idle time")
+def step_paused_server(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.received = run(context, pause_over_idle_end())
+
+
+@then("the caller gets its answer")
+def step_gets_answer(context):
+    assert context.received.startswith(b"HTTP/1.1 200"), context.received
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -154,6 +154,7 @@
         self._guard.end()
         await self._callers.drain(max(0.1, ends - now() - 0.3))
         await self._links.wait_idle(max(0.0, ends - now()))
+        await self._callers.wait_empty(max(0.0, ends - now()))
         _log.info("stopped", open=self._entry.open, serving=self._links.serving)
         await self.close()
 
--- a/rosemarydeal/proxy/server.py
+++ b/rosemarydeal/proxy/server.py
@@ -23,6 +23,10 @@
 log = structlog.get_logger(__name__)
 
 
+# Time in which a connection that the loop has accepted becomes known.
+ACCEPTED_S = 0.1
+
+
 class CallerProtocol(asyncio.StreamReaderProtocol):
     """Tells the connection at once when its caller leaves."""
 
@@ -118,6 +122,19 @@
         self._listener.close()
         for connection in tuple(self._connections):
             connection.stop()
+        # A connection that was accepted a moment ago is not counted yet.
+        await asyncio.sleep(min(timeout_s, ACCEPTED_S))
+        return await self.wait_empty(timeout_s)
+
+    async def wait_empty(self, timeout_s: float) -> bool:
+        """Waits until no connection is open.
+
+        Args:
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            Whether all connections ended in time.
+        """
         try:
             async with asyncio.timeout(timeout_s):
                 await self._empty.wait()
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -140,7 +140,7 @@
         """
         self._closing = True
         if self._waiting:
-            self._watchdog.arm(DRAIN_GRACE_S, self._writer.close)
+            self._watchdog.arm(DRAIN_GRACE_S, self._end_idle)
 
     def abort(self) -> None:
         """Cuts the connection and the request that runs on it."""
@@ -168,8 +168,8 @@
         """Serves one request and tells whether another may follow."""
         self._waiting = True
         idle_time_s = DRAIN_GRACE_S if self._closing else self._limits.idle_time_s
-        self._watchdog.arm(idle_time_s, self._writer.close)
-        if not await self._wire.wait_bytes():
+        self._watchdog.arm(idle_time_s, self._end_idle)
+        if not await self._wire.wait_bytes() or self._writer.is_closing():
             return False
         self._waiting = False
         self._watchdog.arm(self._limits.header_time_s, self._end_slow_read)
@@ -305,6 +305,20 @@
         error = BadMessage("the request came in too slowly", "request-timeout")
         self._reader.set_exception(error)
 
+    def _end_idle(self) -> None:
+        """Closes the connection unless a request came at the same moment.
+
+        After a pause of the process its bytes and this timer are due in one turn
+        of the loop; the reader takes the bytes in the next.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self._close_if_waiting)
+
+    def _close_if_waiting(self) -> None:
+        """Closes a connection on which no request has begun."""
+        if self._waiting:
+            self._writer.close()
+
     def _close(self) -> None:
         """Closes the connection once the caller took the rest, or in time."""
         self._watchdog.close()
