Take no order before it is known what a cold upstream bears

Ruled out: the length of the cold time: it was announced and known. Change: the limit follows the configuration, and the guard takes no order before it is there.

--- a/features/node.feature
+++ b/features/node.feature
@@ -86,3 +86,8 @@
   Scenario: A request that comes as its idle connection is closed is not lost
     Given a server whose process pauses from before a request until its idle time
     Then the caller gets its answer
+
+  Scenario: A cold upstream is known as such though the configuration came later
+    Given a guard whose upstream announced itself cold before the configuration came
+    Then it takes no order until the configuration is there
+    And then it starts at most 15 of 60 orders in a second
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -7,11 +7,17 @@
 
 from behave import given, then, when
 
-from features.builders_fleet_types import an_identity
+from features.builders_fleet_types import an_identity, an_order
 from features.builders_node import Deployment, a_configuration
 from rosemarydeal.core import Address
+from rosemarydeal.core.fleet import Announcement, Service
+from rosemarydeal.core.requests import Answered, NotServed
+from rosemarydeal.node.guard import Guard, GuardHooks
+from rosemarydeal.node.metrics import Metrics
 from rosemarydeal.node.process import NodeProcess
+from rosemarydeal.node.upstream import UpstreamWatch
 from rosemarydeal.platform.errors import StoreUnavailable
+from rosemarydeal.policy.dispatch.queue import Admission
 from rosemarydeal.proxy import HttpLimits, serve, whole_response
 
 # All processes share one thread, which a load of 100 requests a second fills by a
@@ -391,3 +397,51 @@
 @then("the caller gets its answer")
 def step_gets_answer(context):
     assert context.received.startswith(b"HTTP/1.1 200"), context.received
+
+
+@given("a guard whose upstream announced itself cold before the configuration came")
+def step_cold_guard(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.cold = run(context, orders_at_a_cold_guard())
+
+
+async def orders_at_a_cold_guard():
+    """Returns the first ending and how many of 60 orders were sent at once."""
+    services = []
+    sent = []
+
+    class Client:
+        async def run(self, dispatched):
+            sent.append(dispatched)
+            return Answered(200, (), b"")
+
+    identity = an_identity("vm-a", "127.0.0.1", Address("127.0.0.1", 1))
+    hooks = GuardHooks(
+        lambda key: Admission.RUN,
+        lambda: False,
+        lambda marks: None,
+        lambda: services[0] if services else None,
+    )
+    watch = UpstreamWatch(identity, lambda new, old: guard.take_state(new, old))
+    guard = Guard(identity, Client(), watch, hooks, Metrics())
+    announced = Announcement(
+        "i", 1, identity.service, identity.upstream, "z", 12, False, 3.0, 1
+    )
+    watch.take(announced)
+    early = await guard.serve(an_order())
+    services.append(Service("box-office", "/healthz", 80, 3.0, 15.0, True, 5.0))
+    guard.follow_service()
+    orders = [an_order(request_id=f"r{n}", time_left_s=0.5) for n in range(60)]
+    await asyncio.gather(*(guard.serve(order) for order in orders))
+    return early, len(sent)
+
+
+@then("it takes no order until the configuration is there")
+def step_no_order(context):
+    assert isinstance(context.cold[0], NotServed), context.cold
+
+
+@then("then it starts at most {most:d} of 60 orders in a second")
+def step_cold_starts(context, most):
+    assert 0 < context.cold[1] <= most, context.cold
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -222,6 +222,12 @@
         elif not state.alive:
             self._perform(self._queue.close(NO_UPSTREAM))
 
+    def follow_service(self) -> None:
+        """Follows a change of what a cold upstream of the service bears."""
+        service = self._hooks.service()
+        if service is not None:
+            self._cold.set_cold(self._cold.cold_until, service.cold_per_s)
+
     def set_cold_again(self, period_s: float, per_s: float) -> None:
         """Takes it that the upstream may be cold, as after a zone's return."""
         self._cold.set_cold(now() + period_s, per_s)
@@ -268,7 +274,8 @@
         if self._closed_to_new:
             return ENDING
         state = self._watch.state
-        if state is None or not state.alive:
+        # What a cold upstream bears is known with the configuration only.
+        if state is None or not state.alive or self._hooks.service() is None:
             return NO_UPSTREAM
         if self._hooks.zone_out():
             return ZONE_OUT
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -227,6 +227,7 @@
         if kind == CONFIGURATION_KIND:
             if self._records.configuration is not None:
                 self._entry.configure(self._records.configuration)
+                self._guard.follow_service()
         elif kind == ZONES_OUT_KIND:
             self._take_zones()
         elif kind == MEMBERS:
