Serve connections that the loop accepted in the turn in which a server drains

Cause: asyncio accepts a connection in one turn and makes its transport in the next; a server that was closed in between makes that fail without a log line (Server._attach asserts that the server is open), and the connection stays open, unserved, until the process ends and resets it. Seen with client and server times: connected and sent 3 to 10 ms before the close, reset 0.52 to 0.63 s later, as the process ended.

Ruled out: the closing of idle connections after 0.2 s (another peer port), and connections left in the kernel's queue (a reset would come at once).

Change: stop watching the socket, let what was accepted get its transport, accept what the kernel still holds, close, and serve those too.

The new step fails on the former server with a timeout.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -31,6 +31,7 @@
   Scenario: Graceful shutdown
     Then the proxy finishes running requests when it drains
     And the proxy answers requests that were on their way when it drains
+    And the proxy answers requests that come in any turn of the loop as it drains
 
   Scenario: Failures of upstreams
     Then the pool tells refused connections from broken ones
--- a/features/steps/proxy_steps.py
+++ b/features/steps/proxy_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import socket
 
 from behave import then
 from hypothesis import given, settings
@@ -516,3 +517,30 @@
                 assert await drained
 
     asyncio.run(check())
+
+
+@then("the proxy answers requests that come in any turn of the loop as it drains")
+def step_drain_turns(context):
+    def connect(address):
+        caller = socket.create_connection((address.host, address.port))
+        caller.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        caller.setblocking(False)
+        return caller
+
+    async def check():
+        for turns in range(6):
+            async with running() as server:
+                callers = [connect(server.address)]
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                drained = asyncio.create_task(server.drain(PATIENCE_S))
+                callers.append(connect(server.address))
+                loop = asyncio.get_running_loop()
+                async with asyncio.timeout(PATIENCE_S):
+                    got = [await loop.sock_recv(caller, 1000) for caller in callers]
+                assert all(answer.startswith(b"HTTP/1.1 200") for answer in got), turns
+                for caller in callers:
+                    caller.close()
+                assert await drained
+
+    asyncio.run(check())
--- a/rosemarydeal/proxy/server.py
+++ b/rosemarydeal/proxy/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import select
+import socket
 from collections import Counter
 
 import structlog
@@ -17,8 +17,9 @@
 __all__ = ["HttpServer", "serve"]
 
 BACKLOG = 1_024
-
-ACCEPT_TURNS = 1000
+# Turns of the loop after which a connection that it accepted has its transport;
+# asyncio drops one whose transport would be made after its server has closed.
+ACCEPTED_TURNS = 3
 
 log = structlog.get_logger(__name__)
 
@@ -73,6 +74,7 @@
         self._connections: set[ServerConnection] = set()
         self._per_host: Counter[str] = Counter()
         self._listener: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
         self._address = Address("", 0)
         self._draining = False
         self._empty = asyncio.Event()
@@ -100,13 +102,11 @@
             address: Where to listen; port 0 takes any free port.
         """
         loop = asyncio.get_running_loop()
+        self._socket = socket.create_server((address.host, address.port))
         self._listener = await loop.create_server(
-            lambda: CallerProtocol(self),
-            address.host,
-            address.port,
-            backlog=BACKLOG,
+            self._make_protocol, sock=self._socket, backlog=BACKLOG
         )
-        self._address = Address(*self._listener.sockets[0].getsockname()[:2])
+        self._address = Address(*self._socket.getsockname()[:2])
 
     async def drain(self, timeout_s: float) -> bool:
         """Stops listening and lets the requests that run finish.
@@ -117,11 +117,15 @@
         Returns:
             Whether all connections ended in time.
         """
-        await self._accept_waiting()
         self._draining = True
-        self._listener.close()
         for connection in tuple(self._connections):
             connection.stop()
+        asyncio.get_running_loop().remove_reader(self._socket.fileno())
+        for _ in range(ACCEPTED_TURNS):
+            await asyncio.sleep(0)
+        waiting = self._accept_waiting()
+        self._listener.close()
+        await self._serve_accepted(waiting)
         # A connection that was accepted a moment ago is not counted yet.
         await asyncio.sleep(min(timeout_s, ACCEPTED_S))
         return await self.wait_empty(timeout_s)
@@ -142,15 +146,30 @@
             return False
         return True
 
-    async def _accept_waiting(self) -> None:
-        """Lets the loop accept what the kernel has queued, which closing resets."""
-        poller = select.poll()
-        for listening in self._listener.sockets:
-            poller.register(listening.fileno(), select.POLLIN)
-        for _ in range(ACCEPT_TURNS):
-            if not poller.poll(0):
-                return
-            await asyncio.sleep(0)
+    def _make_protocol(self) -> CallerProtocol:
+        """Returns the protocol of a new connection."""
+        return CallerProtocol(self)
+
+    def _accept_waiting(self) -> list[socket.socket]:
+        """Accepts what the kernel has queued, which closing would reset."""
+        accepted = []
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                # Nothing waits any more, or no descriptor is left for it.
+                return accepted
+            connection.setblocking(False)
+            accepted.append(connection)
+
+    async def _serve_accepted(self, accepted: list[socket.socket]) -> None:
+        """Serves connections that were accepted as the listener closed."""
+        loop = asyncio.get_running_loop()
+        for connection in accepted:
+            try:
+                await loop.connect_accepted_socket(self._make_protocol, connection)
+            except OSError as error:
+                log.warning("accepted connection lost", detail=str(error))
 
     async def close(self) -> None:
         """Stops listening and cuts all connections."""
