Choose among a few upstreams drawn at random in a large fleet

Change: two upstreams of the own zone and one of the others are drawn for each request and the best is taken; few upstreams are all weighed, as before.

The new scenario fails without the draw (the free upstream is chosen for 100 of 300 requests, nine are never chosen).

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -74,3 +74,9 @@
     Then a nearby upstream of pace 1.0 goes before a remote one of pace 0.6
     But a nearby upstream of pace 4.0 goes after a remote one of pace 0.6
     And a nearby upstream that fails its requests goes after a remote one
+
+  Scenario: Processes that know the same old loads don't all choose one upstream
+    Given 29 upstreams in 3 zones of which one was free when loads were told
+    When 60 processes choose for 5 requests each by these loads
+    Then no upstream is chosen more than 4 times as often as the mean
+    And each upstream is chosen
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 from bisect import bisect_right
+from collections import Counter
 
 from behave import given, then, when
 
@@ -14,7 +16,7 @@
 from rosemarydeal.policy.dispatch.queue import Admission, Refuse, Start
 from rosemarydeal.policy.dispatch.retry_budget import RetryBudget
 from rosemarydeal.policy.requests import attempts
-from rosemarydeal.policy.routing.choice import Candidate, Job, choose
+from rosemarydeal.policy.routing.choice import Candidate, Job, choose, shortlist
 from rosemarydeal.policy.routing.routebook import choose_service
 
 ENDINGS = {
@@ -281,3 +283,36 @@
 @then("a nearby upstream that fails its requests goes after a remote one")
 def step_failing(context):
     assert chosen_of(context, 1.0, 1.0, near_failing=0.8) == "far"
+
+
+@given("{count:d} upstreams in 3 zones of which one was free when loads were told")
+def step_stale_loads(context, count):
+    context.upstreams = [(f"n{i}", i % 3, 0 if i == 4 else 2) for i in range(count)]
+
+
+@when("{processes:d} processes choose for {requests:d} requests each by these loads")
+def step_choose_stale(context, processes, requests):
+    job = Job(0.055, 0.2, 700.0)
+    context.chosen = Counter(
+        dict.fromkeys((name for name, _, _ in context.upstreams), 0)
+    )
+    for process in range(processes):
+        rng = random.Random(process)
+        known = [
+            Candidate(name, zone == process % 3, 9, 0, load, 1.0, 0.0)
+            for name, zone, load in context.upstreams
+        ]
+        for _ in range(requests):
+            drawn = shortlist(known, rng)
+            context.chosen[choose(drawn, job, rng.random())] += 1
+
+
+@then("no upstream is chosen more than {most:d} times as often as the mean")
+def step_not_herded(context, most):
+    mean = sum(context.chosen.values()) / len(context.chosen)
+    assert max(context.chosen.values()) <= most * mean, context.chosen
+
+
+@then("each upstream is chosen")
+def step_each_chosen(context):
+    assert min(context.chosen.values()) > 0, context.chosen
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -25,7 +25,7 @@
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.requests import attempts
 from rosemarydeal.policy.requests.returning import ReturningCallers
-from rosemarydeal.policy.routing.choice import Candidate, choose
+from rosemarydeal.policy.routing.choice import Candidate, choose, shortlist
 from rosemarydeal.policy.routing.jobs import JobEstimates
 from rosemarydeal.policy.routing.routebook import RouteBook, choose_service
 from rosemarydeal.proxy import Request, Response
@@ -80,7 +80,8 @@
         self._metrics = metrics
         self._configuration: Configuration | None = None
         self._book: RouteBook | None = None
-        self._start = random.random()
+        self._random = random.Random()
+        self._start = self._random.random()
         self._counts: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._returning = ReturningCallers()
@@ -249,7 +250,8 @@
             candidate = self._candidate(member)
             if candidate is not None:
                 candidates.append(candidate)
-        return choose(candidates, self._jobs.job(progress.route), random.random())
+        drawn = shortlist(candidates, self._random)
+        return choose(drawn, self._jobs.job(progress.route), self._random.random())
 
     def _candidate(self, member: Member) -> Candidate | None:
         """Returns what is known of an upstream that can be reached."""
--- a/rosemarydeal/policy/routing/choice.py
+++ b/rosemarydeal/policy/routing/choice.py
@@ -5,14 +5,19 @@
 zones. What counts is whether the answer comes within its target: an upstream
 nearby is taken though it is slower, as long as it is fast enough, and one in
 another zone has to be better by what the carriage of the answer is worth.
+
+In a large fleet all processes know the same loads, some seconds old, and would
+all send to the upstream that was free then. Each request is therefore chosen
+for among a few upstreams drawn at random.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import random
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-__all__ = ["Candidate", "Job", "choose"]
+__all__ = ["Candidate", "Job", "choose", "shortlist"]
 
 # An answer of this length is worth as much as its carriage between zones.
 ANSWER_WORTH_BYTES = 22_000
@@ -21,6 +26,10 @@
 # Cost of an upstream that fails all its requests.
 FAILURE_COST = 4.0
 EQUAL_COST = 1e-6
+# Upstreams drawn for a request: the best of two is known to be far better than
+# one at random, and more of them would send more to the one that was free.
+NEAR_DRAWN = 2
+FAR_DRAWN = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +70,23 @@
     failing: float
 
 
+def shortlist(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Sequence[Candidate]:
+    """Returns the upstreams that a request is chosen for among.
+
+    Args:
+        candidates: Upstreams that take work and have not been tried yet.
+        rng: Draws them; few are all taken.
+    """
+    if len(candidates) <= NEAR_DRAWN + FAR_DRAWN:
+        return candidates
+    near = [candidate for candidate in candidates if candidate.same_zone]
+    far = [candidate for candidate in candidates if not candidate.same_zone]
+    drawn = rng.sample(near, min(NEAR_DRAWN, len(near)))
+    return drawn + rng.sample(far, min(FAR_DRAWN, len(far)))
+
+
 def choose(candidates: Iterable[Candidate], job: Job, chance: float) -> str | None:
     """Returns the node to send to, or None without candidates.
 
