Send orders over connections that were used a moment ago

Change: requests that may run once take a kept connection that has rested for 0.2 s at most, or a new one within the pool's limit. Others are repeated as before, within the budget.

Before: the new step ends in SendFailed; after: it passes.

--- a/features/proxy.feature
+++ b/features/proxy.feature
@@ -43,6 +43,7 @@
   Scenario: Connections that are shared
     Then the pool replaces a kept connection that was closed
     And the pool never retries after the first byte
+    And the pool passes over a kept connection that has rested for too long
     And the pool drops a connection that got bytes unasked
     And the pool keeps to its number of connections
     And the pool never crosses answers
--- a/features/steps/proxy_pool_steps.py
+++ b/features/steps/proxy_pool_steps.py
@@ -186,6 +186,35 @@
     asyncio.run(check())
 
 
+@then("the pool passes over a kept connection that has rested for too long")
+def step_rested(context):
+    # The upstream forgets a connection that has rested for 0.3 s.
+    async def serve_one(reader, writer):
+        try:
+            async with asyncio.timeout(0.3) as time:
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    time.reschedule(asyncio.get_running_loop().time() + 0.3)
+        except TimeoutError:
+            await reader.read(1)
+            writer.transport.abort()
+
+    async def check():
+        async with (
+            raw_upstream(serve_one) as address,
+            pool() as (connections, opened),
+        ):
+            for rest_s in (0.0, 0.05, 0.5, 0.05, 0.5):
+                await asyncio.sleep(rest_s)
+                response = await connections.send(address, request(), PATIENCE_S, 0.2)
+                assert response.status == 200
+                await read_whole(response.body, 9)
+            assert len(opened) == 3, len(opened)
+
+    asyncio.run(check())
+
+
 @then("the pool never retries after the first byte")
 def step_no_retry(context):
     heads = []
--- a/rosemarydeal/core/requests.py
+++ b/rosemarydeal/core/requests.py
@@ -84,11 +84,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatched:
-    """Is an order on its way to the upstream, with the instance meant."""
+    """Is an order on its way to the upstream.
+
+    Attributes:
+        order: The order.
+        instance: The upstream's instance that is meant.
+        time_left_s: Time until nobody waits for the answer, in seconds.
+        longest_rest_s: How long a kept connection that carries it may have
+            rested, in seconds; None for any time.
+    """
 
     order: Order
     instance: str
     time_left_s: float
+    longest_rest_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -317,7 +317,12 @@
         """Sends a request to the upstream and ends it."""
         state = self._watch.state
         left = served.give_up_at - now()
-        dispatched = Dispatched(served.order, state.announcement.instance, left)
+        dispatched = Dispatched(
+            served.order,
+            state.announcement.instance,
+            left,
+            attempts.longest_rest(served.order.idempotent),
+        )
         started = now()
         result: UpstreamResult | None = None
         try:
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -134,7 +134,10 @@
         )
         try:
             response = await self._pool.send(
-                self._address, request, dispatched.time_left_s
+                self._address,
+                request,
+                dispatched.time_left_s,
+                dispatched.longest_rest_s,
             )
             body = await read_whole(response.body, MAX_ANSWER_BYTES)
         except ProxyTimeout as error:
--- a/rosemarydeal/policy/requests/attempts.py
+++ b/rosemarydeal/policy/requests/attempts.py
@@ -16,6 +16,7 @@
     "after",
     "final",
     "labels",
+    "longest_rest",
     "no_upstream",
     "out_of_time",
     "park_time",
@@ -32,6 +33,9 @@
 # A process that is restarted is back after about this long.
 RETURN_AFTER_S = 0.6
 SERVER_ERROR = 500
+# Upstreams have been seen to forget connections that rested for 0.3 s; what is
+# sent there is reset, and a request that may run once is then undecided.
+ONCE_REST_S = 0.2
 # Parts of the retry budget. Repeating what has run repeats its calls too, which
 # count at the services called.
 REJECTED_PART = 0.5
@@ -132,6 +136,16 @@
     return min(PARK_S, PARK_SHARE * time_left_s)
 
 
+def longest_rest(idempotent: bool) -> float | None:
+    """Returns how long a kept connection may have rested that carries a request.
+
+    Load pattern: upstreams that drop idle connections without notice and sooner
+    than usual. A request that may be repeated is; the other kind goes over a
+    connection that was used a moment ago, or over a new one.
+    """
+    return None if idempotent else ONCE_REST_S
+
+
 def labels(ending: Ending) -> tuple[str, str]:
     """Returns outcome and code of an ending, for logs and metrics."""
     match ending:
--- a/rosemarydeal/proxy/client.py
+++ b/rosemarydeal/proxy/client.py
@@ -76,7 +76,11 @@
         return pool.open if pool is not None else 0
 
     async def send(
-        self, address: Address, request: Request, timeout_s: float
+        self,
+        address: Address,
+        request: Request,
+        timeout_s: float,
+        longest_rest_s: float | None = None,
     ) -> Response:
         """Sends a request and returns the response once its head is there.
 
@@ -86,6 +90,9 @@
             address: Where to send the request.
             request: The request; its body is streamed.
             timeout_s: Time for the whole exchange, the body included.
+            longest_rest_s: How long a kept connection may have been unused; a
+                new one is opened otherwise, within the pool's limit. None takes
+                any.
 
         Returns:
             The response.
@@ -98,7 +105,7 @@
         """
         deadline = asyncio.get_running_loop().time() + timeout_s
         while True:
-            connection = await self._acquire(address, deadline)
+            connection = await self._acquire(address, deadline, longest_rest_s)
             if connection.stale:
                 connection.abort()
                 continue
@@ -113,14 +120,17 @@
             for connection, _ in tuple(pool.idle):
                 connection.abort()
 
-    async def _acquire(self, address: Address, deadline: float) -> ClientConnection:
+    async def _acquire(
+        self, address: Address, deadline: float, longest_rest_s: float | None
+    ) -> ClientConnection:
         """Returns a kept connection or a new one, waiting for a free place."""
         pool = self._addresses.setdefault(address, AddressPool())
         while not pool.idle and pool.open >= self._settings.connections_per_address:
             await self._wait_for_place(pool, deadline)
             # The entry may have been dropped with its last connection.
             pool = self._addresses.setdefault(address, AddressPool())
-        if pool.idle:
+        room = pool.open < self._settings.connections_per_address
+        if pool.idle and not (room and _rested(pool, longest_rest_s)):
             return pool.idle.pop()[0]
         pool.open += 1
         try:
@@ -216,3 +226,10 @@
                     connection.abort()
         if self.idle:
             self._sweep = loop.call_later(self._settings.idle_time_s, self._close_idle)
+
+
+def _rested(pool: AddressPool, longest_s: float | None) -> bool:
+    """Tells whether the connection used last has rested for longer than a time."""
+    if longest_s is None:
+        return False
+    return asyncio.get_running_loop().time() - pool.idle[-1][1] > longest_s
