Watch members and tables by cheap late reads in a large fleet

Ruled out: a few watchers for each zone, which need an election and a watch over the watchers; peers already tell of each change as it is written.

Operators' kinds, listings and the reads that confirm tenures stay strict.

The new scenario fails when changes are not told by peers.

--- a/features/node.feature
+++ b/features/node.feature
@@ -32,6 +32,12 @@
     When the upstream of vm-b crashes
     Then all keys are served again within 2 seconds
 
+  Scenario: Peers tell of moved keys what the store tells a large fleet late
+    Given a deployment of 3 VMs that counts as large, and a store that is 3 seconds late
+    When the upstream of vm-b crashes
+    Then all keys are served again within 2 seconds
+    And no key was ever held by two upstreams
+
   Scenario: A process that the store turns away hands its keys over through peers
     Given a deployment of 3 VMs
     When the store turns vm-b away and its upstream drains
--- a/features/standin_store.py
+++ b/features/standin_store.py
@@ -27,6 +27,7 @@
         self.oldest = 0
         self.turns_away = set()
         self.lose_answers = 0
+        self.stale_s = 0.0
         self.calls = []
         self._changed = asyncio.Event()
         self._server = None
@@ -77,6 +78,8 @@
         if after < self.oldest:
             return _json(410, {})
         ends = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
+        if "allow_stale" in query:
+            await asyncio.sleep(self.stale_s)
         while True:
             found = [e for r, k, e in self.events if k == kind and r > after]
             left = ends - asyncio.get_running_loop().time()
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -12,6 +12,7 @@
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import Announcement, Service
 from rosemarydeal.core.requests import Answered, NotServed
+from rosemarydeal.node import following
 from rosemarydeal.node.guard import Guard, GuardHooks
 from rosemarydeal.node.metrics import Metrics
 from rosemarydeal.node.process import NodeProcess
@@ -49,6 +50,18 @@
         await asyncio.sleep(0.005)
 
 
+@given(
+    "a deployment of {count:d} VMs that counts as large,"
+    " and a store that is {seconds:d} seconds late"
+)
+def step_large_deployment(context, count, seconds):
+    usual = following.GATHER_FLEET
+    following.GATHER_FLEET = 1
+    context.add_cleanup(setattr, following, "GATHER_FLEET", usual)
+    step_deployment(context, count)
+    context.deployment.store.stale_s = seconds
+
+
 @given("a deployment of {count:d} VMs")
 @given("a deployment of {count:d} VM")
 def step_deployment(context, count):
--- a/rosemarydeal/node/following.py
+++ b/rosemarydeal/node/following.py
@@ -31,7 +31,8 @@
 # to be in force within two seconds; tables are told by those who write them.
 GATHER_S = {CONFIGURATION_KIND: 0.15, ZONES_OUT_KIND: 0.15, MEMBERS: 0.6, RANGES: 0.8}
 # Larger fleets gather for longer, so that all processes together call the store
-# as often for each change; peers tell of changes meanwhile.
+# as often for each change, and are content with late news from it; peers tell of
+# changes meanwhile.
 GATHER_FLEET = 20
 SLOW_KINDS = (MEMBERS, RANGES)
 RETRY_FIRST_S = 0.15
@@ -80,6 +81,11 @@
         self._ahead: dict[str, _Ahead] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def _is_large(self) -> bool:
+        """Tells whether the fleet is one that spares the store."""
+        return len(self._records.members) > GATHER_FLEET
+
     def start(self) -> None:
         """Starts to follow all kinds."""
         for kind in KINDS:
@@ -135,7 +141,8 @@
     async def _watch(self, kind: str) -> None:
         """Waits for changes of a kind and takes them in."""
         revision = self._records.revision(kind)
-        listing = await self._store.watch(kind, revision, WATCH_S)
+        stale = kind in SLOW_KINDS and self._is_large
+        listing = await self._store.watch(kind, revision, WATCH_S, stale)
         self._records.take_changes(kind, listing)
         if listing.objects:
             # Changes that come together are taken in one call.
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -24,6 +24,7 @@
 
 MS_PER_S = 1000.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+STALE_QUERY = "&allow_stale=1"
 FOUND = (200, 201)
 MISSING = 404
 CONFLICT = 409
@@ -133,13 +134,23 @@
         status, body = await self._call(b"GET", f"{kind}/{name}")
         return None if status == MISSING else _whole(kind, status, body)
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> Listing:
+    async def watch(
+        self, kind: str, revision: int, wait_s: float, stale: bool = False
+    ) -> Listing:
         """Waits for changes of a kind after a revision.
 
+        Args:
+            kind: The kind.
+            revision: Revision up to which changes are known.
+            wait_s: Longest wait for a change, in seconds.
+            stale: Whether changes may be told seconds late, which costs a tenth.
+
         Raises:
             HistoryGone: The store has dropped the history since that revision.
         """
         query = f"?watch={revision}&wait_ms={int(wait_s * MS_PER_S)}"
+        if stale:
+            query += STALE_QUERY
         wait = wait_s + self._settings.watch_slack_s
         status, body = await self._call(b"GET", kind + query, wait=wait)
         if status == GONE:
