Check that a table that was written is known everywhere at once

The scenario now asks that all processes know the table 0.3 s after its write; it fails without the notices and passes with them.

--- a/features/node.feature
+++ b/features/node.feature
@@ -35,7 +35,8 @@
   Scenario: Peers tell of moved keys what the store tells a large fleet late
     Given a deployment of 3 VMs that counts as large, and a store that is 3 seconds late
     When the upstream of vm-b crashes
-    Then all keys are served again within 2 seconds
+    Then all processes know the table that is written then within 0.3 seconds
+    And all keys are served again within 2 seconds
     And no key was ever held by two upstreams
 
   Scenario: A process that the store turns away hands its keys over through peers
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -16,6 +16,7 @@
 from rosemarydeal.node.guard import Guard, GuardHooks
 from rosemarydeal.node.metrics import Metrics
 from rosemarydeal.node.process import NodeProcess
+from rosemarydeal.node.records import RANGES
 from rosemarydeal.node.upstream import UpstreamWatch
 from rosemarydeal.platform.errors import StoreUnavailable
 from rosemarydeal.policy.dispatch.queue import Admission
@@ -214,8 +215,28 @@
     assert endpoint.arrived_after_drain == 0
 
 
+def table_revision(context):
+    table = context.deployment.store.objects[RANGES, "box-office"]
+    return table["metadata"]["rev"]
+
+
+@then("all processes know the table that is written then within {seconds:f} seconds")
+def step_table_known(context, seconds):
+    deployment = context.deployment
+
+    def known():
+        records = [node._records for node in deployment.nodes.values()]
+        return all(r.changed(RANGES) >= table_revision(context) for r in records)
+
+    written = deployment.wait(lambda: table_revision(context) > context.written, 2.0)
+    run(context, written)
+    run(context, deployment.wait(known, seconds))
+
+
 @when("the upstream of vm-b crashes")
 def step_crash(context):
+    context.written = table_revision(context)
+
     async def crash():
         # A request that meets the crash shows it; silence alone takes longer.
         await context.deployment.endpoints.pop("vm-b").stop()
