Look less often at what is due in a large fleet

Ruled out: pings (35 a second, some 50 us each).

Change: above 20 processes what is due is looked at less often, by their number; what happens to the own upstream is looked at at once.

--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -37,6 +37,9 @@
 __all__ = ["Ownership"]
 
 STEP_S = 0.1
+# Larger fleets look less often what is due, as each look costs more there; what
+# happens to the own upstream is looked at without delay.
+STEP_FLEET = 20
 BALANCE_PERIOD_S = 0.4
 # Demand is measured over a second, so that a move shows after one.
 AFTER_MOVE_S = 1.0
@@ -80,6 +83,7 @@
         self._background: set[asyncio.Task[None]] = set()
         self._suspicions: dict[tuple[str, int], float] = {}
         self._balance_at = 0.0
+        self._propose_at = 0.0
         self._stopping = False
 
     def attach(self, guard: Guard) -> None:
@@ -159,6 +163,7 @@
         state = self._watch.state
         if state is None or not state.alive:
             self._grants.clear()
+        self._propose_at = 0.0
         self.follow_table()
 
     def _step(self) -> None:
@@ -168,9 +173,12 @@
             self._confirming = True
             self._spawn(self._confirm())
         self._follow_grants()
+        if self._writing or moment < self._propose_at:
+            return
+        nodes = len(self._records.members)
+        self._propose_at = moment + STEP_S * max(0.5, nodes / STEP_FLEET)
         self._note_suspicions(moment)
-        if not self._writing:
-            self._propose(moment)
+        self._propose(moment)
 
     async def _confirm(self) -> None:
         """Reads the table from the store to extend the tenure."""
