--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -16,6 +16,10 @@
 from rosemarydeal.proxy import Pool, PoolSettings, Request, WholeBody, read_whole
 
 HOST = "h.example"
+# All processes share one thread, which a load of 100 requests a second fills by a
+# fifth on a quiet machine.
+LOAD_PAUSE_S = 0.03
+LEAST_REQUESTS = 201
 
 
 def a_configuration(version=1, service="box-office", prefix="/a/", timeout_ms=4000):
@@ -144,3 +148,44 @@
         body = await read_whole(response.body, 1 << 20)
         seconds = asyncio.get_running_loop().time() - began
         return Answer(response.status, body, dict(response.headers), seconds)
+
+
+def run(context, work):
+    return context.loop.run_until_complete(work)
+
+
+def close(context):
+    context.watcher.cancel()
+    run(context, asyncio.gather(context.watcher, return_exceptions=True))
+    run(context, context.deployment.close())
+    run(context, asyncio.sleep(0.05))
+    context.loop.close()
+
+
+async def watch_holders(deployment, doubled):
+    """Notes each key that two upstreams hold at a time."""
+    while True:
+        for key in deployment.sample():
+            holders = deployment.holders(key)
+            if len(holders) > 1:
+                doubled.append((key, holders))
+        await asyncio.sleep(0.005)
+
+
+async def load(deployment, seconds):
+    """Asks without pause from all VMs; returns the answers."""
+    answers = []
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + seconds
+    key, tasks = 0, []
+
+    async def one(name, key):
+        answers.append(await deployment.ask(name, key))
+
+    while loop.time() < ends or len(tasks) < LEAST_REQUESTS * (seconds > 1.0):
+        for name in deployment.nodes:
+            key = (key + 4099) % 65536
+            tasks.append(asyncio.create_task(one(name, key)))
+        await asyncio.sleep(LOAD_PAUSE_S)
+    await asyncio.gather(*tasks)
+    return answers
--- /dev/null
+++ b/features/steps/node_parts_steps.py
@@ -0,0 +1,101 @@
+"""Steps for single tasks of a node process."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from behave import given, then
+
+from features.builders_fleet_types import an_identity, an_order
+from features.builders_node import (
+    run,
+)
+from rosemarydeal.core import Address
+from rosemarydeal.core.fleet import Announcement, Service
+from rosemarydeal.core.requests import Answered, NotServed
+from rosemarydeal.node.guard import Guard, GuardHooks
+from rosemarydeal.node.metrics import Metrics
+from rosemarydeal.node.upstream import UpstreamWatch
+from rosemarydeal.policy.dispatch.queue import Admission
+from rosemarydeal.proxy import HttpLimits, serve, whole_response
+
+IDLE_S = 0.2
+
+
+async def pause_over_idle_end():
+    """Returns what a caller gets whose request and idle end come in one turn."""
+
+    async def answer(request):
+        return whole_response(200, b"ok")
+
+    limits = HttpLimits(idle_time_s=IDLE_S)
+    server = await serve(answer, Address("127.0.0.1", 0), limits)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.address.port)
+    await asyncio.sleep(IDLE_S / 2)
+    writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+    time.sleep(IDLE_S)  # noqa: ASYNC251 - the pause is what is tested
+    received = await reader.read(4096)
+    writer.close()
+    await server.close()
+    return received
+
+
+@given("a server whose process pauses from before a request until its idle time")
+def step_paused_server(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.received = run(context, pause_over_idle_end())
+
+
+@then("the caller gets its answer")
+def step_gets_answer(context):
+    assert context.received.startswith(b"HTTP/1.1 200"), context.received
+
+
+@given("a guard whose upstream announced itself cold before the configuration came")
+def step_cold_guard(context):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.cold = run(context, orders_at_a_cold_guard())
+
+
+async def orders_at_a_cold_guard():
+    """Returns the first ending and how many of 60 orders were sent at once."""
+    services = []
+    sent = []
+
+    class Client:
+        async def run(self, dispatched):
+            sent.append(dispatched)
+            return Answered(200, (), b"")
+
+    identity = an_identity("vm-a", "127.0.0.1", Address("127.0.0.1", 1))
+    hooks = GuardHooks(
+        lambda key: Admission.RUN,
+        lambda: False,
+        lambda marks: None,
+        lambda: services[0] if services else None,
+    )
+    watch = UpstreamWatch(identity, lambda new, old: guard.take_state(new, old))
+    guard = Guard(identity, Client(), watch, hooks, Metrics())
+    announced = Announcement(
+        "i", 1, identity.service, identity.upstream, "z", 12, False, 3.0, 1
+    )
+    watch.take(announced)
+    early = await guard.serve(an_order())
+    services.append(Service("box-office", "/healthz", 80, 3.0, 15.0, True, 5.0))
+    guard.follow_service()
+    orders = [an_order(request_id=f"r{n}", time_left_s=0.5) for n in range(60)]
+    await asyncio.gather(*(guard.serve(order) for order in orders))
+    return early, len(sent)
+
+
+@then("it takes no order until the configuration is there")
+def step_no_order(context):
+    assert isinstance(context.cold[0], NotServed), context.cold
+
+
+@then("then it starts at most {most:d} of 60 orders in a second")
+def step_cold_starts(context, most):
+    assert 0 < context.cold[1] <= most, context.cold
