Ask an overloaded owner of a key once

Ruled out: bounding the hops of all refusals, since keys that move are found by asking again.

Change: the queue says that a refusal for a key can't be mended elsewhere; a process that does not own the key says so as before.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -80,3 +80,9 @@
     When 60 processes choose for 5 requests each by these loads
     Then no upstream is chosen more than 4 times as often as the mean
     And each upstream is chosen
+
+  Scenario: The owner of a key that is overloaded is asked once
+    Given an upstream whose slots and queue are full
+    When a lookup for a key comes that can't be in time
+    Then it is turned away, and its process asks nobody again
+    But a lookup without a key is offered to another upstream
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -316,3 +316,35 @@
 @then("each upstream is chosen")
 def step_each_chosen(context):
     assert min(context.chosen.values()) > 0, context.chosen
+
+
+@given("an upstream whose slots and queue are full")
+def step_full(context):
+    context.queue = a_queue(slots=1, service_s={"lookup": 0.5})
+    for number in range(8):
+        context.queue.offer(a_waiting(number, 0.0, left_s=6.0), 0.0)
+
+
+def refusal_of(queue, number, key):
+    waiting = a_waiting(number, 0.0, target_s=0.9, left_s=1.0, key=key)
+    (refused,) = queue.offer(waiting, 0.0)
+    assert isinstance(refused, Refuse), refused
+    return refused.outcome
+
+
+@when("a lookup for a key comes that can't be in time")
+def step_keyed_refused(context):
+    context.refused = refusal_of(context.queue, 100, key=7)
+
+
+@then("it is turned away, and its process asks nobody again")
+def step_not_again(context):
+    made = attempts.Attempts(True, 2)
+    assert attempts.after(made, context.refused, keyed=True) is None, context.refused
+
+
+@then("a lookup without a key is offered to another upstream")
+def step_offered(context):
+    made = attempts.Attempts(True, 2)
+    refused = refusal_of(context.queue, 101, key=None)
+    assert attempts.after(made, refused, keyed=False) is not None, refused
--- a/rosemarydeal/policy/dispatch/queue.py
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -268,7 +268,8 @@
         room_after = max(MIN_RETRY_AFTER_S, wait - self._expected(waiting))
         most = max(0.0, waiting.give_up_at - now) / 3.0
         retry_after = room_after if room_after <= most else None
-        return NotServed(code, retry_after, elsewhere=True)
+        # One upstream only may run a request for a key.
+        return NotServed(code, retry_after, elsewhere=waiting.key is None)
 
 
 def _place(waiting: Waiting) -> tuple[int, float]:
