--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -326,7 +326,7 @@
 
 
 def refusal_of(queue, number, key):
-    waiting = a_waiting(number, 0.0, target_s=0.9, left_s=1.0, key=key)
+    waiting = a_waiting(number, 0.0, target_s=0.55, left_s=0.6, key=key)
     (refused,) = queue.offer(waiting, 0.0)
     assert isinstance(refused, Refuse), refused
     return refused.outcome
