Give the overloaded owner of the scenario a long queue

The scenario still passed on the former queue: its refusal went before what waited and carried a time to come back. With seven waiting requests whose targets are earlier it carries none. Run and seen now: it fails on the former queue (asked again) and passes on this one.

--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -322,11 +322,11 @@
 def step_full(context):
     context.queue = a_queue(slots=1, service_s={"lookup": 0.5})
     for number in range(8):
-        context.queue.offer(a_waiting(number, 0.0, left_s=6.0), 0.0)
+        context.queue.offer(a_waiting(number, 0.0, target_s=5.0, left_s=6.0), 0.0)
 
 
 def refusal_of(queue, number, key):
-    waiting = a_waiting(number, 0.0, target_s=0.55, left_s=0.6, key=key)
+    waiting = a_waiting(number, 0.0, target_s=5.5, left_s=2.0, key=key)
     (refused,) = queue.offer(waiting, 0.0)
     assert isinstance(refused, Refuse), refused
     return refused.outcome
