--- a/rosemarydeal/policy/routing/choice.py
+++ b/rosemarydeal/policy/routing/choice.py
@@ -30,6 +30,9 @@
 # one at random, and more of them would send more to the one that was free.
 NEAR_DRAWN = 2
 FAR_DRAWN = 1
+# Up to so many are all weighed: few processes send there, and know loads that
+# are half a second old.
+ALL_WEIGHED = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +82,7 @@
         candidates: Upstreams that take work and have not been tried yet.
         rng: Draws them; few are all taken.
     """
-    if len(candidates) <= NEAR_DRAWN + FAR_DRAWN:
+    if len(candidates) <= ALL_WEIGHED:
         return candidates
     near = [candidate for candidate in candidates if candidate.same_zone]
     far = [candidate for candidate in candidates if not candidate.same_zone]
