Send one request of each process to an upstream that has just joined

Ruled out: trusting the pace that it published, which is what was done.

Change: an upstream to which this process has sent nothing in its present life goes first, once.

Before: the new scenario fails; after: it passes.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -86,3 +86,8 @@
     When a lookup for a key comes that can't be in time
     Then it is turned away, and its process asks nobody again
     But a lookup without a key is offered to another upstream
+
+  Scenario: An upstream that has just joined is sent one request by each process
+    Given lookups of 0.2 seconds with a target of 0.6 seconds and long answers
+    Then a new remote upstream of pace 3.0 goes before a nearby one
+    But a remote upstream of pace 3.0 that was tried goes after a nearby one
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -348,3 +348,19 @@
     made = attempts.Attempts(True, 2)
     refused = refusal_of(context.queue, 101, key=None)
     assert attempts.after(made, refused, keyed=False) is not None, refused
+
+
+def choose_joined(context, pace, untried):
+    joined = Candidate("joined", False, 12, 0, 0, pace, 0.0, untried)
+    near = Candidate("near", True, 12, 2, 2, 1.0, 0.0)
+    return choose([joined, near], context.job, 0.5)
+
+
+@then("a new remote upstream of pace {pace:f} goes before a nearby one")
+def step_untried(context, pace):
+    assert choose_joined(context, pace, True) == "joined"
+
+
+@then("a remote upstream of pace {pace:f} that was tried goes after a nearby one")
+def step_tried(context, pace):
+    assert choose_joined(context, pace, False) == "near"
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -85,6 +85,7 @@
         self._counts: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._returning = ReturningCallers()
+        self._lives_tried: dict[str, str] = {}
         self._jobs = JobEstimates()
         self._open = 0
 
@@ -251,24 +252,31 @@
             if candidate is not None:
                 candidates.append(candidate)
         drawn = shortlist(candidates, self._random)
-        return choose(drawn, self._jobs.job(progress.route), self._random.random())
+        chance = self._random.random()
+        node = choose(drawn, self._jobs.job(progress.route), chance)
+        if node is not None:
+            self._lives_tried[node] = self._records.members[node].life
+        return node
 
     def _candidate(self, member: Member) -> Candidate | None:
         """Returns what is known of an upstream that can be reached."""
         node, slots = member.node, member.slots
+        untried = self._lives_tried.get(node) != member.life
         same_zone = member.zone == self._identity.zone
         failing = self._health.failing(node, now())
         if node == self._identity.node:
             load = self._guard.running + self._guard.waiting
             pace = self._guard.pace
-            return Candidate(node, same_zone, slots, load, load, pace, failing)
+            return Candidate(node, same_zone, slots, load, load, pace, failing, untried)
         if not self._links.is_up(node) or self._links.is_leaving(node):
             return None
         state = self._links.state(node)
         reported = state.running + state.waiting if state is not None else 0
         pace = state.pace if state is not None else member.pace
         outstanding = self._links.outstanding(node)
-        return Candidate(node, same_zone, slots, outstanding, reported, pace, failing)
+        return Candidate(
+            node, same_zone, slots, outstanding, reported, pace, failing, untried
+        )
 
     def _service_of(self, route: Route) -> str:
         """Returns the service that the next request of a route goes to."""
--- a/rosemarydeal/policy/routing/choice.py
+++ b/rosemarydeal/policy/routing/choice.py
@@ -9,6 +9,9 @@
 In a large fleet all processes know the same loads, some seconds old, and would
 all send to the upstream that was free then. Each request is therefore chosen
 for among a few upstreams drawn at random.
+
+An upstream that has just joined is sent one request by each process whatever it
+seems to cost: only its own answers show how fast it is.
 """
 
 from __future__ import annotations
@@ -62,6 +65,7 @@
         reported: Requests running and waiting there, as it said last.
         pace: How long work takes there, 1.0 as usual.
         failing: Share of its recent requests that failed, 0 to 1.
+        untried: Whether this process has sent it nothing in its present life.
     """
 
     node: str
@@ -71,6 +75,7 @@
     reported: int
     pace: float
     failing: float
+    untried: bool = False
 
 
 def shortlist(
@@ -108,6 +113,8 @@
 
 def _cost(candidate: Candidate, job: Job) -> float:
     """Returns the worth that is likely lost by sending a request there."""
+    if candidate.untried:
+        return 0.0
     load = max(candidate.outstanding, candidate.reported) + 1
     filled = load / max(1, candidate.slots)
     # Below full slots nobody waits, but a fuller upstream is nearer to it.
