Draw upstreams before looking at what is known of them

Ruled out so far: looks at what is due (0.3 % of a core), the table's changes.

Change: the draw is made among the members, by availability zone, and only the drawn ones are weighed. Up to eight upstreams nothing changes.

--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -303,7 +303,9 @@
             for name, zone, load in context.upstreams
         ]
         for _ in range(requests):
-            drawn = shortlist(known, rng)
+            near = [upstream for upstream in known if upstream.same_zone]
+            far = [upstream for upstream in known if not upstream.same_zone]
+            drawn = shortlist(near, far, rng)
             context.chosen[choose(drawn, job, rng.random())] += 1
 
 
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -242,34 +242,39 @@
     def _choose(self, progress: _Progress, tried: set[str]) -> str | None:
         """Returns the best upstream for a request without a key."""
         out = self._records.zones_out
-        candidates = []
+        near: list[Member] = []
+        far: list[Member] = []
         for member in self._records.members.values():
             if member.service != progress.service or not member.accepting:
                 continue
             if member.node in tried or member.zone in out:
                 continue
-            candidate = self._candidate(member)
-            if candidate is not None:
-                candidates.append(candidate)
-        drawn = shortlist(candidates, self._random)
-        chance = self._random.random()
-        node = choose(drawn, self._jobs.job(progress.route), chance)
+            if self._is_reachable(member.node):
+                same_zone = member.zone == self._identity.zone
+                (near if same_zone else far).append(member)
+        drawn = map(self._candidate, shortlist(near, far, self._random))
+        job = self._jobs.job(progress.route)
+        node = choose(drawn, job, self._random.random())
         if node is not None:
             self._lives_tried[node] = self._records.members[node].life
         return node
 
-    def _candidate(self, member: Member) -> Candidate | None:
+    def _is_reachable(self, node: str) -> bool:
+        """Tells whether requests can be sent to a node."""
+        if node == self._identity.node:
+            return True
+        return self._links.is_up(node) and not self._links.is_leaving(node)
+
+    def _candidate(self, member: Member) -> Candidate:
         """Returns what is known of an upstream that can be reached."""
         node, slots = member.node, member.slots
-        untried = self._lives_tried.get(node) != member.life
         same_zone = member.zone == self._identity.zone
         failing = self._health.failing(node, now())
+        untried = self._lives_tried.get(node) != member.life
         if node == self._identity.node:
             load = self._guard.running + self._guard.waiting
             pace = self._guard.pace
             return Candidate(node, same_zone, slots, load, load, pace, failing, untried)
-        if not self._links.is_up(node) or self._links.is_leaving(node):
-            return None
         state = self._links.state(node)
         reported = state.running + state.waiting if state is not None else 0
         pace = state.pace if state is not None else member.pace
--- a/rosemarydeal/policy/routing/choice.py
+++ b/rosemarydeal/policy/routing/choice.py
@@ -19,6 +19,7 @@
 import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 
 __all__ = ["Candidate", "Job", "choose", "shortlist"]
 
@@ -36,6 +37,7 @@
 # Up to so many are all weighed: few processes send there, and know loads that
 # are half a second old.
 ALL_WEIGHED = 8
+_Upstream = TypeVar("_Upstream")
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,18 +81,17 @@
 
 
 def shortlist(
-    candidates: Sequence[Candidate], rng: random.Random
-) -> Sequence[Candidate]:
+    near: Sequence[_Upstream], far: Sequence[_Upstream], rng: random.Random
+) -> Sequence[_Upstream]:
     """Returns the upstreams that a request is chosen for among.
 
     Args:
-        candidates: Upstreams that take work and have not been tried yet.
+        near: Upstreams of the own availability zone that could be sent to.
+        far: Those of the other zones.
         rng: Draws them; few are all taken.
     """
-    if len(candidates) <= ALL_WEIGHED:
-        return candidates
-    near = [candidate for candidate in candidates if candidate.same_zone]
-    far = [candidate for candidate in candidates if not candidate.same_zone]
+    if len(near) + len(far) <= ALL_WEIGHED:
+        return [*near, *far]
     drawn = rng.sample(near, min(NEAR_DRAWN, len(near)))
     return drawn + rng.sample(far, min(FAR_DRAWN, len(far)))
 
