--- /dev/null
+++ b/features/steps/proxy_drain_steps.py
@@ -0,0 +1,98 @@
+"""Steps for the graceful shutdown of the proxy's server."""
+
+import asyncio
+import socket
+
+from behave import then
+
+from features.builders_proxy import (
+    exchange_raw,
+    running,
+)
+from rosemarydeal.proxy import whole_response
+
+PATIENCE_S = 10.0
+
+
+@then("the proxy finishes running requests when it drains")
+def step_drain(context):
+    started = asyncio.Event()
+    go_on = asyncio.Event()
+
+    async def handler(received):
+        started.set()
+        await go_on.wait()
+        return whole_response(200, b"done")
+
+    async def check():
+        async with running(handler) as server:
+            address = server.address
+            idle = await asyncio.open_connection(address.host, address.port)
+            sent = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+            running_one = asyncio.create_task(exchange_raw(address, sent))
+            await started.wait()
+            drained = asyncio.create_task(server.drain(PATIENCE_S))
+            assert await idle[0].read() == b""
+            idle[1].close()
+            assert not drained.done()
+            go_on.set()
+            got = await running_one
+            assert got.endswith(b"done"), got
+            assert b"connection: close" in got.lower()
+            assert await drained
+
+    asyncio.run(check())
+
+
+@then("the proxy answers requests that were on their way when it drains")
+def step_drain_race(context):
+    sent = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def late(address, accepted):
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        if accepted:
+            writer.write(sent)
+            await reader.readuntil(b"GET / ")
+        return reader, writer
+
+    async def check():
+        for accepted in (False, True):
+            async with running() as server:
+                reader, writer = await late(server.address, accepted)
+                drained = asyncio.create_task(server.drain(PATIENCE_S))
+                await asyncio.sleep(0)
+                writer.write(sent)
+                got = await reader.read()
+                assert got.endswith(b"GET / "), got
+                assert b"connection: close" in got.lower()
+                writer.close()
+                assert await drained
+
+    asyncio.run(check())
+
+
+@then("the proxy answers requests that come in any turn of the loop as it drains")
+def step_drain_turns(context):
+    def connect(address):
+        caller = socket.create_connection((address.host, address.port))
+        caller.sendall(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        caller.setblocking(False)
+        return caller
+
+    async def check():
+        for turns in range(6):
+            async with running() as server:
+                callers = [connect(server.address)]
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                drained = asyncio.create_task(server.drain(PATIENCE_S))
+                callers.append(connect(server.address))
+                loop = asyncio.get_running_loop()
+                async with asyncio.timeout(PATIENCE_S):
+                    got = [await loop.sock_recv(caller, 1000) for caller in callers]
+                assert all(answer.startswith(b"HTTP/1.1 200") for answer in got), turns
+                for caller in callers:
+                    caller.close()
+                assert await drained
+
+    asyncio.run(check())
