Take no late answer to a request for the answer to a grant or a release

Found beside it: a late rejection of another request was read before the ids were compared, so that a request that may run could be told not to have run.

Ruled out: a release without an answer (it is sent again and waited out), and an upstream taken for gone (the range was released, not spread).

Change: calls have connections of their own, an answer with an upstream's signature is none to a call, and a rejection has to bear the request's id if it bears any.

Before: both new scenarios fail; after: they pass.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -34,3 +34,13 @@
     Given records that know version 7 of the configuration
     When the store gives version 4 at a later revision
     Then version 7 stays in force
+
+  Scenario: A late answer to a request is not taken for the answer to a call
+    Given an upstream that answers a request twice, the second time late
+    When a request is answered and its keys are released
+    Then the release has waited for its own answer
+
+  Scenario: A late rejection of another request does not say that this one did not run
+    Given an upstream that answers each request with a rejection of another one
+    When a request is sent
+    Then it is undecided
--- /dev/null
+++ b/features/steps/adapter_upstream_steps.py
@@ -0,0 +1,90 @@
+"""Steps for the client of the upstream and answers that are not its own."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from features.builders_fleet_types import an_order
+from features.builders_proxy import raw_upstream
+from rosemarydeal.core.fleet import KeyRange
+from rosemarydeal.core.requests import Answered, Dispatched, Failed
+from rosemarydeal.platform.upstream import UpstreamClient
+
+CONNECTIONS = 4
+RELEASE_S = 0.2
+PATIENCE_S = 2.0
+EMPTY = b"content-length: 0\r\n\r\n"
+OWN = b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-signature: s\r\n" + EMPTY
+RELEASED = b"HTTP/1.1 200 OK\r\nhandover: h1\r\n" + EMPTY
+OTHERS_REJECTION = b"HTTP/1.1 503 Full\r\nrequest-id: r0\r\nnot-executed: 1\r\n" + EMPTY
+
+
+async def answer_twice(reader, writer):
+    """Answers a request again at the point where the next answer is expected."""
+    late = b""
+    while True:
+        head = await reader.readuntil(b"\r\n\r\n")
+        if head.startswith(b"GET"):
+            writer.write(OWN)
+            late = OWN
+            continue
+        writer.write(late)
+        await asyncio.sleep(RELEASE_S)
+        writer.write(RELEASED)
+
+
+async def reject_another(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(OTHERS_REJECTION)
+
+
+@given("an upstream that answers a request twice, the second time late")
+def step_twice(context):
+    context.upstream = answer_twice
+
+
+@given("an upstream that answers each request with a rejection of another one")
+def step_other_rejection(context):
+    context.upstream = reject_another
+
+
+def dispatched():
+    return Dispatched(an_order(), "i", PATIENCE_S)
+
+
+@when("a request is answered and its keys are released")
+def step_release(context):
+    async def go():
+        async with raw_upstream(context.upstream) as address:
+            client = UpstreamClient(address, CONNECTIONS)
+            assert isinstance(await client.run(dispatched()), Answered)
+            began = asyncio.get_running_loop().time()
+            keys = KeyRange(0, 9, "n", "l", 1)
+            context.handover = await client.release(keys, PATIENCE_S)
+            context.seconds = asyncio.get_running_loop().time() - began
+            await client.close()
+
+    asyncio.run(go())
+
+
+@then("the release has waited for its own answer")
+def step_waited(context):
+    assert context.handover == "h1" and context.seconds >= RELEASE_S, context.seconds
+
+
+@when("a request is sent")
+def step_send(context):
+    async def go():
+        async with raw_upstream(context.upstream) as address:
+            client = UpstreamClient(address, CONNECTIONS)
+            context.result = await client.run(dispatched())
+            await client.close()
+
+    asyncio.run(go())
+
+
+@then("it is undecided")
+def step_undecided(context):
+    assert context.result == Failed("foreign-answer", True), context.result
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -67,6 +67,8 @@
             connect_time_s=CONNECT_TIME_S,
         )
         self._pool = Pool(settings)
+        # A late extra answer to a request must not meet a call.
+        self._calls = Pool(settings)
 
     async def grant(self, keys: KeyRange, hold_s: float, timeout_s: float) -> None:
         """Grants a range of keys, or renews the grant.
@@ -149,6 +151,7 @@
     async def close(self) -> None:
         """Closes all connections."""
         await self._pool.close()
+        await self._calls.close()
 
     async def _call(
         self, path: bytes, body: dict[str, object] | None, timeout_s: float
@@ -164,10 +167,12 @@
         )
         try:
             async with asyncio.timeout(timeout_s):
-                response = await self._pool.send(self._address, request, timeout_s)
+                response = await self._calls.send(self._address, request, timeout_s)
                 await read_whole(response.body, MAX_ANSWER_BYTES)
         except (ProxyError, TimeoutError) as error:
             raise UpstreamCallFailed(f"{path!r}: {error!r}") from error
+        if find_header(response.headers, names.SIGNATURE) is not None:
+            raise UpstreamCallFailed(f"{path!r}: the answer to another request")
         return response
 
 
@@ -189,12 +194,12 @@
     """Tells an answer to the request from a rejection and from foreign bytes."""
     headers = response.headers
     load = _load(find_header(headers, names.LOAD))
-    not_run = find_header(headers, names.NOT_RUN) is not None
-    if not_run or response.status == MISDIRECTED:
-        return Rejected(response.status, load)
     echoed = find_header(headers, names.REQUEST_ID)
     if echoed is not None and echoed.decode("ascii", "replace") != order.request_id:
         return Failed("foreign-answer", sent=True)
+    not_run = find_header(headers, names.NOT_RUN) is not None
+    if not_run or response.status == MISDIRECTED:
+        return Rejected(response.status, load)
     signed = find_header(headers, names.SIGNATURE) is not None
     if response.status in SUCCESSES and not (signed and echoed):
         return Failed("unsigned-answer", sent=True)
