Grant keys in the answers to heartbeats where the deployment says so

Ruled out: calling the upstream in addition; it rejects the calls. Change: a state machine of grants that heartbeats carry (what is stated, what is reported as held, releases with their hand-over tokens), a carrier for it beside the one for calls, and the rows in announcements and their answers. Rows are checked; a malformed list is rejected as a whole.

--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from .data import Address
 
@@ -18,10 +19,14 @@
     "CallerLimits",
     "Configuration",
     "Departure",
+    "GrantCarrier",
+    "GrantStatement",
+    "HeldKeys",
     "KeyRange",
     "Member",
     "NodeIdentity",
     "RangeTable",
+    "ReleasedKeys",
     "Route",
     "Service",
     "StoredObject",
@@ -59,6 +64,18 @@
     max_hold_s: float = 10.0
 
 
+class GrantCarrier(Enum):
+    """How grants of keys reach an upstream.
+
+    Attributes:
+        CALL: The process calls the upstream.
+        HEARTBEAT: The answers to the upstream's announcements state its keys.
+    """
+
+    CALL = "call"
+    HEARTBEAT = "heartbeat"
+
+
 @dataclass(frozen=True, slots=True)
 class NodeIdentity:
     """Identity of a process, its location and the addresses that it uses.
@@ -77,6 +94,7 @@
         store: Address of the platform's store.
         announce_period_s: Normal time between two announcements.
         bounds: Guarantees of the deployment.
+        grant_carrier: How grants reach the upstream.
     """
 
     node: str
@@ -92,6 +110,7 @@
     store: Address
     announce_period_s: float
     bounds: Bounds
+    grant_carrier: GrantCarrier = GrantCarrier.CALL
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +191,30 @@
     limits: CallerLimits
 
 
+@dataclass(frozen=True, slots=True)
+class HeldKeys:
+    """Keys, both ends included, that an upstream holds or still works on."""
+
+    first: int
+    last: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleasedKeys:
+    """Keys, both ends included, that an upstream has released.
+
+    Attributes:
+        first: First key.
+        last: Last key.
+        handover: Hand-over token that saves the next owner the warm-up.
+    """
+
+    first: int
+    last: int
+    handover: str
+
+
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """Periodic announcement of an upstream about itself.
@@ -186,6 +229,8 @@
         draining: Whether it is about to leave.
         cold_left_s: Remaining time for which it is cold.
         sequence: Sequence number within the incarnation, increasing.
+        holds: Keys that it holds; None if it does not report them.
+        released: Keys released since its last acknowledged announcement.
     """
 
     instance: str
@@ -197,6 +242,8 @@
     draining: bool
     cold_left_s: float
     sequence: int
+    holds: tuple[HeldKeys, ...] | None = None
+    released: tuple[ReleasedKeys, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -294,6 +341,19 @@
         return self.last - self.first + 1
 
 
+@dataclass(frozen=True, slots=True)
+class GrantStatement:
+    """All keys that an upstream is to hold, sent as the answer to an announcement.
+
+    Attributes:
+        ranges: The ranges; the upstream releases all others.
+        hold_s: Time for which it holds them, from when it sent the announcement.
+    """
+
+    ranges: tuple[KeyRange, ...]
+    hold_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Suspicion:
     """Record that a node is unresponsive; its keys move once its lease has expired.
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -1,4 +1,4 @@
-"""Grants key ranges to the upstream beside this process.
+"""Carries grants of key ranges to the upstream of this VM in calls.
 
 Renews grants well before they expire and releases keys before they move to
 another upstream. A call without an answer may still have taken effect, so each
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 
 import structlog
 
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.fleet import KeyRange
+from rosemarydeal.core.fleet import Announcement, GrantStatement, KeyRange
 from rosemarydeal.platform.upstream import (
     GrantRefused,
     UpstreamCallFailed,
@@ -25,7 +25,7 @@
 
 from .upstream import UpstreamWatch
 
-__all__ = ["Grant", "Grants"]
+__all__ = ["CallGrantCarrier", "Grant"]
 
 GRANT_TIMEOUT_S = 0.4
 # A third of a grant's hold, so that two renewals may be lost.
@@ -62,8 +62,8 @@
     unanswered_until: float = 0.0
 
 
-class Grants:
-    """Grants of the ranges that the upstream serves."""
+class CallGrantCarrier:
+    """Grants the ranges that the upstream serves by calling it."""
 
     def __init__(
         self,
@@ -94,10 +94,6 @@
                 return now() < grant.valid_until - HOLD_MARGIN_S
         return False
 
-    def covering(self, keys: KeyRange) -> list[Grant]:
-        """Returns the grants that overlap a range."""
-        return [g for g in self._grants.values() if tables.overlaps(g.keys, keys)]
-
     def clear(self) -> None:
         """Removes all grants; called when the upstream is gone."""
         self._grants.clear()
@@ -130,18 +126,34 @@
                 grant.valid_until = 0.0
                 grant.renew_at = 0.0
 
-    async def release(self, keys: KeyRange, covering: Sequence[Grant]) -> str:
+    def answer(self, heartbeat: Announcement) -> GrantStatement | None:
+        """Returns None: heartbeats carry no grants."""
+        return None
+
+    def release(
+        self, keys: KeyRange
+    ) -> Coroutine[None, None, tuple[tuple[KeyRange, str], ...]]:
         """Releases a range, or waits until its grants expire if no call is answered.
 
-        Args:
-            keys: The range.
-            covering: The grants that covered its keys before the move began.
+        The grants that cover the keys are taken when this is called, as the next
+        update removes them.
 
         Returns:
-            Hand-over token that saves the next owner the warm-up, or "".
+            The released keys with the hand-over token that saves their next owner
+            the warm-up, or "".
         """
-        if not covering:
-            return ""
+        covering = [g for g in self._grants.values() if tables.overlaps(g.keys, keys)]
+        return self._release_covered(keys, covering)
+
+    async def _release_covered(
+        self, keys: KeyRange, covering: Sequence[Grant]
+    ) -> tuple[tuple[KeyRange, str], ...]:
+        """Releases a range whose keys the given grants cover."""
+        handover = await self._call_release(keys, covering) if covering else ""
+        return ((keys, handover),)
+
+    async def _call_release(self, keys: KeyRange, covering: Sequence[Grant]) -> str:
+        """Calls the upstream until it has released a range; returns its token."""
         # A renewal in flight could reach the upstream after the release.
         pending_calls = [
             c for c, called in self._calls.items() if tables.overlaps(called, keys)
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -10,12 +10,15 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 
 import structlog
 
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import (
+    Announcement,
+    GrantCarrier,
+    GrantStatement,
     KeyRange,
     Member,
     NodeIdentity,
@@ -32,8 +35,9 @@
 from rosemarydeal.policy.keyranges.balance import OwnerLoad
 
 from .contents import encode_table, table_name
-from .grants import Grants
+from .grants import CallGrantCarrier
 from .guard import Guard
+from .heartbeat_grants import HeartbeatGrantCarrier
 from .links import Links
 from .messages import ObjectState, ObjectUpdate, TableDelta
 from .records import RANGES, Records
@@ -78,12 +82,7 @@
         self._lease = ownership_lease.OwnershipLease()
         self._renew_at = 0.0
         self._renewing = False
-        self._grants = Grants(
-            client,
-            watch,
-            self._advance_guard,
-            lambda: self._spawn(self._renew_token()),
-        )
+        self._grants = self._grant_carrier(client)
         self._moving: list[KeyRange] = []
         self._writing = False
         self._background: set[asyncio.Task[None]] = set()
@@ -118,11 +117,17 @@
         moment = now()
         if moment > ownership_lease.lease_expiry(self._lease):
             return Admission.WAIT
-        if any(key in moving for moving in self._moving):
-            return Admission.WAIT
         granted = self._grants.allows(key, keys.token)
         return Admission.RUN if granted else Admission.WAIT
 
+    def answer_heartbeat(self, heartbeat: Announcement) -> GrantStatement | None:
+        """Returns the keys that the upstream is to hold, if its heartbeat asks."""
+        if not self._is_keyed():
+            return None
+        if self.table is not None:
+            self._update_grants()
+        return self._grants.answer(heartbeat)
+
     async def run(self) -> None:
         """Runs a step at regular intervals, until cancelled."""
         while True:
@@ -173,6 +178,25 @@
         self._propose_at = 0.0
         self.on_table_changed()
 
+    def _grant_carrier(
+        self, client: UpstreamClient
+    ) -> CallGrantCarrier | HeartbeatGrantCarrier:
+        """Creates the carrier that the deployment uses."""
+
+        def on_refused() -> None:
+            self._spawn(self._renew_token())
+
+        match self._identity.grant_carrier:
+            case GrantCarrier.CALL:
+                return CallGrantCarrier(
+                    client, self._watch, self._advance_guard, on_refused
+                )
+            case GrantCarrier.HEARTBEAT:
+                max_hold_s = self._identity.bounds.max_hold_s
+                return HeartbeatGrantCarrier(
+                    self._watch, max_hold_s, self._advance_guard, on_refused
+                )
+
     def _step(self) -> None:
         """Renews the lease and the grants, and starts a proposal if one is due."""
         moment = now()
@@ -338,12 +362,10 @@
     async def _hand_over(self, transfers: tuple[tuple[KeyRange, Member], ...]) -> None:
         """Releases ranges from the upstream and assigns them to their new owners."""
         moving = [keys for keys, _ in transfers]
-        # The next step removes the grants of ranges that move.
-        covering = [self._grants.covering(keys) for keys in moving]
         self._moving = moving
         try:
-            releases = map(self._grants.release, moving, covering)
-            await self._write_new_owners(transfers, await asyncio.gather(*releases))
+            released = await asyncio.gather(*map(self._grants.release, moving))
+            await self._write_new_owners(transfers, released)
         finally:
             self._moving = []
             self._writing = False
@@ -352,7 +374,9 @@
             self._advance_guard()
 
     async def _write_new_owners(
-        self, transfers: tuple[tuple[KeyRange, Member], ...], handovers: list[str]
+        self,
+        transfers: tuple[tuple[KeyRange, Member], ...],
+        released: Sequence[tuple[tuple[KeyRange, str], ...]],
     ) -> None:
         """Writes the new owners of released ranges into the table.
 
@@ -364,9 +388,8 @@
             table = self.table
             moved = [
                 (keys, new_owner, handover)
-                for (keys, new_owner), handover in zip(
-                    transfers, handovers, strict=True
-                )
+                for (_, new_owner), parts in zip(transfers, released, strict=True)
+                for keys, handover in parts
                 if proposals.still_owned(table, keys, self._identity.node)
             ]
             if not moved:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -10,7 +10,7 @@
 import structlog
 
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.fleet import NodeIdentity, Service
+from rosemarydeal.core.fleet import Announcement, NodeIdentity, Service
 from rosemarydeal.platform import announcements, callers
 from rosemarydeal.platform.errors import Unreadable
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
@@ -36,7 +36,7 @@
 from .records import MEMBERS, RANGES, Records
 from .store_access import StoreAccess
 from .store_watch import StoreWatcher
-from .upstream import UpstreamState, UpstreamWatch
+from .upstream import CallResult, UpstreamState, UpstreamWatch
 
 __all__ = ["NodeProcess"]
 
@@ -306,9 +306,14 @@
         except Unreadable as error:
             _log.warning("announcement_unreadable", detail=error.detail)
             return announcements.reject()
-        if self._watch.apply(call):
-            return announcements.acknowledge()
-        return announcements.reject()
+        match self._watch.apply(call), call:
+            case CallResult.FOREIGN, _:
+                return announcements.reject()
+            case CallResult.APPLIED, Announcement():
+                statement = self._ownership.answer_heartbeat(call)
+                return announcements.acknowledge(statement)
+            case _:
+                return announcements.acknowledge()
 
     async def _answer_metrics(self, request: Request) -> Response:
         """Serves the metrics page."""
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -9,13 +9,14 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum, auto
 
 import structlog
 
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import Announcement, Departure, NodeIdentity
 
-__all__ = ["UpstreamState", "UpstreamWatch"]
+__all__ = ["CallResult", "UpstreamState", "UpstreamWatch"]
 
 # An upstream that has missed three announcements and refuses a connection is
 # gone; one that has missed nine is gone whatever its connections do.
@@ -25,6 +26,20 @@
 _log = structlog.get_logger()
 
 
+class CallResult(Enum):
+    """What became of an announcement or a departure.
+
+    Attributes:
+        APPLIED: It is the newest of the current incarnation.
+        OUTDATED: It was acknowledged but changed nothing.
+        FOREIGN: It came from another upstream and is rejected.
+    """
+
+    APPLIED = auto()
+    OUTDATED = auto()
+    FOREIGN = auto()
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamState:
     """State of the upstream.
@@ -75,12 +90,8 @@
         """Returns the state, None before the first announcement."""
         return self._state
 
-    def apply(self, call: Announcement | Departure) -> bool:
-        """Applies an announcement or departure.
-
-        Returns:
-            Whether the call is to be acknowledged.
-        """
+    def apply(self, call: Announcement | Departure) -> CallResult:
+        """Applies an announcement or departure."""
         match call:
             case Announcement():
                 return self._apply_announcement(call)
@@ -124,7 +135,7 @@
                 )
             )
 
-    def _apply_announcement(self, new: Announcement) -> bool:
+    def _apply_announcement(self, new: Announcement) -> CallResult:
         """Applies an announcement unless it is old or another upstream's."""
         if new.service != self._identity.service or (
             new.address != self._identity.upstream
@@ -135,7 +146,7 @@
                 service=new.service,
                 address=str(new.address),
             )
-            return False
+            return CallResult.FOREIGN
         state = self._state
         if state is not None:
             old = state.announcement
@@ -146,7 +157,7 @@
             if new.born_ms < old.born_ms or (
                 same_incarnation and new.sequence <= old.sequence
             ):
-                return True
+                return CallResult.OUTDATED
             if not same_incarnation:
                 state = None
         leaving_since = state.leaving_since if state is not None else None
@@ -154,19 +165,19 @@
             leaving_since = now()
             _log.info("upstream_draining", instance=new.instance)
         self._update(UpstreamState(new, now(), leaving_since, True))
-        return True
+        return CallResult.APPLIED
 
-    def _apply_departure(self, call: Departure) -> bool:
+    def _apply_departure(self, call: Departure) -> CallResult:
         """Applies a departure; changes nothing if the upstream already leaves."""
         state = self._state
         if state is None or state.announcement.instance != call.instance:
-            return True
+            return CallResult.OUTDATED
         if call.born_ms is not None and call.born_ms != state.announcement.born_ms:
-            return True
+            return CallResult.OUTDATED
         if state.leaving_since is None:
             _log.info("upstream_left", instance=call.instance)
             self._update(UpstreamState(state.announcement, now(), now(), state.alive))
-        return True
+        return CallResult.APPLIED
 
     def _update(self, state: UpstreamState) -> None:
         """Sets the state and reports the change."""
--- a/rosemarydeal/platform/announcements.py
+++ b/rosemarydeal/platform/announcements.py
@@ -1,12 +1,29 @@
-"""Decodes the announcements and departures of an upstream; builds the answers."""
+"""Decodes the announcements and departures of an upstream; builds the answers.
+
+Where heartbeats carry the grants, an announcement lists the keys that the upstream
+holds and has released, and the answer states the keys that it is to hold.
+"""
 
 from __future__ import annotations
 
 import msgspec
 
 from rosemarydeal.core import Address
-from rosemarydeal.core.fleet import Announcement, Departure
-from rosemarydeal.proxy import Request, Response, bytes_response, read_bytes
+from rosemarydeal.core.fleet import (
+    LAST_KEY,
+    Announcement,
+    Departure,
+    GrantStatement,
+    HeldKeys,
+    ReleasedKeys,
+)
+from rosemarydeal.proxy import (
+    BodyTooLarge,
+    Request,
+    Response,
+    bytes_response,
+    read_bytes,
+)
 
 from .errors import Unreadable
 from .names import ANNOUNCE_CALL, INSTANCES_PATH, LEAVE_CALL
@@ -14,7 +31,9 @@
 __all__ = ["acknowledge", "decode_call", "reject"]
 
 MS_PER_S = 1000.0
-MAX_BODY_BYTES = 65_536
+# An upstream reports one row per grant; a table has a few hundred ranges.
+MAX_ROWS = 2000
+MAX_BODY_BYTES = 131_072
 ACKNOWLEDGED = 200
 BAD_REQUEST = 400
 
@@ -30,6 +49,8 @@
     cold_left_ms: float
     seq: int
     born: int
+    holds: list[tuple[int, int, int]] | None = None
+    released: list[tuple[int, int, str]] = []
 
 
 class _Leave(msgspec.Struct):
@@ -45,21 +66,32 @@
         Unreadable: If the path or the body is malformed.
     """
     instance, call = _split(request.target)
-    body = await read_bytes(request.body, MAX_BODY_BYTES)
     try:
+        body = await read_bytes(request.body, MAX_BODY_BYTES)
         if call == LEAVE_CALL:
             leave = msgspec.json.decode(body, type=_Leave) if body else _Leave()
             return Departure(instance, leave.born)
         return _announcement(instance, msgspec.json.decode(body, type=_Heartbeat))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, BodyTooLarge) as error:
         raise Unreadable(f"announcement of {instance}: {error}") from error
 
 
-def acknowledge() -> Response:
-    """Returns the answer that acknowledges a call."""
-    return bytes_response(
-        ACKNOWLEDGED, b"{}", ((b"content-type", b"application/json"),)
-    )
+def acknowledge(statement: GrantStatement | None = None) -> Response:
+    """Returns the answer that acknowledges a call.
+
+    Args:
+        statement: Keys that the upstream is to hold; None leaves its grants as
+            they are.
+    """
+    content: dict[str, object] = {}
+    if statement is not None:
+        content["holds"] = [
+            (keys.first, keys.last, keys.token, keys.handover)
+            for keys in statement.ranges
+        ]
+        content["hold_ms"] = int(statement.hold_s * MS_PER_S)
+    body = msgspec.json.encode(content)
+    return bytes_response(ACKNOWLEDGED, body, ((b"content-type", b"application/json"),))
 
 
 def reject() -> Response:
@@ -93,4 +125,39 @@
         draining=body.state == "draining",
         cold_left_s=body.cold_left_ms / MS_PER_S,
         sequence=body.seq,
+        holds=_held(body.holds) if body.holds is not None else None,
+        released=_released(body.released),
     )
+
+
+def _held(rows: list[tuple[int, int, int]]) -> tuple[HeldKeys, ...]:
+    """Converts the held rows; they must not overlap."""
+    held = tuple(HeldKeys(first, last, token) for first, last, token in rows)
+    _check_rows(held)
+    ordered = sorted(held, key=lambda keys: keys.first)
+    for one, following in zip(ordered, ordered[1:], strict=False):
+        if following.first <= one.last:
+            raise ValueError(f"held rows overlap: {one}, {following}")
+    if any(keys.token < 0 for keys in held):
+        raise ValueError("a held row has a negative token")
+    return held
+
+
+def _released(rows: list[tuple[int, int, str]]) -> tuple[ReleasedKeys, ...]:
+    """Converts the released rows."""
+    released = tuple(ReleasedKeys(first, last, token) for first, last, token in rows)
+    _check_rows(released)
+    return released
+
+
+def _check_rows(rows: tuple[HeldKeys | ReleasedKeys, ...]) -> None:
+    """Checks the number and the bounds of rows.
+
+    Raises:
+        ValueError: If there are too many, or one is reversed or out of range.
+    """
+    if len(rows) > MAX_ROWS:
+        raise ValueError(f"{len(rows)} rows exceed the limit of {MAX_ROWS}")
+    for keys in rows:
+        if not 0 <= keys.first <= keys.last <= LAST_KEY:
+            raise ValueError(f"row {keys.first}-{keys.last} is not a range of keys")
--- a/rosemarydeal/platform/node_settings.py
+++ b/rosemarydeal/platform/node_settings.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from rosemarydeal.core import Address
-from rosemarydeal.core.fleet import Bounds, NodeIdentity
+from rosemarydeal.core.fleet import Bounds, GrantCarrier, NodeIdentity
 
 from .errors import SettingsWrong
 from .names import SETTINGS_FILE, SETTINGS_VARIABLE
@@ -72,6 +72,7 @@
         store=_address(fields["provider"]["addr"]),
         announce_period_s=float(fields["heartbeat_ms"]) / MS_PER_S,
         bounds=_bounds(fields["bounds"]),
+        grant_carrier=GrantCarrier(fields.get("grants", GrantCarrier.CALL.value)),
     )
 
 
