Prove grants by heartbeat: fuzzing, scenarios, mutants; commit the first scores

Cause: the carrier had no tests. Ruled out: waiting for an answer that has left released keys out before a release ends; the upstream sends heartbeats one after the other, so a heartbeat that does not report the keys ends the release already, and no test could tell the two apart. Change: a simulated upstream with lost, late and repeated answers and a state machine over it, scenarios of the decisions and of whole processes, a stand-in upstream that takes its keys from heartbeats, nine mutants.

--- a/features/builders_fleet_types.py
+++ b/features/builders_fleet_types.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 from rosemarydeal.core import Address
-from rosemarydeal.core.fleet import Bounds, Member, NodeIdentity, Route, WeightedService
+from rosemarydeal.core.fleet import (
+    Bounds,
+    GrantCarrier,
+    Member,
+    NodeIdentity,
+    Route,
+    WeightedService,
+)
 from rosemarydeal.core.requests import RoutedRequest
 from rosemarydeal.policy.dispatch.cold_start import ColdStartLimiter
 from rosemarydeal.policy.dispatch.queue import Admission, DispatchQueue, QueuedRequest
@@ -98,7 +105,15 @@
     return RoutedRequest(**(fields | changes))
 
 
-def an_identity(node, host, store, bounds=None, service=SERVICE, zone="perth-a"):
+def an_identity(
+    node,
+    host,
+    store,
+    bounds=None,
+    service=SERVICE,
+    zone="perth-a",
+    carrier=GrantCarrier.CALL,
+):
     return NodeIdentity(
         node=node,
         zone=zone,
@@ -113,4 +128,5 @@
         store=store,
         announce_period_s=0.3,
         bounds=bounds or Bounds(),
+        grant_carrier=carrier,
     )
--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -12,6 +12,7 @@
 from features.standin_endpoint import StandInEndpoint
 from features.standin_store import StandInStore
 from rosemarydeal.core import Address
+from rosemarydeal.core.fleet import GrantCarrier
 from rosemarydeal.node.process import NodeProcess
 from rosemarydeal.proxy import BytesBody, Pool, PoolSettings, Request, read_bytes
 
@@ -65,11 +66,12 @@
 class Deployment:
     """Runs nodes with their upstreams; every VM has a loopback address."""
 
-    def __init__(self, count, work_s=0.01):
+    def __init__(self, count, work_s=0.01, carrier=GrantCarrier.CALL):
         self.store = StandInStore()
         self.nodes, self.endpoints, self.hosts = {}, {}, {}
         self._names = [f"vm-{chr(ord('a') + i)}" for i in range(count)]
         self._work_s = work_s
+        self._carrier = carrier
         self._pool = Pool(PoolSettings())
         self._count = 0
 
@@ -87,14 +89,17 @@
 
     async def start_node(self, name):
         zone = "perth-a" if self._names.index(name) % 2 == 0 else "perth-b"
-        identity = an_identity(name, self.hosts[name], self.address, zone=zone)
+        identity = an_identity(
+            name, self.hosts[name], self.address, zone=zone, carrier=self._carrier
+        )
         self.nodes[name] = NodeProcess(identity)
         await self.nodes[name].start()
 
     async def start_endpoint(self, name):
         zone = "perth-a" if self._names.index(name) % 2 == 0 else "perth-b"
+        by_heartbeat = self._carrier is GrantCarrier.HEARTBEAT
         endpoint = StandInEndpoint(
-            name, self.hosts[name], "box-office", zone, self._work_s
+            name, self.hosts[name], "box-office", zone, self._work_s, by_heartbeat
         )
         self.endpoints[name] = endpoint
         await endpoint.start()
--- /dev/null
+++ b/features/node_heartbeat_grants.feature
@@ -0,0 +1,42 @@
+Feature: Node processes whose upstreams get their keys in the answers to heartbeats
+
+  Scenario: Keys are granted without a call, and each request runs once at their owner
+    Given a deployment of 3 VMs whose heartbeats carry the grants
+    When each VM receives requests for 16 keys
+    Then each caller receives its own answer, signed by the upstream
+    And each request ran once, at the upstream that holds its key
+
+  Scenario: The keys of a draining upstream move with their hand-over tokens
+    Given a deployment of 3 VMs whose heartbeats carry the grants
+    When requests continue while the upstream of vm-b drains
+    Then no request failed
+    And vm-b holds no key, and got no request from 2 seconds after its acknowledgement
+    And another upstream was given a hand-over token of vm-b
+    And no key was ever held by two upstreams
+
+  Scenario: Lost answers to heartbeats never leave a key at two upstreams
+    Given a deployment of 3 VMs whose heartbeats carry the grants
+    When the answers to the next 4 heartbeats of vm-b are lost while it drains
+    Then vm-b holds no key within 4 seconds
+    And no key was ever held by two upstreams
+    And all keys are served again within 2 seconds
+
+  Scenario: A restart of the process alone keeps the keys of its upstream
+    Given a deployment of 2 VMs whose heartbeats carry the grants
+    When the process of vm-b is killed and started again
+    Then all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+
+  Scenario: A crashed upstream's keys are served by others within 2 seconds
+    Given a deployment of 3 VMs whose heartbeats carry the grants
+    When the upstream of vm-b crashes
+    Then all keys are served again within 2 seconds
+    And no key was ever held by two upstreams
+
+  Scenario: A zone that is taken out holds no keys until it is taken back
+    Given a deployment of 2 VMs whose heartbeats carry the grants
+    When the operator takes perth-b out of service
+    Then vm-b holds no key within 3 seconds
+    And all keys are served again within 2 seconds
+    When the operator returns perth-b to service
+    Then vm-b holds keys within 3 seconds
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -13,6 +13,7 @@
     run,
     watch_holders,
 )
+from rosemarydeal.core.fleet import GrantCarrier
 from rosemarydeal.node import store_watch
 from rosemarydeal.node.records import RANGES
 
@@ -29,11 +30,16 @@
     context.deployment.store.stale_s = seconds
 
 
+@given("a deployment of {count:d} VMs whose heartbeats carry the grants")
+def step_heartbeat_deployment(context, count):
+    step_deployment(context, count, GrantCarrier.HEARTBEAT)
+
+
 @given("a deployment of {count:d} VMs")
 @given("a deployment of {count:d} VM")
-def step_deployment(context, count):
+def step_deployment(context, count, carrier=GrantCarrier.CALL):
     context.loop = asyncio.new_event_loop()
-    context.deployment = Deployment(count)
+    context.deployment = Deployment(count, carrier=carrier)
     context.doubled = []
     run(context, context.deployment.start())
     watching = watch_holders(context.deployment, context.doubled)
@@ -231,3 +237,17 @@
         await deployment.replace("vm-b", "vm-x")
 
     run(context, reuse())
+
+
+@then("another upstream was given a hand-over token of vm-b")
+def step_handover_token(context):
+    endpoints = context.deployment.endpoints
+    received = [e.handovers_received for n, e in endpoints.items() if n != "vm-b"]
+    assert any(received), received
+
+
+@when("the answers to the next {count:d} heartbeats of vm-b are lost while it drains")
+def step_lost_heartbeats(context, count):
+    endpoint = context.deployment.endpoints["vm-b"]
+    endpoint.lose_answers = count
+    endpoint.state = "draining"
--- a/rosemarydeal/policy/keyranges/heartbeat_grants.py
+++ b/rosemarydeal/policy/keyranges/heartbeat_grants.py
@@ -67,14 +67,12 @@
     Attributes:
         keys: The range.
         may_hold_until: Latest time at which the upstream may hold the keys.
-        left_out: Whether an answer has left the keys out.
         parts: The released keys with their hand-over tokens, None until the
             upstream certainly holds none of them.
     """
 
     keys: KeyRange
     may_hold_until: float
-    left_out: bool = False
     parts: tuple[tuple[KeyRange, str], ...] | None = None
 
 
@@ -154,7 +152,7 @@
         self._held = heartbeat.holds
         self._stated = tuple(self._confirm(stated) for stated in self._stated)
         for release in self._releases:
-            if release.left_out and not _overlaps_any(release.keys, self._held):
+            if not _overlaps_any(release.keys, self._held):
                 _end(release, heartbeat.released)
         return self._state(incarnation, hold_s, now)
 
@@ -186,8 +184,6 @@
         self._may_hold_until = max(
             self._may_hold_until, now + hold_s * (1.0 + CLOCK_DRIFT)
         )
-        for release in self._releases:
-            release.left_out = True
         rows = tuple(
             replace(keys, handover="") if _is_held(keys, self._held) else keys
             for keys in wanted
