Count store calls by operation and kind, and peer messages by type

Cause: the metrics page showed one total of store calls and nothing of the messages between processes, so what a large fleet costs could not be told apart. Ruled out: counting in the adapter's callers; the client sees each call once. Change: counters on the metrics address; FrameConnection reports what it sends.

--- a/rosemarydeal/node/frames.py
+++ b/rosemarydeal/node/frames.py
@@ -30,10 +30,12 @@
         on_message: Callable[[FrameConnection, Message], None],
         on_open: Callable[[FrameConnection], None],
         on_closed: Callable[[FrameConnection], None],
+        on_sent: Callable[[Message, int], None],
     ) -> None:
         self._on_message = on_message
         self._on_open = on_open
         self._on_closed = on_closed
+        self._on_sent = on_sent
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._last_received_at = 0.0
@@ -94,7 +96,9 @@
             return False
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             return False
-        self._transport.write(messages.encode(message))
+        frame = messages.encode(message)
+        self._transport.write(frame)
+        self._on_sent(message, len(frame))
         return True
 
     def abort(self) -> None:
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
+from collections import Counter
+from collections.abc import Awaitable, Mapping
 
 import msgspec
 import structlog
@@ -75,6 +76,18 @@
         self._background: set[asyncio.Task[None]] = set()
         self._last_number = 0
         self._listener: asyncio.Server | None = None
+        self._sent: Counter[str] = Counter()
+        self._sent_bytes = 0
+
+    @property
+    def sent(self) -> Mapping[str, int]:
+        """Returns the numbers of messages sent, by type."""
+        return self._sent
+
+    @property
+    def sent_bytes(self) -> int:
+        """Returns the number of bytes sent to peers."""
+        return self._sent_bytes
 
     @property
     def up(self) -> frozenset[str]:
@@ -116,7 +129,10 @@
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             lambda: FrameConnection(
-                self._on_request, self._accepted.add, self._on_accepted_closed
+                self._on_request,
+                self._accepted.add,
+                self._on_accepted_closed,
+                self._count_sent,
             ),
             address.host,
             address.port,
@@ -213,6 +229,11 @@
         for connection in list(self._accepted):
             connection.abort()
 
+    def _count_sent(self, message: Message, frame_bytes: int) -> None:
+        """Counts a message and its bytes."""
+        self._sent[type(message).__name__] += 1
+        self._sent_bytes += frame_bytes
+
     def _close_link(self, node: str) -> None:
         """Closes the link to a node, if there is one."""
         link = self._links.pop(node, None)
@@ -244,6 +265,7 @@
                         lambda _, message: self._on_reply(link, message),
                         lambda _: None,
                         lambda _: self._on_disconnect(link),
+                        self._count_sent,
                     ),
                     link.address.host,
                     link.address.port,
--- a/rosemarydeal/node/metrics.py
+++ b/rosemarydeal/node/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -10,6 +12,8 @@
     generate_latest,
 )
 
+from rosemarydeal.platform.store import StoreCall
+
 __all__ = ["Metrics"]
 
 BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 3.0, 6.0)
@@ -46,6 +50,18 @@
             buckets=BUCKETS_S,
             registry=self._registry,
         )
+        self._store_calls = Gauge(
+            "rosemarydeal_store_calls",
+            "Calls to the platform's store since the start, by operation and kind.",
+            ("operation", "kind"),
+            registry=self._registry,
+        )
+        self._messages = Gauge(
+            "rosemarydeal_peer_messages_sent",
+            "Messages sent to other processes since the start, by type.",
+            ("type",),
+            registry=self._registry,
+        )
         self._gauges: dict[str, Gauge] = {}
 
     def count_request(
@@ -62,6 +78,17 @@
         self._dispatches.labels(service, outcome, code).inc()
         self._dispatch_latency.labels(service, outcome).observe(seconds)
 
+    def count_store_calls(self, calls: Mapping[StoreCall, int]) -> None:
+        """Sets the counts of store calls, by operation and kind."""
+        for call, count in calls.items():
+            self._store_calls.labels(call.operation, call.kind).set(count)
+
+    def count_messages(self, sent: Mapping[str, int], sent_bytes: int) -> None:
+        """Sets the counts of messages sent to peers by type, and of their bytes."""
+        for message_type, count in sent.items():
+            self._messages.labels(message_type).set(count)
+        self.set_gauge("peer_bytes_sent", sent_bytes)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a gauge, which is created on first use."""
         gauge = self._gauges.get(name)
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -324,10 +324,11 @@
             ("demand", self._guard.demand),
             ("key_ranges", len(self._ownership.owned)),
             ("peer_links", len(self._links.up)),
-            ("store_calls", self._store.calls),
             ("store_reachable", self._access.reachable),
         ):
             self._metrics.set_gauge(name, value)
+        self._metrics.count_store_calls(self._store.calls)
+        self._metrics.count_messages(self._links.sent, self._links.sent_bytes)
         kind = ((b"content-type", b"text/plain; version=0.0.4"),)
         return bytes_response(200, self._metrics.render(), kind)
 
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -20,7 +22,7 @@
 )
 from .names import OBJECTS_PATH
 
-__all__ = ["Listing", "StoreClient", "StoreSettings"]
+__all__ = ["Listing", "StoreCall", "StoreClient", "StoreSettings"]
 
 MS_PER_S = 1000.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -98,17 +100,25 @@
     current_rev: int
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCall:
+    """Sort of a call, for the counters."""
+
+    operation: str
+    kind: str
+
+
 class StoreClient:
     """Reads, writes and watches objects; counts its calls."""
 
     def __init__(self, settings: StoreSettings) -> None:
         self._settings = settings
         self._pool = Pool(PoolSettings(connect_time_s=settings.timeout_s))
-        self._calls = 0
+        self._calls: Counter[StoreCall] = Counter()
 
     @property
-    def calls(self) -> int:
-        """Returns the number of calls made, including rejected ones."""
+    def calls(self) -> Mapping[StoreCall, int]:
+        """Returns the numbers of calls made, including rejected ones."""
         return self._calls
 
     async def list(self, kind: str) -> Listing:
@@ -122,7 +132,7 @@
         after = ""
         while True:
             query = f"?after={after}" if after else ""
-            status, body = await self._call(b"GET", f"{kind}{query}")
+            status, body = await self._call("list", kind, b"GET", query)
             page = _decode(body, _ListBody, status)
             objects += [_stored_object(kind, item) for item in page.items]
             if not page.truncated or not page.items:
@@ -131,7 +141,7 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns the current object, or None if there is none."""
-        status, body = await self._call(b"GET", f"{kind}/{name}")
+        status, body = await self._call("read", kind, b"GET", f"/{name}")
         return None if status == NOT_FOUND else _decode_object(kind, status, body)
 
     async def watch(
@@ -152,7 +162,7 @@
         if stale:
             query += STALE_QUERY
         wait = wait_s + self._settings.watch_slack_s
-        status, body = await self._call(b"GET", kind + query, wait=wait)
+        status, body = await self._call("watch", kind, b"GET", query, wait=wait)
         if status == GONE:
             raise HistoryGone(f"{kind}: history since {revision} is gone")
         answer = _decode(body, _WatchBody, status)
@@ -167,7 +177,7 @@
             StoreUnavailable: The outcome is unknown, or the call was rejected.
         """
         body = _body(name, content, None)
-        status, answer = await self._call(b"POST", kind, body)
+        status, answer = await self._call("create", kind, b"POST", "", body)
         return _decode_object(kind, status, answer)
 
     async def replace(
@@ -180,12 +190,14 @@
             StoreUnavailable: The outcome is unknown, or the call was rejected.
         """
         body = _body(name, content, revision)
-        status, answer = await self._call(b"PUT", f"{kind}/{name}", body)
+        status, answer = await self._call("replace", kind, b"PUT", f"/{name}", body)
         return _decode_object(kind, status, answer)
 
     async def remove(self, kind: str, name: str, revision: int) -> None:
         """Removes an object if it is still at a revision or already deleted."""
-        status, answer = await self._call(b"DELETE", f"{kind}/{name}?rev={revision}")
+        status, answer = await self._call(
+            "remove", kind, b"DELETE", f"/{name}?rev={revision}"
+        )
         if status != NOT_FOUND:
             _check_status(kind, status, answer)
 
@@ -194,10 +206,26 @@
         await self._pool.close()
 
     async def _call(
-        self, method: bytes, target: str, body: bytes = b"", wait: float | None = None
+        self,
+        operation: str,
+        kind: str,
+        method: bytes,
+        suffix: str,
+        body: bytes = b"",
+        wait: float | None = None,
     ) -> tuple[int, bytes]:
-        """Makes one call and reads its whole answer."""
-        self._calls += 1
+        """Makes one call and reads its whole answer.
+
+        Args:
+            operation: Name of the operation, for the counters.
+            kind: Kind of the objects.
+            method: HTTP method.
+            suffix: Rest of the path after the kind, with the query.
+            body: Body of a write.
+            wait: Time to wait for the answer, in seconds; None for the default.
+        """
+        target = kind + suffix
+        self._calls[StoreCall(operation, kind)] += 1
         address = self._settings.address
         headers = [(b"host", str(address).encode("ascii"))]
         if body:
