Have two processes of each zone watch the store, and share lease reads

Ruled out: longer watches alone; most watches ended early because something changed. Change: the first two reachable processes of a zone watch and send each change with the revisions that it spans; a receiver with a gap fetches the kind. Changes over 16 kB are read from the store by each process. An owner renews a lease that is not urgent through the first reader of its zone, whose delayed read answers all who asked before it began; renewal every 2.5 s at most, so that a lease still outlasts an outage of seven seconds in a large fleet.

--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -12,6 +12,7 @@
 from .frames import FrameConnection
 from .messages import (
     CrashSuspects,
+    ObjectChanges,
     ObjectListing,
     ObjectUpdate,
     Pong,
@@ -55,6 +56,7 @@
         fetch: Returns all objects of a kind.
         on_object_listing: Called with all objects of a kind, as a peer has them.
         on_object_update: Called with a changed object that a peer sent.
+        on_object_changes: Called with a node and the changes that it sent.
         on_table_delta: Called with a table delta that a peer sent.
         on_crash_suspects: Called with the requests suspected of a peer's crash.
         on_suspect_cleared: Called with a suspect that has succeeded at a peer.
@@ -68,6 +70,7 @@
     fetch: Callable[[str], ObjectListing]
     on_object_listing: Callable[[ObjectListing], None]
     on_object_update: Callable[[ObjectUpdate], None]
+    on_object_changes: Callable[[str, ObjectChanges], None]
     on_table_delta: Callable[[TableDelta], None]
     on_crash_suspects: Callable[[CrashSuspects], None]
     on_suspect_cleared: Callable[[SuspectCleared], None]
@@ -87,6 +90,7 @@
         self.disconnected = asyncio.Event()
         self.peer_state: PeerState | None = None
         self.leaving = False
+        self.reads_store = True
         self.unreachable_since: float | None = None
 
     @property
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -34,12 +34,14 @@
     Leaving,
     Message,
     NotServedReply,
+    ObjectChanges,
     ObjectListing,
     ObjectUpdate,
     OutcomeUnknownReply,
     Ping,
     Pong,
     RunRequest,
+    StoreReachability,
     StoreRelayReply,
     StoreRelayRequest,
     SuspectCleared,
@@ -109,6 +111,11 @@
         link = self._links.get(node)
         return link is not None and link.leaving
 
+    def reads_store(self, node: str) -> bool:
+        """Returns whether a node's store calls succeed, as far as is known."""
+        link = self._links.get(node)
+        return link is not None and link.reads_store
+
     def unreachable_since(self, node: str) -> float | None:
         """Returns since when a node is unreachable, None while it is reachable."""
         link = self._links.get(node)
@@ -184,9 +191,9 @@
                 self._send(link, CancelRequest(number))
 
     async def relay_store_call(
-        self, node: str, call: StoreRelayRequest
+        self, node: str, call: StoreRelayRequest, timeout_s: float = RELAY_TIMEOUT_S
     ) -> StoreRelayReply | None:
-        """Has a peer call the store; returns None without a reply."""
+        """Has a peer call the store; returns None without a reply in time."""
         link = self._links.get(node)
         if link is None or not link.up:
             return None
@@ -197,7 +204,7 @@
         link.pending_store_calls[number] = future
         try:
             link.connection.send(msgspec.structs.replace(call, number=number))
-            async with asyncio.timeout(RELAY_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError:
             return None
@@ -278,6 +285,7 @@
         connection.peer = link.node
         connection.send(Hello(self._node, self._process, link.node))
         link.leaving = False
+        link.reads_store = True
         link.unreachable_since = None
         _log.info("peer_link_up", peer=link.node)
         return True
@@ -350,6 +358,7 @@
             pong.demand_percent / 100.0,
             pong.slowdown_percent / 100.0,
         )
+        link.reads_store = pong.reads_store
         self._hooks.on_known_revisions(link.node, pong.known_revisions)
 
     def _on_request(self, connection: FrameConnection, message: Message) -> None:
@@ -377,6 +386,12 @@
                 connection.send(self._hooks.fetch(message.kind))
             case ObjectUpdate():
                 self._hooks.on_object_update(message)
+            case ObjectChanges():
+                self._hooks.on_object_changes(connection.peer, message)
+            case StoreReachability(reads_store):
+                link = self._links.get(connection.peer)
+                if link is not None:
+                    link.reads_store = reads_store
             case TableDelta():
                 self._hooks.on_table_delta(message)
             case CrashSuspects():
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -29,6 +29,7 @@
     "Leaving",
     "Message",
     "NotServedReply",
+    "ObjectChanges",
     "ObjectListing",
     "ObjectState",
     "ObjectUpdate",
@@ -37,6 +38,7 @@
     "Pong",
     "Reply",
     "RunRequest",
+    "StoreReachability",
     "StoreRelayReply",
     "StoreRelayRequest",
     "SuspectCleared",
@@ -160,6 +162,7 @@
     slots: int
     demand_percent: int
     slowdown_percent: int
+    reads_store: bool = True
 
 
 class FetchObjects(_Base, tag=9):
@@ -192,6 +195,26 @@
     state: ObjectState
 
 
+class ObjectChanges(_Base, tag=18):
+    """All changes of a kind between two revisions, from a reader of the zone.
+
+    Objects that are too large to send are left out; `complete` is then false, and
+    the receiver reads them from the store.
+    """
+
+    kind: str
+    since: int
+    revision: int
+    objects: tuple[ObjectState, ...]
+    complete: bool = True
+
+
+class StoreReachability(_Base, tag=19):
+    """Tells the processes of the zone whether the sender's store calls succeed."""
+
+    reads_store: bool
+
+
 class CrashSuspects(_Base, tag=12):
     """Fingerprints of the requests that were running when an upstream crashed."""
 
@@ -213,8 +236,9 @@
 class StoreRelayRequest(_Base, tag=14):
     """Store call for the peer to make, because the sender's own call failed.
 
-    Without content, it reads an object. With content, it writes one that is still
-    at the revision, or creates it if the revision is 0.
+    Without content, it reads an object, if `shared` together with others that ask
+    for it. With content, it writes one that is still at the revision, or creates it
+    if the revision is 0.
     """
 
     number: int
@@ -222,18 +246,21 @@
     name: str
     content: bytes | None = None
     revision: int = 0
+    shared: bool = False
 
 
 class StoreRelayReply(_Base, tag=15):
     """Reply with the object as the store held it after the call.
 
-    `done` is false if the object to be written had another revision.
+    `done` is false if the object to be written had another revision. An object that
+    was read and is `unchanged` since the caller's revision comes without content.
     """
 
     number: int
     kind: str
     state: ObjectState | None
     done: bool = True
+    unchanged: bool = False
 
 
 class RangeFields(_Base):
@@ -295,8 +322,10 @@
     | Ping
     | Pong
     | FetchObjects
+    | ObjectChanges
     | ObjectListing
     | ObjectUpdate
+    | StoreReachability
     | CrashSuspects
     | Leaving
     | StoreRelayRequest
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -71,13 +71,28 @@
         client: UpstreamClient,
         watch: UpstreamWatch,
         is_keyed: Callable[[], bool],
+        lease_reader: Callable[[], str | None],
     ) -> None:
+        """Creates an ownership without a table.
+
+        Args:
+            identity: This process.
+            records: State of the store's objects.
+            access: Access to the store.
+            links: Links to the peers.
+            client: Client of the upstream.
+            watch: State of the upstream.
+            is_keyed: Returns whether the own service is keyed.
+            lease_reader: Returns the node that reads tables for this process, None
+                if it reads them itself.
+        """
         self._identity = identity
         self._records = records
         self._access = access
         self._links = links
         self._watch = watch
         self._is_keyed = is_keyed
+        self._lease_reader = lease_reader
         self._guard: Guard | None = None
         self._lease = ownership_lease.OwnershipLease()
         self._renew_at = 0.0
@@ -216,7 +231,7 @@
         requested_at = now()
         name = table_name(self._identity.service)
         try:
-            stored = await self._access.read(RANGES, name)
+            stored = await self._read_for_renewal(name)
             self._apply_renewal(stored, requested_at)
         except StoreError as error:
             left_s = ownership_lease.lease_expiry(self._lease) - now()
@@ -226,6 +241,12 @@
             nodes = len(self._records.members)
             self._renew_at = requested_at + ownership_lease.renewal_period(nodes)
 
+    async def _read_for_renewal(self, name: str) -> StoredObject | None:
+        """Reads the table, together with other owners if the lease is not urgent."""
+        if now() >= ownership_lease.lease_expiry(self._lease):
+            return await self._access.read(RANGES, name)
+        return await self._access.read_shared(RANGES, name, self._lease_reader())
+
     def _apply_renewal(self, stored: StoredObject | None, requested_at: float) -> None:
         """Renews the lease with a table read from the store."""
         table = self.table
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -69,7 +69,7 @@
         self._records = Records()
         self._access = StoreAccess(self._store, self._records, self._links)
         self._store_watcher = StoreWatcher(
-            identity.zone, self._store, self._access, self._records, self._links
+            identity, self._store, self._access, self._records, self._links
         )
         self._watch = UpstreamWatch(identity, self._on_upstream_changed)
         self._ownership = Ownership(
@@ -80,6 +80,7 @@
             self._client,
             self._watch,
             self._is_keyed,
+            lambda: self._store_watcher.shared_reader,
         )
         self._guard = Guard(
             identity, self._client, self._watch, self._guard_hooks(), self._metrics
@@ -179,6 +180,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._ownership.close()
         await self._store_watcher.close()
+        await self._access.close()
         await self._links.close()
         for server in [*self._servers, self._callers]:
             if server is not None:
@@ -214,6 +216,9 @@
             fetch=lambda kind: self._records.listing(kind),
             on_object_listing=lambda listing: self._records.apply_peer_listing(listing),
             on_object_update=lambda update: self._records.apply_update(update),
+            on_object_changes=lambda node, changes: (
+                self._store_watcher.apply_peer_changes(node, changes)
+            ),
             on_table_delta=lambda delta: self._records.apply_table_delta(delta),
             on_crash_suspects=lambda suspects: self._guard.add_crash_suspects(
                 suspects.fingerprints
@@ -247,6 +252,7 @@
             self._guard.slots,
             round(100 * self._guard.demand),
             round(100 * self._guard.slowdown),
+            self._store_watcher.reads_store,
         )
 
     def _on_records_changed(self, kind: str) -> None:
--- a/rosemarydeal/node/store_access.py
+++ b/rosemarydeal/node/store_access.py
@@ -13,13 +13,17 @@
 from rosemarydeal.core.fleet import StoredObject
 from rosemarydeal.platform.errors import StoreConflict, StoreError
 from rosemarydeal.platform.store import StoreClient
+from rosemarydeal.policy.keyranges import ownership_lease
 
 from .links import Links
 from .messages import ObjectState, StoreRelayReply, StoreRelayRequest
 from .records import MEMBERS, RANGES, Records
+from .shared_reads import SharedReads
 
 __all__ = ["StoreAccess"]
 
+# Response time of a shared read, besides its delay.
+SHARED_READ_TIMEOUT_S = 0.4
 # Peers that are tried when the store rejects this process's own call.
 RELAY_PEERS = 3
 
@@ -41,6 +45,7 @@
         self._records = records
         self._links = links
         self._reachable = True
+        self._shared = SharedReads(self._read_own, self._shared_read_delay_s)
 
     @property
     def reachable(self) -> bool:
@@ -57,17 +62,42 @@
             StoreError: Neither the store nor a peer gave a usable reply.
         """
         try:
-            stored = await self._store.get(kind, name)
+            return await self._read_own(kind, name)
         except StoreError as error:
-            self.note_reachable(False, str(error))
-            stored = (
-                await self._relay_through_peer(StoreRelayRequest(0, kind, name), error)
-            )[0]
-        else:
-            self.note_reachable(True)
-        if stored is not None:
-            self._records.apply(stored)
-        return stored
+            return await self._read_through_peer(kind, name, error)
+
+    async def read_shared(
+        self, kind: str, name: str, reader: str | None
+    ) -> StoredObject | None:
+        """Reads an object together with other processes that need it.
+
+        Args:
+            kind: Kind of the object.
+            name: Name within the kind.
+            reader: Node that reads for its zone, None for this one.
+
+        Returns:
+            The object as a read that began after this call found it, or None if it
+            does not exist.
+
+        Raises:
+            StoreError: Neither the store nor a peer gave a usable reply.
+        """
+        if reader is not None:
+            known = self._records.stored(kind, name)
+            revision = known.revision if known is not None and known.content else 0
+            call = StoreRelayRequest(0, kind, name, None, revision, shared=True)
+            timeout_s = self._shared_read_delay_s() + SHARED_READ_TIMEOUT_S
+            reply = await self._links.relay_store_call(reader, call, timeout_s)
+            if reply is None:
+                return await self.read(kind, name)
+            if reply.unchanged:
+                return known
+            return self._apply_reply(call, reply)
+        try:
+            return await self._shared.read(kind, name)
+        except StoreError as error:
+            return await self._read_through_peer(kind, name, error)
 
     async def write(self, kind: str, name: str, content: bytes) -> StoredObject:
         """Writes an object if the store still holds the recorded revision.
@@ -103,7 +133,9 @@
             return None
         done = True
         try:
-            if call.content is None:
+            if call.shared:
+                stored = await self._shared.read(call.kind, call.name)
+            elif call.content is None:
                 stored = await self._store.get(call.kind, call.name)
             else:
                 try:
@@ -114,11 +146,50 @@
         except StoreError as error:
             _log.info("relay_failed", name=call.name, detail=error.detail)
             return None
-        state = None
+        state, unchanged = None, False
         if stored is not None:
             self._records.apply(stored)
-            state = ObjectState(stored.name, stored.revision, stored.content)
-        return StoreRelayReply(call.number, call.kind, state, done)
+            unchanged = call.shared and stored.revision == call.revision
+            content = None if unchanged else stored.content
+            state = ObjectState(stored.name, stored.revision, content)
+        return StoreRelayReply(call.number, call.kind, state, done, unchanged)
+
+    async def _read_own(self, kind: str, name: str) -> StoredObject | None:
+        """Reads an object by a call of this process."""
+        try:
+            stored = await self._store.get(kind, name)
+        except StoreError as error:
+            self.note_reachable(False, str(error))
+            raise
+        self.note_reachable(True)
+        if stored is not None:
+            self._records.apply(stored)
+        return stored
+
+    async def _read_through_peer(
+        self, kind: str, name: str, error: StoreError
+    ) -> StoredObject | None:
+        """Reads an object by a call of a peer, after the own one failed."""
+        call = StoreRelayRequest(0, kind, name)
+        stored, _ = await self._relay_through_peer(call, error)
+        if stored is not None:
+            self._records.apply(stored)
+        return stored
+
+    def _apply_reply(
+        self, call: StoreRelayRequest, reply: StoreRelayReply
+    ) -> StoredObject | None:
+        """Applies the object that a peer has read."""
+        state = reply.state
+        if state is None:
+            return None
+        stored = StoredObject(call.kind, state.name, state.revision, state.content)
+        self._records.apply(stored)
+        return stored
+
+    def _shared_read_delay_s(self) -> float:
+        """Returns how long a shared read waits for others, in seconds."""
+        return ownership_lease.shared_read_delay(len(self._records.members))
 
     async def _write_at(self, call: StoreRelayRequest) -> StoredObject:
         """Writes an object that is still at the revision given by a peer."""
@@ -158,6 +229,10 @@
         if old is not None and old.content is not None:
             await self._store.remove(kind, name, old.revision)
 
+    async def close(self) -> None:
+        """Cancels all waiting reads."""
+        await self._shared.close()
+
     def note_reachable(self, reachable: bool, detail: str = "") -> None:
         """Records whether the store is reachable, and logs each change."""
         if reachable == self._reachable:
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -1,25 +1,32 @@
-"""Keeps the records up to date: lists the store's objects and watches them.
+"""Keeps the records up to date: from the store, or from a reader of the zone.
+
+The readers of an availability zone list and watch the store's objects and send
+each change to the other processes of the zone with the revisions that it spans, so
+that a receiver notices a gap and fetches all objects of the kind.
 
 If a peer has had a newer revision for a while, its objects are fetched from that
-peer. This covers a process whose calls the store rejects, and a watch that broke
-without an error.
+peer. This covers readers that the store rejects, and a watch that broke without an
+error.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass
 
 import structlog
 
 from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import NodeIdentity, StoredObject
 from rosemarydeal.platform.errors import HistoryGone, StoreError
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
-from rosemarydeal.platform.store import StoreClient
+from rosemarydeal.platform.store import Listing, StoreClient
+from rosemarydeal.policy.membership.readers import ReaderCandidate, zone_readers
 
 from .links import Links
-from .messages import FetchObjects
+from .messages import FetchObjects, ObjectChanges, ObjectState, StoreReachability
 from .records import KINDS, MEMBERS, RANGES, Records
 from .store_access import StoreAccess
 
@@ -44,6 +51,19 @@
 RETRY_MAX_S = 0.6
 # A watch returns a peer's changes within the coalescing delay and this time.
 SAME_ZONE_LAG_S = 0.5
+# A process looks this often whether it has become a reader.
+ROLE_CHECK_S = 0.5
+# Wait for a reader's listing before the store is asked.
+FETCH_TIMEOUT_S = 0.8
+# In a starting fleet all processes are readers until they know each other.
+SETTLE_S = 2.0
+# A process whose store calls failed counts as a possible reader again after this.
+RETRY_READER_S = 10.0
+# Larger changes are read from the store, since a reader would have to send them to
+# its whole zone.
+MAX_PUSHED_BYTES = 16_384
+# Spreads the store calls of a zone after a large change.
+LARGE_CHANGE_JITTER_S = 0.3
 # A full listing is large, so it is fetched later from peers in other zones.
 OTHER_ZONE_LAG_S = 0.8
 
@@ -63,7 +83,7 @@
 
     def __init__(
         self,
-        zone: str,
+        identity: NodeIdentity,
         store: StoreClient,
         access: StoreAccess,
         records: Records,
@@ -72,25 +92,61 @@
         """Creates a watcher that is not started yet.
 
         Args:
-            zone: Availability zone of this process.
+            identity: This process.
             store: Client of the store.
             access: Notified whether the store is reachable.
             records: Updated with the objects that the store returns.
             links: Links to the peers.
         """
-        self._zone = zone
+        self._node = identity.node
+        self._zone = identity.zone
         self._store = store
         self._access = access
         self._records = records
         self._links = links
         self._lags: dict[str, _Lag] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._background: set[asyncio.Task[None]] = set()
+        self._pushed: dict[str, int] = {}
+        self._failed_at: float | None = None
+        self._started_at = now()
+        self._was_reader = False
+        self._records_changed = asyncio.Event()
+        records.subscribe(lambda _kind: self._records_changed.set())
+
+    @property
+    def reads_store(self) -> bool:
+        """Returns whether this process is a possible reader of the store."""
+        return self._failed_at is None or now() - self._failed_at > RETRY_READER_S
+
+    @property
+    def readers(self) -> tuple[str, ...]:
+        """Returns the readers of the own zone."""
+        members = self._records.members.values()
+        candidates = [
+            ReaderCandidate(
+                member.node,
+                self._links.is_up(member.node)
+                and not self._links.is_leaving(member.node),
+                self._links.reads_store(member.node),
+            )
+            for member in members
+            if member.zone == self._zone and member.node != self._node
+        ]
+        candidates.append(ReaderCandidate(self._node, True, self.reads_store))
+        return zone_readers(candidates)
 
     @property
     def _is_large_fleet(self) -> bool:
         """Returns whether the fleet is large enough to accept stale replies."""
         return len(self._records.members) > FULL_WATCH_RATE_NODES
 
+    @property
+    def shared_reader(self) -> str | None:
+        """Returns the node that reads objects for this zone, None for this one."""
+        first = self.readers[0]
+        return None if first == self._node else first
+
     def start(self) -> None:
         """Starts to list and watch all kinds."""
         for kind in KINDS:
@@ -98,9 +154,28 @@
 
     async def close(self) -> None:
         """Stops all tasks."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._background]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def apply_peer_changes(self, node: str, changes: ObjectChanges) -> None:
+        """Applies the changes that a reader sent, or fetches what is missing."""
+        kind = changes.kind
+        if kind not in KINDS or changes.revision <= self._records.revision(kind):
+            return
+        if not changes.complete:
+            self._spawn(self._read_large_change(kind, node))
+        elif not self._records.listed(kind) or (
+            self._records.revision(kind) < changes.since
+        ):
+            self._links.send(node, FetchObjects(kind))
+        else:
+            objects = tuple(
+                StoredObject(kind, state.name, state.revision, state.content)
+                for state in changes.objects
+            )
+            self._records.apply_changes(kind, Listing(objects, changes.revision))
 
     def on_known_revisions(self, node: str, known_revisions: tuple[int, ...]) -> None:
         """Fetches a kind of which a peer has had a newer revision for a while."""
@@ -123,13 +198,14 @@
         return SAME_ZONE_LAG_S if same_zone else OTHER_ZONE_LAG_S
 
     async def _list_and_watch(self, kind: str) -> None:
-        """Lists a kind, then watches it, until cancelled."""
+        """Lists a kind and watches it while this process is a reader."""
         pause = RETRY_MIN_S
         while True:
             try:
                 if not self._records.listed(kind):
-                    listing = await self._store.list(kind)
-                    self._records.apply_listing(kind, listing)
+                    await self._obtain_listing(kind)
+                if not await self._is_reader_of(kind):
+                    continue
                 await self._watch(kind)
                 pause = RETRY_MIN_S
             except HistoryGone:
@@ -137,11 +213,56 @@
                 self._records.invalidate_listing(kind)
                 continue
             except StoreError as error:
-                self._access.note_reachable(False, str(error))
+                self._note_result(False, str(error))
                 await asyncio.sleep(pause * random.uniform(0.7, 1.3))
                 pause = min(RETRY_MAX_S, 2 * pause)
                 continue
-            self._access.note_reachable(True)
+            self._note_result(True)
+
+    def _note_result(self, success: bool, detail: str = "") -> None:
+        """Records whether a store call succeeded; notifies the zone of a change."""
+        self._access.note_reachable(success, detail)
+        changed = success != self.reads_store
+        self._failed_at = None if success else now()
+        if changed:
+            self._send_to_zone(StoreReachability(success))
+
+    async def _obtain_listing(self, kind: str) -> None:
+        """Fetches the first listing from a reader, or else from the store."""
+        others = [node for node in self.readers if node != self._node]
+        if others and not self._was_reader:
+            self._links.send(random.choice(others), FetchObjects(kind))
+            if await self._is_listed_within(kind, FETCH_TIMEOUT_S):
+                return
+        listing = await self._store.list(kind)
+        self._records.apply_listing(kind, listing)
+        self._note_result(True)
+        if self._node in self.readers:
+            # The others of the zone notice that they lack changes.
+            self._push(kind, listing.revision, Listing((), listing.revision))
+
+    async def _is_listed_within(self, kind: str, timeout_s: float) -> bool:
+        """Waits for a listing from a peer; returns whether it came in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not self._records.listed(kind):
+                    self._records_changed.clear()
+                    await self._records_changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _is_reader_of(self, kind: str) -> bool:
+        """Returns whether to watch a kind now; waits for a moment if not."""
+        settled = kind == MEMBERS or now() - self._started_at > SETTLE_S
+        is_reader = self._node in self.readers
+        if is_reader != self._was_reader:
+            self._was_reader = is_reader
+            _log.info("store_reader", reads=is_reader, readers=self.readers)
+        if is_reader and settled:
+            return True
+        await asyncio.sleep(ROLE_CHECK_S)
+        return False
 
     async def _watch(self, kind: str) -> None:
         """Waits for changes of a kind and applies them."""
@@ -150,9 +271,47 @@
         listing = await self._store.watch(kind, revision, WATCH_TIMEOUT_S, allow_stale)
         self._records.apply_changes(kind, listing)
         if listing.objects:
+            self._push(kind, revision, listing)
             # Further changes are then returned by one call.
             await asyncio.sleep(self._delay_s(kind))
 
+    def _push(self, kind: str, since: int, listing: Listing) -> None:
+        """Sends changes to the other processes of the zone."""
+        since = min(since, self._pushed.get(kind, since))
+        self._pushed[kind] = listing.revision
+        objects = tuple(
+            ObjectState(stored.name, stored.revision, stored.content)
+            for stored in listing.objects
+            if not stored.unreadable
+        )
+        complete = _content_bytes(objects) <= MAX_PUSHED_BYTES
+        if not complete:
+            objects = ()
+        self._send_to_zone(
+            ObjectChanges(kind, since, listing.revision, objects, complete)
+        )
+
+    def _send_to_zone(self, message: ObjectChanges | StoreReachability) -> None:
+        """Sends a message to the other processes of the zone."""
+        for member in self._records.members.values():
+            if member.zone == self._zone and member.node != self._node:
+                self._links.send(member.node, message)
+
+    async def _read_large_change(self, kind: str, node: str) -> None:
+        """Lists a kind after a large change, or fetches it from its reader."""
+        await asyncio.sleep(random.uniform(0.0, LARGE_CHANGE_JITTER_S))
+        try:
+            self._records.apply_listing(kind, await self._store.list(kind))
+        except StoreError as error:
+            self._access.note_reachable(False, str(error))
+            self._links.send(node, FetchObjects(kind))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Runs a coroutine in the background."""
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     def _delay_s(self, kind: str) -> float:
         """Returns the coalescing delay of a kind, in seconds."""
         if kind not in SCALED_KINDS:
@@ -160,3 +319,8 @@
         return COALESCING_DELAY_S[kind] * max(
             1.0, len(self._records.members) / FULL_WATCH_RATE_NODES
         )
+
+
+def _content_bytes(objects: Sequence[ObjectState]) -> int:
+    """Returns the total length of the objects' contents."""
+    return sum(len(state.content or b"") for state in objects)
--- a/rosemarydeal/policy/keyranges/ownership_lease.py
+++ b/rosemarydeal/policy/keyranges/ownership_lease.py
@@ -6,8 +6,9 @@
 that shows the suspicion does not renew the lease, so the lease has expired once
 `takeover_wait` has passed since that write.
 
-Failures covered: a store that is unavailable or slow for up to nine seconds ends
-no lease; a process that crashes without notice loses its keys soon afterwards.
+Failures covered: a store that is unavailable or slow for up to nine seconds (seven
+in a fleet of more than 40 nodes) ends no lease; a process that crashes without
+notice loses its keys soon afterwards.
 """
 
 from __future__ import annotations
@@ -23,14 +24,18 @@
     "lease_expiry",
     "renew",
     "renewal_period",
+    "shared_read_delay",
     "takeover_wait",
 ]
 
 # Outlasts a store outage of nine seconds: when the outage begins, the last renewal
-# is at most one renewal period and one response time old.
+# is at most one renewal period, the delay of a shared read and one response time old.
 LEASE_S = 11.5
 MIN_RENEWAL_PERIOD_S = 1.5
-MAX_RENEWAL_PERIOD_S = 3.0
+MAX_RENEWAL_PERIOD_S = 2.5
+# Reads of a zone's owners that wait this long for each other, per node and at most.
+SHARED_READ_DELAY_PER_NODE_S = 0.025
+MAX_SHARED_READ_DELAY_S = 1.0
 # Larger fleets renew less often, since all nodes share the store's request rate.
 BASE_FLEET_NODES = 20
 # The clocks that measure grants may run 2% slow. The margin covers a pause between
@@ -84,6 +89,11 @@
     return min(MAX_RENEWAL_PERIOD_S, period_s)
 
 
+def shared_read_delay(nodes: int) -> float:
+    """Returns how long a read waits for the requests of other owners, in seconds."""
+    return min(MAX_SHARED_READ_DELAY_S, SHARED_READ_DELAY_PER_NODE_S * nodes)
+
+
 def grant_duration(lease: OwnershipLease, now: float, max_hold_s: float) -> float:
     """Returns how long a grant issued now may run, in seconds; 0 if none may be."""
     remaining_s = (lease_expiry(lease) - now) / (1.0 + CLOCK_DRIFT)
