Tell the zone's processes that a new listing may lack changes they need

Ruled out: the loss of a message; the links of the zone stayed up. Change: after a listing, the change begins at the listing's own revision, so that the others fetch the kind.

--- a/features/readers.feature
+++ b/features/readers.feature
@@ -27,7 +27,13 @@
     When 3 seconds pass
     And a process of perth-a misses the change that takes perth-b out
     And the operator takes perth-a out of service
-    Then all processes know within 0.5 seconds that both zones are out
+    Then all processes know within 0.5 seconds that perth-a and perth-b are out
+
+  Scenario: A zone is taken out while the store drops its history
+    Given a deployment of 8 VMs
+    When 3 seconds pass
+    And the operator takes perth-c and perth-b out and the store drops its history
+    Then all processes know within 0.4 seconds that perth-b and perth-c are out
 
   Scenario: A configuration too large for a reader to send is read from the store
     Given a deployment of 8 VMs
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -134,15 +134,28 @@
     assert "perth-b" not in records.zones_out and records.listed(MEMBERS)
 
 
+@when("the operator takes perth-c and perth-b out and the store drops its history")
+def step_drop_history(context):
+    async def change():
+        store = context.deployment.store
+        store.put(ZONES_OUT_KIND, "perth-c", {})
+        await asyncio.sleep(0.1)
+        # The readers wait before their next watch, which finds the history gone.
+        store.put(ZONES_OUT_KIND, "perth-b", {})
+        store.drop_history()
+
+    run(context, change())
+
+
 @when("the operator takes perth-a out of service")
 def step_out(context):
     context.deployment.store.put(ZONES_OUT_KIND, "perth-a", {})
 
 
-@then("all processes know within {seconds:f} seconds that both zones are out")
-def step_both(context, seconds):
+@then("all processes know within {seconds:f} seconds that {one} and {other} are out")
+def step_both(context, seconds, one, other):
     deployment = context.deployment
-    both = {"perth-a", "perth-b"}
+    both = {one, other}
 
     def known():
         nodes = deployment.nodes.values()
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 import msgspec
 import structlog
@@ -33,6 +34,9 @@
     "tables_of",
 ]
 
+# Several revisions of each member of a fleet of hundreds.
+MAX_CACHED_MEMBERS = 4096
+
 _log = structlog.get_logger()
 
 
@@ -147,7 +151,7 @@
     members: dict[str, Member] = {}
     at_address: dict[Address, str] = {}
     for stored in sorted(objects, key=lambda stored: stored.revision):
-        member = _decode(stored, Member)
+        member = _decode_member(stored)
         if member is None or member.node != stored.name:
             continue
         members.pop(at_address.get(member.peer, ""), None)
@@ -156,6 +160,12 @@
     return members
 
 
+@lru_cache(maxsize=MAX_CACHED_MEMBERS)
+def _decode_member(stored: StoredObject) -> Member | None:
+    """Decodes a member; only new revisions of an object are decoded."""
+    return _decode(stored, Member)
+
+
 def tables_of(objects: Iterable[StoredObject]) -> dict[str, RangeTable]:
     """Returns the tables by service."""
     tables: dict[str, RangeTable] = {}
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -88,6 +88,8 @@
         self.pending_store_calls: dict[int, asyncio.Future[StoreRelayReply]] = {}
         self.task: asyncio.Task[None] | None = None
         self.disconnected = asyncio.Event()
+        self.check_requested = asyncio.Event()
+        self.monitored = True
         self.peer_state: PeerState | None = None
         self.leaving = False
         self.reads_store = True
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -2,12 +2,15 @@
 
 Each process opens a link to every other one. It sends requests on its own links
 and replies on those that others opened. Pings detect unresponsive peers, and
-carry the load and the known revisions of the store's objects.
+carry the load and the known revisions of the store's objects. In a large fleet a
+process pings only some peers often; it checks another one when a monitor of that
+peer reports that it does not answer.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import Counter
 from collections.abc import Awaitable, Mapping
 
@@ -22,6 +25,7 @@
     RequestOutcome,
     RoutedRequest,
 )
+from rosemarydeal.policy.membership.monitors import monitored_peers
 
 from .frames import FrameConnection
 from .link import Link, LinkHooks, PeerState
@@ -38,6 +42,7 @@
     ObjectListing,
     ObjectUpdate,
     OutcomeUnknownReply,
+    PeerUnresponsive,
     Ping,
     Pong,
     RunRequest,
@@ -54,8 +59,11 @@
 PING_PERIOD_S = 0.6
 # Two ping periods and a round trip: a shorter time gives false alarms.
 UNRESPONSIVE_AFTER_S = 1.5
-# Larger fleets ping less often, so that the cost of pings per process is constant.
-FULL_PING_RATE_NODES = 20
+# Period for the peers that this process does not monitor.
+BACKGROUND_PING_PERIOD_S = 20.0
+# A process that wakes this late was paused, so that its peers' answers are late for
+# its own sake.
+OWN_PAUSE_S = 0.5
 RECONNECT_MIN_S = 0.1
 RECONNECT_MAX_S = 1.0
 CONNECT_TIMEOUT_S = 0.7
@@ -159,6 +167,11 @@
             link.task = asyncio.create_task(self._maintain(link))
         for node in [n for n in self._links if n not in members]:
             self._close_link(node)
+        monitored = monitored_peers(self._node, sorted(members))
+        for node, link in self._links.items():
+            link.monitored = node in monitored
+            if link.monitored:
+                link.check_requested.set()
 
     async def run_on_peer(self, node: str, request: RoutedRequest) -> RequestOutcome:
         """Has a request run by a peer.
@@ -293,18 +306,43 @@
     async def _ping_until_disconnected(self, link: Link) -> None:
         """Pings periodically; closes the link if the peer is unresponsive."""
         loop = asyncio.get_running_loop()
+        unanswered_since: float | None = None
         while not link.disconnected.is_set():
-            period_factor = max(1.0, len(self._links) / FULL_PING_RATE_NODES)
+            sent_at = loop.time()
+            if unanswered_since is None:
+                unanswered_since = sent_at
             self._send(link, Ping(self._hooks.known_revisions()))
-            try:
-                async with asyncio.timeout(PING_PERIOD_S * period_factor):
-                    await link.disconnected.wait()
-            except TimeoutError:
-                idle_s = loop.time() - link.connection.last_received_at
-                if idle_s > UNRESPONSIVE_AFTER_S * period_factor:
-                    _log.warning("peer_unresponsive", peer=link.node, idle_s=idle_s)
-                    link.connection.abort()
-                    await link.disconnected.wait()
+            if await _is_set_within(link.disconnected, PING_PERIOD_S):
+                return
+            moment = loop.time()
+            if link.connection.last_received_at >= unanswered_since:
+                unanswered_since = None
+                if not link.monitored:
+                    await self._wait_for_check(link)
+            elif moment - sent_at > PING_PERIOD_S + OWN_PAUSE_S:
+                unanswered_since = None
+            elif moment - unanswered_since > UNRESPONSIVE_AFTER_S:
+                self._give_up(link, moment - unanswered_since)
+                await link.disconnected.wait()
+
+    async def _wait_for_check(self, link: Link) -> None:
+        """Waits for the next ping of a peer that this process does not monitor."""
+        link.check_requested.clear()
+        await _is_set_within(
+            link.check_requested, BACKGROUND_PING_PERIOD_S * random.uniform(0.8, 1.2)
+        )
+
+    def _give_up(self, link: Link, unanswered_s: float) -> None:
+        """Closes the link to a peer that does not answer, and tells the others."""
+        _log.warning(
+            "peer_unresponsive",
+            peer=link.node,
+            unanswered_s=round(unanswered_s, 3),
+            monitored=link.monitored,
+        )
+        link.connection.abort()
+        if link.monitored:
+            self.broadcast(PeerUnresponsive(link.node))
 
     def _on_disconnect(self, link: Link) -> None:
         """Ends the requests pending on a closed link with unknown outcome."""
@@ -316,6 +354,7 @@
                 future.set_result(OutcomeUnknown("peer-lost"))
         link.pending_requests.clear()
         link.disconnected.set()
+        link.check_requested.set()
         _log.warning("peer_link_down", peer=link.node)
 
     def _send(self, link: Link, message: Message) -> None:
@@ -382,6 +421,10 @@
             case Ping():
                 self._hooks.on_known_revisions(connection.peer, message.known_revisions)
                 connection.send(self._hooks.pong())
+            case PeerUnresponsive(node):
+                link = self._links.get(node)
+                if link is not None:
+                    link.check_requested.set()
             case FetchObjects():
                 connection.send(self._hooks.fetch(message.kind))
             case ObjectUpdate():
@@ -436,3 +479,13 @@
         task = asyncio.ensure_future(work)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
+
+
+async def _is_set_within(event: asyncio.Event, timeout_s: float) -> bool:
+    """Waits for an event; returns whether it was set in time."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return False
+    return True
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -34,6 +34,7 @@
     "ObjectState",
     "ObjectUpdate",
     "OutcomeUnknownReply",
+    "PeerUnresponsive",
     "Ping",
     "Pong",
     "Reply",
@@ -165,6 +166,12 @@
     reads_store: bool = True
 
 
+class PeerUnresponsive(_Base, tag=20):
+    """Tells that a node does not answer the sender, so that others check it."""
+
+    node: str
+
+
 class FetchObjects(_Base, tag=9):
     """Request for all objects of a kind."""
 
@@ -319,6 +326,7 @@
     | AnswerReply
     | NotServedReply
     | OutcomeUnknownReply
+    | PeerUnresponsive
     | Ping
     | Pong
     | FetchObjects
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -206,21 +206,28 @@
                 kind_state.last_change = max(kind_state.last_change, stored.revision)
         kind_state.revision = max(kind_state.revision, listing.revision)
         kind_state.listed = True
-        self._refresh(kind)
+        self._refresh(kind, listed=True)
 
-    def _refresh(self, kind: str) -> None:
-        """Decodes the objects of a kind and notifies the listeners."""
+    def _refresh(self, kind: str, listed: bool = False) -> None:
+        """Decodes the objects of a kind; notifies the listeners of a change.
+
+        Args:
+            kind: The kind.
+            listed: Whether a listing was applied, of which they are always notified.
+        """
         refreshers = {
             CONFIGURATION_KIND: self._refresh_configuration,
             ZONES_OUT_KIND: self._refresh_zones_out,
             MEMBERS: self._refresh_members,
             RANGES: self._refresh_tables,
         }
-        refreshers[kind]()
+        changed = refreshers[kind]()
+        if not changed and not listed:
+            return
         for listener in self._listeners:
             listener(kind)
 
-    def _refresh_configuration(self) -> None:
+    def _refresh_configuration(self) -> bool:
         """Puts the configuration in force if its version is higher."""
         stored = self.stored(CONFIGURATION_KIND, CONFIGURATION_NAME)
         configuration = contents.configuration_of(stored)
@@ -228,7 +235,7 @@
         if configuration is None or (
             old is not None and configuration.version <= old.version
         ):
-            return
+            return False
         self._configuration = configuration
         _log.info(
             "configuration_in_force",
@@ -236,26 +243,32 @@
             before=old.version if old else None,
             revision=stored.revision,
         )
+        return True
 
-    def _refresh_zones_out(self) -> None:
+    def _refresh_zones_out(self) -> bool:
         """Updates the zones that are out of service."""
         out = contents.names_of(self._kinds[ZONES_OUT_KIND].objects.values())
-        if out != self._zones_out:
-            _log.info("zones_out", zones=sorted(out), before=sorted(self._zones_out))
-            self._zones_out = out
+        if out == self._zones_out:
+            return False
+        _log.info("zones_out", zones=sorted(out), before=sorted(self._zones_out))
+        self._zones_out = out
+        return True
 
-    def _refresh_members(self) -> None:
+    def _refresh_members(self) -> bool:
         """Updates the members; malformed ones are left out."""
         members = contents.members_of(self._kinds[MEMBERS].objects.values())
-        if members != self._members:
-            self._members = members
-            self._members_changed_at = now()
+        if members == self._members:
+            return False
+        self._members = members
+        self._members_changed_at = now()
+        return True
 
-    def _refresh_tables(self) -> None:
+    def _refresh_tables(self) -> bool:
         """Updates the tables that are well-formed, and applies pending deltas."""
         self._tables |= contents.tables_of(self._kinds[RANGES].objects.values())
         for service in list(self._tables):
             self._apply_pending_delta(service)
+        return True
 
     def _apply_pending_delta(self, service: str) -> None:
         """Applies the delta for the table's current revision, if there is one."""
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -238,7 +238,8 @@
         self._records.apply_listing(kind, listing)
         self._note_result(True)
         if self._node in self.readers:
-            # The others of the zone notice that they lack changes.
+            # The listing does not tell what has changed: the others fetch it.
+            self._pushed.pop(kind, None)
             self._push(kind, listing.revision, Listing((), listing.revision))
 
     async def _is_listed_within(self, kind: str, timeout_s: float) -> bool:
