--- a/rosemarydeal/node/log.py
+++ b/rosemarydeal/node/log.py
@@ -29,6 +29,7 @@
         self._buffer = bytearray()
         self._dropped = 0
         self._lines = 0
+        self._written = asyncio.Event()
         os.set_blocking(descriptor, False)
 
     def msg(self, message: bytes) -> None:
@@ -40,6 +41,7 @@
             return
         self._buffer += message
         self._buffer += b"\n"
+        self._written.set()
 
     debug = info = warning = warn = error = critical = exception = msg
 
@@ -63,10 +65,15 @@
         del self._buffer[:written]
 
     async def run(self) -> None:
-        """Flushes periodically until cancelled."""
+        """Flushes soon after each line until cancelled."""
         while True:
+            await self._written.wait()
             await asyncio.sleep(FLUSH_PERIOD_S)
+            self._written.clear()
             self.flush()
+            if self._buffer or self._dropped:
+                # The reader is slow; the rest is written later.
+                self._written.set()
 
 
 def configure(node: str) -> LogSink:
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -47,6 +47,8 @@
 __all__ = ["Ownership"]
 
 STEP_S = 0.1
+# Period while the service is not keyed or the upstream is not known.
+IDLE_STEP_S = 0.5
 # Larger fleets build proposals less often, since each one costs more there.
 # Changes of the own upstream are handled without delay.
 STEP_FLEET = 20
@@ -146,9 +148,11 @@
     async def run(self) -> None:
         """Runs a step at regular intervals, until cancelled."""
         while True:
-            await asyncio.sleep(STEP_S)
             if self._is_keyed() and self._watch.state is not None:
                 self._step()
+                await asyncio.sleep(STEP_S)
+            else:
+                await asyncio.sleep(IDLE_STEP_S)
 
     def stop(self) -> bool:
         """Prepares a shutdown; hands all keys over if the others can absorb them.
