Take the keys of an owner only when its member is known to be removed

Cause: a process took an owner that was missing from its members for gone. Ruled out: a lost release; none was asked for. Change: an owner is gone if its member was deleted or superseded at its address, or if it is missing from a listing that is as new as the table. Before: both new scenarios fail.

--- a/features/builders_fleet_types.py
+++ b/features/builders_fleet_types.py
@@ -43,6 +43,7 @@
         "accepting": own is not None and own.accepting,
         "alive": True,
         "members": tuple(members),
+        "removed": frozenset(),
         "zones_out": frozenset(),
         "unresponsive_s": {},
         "links_up": len(members) - 1,
--- a/features/keyranges.feature
+++ b/features/keyranges.feature
@@ -16,6 +16,20 @@
     And no process takes keys of b before its lease has expired
     And a takes the keys of b once its lease has expired
 
+  Scenario: An owner that a process has not heard of yet keeps its keys
+    Given nodes a, b and c that own all keys
+    When a has not heard of b
+    Then no process takes keys of b before its lease has expired
+    When the member of b has been removed
+    Then a takes the keys of b
+
+  Scenario: A missing member counts as removed only if it must have been heard of
+    Given records with a listing of the members at revision 20
+    Then a member that existed at revision 20 has been removed
+    But a member that existed at revision 21 may not have been heard of
+    When a member is received and removed again
+    Then that member has been removed, whatever the revision
+
   Scenario: A read that shows a suspicion does not extend the lease
     Given nodes a, b and c that own all keys
     When the table contains a suspicion against b
--- a/features/steps/keyranges_steps.py
+++ b/features/steps/keyranges_steps.py
@@ -5,10 +5,13 @@
 import random
 from dataclasses import replace
 
+import msgspec
 from behave import given, then, when
 
 from features.builders_fleet_types import SERVICE, a_member, a_view
-from rosemarydeal.core.fleet import LAST_KEY, KeyRange
+from rosemarydeal.core.fleet import LAST_KEY, KeyRange, StoredObject
+from rosemarydeal.node.records import MEMBERS, Records
+from rosemarydeal.platform.store import Listing
 from rosemarydeal.policy.keyranges import balance, ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.balance import OwnerLoad
@@ -395,3 +398,50 @@
     assert not balance.can_absorb(
         OwnerLoad("a", own), [OwnerLoad("b", b), OwnerLoad("c", c)]
     )
+
+
+@when("a has not heard of b")
+def step_not_heard(context):
+    context.members = [member for member in context.members if member.node != "b"]
+
+
+@when("the member of b has been removed")
+def step_removed(context):
+    context.changes = {"removed": frozenset({"b"})}
+
+
+@then("a takes the keys of b")
+def step_takes(context):
+    view = a_view("a", context.members, **context.changes)
+    proposal = proposals.propose(context.range_table, view)
+    assert proposal.reason == "owner-gone"
+    assert not tables.owned_by(proposal.table, "b")
+
+
+@given("records with a listing of the members at revision {revision:d}")
+def step_listed(context, revision):
+    context.records = Records()
+    context.records.apply_listing(MEMBERS, Listing((), revision))
+
+
+@then("a member that existed at revision {revision:d} has been removed")
+def step_existed(context, revision):
+    assert context.records.is_member_removed("b", revision)
+
+
+@then("a member that existed at revision {revision:d} may not have been heard of")
+def step_may_exist(context, revision):
+    assert not context.records.is_member_removed("b", revision)
+
+
+@when("a member is received and removed again")
+def step_received(context):
+    content = msgspec.json.encode(a_member("b"))
+    context.records.apply(StoredObject(MEMBERS, "b", 30, content))
+    assert "b" in context.records.members
+    context.records.apply(StoredObject(MEMBERS, "b", 31, None))
+
+
+@then("that member has been removed, whatever the revision")
+def step_known_removed(context):
+    assert context.records.is_member_removed("b", 1000)
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -28,6 +28,7 @@
 __all__ = [
     "configuration_of",
     "encode_table",
+    "decode_member",
     "members_of",
     "names_of",
     "table_name",
@@ -151,7 +152,7 @@
     members: dict[str, Member] = {}
     at_address: dict[Address, str] = {}
     for stored in sorted(objects, key=lambda stored: stored.revision):
-        member = _decode_member(stored)
+        member = decode_member(stored)
         if member is None or member.node != stored.name:
             continue
         members.pop(at_address.get(member.peer, ""), None)
@@ -161,7 +162,7 @@
 
 
 @lru_cache(maxsize=MAX_CACHED_MEMBERS)
-def _decode_member(stored: StoredObject) -> Member | None:
+def decode_member(stored: StoredObject) -> Member | None:
     """Decodes a member; only new revisions of an object are decoded."""
     return _decode(stored, Member)
 
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -90,6 +90,7 @@
         self.disconnected = asyncio.Event()
         self.check_requested = asyncio.Event()
         self.monitored = True
+        self.reported = False
         self.peer_state: PeerState | None = None
         self.leaving = False
         self.reads_store = True
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -59,11 +59,10 @@
 PING_PERIOD_S = 0.6
 # Two ping periods and a round trip: a shorter time gives false alarms.
 UNRESPONSIVE_AFTER_S = 1.5
+# One unanswered ping confirms a monitor's report.
+CONFIRMED_AFTER_S = 0.5
 # Period for the peers that this process does not monitor.
 BACKGROUND_PING_PERIOD_S = 20.0
-# A process that wakes this late was paused, so that its peers' answers are late for
-# its own sake.
-OWN_PAUSE_S = 0.5
 RECONNECT_MIN_S = 0.1
 RECONNECT_MAX_S = 1.0
 CONNECT_TIMEOUT_S = 0.7
@@ -308,21 +307,20 @@
         loop = asyncio.get_running_loop()
         unanswered_since: float | None = None
         while not link.disconnected.is_set():
-            sent_at = loop.time()
             if unanswered_since is None:
-                unanswered_since = sent_at
+                unanswered_since = loop.time()
             self._send(link, Ping(self._hooks.known_revisions()))
             if await _is_set_within(link.disconnected, PING_PERIOD_S):
                 return
-            moment = loop.time()
+            # After a pause of this process, answers are received before this runs.
+            unanswered_s = loop.time() - unanswered_since
             if link.connection.last_received_at >= unanswered_since:
                 unanswered_since = None
+                link.reported = False
                 if not link.monitored:
                     await self._wait_for_check(link)
-            elif moment - sent_at > PING_PERIOD_S + OWN_PAUSE_S:
-                unanswered_since = None
-            elif moment - unanswered_since > UNRESPONSIVE_AFTER_S:
-                self._give_up(link, moment - unanswered_since)
+            elif unanswered_s > _patience_s(link):
+                self._give_up(link, unanswered_s)
                 await link.disconnected.wait()
 
     async def _wait_for_check(self, link: Link) -> None:
@@ -424,6 +422,7 @@
             case PeerUnresponsive(node):
                 link = self._links.get(node)
                 if link is not None:
+                    link.reported = True
                     link.check_requested.set()
             case FetchObjects():
                 connection.send(self._hooks.fetch(message.kind))
@@ -481,6 +480,11 @@
         task.add_done_callback(self._background.discard)
 
 
+def _patience_s(link: Link) -> float:
+    """Returns how long a peer may leave pings unanswered, in seconds."""
+    return CONFIRMED_AFTER_S if link.reported else UNRESPONSIVE_AFTER_S
+
+
 async def _is_set_within(event: asyncio.Event, timeout_s: float) -> bool:
     """Waits for an event; returns whether it was set in time."""
     try:
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -346,6 +346,7 @@
             accepting=state is not None and state.accepting and not self._stopping,
             alive=state is not None and state.alive,
             members=members,
+            removed=self._removed_owners(),
             zones_out=zones_out,
             unresponsive_s=unresponsive_s,
             links_up=len(self._links.up),
@@ -356,6 +357,19 @@
             writer=_writer(),
         )
 
+    def _removed_owners(self) -> frozenset[str]:
+        """Returns the owners whose members have been removed from the store."""
+        table = self.table
+        stored = self._records.stored(RANGES, table_name(self._identity.service))
+        if table is None or stored is None:
+            return frozenset()
+        owners = {keys.node for keys in table.ranges}
+        return frozenset(
+            node
+            for node in owners - self._records.members.keys()
+            if self._records.is_member_removed(node, stored.revision)
+        )
+
     def _balance(self, moment: float, view: proposals.OwnershipView) -> None:
         """Hands keys over if that balances the load."""
         if moment < self._balance_at or not self._access.reachable:
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -116,6 +116,24 @@
         """Returns an object; a deleted one has no content."""
         return self._kinds[kind].objects.get(name)
 
+    def is_member_removed(self, node: str, revision: int) -> bool:
+        """Returns whether a member that existed at a revision has ended.
+
+        It was removed, or there is a newer one at its address.
+
+        A member that this process has not heard of may have been created after the
+        last change of the members that it received.
+
+        Args:
+            node: Node that is not among the members.
+            revision: Revision of the store at which the member existed.
+        """
+        stored = self.stored(MEMBERS, node)
+        if stored is not None:
+            superseded = contents.decode_member(stored) is not None
+            return stored.content is None or superseded
+        return self.listed(MEMBERS) and self.revision(MEMBERS) >= revision
+
     def subscribe(self, listener: Callable[[str], None]) -> None:
         """Registers a function that is called with the kind after each change."""
         self._listeners.append(listener)
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -46,6 +46,8 @@
         accepting: Whether its upstream accepts new work.
         alive: Whether its upstream is running.
         members: Members of the service, by node.
+        removed: Nodes whose members have been removed from the store. A node that
+            is just missing from the members may be one not heard of yet.
         zones_out: Availability zones that operators took out.
         unresponsive_s: How long members have been unreachable, by node.
         links_up: Number of other processes that are reachable, of all services.
@@ -62,6 +64,7 @@
     accepting: bool
     alive: bool
     members: tuple[Member, ...]
+    removed: frozenset[str]
     zones_out: frozenset[str]
     unresponsive_s: Mapping[str, float]
     links_up: int
@@ -236,13 +239,11 @@
     if own is None:
         return None
     eligible = [own, *eligible_owners(view)]
-    member_nodes = frozenset(member.node for member in view.members)
     suspected = frozenset(s.node for s in table.suspicions)
     former_owners = {
         keys.node
         for keys in table.ranges
-        if keys.node not in member_nodes
-        or keys.node in (view.lease_expired & suspected)
+        if keys.node in view.removed or keys.node in (view.lease_expired & suspected)
     }
     if not former_owners or not _is_my_turn(view, own, view.members_stable_s):
         return None
