Bound the memory and time that bytes without end can take

Cause: an answer was read up to 64 MB, so a few endless bodies could use up a process's 200 MB; a body that exceeded its limit left its connection in use until the deadline; informational answers were read without end; chunks of one byte took the event loop 0.5 s beyond a deadline; a stranger could announce a frame of 80 MB. Ruled out: endless heads and trickles; the limit of heads and the deadline hold.

--- a/rosemarydeal/node/frames.py
+++ b/rosemarydeal/node/frames.py
@@ -16,6 +16,8 @@
 
 # A peer that acknowledges no data for this long is considered gone.
 USER_TIMEOUT_MS = 2000
+# Limit until the peer has named itself, so that strangers use little memory.
+MAX_FIRST_MESSAGE_BYTES = 4096
 # With more unsent bytes than this, the peer is not reading; messages are dropped.
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
 
@@ -66,7 +68,7 @@
         self._buffer += data
         while len(self._buffer) >= HEADER_BYTES:
             length = int.from_bytes(self._buffer[:HEADER_BYTES], "big")
-            if length > MAX_MESSAGE_BYTES:
+            if length > (MAX_MESSAGE_BYTES if self.peer else MAX_FIRST_MESSAGE_BYTES):
                 self._reject(f"frame of {length} bytes exceeds the limit")
                 return
             end = HEADER_BYTES + length
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -17,6 +17,7 @@
     UpstreamResult,
 )
 from rosemarydeal.proxy import (
+    BodyBuffers,
     BytesBody,
     Headers,
     Pool,
@@ -37,7 +38,11 @@
 # Below the shortest documented idle time-out of an upstream, 10 s.
 IDLE_TIME_S = 4.0
 CONNECT_TIME_S = 1.0
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Memory for all answers that are being read. The smallest VM gives a process 200 MB,
+# and an answer is copied when it is passed on.
+ANSWER_BUDGET_BYTES = 32 * 1024 * 1024
+# Answers to grants, releases and probes are short.
+MAX_CALL_ANSWER_BYTES = 64 * 1024
 OK = 200
 CONFLICT = 409
 MISDIRECTED = 421
@@ -70,6 +75,7 @@
         # A second pool: a late extra answer to a request must not be read as the
         # answer to a call.
         self._calls = Pool(settings)
+        self._buffers = BodyBuffers(ANSWER_BUDGET_BYTES)
 
     async def grant(self, keys: KeyRange, hold_s: float, timeout_s: float) -> None:
         """Grants a range of keys, or renews the grant.
@@ -142,7 +148,7 @@
                 upstream_request.time_left_s,
                 upstream_request.max_idle_s,
             )
-            body = await read_bytes(response.body, MAX_ANSWER_BYTES)
+            body = await self._buffers.read(response.body)
         except ProxyTimeout as error:
             return Failed(error.code, error.sent, timed_out=True)
         except ProxyError as error:
@@ -169,7 +175,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._calls.send(self._address, request, timeout_s)
-                await read_bytes(response.body, MAX_ANSWER_BYTES)
+                await read_bytes(response.body, MAX_CALL_ANSWER_BYTES)
         except (ProxyError, TimeoutError) as error:
             raise UpstreamCallFailed(f"{path!r}: {error!r}") from error
         if find_header(response.headers, names.SIGNATURE) is not None:
--- a/rosemarydeal/proxy/__init__.py
+++ b/rosemarydeal/proxy/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server for callers and client for upstreams, using h11 and asyncio."""
 
+from .buffering import BodyBuffers
 from .client import Pool, PoolSettings
 from .client_connection import ConnectionSettings
 from .errors import (
@@ -30,6 +31,7 @@
 
 __all__ = [
     "BadMessage",
+    "BodyBuffers",
     "BodyTooLarge",
     "BytesBody",
     "ConnectFailed",
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -29,6 +29,8 @@
 __all__ = ["ClientConnection", "ConnectionSettings"]
 
 CONTINUE = 100
+# A final response follows a few of these.
+MAX_INFORMATIONAL_RESPONSES = 16
 SWITCHING_PROTOCOLS = 101
 
 
@@ -259,7 +261,7 @@
 
     async def _read_response_head(self) -> tuple[h11.Response, Headers]:
         """Reads the final head, skipping informational responses."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             if not await self._stream.wait_for_bytes():
                 raise ConnectionResetError("the upstream closed the connection")
             head, headers = await self._stream.read_head()
@@ -271,6 +273,7 @@
                 )
             if head.status_code == CONTINUE and self._continue_received is not None:
                 self._allow_body()
+        raise BadMessage("the upstream sent too many informational responses")
 
     def _build_response(self, head: h11.Response, headers: Headers) -> Response:
         """Builds the response, buffered if its whole body was received already."""
--- a/rosemarydeal/proxy/http_stream.py
+++ b/rosemarydeal/proxy/http_stream.py
@@ -15,6 +15,9 @@
 
 __all__ = ["END_OF_MESSAGE", "HIGH_WATER_BYTES", "HttpStream", "READ_BYTES"]
 
+# A body may have this many chunks of a mean length below the next constant.
+MAX_SHORT_CHUNKS = 4096
+SHORT_CHUNK_BYTES = 64
 READ_BYTES = 65_536
 HIGH_WATER_BYTES = 65_536
 END_OF_MESSAGE = h11.EndOfMessage()
@@ -79,6 +82,8 @@
         self._writer = writer
         self._header_bytes = header_bytes
         self._consumed_bytes = 0
+        self._pieces = 0
+        self._body_bytes = 0
 
     @property
     def consumed_bytes(self) -> int:
@@ -173,6 +178,7 @@
                 data = await self._reader.read(READ_BYTES)
                 self._feed(data)
             elif type(event) is h11.Data:
+                self._check_piece(len(event.data))
                 return bytes(event.data)
             elif type(event) is h11.EndOfMessage:
                 return None
@@ -187,6 +193,7 @@
         """
         pieces = []
         while type(event := self._next_event()) is h11.Data:
+            self._check_piece(len(event.data))
             pieces.append(event.data)
         return b"".join(pieces), type(event) is h11.EndOfMessage
 
@@ -208,8 +215,23 @@
 
     def start_next_exchange(self) -> None:
         """Resets the state for the next exchange on the connection."""
+        self._pieces = self._body_bytes = 0
         self._h11.start_next_cycle()
 
+    def _check_piece(self, length: int) -> None:
+        """Counts a piece of the body.
+
+        Raises:
+            BadMessage: If the body consists of very many very short chunks, which
+                would take far more processor time and memory than their bytes.
+        """
+        self._pieces += 1
+        self._body_bytes += length
+        if self._pieces > MAX_SHORT_CHUNKS and (
+            self._body_bytes < SHORT_CHUNK_BYTES * self._pieces
+        ):
+            raise BadMessage("the chunks of the body are too short")
+
     def _head_too_long(self) -> BadMessage:
         """Returns the error for a head over its limit."""
         detail = f"the head is longer than {self._header_bytes} bytes"
--- a/rosemarydeal/proxy/message.py
+++ b/rosemarydeal/proxy/message.py
@@ -18,6 +18,7 @@
     "Request",
     "Response",
     "bytes_response",
+    "close_body",
     "find_header",
     "problem_response",
     "read_bytes",
@@ -183,11 +184,19 @@
     async for piece in body:
         length += len(piece)
         if length > limit:
+            await close_body(body)
             raise BodyTooLarge(f"the body is longer than {limit} bytes")
         pieces.append(piece)
     return b"".join(pieces)
 
 
+async def close_body(body: AsyncIterator[bytes]) -> None:
+    """Closes a body that is not read to its end, and with it its connection."""
+    aclose = getattr(body, "aclose", None)
+    if aclose is not None:
+        await aclose()
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Returns the first value of a header, or None.
 
