Do not reuse an upstream's connection after an answer without a request id

Cause: a late second copy of a rejection that carries no id, arriving while the next request ran on the same connection, was taken for that request's rejection: its caller was told that it had not run. Ruled out: answers with an id; a foreign one ends the request as unknown.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -40,6 +40,11 @@
     When a request is answered and its keys are released
     Then the release waited for its own answer
 
+  Scenario: A late copy of a rejection without an id does not deny a request that runs
+    Given an upstream that repeats a rejection without an id while the next request runs
+    When two requests are sent one after the other
+    Then the second ends with its own answer
+
   Scenario: A late rejection of another request is not mistaken for one of this request
     Given an upstream that answers each request with a rejection of another one
     When a request is sent
--- a/features/steps/adapter_upstream_steps.py
+++ b/features/steps/adapter_upstream_steps.py
@@ -18,6 +18,7 @@
 EMPTY = b"content-length: 0\r\n\r\n"
 OWN = b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-signature: s\r\n" + EMPTY
 RELEASED = b"HTTP/1.1 200 OK\r\nhandover: h1\r\n" + EMPTY
+UNNAMED_REJECTION = b"HTTP/1.1 503 Full\r\nnot-executed: 1\r\n" + EMPTY
 OTHER_REJECTION = b"HTTP/1.1 503 Full\r\nrequest-id: r0\r\nnot-executed: 1\r\n" + EMPTY
 
 
@@ -88,3 +89,41 @@
 @then("its outcome is unknown")
 def step_outcome_unknown(context):
     assert context.result == Failed("foreign-answer", True), context.result
+
+
+async def repeat_rejection(reader, writer):
+    """Rejects the first request of a connection, and again while the next one runs."""
+    await reader.readuntil(b"\r\n\r\n")
+    if repeat_rejection.rejected:
+        await asyncio.sleep(RELEASE_S)
+        writer.write(OWN)
+        return
+    repeat_rejection.rejected = True
+    writer.write(UNNAMED_REJECTION)
+    await reader.readuntil(b"\r\n\r\n")
+    writer.write(UNNAMED_REJECTION)
+    await asyncio.sleep(RELEASE_S)
+    writer.write(OWN)
+
+
+@given("an upstream that repeats a rejection without an id while the next request runs")
+def step_repeats(context):
+    repeat_rejection.rejected = False
+    context.upstream = repeat_rejection
+
+
+@when("two requests are sent one after the other")
+def step_two(context):
+    async def go():
+        async with raw_upstream(context.upstream) as address:
+            client = UpstreamClient(address, CONNECTIONS)
+            await client.run(upstream_request())
+            context.result = await client.run(upstream_request())
+            await client.close()
+
+    asyncio.run(go())
+
+
+@then("the second ends with its own answer")
+def step_own(context):
+    assert isinstance(context.result, Answered), context.result
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import msgspec
 
@@ -19,6 +20,7 @@
 from rosemarydeal.proxy import (
     BodyBuffers,
     BytesBody,
+    ConnectionSettings,
     Headers,
     Pool,
     PoolSettings,
@@ -71,7 +73,8 @@
             idle_time_s=IDLE_TIME_S,
             connect_time_s=CONNECT_TIME_S,
         )
-        self._pool = Pool(settings)
+        identified = ConnectionSettings(identifying_header=names.REQUEST_ID)
+        self._pool = Pool(replace(settings, connection=identified))
         # A second pool: a late extra answer to a request must not be read as the
         # answer to a call.
         self._calls = Pool(settings)
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -41,10 +41,15 @@
     Attributes:
         header_bytes: Maximum size of the head of a response.
         continue_time_s: Time to wait for a 100 response before sending the body.
+        identifying_header: Header that tells which request a response belongs to,
+            in lower case; empty if there is none. A connection is not reused after
+            a response without it: a late copy of that response could not be told
+            from the response to the next request.
     """
 
     header_bytes: int = 32_768
     continue_time_s: float = 1.0
+    identifying_header: bytes = b""
 
 
 class ResponseBody:
@@ -103,6 +108,7 @@
         self._body_task: asyncio.Task | None = None
         self._continue_received: asyncio.Future[bool] | None = None
         self._request_body_error: Exception | None = None
+        self._identified = True
 
     @property
     def address(self) -> Address:
@@ -279,6 +285,10 @@
         """Builds the response, buffered if its whole body was received already."""
         self._head_received = True
         headers = strip_hop_by_hop(headers)
+        identifying_header = self._settings.identifying_header
+        self._identified = not identifying_header or (
+            find_header(headers, identifying_header) is not None
+        )
         received, complete = self._stream.read_available_body()
         if complete:
             self._end_exchange()
@@ -294,7 +304,8 @@
             self._protocol.received_bytes != self._stream.consumed_bytes
         )
         still_open = not self._reader.at_eof() and not self._writer.is_closing()
-        if self._stream.reusable and still_open and not has_unparsed:
+        reusable = self._stream.reusable and self._identified
+        if reusable and still_open and not has_unparsed:
             self._protocol.notify_idle()
         else:
             self.abort()
