Wait out the grants of a VM's former process also when calls carry them

Cause: a restarted process that had granted nothing yet ended a release at once when the upstream did not answer it, though its predecessor's grant could still hold. Ruled out: the heartbeat carrier, which waits by design. Change: a grant that a process has not made itself counts as held until the longest hold after its start. Before: the scenario fails (the release ends at once). After: it ends after the hold.

--- a/features/grants.feature
+++ b/features/grants.feature
@@ -26,6 +26,11 @@
     And the release of the keys 0 to 9 begins and the upstream is silent
     Then the release ends after 5.11 seconds, not after 5.05
 
+  Scenario: A restarted process waits out the grants that its predecessor made by call
+    Given a process that has just started, whose upstream answers no release
+    When the release of its keys begins
+    Then it ends after the longest hold of 0.4 seconds and not before
+
   Scenario: A released range is handed over with the tokens that the upstream reported
     Given an upstream that holds the keys 0 to 99
     When the release of the keys 10 to 29 begins
--- a/features/steps/grants_steps.py
+++ b/features/steps/grants_steps.py
@@ -4,15 +4,19 @@
 
 import asyncio
 import json
+import time
 from dataclasses import replace
+from types import SimpleNamespace
 
 from behave import given, then, when
 
 from features.grants_machine import check_grants
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import Announcement, HeldKeys, KeyRange, ReleasedKeys
+from rosemarydeal.node.grants import CallGrantCarrier
 from rosemarydeal.platform import announcements
 from rosemarydeal.platform.errors import Unreadable
+from rosemarydeal.platform.upstream import UpstreamCallFailed
 from rosemarydeal.policy.keyranges.heartbeat_grants import HeartbeatGrants
 from rosemarydeal.proxy import BytesBody, Request, read_bytes
 
@@ -20,6 +24,7 @@
 START = 100.0
 HOLD_S = 5.0
 MAX_HOLD_S = 1.0
+LONGEST_HOLD_S = 0.4
 ROWS = {
     "text": "all",
     "reversed": [[9, 3, 1]],
@@ -137,6 +142,39 @@
     assert not context.grants.allows(key, 1, context.now + long)
 
 
+class SilentUpstream:
+    """A client whose calls get no answer."""
+
+    async def release(self, keys, timeout_s):
+        raise UpstreamCallFailed("no answer")
+
+
+@given("a process that has just started, whose upstream answers no release")
+def step_restarted(context):
+    state = SimpleNamespace(alive=True, incarnation=INCARNATION)
+    watch = SimpleNamespace(state=state)
+    context.carrier = CallGrantCarrier(
+        SilentUpstream(), watch, LONGEST_HOLD_S, lambda: None, lambda: None
+    )
+
+
+@when("the release of its keys begins")
+def step_begins(context):
+    async def release():
+        context.carrier.update([a_range(0, 99)], 0.0)
+        started = time.monotonic()
+        context.parts = await context.carrier.release(a_range(0, 99))
+        context.seconds = time.monotonic() - started
+
+    asyncio.run(release())
+
+
+@then("it ends after the longest hold of 0.4 seconds and not before")
+def step_waited_out(context):
+    assert context.parts == ((a_range(0, 99), ""),)
+    assert LONGEST_HOLD_S <= context.seconds < 2 * LONGEST_HOLD_S, context.seconds
+
+
 @when("the release of the keys {first:d} to {last:d} begins")
 @when("the release of the keys {first:d} to {last:d} begins and the upstream is silent")
 def step_release(context, first, last):
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -69,6 +69,7 @@
         self,
         client: UpstreamClient,
         watch: UpstreamWatch,
+        max_hold_s: float,
         on_call_ended: Callable[[], None],
         on_refused: Callable[[], None],
     ) -> None:
@@ -77,6 +78,8 @@
         Args:
             client: Client of the upstream.
             watch: State of the upstream.
+            max_hold_s: Longest duration of a grant. The upstream may hold keys that
+                the VM's former process granted until this process started.
             on_call_ended: Called after each grant call, whatever its result.
             on_refused: Called when the upstream has seen a higher token.
         """
@@ -84,6 +87,7 @@
         self._watch = watch
         self._on_call_ended = on_call_ended
         self._on_refused = on_refused
+        self._predecessor_until = now() + max_hold_s * (1 + ownership_lease.CLOCK_DRIFT)
         self._grants: dict[tuple[int, int, int], Grant] = {}
         self._calls: dict[asyncio.Task[None], KeyRange] = {}
 
@@ -194,7 +198,7 @@
         for keys in ranges:
             grant = old.get(_grant_key(keys))
             if grant is None:
-                grant = Grant(keys)
+                grant = Grant(keys, may_hold_until=self._predecessor_until)
                 for previous in old.values():
                     if tables.covers(previous.keys, keys):
                         grant.valid_until = previous.valid_until
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -205,13 +205,13 @@
         def on_refused() -> None:
             self._spawn(self._renew_token())
 
+        max_hold_s = self._identity.bounds.max_hold_s
         match self._identity.grant_carrier:
             case GrantCarrier.CALL:
                 return CallGrantCarrier(
-                    client, self._watch, self._advance_guard, on_refused
+                    client, self._watch, max_hold_s, self._advance_guard, on_refused
                 )
             case GrantCarrier.HEARTBEAT:
-                max_hold_s = self._identity.bounds.max_hold_s
                 return HeartbeatGrantCarrier(
                     self._watch, max_hold_s, self._advance_guard, on_refused
                 )
