Take the current object from the refusal of a conditional write

Cause: after each refused write the object was read, though the refusal contains it; owners that write one table at the same time pay a call for every conflict. Ruled out: refusals of a creation, whose content the platform does not promise; they are still followed by a read. Change: StoreConflict carries the object. Before: one read after a refused write; after: none (scenario).

--- a/features/node.feature
+++ b/features/node.feature
@@ -69,6 +69,11 @@
     Then vm-b holds no key within 4 seconds
     And no key was ever held by two upstreams
 
+  Scenario: A write that meets another revision learns it without a further call
+    Given a deployment of 2 VMs
+    When a process writes a table that another one has changed since
+    Then the write is refused and the new table is known without a read
+
   Scenario: A restart of the process alone keeps the keys of its upstream
     Given a deployment of 2 VMs
     When the process of vm-b is killed and started again
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -13,7 +13,8 @@
     run,
 )
 from rosemarydeal.node.process import NodeProcess
-from rosemarydeal.platform.errors import StoreUnavailable
+from rosemarydeal.node.records import RANGES
+from rosemarydeal.platform.errors import StoreConflict, StoreUnavailable
 
 
 @when("a VM starts while the store rejects its calls")
@@ -135,3 +136,34 @@
 @then("no key was ever held by two upstreams")
 def step_one_owner(context):
     assert not context.doubled, context.doubled[:3]
+
+
+@when("a process writes a table that another one has changed since")
+def step_conflict(context):
+    deployment = context.deployment
+    access = deployment.nodes["vm-a"]._access
+    stored = deployment.store.objects[RANGES, "box-office"]
+    context.spec = stored["spec"] | {"writer": "someone-else"}
+
+    async def write():
+        deployment.store.put(RANGES, "box-office", context.spec)
+        before = reads_of(access)
+        try:
+            await access.write(RANGES, "box-office", b"{}")
+        except StoreConflict:
+            return reads_of(access) - before
+        raise AssertionError("the write was not refused")
+
+    context.reads = run(context, write())
+
+
+def reads_of(access):
+    calls = access._store.calls
+    return sum(count for call, count in calls.items() if call.operation == "read")
+
+
+@then("the write is refused and the new table is known without a read")
+def step_known(context):
+    assert context.reads == 0, context.reads
+    table = context.deployment.nodes["vm-a"]._records.table("box-office")
+    assert table.writer == "someone-else"
--- a/rosemarydeal/node/store_access.py
+++ b/rosemarydeal/node/store_access.py
@@ -112,8 +112,11 @@
                 stored = await self._store.create(kind, name, content)
             else:
                 stored = await self._store.replace(kind, name, content, old.revision)
-        except StoreConflict:
-            await self.read(kind, name)
+        except StoreConflict as conflict:
+            if conflict.current is not None and conflict.current.name == name:
+                self._records.apply(conflict.current)
+            else:
+                await self.read(kind, name)
             raise
         except StoreError as error:
             self.note_reachable(False, str(error))
@@ -140,9 +143,11 @@
             else:
                 try:
                     stored = await self._write_at(call)
-                except StoreConflict:
+                except StoreConflict as conflict:
                     done = False
-                    stored = await self._store.get(call.kind, call.name)
+                    stored = conflict.current
+                    if stored is None:
+                        stored = await self._store.get(call.kind, call.name)
         except StoreError as error:
             _log.info("relay_failed", name=call.name, detail=error.detail)
             return None
--- a/rosemarydeal/platform/errors.py
+++ b/rosemarydeal/platform/errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from rosemarydeal.core import CodedError
+from rosemarydeal.core.fleet import StoredObject
 
 __all__ = [
     "HistoryGone",
@@ -47,10 +48,18 @@
 
 
 class StoreConflict(StoreError):
-    """The object is at another revision than the write expected."""
+    """The object is at another revision than the write expected.
+
+    Attributes:
+        current: The object as the store holds it, None if the store did not tell.
+    """
 
     code = "store-conflict"
 
+    def __init__(self, detail: str, current: StoredObject | None = None) -> None:
+        super().__init__(detail)
+        self.current = current
+
 
 class HistoryGone(StoreError):
     """The store has dropped the history after a watch's revision; list again."""
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -264,8 +264,10 @@
 
 def _decode_object(kind: str, status: int, body: bytes) -> StoredObject:
     """Decodes an answer that contains one object."""
-    _check_status(kind, status, body)
     stored = _stored_object(kind, msgspec.Raw(body))
+    if status == CONFLICT and stored.name and not stored.unreadable:
+        raise StoreConflict(f"{kind}: status {status}", stored)
+    _check_status(kind, status, body)
     if stored.unreadable:
         raise StoreError(f"{kind}: {stored.unreadable}")
     return stored
