Answer the first heartbeat of an upstream once its keys are assigned

Ruled out: stating the keys under the old incarnation's token; a new life needs a higher one. Change: the answer waits up to 0.4 s while own keys can't be stated, but for a draining upstream. Logs of separate processes are kept under build/logs. Before: the scenario fails; after: it passes (keys within 0.8 s at a heartbeat each 3 s).

--- a/features/builders_processes.py
+++ b/features/builders_processes.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -23,8 +24,18 @@
 
 import zmq
 
-__all__ = ["Child", "ProcessDeployment", "Reply", "Vm", "send_request", "wait_until"]
-
+__all__ = [
+    "Child",
+    "ProcessDeployment",
+    "Reply",
+    "Vm",
+    "new_log_directory",
+    "send_request",
+    "wait_until",
+]
+
+KEPT_LOGS = Path("build/logs")
+KEPT_LOG_RUNS = 120
 NETWORK = "127.51.0"
 TOKEN = "test-operators-token"
 ZONES = ("perth-a", "perth-b", "perth-c")
@@ -75,6 +86,20 @@
 """
 
 
+def new_log_directory() -> Path:
+    """Creates a directory for the logs of a run, and removes the oldest ones.
+
+    Logs are kept so that a failure that is seen once can be traced.
+    """
+    KEPT_LOGS.mkdir(parents=True, exist_ok=True)
+    for old in sorted(KEPT_LOGS.iterdir())[:-KEPT_LOG_RUNS]:
+        shutil.rmtree(old, ignore_errors=True)
+    name = f"{time.strftime('%Y%m%dT%H%M%S')}-{os.getpid()}"
+    directory = KEPT_LOGS / name
+    directory.mkdir(exist_ok=True)
+    return directory.absolute()
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     """The reply to a caller; its status is 0 if the connection broke."""
--- a/features/node_heartbeat_grants.feature
+++ b/features/node_heartbeat_grants.feature
@@ -33,6 +33,11 @@
     Then all keys are served again within 2 seconds
     And no key was ever held by two upstreams
 
+  Scenario: A restarted upstream gets its keys with the answer to its first heartbeat
+    Given a deployment of 2 VMs whose heartbeats carry the grants
+    When the upstream of vm-b restarts and announces itself each 3 seconds
+    Then vm-b holds keys within 0.8 seconds of its first heartbeat
+
   Scenario: A zone that is taken out holds no keys until it is taken back
     Given a deployment of 2 VMs whose heartbeats carry the grants
     When the operator takes perth-b out of service
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -47,6 +47,7 @@
         self.caller_services = []
         self.by_heartbeat = by_heartbeat
         self.lose_answers = 0
+        self.announce_s = ANNOUNCE_S
         self.handovers_received = set()
         self._released = []
         self._running_keys = []
@@ -68,6 +69,14 @@
         await self._server.close()
         await self._pool.close()
 
+    def restart(self):
+        """Starts a new incarnation, which holds no keys and announces itself."""
+        self._task.cancel()
+        self.instance = f"{self.instance}-{secrets.token_hex(2)}"
+        self.holds, self._released, self._sequence = [], [], 0
+        self._born += 1
+        self._task = asyncio.create_task(self._announce())
+
     async def call(self, name, body):
         """Calls the process beside the upstream and returns the status."""
         return (await self._exchange(name, body))[0]
@@ -211,4 +220,4 @@
             if status == 200 and self.state == "draining":
                 moment = time.monotonic()
                 self.acknowledged_draining = self.acknowledged_draining or moment
-            await asyncio.sleep(ANNOUNCE_S if complete else RELEASE_ANNOUNCE_S)
+            await asyncio.sleep(self.announce_s if complete else RELEASE_ANNOUNCE_S)
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -251,3 +251,24 @@
     endpoint = context.deployment.endpoints["vm-b"]
     endpoint.lose_answers = count
     endpoint.state = "draining"
+
+
+@when("the upstream of vm-b restarts and announces itself each {seconds:d} seconds")
+def step_restart_upstream(context, seconds):
+    endpoint = context.deployment.endpoints["vm-b"]
+    endpoint.announce_s = seconds
+
+    async def restart():
+        endpoint.restart()
+
+    run(context, restart())
+
+
+@then("vm-b holds keys within {seconds:f} seconds of its first heartbeat")
+def step_first_heartbeat(context, seconds):
+    endpoint = context.deployment.endpoints["vm-b"]
+    sample = context.deployment.sample()
+    held = context.deployment.wait(
+        lambda: any(endpoint.held(key) for key in sample), seconds
+    )
+    run(context, held)
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -16,6 +16,7 @@
     TOKEN,
     ProcessDeployment,
     Reply,
+    new_log_directory,
     send_request,
     wait_until,
 )
@@ -29,9 +30,7 @@
 @given("all separate processes are up and serve all slices")
 def step_serve(context):
     if getattr(context.feature, "processes", None) is None:
-        directory = tempfile.TemporaryDirectory()
-        processes = ProcessDeployment(Path(directory.name))
-        context.add_cleanup(directory.cleanup, layer="feature")
+        processes = ProcessDeployment(new_log_directory())
         context.add_cleanup(processes.end, layer="feature")
         processes.apply()
         context.feature.processes = processes
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -49,6 +49,8 @@
 STEP_S = 0.1
 # Period while the service is not keyed or the upstream is not known.
 IDLE_STEP_S = 0.5
+# An upstream ignores answers that come a second after its heartbeat.
+STATEMENT_WAIT_S = 0.4
 # Larger fleets build proposals less often, since each one costs more there.
 # Changes of the own upstream are handled without delay.
 STEP_FLEET = 20
@@ -107,6 +109,8 @@
         self._balance_at = 0.0
         self._propose_at = 0.0
         self._stopping = False
+        # Set when the table or the lease changes.
+        self._changed = asyncio.Event()
 
     def set_guard(self, guard: Guard) -> None:
         """Sets the guard whose queue is advanced after grants."""
@@ -137,10 +141,19 @@
         granted = self._grants.allows(key, keys.token)
         return Admission.RUN if granted else Admission.WAIT
 
-    def answer_heartbeat(self, heartbeat: Announcement) -> GrantStatement | None:
-        """Returns the keys that the upstream is to hold, if its heartbeat asks."""
+    async def answer_heartbeat(self, heartbeat: Announcement) -> GrantStatement | None:
+        """Returns the keys that the upstream is to hold, if its heartbeat asks.
+
+        The answer waits for a moment while the keys of a new incarnation are being
+        assigned, as the upstream would get them a heartbeat later otherwise.
+        """
         if not self._is_keyed():
             return None
+        if heartbeat.holds is not None and not heartbeat.draining:
+            await self._wait_for_statement()
+            state = self._watch.state
+            if state is None or state.announcement is not heartbeat:
+                return None
         if self.table is not None:
             self._update_grants()
         return self._grants.answer(heartbeat)
@@ -185,6 +198,7 @@
 
     def on_table_changed(self) -> None:
         """Applies a change of the table without waiting for the next step."""
+        self._changed.set()
         if self._is_keyed() and self._watch.state is not None:
             self._step()
             self._advance_guard()
@@ -197,6 +211,28 @@
         self._propose_at = 0.0
         self.on_table_changed()
 
+    async def _wait_for_statement(self) -> None:
+        """Waits until the own keys can be stated, but not for long."""
+        try:
+            async with asyncio.timeout(STATEMENT_WAIT_S):
+                while not self._can_state_keys():
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _can_state_keys(self) -> bool:
+        """Returns whether all own ranges can be stated under a valid lease."""
+        state = self._watch.state
+        if self.table is None or state is None:
+            return False
+        owned = self.owned
+        if not owned:
+            return True
+        return now() < ownership_lease.lease_expiry(self._lease) and all(
+            keys.incarnation == state.incarnation for keys in owned
+        )
+
     def _grant_carrier(
         self, client: UpstreamClient
     ) -> CallGrantCarrier | HeartbeatGrantCarrier:
@@ -262,6 +298,7 @@
         self._lease = ownership_lease.renew(
             self._lease, table, self._identity.node, requested_at
         )
+        self._changed.set()
         self._update_grants()
 
     def _update_grants(self) -> None:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -316,7 +316,7 @@
             case CallResult.FOREIGN, _:
                 return announcements.reject()
             case CallResult.APPLIED, Announcement():
-                statement = self._ownership.answer_heartbeat(call)
+                statement = await self._ownership.answer_heartbeat(call)
                 return announcements.acknowledge(statement)
             case _:
                 return announcements.acknowledge()
