Report loads with answers, and balance by fresh loads

The choice also took a step for each process of the fleet for each request. Ruled out: pinging all more often; it costs each process a message for every other. Change: every reply carries the load of its sender. An overloaded owner asks up to 40 others at a time for their loads and plans with reports of the last two seconds. Members that take requests are kept by service; sixteen are examined for a request. Before: the scenario of loads fails.

--- a/features/monitors.feature
+++ b/features/monitors.feature
@@ -28,6 +28,11 @@
     When 2 seconds pass for the links
     Then it has sent at most 2 pings
 
+  Scenario: An answer brings the load of the peer that sent it
+    Given a deployment of 2 VMs
+    When vm-a pings vm-b rarely and a request of vm-a is answered by vm-b
+    Then vm-a has the load that vm-b reported with the answer
+
   Scenario: A process that was paused does not take its peers for unresponsive
     Given links from a monitor to a peer that answers
     When the process of the monitor is paused for 2 seconds
--- a/features/steps/monitors_steps.py
+++ b/features/steps/monitors_steps.py
@@ -13,10 +13,11 @@
 from rosemarydeal.core import Address
 from rosemarydeal.node.frames import FrameConnection
 from rosemarydeal.node.links import Links
-from rosemarydeal.node.messages import Ping, Pong
+from rosemarydeal.node.messages import LoadReport, Ping, Pong
 from rosemarydeal.policy.membership.monitors import monitored_peers
 
 HOST = "127.0.2.1"
+IDLE = LoadReport(0, 0, 1, 0, 100)
 PEER_PORT = 9101
 MONITOR_PORT = 9102
 OTHER_PORT = 9103
@@ -73,7 +74,7 @@
         if isinstance(message, Ping):
             context.pings += 1
             if context.answering:
-                connection.send(Pong((), 0, 0, 1, 0, 100))
+                connection.send(Pong((), IDLE))
 
     def connection():
         return FrameConnection(
@@ -87,7 +88,7 @@
 async def start_links(node, port, members):
     hooks = MagicMock()
     hooks.known_revisions = lambda: ()
-    hooks.pong = lambda: Pong((), 0, 0, 1, 0, 100)
+    hooks.pong = lambda: Pong((), IDLE)
     links = Links(node, f"{node}-1", hooks)
     await links.start(Address(HOST, port))
     links.set_members(members)
@@ -193,3 +194,24 @@
     links = context.links["a"]
     assert links.is_up("peer")
     assert not links.sent["PeerUnresponsive"], links.sent
+
+
+@when("vm-a pings vm-b rarely and a request of vm-a is answered by vm-b")
+def step_answer_load(context):
+    deployment = context.deployment
+    links = deployment.nodes["vm-a"]._links
+    links._links["vm-b"].monitored = False
+
+    async def ask():
+        await asyncio.sleep(1.0)
+        context.sent_at = context.loop.time()
+        for key in deployment.sample():
+            await deployment.send_request("vm-a", key)
+
+    run(context, ask())
+
+
+@then("vm-a has the load that vm-b reported with the answer")
+def step_has_load(context):
+    state = context.deployment.nodes["vm-a"]._links.peer_state("vm-b")
+    assert state.reported_at > context.sent_at, state
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -25,7 +25,7 @@
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.requests import attempts
 from rosemarydeal.policy.requests.rejections import RecentRejections
-from rosemarydeal.policy.routing.choice import Candidate, choose, shortlist
+from rosemarydeal.policy.routing.choice import Candidate, choose, draw, shortlist
 from rosemarydeal.policy.routing.request_profiles import RequestProfiles
 from rosemarydeal.policy.routing.route_index import RouteIndex, choose_service
 from rosemarydeal.proxy import Request, Response
@@ -77,6 +77,12 @@
         self._links = links
         self._guard = guard
         self._health = health
+        self._accepting: dict[str, tuple[tuple[Member, ...], tuple[Member, ...]]] = {}
+        # The members and the zones that are out for which these were found.
+        self._accepting_of: tuple[dict[str, Member], frozenset[str]] = (
+            {},
+            frozenset(),
+        )
         self._metrics = metrics
         self._configuration: Configuration | None = None
         self._route_index: RouteIndex | None = None
@@ -245,17 +251,14 @@
 
     def _choose_node(self, progress: _Progress, tried: set[str]) -> str | None:
         """Chooses the node for a request without a key; None if there is none."""
-        zones_out = self._records.zones_out
-        same_zone_members: list[Member] = []
-        other_zone_members: list[Member] = []
-        for member in self._records.members.values():
-            if member.service != progress.service or not member.accepting:
-                continue
-            if member.node in tried or member.zone in zones_out:
-                continue
-            if self._is_reachable(member.node):
-                same_zone = member.zone == self._identity.zone
-                (same_zone_members if same_zone else other_zone_members).append(member)
+        same_zone_members, other_zone_members = (
+            [
+                member
+                for member in draw(members, self._random)
+                if member.node not in tried and self._is_reachable(member.node)
+            ]
+            for members in self._accepting_members(progress.service)
+        )
         candidates = map(
             self._candidate,
             shortlist(same_zone_members, other_zone_members, self._random),
@@ -266,6 +269,34 @@
             self._incarnations_tried[node] = self._records.members[node].incarnation
         return node
 
+    def _accepting_members(
+        self, service: str
+    ) -> tuple[tuple[Member, ...], tuple[Member, ...]]:
+        """Returns the members that take requests, in the own zone and elsewhere.
+
+        They are kept until the members or the zones that are out change, since a
+        request must not cost a step for each process of the fleet.
+        """
+        members, zones_out = self._records.members, self._records.zones_out
+        if self._accepting_of[0] is not members or self._accepting_of[1] != zones_out:
+            self._accepting.clear()
+            self._accepting_of = (members, zones_out)
+        accepting = self._accepting.get(service)
+        if accepting is None:
+            usable = [
+                member
+                for member in members.values()
+                if member.service == service
+                and member.accepting
+                and member.zone not in zones_out
+            ]
+            zone = self._identity.zone
+            accepting = self._accepting[service] = (
+                tuple(member for member in usable if member.zone == zone),
+                tuple(member for member in usable if member.zone != zone),
+            )
+        return accepting
+
     def _is_reachable(self, node: str) -> bool:
         """Returns whether requests can be sent to a node."""
         if node == self._identity.node:
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -12,6 +12,7 @@
 from .frames import FrameConnection
 from .messages import (
     CrashSuspects,
+    LoadReport,
     ObjectChanges,
     ObjectListing,
     ObjectUpdate,
@@ -35,6 +36,7 @@
         slots: Requests that its upstream runs concurrently.
         demand: Arriving work as a share of the capacity of its slots.
         slowdown: Smoothed slowdown factor of its upstream; 1.0 is normal.
+        reported_at: When the report arrived, by the event loop's clock.
     """
 
     running: int
@@ -42,6 +44,7 @@
     slots: int
     demand: float
     slowdown: float
+    reported_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +53,7 @@
 
     Attributes:
         serve: Runs a peer's request at the own upstream.
+        load: Returns the load of the own upstream.
         pong: Builds the reply to a ping.
         known_revisions: Returns the last known revision of each kind.
         on_known_revisions: Called with a node and its last known revisions.
@@ -64,6 +68,7 @@
     """
 
     serve: Callable[[RoutedRequest], Awaitable[RequestOutcome]]
+    load: Callable[[], LoadReport]
     pong: Callable[[], Pong]
     known_revisions: Callable[[], tuple[int, ...]]
     on_known_revisions: Callable[[str, tuple[int, ...]], None]
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -36,6 +36,7 @@
     FetchObjects,
     Hello,
     Leaving,
+    LoadReport,
     Message,
     NotServedReply,
     ObjectChanges,
@@ -133,6 +134,16 @@
         link = self._links.get(node)
         return link.peer_state if link is not None else None
 
+    def request_load(self, node: str, max_age_s: float) -> None:
+        """Pings a node unless its load was reported within a time, in seconds."""
+        link = self._links.get(node)
+        if link is None or not link.up:
+            return
+        state = link.peer_state
+        moment = asyncio.get_running_loop().time()
+        if state is None or moment - state.reported_at > max_age_s:
+            link.check_requested.set()
+
     def outstanding(self, node: str) -> int:
         """Returns the number of requests whose outcome from a node is pending."""
         link = self._links.get(node)
@@ -364,8 +375,12 @@
         """Handles a message on a link that this process opened."""
         match message:
             case AnswerReply():
+                _record_load(link, message.load)
                 self._complete(link, message.number, message.to_answer())
-            case NotServedReply(number, outcome) | OutcomeUnknownReply(number, outcome):
+            case NotServedReply(number, outcome, load) | OutcomeUnknownReply(
+                number, outcome, load
+            ):
+                _record_load(link, load)
                 self._complete(link, number, outcome)
             case Pong():
                 self._on_pong(link, message)
@@ -388,13 +403,7 @@
 
     def _on_pong(self, link: Link, pong: Pong) -> None:
         """Records the load and the known revisions that a peer reports."""
-        link.peer_state = PeerState(
-            pong.running,
-            pong.waiting,
-            pong.slots,
-            pong.demand_percent / 100.0,
-            pong.slowdown_percent / 100.0,
-        )
+        _record_load(link, pong.load)
         link.reads_store = pong.reads_store
         self._hooks.on_known_revisions(link.node, pong.known_revisions)
 
@@ -449,7 +458,7 @@
         """Runs a peer's request and sends its outcome."""
         try:
             outcome = await self._hooks.serve(request)
-            connection.send(reply_of(number, outcome))
+            connection.send(reply_of(number, outcome, self._hooks.load()))
         finally:
             self._serving.pop((connection, number), None)
 
@@ -485,6 +494,20 @@
     return CONFIRMED_AFTER_S if link.reported else UNRESPONSIVE_AFTER_S
 
 
+def _record_load(link: Link, load: LoadReport | None) -> None:
+    """Records the load that a peer reported."""
+    if load is None:
+        return
+    link.peer_state = PeerState(
+        load.running,
+        load.waiting,
+        load.slots,
+        load.demand_percent / 100.0,
+        load.slowdown_percent / 100.0,
+        asyncio.get_running_loop().time(),
+    )
+
+
 async def _is_set_within(event: asyncio.Event, timeout_s: float) -> bool:
     """Waits for an event; returns whether it was set in time."""
     try:
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -27,6 +27,7 @@
     "FetchObjects",
     "Hello",
     "Leaving",
+    "LoadReport",
     "Message",
     "NotServedReply",
     "ObjectChanges",
@@ -110,6 +111,16 @@
     number: int
 
 
+class LoadReport(_Base):
+    """Load of the sender's upstream; the shares are of the slots' capacity."""
+
+    running: int
+    waiting: int
+    slots: int
+    demand_percent: int
+    slowdown_percent: int
+
+
 class AnswerReply(_Base, tag=4):
     """Reply with the upstream's answer."""
 
@@ -118,13 +129,14 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     slowdown_percent: int
+    load: LoadReport | None = None
 
     @classmethod
-    def of(cls, number: int, answer: Answered) -> AnswerReply:
+    def of(cls, number: int, answer: Answered, load: LoadReport) -> AnswerReply:
         """Builds the reply for an answer."""
-        load = answer.load
-        slowdown = round(100 * load.slowdown) if load is not None else 0
-        return cls(number, answer.status, answer.headers, answer.body, slowdown)
+        at_answer = answer.load
+        slowdown = round(100 * at_answer.slowdown) if at_answer is not None else 0
+        return cls(number, answer.status, answer.headers, answer.body, slowdown, load)
 
     def to_answer(self) -> Answered:
         """Returns the answer; of its load only the slowdown is transmitted."""
@@ -139,6 +151,7 @@
 
     number: int
     outcome: NotServed
+    load: LoadReport | None = None
 
 
 class OutcomeUnknownReply(_Base, tag=6):
@@ -146,6 +159,7 @@
 
     number: int
     outcome: OutcomeUnknown
+    load: LoadReport | None = None
 
 
 class Ping(_Base, tag=7):
@@ -158,11 +172,7 @@
     """Reply to a ping; carries the sender's load and known revisions."""
 
     known_revisions: tuple[int, ...]
-    running: int
-    waiting: int
-    slots: int
-    demand_percent: int
-    slowdown_percent: int
+    load: LoadReport
     reads_store: bool = True
 
 
@@ -362,12 +372,12 @@
     return _DECODER.decode(body)
 
 
-def reply_of(number: int, outcome: RequestOutcome) -> Reply:
-    """Builds the reply that carries a request's outcome."""
+def reply_of(number: int, outcome: RequestOutcome, load: LoadReport) -> Reply:
+    """Builds the reply that carries a request's outcome and the sender's load."""
     match outcome:
         case NotServed():
-            return NotServedReply(number, outcome)
+            return NotServedReply(number, outcome, load)
         case OutcomeUnknown():
-            return OutcomeUnknownReply(number, outcome)
+            return OutcomeUnknownReply(number, outcome, load)
         case _:
-            return AnswerReply.of(number, outcome)
+            return AnswerReply.of(number, outcome, load)
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -55,6 +55,10 @@
 # Changes of the own upstream are handled without delay.
 STEP_FLEET = 20
 BALANCE_PERIOD_S = 0.4
+# Other owners that an overloaded one asks for their loads at a time.
+MAX_LOAD_REQUESTS = 40
+# Older reports of other owners' loads are not used to balance.
+MAX_LOAD_AGE_S = 2.0
 # Demand is measured over one second, so a move shows after that time.
 PAUSE_AFTER_MOVE_S = 1.0
 WRITE_RETRY_FIRST_S = 0.05
@@ -412,10 +416,18 @@
         if moment < self._balance_at or not self._access.reachable:
             return
         self._balance_at = moment + BALANCE_PERIOD_S * random.uniform(0.8, 1.2)
+        if self._guard.demand < balance.BUSY_DEMAND:
+            return
         others = []
-        for member in proposals.eligible_owners(view):
+        loop_now = asyncio.get_running_loop().time()
+        eligible = proposals.eligible_owners(view)
+        for member in random.sample(eligible, min(MAX_LOAD_REQUESTS, len(eligible))):
+            self._links.request_load(member.node, BALANCE_PERIOD_S)
+        for member in eligible:
             state = self._links.peer_state(member.node)
-            if state is not None and state.slots:
+            if state is None or not state.slots:
+                continue
+            if loop_now - state.reported_at <= MAX_LOAD_AGE_S:
                 others.append(OwnerLoad(member.node, state.demand, state.slowdown))
         planned = balance.plan_transfers(
             OwnerLoad(self._identity.node, self._guard.demand, self._guard.slowdown),
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -30,7 +30,7 @@
 from .health import UpstreamHealth
 from .links import LinkHooks, Links
 from .membership import Membership
-from .messages import CrashSuspects, Pong, SuspectCleared
+from .messages import CrashSuspects, LoadReport, Pong, SuspectCleared
 from .metrics import Metrics
 from .ownership import Ownership
 from .records import MEMBERS, RANGES, Records
@@ -208,6 +208,7 @@
         """Builds the callbacks of the links."""
         return LinkHooks(
             serve=lambda request: self._guard.serve(request),
+            load=self._load,
             pong=self._pong,
             known_revisions=lambda: self._records.known_revisions,
             on_known_revisions=lambda node, revisions: (
@@ -243,15 +244,21 @@
             service=self._own_service,
         )
 
-    def _pong(self) -> Pong:
-        """Builds the answer to a ping."""
-        return Pong(
-            self._records.known_revisions,
+    def _load(self) -> LoadReport:
+        """Returns the load of the own upstream."""
+        return LoadReport(
             self._guard.running,
             self._guard.waiting,
             self._guard.slots,
             round(100 * self._guard.demand),
             round(100 * self._guard.slowdown),
+        )
+
+    def _pong(self) -> Pong:
+        """Builds the answer to a ping."""
+        return Pong(
+            self._records.known_revisions,
+            self._load(),
             self._store_watcher.reads_store,
         )
 
--- a/rosemarydeal/policy/keyranges/balance.py
+++ b/rosemarydeal/policy/keyranges/balance.py
@@ -19,7 +19,7 @@
 
 from .table import subtract
 
-__all__ = ["OwnerLoad", "Transfer", "can_absorb", "plan_transfers"]
+__all__ = ["BUSY_DEMAND", "OwnerLoad", "Transfer", "can_absorb", "plan_transfers"]
 
 # Smallest difference of demands, as a share of an upstream's slots, that is worth
 # a transfer.
--- a/rosemarydeal/policy/routing/choice.py
+++ b/rosemarydeal/policy/routing/choice.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-__all__ = ["Candidate", "RequestProfile", "choose", "shortlist"]
+__all__ = ["Candidate", "RequestProfile", "choose", "draw", "shortlist"]
 
 # Transferring an answer of this length between zones costs as much as it is worth.
 CROSS_ZONE_COST_BYTES = 22_000
@@ -37,6 +37,8 @@
 # Up to this many upstreams are all compared: in a small fleet few processes send to
 # them, and the reported loads are only half a second old.
 MAX_UNSAMPLED = 8
+# Upstreams that are examined for a request, in the own zone and elsewhere.
+MAX_DRAWN = 16
 _Upstream = TypeVar("_Upstream")
 
 
@@ -80,6 +82,16 @@
     untried: bool = False
 
 
+def draw(members: Sequence[_Upstream], rng: random.Random) -> Sequence[_Upstream]:
+    """Returns the upstreams to examine: all of a few, or else some drawn at random.
+
+    Enough are drawn that a shortlist remains if several of them can't be used.
+    """
+    if len(members) <= MAX_DRAWN:
+        return members
+    return rng.sample(members, MAX_DRAWN)
+
+
 def shortlist(
     same_zone: Sequence[_Upstream], other_zones: Sequence[_Upstream], rng: random.Random
 ) -> Sequence[_Upstream]:
