--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -13,6 +13,7 @@
 from .messages import (
     CrashSuspects,
     LoadReport,
+    Message,
     ObjectChanges,
     ObjectListing,
     ObjectUpdate,
@@ -101,6 +102,11 @@
         self.reads_store = True
         self.unreachable_since: float | None = None
 
+    def send(self, message: Message) -> None:
+        """Sends a message if the link is up; delivery is not guaranteed."""
+        if self.connection is not None:
+            self.connection.send(message)
+
     @property
     def up(self) -> bool:
         """Returns whether messages can be sent."""
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -2,15 +2,12 @@
 
 Each process opens a link to every other one. It sends requests on its own links
 and replies on those that others opened. Pings detect unresponsive peers, and
-carry the load and the known revisions of the store's objects. In a large fleet a
-process pings only some peers often; it checks another one when a monitor of that
-peer reports that it does not answer.
+carry the load and the known revisions of the store's objects.
 """
 
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import Counter
 from collections.abc import Awaitable, Mapping
 
@@ -29,6 +26,7 @@
 
 from .frames import FrameConnection
 from .link import Link, LinkHooks, PeerState
+from .link_monitor import LinkMonitor
 from .messages import (
     AnswerReply,
     CancelRequest,
@@ -57,13 +55,6 @@
 
 __all__ = ["LinkHooks", "Links", "PeerState"]
 
-PING_PERIOD_S = 0.6
-# Two ping periods and a round trip: a shorter time gives false alarms.
-UNRESPONSIVE_AFTER_S = 1.5
-# One unanswered ping confirms a monitor's report.
-CONFIRMED_AFTER_S = 0.5
-# Period for the peers that this process does not monitor.
-BACKGROUND_PING_PERIOD_S = 20.0
 RECONNECT_MIN_S = 0.1
 RECONNECT_MAX_S = 1.0
 CONNECT_TIMEOUT_S = 0.7
@@ -86,6 +77,7 @@
         self._background: set[asyncio.Task[None]] = set()
         self._last_number = 0
         self._listener: asyncio.Server | None = None
+        self._monitor = LinkMonitor(hooks.known_revisions, self.broadcast)
         self._sent: Counter[str] = Counter()
         self._sent_bytes = 0
 
@@ -211,7 +203,7 @@
                 and not future.done()
                 or (future.cancelled())
             ):
-                self._send(link, CancelRequest(number))
+                link.send(CancelRequest(number))
 
     async def relay_store_call(
         self, node: str, call: StoreRelayRequest, timeout_s: float = RELAY_TIMEOUT_S
@@ -238,12 +230,12 @@
         """Sends a message to a node if it is reachable."""
         link = self._links.get(node)
         if link is not None:
-            self._send(link, message)
+            link.send(message)
 
     def broadcast(self, message: Message) -> None:
         """Sends a message to all reachable nodes."""
         for link in self._links.values():
-            self._send(link, message)
+            link.send(message)
 
     async def wait_idle(self, timeout_s: float) -> None:
         """Waits until no peer's request is being served."""
@@ -280,7 +272,7 @@
         while True:
             if await self._connect(link):
                 pause = RECONNECT_MIN_S
-                await self._ping_until_disconnected(link)
+                await self._monitor.run(link)
             await asyncio.sleep(pause)
             pause = min(RECONNECT_MAX_S, 2 * pause)
 
@@ -313,46 +305,6 @@
         _log.info("peer_link_up", peer=link.node)
         return True
 
-    async def _ping_until_disconnected(self, link: Link) -> None:
-        """Pings periodically; closes the link if the peer is unresponsive."""
-        loop = asyncio.get_running_loop()
-        unanswered_since: float | None = None
-        while not link.disconnected.is_set():
-            if unanswered_since is None:
-                unanswered_since = loop.time()
-            self._send(link, Ping(self._hooks.known_revisions()))
-            if await _is_set_within(link.disconnected, PING_PERIOD_S):
-                return
-            # After a pause of this process, answers are received before this runs.
-            unanswered_s = loop.time() - unanswered_since
-            if link.connection.last_received_at >= unanswered_since:
-                unanswered_since = None
-                link.reported = False
-                if not link.monitored:
-                    await self._wait_for_check(link)
-            elif unanswered_s > _patience_s(link):
-                self._give_up(link, unanswered_s)
-                await link.disconnected.wait()
-
-    async def _wait_for_check(self, link: Link) -> None:
-        """Waits for the next ping of a peer that this process does not monitor."""
-        link.check_requested.clear()
-        await _is_set_within(
-            link.check_requested, BACKGROUND_PING_PERIOD_S * random.uniform(0.8, 1.2)
-        )
-
-    def _give_up(self, link: Link, unanswered_s: float) -> None:
-        """Closes the link to a peer that does not answer, and tells the others."""
-        _log.warning(
-            "peer_unresponsive",
-            peer=link.node,
-            unanswered_s=round(unanswered_s, 3),
-            monitored=link.monitored,
-        )
-        link.connection.abort()
-        if link.monitored:
-            self.broadcast(PeerUnresponsive(link.node))
-
     def _on_disconnect(self, link: Link) -> None:
         """Ends the requests pending on a closed link with unknown outcome."""
         link.connection = None
@@ -366,11 +318,6 @@
         link.check_requested.set()
         _log.warning("peer_link_down", peer=link.node)
 
-    def _send(self, link: Link, message: Message) -> None:
-        """Sends a message if the link is up; delivery is not guaranteed."""
-        if link.connection is not None:
-            link.connection.send(message)
-
     def _on_reply(self, link: Link, message: Message) -> None:
         """Handles a message on a link that this process opened."""
         match message:
@@ -489,11 +436,6 @@
         task.add_done_callback(self._background.discard)
 
 
-def _patience_s(link: Link) -> float:
-    """Returns how long a peer may leave pings unanswered, in seconds."""
-    return CONFIRMED_AFTER_S if link.reported else UNRESPONSIVE_AFTER_S
-
-
 def _record_load(link: Link, load: LoadReport | None) -> None:
     """Records the load that a peer reported."""
     if load is None:
@@ -506,13 +448,3 @@
         load.slowdown_percent / 100.0,
         asyncio.get_running_loop().time(),
     )
-
-
-async def _is_set_within(event: asyncio.Event, timeout_s: float) -> bool:
-    """Waits for an event; returns whether it was set in time."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-    except TimeoutError:
-        return False
-    return True
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -32,8 +32,8 @@
 from rosemarydeal.policy.dispatch.queue import Admission
 from rosemarydeal.policy.keyranges import balance, ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
-from rosemarydeal.policy.keyranges.balance import OwnerLoad
 
+from .balancer import Balancer
 from .contents import encode_table, table_name
 from .grants import CallGrantCarrier
 from .guard import Guard
@@ -54,13 +54,6 @@
 # Larger fleets build proposals less often, since each one costs more there.
 # Changes of the own upstream are handled without delay.
 STEP_FLEET = 20
-BALANCE_PERIOD_S = 0.4
-# Other owners that an overloaded one asks for their loads at a time.
-MAX_LOAD_REQUESTS = 40
-# Older reports of other owners' loads are not used to balance.
-MAX_LOAD_AGE_S = 2.0
-# Demand is measured over one second, so a move shows after that time.
-PAUSE_AFTER_MOVE_S = 1.0
 WRITE_RETRY_FIRST_S = 0.05
 WRITE_RETRY_MAX_S = 0.5
 
@@ -98,6 +91,7 @@
         self._records = records
         self._access = access
         self._links = links
+        self._balancer = Balancer(identity.node, links)
         self._watch = watch
         self._is_keyed = is_keyed
         self._lease_reader = lease_reader
@@ -110,7 +104,6 @@
         self._writing = False
         self._background: set[asyncio.Task[None]] = set()
         self._suspicions: dict[tuple[str, int], float] = {}
-        self._balance_at = 0.0
         self._propose_at = 0.0
         self._stopping = False
         # Set when the table or the lease changes.
@@ -178,12 +171,10 @@
             Whether the keys are handed over; if not, they stay assigned to this
             node until the process is back.
         """
-        others = []
-        for member in proposals.eligible_owners(self._view(now())):
-            state = self._links.peer_state(member.node)
-            if state is not None:
-                others.append(OwnerLoad(member.node, state.demand, state.slowdown))
-        own = OwnerLoad(self._identity.node, self._guard.demand, self._guard.slowdown)
+        others = self._balancer.reported_loads(
+            proposals.eligible_owners(self._view(now()))
+        )
+        own = self._balancer.own_load(self._guard)
         self._stopping = balance.can_absorb(own, others)
         _log.info(
             "keys_at_shutdown",
@@ -413,39 +404,13 @@
 
     def _balance(self, moment: float, view: proposals.OwnershipView) -> None:
         """Hands keys over if that balances the load."""
-        if moment < self._balance_at or not self._access.reachable:
-            return
-        self._balance_at = moment + BALANCE_PERIOD_S * random.uniform(0.8, 1.2)
-        if self._guard.demand < balance.BUSY_DEMAND:
+        if not self._access.reachable:
             return
-        others = []
-        loop_now = asyncio.get_running_loop().time()
         eligible = proposals.eligible_owners(view)
-        for member in random.sample(eligible, min(MAX_LOAD_REQUESTS, len(eligible))):
-            self._links.request_load(member.node, BALANCE_PERIOD_S)
-        for member in eligible:
-            state = self._links.peer_state(member.node)
-            if state is None or not state.slots:
-                continue
-            if loop_now - state.reported_at <= MAX_LOAD_AGE_S:
-                others.append(OwnerLoad(member.node, state.demand, state.slowdown))
-        planned = balance.plan_transfers(
-            OwnerLoad(self._identity.node, self._guard.demand, self._guard.slowdown),
-            others,
-            self.owned,
-            self._guard.recent_keys,
-        )
-        members_by_node = {member.node: member for member in view.members}
-        transfers = tuple(
-            (t.keys, members_by_node[t.new_owner])
-            for t in planned
-            if t.new_owner in members_by_node
-        )
-        if not transfers:
-            return
-        self._writing = True
-        self._balance_at = moment + PAUSE_AFTER_MOVE_S
-        self._spawn(self._hand_over(transfers))
+        transfers = self._balancer.plan(self._guard, eligible, self.owned, moment)
+        if transfers:
+            self._writing = True
+            self._spawn(self._hand_over(transfers))
 
     async def _hand_over(self, transfers: tuple[tuple[KeyRange, Member], ...]) -> None:
         """Releases ranges from the upstream and assigns them to their new owners."""
