Let a reader's message span only the changes that its own watches returned

Cause: found in reading the change: a reader's message began at the last revision that it had sent itself, even if it had since learned changes from the other reader, which its message lacks. A process that had missed those took itself for complete. Ruled out: always beginning at the watch's revision; watches that return nothing would make every receiver fetch the kind. Change: spans of what the own watches returned, as a module of its own with a scenario. Before: the next message of the scenario begins at 130 instead of 150. After: at 150.

--- a/features/readers.feature
+++ b/features/readers.feature
@@ -35,6 +35,13 @@
     And the operator takes perth-c and perth-b out and the store drops its history
     Then all processes know within 0.4 seconds that perth-b and perth-c are out
 
+  Scenario: A message does not claim changes that its sender learned from another reader
+    Given a reader that has sent all changes up to revision 100
+    When its watch returns nothing up to revision 120
+    Then its next message, up to revision 130, begins at revision 100
+    When another reader brings it from revision 130 to 150
+    Then its next message, up to revision 160, begins at revision 150
+
   Scenario: A configuration too large for a reader to send is read from the store
     Given a deployment of 8 VMs
     When 3 seconds pass
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -12,6 +12,7 @@
 from rosemarydeal.node.records import MEMBERS
 from rosemarydeal.platform.names import ZONES_OUT_KIND
 from rosemarydeal.policy.membership.readers import ReaderCandidate, zone_readers
+from rosemarydeal.policy.membership.spans import ChangeSpans
 
 
 @given("the processes a, b, c and d of a zone")
@@ -162,3 +163,29 @@
         return all(node._records.zones_out == both for node in nodes)
 
     run(context, deployment.wait(known, seconds))
+
+
+@given("a reader that has sent all changes up to revision {revision:d}")
+def step_sent(context, revision):
+    context.spans = ChangeSpans()
+    context.spans.begin("kind", revision)
+    context.revision = revision
+
+
+@when("its watch returns nothing up to revision {revision:d}")
+def step_nothing(context, revision):
+    context.spans.extend("kind", context.revision, revision)
+    context.revision = revision
+
+
+@when("another reader brings it from revision {start:d} to {end:d}")
+def step_other_reader(context, start, end):
+    assert context.revision == start
+    context.revision = end
+
+
+@then("its next message, up to revision {end:d}, begins at revision {since:d}")
+def step_span(context, end, since):
+    assert context.spans.extend("kind", context.revision, end) == since
+    context.spans.begin("kind", end)
+    context.revision = end
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -24,6 +24,7 @@
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
 from rosemarydeal.platform.store import Listing, StoreClient
 from rosemarydeal.policy.membership.readers import ReaderCandidate, zone_readers
+from rosemarydeal.policy.membership.spans import ChangeSpans
 
 from .links import Links
 from .messages import FetchObjects, ObjectChanges, ObjectState, StoreReachability
@@ -107,7 +108,7 @@
         self._lags: dict[str, _Lag] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._background: set[asyncio.Task[None]] = set()
-        self._pushed: dict[str, int] = {}
+        self._spans = ChangeSpans()
         self._failed_at: float | None = None
         self._started_at = now()
         self._was_reader = False
@@ -239,7 +240,7 @@
         self._note_result(True)
         if self._node in self.readers:
             # The listing does not tell what has changed: the others fetch it.
-            self._pushed.pop(kind, None)
+            self._spans.begin(kind, listing.revision)
             self._push(kind, listing.revision, Listing((), listing.revision))
 
     async def _is_listed_within(self, kind: str, timeout_s: float) -> bool:
@@ -271,15 +272,15 @@
         allow_stale = kind in SCALED_KINDS and self._is_large_fleet
         listing = await self._store.watch(kind, revision, WATCH_TIMEOUT_S, allow_stale)
         self._records.apply_changes(kind, listing)
+        since = self._spans.extend(kind, revision, listing.revision)
         if listing.objects:
-            self._push(kind, revision, listing)
+            self._push(kind, since, listing)
             # Further changes are then returned by one call.
             await asyncio.sleep(self._delay_s(kind))
 
     def _push(self, kind: str, since: int, listing: Listing) -> None:
-        """Sends changes to the other processes of the zone."""
-        since = min(since, self._pushed.get(kind, since))
-        self._pushed[kind] = listing.revision
+        """Sends all changes since a revision to the other processes of the zone."""
+        self._spans.begin(kind, listing.revision)
         objects = tuple(
             ObjectState(stored.name, stored.revision, stored.content)
             for stored in listing.objects
