Decode how grants are carried in the adapter

Cause: the enum of carriers held the platform's words as its values. Ruled out: nothing else. Change: the adapter maps the words; a scenario for both and for an unknown one.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -8,6 +8,10 @@
     Then the identity of the process matches the file
     And an unknown field changes nothing
 
+  Scenario: The settings say how grants reach the upstream
+    Given the settings file from the platform's documentation
+    Then grants are carried by calls unless the settings say heartbeat
+
   Scenario Outline: Wrong settings raise coded errors
     Given the settings file from the platform's documentation
     When the setting <field> is <broken>
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -12,7 +12,7 @@
 from features.builders_fleet_types import a_member
 from features.builders_node import a_configuration
 from rosemarydeal.core import Address
-from rosemarydeal.core.fleet import StoredObject
+from rosemarydeal.core.fleet import GrantCarrier, StoredObject
 from rosemarydeal.node.records import MEMBERS, Records
 from rosemarydeal.platform.errors import SettingsWrong, Unreadable
 from rosemarydeal.platform.node_settings import parse_identity
@@ -193,3 +193,17 @@
 @then("version {version:d} stays in force")
 def step_stays(context, version):
     assert context.records.configuration.version == version
+
+
+@then("grants are carried by calls unless the settings say heartbeat")
+def step_carrier(context):
+    def carrier(line):
+        return parse_identity(line + context.toml).grant_carrier
+
+    assert carrier("") is carrier('grants = "call"\n') is GrantCarrier.CALL
+    assert carrier('grants = "heartbeat"\n') is GrantCarrier.HEARTBEAT
+    try:
+        carrier('grants = "pigeon"\n')
+    except SettingsWrong:
+        return
+    raise AssertionError("an unknown carrier was accepted")
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum
+from enum import Enum, auto
 
 from .data import Address
 
@@ -72,8 +72,8 @@
         HEARTBEAT: The answers to the upstream's announcements state its keys.
     """
 
-    CALL = "call"
-    HEARTBEAT = "heartbeat"
+    CALL = auto()
+    HEARTBEAT = auto()
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/platform/node_settings.py
+++ b/rosemarydeal/platform/node_settings.py
@@ -16,6 +16,9 @@
 __all__ = ["load_identity", "parse_identity"]
 
 MS_PER_S = 1000.0
+# The setting `grants`: whether calls or the answers to heartbeats grant keys.
+GRANT_CARRIERS = {"call": GrantCarrier.CALL, "heartbeat": GrantCarrier.HEARTBEAT}
+DEFAULT_GRANTS = "call"
 
 
 def load_identity() -> NodeIdentity:
@@ -72,7 +75,7 @@
         store=_address(fields["provider"]["addr"]),
         announce_period_s=float(fields["heartbeat_ms"]) / MS_PER_S,
         bounds=_bounds(fields["bounds"]),
-        grant_carrier=GrantCarrier(fields.get("grants", GrantCarrier.CALL.value)),
+        grant_carrier=GRANT_CARRIERS[fields.get("grants", DEFAULT_GRANTS)],
     )
 
 
