Count an upstream as gone only when it refuses connections

Reading for ways to it found two: a process that was stopped while its upstream was leaving, or before it had announced itself, removed its member, and the others take the keys of a removed member at once; and a connection that was not accepted in time counted as the end of the upstream. Change: a member is removed at a stop only if its upstream is gone or owns nothing; only a refused connection shows that an upstream has ended.

--- a/features/node_heartbeat_grants.feature
+++ b/features/node_heartbeat_grants.feature
@@ -33,6 +33,17 @@
     Then all keys are served again within 2 seconds
     And no key was ever held by two upstreams
 
+  Scenario: A process does not remove its member while its upstream may hold keys
+    Given a deployment of 2 VMs whose heartbeats carry the grants
+    When vm-b stops before its upstream has released its keys
+    Then the member of vm-b is still in the store
+    And no key was ever held by two upstreams
+
+  Scenario: An upstream that accepts no connection in time does not count as gone
+    Given a deployment of 2 VMs whose heartbeats carry the grants
+    When the upstream of vm-b answers no connection but keeps announcing itself
+    Then vm-b still owns its keys
+
   Scenario: A restarted upstream gets its keys with the answer to its first heartbeat
     Given a deployment of 2 VMs whose heartbeats carry the grants
     When the upstream of vm-b restarts and announces itself each 3 seconds
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -14,8 +14,9 @@
     watch_holders,
 )
 from rosemarydeal.core.fleet import GrantCarrier
+from rosemarydeal.core.requests import Failed
 from rosemarydeal.node import store_watch
-from rosemarydeal.node.records import RANGES
+from rosemarydeal.node.records import MEMBERS, RANGES
 
 
 @given(
@@ -272,3 +273,43 @@
         lambda: any(endpoint.held(key) for key in sample), seconds
     )
     run(context, held)
+
+
+@when("vm-b stops before its upstream has released its keys")
+def step_stop_early(context):
+    endpoint = context.deployment.endpoints["vm-b"]
+    # The answers that leave the keys out do not reach the upstream.
+    endpoint.lose_answers = 1000
+    endpoint.state = "draining"
+
+    async def stop():
+        await asyncio.sleep(0.5)
+        await context.deployment.nodes.pop("vm-b").shut_down()
+
+    run(context, stop())
+
+
+@then("the member of vm-b is still in the store")
+def step_member_stays(context):
+    assert (MEMBERS, "vm-b") in context.deployment.store.objects
+
+
+@when("the upstream of vm-b answers no connection but keeps announcing itself")
+def step_connect_timeout(context):
+    guard = context.deployment.nodes["vm-b"]._guard
+
+    async def fail(_request):
+        return Failed("connect-failed", False)
+
+    async def ask():
+        guard._client.run = fail
+        for key in context.deployment.sample():
+            await context.deployment.send_request("vm-b", key)
+
+    run(context, ask())
+
+
+@then("vm-b still owns its keys")
+def step_still_owns(context):
+    node = context.deployment.nodes["vm-b"]
+    assert node._ownership.owned and node._watch.state.alive
--- a/rosemarydeal/core/requests.py
+++ b/rosemarydeal/core/requests.py
@@ -126,11 +126,13 @@
         code: Code of the failure.
         sent: Whether the upstream may have received, and run, the request.
         timed_out: Whether the time ran out.
+        refused: Whether nothing listens at the upstream's address.
     """
 
     code: str
     sent: bool
     timed_out: bool = False
+    refused: bool = False
 
 
 UpstreamResult = Answered | Rejected | Failed
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -374,9 +374,9 @@
                 return NotServed(
                     f"upstream-rejected-{status}", elsewhere=True, reached=True
                 )
-            case Failed(code, sent, timed_out):
+            case Failed(code, sent, timed_out, refused):
                 if not sent:
-                    if code == "connect-failed":
+                    if refused:
                         self._watch.report_connect_failed()
                     return NotServed(code, elsewhere=True)
                 return OutcomeUnknown(code, timed_out)
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -156,10 +156,8 @@
         _log.info(
             "stopping", open=self._entry.open_requests, serving=self._links.serving
         )
-        state = self._watch.state
-        upstream_leaving = state is None or not state.accepting
         await asyncio.sleep(READINESS_NOTICE_S - LEAVING_NOTICE_S)
-        if upstream_leaving:
+        if self._may_retire():
             await self._membership.retire()
         if not self._is_keyed() or self._ownership.stop():
             self._links.announce_leaving()
@@ -188,6 +186,18 @@
         await self._client.close()
         await self._store.close()
 
+    def _may_retire(self) -> bool:
+        """Returns whether the own member may be removed.
+
+        The others take the keys of a removed member at once, so it must not be
+        removed while its upstream may hold some. An upstream that has not announced
+        itself yet to this process may hold keys, too.
+        """
+        state = self._watch.state
+        if state is None or state.accepting:
+            return False
+        return not state.alive or not self._ownership.owned
+
     def _is_keyed(self) -> bool:
         """Returns whether the own service is keyed."""
         service = self._own_service()
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -20,6 +20,7 @@
 from rosemarydeal.proxy import (
     BodyBuffers,
     BytesBody,
+    ConnectFailed,
     ConnectionSettings,
     Headers,
     Pool,
@@ -155,7 +156,8 @@
         except ProxyTimeout as error:
             return Failed(error.code, error.sent, timed_out=True)
         except ProxyError as error:
-            return Failed(error.code, getattr(error, "sent", True))
+            refused = isinstance(error, ConnectFailed) and error.refused
+            return Failed(error.code, getattr(error, "sent", True), refused=refused)
         return _classify_answer(routed, response, body)
 
     async def close(self) -> None:
--- a/rosemarydeal/proxy/client.py
+++ b/rosemarydeal/proxy/client.py
@@ -181,7 +181,9 @@
                 f"{address} did not accept the connection in time"
             ) from error
         except OSError as error:
-            raise ConnectFailed(f"{address}: {error.strerror or error}") from error
+            detail = f"{address}: {error.strerror or error}"
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ConnectFailed(detail, refused) from error
         if self._on_open is not None:
             self._on_open(address)
         return connection
--- a/rosemarydeal/proxy/errors.py
+++ b/rosemarydeal/proxy/errors.py
@@ -38,11 +38,20 @@
 
 
 class ConnectFailed(ProxyError):  # noqa: N818
-    """No connection could be opened, so nothing was sent."""
+    """No connection could be opened, so nothing was sent.
+
+    Attributes:
+        refused: Whether nothing listens at the address; false if the peer did not
+            answer in time, or the connection failed for another reason.
+    """
 
     code = "connect-failed"
     sent = False
 
+    def __init__(self, detail: str, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.refused = refused
+
 
 class SendFailed(ProxyError):  # noqa: N818
     """The connection failed before the head of the response was received.
