Log and export the rate limit that an upstream states

Ruled out: deriving the rate from the dispatch lines alone, since they do not show the limit.

Change: the adapter decodes what an answer asks of callers (limit, leaving) into UpstreamNotice; the guard logs changes of the limit with the rate it sends, and exports both. Unreadable limits are logged once. No decision depends on it yet.

--- /dev/null
+++ b/features/steps/rate_limit_steps.py
@@ -0,0 +1,87 @@
+"""Steps for the rate limits that upstreams state."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import structlog
+from behave import given, then, when
+
+from features.builders_fleet_types import a_routed_request
+from features.builders_proxy import raw_upstream
+from features.builders_rate_limit import LimitedClient, a_limited_guard
+from rosemarydeal.core.requests import UpstreamNotice, UpstreamRequest
+from rosemarydeal.platform.upstream import UpstreamClient
+
+OWN_HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-signature: s\r\n"
+END = b"content-length: 0\r\n\r\n"
+TIMEOUT_S = 2.0
+
+
+@given("an upstream whose answers have the headers {headers}")
+def step_headers(context, headers):
+    context.headers = b""
+    if headers != "none":
+        context.headers = headers.replace("; ", "\r\n").encode() + b"\r\n"
+
+
+@when("a request is answered by it")
+def step_answered(context):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OWN_HEAD + context.headers + END)
+
+    async def go():
+        async with raw_upstream(answer) as address:
+            client = UpstreamClient(address, 1)
+            request = UpstreamRequest(a_routed_request(), "i", TIMEOUT_S)
+            context.notice = (await client.run(request)).notice
+            await client.close()
+
+    asyncio.run(go())
+
+
+@then("its notice has the limit {limit} and leaving is {leaving}")
+def step_notice(context, limit, leaving):
+    expected = {"none": math.inf, "unknown": None}
+    limit = expected[limit] if limit in expected else float(limit)
+    assert context.notice.rate_limit_per_s == limit, context.notice
+    assert bool(context.notice.unreadable) == (limit is None), context.notice
+    assert context.notice.leaving == (leaving == "yes"), context.notice
+
+
+@given("a guard whose upstream states limits")
+def step_guard(context):
+    context.client = LimitedClient()
+    context.guard = a_limited_guard(context.client)
+
+
+@when('its answers state 9.5, 9.5, "many" and no limit')
+def step_states(context):
+    async def go():
+        for notice in (
+            UpstreamNotice(9.5),
+            UpstreamNotice(9.5),
+            UpstreamNotice(None, unreadable="many"),
+            UpstreamNotice(None, unreadable="many"),
+            UpstreamNotice(math.inf),
+        ):
+            context.client.notice = notice
+            await context.guard.serve(a_routed_request())
+
+    with structlog.testing.capture_logs() as context.logged:
+        asyncio.run(go())
+
+
+@then("the limit is logged as 9.5 and then as none, with the rate sent")
+def step_logged(context):
+    lines = [e for e in context.logged if e["event"] == "rate_limit_changed"]
+    assert [(e["before"], e["per_s"]) for e in lines] == [(None, 9.5), (9.5, None)]
+    assert all(e["sent_per_s"] > 0 for e in lines), lines
+
+
+@then("the unreadable limit is logged once and changed nothing")
+def step_logged_once(context):
+    lines = [e for e in context.logged if e["event"] == "rate_limit_unreadable"]
+    assert [e["value"] for e in lines] == ["many"], lines
--- a/rosemarydeal/core/requests.py
+++ b/rosemarydeal/core/requests.py
@@ -16,6 +16,7 @@
     "RoutedRequest",
     "Rejected",
     "OutcomeUnknown",
+    "UpstreamNotice",
     "UpstreamResult",
 ]
 
@@ -100,22 +101,56 @@
     max_idle_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamNotice:
+    """What an upstream asks of its callers in an answer.
+
+    Attributes:
+        rate_limit_per_s: Requests per second that it accepts; infinite if the answer
+            states no limit, None if the stated limit can't be read.
+        leaving: Whether it is about to leave.
+        unreadable: Start of a stated limit that can't be read, or empty.
+    """
+
+    rate_limit_per_s: float | None
+    leaving: bool = False
+    unreadable: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """Complete answer of the upstream."""
+    """Complete answer of the upstream.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers.
+        body: Complete body.
+        load: Load that the answer reports.
+        notice: What the upstream asks of its callers; None if the answer does not
+            name the request.
+    """
 
     status: int
     headers: Headers
     body: bytes
     load: UpstreamLoad | None = None
+    notice: UpstreamNotice | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
-    """Rejection by the upstream, which did not run the request."""
+    """Rejection by the upstream, which did not run the request.
+
+    Attributes:
+        status: HTTP status.
+        load: Load that the answer reports.
+        notice: What the upstream asks of its callers; None if the answer does not
+            name the request.
+    """
 
     status: int
     load: UpstreamLoad | None = None
+    notice: UpstreamNotice | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
     Rejected,
     RequestOutcome,
     RoutedRequest,
+    UpstreamNotice,
     UpstreamRequest,
     UpstreamResult,
 )
@@ -40,6 +42,7 @@
     Reject,
     Start,
 )
+from rosemarydeal.policy.dispatch.rate_limit import RateLimiter
 from rosemarydeal.policy.requests import attempts
 
 from .metrics import Metrics
@@ -114,6 +117,8 @@
         self._hooks = hooks
         self._metrics = metrics
         self._cold_limiter = ColdStartLimiter()
+        self._rate_limiter = RateLimiter()
+        self._unreadable_limit = ""
         self._queue = DispatchQueue(self._cold_limiter, hooks.admits)
         self._crash_suspects = CrashSuspectCounter()
         self._active: dict[int, _ActiveRequest] = {}
@@ -149,6 +154,16 @@
         """Returns the smoothed slowdown factor of the upstream; 1.0 is normal."""
         return self._slowdown
 
+    @property
+    def rate_limit_per_s(self) -> float:
+        """Returns the rate limit stated by the upstream, infinite without one."""
+        return self._rate_limiter.per_s
+
+    @property
+    def sent_per_s(self) -> float:
+        """Returns the mean rate of requests sent to the upstream in recent seconds."""
+        return self._rate_limiter.sent_per_s(now())
+
     def set_slowdown(self, slowdown: float) -> None:
         """Sets the slowdown that was measured before the first request."""
         self._slowdown = slowdown
@@ -217,6 +232,8 @@
         restarted = old is None or old.incarnation != state.incarnation or not old.alive
         if restarted and state.alive and service is not None and old is not None:
             cold_left_s = max(cold_left_s, service.cold_period_s)
+        if old is not None and old.incarnation != state.incarnation:
+            self._rate_limiter.reset()
         if state.alive:
             self._cold_limiter.set_cold(moment + cold_left_s, cold_per_s)
         if (
@@ -342,9 +359,11 @@
             attempts.max_idle_s(active.request.idempotent),
         )
         started = now()
+        self._rate_limiter.record_sent(started)
         result: UpstreamResult | None = None
         try:
             result = await self._client.run(upstream_request)
+            self._apply_notice(result, state.incarnation, started)
         finally:
             completed = isinstance(result, Answered)
             decisions = self._queue.finish(number, now(), completed)
@@ -357,6 +376,44 @@
         if not active.future.done():
             active.future.set_result(outcome)
 
+    def _apply_notice(
+        self, result: UpstreamResult, incarnation: str, sent_at: float
+    ) -> None:
+        """Applies what the upstream asks of its callers in an answer.
+
+        An answer of a former incarnation changes nothing.
+        """
+        match result:
+            case (
+                Answered(notice=UpstreamNotice() as notice)
+                | Rejected(notice=UpstreamNotice() as notice)
+            ) if self._watch.is_current(incarnation):
+                self._apply_rate_limit(notice, incarnation, sent_at)
+
+    def _apply_rate_limit(
+        self, notice: UpstreamNotice, incarnation: str, sent_at: float
+    ) -> None:
+        """Applies the stated rate limit and logs its changes."""
+        if notice.unreadable and notice.unreadable != self._unreadable_limit:
+            _log.warning(
+                "rate_limit_unreadable",
+                incarnation=incarnation,
+                value=notice.unreadable,
+            )
+        self._unreadable_limit = notice.unreadable
+        if notice.rate_limit_per_s is None:
+            return
+        old = self._rate_limiter.per_s
+        if self._rate_limiter.apply(notice.rate_limit_per_s, sent_at, now()):
+            _log.info(
+                "rate_limit_changed",
+                incarnation=incarnation,
+                per_s=_loggable(self._rate_limiter.per_s),
+                before=_loggable(old),
+                sent_per_s=self.sent_per_s,
+                waiting=self.waiting,
+            )
+
     def _outcome(
         self, active: _ActiveRequest, result: UpstreamResult
     ) -> RequestOutcome:
@@ -424,3 +481,8 @@
             slots=self.slots,
             slowdown=load.slowdown if load is not None else None,
         )
+
+
+def _loggable(per_s: float) -> float | None:
+    """Returns a rate for a log line, None if it is infinite."""
+    return per_s if math.isfinite(per_s) else None
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -345,6 +345,8 @@
             ("waiting", self._guard.waiting),
             ("slots", self._guard.slots),
             ("demand", self._guard.demand),
+            ("rate_limit_per_s", self._guard.rate_limit_per_s),
+            ("sent_per_s", self._guard.sent_per_s),
             ("key_ranges", len(self._ownership.owned)),
             ("peer_links", len(self._links.up)),
             ("store_reachable", self._access.reachable),
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -90,6 +90,10 @@
         """Returns the state, None before the first announcement."""
         return self._state
 
+    def is_current(self, incarnation: str) -> bool:
+        """Returns whether an incarnation is the one that was announced last."""
+        return self._state is not None and self._state.incarnation == incarnation
+
     def apply(self, call: Announcement | Departure) -> CallResult:
         """Applies an announcement or departure."""
         match call:
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import replace
 
 import msgspec
@@ -14,6 +15,7 @@
     Failed,
     Rejected,
     RoutedRequest,
+    UpstreamNotice,
     UpstreamRequest,
     UpstreamResult,
 )
@@ -50,6 +52,8 @@
 CONFLICT = 409
 MISDIRECTED = 421
 SUCCESSES = range(200, 300)
+# A limit in this length has any precision that an upstream could mean.
+MAX_RATE_LIMIT_BYTES = 32
 
 
 class UpstreamCallFailed(CodedError):
@@ -214,15 +218,32 @@
         and echoed_id.decode("ascii", "replace") != routed.request_id
     ):
         return Failed("foreign-answer", sent=True)
+    notice = _notice(headers) if echoed_id is not None else None
     rejected = find_header(headers, names.NOT_RUN) is not None
     if rejected or response.status == MISDIRECTED:
-        return Rejected(response.status, load)
+        return Rejected(response.status, load, notice)
     signed = find_header(headers, names.SIGNATURE) is not None
     if response.status in SUCCESSES and not (signed and echoed_id):
         return Failed("unsigned-answer", sent=True)
     if find_header(headers, b"content-encoding") is not None:
         return Failed("encoded-answer", sent=True)
-    return Answered(response.status, headers, body, load)
+    return Answered(response.status, headers, body, load, notice)
+
+
+def _notice(headers: Headers) -> UpstreamNotice:
+    """Decodes what the upstream asks of its callers."""
+    leaving = find_header(headers, names.LEAVING) == b"1"
+    stated = find_header(headers, names.RATE_LIMIT)
+    if stated is None:
+        return UpstreamNotice(math.inf, leaving)
+    try:
+        per_s = float(stated) if len(stated) <= MAX_RATE_LIMIT_BYTES else math.nan
+    except ValueError:
+        per_s = math.nan
+    if math.isfinite(per_s) and per_s >= 0:
+        return UpstreamNotice(per_s, leaving)
+    shown = stated[:MAX_RATE_LIMIT_BYTES].decode("ascii", "replace")
+    return UpstreamNotice(None, leaving, shown)
 
 
 def _load(value: bytes | None) -> UpstreamLoad | None:
