Add failing scenarios for upstreams that state a rate limit

Callers of an upstream in need wait at it, as it gets more than it accepts.

Cause: to be named with the fix. Ruled out: the keys moving in the test (too few keys are requested to cut a range).

The bound is the users' rule: one and a half times the limit and 5 in 4 s, from 3 s on.

--- a/features/rate_limit.feature
+++ b/features/rate_limit.feature
@@ -23,3 +23,13 @@
     When its answers state 9.5, 9.5, "many" and no limit
     Then the limit is logged as 9.5 and then as none, with the rate sent
     And the unreadable limit is logged once and changed nothing
+
+  Scenario: An upstream gets more requests than the rate limit that it states
+    Given a deployment of 2 VMs
+    When an upstream states a limit of 6 requests a second while 60 a second arrive
+    Then from 3 seconds after that, it gets at most one and a half times that, and 5, in 4 seconds
+
+  Scenario: An upstream whose process restarts gets more requests than the limit that it states
+    Given a deployment of 2 VMs whose heartbeats carry the grants
+    When its process restarts while an upstream states a limit of 2 requests a second
+    Then from 3 seconds after that, it gets at most one and a half times that, and 5, in 4 seconds
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -37,6 +37,10 @@
     def __init__(self, node, host, service, zone, work_s=0.01, by_heartbeat=False):
         self.instance = f"i-{node}-{secrets.token_hex(2)}"
         self.ran = []
+        self.arrivals = []
+        # Stated in its answers: a limit in requests per second, and its leaving.
+        self.rate_limit = None
+        self.leaving = False
         self.holds = []
         self.work_s = work_s
         self.state = "ready"
@@ -133,12 +137,13 @@
         if self.acknowledged_draining is not None:
             late = time.monotonic() - self.acknowledged_draining
             self.late_arrivals += late > 2.0
+        self.arrivals.append(time.monotonic())
         expected = find_header(request.headers, b"target-instance")
         key = find_header(request.headers, b"shard-key")
         held = key is None or self.held(int(key))
         if expected != self.instance.encode() or not held:
             rejection = ((b"not-executed", b"1"), (b"request-id", identity))
-            return bytes_response(421, b"", rejection)
+            return bytes_response(421, b"", rejection + self._statements())
         self.ran.append(identity.decode())
         self.times_left_ms.append(int(find_header(request.headers, b"deadline-ms")))
         self.caller_services.append(find_header(request.headers, b"caller-service"))
@@ -148,6 +153,7 @@
         if key is not None:
             self._running_keys.remove(int(key))
         own_headers = ((b"request-id", identity), (SIGNATURE, b"sig-" + identity))
+        own_headers += self._statements()
         match self.faulty_answers.pop(identity.decode(), None):
             case "foreign":
                 other = ((b"request-id", b"other"), (SIGNATURE, b"sig-other"))
@@ -156,6 +162,15 @@
                 return bytes_response(200, b"x", own_headers[:1])
         return bytes_response(200, b"ran " + identity, own_headers)
 
+    def _statements(self):
+        """Returns the headers that state its limit and that it leaves."""
+        stated = ()
+        if self.rate_limit is not None:
+            stated += ((b"server-limit", str(self.rate_limit).encode()),)
+        if self.leaving:
+            stated += ((b"server-leaving", b"1"),)
+        return stated
+
     def _grant(self, call):
         first, last, token = call["from"], call["to"], call["fence"]
         overlapping = [h for h in self.holds if h[0] <= last and first <= h[1]]
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from features.builders_fleet_types import a_routed_request
+from features.builders_node import run
 from features.builders_proxy import raw_upstream
 from features.builders_rate_limit import LimitedClient, a_limited_guard
 from rosemarydeal.core.requests import UpstreamNotice, UpstreamRequest
@@ -17,6 +18,11 @@
 OWN_HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-signature: s\r\n"
 END = b"content-length: 0\r\n\r\n"
 TIMEOUT_S = 2.0
+KEY = 4096
+TIME_LEFT_MS = 700
+OVERLOAD_S = 8.0
+# After the restart the limit is broken within the seconds that are counted.
+RESTART_AFTER_S = 4.5
 
 
 @given("an upstream whose answers have the headers {headers}")
@@ -85,3 +91,63 @@
 def step_logged_once(context):
     lines = [e for e in context.logged if e["event"] == "rate_limit_unreadable"]
     assert [e["value"] for e in lines] == ["many"], lines
+
+
+@when(
+    "an upstream states a limit of {limit:d} requests a second"
+    " while {rate:d} a second arrive"
+)
+def step_overload(context, limit, rate):
+    run(context, overload(context, limit, rate, restart=False))
+
+
+@when(
+    "its process restarts while an upstream states a limit"
+    " of {limit:d} requests a second"
+)
+def step_overload_restart(context, limit):
+    run(context, overload(context, limit, 60, restart=True))
+
+
+async def overload(context, limit, rate, restart):
+    """Sends requests for one key at a fixed rate from all VMs.
+
+    The keys stay where they are, as too few of them are requested to cut a range.
+    """
+    deployment = context.deployment
+    context.limited = deployment.holders(KEY)[0]
+    endpoint = deployment.endpoints[context.limited]
+    entries = [name for name in deployment.nodes if name != context.limited]
+    endpoint.rate_limit = limit
+    loop = asyncio.get_running_loop()
+    context.stated_at = started = loop.time()
+    tasks = []
+    restarted = not restart
+    while loop.time() < started + OVERLOAD_S:
+        if not restarted and loop.time() > started + RESTART_AFTER_S:
+            restarted = True
+            await deployment.nodes[context.limited].close()
+            await deployment.start_node(context.limited)
+        tasks.append(
+            loop.create_task(
+                deployment.send_request(
+                    entries[len(tasks) % len(entries)], KEY, time_left_ms=TIME_LEFT_MS
+                )
+            )
+        )
+        await asyncio.sleep(1.0 / rate)
+    await asyncio.gather(*tasks)
+
+
+@then(
+    "from {grace:d} seconds after that, it gets at most one and a half times that,"
+    " and 5, in {window:d} seconds"
+)
+def step_within_limit(context, grace, window):
+    endpoint = context.deployment.endpoints[context.limited]
+    allowed = 1.5 * endpoint.rate_limit * window + 5
+    counted = [t for t in endpoint.arrivals if t >= context.stated_at + grace]
+    most = max(sum(1 for t in counted if s <= t < s + window) for s in counted)
+    assert most <= allowed, (most, allowed)
+    # The limit is also used: a closed upstream would pass the check above.
+    assert len(counted) >= 0.5 * endpoint.rate_limit * (OVERLOAD_S - grace), counted
