Send an upstream no more than the rate limit that it states

Cause: dispatch depended on slots, keys and the cold start; nothing read the limit. Class of fault: a statement of another system that no part of the product decodes is dropped without a trace.

Ruled out, by the lines rate_limit_changed of: limits per sender that add up (the rate did not fall at all), and retries (first attempts alone exceeded it).

Change: a token bucket at the guard, the only sender to its upstream, so that first attempts and retries share it. The dispatch queue treats it as a further reason to wait: the expected wait, rejections on arrival and retry times include it, and requests that can't be sent before their deadline in their turn are rejected at once. A limit belongs to an incarnation; an answer that states none ends it only if its request was sent after the last statement. A limit near 0 lets a request through each two seconds, as only an answer can end it. Before the first answer of an incarnation at most two requests run, since a restarted process may have forgotten a limit.

--- a/features/builders_fleet_types.py
+++ b/features/builders_fleet_types.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import (
     Bounds,
@@ -14,6 +16,7 @@
 from rosemarydeal.core.requests import RoutedRequest
 from rosemarydeal.policy.dispatch.cold_start import ColdStartLimiter
 from rosemarydeal.policy.dispatch.queue import Admission, DispatchQueue, QueuedRequest
+from rosemarydeal.policy.dispatch.rate_limit import RateLimiter
 from rosemarydeal.policy.keyranges.proposals import OwnershipView
 
 SERVICE = "box-office"
@@ -56,8 +59,17 @@
     return OwnershipView(**(fields | changes))
 
 
-def a_queue(slots=2, service_s=None, admits=lambda key: Admission.RUN, cold=None):
-    queue = DispatchQueue(cold or ColdStartLimiter(), admits)
+def a_rate_limiter(per_s=math.inf, now=0.0):
+    """Returns the limiter of an upstream that has stated a limit, or none."""
+    rate = RateLimiter()
+    rate.apply(per_s, now, now)
+    return rate
+
+
+def a_queue(
+    slots=2, service_s=None, admits=lambda key: Admission.RUN, cold=None, rate=None
+):
+    queue = DispatchQueue(cold or ColdStartLimiter(), rate or a_rate_limiter(), admits)
     queue.set_slots(slots)
     for route, seconds in (service_s or {}).items():
         queue.times.record_service_time(route, seconds)
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -8,12 +8,19 @@
 import structlog
 from behave import given, then, when
 
-from features.builders_fleet_types import a_routed_request
+from features.builders_fleet_types import (
+    a_queue,
+    a_queued_request,
+    a_rate_limiter,
+    a_routed_request,
+)
 from features.builders_node import run
 from features.builders_proxy import raw_upstream
 from features.builders_rate_limit import LimitedClient, a_limited_guard
 from rosemarydeal.core.requests import UpstreamNotice, UpstreamRequest
 from rosemarydeal.platform.upstream import UpstreamClient
+from rosemarydeal.policy.dispatch.queue import Reject, Start
+from rosemarydeal.policy.dispatch.rate_limit import RateLimiter
 
 OWN_HEAD = b"HTTP/1.1 200 OK\r\nrequest-id: r1\r\nresponse-signature: s\r\n"
 END = b"content-length: 0\r\n\r\n"
@@ -93,6 +100,87 @@
     assert [e["value"] for e in lines] == ["many"], lines
 
 
+@given(
+    "a queue of {slots:d} slots whose upstream states a limit"
+    " of {limit:d} requests a second"
+)
+def step_limited_queue(context, slots, limit):
+    context.service_s = 0.1
+    routes = {"lookup": context.service_s, "order": context.service_s}
+    context.queue = a_queue(slots, routes, rate=a_rate_limiter(limit))
+
+
+@then("no {window:d} seconds have more than {limit:d} starts")
+def step_window(context, window, limit):
+    starts = context.starts
+    most = max(sum(1 for t in starts if s <= t < s + window) for s in starts)
+    assert most <= limit, most
+
+
+@then("at least {count:d} requests were started")
+def step_started(context, count):
+    assert len(context.starts) >= count, len(context.starts)
+
+
+@when(
+    "{count:d} lookups arrive together with {left:f} seconds left"
+    " and a target of {target:f} s"
+)
+def step_together(context, count, left, target):
+    context.decisions = []
+    for number in range(count):
+        request = a_queued_request(number, 1.0, target_s=target, time_left_s=left)
+        context.decisions += context.queue.offer(request, 1.0)
+
+
+@then("the last one is rejected with a retry time between {low:f} and {high:f} seconds")
+def step_retry_time(context, low, high):
+    rejection = context.decisions[-1]
+    assert isinstance(rejection, Reject), context.decisions
+    assert low <= rejection.outcome.retry_after_s <= high, rejection
+
+
+@when("3 lookups and an order arrive together")
+def step_lookups_and_order(context):
+    for number in range(3):
+        context.queue.offer(a_queued_request(number, 0.0), 0.0)
+    context.queue.offer(a_queued_request(3, 0.0, "order", rank=1), 0.0)
+
+
+@then("the order is the next to be sent")
+def step_order_sent(context):
+    assert context.queue.advance(0.3) == [Start(3)]
+
+
+@given("a limiter to which answers state {statements}")
+def step_limiter(context, statements):
+    context.limiter = RateLimiter()
+    for index, statement in enumerate(statements.split(", then ")):
+        match statement.split():
+            case ["nothing", "yet"]:
+                pass
+            case ["a", "new", "incarnation"]:
+                context.limiter.reset()
+            case ["no", "limit", *rest]:
+                sent_at = index - 1.5 if rest[-1:] == ["before"] else index - 0.5
+                context.limiter.apply(math.inf, sent_at, index)
+            case [limit]:
+                context.limiter.apply(float(limit), index - 0.5, index)
+    context.stated_until = index
+
+
+@then("it permits {low:d} to {high:d} requests in the next 4 seconds")
+def step_permits(context, low, high):
+    """Tries to send a hundred requests a second; none of them ends."""
+    limiter, sent = context.limiter, 0
+    for step in range(400):
+        now = context.stated_until + step / 100
+        if limiter.may_send(sent, now):
+            limiter.record_sent(now)
+            sent += 1
+    assert low <= sent <= high, sent
+
+
 @when(
     "an upstream states a limit of {limit:d} requests a second"
     " while {rate:d} a second arrive"
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -119,7 +119,9 @@
         self._cold_limiter = ColdStartLimiter()
         self._rate_limiter = RateLimiter()
         self._unreadable_limit = ""
-        self._queue = DispatchQueue(self._cold_limiter, hooks.admits)
+        self._queue = DispatchQueue(
+            self._cold_limiter, self._rate_limiter, hooks.admits
+        )
         self._crash_suspects = CrashSuspectCounter()
         self._active: dict[int, _ActiveRequest] = {}
         self._last_number = 0
@@ -359,7 +361,6 @@
             attempts.max_idle_s(active.request.idempotent),
         )
         started = now()
-        self._rate_limiter.record_sent(started)
         result: UpstreamResult | None = None
         try:
             result = await self._client.run(upstream_request)
--- a/rosemarydeal/policy/dispatch/queue.py
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -9,18 +9,20 @@
 only be late is rejected at once, since it would take the place of one in time. A
 request that cannot be answered before its deadline at the present speed of the
 upstream is rejected on arrival, or as soon as that becomes known, with the time
-after which capacity is expected.
+after which capacity is expected. A rate limit of the upstream delays requests in the
+same way as a lack of slots does.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 
 from rosemarydeal.core.requests import NotServed
 
 from .cold_start import ColdStartLimiter
+from .rate_limit import RateLimiter
 from .service_time import ServiceTimes
 
 __all__ = ["Admission", "DispatchQueue", "Reject", "Start", "QueuedRequest"]
@@ -93,15 +95,20 @@
     """Waiting and running requests of the upstream."""
 
     def __init__(
-        self, cold: ColdStartLimiter, admits: Callable[[int], Admission]
+        self,
+        cold: ColdStartLimiter,
+        rate: RateLimiter,
+        admits: Callable[[int], Admission],
     ) -> None:
         """Creates an empty, closed queue.
 
         Args:
             cold: Rate limiter for the upstream's cold start.
+            rate: Rate limiter for the limit that the upstream states.
             admits: Returns whether requests for a key may run here now.
         """
         self._cold = cold
+        self._rate = rate
         self._admits = admits
         self._service_times = ServiceTimes()
         self._waiting: dict[int, QueuedRequest] = {}
@@ -176,7 +183,7 @@
             return self._reject_missed_deadlines(now)
         decisions: list[Decision] = []
         for request in self._ordered(now):
-            if len(self._running) >= self._slots or not self._cold.may_send(now):
+            if not self._may_send(now):
                 break
             match self._admission(request):
                 case Admission.RUN:
@@ -198,17 +205,41 @@
             for request in self._waiting.values()
         ]
         if self._open and len(self._running) < self._slots:
-            wake_times.append(self._cold.next_send_at(now))
+            wake_times.append(
+                max(self._cold.next_send_at(now), self._rate.next_send_at(now))
+            )
         return min(wake_times)
 
-    def expected_wait_s(self, request: QueuedRequest) -> float:
+    def expected_wait_s(self, request: QueuedRequest, now: float) -> float:
         """Returns the expected queueing time of a request, in seconds."""
         priority = _priority(request)
-        work_ahead_s = sum(
-            self._service_time_s(other)
+        ahead = [
+            other
             for other in self._waiting.values()
             if _priority(other) <= priority and other is not request
+        ]
+        urgent_per_s = self._service_times.request_rate_above(request.rank)
+        limit_delay_s = self._rate.delay_s(len(ahead), now, urgent_per_s)
+        return max(limit_delay_s, self._slot_wait_s(request, ahead))
+
+    def limit_delay_s(self, now: float) -> float:
+        """Returns how long the rate limit delays a request that arrives now."""
+        return self._rate.delay_s(len(self._waiting), now)
+
+    def _may_send(self, now: float) -> bool:
+        """Returns whether the upstream accepts another request now."""
+        running = len(self._running)
+        return (
+            running < self._slots
+            and self._cold.may_send(now)
+            and self._rate.may_send(running, now)
         )
+
+    def _slot_wait_s(
+        self, request: QueuedRequest, ahead: Sequence[QueuedRequest]
+    ) -> float:
+        """Returns the expected time until a slot is free for a request, in seconds."""
+        work_ahead_s = sum(self._service_time_s(other) for other in ahead)
         free_slots = self._slots - len(self._running)
         if free_slots > len(self._waiting):
             return 0.0
@@ -231,9 +262,11 @@
         """
         if self._admission(request) is Admission.ELSEWHERE:
             return self._reject_not_owned(request)
-        if not self._waiting and len(self._running) < self._slots:
+        free_slot = len(self._running) < self._slots
+        if not self._waiting and free_slot and self._rate.delay_s(0, now) <= 0:
             return None
-        finish_at = now + self.expected_wait_s(request) + self._service_time_s(request)
+        wait_s = self.expected_wait_s(request, now)
+        finish_at = now + wait_s + self._service_time_s(request)
         in_time = finish_at <= request.target_at
         backlog = len(self._waiting) > LATE_QUEUE_SHARE * self._slots
         if finish_at <= request.deadline and (in_time or not backlog):
@@ -241,10 +274,13 @@
         return Reject(request.number, self._rejection(CODE_OVERLOADED, request, now))
 
     def _reject_missed_deadlines(self, now: float) -> list[Decision]:
-        """Rejects requests that would miss their deadline even if started now."""
+        """Rejects requests that would miss their deadline if sent in their turn."""
         rejected = []
-        for request in list(self._waiting.values()):
-            if now + 0.7 * self._service_time_s(request) <= request.deadline:
+        ahead = 0
+        for request in self._ordered(now):
+            send_at = now + self._rate.delay_s(ahead, now)
+            if send_at + 0.7 * self._service_time_s(request) <= request.deadline:
+                ahead += self._admission(request) is Admission.RUN
                 continue
             del self._waiting[request.number]
             outcome = self._rejection(CODE_NOT_IN_TIME, request, now)
@@ -269,6 +305,7 @@
         del self._waiting[request.number]
         self._running[request.number] = (request.route, now)
         self._cold.record_sent(now)
+        self._rate.record_sent(now)
         return Start(request.number)
 
     def _remove_not_owned(self, request: QueuedRequest) -> Reject:
@@ -289,7 +326,7 @@
 
         It has a retry time if capacity is expected within a third of the time left.
         """
-        wait_s = self.expected_wait_s(request)
+        wait_s = self.expected_wait_s(request, now)
         capacity_after_s = max(
             MIN_RETRY_AFTER_S, wait_s - self._service_time_s(request)
         )
--- a/rosemarydeal/policy/dispatch/service_time.py
+++ b/rosemarydeal/policy/dispatch/service_time.py
@@ -19,13 +19,40 @@
 RATE_TIME_CONSTANT_S = 1.0
 
 
+class _RateByRank:
+    """Exponentially decaying rates of arrivals, by rank of their priority."""
+
+    def __init__(self) -> None:
+        self._rate: dict[int, float] = {}
+        self._last_at: dict[int, float] = {}
+
+    def add(self, rank: int, amount: float, now: float) -> None:
+        """Adds an arrival of an amount to the rate of its rank."""
+        elapsed_s = now - self._last_at.get(rank, now)
+        decay = math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
+        added = amount / RATE_TIME_CONSTANT_S
+        self._rate[rank] = self._rate.get(rank, 0.0) * decay + added
+        self._last_at[rank] = now
+
+    def total(self, now: float) -> float:
+        """Returns the rate of all ranks together, per second."""
+        return sum(
+            rate * math.exp((self._last_at[rank] - now) / RATE_TIME_CONSTANT_S)
+            for rank, rate in self._rate.items()
+        )
+
+    def above(self, rank: int) -> float:
+        """Returns the rate of all ranks more urgent than `rank`, per second."""
+        return sum(rate for other, rate in self._rate.items() if other < rank)
+
+
 class ServiceTimes:
-    """Smoothed service times by route and rates of arriving work by rank."""
+    """Smoothed service times by route; rates of arriving requests and work by rank."""
 
     def __init__(self) -> None:
         self._mean_s: dict[str, float] = {}
-        self._work_rate: dict[int, float] = {}
-        self._last_arrival_at: dict[int, float] = {}
+        self._work = _RateByRank()
+        self._requests = _RateByRank()
 
     def expected_s(self, route: str) -> float:
         """Returns the expected service time of a route, in seconds."""
@@ -37,20 +64,22 @@
         self._mean_s[route] = mean_s + SMOOTHING_WEIGHT * (seconds - mean_s)
 
     def record_arrival(self, rank: int, route: str, now: float) -> None:
-        """Adds the expected work of an arriving request to its rank's rate."""
-        elapsed_s = now - self._last_arrival_at.get(rank, now)
-        decay = math.exp(-elapsed_s / RATE_TIME_CONSTANT_S)
-        added_rate = self.expected_s(route) / RATE_TIME_CONSTANT_S
-        self._work_rate[rank] = self._work_rate.get(rank, 0.0) * decay + added_rate
-        self._last_arrival_at[rank] = now
+        """Adds an arriving request and its expected work to its rank's rates."""
+        self._work.add(rank, self.expected_s(route), now)
+        self._requests.add(rank, 1.0, now)
 
     def demand(self, now: float) -> float:
         """Returns the offered load: seconds of work of one slot arriving per second."""
-        return sum(
-            rate * math.exp((self._last_arrival_at[rank] - now) / RATE_TIME_CONSTANT_S)
-            for rank, rate in self._work_rate.items()
-        )
+        return self._work.total(now)
+
+    def request_rate(self, now: float) -> float:
+        """Returns the number of requests arriving per second."""
+        return self._requests.total(now)
 
     def work_rate_above(self, rank: int) -> float:
         """Returns the arriving work per second of all ranks more urgent than `rank`."""
-        return sum(rate for other, rate in self._work_rate.items() if other < rank)
+        return self._work.above(rank)
+
+    def request_rate_above(self, rank: int) -> float:
+        """Returns the arrivals per second of all ranks more urgent than `rank`."""
+        return self._requests.above(rank)
