Move keys away from owners whose rate limit is below what their keys ask

Callers: keys at an upstream that states a limit were refused while other owners had spare slots.

Cause: the load of an owner was its work as a share of its slots, which a rate limit does not change. Ruled out: lowering the slots to the limit, as requests that take different time would be counted wrongly.

Change: processes report the arriving requests as a share of the stated limit; where it exceeds the demand on the slots, balancing takes it for the demand and treats the owner as slower by the same factor, in both directions. Thresholds and pauses of the balancing apply as before, so that a limit that comes and goes moves no more than a hot key does.

Both new scenarios fail without owner_load, as the former load of 0.5 plans nothing.

--- a/features/keyranges.feature
+++ b/features/keyranges.feature
@@ -67,6 +67,17 @@
     When it plans its transfers
     Then it transfers between 30 and 70 percent of that work to the idle owner
 
+  Scenario: Keys move from an owner whose upstream states a rate limit below their demand
+    Given an owner with half its slots in use and requests at twice its rate limit
+    When it plans transfers to an owner with a tenth of its slots in use
+    Then the new owner gets between 30 and 60 percent of the work
+    But an owner within its rate limit plans none
+
+  Scenario: Few keys move to an owner whose upstream states a rate limit
+    Given an owner at three times the capacity of its slots
+    When it plans transfers to an owner with little work, but half its rate limit in use
+    Then the new owner gets at most 15 percent of the work
+
   Scenario: Two overloaded owners do not overfill a common new owner
     Given two overloaded owners and two idle ones
     Then their transfers fill both idle owners to within a tenth of the mean
--- a/features/steps/keyranges_steps.py
+++ b/features/steps/keyranges_steps.py
@@ -278,6 +278,52 @@
     assert low <= percent <= high, percent
 
 
+@given("an owner with half its slots in use and requests at twice its rate limit")
+def step_limited_owner(context):
+    context.own = balance.owner_load("a", 0.5, 2.0, 1.0)
+
+
+@given("an owner at three times the capacity of its slots")
+def step_slots_exceeded(context):
+    context.own = balance.owner_load("a", 3.0, 0.0, 1.0)
+
+
+@when("it plans transfers to an owner with a tenth of its slots in use")
+def step_to_unlimited(context):
+    context.other = balance.owner_load("b", 0.1, 0.0, 1.0)
+
+
+@when("it plans transfers to an owner with little work, but half its rate limit in use")
+def step_to_limited(context):
+    context.other = balance.owner_load("b", 0.05, 0.5, 1.0)
+
+
+def transferred_percent(context, own):
+    """Returns the share of an owner's work that it plans to transfer."""
+    ranges = [KeyRange(0, 999, "a", "l", 1)]
+    arrivals = dict.fromkeys(range(0, 1000, 10), 1.0)
+    planned = balance.plan_transfers(own, [context.other], ranges, arrivals)
+    return sum(sum(key in t.keys for key in arrivals) for t in planned)
+
+
+@then("the new owner gets between {low:d} and {high:d} percent of the work")
+def step_transferred(context, low, high):
+    percent = transferred_percent(context, context.own)
+    assert low <= percent <= high, percent
+
+
+@then("the new owner gets at most {high:d} percent of the work")
+def step_transferred_most(context, high):
+    percent = transferred_percent(context, context.own)
+    assert percent <= high, percent
+
+
+@then("an owner within its rate limit plans none")
+def step_within_limit(context):
+    own = balance.owner_load("a", 0.5, 0.7, 1.0)
+    assert transferred_percent(context, own) == 0
+
+
 @given("two overloaded owners and two idle ones")
 def step_pairs(context):
     demands = {"a": 3.0, "b": 2.5, "c": 0.1, "d": 0.2}
--- a/rosemarydeal/node/balancer.py
+++ b/rosemarydeal/node/balancer.py
@@ -34,7 +34,9 @@
 
     def own_load(self, guard: Guard) -> OwnerLoad:
         """Returns the load of this node."""
-        return OwnerLoad(self._node, guard.demand, guard.slowdown)
+        return balance.owner_load(
+            self._node, guard.demand, guard.limit_demand, guard.slowdown
+        )
 
     def reported_loads(
         self, members: Sequence[Member], max_age_s: float = float("inf")
@@ -47,7 +49,10 @@
             if state is None or not state.slots:
                 continue
             if moment - state.reported_at <= max_age_s:
-                loads.append(OwnerLoad(member.node, state.demand, state.slowdown))
+                load = balance.owner_load(
+                    member.node, state.demand, state.limit_demand, state.slowdown
+                )
+                loads.append(load)
         return loads
 
     def plan(
@@ -65,7 +70,7 @@
         if now < self._next_at:
             return ()
         self._next_at = now + BALANCE_PERIOD_S * random.uniform(0.8, 1.2)
-        if guard.demand < balance.BUSY_DEMAND:
+        if max(guard.demand, guard.limit_demand) < balance.BUSY_DEMAND:
             return ()
         asked = random.sample(eligible, min(MAX_LOAD_REQUESTS, len(eligible)))
         for member in asked:
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -151,6 +151,14 @@
         """Returns the work that arrives, as a share of the slots' capacity."""
         return self._queue.times.demand(now()) / self.slots
 
+    @property
+    def limit_demand(self) -> float:
+        """Returns the requests that arrive, as a share of the stated rate limit.
+
+        It is 0 without a limit.
+        """
+        return self._rate_limiter.demand(self._queue.times.request_rate(now()))
+
     @property
     def slowdown(self) -> float:
         """Returns the smoothed slowdown factor of the upstream; 1.0 is normal."""
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -36,6 +36,7 @@
         waiting: Requests queued for its upstream.
         slots: Requests that its upstream runs concurrently.
         demand: Arriving work as a share of the capacity of its slots.
+        limit_demand: Arriving requests as a share of its rate limit, 0 without one.
         slowdown: Smoothed slowdown factor of its upstream; 1.0 is normal.
         reported_at: When the report arrived, by the event loop's clock.
     """
@@ -44,6 +45,7 @@
     waiting: int
     slots: int
     demand: float
+    limit_demand: float
     slowdown: float
     reported_at: float
 
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -445,6 +445,7 @@
         load.waiting,
         load.slots,
         load.demand_percent / 100.0,
+        load.limit_demand_percent / 100.0,
         load.slowdown_percent / 100.0,
         asyncio.get_running_loop().time(),
     )
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -112,13 +112,18 @@
 
 
 class LoadReport(_Base):
-    """Load of the sender's upstream; the shares are of the slots' capacity."""
+    """Load of the sender's upstream.
+
+    The demands are the arriving work as a share of the capacity of the slots, and
+    the arriving requests as a share of the stated rate limit, 0 without one.
+    """
 
     running: int
     waiting: int
     slots: int
     demand_percent: int
     slowdown_percent: int
+    limit_demand_percent: int = 0
 
 
 class AnswerReply(_Base, tag=4):
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -262,6 +262,7 @@
             self._guard.slots,
             round(100 * self._guard.demand),
             round(100 * self._guard.slowdown),
+            round(100 * self._guard.limit_demand),
         )
 
     def _pong(self) -> Pong:
@@ -345,6 +346,7 @@
             ("waiting", self._guard.waiting),
             ("slots", self._guard.slots),
             ("demand", self._guard.demand),
+            ("limit_demand", self._guard.limit_demand),
             ("rate_limit_per_s", self._guard.rate_limit_per_s),
             ("sent_per_s", self._guard.sent_per_s),
             ("key_ranges", len(self._ownership.owned)),
--- a/rosemarydeal/policy/dispatch/rate_limit.py
+++ b/rosemarydeal/policy/dispatch/rate_limit.py
@@ -115,6 +115,10 @@
         missing = ahead + 1.0 - self._tokens
         return max(0.0, missing) / max(MIN_SHARE * rate, rate - urgent_per_s)
 
+    def demand(self, arrivals_per_s: float) -> float:
+        """Returns a rate of arrivals as a share of the limit; 0 without a limit."""
+        return arrivals_per_s / self._rate() if self.limited else 0.0
+
     def next_send_at(self, now: float) -> float:
         """Returns when the next request may be sent at the earliest.
 
--- a/rosemarydeal/policy/keyranges/balance.py
+++ b/rosemarydeal/policy/keyranges/balance.py
@@ -19,7 +19,14 @@
 
 from .table import subtract
 
-__all__ = ["BUSY_DEMAND", "OwnerLoad", "Transfer", "can_absorb", "plan_transfers"]
+__all__ = [
+    "BUSY_DEMAND",
+    "OwnerLoad",
+    "Transfer",
+    "can_absorb",
+    "owner_load",
+    "plan_transfers",
+]
 
 # Smallest difference of demands, as a share of an upstream's slots, that is worth
 # a transfer.
@@ -42,6 +49,8 @@
 # Each transfer is a call to the upstream. With the spare capacity of a typical
 # fleet, this spreads a hot spot of a third of the fleet's work in three rounds.
 MAX_TRANSFERS = 16
+# Below this demand the work of a request is unknown.
+MIN_SLOT_DEMAND = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,8 +59,9 @@
 
     Attributes:
         node: The owner's node.
-        demand: Rate of arriving work, as a share of the capacity of its slots.
-        slowdown: Factor on the time that work takes there; 1.0 is normal.
+        demand: Rate of arriving work, as a share of the capacity of the upstream.
+        slowdown: Factor on the share of the capacity that work takes there; 1.0 is
+            normal.
     """
 
     node: str
@@ -67,6 +77,27 @@
     new_owner: str
 
 
+def owner_load(
+    node: str, slot_demand: float, limit_demand: float, slowdown: float
+) -> OwnerLoad:
+    """Returns the load of an owner whose upstream may state a rate limit.
+
+    Load pattern: upstreams that state limits for seconds, below what their keys ask.
+    Where the limit is scarcer than the slots, work takes a larger share of the
+    capacity there, as if the upstream were slower by that factor.
+
+    Args:
+        node: The owner's node.
+        slot_demand: Arriving work as a share of the capacity of the slots.
+        limit_demand: Arriving requests as a share of the rate limit, 0 without one.
+        slowdown: Factor on the time that work takes there; 1.0 is normal.
+    """
+    if limit_demand <= slot_demand:
+        return OwnerLoad(node, slot_demand, slowdown)
+    scarcity = limit_demand / max(MIN_SLOT_DEMAND, slot_demand)
+    return OwnerLoad(node, limit_demand, slowdown * scarcity)
+
+
 def plan_transfers(
     own: OwnerLoad,
     others: Sequence[OwnerLoad],
