Choose among upstreams by the delay that their rate limits cause

Callers of a service without keys were refused while other upstreams had room, since entries kept sending to the limited ones.

Cause: the estimate of an answer's time knew slots and slowdown only. Ruled out: a limiter at each entry, which would need a share of the limit per entry.

Change: load reports carry the time for which the limit delays a further request; the choice adds it to the expected time, less the age of the report.

Entries still leave the refusal of keyed requests to the owner's guard: it alone knows its queue, and the hop costs 3 ms.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -74,6 +74,7 @@
     Then a nearby upstream of slowdown 1.0 goes before a remote one of slowdown 0.6
     But a nearby upstream of slowdown 4.0 goes after a remote one of slowdown 0.6
     And a nearby upstream that fails its requests goes after a remote one
+    And a nearby upstream whose rate limit delays requests by 0.5 s goes after a remote one
 
   Scenario: Processes with the same stale loads do not all choose one upstream
     Given 29 upstreams in 3 zones of which one was free when loads were reported
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -302,6 +302,18 @@
     assert choose_of_two(context, near, far) == "far"
 
 
+@then(
+    "a nearby upstream whose rate limit delays requests by {delay:f} s"
+    " goes after a remote one"
+)
+def step_near_limited(context, delay):
+    near = Candidate("near", True, 12, 2, 2, 1.0, 0.0, limit_delay_s=delay)
+    far = Candidate("far", False, 12, 2, 2, 1.0, 0.0)
+    assert choose([near, far], context.profile, 0.5) == "far"
+    near = Candidate("near", True, 12, 2, 2, 1.0, 0.0)
+    assert choose([near, far], context.profile, 0.5) == "near"
+
+
 @then("a nearby upstream that fails its requests goes after a remote one")
 def step_failing(context):
     assert choose_of_two(context, 1.0, 1.0, near_failure_share=0.8) == "far"
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -313,7 +313,15 @@
             load = self._guard.running + self._guard.waiting
             slowdown = self._guard.slowdown
             return Candidate(
-                node, same_zone, slots, load, load, slowdown, failure_share, untried
+                node,
+                same_zone,
+                slots,
+                load,
+                load,
+                slowdown,
+                failure_share,
+                untried,
+                self._guard.limit_delay_s,
             )
         state = self._links.peer_state(node)
         reported_load = state.running + state.waiting if state is not None else 0
@@ -328,6 +336,7 @@
             slowdown,
             failure_share,
             untried,
+            self._links.limit_delay_s(node),
         )
 
     def _service_of(self, route: Route) -> str:
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -159,6 +159,11 @@
         """
         return self._rate_limiter.demand(self._queue.times.request_rate(now()))
 
+    @property
+    def limit_delay_s(self) -> float:
+        """Returns how long the rate limit delays a request that arrives now."""
+        return self._queue.limit_delay_s(now())
+
     @property
     def slowdown(self) -> float:
         """Returns the smoothed slowdown factor of the upstream; 1.0 is normal."""
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -38,6 +38,7 @@
         demand: Arriving work as a share of the capacity of its slots.
         limit_demand: Arriving requests as a share of its rate limit, 0 without one.
         slowdown: Smoothed slowdown factor of its upstream; 1.0 is normal.
+        limit_delay_s: Time for which its rate limit delays a further request.
         reported_at: When the report arrived, by the event loop's clock.
     """
 
@@ -47,6 +48,7 @@
     demand: float
     limit_demand: float
     slowdown: float
+    limit_delay_s: float
     reported_at: float
 
 
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -126,6 +126,17 @@
         link = self._links.get(node)
         return link.peer_state if link is not None else None
 
+    def limit_delay_s(self, node: str) -> float:
+        """Returns how long a node's rate limit delays a request that arrives now.
+
+        The reported delay gets shorter with time, as waiting requests are sent.
+        """
+        state = self.peer_state(node)
+        if state is None:
+            return 0.0
+        age_s = asyncio.get_running_loop().time() - state.reported_at
+        return max(0.0, state.limit_delay_s - age_s)
+
     def request_load(self, node: str, max_age_s: float) -> None:
         """Pings a node unless its load was reported within a time, in seconds."""
         link = self._links.get(node)
@@ -447,5 +458,6 @@
         load.demand_percent / 100.0,
         load.limit_demand_percent / 100.0,
         load.slowdown_percent / 100.0,
+        load.limit_delay_ms / 1000.0,
         asyncio.get_running_loop().time(),
     )
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -115,7 +115,8 @@
     """Load of the sender's upstream.
 
     The demands are the arriving work as a share of the capacity of the slots, and
-    the arriving requests as a share of the stated rate limit, 0 without one.
+    the arriving requests as a share of the stated rate limit, 0 without one. The
+    limit delays a request that arrives now by `limit_delay_ms`.
     """
 
     running: int
@@ -124,6 +125,7 @@
     demand_percent: int
     slowdown_percent: int
     limit_demand_percent: int = 0
+    limit_delay_ms: int = 0
 
 
 class AnswerReply(_Base, tag=4):
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -263,6 +263,7 @@
             round(100 * self._guard.demand),
             round(100 * self._guard.slowdown),
             round(100 * self._guard.limit_demand),
+            round(1000 * self._guard.limit_delay_s),
         )
 
     def _pong(self) -> Pong:
--- a/rosemarydeal/policy/routing/choice.py
+++ b/rosemarydeal/policy/routing/choice.py
@@ -70,6 +70,7 @@
         slowdown: Factor on the time that work takes there; 1.0 is normal.
         failure_share: Share of its recent requests that failed, 0 to 1.
         untried: Whether this process has sent nothing to its current incarnation.
+        limit_delay_s: Time for which its rate limit delays a further request.
     """
 
     node: str
@@ -80,6 +81,7 @@
     slowdown: float
     failure_share: float
     untried: bool = False
+    limit_delay_s: float = 0.0
 
 
 def draw(members: Sequence[_Upstream], rng: random.Random) -> Sequence[_Upstream]:
@@ -128,13 +130,14 @@
 
 def _cost(candidate: Candidate, profile: RequestProfile) -> float:
     """Returns the expected loss of worth when the request is sent to a candidate."""
-    if candidate.untried:
+    if candidate.untried and candidate.limit_delay_s <= 0:
         return 0.0
     load = max(candidate.outstanding, candidate.reported_load) + 1
     utilization = load / max(1, candidate.slots)
     # Requests wait only when all slots are in use, but that is closer at a fuller one.
     queueing_factor = 1.0 + 0.3 * utilization + max(0.0, utilization - 1.0)
-    expected_s = profile.work_s * candidate.slowdown * queueing_factor
+    work_s = profile.work_s * candidate.slowdown * queueing_factor
+    expected_s = candidate.limit_delay_s + work_s
     lateness_cost = (
         min(3.0, expected_s / max(0.001, profile.target_s)) ** LATENESS_EXPONENT
     )
