Treat an upstream that says so in its answers as leaving

Callers: requests went to upstreams that had stated in their answers that they leave, and ended unknown when these exited.

Cause: only heartbeats and departures were read. Besides, a restarted process forgot that its upstream leaves, and requests accepted just before the drain time could wait in the queue beyond it. Ruled out: a bound at the entry alone, as the process beside the upstream is the only sender, and learns of it first.

Change: an answer that states the leaving has the effect of a draining heartbeat, for the incarnation that the request was sent to. The member in the store keeps it over a restart of the process; entries that passed such an answer on keep a record of their own.

--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -179,8 +179,11 @@
         await asyncio.sleep(0.005)
 
 
-async def load(deployment, seconds):
-    """Sends requests from all VMs at a fixed interval; returns the answers."""
+async def load(deployment, seconds, entries=None):
+    """Sends requests at a fixed interval; returns the answers.
+
+    They come from all VMs unless the VMs are given.
+    """
     answers = []
     loop = asyncio.get_running_loop()
     deadline = loop.time() + seconds
@@ -190,7 +193,7 @@
         answers.append(await deployment.send_request(name, key))
 
     while loop.time() < deadline or len(tasks) < MIN_REQUESTS * (seconds > 1.0):
-        for name in deployment.nodes:
+        for name in entries or deployment.nodes:
             key = (key + 4099) % 65536
             tasks.append(asyncio.create_task(one(name, key)))
         await asyncio.sleep(LOAD_PAUSE_S)
--- a/features/builders_rate_limit.py
+++ b/features/builders_rate_limit.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import logging
 import math
+from contextlib import contextmanager
+
+import structlog
 
 from features.builders_fleet_types import an_identity
 from rosemarydeal.core import Address
@@ -16,16 +20,34 @@
 SERVICE = Service("box-office", "/healthz", 80, 0.0, 15.0, True, 5.0)
 
 
+@contextmanager
+def captured_logs():
+    """Captures all log lines, whatever level an earlier scenario has set."""
+    config = structlog.get_config()
+    wrapper = structlog.make_filtering_bound_logger(logging.DEBUG)
+    structlog.configure(wrapper_class=wrapper)
+    try:
+        with structlog.testing.capture_logs() as lines:
+            yield lines
+    finally:
+        structlog.configure(**config)
+
+
 class LimitedClient:
     """Client of an upstream that answers at once, with a notice that a test sets."""
 
     def __init__(self):
         self.notice = UpstreamNotice(math.inf)
         self.sent = []
+        # Answers wait for this event, if a test sets one.
+        self.blocked = None
 
     async def run(self, upstream_request):
         self.sent.append(upstream_request)
-        return Answered(200, (), b"", None, self.notice)
+        notice = self.notice
+        if self.blocked is not None:
+            await self.blocked.wait()
+        return Answered(200, (), b"", None, notice)
 
 
 def an_announcement(identity, instance="i", born_ms=1, sequence=1, draining=False):
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -41,6 +41,7 @@
         # Stated in its answers: a limit in requests per second, and its leaving.
         self.rate_limit = None
         self.leaving = False
+        self.first_stated_at = None
         self.holds = []
         self.work_s = work_s
         self.state = "ready"
@@ -168,6 +169,7 @@
         if self.rate_limit is not None:
             stated += ((b"server-limit", str(self.rate_limit).encode()),)
         if self.leaving:
+            self.first_stated_at = self.first_stated_at or time.monotonic()
             stated += ((b"server-leaving", b"1"),)
         return stated
 
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,116 @@
+"""Steps for upstreams that state in their answers that they leave."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.builders_fleet_types import a_routed_request
+from features.builders_node import load, run
+from features.builders_rate_limit import (
+    LimitedClient,
+    a_limited_guard,
+    an_announcement,
+)
+from rosemarydeal.core.requests import Answered, NotServed, UpstreamNotice
+
+LOAD_S = 4.5
+RESTART_AFTER_S = 1.0
+# Longer than the time within which the requests must be rejected.
+TIME_LEFT_S = 5.0
+
+
+@when("requests continue while the answers of vm-b state that it leaves")
+def step_leaves(context):
+    context.deployment.endpoints["vm-b"].leaving = True
+    context.answers = run(context, load(context.deployment, LOAD_S))
+
+
+@when(
+    "the answers of vm-b state that it leaves, and its process restarts a second later"
+)
+def step_leaves_restart(context):
+    deployment = context.deployment
+
+    async def restart():
+        await asyncio.sleep(RESTART_AFTER_S)
+        await deployment.nodes["vm-b"].close()
+        await deployment.start_node("vm-b")
+
+    async def go():
+        deployment.endpoints["vm-b"].leaving = True
+        entries = [name for name in deployment.nodes if name != "vm-b"]
+        await asyncio.gather(load(deployment, LOAD_S, entries), restart())
+
+    run(context, go())
+
+
+@then("vm-b gets no request from {seconds:d} seconds after the first such answer")
+def step_no_late(context, seconds):
+    arrivals = context.deployment.endpoints["vm-b"].arrivals
+    stated_at = context.deployment.endpoints["vm-b"].first_stated_at
+    assert stated_at is not None
+    late = [t - stated_at for t in arrivals if t > stated_at + seconds]
+    assert not late, (len(late), late[:3])
+
+
+@when("its upstream restarts while a request runs, whose answer states that it leaves")
+def step_late_statement(context):
+    async def go():
+        context.client.blocked = asyncio.Event()
+        context.client.notice = UpstreamNotice(math.inf, leaving=True)
+        running = asyncio.create_task(context.guard.serve(a_routed_request()))
+        await asyncio.sleep(0.01)
+        identity = context.guard._identity
+        context.guard._watch.apply(an_announcement(identity, "j", born_ms=2))
+        context.client.blocked.set()
+        await running
+        context.client.notice = UpstreamNotice(math.inf)
+        context.outcome = await context.guard.serve(a_routed_request(key=None))
+
+    asyncio.run(go())
+
+
+@then("the guard still accepts requests")
+def step_accepts(context):
+    assert isinstance(context.outcome, Answered), context.outcome
+
+
+@given("a guard whose upstream is full and leaves")
+def step_full(context):
+    context.client = LimitedClient()
+    context.guard = a_limited_guard(context.client)
+
+
+@then(
+    "the waiting requests are rejected within {seconds:d} seconds, to be sent elsewhere"
+)
+def step_rejected(context, seconds):
+    guard = context.guard
+
+    async def go():
+        context.client.blocked = asyncio.Event()
+        checks = asyncio.create_task(guard.check_heartbeats())
+        request = a_routed_request(time_left_s=TIME_LEFT_S, target_s=TIME_LEFT_S)
+        tasks = [
+            asyncio.create_task(guard.serve(replace(request, request_id=f"r{n}")))
+            for n in range(16)
+        ]
+        await asyncio.sleep(0.01)
+        sent = len(context.client.sent)
+        announcement = an_announcement(guard._identity, sequence=2, draining=True)
+        guard._watch.apply(announcement)
+        done, running = await asyncio.wait(tasks, timeout=seconds)
+        checks.cancel()
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return sent, [task.result() for task in done], len(context.client.sent)
+
+    sent, outcomes, sent_in_all = asyncio.run(go())
+    assert sent_in_all == sent, (sent, sent_in_all)
+    assert len(outcomes) == 16 - sent, outcomes
+    assert all(isinstance(o, NotServed) and o.elsewhere for o in outcomes), outcomes
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 
-import structlog
 from behave import given, then, when
 
 from features.builders_fleet_types import (
@@ -16,7 +15,11 @@
 )
 from features.builders_node import run
 from features.builders_proxy import raw_upstream
-from features.builders_rate_limit import LimitedClient, a_limited_guard
+from features.builders_rate_limit import (
+    LimitedClient,
+    a_limited_guard,
+    captured_logs,
+)
 from rosemarydeal.core.requests import UpstreamNotice, UpstreamRequest
 from rosemarydeal.platform.upstream import UpstreamClient
 from rosemarydeal.policy.dispatch.queue import Reject, Start
@@ -83,7 +86,7 @@
             context.client.notice = notice
             await context.guard.serve(a_routed_request())
 
-    with structlog.testing.capture_logs() as context.logged:
+    with captured_logs() as context.logged:
         asyncio.run(go())
 
 
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -287,6 +287,7 @@
         accepting: Whether the upstream takes new work.
         pace: Slowdown factor measured at the upstream's start; 1.0 is normal.
             Stored under this name.
+        leaving: Whether the upstream has said that it leaves.
     """
 
     node: str
@@ -299,6 +300,7 @@
     slots: int = 0
     accepting: bool = False
     pace: float = 1.0
+    leaving: bool = False
 
     @property
     def weight(self) -> float:
--- a/rosemarydeal/core/requests.py
+++ b/rosemarydeal/core/requests.py
@@ -128,6 +128,7 @@
         load: Load that the answer reports.
         notice: What the upstream asks of its callers; None if the answer does not
             name the request.
+        leaving_incarnation: Incarnation of the upstream if it leaves, or empty.
     """
 
     status: int
@@ -135,6 +136,7 @@
     body: bytes
     load: UpstreamLoad | None = None
     notice: UpstreamNotice | None = None
+    leaving_incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -26,6 +26,7 @@
 from rosemarydeal.policy.requests import attempts
 from rosemarydeal.policy.requests.rejections import RecentRejections
 from rosemarydeal.policy.routing.choice import Candidate, choose, draw, shortlist
+from rosemarydeal.policy.routing.leaving import LeavingUpstreams, may_accept
 from rosemarydeal.policy.routing.request_profiles import RequestProfiles
 from rosemarydeal.policy.routing.route_index import RouteIndex, choose_service
 from rosemarydeal.proxy import Request, Response
@@ -93,6 +94,7 @@
         self._returning = RecentRejections()
         self._incarnations_tried: dict[str, str] = {}
         self._profiles = RequestProfiles()
+        self._leaving = LeavingUpstreams()
         self._open_requests = 0
 
     @property
@@ -175,6 +177,8 @@
                 return node
             outcome = await self._send(node, progress)
             if isinstance(outcome, Answered):
+                if outcome.leaving_incarnation:
+                    self._leaving.record(node, outcome.leaving_incarnation, now())
                 self._profiles.update(progress.route, outcome, now() - moment)
             self._health.record(node, outcome, now())
             keyed = progress.request.key is not None and self._is_keyed(progress)
@@ -244,7 +248,12 @@
         table = self._records.table(service)
         if table is None:
             return None
-        node = tables.lookup(table, key).node
+        keys = tables.lookup(table, key)
+        node = keys.node
+        leaving_for_s = self._leaving.leaving_for_s(node, keys.incarnation, now())
+        drain_s = self._identity.bounds.drain_s
+        if leaving_for_s is not None and not may_accept(leaving_for_s, drain_s):
+            return None
         if node == self._identity.node or self._links.is_up(node):
             return node
         return None
@@ -255,7 +264,7 @@
             [
                 member
                 for member in draw(members, self._random)
-                if member.node not in tried and self._is_reachable(member.node)
+                if member.node not in tried and self._is_usable(member)
             ]
             for members in self._accepting_members(progress.service)
         )
@@ -280,6 +289,7 @@
         members, zones_out = self._records.members, self._records.zones_out
         if self._accepting_of[0] is not members or self._accepting_of[1] != zones_out:
             self._accepting.clear()
+            self._leaving.retain(frozenset(members))
             self._accepting_of = (members, zones_out)
         accepting = self._accepting.get(service)
         if accepting is None:
@@ -297,8 +307,11 @@
             )
         return accepting
 
-    def _is_reachable(self, node: str) -> bool:
-        """Returns whether requests can be sent to a node."""
+    def _is_usable(self, member: Member) -> bool:
+        """Returns whether new requests can be sent to a member."""
+        node = member.node
+        if self._leaving.leaving_for_s(node, member.incarnation, now()) is not None:
+            return False
         if node == self._identity.node:
             return True
         return self._links.is_up(node) and not self._links.is_leaving(node)
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -10,7 +10,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 
@@ -44,6 +44,7 @@
 )
 from rosemarydeal.policy.dispatch.rate_limit import RateLimiter
 from rosemarydeal.policy.requests import attempts
+from rosemarydeal.policy.routing import leaving
 
 from .metrics import Metrics
 from .upstream import UpstreamState, UpstreamWatch
@@ -313,6 +314,16 @@
         while True:
             await asyncio.sleep(HEARTBEAT_CHECK_PERIOD_S)
             self._watch.check_heartbeat()
+            self._check_leaving()
+
+    def _check_leaving(self) -> None:
+        """Rejects the requests that still wait when an upstream is about to leave."""
+        state = self._watch.state
+        if state is None or state.leaving_since is None or not self.waiting:
+            return
+        leaving_for_s = now() - state.leaving_since
+        if not leaving.may_dispatch(leaving_for_s, self._identity.bounds.drain_s):
+            self.close_queue(LEAVING)
 
     def _rejection(self, request: RoutedRequest) -> NotServed | None:
         """Returns why a request can't be accepted now, or None if it can."""
@@ -329,7 +340,8 @@
         if state.leaving_since is None:
             return None
         leaving_for_s = now() - state.leaving_since
-        if request.key is None or leaving_for_s > self._identity.bounds.drain_s / 2:
+        drain_s = self._identity.bounds.drain_s
+        if request.key is None or not leaving.may_accept(leaving_for_s, drain_s):
             return LEAVING
         return None
 
@@ -382,7 +394,7 @@
             completed = isinstance(result, Answered)
             decisions = self._queue.finish(number, now(), completed)
             self._apply_decisions(decisions)
-        outcome = self._outcome(active, result)
+        outcome = self._outcome(active, result, state.incarnation)
         load = result.load if isinstance(result, Answered | Rejected) else None
         self._record_outcome(
             active.request, *attempts.outcome_labels(outcome), now() - started, load
@@ -403,6 +415,8 @@
                 | Rejected(notice=UpstreamNotice() as notice)
             ) if self._watch.is_current(incarnation):
                 self._apply_rate_limit(notice, incarnation, sent_at)
+                if notice.leaving:
+                    self._watch.report_leaving(incarnation)
 
     def _apply_rate_limit(
         self, notice: UpstreamNotice, incarnation: str, sent_at: float
@@ -429,17 +443,19 @@
             )
 
     def _outcome(
-        self, active: _ActiveRequest, result: UpstreamResult
+        self, active: _ActiveRequest, result: UpstreamResult, incarnation: str
     ) -> RequestOutcome:
-        """Converts the upstream's result into an outcome."""
+        """Converts the result of an incarnation of the upstream into an outcome."""
         match result:
-            case Answered(status, load=load):
+            case Answered(status, load=load, notice=notice):
                 if status in SUCCESSES and self._crash_suspects.clear(
                     active.fingerprint
                 ):
                     self._hooks.on_suspect_cleared(active.fingerprint)
                 if load is not None:
                     self._slowdown += SLOWDOWN_WEIGHT * (load.slowdown - self._slowdown)
+                if notice is not None and notice.leaving:
+                    return replace(result, leaving_incarnation=incarnation)
                 return result
             case Rejected(status):
                 return NotServed(
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -74,9 +74,16 @@
     def republish_if_changed(self) -> None:
         """Schedules a write of the own member if it was removed or is outdated."""
         published = self._records.members.get(self._identity.node)
+        self.restore_leaving()
         if self._watch.state is not None and published != self._own_member():
             self._changed.set()
 
+    def restore_leaving(self) -> None:
+        """Marks the upstream as leaving if this process knew so before its restart."""
+        published = self._records.members.get(self._identity.node)
+        if published is not None and published.leaving:
+            self._watch.report_leaving(published.incarnation)
+
     def stop(self) -> None:
         """Stops writing the own member."""
         self._stopping = True
@@ -158,6 +165,7 @@
             slots=announcement.slots if announcement else 0,
             accepting=state is not None and state.accepting,
             pace=self._slowdown or 1.0,
+            leaving=state is not None and state.leaving_since is not None,
         )
 
     async def _probe_slowdown(self) -> float:
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -137,20 +137,35 @@
     body: bytes
     slowdown_percent: int
     load: LoadReport | None = None
+    leaving_incarnation: str = ""
 
     @classmethod
     def of(cls, number: int, answer: Answered, load: LoadReport) -> AnswerReply:
         """Builds the reply for an answer."""
         at_answer = answer.load
         slowdown = round(100 * at_answer.slowdown) if at_answer is not None else 0
-        return cls(number, answer.status, answer.headers, answer.body, slowdown, load)
+        return cls(
+            number,
+            answer.status,
+            answer.headers,
+            answer.body,
+            slowdown,
+            load,
+            answer.leaving_incarnation,
+        )
 
     def to_answer(self) -> Answered:
-        """Returns the answer; of its load only the slowdown is transmitted."""
+        """Returns the answer, of whose load only the slowdown is transmitted."""
         load = None
         if self.slowdown_percent:
             load = UpstreamLoad(0, 0, 0, self.slowdown_percent / 100.0)
-        return Answered(self.status, self.headers, self.body, load)
+        return Answered(
+            self.status,
+            self.headers,
+            self.body,
+            load,
+            leaving_incarnation=self.leaving_incarnation,
+        )
 
 
 class NotServedReply(_Base, tag=5):
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -319,6 +319,7 @@
         if changed:
             self._ownership.on_upstream_changed()
             self._membership.publish()
+            self._membership.restore_leaving()
 
     async def _answer_readiness(self, request: Request) -> Response:
         """Answers the platform's readiness probe."""
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, auto
 
 import structlog
@@ -118,6 +118,13 @@
                 )
             )
 
+    def report_leaving(self, incarnation: str) -> None:
+        """Marks an incarnation as leaving, as it said so in an answer."""
+        state = self._state
+        if self.is_current(incarnation) and state.leaving_since is None:
+            _log.info("upstream_leaving", incarnation=incarnation)
+            self._update(replace(state, leaving_since=now()))
+
     def check_heartbeat(self) -> None:
         """Marks the upstream as gone if it has missed too many announcements."""
         state = self._state
