Log the store's era and the revisions of listings

The log had neither the era of the store nor the revision of a listing beside the one held, so the hypotheses could not be told apart.

Ruled out: taking the era from the lines store_history_gone, which also come when the history is dropped.

Change: the client reads the era from each answer, logs its changes and exports it; listings and lost histories are logged with their revisions. No decision depends on it.

--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -354,6 +354,7 @@
             ("key_ranges", len(self._ownership.owned)),
             ("peer_links", len(self._links.up)),
             ("store_reachable", self._access.reachable),
+            ("store_era", self._store.era),
         ):
             self._metrics.set_gauge(name, value)
         self._metrics.count_store_calls(self._store.calls)
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -210,7 +210,12 @@
                 await self._watch(kind)
                 pause = RETRY_MIN_S
             except HistoryGone:
-                _log.info("store_history_gone", kind=kind)
+                _log.info(
+                    "store_history_gone",
+                    kind=kind,
+                    revision=self._records.revision(kind),
+                    era=self._store.era,
+                )
                 self._records.invalidate_listing(kind)
                 continue
             except StoreError as error:
@@ -236,6 +241,13 @@
             if await self._is_listed_within(kind, FETCH_TIMEOUT_S):
                 return
         listing = await self._store.list(kind)
+        _log.info(
+            "objects_listed",
+            kind=kind,
+            revision=listing.revision,
+            held=self._records.revision(kind),
+            era=self._store.era,
+        )
         self._records.apply_listing(kind, listing)
         self._note_result(True)
         if self._node in self.readers:
--- a/rosemarydeal/platform/names.py
+++ b/rosemarydeal/platform/names.py
@@ -16,6 +16,7 @@
 COLD_LEFT = b"cold-ms"
 INSTANCE = b"instance-id"
 HANDOVER = b"handover"
+STORE_ERA = b"store-era"
 RETRY_AFTER = b"retry-after"
 
 READY_PATH = b"/v1/ready"
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -9,10 +9,19 @@
 from typing import TypeVar
 
 import msgspec
+import structlog
 
 from rosemarydeal.core import Address, CodedError
 from rosemarydeal.core.fleet import StoredObject
-from rosemarydeal.proxy import BytesBody, Pool, PoolSettings, Request, read_bytes
+from rosemarydeal.proxy import (
+    BytesBody,
+    Headers,
+    Pool,
+    PoolSettings,
+    Request,
+    find_header,
+    read_bytes,
+)
 
 from .errors import (
     HistoryGone,
@@ -20,12 +29,14 @@
     StoreError,
     StoreUnavailable,
 )
-from .names import OBJECTS_PATH
+from .names import OBJECTS_PATH, STORE_ERA
 
 __all__ = ["Listing", "StoreCall", "StoreClient", "StoreSettings"]
 
 MS_PER_S = 1000.0
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Fits into 64 bits.
+MAX_ERA_DIGITS = 18
 STALE_QUERY = "&allow_stale=1"
 SUCCESS_STATUSES = (200, 201)
 NOT_FOUND = 404
@@ -34,6 +45,8 @@
 REJECTED_STATUSES = (429, 503)
 _Body = TypeVar("_Body")
 
+_log = structlog.get_logger()
+
 
 @dataclass(frozen=True, slots=True)
 class StoreSettings:
@@ -115,6 +128,12 @@
         self._settings = settings
         self._pool = Pool(PoolSettings(connect_time_s=settings.timeout_s))
         self._calls: Counter[StoreCall] = Counter()
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Returns the highest era in an answer; it rises when the store is restored."""
+        return self._era
 
     @property
     def calls(self) -> Mapping[StoreCall, int]:
@@ -241,10 +260,25 @@
         except (CodedError, OSError, TimeoutError) as error:
             maybe_done = is_write and getattr(error, "sent", True)
             raise StoreUnavailable(f"{target}: {error!r}", maybe_done) from error
+        self._note_era(response.headers)
         if response.status in REJECTED_STATUSES:
             raise StoreUnavailable(f"{target}: status {response.status}")
         return response.status, answer
 
+    def _note_era(self, headers: Headers) -> None:
+        """Records the era that an answer states and logs its changes."""
+        era = _era(find_header(headers, STORE_ERA))
+        if era is not None and era > self._era:
+            _log.info("store_era_changed", era=era, before=self._era)
+            self._era = era
+
+
+def _era(value: bytes | None) -> int | None:
+    """Decodes the era that an answer states, None if there is none."""
+    if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return None
+    return int(value)
+
 
 def _body(name: str, content: bytes, revision: int | None) -> bytes:
     """Builds the body of a write."""
