Add failing scenarios for a store that is restored from a copy

Callers: requests are handled by an old configuration; keys are unserved.

Cause: to be named with the fix.

Change: the stand-in store can be restored from a copy (its era rises, revisions are given out again, watches from unknown ones get 410).

--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -161,6 +161,17 @@
     return context.loop.run_until_complete(work)
 
 
+def start_deployment(context, count, carrier=GrantCarrier.CALL):
+    """Starts a deployment, which is closed with the scenario."""
+    context.loop = asyncio.new_event_loop()
+    context.deployment = Deployment(count, carrier=carrier)
+    context.doubled = []
+    run(context, context.deployment.start())
+    watching = watch_holders(context.deployment, context.doubled)
+    context.watcher = context.loop.create_task(watching)
+    context.add_cleanup(close, context)
+
+
 def close(context):
     context.watcher.cancel()
     run(context, asyncio.gather(context.watcher, return_exceptions=True))
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -43,6 +43,8 @@
         self.leaving = False
         self.first_stated_at = None
         self.holds = []
+        # Key ranges with the tokens under which they were taken.
+        self.taken = []
         self.work_s = work_s
         self.state = "ready"
         self.acknowledged_draining = None
@@ -181,6 +183,7 @@
         moment = time.monotonic()
         self.holds = [h for h in self.holds if h not in overlapping]
         self.holds.append((first, last, token, moment + call["hold_ms"] / 1000))
+        self.taken.append((moment, first, last, token))
         return bytes_response(200, b"")
 
     def _release(self, call):
@@ -206,6 +209,8 @@
             return True
         until = sent_at + answer["hold_ms"] / 1000
         stated = [(a, b, token, until) for a, b, token, _ in answer["holds"]]
+        moment = time.monotonic()
+        self.taken += [(moment, a, b, token) for a, b, token, _ in answer["holds"]]
         self.handovers_received |= {row[3] for row in answer["holds"] if row[3]}
         before, self.holds = self.holds, []
         for first, last, token, until in before:
--- a/features/standin_store.py
+++ b/features/standin_store.py
@@ -1,14 +1,15 @@
 """A stand-in for the platform's store, with faults that tests switch on.
 
 Implements the documented protocol: lists, watches and conditional writes. The
-faults are a dropped history, rejected calls, late watches, and writes that take
-effect without an answer.
+faults are a dropped history, rejected calls, late watches, writes that take effect
+without an answer, and a restore from a copy.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+from dataclasses import replace
 from urllib.parse import parse_qs, urlsplit
 
 from rosemarydeal.core import Address
@@ -29,6 +30,8 @@
         self.lose_answers = 0
         self.stale_s = 0.0
         self.calls = []
+        self.era = 1
+        self._copy = None
         self._changed = asyncio.Event()
         self._server = None
 
@@ -51,7 +54,24 @@
         """Drops all changes so far; watches must list anew."""
         self.dropped_until = self.revision
 
+    def take_copy(self):
+        """Takes the copy from which the store will be restored."""
+        self._copy = (self.revision, dict(self.objects), list(self.events))
+
+    def restore(self):
+        """Restores the copy: later changes are lost, revisions are given out again."""
+        self.revision, objects, events = self._copy
+        self.objects, self.events = dict(objects), list(events)
+        self.era += 1
+        self._changed.set()
+
     async def answer(self, request: Request):
+        """Answers a call; each answer states the era."""
+        response = await self._answer(request)
+        era = (b"store-era", str(self.era).encode())
+        return replace(response, headers=(*response.headers, era))
+
+    async def _answer(self, request: Request):
         url = urlsplit(request.target.decode())
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         kind, _, name = url.path[len(PREFIX) :].partition("/")
@@ -75,12 +95,15 @@
         return _json(200, page)
 
     async def _watch(self, kind, after, query):
-        if after < self.dropped_until:
+        if after < self.dropped_until or after > self.revision:
             return _json(410, {})
+        era = self.era
         deadline = asyncio.get_running_loop().time() + int(query["wait_ms"]) / 1000
         if "allow_stale" in query:
             await asyncio.sleep(self.stale_s)
         while True:
+            if self.era != era:
+                return _json(503, {})
             events = [e for r, k, e in self.events if k == kind and r > after]
             left = deadline - asyncio.get_running_loop().time()
             if events or left <= 0:
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -6,13 +6,7 @@
 
 from behave import given, then, when
 
-from features.builders_node import (
-    Deployment,
-    close,
-    load,
-    run,
-    watch_holders,
-)
+from features.builders_node import load, run, start_deployment
 from rosemarydeal.core.fleet import GrantCarrier
 from rosemarydeal.core.requests import Failed
 from rosemarydeal.node import store_watch
@@ -27,25 +21,19 @@
     default = store_watch.FULL_WATCH_RATE_NODES
     store_watch.FULL_WATCH_RATE_NODES = 1
     context.add_cleanup(setattr, store_watch, "FULL_WATCH_RATE_NODES", default)
-    step_deployment(context, count)
+    start_deployment(context, count)
     context.deployment.store.stale_s = seconds
 
 
 @given("a deployment of {count:d} VMs whose heartbeats carry the grants")
 def step_heartbeat_deployment(context, count):
-    step_deployment(context, count, GrantCarrier.HEARTBEAT)
+    start_deployment(context, count, GrantCarrier.HEARTBEAT)
 
 
 @given("a deployment of {count:d} VMs")
 @given("a deployment of {count:d} VM")
-def step_deployment(context, count, carrier=GrantCarrier.CALL):
-    context.loop = asyncio.new_event_loop()
-    context.deployment = Deployment(count, carrier=carrier)
-    context.doubled = []
-    run(context, context.deployment.start())
-    watching = watch_holders(context.deployment, context.doubled)
-    context.watcher = context.loop.create_task(watching)
-    context.add_cleanup(close, context)
+def step_deployment(context, count):
+    start_deployment(context, count)
 
 
 @when("each VM receives requests for {count:d} keys")
--- /dev/null
+++ b/features/store_restored.feature
@@ -0,0 +1,40 @@
+Feature: The store is restored from a copy, and loses what it has acknowledged
+
+  Scenario: A configuration confirmed after the store was restored is not in force
+    Given a deployment of 3 VMs, of whose store a copy is taken
+    When the operator moves the route to /b/, and the store is restored
+    Then each VM serves /b/ and no longer /a/
+    When the operator writes the route /b/ again, and then moves it to /c/
+    Then 2 seconds later, each VM serves /c/ and no longer /b/
+
+  Scenario: After a restore, the store is called without a pause
+    Given a deployment of 3 VMs, of whose store a copy is taken
+    When the operator moves the route to /b/, and the store is restored
+    Then the store gets at most 150 calls in the next 3 seconds
+
+  Scenario Outline: Keys are unserved or held twice after the store was restored
+    Given a deployment of 3 <VMs>, of whose store a copy is taken
+    When the keys of vm-b move to the others, and the store is restored
+    Then all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+    And each upstream took keys with tokens above those of all others
+    When the upstream of vm-c crashes
+    Then all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+
+    Examples:
+      | VMs                                   |
+      | VMs                                   |
+      | VMs whose heartbeats carry the grants |
+
+  Scenario: A restarted VM takes the keys that the restored copy gives it
+    Given a deployment of 3 VMs, of whose store a copy is taken
+    When the keys of vm-b move to the others, and the store is restored as vm-b restarts
+    Then all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+    And each upstream took keys with tokens above those of all others
+
+  Scenario: A zone that was taken out is used again after the store was restored
+    Given a deployment of 2 VMs, of whose store a copy is taken
+    When perth-b is taken out, the store is restored, and a second later it is taken out again
+    Then vm-b held no key from 2 seconds after it was first taken out
