--- a/features/keyranges.feature
+++ b/features/keyranges.feature
@@ -99,3 +99,19 @@
   Scenario: Keys are transferred at a restart only if the others can absorb the load
     Then others with demands 0.3 and 0.4 can absorb an owner with demand 0.3
     But others with demands 0.8 and 0.9 cannot absorb an owner with demand 0.9
+
+  Scenario: After a restore of the store, an owner that did not use keys before waits for former leases
+    Given a table of a former era in which a owns the keys, and one in which b owns them
+    When the store is restored, and a writes the table again as it knew it
+    Then b uses none of the keys that it did not know to own, for 12 seconds
+    And a goes on with its keys if its lease was valid, and waits if it had expired
+    And a process that has restarted since waits for 12 seconds
+
+  Scenario: After a restore of the store, nobody takes keys over before former leases have expired
+    Given a table that was restored, whose owner b has been removed
+    Then a proposes no takeover for 12 seconds, and one afterwards
+
+  Scenario: Joined ranges of a restored table stay in use
+    Given an owner of two adjacent ranges with different tokens
+    When the store is restored, and the table with both ranges joined
+    Then it goes on with the joined range
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -12,7 +12,7 @@
 from features.builders_fleet_types import a_member
 from features.builders_node import a_configuration
 from rosemarydeal.core import Address
-from rosemarydeal.core.fleet import GrantCarrier, StoredObject
+from rosemarydeal.core.fleet import GrantCarrier, Revision, StoredObject
 from rosemarydeal.node.records import MEMBERS, Records
 from rosemarydeal.platform.errors import SettingsWrong, Unreadable
 from rosemarydeal.platform.node_settings import parse_identity
@@ -169,7 +169,9 @@
     valid = msgspec.json.encode(a_member("vm-a"))
     contents = {"vm-a": valid, "vm-b": b'{"node":3}', "vm-c": b'"x"', "vm-d": valid}
     for number, (name, content) in enumerate(contents.items()):
-        context.records.apply(StoredObject(MEMBERS, name, 10 + number, content))
+        context.records.apply(
+            StoredObject(MEMBERS, name, Revision(0, 10 + number), content)
+        )
 
 
 @then("the records contain only the valid member")
@@ -181,13 +183,13 @@
 def step_known_version(context, version):
     context.records = empty_records()
     body = json.dumps(a_configuration(version)).encode()
-    context.records.apply(StoredObject("config", "main", 10, body))
+    context.records.apply(StoredObject("config", "main", Revision(0, 10), body))
 
 
 @when("the store delivers version {version:d} at a later revision")
 def step_older(context, version):
     body = json.dumps(a_configuration(version)).encode()
-    context.records.apply(StoredObject("config", "main", 20, body))
+    context.records.apply(StoredObject("config", "main", Revision(0, 20), body))
 
 
 @then("version {version:d} stays in force")
--- a/features/steps/keyranges_steps.py
+++ b/features/steps/keyranges_steps.py
@@ -9,12 +9,13 @@
 from behave import given, then, when
 
 from features.builders_fleet_types import SERVICE, a_member, a_view
-from rosemarydeal.core.fleet import LAST_KEY, KeyRange, StoredObject
+from rosemarydeal.core.fleet import LAST_KEY, KeyRange, Revision, StoredObject
 from rosemarydeal.node.records import MEMBERS, Records
 from rosemarydeal.platform.store import Listing
 from rosemarydeal.policy.keyranges import balance, ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.balance import OwnerLoad
+from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
 
 
 def check_complete(table):
@@ -91,10 +92,8 @@
                 assert unchanged or keys.token > table.top_token, (seed, keys)
                 assert keys.token <= changed.top_token
             delta = tables.new_ranges(table, changed)
-            top_token, suspicions = changed.top_token, changed.suspicions
-            assert (
-                tables.apply_delta(table, delta, top_token, suspicions, "w") == changed
-            )
+            header = replace(changed, ranges=())
+            assert tables.apply_delta(table, delta, header) == changed
             table = changed
 
 
@@ -467,27 +466,134 @@
 @given("records with a listing of the members at revision {revision:d}")
 def step_listed(context, revision):
     context.records = Records()
-    context.records.apply_listing(MEMBERS, Listing((), revision))
+    context.records.apply_listing(MEMBERS, Listing((), Revision(0, revision)))
 
 
 @then("a member that existed at revision {revision:d} has been removed")
 def step_existed(context, revision):
-    assert context.records.is_member_removed("b", revision)
+    assert context.records.is_member_removed("b", Revision(0, revision))
 
 
 @then("a member that existed at revision {revision:d} may not have been heard of")
 def step_may_exist(context, revision):
-    assert not context.records.is_member_removed("b", revision)
+    assert not context.records.is_member_removed("b", Revision(0, revision))
 
 
 @when("a member is received and removed again")
 def step_received(context):
     content = msgspec.json.encode(a_member("b"))
-    context.records.apply(StoredObject(MEMBERS, "b", 30, content))
+    context.records.apply(StoredObject(MEMBERS, "b", Revision(0, 30), content))
     assert "b" in context.records.members
-    context.records.apply(StoredObject(MEMBERS, "b", 31, None))
+    context.records.apply(StoredObject(MEMBERS, "b", Revision(0, 31), None))
 
 
 @then("that member has been removed, whatever the revision")
 def step_known_removed(context):
-    assert context.records.is_member_removed("b", 1000)
+    assert context.records.is_member_removed("b", Revision(0, 1000))
+
+
+ERA = 2
+# When the former era's tables and the restored one are received.
+BEFORE, RESTORED_AT = 10.0, 20.0
+TAKEOVER_S = ownership_lease.takeover_wait()
+
+
+def a_restored_table(known):
+    return tables.restore(known, known.top_token, ERA, "w")
+
+
+def ranges_of(node, former, restored, lease_valid=True):
+    """Returns a node's ranges since a restore; without a table it has restarted."""
+    ranges = RestoredRanges(node)
+    if former is not None:
+        ranges.update(former, False, True, BEFORE)
+        ranges.update(former, True, lease_valid, RESTORED_AT)
+    ranges.update(restored, False, lease_valid, RESTORED_AT)
+    return ranges
+
+
+def usable(ranges, restored, node, now):
+    return ranges.usable(tables.owned_by(restored, node), now)
+
+
+@given("a table of a former era in which a owns the keys, and one in which b owns them")
+def step_two_tables(context):
+    a, b = a_member("a"), a_member("b")
+    context.owned_by_a = tables.initial_table(SERVICE, [a], "w", ERA - 1)
+    context.owned_by_b = tables.reassign(
+        context.owned_by_a, context.owned_by_a.ranges, [b], "w"
+    )
+
+
+@when("the store is restored, and a writes the table again as it knew it")
+def step_restored(context):
+    context.restored = a_restored_table(context.owned_by_a)
+    context.restored_to_b = a_restored_table(context.owned_by_b)
+
+
+@then("b uses none of the keys that it did not know to own, for {seconds:d} seconds")
+def step_b_waits(context, seconds):
+    ranges = ranges_of("b", context.owned_by_a, context.restored_to_b)
+    early, late = RESTORED_AT + seconds, RESTORED_AT + TAKEOVER_S
+    assert usable(ranges, context.restored_to_b, "b", early) == []
+    assert usable(ranges, context.restored_to_b, "b", late) != []
+
+
+@then("a goes on with its keys if its lease was valid, and waits if it had expired")
+def step_a_goes_on(context):
+    for lease_valid in (True, False):
+        ranges = ranges_of("a", context.owned_by_a, context.restored, lease_valid)
+        used = usable(ranges, context.restored, "a", RESTORED_AT)
+        assert bool(used) == lease_valid, used
+
+
+@then("a process that has restarted since waits for {seconds:d} seconds")
+def step_restarted_waits(context, seconds):
+    ranges = ranges_of("a", None, context.restored)
+    assert usable(ranges, context.restored, "a", RESTORED_AT + seconds) == []
+
+
+@given("a table that was restored, whose owner b has been removed")
+def step_restored_removed(context):
+    context.members = [a_member("a")]
+    owned_by_b = tables.initial_table(SERVICE, [a_member("b")], "w", ERA - 1)
+    context.restored = a_restored_table(owned_by_b)
+    context.ranges = ranges_of("a", owned_by_b, context.restored)
+
+
+@then("a proposes no takeover for {seconds:d} seconds, and one afterwards")
+def step_no_takeover(context, seconds):
+    def proposed(now):
+        state = proposals.RestoredTable(
+            ERA, settled=context.ranges.is_settled(now), remembered=True
+        )
+        view = a_view("a", context.members, removed=frozenset("b"), restored=state)
+        return proposals.propose(context.restored, view)
+
+    assert proposed(RESTORED_AT + seconds) is None
+    settled = proposed(RESTORED_AT + TAKEOVER_S)
+    assert settled.reason == "restore-settled", settled
+    context.restored = settled.table
+    assert proposed(RESTORED_AT + TAKEOVER_S).reason == "owner-gone"
+
+
+@given("an owner of two adjacent ranges with different tokens")
+def step_two_ranges(context):
+    a, b = a_member("a"), a_member("b")
+    table = tables.initial_table(SERVICE, [a, b], "w", ERA - 1)
+    moving = [(keys, a, "") for keys in tables.owned_by(table, "b")]
+    context.former = tables.move_ranges(table, moving, "w")
+    assert len(context.former.ranges) == 2
+
+
+@when("the store is restored, and the table with both ranges joined")
+def step_joined(context):
+    restored = a_restored_table(context.former)
+    whole = replace(restored.ranges[0], last=LAST_KEY)
+    context.restored = replace(restored, ranges=(whole,))
+
+
+@then("it goes on with the joined range")
+def step_joined_used(context):
+    ranges = ranges_of("a", context.former, context.restored)
+    assert usable(ranges, context.restored, "a", RESTORED_AT) != []
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -150,7 +150,9 @@
 
     def have_table():
         records = [node._records for node in deployment.nodes.values()]
-        return all(r.last_change(RANGES) >= table_revision(context) for r in records)
+        return all(
+            r.last_change(RANGES).number >= table_revision(context) for r in records
+        )
 
     written = deployment.wait(lambda: table_revision(context) > context.written, 2.0)
     run(context, written)
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -7,14 +7,20 @@
 from behave import given, then, when
 
 from features.builders_fleet_types import SERVICE, a_member
-from rosemarydeal.core.fleet import StoredObject
+from rosemarydeal.core.fleet import Revision, StoredObject
 from rosemarydeal.node import messages
-from rosemarydeal.node.contents import encode_table, table_name, tables_of
+from rosemarydeal.node.contents import decode_table, encode_table, table_name
 from rosemarydeal.node.messages import TableDelta
 from rosemarydeal.node.records import RANGES, Records
 from rosemarydeal.policy.keyranges import table as tables
 
-FIRST_REVISION = 10
+FIRST_NUMBER = 10
+FIRST_REVISION = Revision(0, FIRST_NUMBER)
+
+
+def revision(step):
+    """Returns the revision a number of changes after the first one."""
+    return Revision(0, FIRST_NUMBER + step)
 
 
 def stored_table(table, revision):
@@ -34,7 +40,7 @@
     for number in range(3):
         context.tables.append(transferred(context.tables[-1], number, members[3]))
     context.deltas = [
-        TableDelta.of(FIRST_REVISION + i, FIRST_REVISION + i + 1, old, new)
+        TableDelta.of(revision(i), revision(i + 1), old, new)
         for i, (old, new) in enumerate(
             zip(context.tables, context.tables[1:], strict=False)
         )
@@ -57,13 +63,13 @@
 
 @when("the store returns the table after the first delta")
 def step_gap_filled(context):
-    context.records.apply(stored_table(context.tables[1], FIRST_REVISION + 1))
+    context.records.apply(stored_table(context.tables[1], revision(1)))
 
 
 @then("the records hold the table after the third delta")
 def step_third(context):
     assert context.records.table(SERVICE) == context.tables[3]
-    assert context.records.last_change(RANGES) == FIRST_REVISION + 3
+    assert context.records.last_change(RANGES) == revision(3)
 
 
 @then("the records still hold the first table")
@@ -81,7 +87,7 @@
 @then("the delta takes less than {max_bytes:d} bytes")
 def step_bytes(context, max_bytes):
     old, new = context.old, context.new
-    delta = TableDelta.of(FIRST_REVISION, FIRST_REVISION + 1, old, new)
+    delta = TableDelta.of(FIRST_REVISION, revision(1), old, new)
     assert len(messages.encode(delta)) < max_bytes, len(messages.encode(delta))
 
 
@@ -105,8 +111,8 @@
 
 @then("it is decoded from the store's object without loss")
 def step_read_back(context):
-    read = tables_of([stored_table(context.range_table, FIRST_REVISION)])
-    assert read == {SERVICE: context.range_table}
+    read = decode_table(stored_table(context.range_table, FIRST_REVISION))
+    assert read == context.range_table
 
 
 @then("content whose ranges have gaps, no order or no owner is ignored")
@@ -124,4 +130,4 @@
     ):
         content = template % (SERVICE.encode(), ranges)
         broken = StoredObject(RANGES, table_name(SERVICE), FIRST_REVISION, content)
-        assert tables_of([broken]) == {}, ranges
+        assert decode_table(broken) is None, ranges
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -9,11 +9,13 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import NamedTuple
 
 from .data import Address
 
 __all__ = [
     "LAST_KEY",
+    "NO_REVISION",
     "Announcement",
     "Bounds",
     "CallerLimits",
@@ -27,6 +29,7 @@
     "NodeIdentity",
     "RangeTable",
     "ReleasedKeys",
+    "Revision",
     "Route",
     "Service",
     "StoredObject",
@@ -39,6 +42,25 @@
 LAST_KEY = 65_535
 
 
+class Revision(NamedTuple):
+    """Position in the history of the store, in the order of its changes.
+
+    A store that was restored from a copy has lost its latest changes and gives their
+    revision numbers out again, in a higher era.
+
+    Attributes:
+        era: Number of the restore.
+        number: The store's revision within the era.
+    """
+
+    era: int
+    number: int
+
+
+# Before all changes.
+NO_REVISION = Revision(0, 0)
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Guarantees of the deployment that processes rely on.
@@ -381,6 +403,11 @@
         top_token: Highest token issued so far.
         suspicions: Unresponsive nodes; their keys move once their leases expire.
         writer: Identifier of the write that produced this content, to recognise it.
+        era: Era of the store in which it was written. In a later era it is the
+            content of a copy, which later changes may be missing from.
+        restored_token: Token of the assignments that were restored in this era from
+            the records of a process; 0 if there are none, or once the leases of the
+            former era have expired.
     """
 
     service: str
@@ -388,6 +415,8 @@
     top_token: int
     suspicions: tuple[Suspicion, ...] = ()
     writer: str = ""
+    era: int = 0
+    restored_token: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -397,13 +426,14 @@
     Attributes:
         kind: Kind of the object.
         name: Name within the kind.
-        revision: Store revision of the object's last change.
+        revision: Store revision of the object's last change, in the era of the
+            answer that contained it.
         content: Decoded content; None for a deleted object.
         unreadable: Reason why the content could not be read, or empty.
     """
 
     kind: str
     name: str
-    revision: int
+    revision: Revision
     content: object = field(default=None)
     unreadable: str = ""
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -29,10 +29,10 @@
     "configuration_of",
     "encode_table",
     "decode_member",
+    "decode_table",
     "members_of",
     "names_of",
     "table_name",
-    "tables_of",
 ]
 
 # Several revisions of each member of a fleet of hundreds.
@@ -60,6 +60,8 @@
         top_token: Highest fencing token issued so far.
         suspicions: Suspected nodes whose lease expiry is awaited.
         writer: Identifier of the write that produced this content.
+        era: Era of the store in which it was written.
+        restored_token: Token of restored assignments, or 0.
     """
 
     service: str
@@ -68,6 +70,8 @@
     top_token: int
     suspicions: tuple[Suspicion, ...] = ()
     writer: str = ""
+    era: int = 0
+    restored_token: int = 0
 
     def __post_init__(self) -> None:
         """Checks constraints that the types can't express.
@@ -99,7 +103,13 @@
             for stored, last in zip(self.ranges, ends, strict=True)
         )
         return RangeTable(
-            self.service, ranges, self.top_token, self.suspicions, self.writer
+            self.service,
+            ranges,
+            self.top_token,
+            self.suspicions,
+            self.writer,
+            self.era,
+            self.restored_token,
         )
 
 
@@ -124,6 +134,8 @@
         table.top_token,
         table.suspicions,
         table.writer,
+        table.era,
+        table.restored_token,
     )
     return msgspec.json.encode(stored)
 
@@ -167,14 +179,12 @@
     return _decode(stored, Member)
 
 
-def tables_of(objects: Iterable[StoredObject]) -> dict[str, RangeTable]:
-    """Returns the tables by service."""
-    tables: dict[str, RangeTable] = {}
-    for stored in objects:
-        table = _decode(stored, _StoredTable)
-        if table is not None and table_name(table.service) == stored.name:
-            tables[table.service] = table.to_table()
-    return tables
+def decode_table(stored: StoredObject) -> RangeTable | None:
+    """Decodes a table; returns None if it is deleted, malformed or misnamed."""
+    table = _decode(stored, _StoredTable)
+    if table is None or table_name(table.service) != stored.name:
+        return None
+    return table.to_table()
 
 
 def table_name(service: str) -> str:
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from rosemarydeal.core import Address
+from rosemarydeal.core.fleet import Revision
 from rosemarydeal.core.requests import RequestOutcome, RoutedRequest
 
 from .frames import FrameConnection
@@ -75,8 +76,8 @@
     serve: Callable[[RoutedRequest], Awaitable[RequestOutcome]]
     load: Callable[[], LoadReport]
     pong: Callable[[], Pong]
-    known_revisions: Callable[[], tuple[int, ...]]
-    on_known_revisions: Callable[[str, tuple[int, ...]], None]
+    known_revisions: Callable[[], tuple[Revision, ...]]
+    on_known_revisions: Callable[[str, tuple[Revision, ...]], None]
     fetch: Callable[[str], ObjectListing]
     on_object_listing: Callable[[ObjectListing], None]
     on_object_update: Callable[[ObjectUpdate], None]
--- a/rosemarydeal/node/link_monitor.py
+++ b/rosemarydeal/node/link_monitor.py
@@ -12,6 +12,8 @@
 
 import structlog
 
+from rosemarydeal.core.fleet import Revision
+
 from .link import Link
 from .messages import PeerUnresponsive, Ping
 
@@ -33,7 +35,7 @@
 
     def __init__(
         self,
-        known_revisions: Callable[[], tuple[int, ...]],
+        known_revisions: Callable[[], tuple[Revision, ...]],
         broadcast: Callable[[PeerUnresponsive], None],
     ) -> None:
         """Creates a monitor.
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -73,7 +73,7 @@
 
     def republish_if_changed(self) -> None:
         """Schedules a write of the own member if it was removed or is outdated."""
-        published = self._records.members.get(self._identity.node)
+        published = self._records.stored_member(self._identity.node)
         self.restore_leaving()
         if self._watch.state is not None and published != self._own_member():
             self._changed.set()
@@ -133,7 +133,7 @@
 
     async def _write(self, member: Member) -> None:
         """Writes the own member unless the store already holds it."""
-        if self._records.members.get(member.node) == member:
+        if self._records.stored_member(member.node) == member:
             return
         try:
             content = msgspec.json.encode(member)
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
-from rosemarydeal.core.fleet import KeyRange, RangeTable, Suspicion, UpstreamLoad
+from rosemarydeal.core.fleet import (
+    NO_REVISION,
+    KeyRange,
+    RangeTable,
+    Revision,
+    Suspicion,
+    UpstreamLoad,
+)
 from rosemarydeal.core.requests import (
     Answered,
     NotServed,
@@ -187,13 +194,13 @@
 class Ping(_Base, tag=7):
     """Checks that the peer is alive; carries the sender's known revisions."""
 
-    known_revisions: tuple[int, ...]
+    known_revisions: tuple[Revision, ...]
 
 
 class Pong(_Base, tag=8):
     """Reply to a ping; carries the sender's load and known revisions."""
 
-    known_revisions: tuple[int, ...]
+    known_revisions: tuple[Revision, ...]
     load: LoadReport
     reads_store: bool = True
 
@@ -214,7 +221,7 @@
     """An object as the store holds it; a deleted one has no content."""
 
     name: str
-    revision: int
+    revision: Revision
     content: bytes | None
 
 
@@ -222,8 +229,8 @@
     """All objects of a kind at a revision of the store."""
 
     kind: str
-    revision: int
-    last_change: int
+    revision: Revision
+    last_change: Revision
     objects: tuple[ObjectState, ...]
 
 
@@ -242,8 +249,8 @@
     """
 
     kind: str
-    since: int
-    revision: int
+    since: Revision
+    revision: Revision
     objects: tuple[ObjectState, ...]
     complete: bool = True
 
@@ -277,14 +284,14 @@
 
     Without content, it reads an object, if `shared` together with others that ask
     for it. With content, it writes one that is still at the revision, or creates it
-    if the revision is 0.
+    if there is none.
     """
 
     number: int
     kind: str
     name: str
     content: bytes | None = None
-    revision: int = 0
+    revision: Revision = NO_REVISION
     shared: bool = False
 
 
@@ -320,16 +327,22 @@
     """
 
     service: str
-    base_revision: int
-    revision: int
+    base_revision: Revision
+    revision: Revision
     ranges: tuple[RangeFields, ...]
     top_token: int
     suspicions: tuple[Suspicion, ...]
     writer: str
+    era: int
+    restored_token: int
 
     @classmethod
     def of(
-        cls, base_revision: int, revision: int, old: RangeTable, new: RangeTable
+        cls,
+        base_revision: Revision,
+        revision: Revision,
+        old: RangeTable,
+        new: RangeTable,
     ) -> TableDelta:
         """Builds the message for two tables and their revisions."""
         names = KeyRange.__slots__
@@ -337,18 +350,32 @@
             RangeFields(*(getattr(keys, name) for name in names))
             for keys in tables.new_ranges(old, new)
         )
-        service, token = new.service, new.top_token
         return cls(
-            service, base_revision, revision, ranges, token, new.suspicions, new.writer
+            new.service,
+            base_revision,
+            revision,
+            ranges,
+            new.top_token,
+            new.suspicions,
+            new.writer,
+            new.era,
+            new.restored_token,
         )
 
     def apply(self, old: RangeTable) -> RangeTable:
         """Returns the table after the change."""
         names = KeyRange.__slots__
         ranges = [KeyRange(*(getattr(f, name) for name in names)) for f in self.ranges]
-        return tables.apply_delta(
-            old, ranges, self.top_token, self.suspicions, self.writer
+        header = RangeTable(
+            self.service,
+            (),
+            self.top_token,
+            self.suspicions,
+            self.writer,
+            self.era,
+            self.restored_token,
         )
+        return tables.apply_delta(old, ranges, header)
 
 
 Message = (
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -32,6 +32,7 @@
 from rosemarydeal.policy.dispatch.queue import Admission
 from rosemarydeal.policy.keyranges import balance, ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
 
 from .balancer import Balancer
 from .contents import encode_table, table_name
@@ -100,6 +101,7 @@
         self._renew_at = 0.0
         self._renewing = False
         self._grants = self._grant_carrier(client)
+        self._restored = RestoredRanges(identity.node)
         self._moving: list[KeyRange] = []
         self._writing = False
         self._background: set[asyncio.Task[None]] = set()
@@ -198,6 +200,9 @@
     def on_table_changed(self) -> None:
         """Applies a change of the table without waiting for the next step."""
         self._changed.set()
+        moment = now()
+        lease_valid = moment < ownership_lease.lease_expiry(self._lease)
+        self._restored.update(self.table, self._is_outdated(), lease_valid, moment)
         if self._is_keyed() and self._watch.state is not None:
             self._step()
             self._advance_guard()
@@ -292,7 +297,7 @@
         cached = self._records.stored(RANGES, table_name(self._identity.service))
         if stored is None or table is None or cached is None:
             return
-        if cached.revision < stored.revision:
+        if cached.revision < stored.revision or self._is_outdated():
             return
         self._lease = ownership_lease.renew(
             self._lease, table, self._identity.node, requested_at
@@ -302,7 +307,7 @@
 
     def _update_grants(self) -> None:
         """Grants the own ranges to the upstream, except those that move."""
-        ranges = list(self.owned)
+        ranges = self._restored.usable(self.owned, now())
         for moving in self._moving:
             ranges = [rest for keys in ranges for rest in tables.subtract(keys, moving)]
         max_hold_s = self._identity.bounds.max_hold_s
@@ -319,7 +324,7 @@
         """Writes higher tokens for the own ranges after the upstream refused one."""
         table = self.table
         state = self._watch.state
-        if table is None or state is None or self._writing:
+        if table is None or state is None or self._writing or self._has_unusable():
             return
         member = self._records.members.get(self._identity.node)
         if member is None:
@@ -391,8 +396,33 @@
             members_stable_s=moment - self._records.members_changed_at,
             store_ready=self._records.complete,
             writer=_writer(),
+            restored=self._restored_state(moment),
+        )
+
+    def _restored_state(self, moment: float) -> proposals.RestoredTable:
+        """Builds the part of the input that follows from a restore of the store."""
+        outdated_s = self._restored.outdated_s(moment)
+        stored_top_token = 0
+        if outdated_s is not None:
+            stored_top_token = self._records.stored_top_token(self._identity.service)
+        return proposals.RestoredTable(
+            era=self._records.era(RANGES),
+            outdated_s=outdated_s,
+            stored_top_token=stored_top_token,
+            remembered=self._restored.remembered,
+            settled=self._restored.is_settled(moment),
+            unusable=self._has_unusable(),
         )
 
+    def _is_outdated(self) -> bool:
+        """Returns whether the table was not written in the present era of the store."""
+        return self._records.is_table_outdated(self._identity.service)
+
+    def _has_unusable(self) -> bool:
+        """Returns whether own ranges may not be used yet after a restore."""
+        owned = self.owned
+        return len(self._restored.usable(owned, now())) < len(owned)
+
     def _removed_owners(self) -> frozenset[str]:
         """Returns the owners whose members have been removed from the store."""
         table = self.table
@@ -408,7 +438,7 @@
 
     def _balance(self, moment: float, view: proposals.OwnershipView) -> None:
         """Hands keys over if that balances the load."""
-        if not self._access.reachable:
+        if not self._access.reachable or view.restored.unusable:
             return
         eligible = proposals.eligible_owners(view)
         transfers = self._balancer.plan(self._guard, eligible, self.owned, moment)
@@ -469,6 +499,9 @@
         """Writes a table over the last known revision and sends it to the peers."""
         name = table_name(changed.service)
         base, old = self._records.stored(RANGES, name), self.table
+        if changed.era != self._records.era(RANGES):
+            _log.info("table_outdated", reason=reason, era=changed.era)
+            return False
         try:
             stored = await self._access.write(RANGES, name, encode_table(changed))
         except StoreConflict:
@@ -479,6 +512,10 @@
         except StoreError as error:
             _log.warning("table_not_written", reason=reason, detail=error.detail)
             return False
+        if stored.revision.era != changed.era:
+            # The revision was given out again, for a table that was lost by this.
+            _log.warning("table_overwritten", reason=reason, era=changed.era)
+            return False
         _log.info(
             "table_written",
             reason=reason,
@@ -486,7 +523,7 @@
             top_token=changed.top_token,
             ranges=len(changed.ranges),
         )
-        if old is None or base is None:
+        if old is None or base is None or old.era != changed.era:
             state = ObjectState(name, stored.revision, stored.content)
             self._links.broadcast(ObjectUpdate(RANGES, state))
         else:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -62,7 +62,10 @@
         self._identity = identity
         self._process = f"{time.time_ns():x}-{secrets.token_hex(3)}"
         self._metrics = Metrics()
-        self._store = StoreClient(StoreSettings(identity.store))
+        self._store = StoreClient(
+            StoreSettings(identity.store),
+            on_era_changed=lambda: self._store_watcher.end_watches(),
+        )
         self._health = UpstreamHealth()
         self._client = UpstreamClient(identity.upstream, UPSTREAM_CONNECTIONS)
         self._links = Links(identity.node, self._process, self._link_hooks())
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -4,6 +4,12 @@
 of service, the members, and the tables of key ranges. Objects come from the
 store and from peers, and the newest revision of each wins, so that a process
 whose calls the store rejects still receives them.
+
+A store that was restored from a copy has lost its latest changes, and its era is
+higher. Its objects are listed anew, but what this process knows may be newer than
+the copy: the version of the configuration never falls, members and zones that are
+out are carried over until their writers have had the time to write them again, and
+a table is carried over until one has been written in the new era.
 """
 
 from __future__ import annotations
@@ -14,7 +20,14 @@
 import structlog
 
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.fleet import Configuration, Member, RangeTable, StoredObject
+from rosemarydeal.core.fleet import (
+    NO_REVISION,
+    Configuration,
+    Member,
+    RangeTable,
+    Revision,
+    StoredObject,
+)
 from rosemarydeal.platform.names import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -31,6 +44,8 @@
 MEMBERS = "rosemarydeal-members"
 RANGES = "rosemarydeal-ranges"
 KINDS = (CONFIGURATION_KIND, ZONES_OUT_KIND, MEMBERS, RANGES)
+# Their objects are independent of each other, and the writers of all of them live.
+CARRIED_KINDS = (ZONES_OUT_KIND, MEMBERS)
 
 _log = structlog.get_logger()
 
@@ -44,12 +59,19 @@
         revision: Revision of the store up to which nothing is missing.
         last_change: Revision of the last change received.
         listed: Whether a full listing was applied.
+        carried: Objects of a former era, by name, that the present one may lack.
     """
 
     objects: dict[str, StoredObject] = field(default_factory=dict)
-    revision: int = 0
-    last_change: int = 0
+    revision: Revision = NO_REVISION
+    last_change: Revision = NO_REVISION
     listed: bool = False
+    carried: dict[str, StoredObject] = field(default_factory=dict)
+
+    @property
+    def known(self) -> dict[str, StoredObject]:
+        """Returns the objects by name, with those that are carried over."""
+        return {**self.objects, **self.carried}
 
 
 class Records:
@@ -63,6 +85,8 @@
         self._members: dict[str, Member] = {}
         self._members_changed_at = now()
         self._tables: dict[str, RangeTable] = {}
+        # Services whose table was not written in the present era.
+        self._outdated_tables: set[str] = set()
         self._zones_out: frozenset[str] = frozenset()
         self._pending_deltas = PendingDeltas()
 
@@ -92,7 +116,12 @@
         return all(kind.listed for kind in self._kinds.values())
 
     @property
-    def known_revisions(self) -> tuple[int, ...]:
+    def carries_objects(self) -> bool:
+        """Returns whether objects of a former era are carried over."""
+        return any(kind.carried for kind in self._kinds.values())
+
+    @property
+    def known_revisions(self) -> tuple[Revision, ...]:
         """Returns the revision of the last change received of each kind."""
         return tuple(self._kinds[name].last_change for name in KINDS)
 
@@ -100,7 +129,24 @@
         """Returns the table of a service."""
         return self._tables.get(service)
 
-    def revision(self, kind: str) -> int:
+    def is_table_outdated(self, service: str) -> bool:
+        """Returns whether a table was not written in the present era of the store.
+
+        It may lack changes that the store has lost and that are in force.
+        """
+        return service in self._outdated_tables
+
+    def stored_top_token(self, service: str) -> int:
+        """Returns the highest token of the stored table, which may be a copy."""
+        stored = self.stored(RANGES, contents.table_name(service))
+        table = contents.decode_table(stored) if stored is not None else None
+        return table.top_token if table is not None else 0
+
+    def era(self, kind: str) -> int:
+        """Returns the era of the store in which a kind was last received."""
+        return self._kinds[kind].revision.era
+
+    def revision(self, kind: str) -> Revision:
         """Returns the store's revision up to which nothing of a kind is missing."""
         return self._kinds[kind].revision
 
@@ -108,15 +154,20 @@
         """Returns whether a full listing of a kind was applied."""
         return self._kinds[kind].listed
 
-    def last_change(self, kind: str) -> int:
+    def last_change(self, kind: str) -> Revision:
         """Returns the revision of the last change received of a kind."""
         return self._kinds[kind].last_change
 
     def stored(self, kind: str, name: str) -> StoredObject | None:
-        """Returns an object; a deleted one has no content."""
+        """Returns an object of the present era; a deleted one has no content."""
         return self._kinds[kind].objects.get(name)
 
-    def is_member_removed(self, node: str, revision: int) -> bool:
+    def stored_member(self, node: str) -> Member | None:
+        """Returns a member as the store has it in its present era."""
+        stored = self.stored(MEMBERS, node)
+        return contents.decode_member(stored) if stored is not None else None
+
+    def is_member_removed(self, node: str, revision: Revision) -> bool:
         """Returns whether a member that existed at a revision has ended.
 
         It was removed, or there is a newer one at its address.
@@ -128,7 +179,7 @@
             node: Node that is not among the members.
             revision: Revision of the store at which the member existed.
         """
-        stored = self.stored(MEMBERS, node)
+        stored = self._kinds[MEMBERS].known.get(node)
         if stored is not None:
             superseded = contents.decode_member(stored) is not None
             return stored.content is None or superseded
@@ -138,12 +189,23 @@
         """Registers a function that is called with the kind after each change."""
         self._listeners.append(listener)
 
-    def apply(self, stored: StoredObject) -> bool:
-        """Stores an object if it is newer; returns whether it was stored."""
+    def apply(self, stored: StoredObject, changed: bool = False) -> bool:
+        """Stores an object if it is newer; returns whether it was stored.
+
+        Args:
+            stored: The object.
+            changed: Whether it is known to have been written in its era; an object
+                that was read may be part of the copy.
+        """
         kind_state = self._kinds[stored.kind]
         if stored.unreadable or not stored.name:
             _log.warning("object_ignored", kind=stored.kind, reason=stored.unreadable)
             return False
+        if stored.revision.era < kind_state.revision.era:
+            return False
+        self._enter_era(stored.kind, stored.revision.era)
+        if changed:
+            kind_state.carried.pop(stored.name, None)
         old = kind_state.objects.get(stored.name)
         if old is not None and old.revision >= stored.revision:
             if not (stored.content is None and old.content is not None):
@@ -160,7 +222,8 @@
         if update.kind in self._kinds:
             state = update.state
             self.apply(
-                StoredObject(update.kind, state.name, state.revision, state.content)
+                StoredObject(update.kind, state.name, state.revision, state.content),
+                changed=True,
             )
 
     def apply_peer_listing(self, peer_listing: ObjectListing) -> None:
@@ -184,8 +247,13 @@
         kind_state.last_change = max(kind_state.last_change, peer_listing.last_change)
 
     def listing(self, kind: str) -> ObjectListing:
-        """Returns all objects of a kind, to be sent to a peer."""
+        """Returns all objects of a kind, to be sent to a peer.
+
+        The listing has no revision if this process has none of its own.
+        """
         kind_state = self._kinds.get(kind) or _KindState()
+        if not kind_state.listed:
+            return ObjectListing(kind, NO_REVISION, NO_REVISION, ())
         objects = tuple(
             ObjectState(stored.name, stored.revision, stored.content)
             for stored in kind_state.objects.values()
@@ -196,7 +264,7 @@
     def apply_changes(self, kind: str, listing: Listing) -> None:
         """Applies the changes that a watch of a kind returned."""
         for stored in listing.objects:
-            self.apply(stored)
+            self.apply(stored, changed=True)
         kind_state = self._kinds[kind]
         kind_state.revision = max(kind_state.revision, listing.revision)
 
@@ -212,6 +280,9 @@
     def apply_listing(self, kind: str, listing: Listing) -> None:
         """Applies a full listing; objects that it lacks were deleted."""
         kind_state = self._kinds[kind]
+        if listing.revision.era < kind_state.revision.era:
+            return
+        self._enter_era(kind, listing.revision.era)
         present = {stored.name for stored in listing.objects}
         for old in list(kind_state.objects.values()):
             if old.name not in present and old.revision <= listing.revision:
@@ -226,6 +297,30 @@
         kind_state.listed = True
         self._refresh(kind, listed=True)
 
+    def drop_carried(self) -> None:
+        """Drops the objects of former eras that nobody has written again."""
+        for kind, kind_state in self._kinds.items():
+            if kind_state.carried:
+                _log.info(
+                    "carried_objects_dropped", kind=kind, **_era_fields(kind_state)
+                )
+                kind_state.carried.clear()
+                self._refresh(kind)
+
+    def _enter_era(self, kind: str, era: int) -> None:
+        """Prepares a kind for the objects of a higher era of the store."""
+        kind_state = self._kinds[kind]
+        if era <= kind_state.revision.era:
+            return
+        if kind in CARRIED_KINDS:
+            kind_state.carried = kind_state.known
+        kind_state.objects = {}
+        kind_state.revision = kind_state.last_change = Revision(era, 0)
+        kind_state.listed = False
+        if kind == RANGES:
+            self._outdated_tables.update(self._tables)
+        _log.info("store_era_entered", kind=kind, **_era_fields(kind_state))
+
     def _refresh(self, kind: str, listed: bool = False) -> None:
         """Decodes the objects of a kind; notifies the listeners of a change.
 
@@ -265,7 +360,7 @@
 
     def _refresh_zones_out(self) -> bool:
         """Updates the zones that are out of service."""
-        out = contents.names_of(self._kinds[ZONES_OUT_KIND].objects.values())
+        out = contents.names_of(self._kinds[ZONES_OUT_KIND].known.values())
         if out == self._zones_out:
             return False
         _log.info("zones_out", zones=sorted(out), before=sorted(self._zones_out))
@@ -274,7 +369,7 @@
 
     def _refresh_members(self) -> bool:
         """Updates the members; malformed ones are left out."""
-        members = contents.members_of(self._kinds[MEMBERS].objects.values())
+        members = contents.members_of(self._kinds[MEMBERS].known.values())
         if members == self._members:
             return False
         self._members = members
@@ -283,13 +378,28 @@
 
     def _refresh_tables(self) -> bool:
         """Updates the tables that are well-formed, and applies pending deltas."""
-        self._tables |= contents.tables_of(self._kinds[RANGES].objects.values())
+        for stored in self._kinds[RANGES].objects.values():
+            table = contents.decode_table(stored)
+            if table is not None:
+                self._apply_table(table, stored.revision.era)
         for service in list(self._tables):
             self._apply_pending_delta(service)
         return True
 
+    def _apply_table(self, table: RangeTable, era: int) -> None:
+        """Applies a stored table; a copy does not replace a table that is known."""
+        service = table.service
+        if table.era == era:
+            self._outdated_tables.discard(service)
+            self._tables[service] = table
+            return
+        self._outdated_tables.add(service)
+        self._tables.setdefault(service, table)
+
     def _apply_pending_delta(self, service: str) -> None:
         """Applies the delta for the table's current revision, if there is one."""
+        if service in self._outdated_tables:
+            return
         name = contents.table_name(service)
         stored, table = self.stored(RANGES, name), self._tables.get(service)
         if stored is None or table is None:
@@ -299,3 +409,8 @@
             return
         content = contents.encode_table(delta.apply(table))
         self.apply(StoredObject(RANGES, name, delta.revision, content))
+
+
+def _era_fields(kind_state: _KindState) -> dict[str, object]:
+    """Returns the fields of a log line on a change of the era."""
+    return {"era": kind_state.revision.era, "carried": sorted(kind_state.carried)}
--- a/rosemarydeal/node/store_access.py
+++ b/rosemarydeal/node/store_access.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from rosemarydeal.core.fleet import StoredObject
+from rosemarydeal.core.fleet import NO_REVISION, StoredObject
 from rosemarydeal.platform.errors import StoreConflict, StoreError
 from rosemarydeal.platform.store import StoreClient
 from rosemarydeal.policy.keyranges import ownership_lease
@@ -85,7 +85,9 @@
         """
         if reader is not None:
             known = self._records.stored(kind, name)
-            revision = known.revision if known is not None and known.content else 0
+            revision = NO_REVISION
+            if known is not None and known.content:
+                revision = known.revision
             call = StoreRelayRequest(0, kind, name, None, revision, shared=True)
             timeout_s = self._shared_read_delay_s() + SHARED_READ_TIMEOUT_S
             reply = await self._links.relay_store_call(reader, call, timeout_s)
@@ -120,14 +122,14 @@
             raise
         except StoreError as error:
             self.note_reachable(False, str(error))
-            revision = old.revision if old is not None and old.content else 0
+            revision = old.revision if old is not None and old.content else NO_REVISION
             call = StoreRelayRequest(0, kind, name, content, revision)
             stored, done = await self._relay_through_peer(call, error)
             if stored is not None:
-                self._records.apply(stored)
+                self._records.apply(stored, changed=done)
             if not done or stored is None:
                 raise StoreConflict(f"{kind}/{name}: revision has changed") from error
-        self._records.apply(stored)
+        self._records.apply(stored, changed=True)
         return stored
 
     async def relay(self, call: StoreRelayRequest) -> StoreRelayReply | None:
@@ -198,7 +200,7 @@
 
     async def _write_at(self, call: StoreRelayRequest) -> StoredObject:
         """Writes an object that is still at the revision given by a peer."""
-        if not call.revision:
+        if call.revision == NO_REVISION:
             return await self._store.create(call.kind, call.name, call.content)
         return await self._store.replace(
             call.kind, call.name, call.content, call.revision
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -19,10 +19,11 @@
 import structlog
 
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.fleet import NodeIdentity, StoredObject
+from rosemarydeal.core.fleet import NodeIdentity, Revision, StoredObject
 from rosemarydeal.platform.errors import HistoryGone, StoreError
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
 from rosemarydeal.platform.store import Listing, StoreClient
+from rosemarydeal.policy.keyranges.ownership_lease import takeover_wait
 from rosemarydeal.policy.membership.readers import ReaderCandidate, zone_readers
 from rosemarydeal.policy.membership.spans import ChangeSpans
 
@@ -75,7 +76,7 @@
 class _Lag:
     """A change that a peer has and this process lacks, and since when."""
 
-    peer_revision: int
+    peer_revision: Revision
     since: float
 
 
@@ -113,7 +114,10 @@
         self._started_at = now()
         self._was_reader = False
         self._records_changed = asyncio.Event()
-        records.subscribe(lambda _kind: self._records_changed.set())
+        self._fetched_at: dict[str, float] = {}
+        self._watches: dict[str, asyncio.Timeout] = {}
+        self._carry_timer: asyncio.TimerHandle | None = None
+        records.subscribe(self._on_records_changed)
 
     @property
     def reads_store(self) -> bool:
@@ -153,8 +157,15 @@
         for kind in KINDS:
             self._tasks.append(asyncio.create_task(self._list_and_watch(kind)))
 
+    def end_watches(self) -> None:
+        """Ends all watches, because the store was restored from a copy."""
+        for watch in self._watches.values():
+            watch.reschedule(asyncio.get_running_loop().time())
+
     async def close(self) -> None:
         """Stops all tasks."""
+        if self._carry_timer is not None:
+            self._carry_timer.cancel()
         tasks = [*self._tasks, *self._background]
         for task in tasks:
             task.cancel()
@@ -178,13 +189,18 @@
             )
             self._records.apply_changes(kind, Listing(objects, changes.revision))
 
-    def on_known_revisions(self, node: str, known_revisions: tuple[int, ...]) -> None:
+    def on_known_revisions(
+        self, node: str, known_revisions: tuple[Revision, ...]
+    ) -> None:
         """Fetches a kind of which a peer has had a newer revision for a while."""
         moment = now()
         for kind, peer_revision in zip(KINDS, known_revisions, strict=False):
             own_revision = self._records.last_change(kind)
             if peer_revision <= own_revision:
                 continue
+            if peer_revision.era > own_revision.era:
+                self._fetch_after_restore(kind, node)
+                continue
             lag = self._lags.get(kind)
             if lag is None or own_revision >= lag.peer_revision:
                 self._lags[kind] = _Lag(peer_revision, moment)
@@ -192,6 +208,28 @@
                 self._lags[kind] = _Lag(peer_revision, moment)
                 self._links.send(node, FetchObjects(kind))
 
+    def _fetch_after_restore(self, kind: str, node: str) -> None:
+        """Fetches a kind from a peer that knows of a higher era, once in a while."""
+        moment = now()
+        if moment - self._fetched_at.get(kind, -RETRY_MAX_S) >= RETRY_MAX_S:
+            self._fetched_at[kind] = moment
+            self._links.send(node, FetchObjects(kind))
+
+    def _on_records_changed(self, _kind: str) -> None:
+        """Wakes the tasks that wait for records, and limits how long they carry over.
+
+        A member that is carried over may own keys until its lease has expired.
+        """
+        self._records_changed.set()
+        if self._records.carries_objects and self._carry_timer is None:
+            loop = asyncio.get_running_loop()
+            self._carry_timer = loop.call_later(takeover_wait(), self._drop_carried)
+
+    def _drop_carried(self) -> None:
+        """Drops what is still carried over from a former era of the store."""
+        self._carry_timer = None
+        self._records.drop_carried()
+
     def _lag_limit_s(self, node: str) -> float:
         """Returns the tolerated lag behind a peer, besides the delay, in seconds."""
         member = self._records.members.get(node)
@@ -209,14 +247,16 @@
                     continue
                 await self._watch(kind)
                 pause = RETRY_MIN_S
-            except HistoryGone:
+            except HistoryGone as error:
                 _log.info(
                     "store_history_gone",
                     kind=kind,
                     revision=self._records.revision(kind),
-                    era=self._store.era,
+                    detail=error.detail,
                 )
                 self._records.invalidate_listing(kind)
+                await asyncio.sleep(pause * random.uniform(0.3, 1.0))
+                pause = min(RETRY_MAX_S, 2 * pause)
                 continue
             except StoreError as error:
                 self._note_result(False, str(error))
@@ -246,7 +286,6 @@
             kind=kind,
             revision=listing.revision,
             held=self._records.revision(kind),
-            era=self._store.era,
         )
         self._records.apply_listing(kind, listing)
         self._note_result(True)
@@ -282,7 +321,15 @@
         """Waits for changes of a kind and applies them."""
         revision = self._records.revision(kind)
         allow_stale = kind in SCALED_KINDS and self._is_large_fleet
-        listing = await self._store.watch(kind, revision, WATCH_TIMEOUT_S, allow_stale)
+        try:
+            async with asyncio.timeout(None) as self._watches[kind]:
+                listing = await self._store.watch(
+                    kind, revision, WATCH_TIMEOUT_S, allow_stale
+                )
+        except TimeoutError as error:
+            raise HistoryGone(f"{kind}: restored since {revision}") from error
+        finally:
+            del self._watches[kind]
         self._records.apply_changes(kind, listing)
         since = self._spans.extend(kind, revision, listing.revision)
         if listing.objects:
@@ -290,7 +337,7 @@
             # Further changes are then returned by one call.
             await asyncio.sleep(self._delay_s(kind))
 
-    def _push(self, kind: str, since: int, listing: Listing) -> None:
+    def _push(self, kind: str, since: Revision, listing: Listing) -> None:
         """Sends all changes since a revision to the other processes of the zone."""
         self._spans.begin(kind, listing.revision)
         objects = tuple(
--- a/rosemarydeal/node/table_deltas.py
+++ b/rosemarydeal/node/table_deltas.py
@@ -8,6 +8,8 @@
 
 from collections import OrderedDict
 
+from rosemarydeal.core.fleet import Revision
+
 from .messages import TableDelta
 
 __all__ = ["PendingDeltas"]
@@ -20,7 +22,7 @@
     """Holds deltas by service and base revision."""
 
     def __init__(self) -> None:
-        self._pending: OrderedDict[tuple[str, int], TableDelta] = OrderedDict()
+        self._pending: OrderedDict[tuple[str, Revision], TableDelta] = OrderedDict()
 
     def add(self, delta: TableDelta) -> None:
         """Adds a delta; evicts the oldest one if there are too many."""
@@ -28,6 +30,6 @@
         while len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
 
-    def pop(self, service: str, revision: int) -> TableDelta | None:
+    def pop(self, service: str, revision: Revision) -> TableDelta | None:
         """Removes and returns the delta for a base revision, if there is one."""
         return self._pending.pop((service, revision), None)
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -12,7 +12,7 @@
 import structlog
 
 from rosemarydeal.core import Address, CodedError
-from rosemarydeal.core.fleet import StoredObject
+from rosemarydeal.core.fleet import NO_REVISION, Revision, StoredObject
 from rosemarydeal.proxy import (
     BytesBody,
     Headers,
@@ -73,7 +73,22 @@
     """
 
     objects: tuple[StoredObject, ...]
-    revision: int
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """An answer of the store.
+
+    Attributes:
+        status: HTTP status.
+        body: Complete body.
+        era: Era of the store.
+    """
+
+    status: int
+    body: bytes
+    era: int
 
 
 class _Metadata(msgspec.Struct):
@@ -122,10 +137,24 @@
 
 
 class StoreClient:
-    """Reads, writes and watches objects; counts its calls."""
+    """Reads, writes and watches objects; counts its calls.
 
-    def __init__(self, settings: StoreSettings) -> None:
+    An answer of an era before the last one known counts as no answer.
+    """
+
+    def __init__(
+        self,
+        settings: StoreSettings,
+        on_era_changed: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Creates a client without connections.
+
+        Args:
+            settings: Settings of the client.
+            on_era_changed: Called when an answer states a higher era.
+        """
         self._settings = settings
+        self._on_era_changed = on_era_changed
         self._pool = Pool(PoolSettings(connect_time_s=settings.timeout_s))
         self._calls: Counter[StoreCall] = Counter()
         self._era = 0
@@ -151,20 +180,22 @@
         after = ""
         while True:
             query = f"?after={after}" if after else ""
-            status, body = await self._call("list", kind, b"GET", query)
-            page = _decode(body, _ListBody, status)
-            objects += [_stored_object(kind, item) for item in page.items]
+            reply = await self._call("list", kind, b"GET", query)
+            page = _decode(reply, _ListBody)
+            objects += [_stored_object(kind, item, reply.era) for item in page.items]
+            if objects and objects[0].revision.era != reply.era:
+                raise StoreUnavailable(f"{kind}: restored while it was listed")
             if not page.truncated or not page.items:
-                return Listing(tuple(objects), page.current_rev)
+                return Listing(tuple(objects), Revision(reply.era, page.current_rev))
             after = objects[-1].name
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns the current object, or None if there is none."""
-        status, body = await self._call("read", kind, b"GET", f"/{name}")
-        return None if status == NOT_FOUND else _decode_object(kind, status, body)
+        reply = await self._call("read", kind, b"GET", f"/{name}")
+        return None if reply.status == NOT_FOUND else _decode_object(kind, reply)
 
     async def watch(
-        self, kind: str, revision: int, wait_s: float, stale: bool = False
+        self, kind: str, revision: Revision, wait_s: float, stale: bool = False
     ) -> Listing:
         """Waits for changes of a kind after a revision.
 
@@ -175,18 +206,24 @@
             stale: Whether changes may arrive seconds late, at a tenth of the cost.
 
         Raises:
-            HistoryGone: The store has dropped the history after that revision.
+            HistoryGone: The store has dropped the history after that revision, or
+                was restored since.
         """
-        query = f"?watch={revision}&wait_ms={int(wait_s * MS_PER_S)}"
+        self._check_era(kind, revision)
+        query = f"?watch={revision.number}&wait_ms={int(wait_s * MS_PER_S)}"
         if stale:
             query += STALE_QUERY
         wait = wait_s + self._settings.watch_slack_s
-        status, body = await self._call("watch", kind, b"GET", query, wait=wait)
-        if status == GONE:
+        reply = await self._call("watch", kind, b"GET", query, wait=wait)
+        if reply.status == GONE:
             raise HistoryGone(f"{kind}: history since {revision} is gone")
-        answer = _decode(body, _WatchBody, status)
-        changes = [_stored_object(kind, e.object, e.deleted) for e in answer.events]
-        return Listing(tuple(changes), answer.current_rev)
+        self._check_era(kind, revision)
+        answer = _decode(reply, _WatchBody)
+        changes = [
+            _stored_object(kind, event.object, reply.era, event.deleted)
+            for event in answer.events
+        ]
+        return Listing(tuple(changes), Revision(reply.era, answer.current_rev))
 
     async def create(self, kind: str, name: str, content: bytes) -> StoredObject:
         """Creates an object.
@@ -196,34 +233,60 @@
             StoreUnavailable: The outcome is unknown, or the call was rejected.
         """
         body = _body(name, content, None)
-        status, answer = await self._call("create", kind, b"POST", "", body)
-        return _decode_object(kind, status, answer)
+        return _decode_object(kind, await self._call("create", kind, b"POST", "", body))
 
     async def replace(
-        self, kind: str, name: str, content: bytes, revision: int
+        self, kind: str, name: str, content: bytes, revision: Revision
     ) -> StoredObject:
         """Replaces an object if it is still at a revision.
 
         Raises:
-            StoreConflict: It has changed or was deleted.
+            StoreConflict: It has changed, was deleted, or the store was restored
+                since the revision was read.
             StoreUnavailable: The outcome is unknown, or the call was rejected.
         """
-        body = _body(name, content, revision)
-        status, answer = await self._call("replace", kind, b"PUT", f"/{name}", body)
-        return _decode_object(kind, status, answer)
-
-    async def remove(self, kind: str, name: str, revision: int) -> None:
-        """Removes an object if it is still at a revision or already deleted."""
-        status, answer = await self._call(
-            "remove", kind, b"DELETE", f"/{name}?rev={revision}"
+        self._check_condition(kind, name, revision)
+        body = _body(name, content, revision.number)
+        reply = await self._call("replace", kind, b"PUT", f"/{name}", body)
+        return _decode_object(kind, reply)
+
+    async def remove(self, kind: str, name: str, revision: Revision) -> None:
+        """Removes an object if it is still at a revision or already deleted.
+
+        Raises:
+            StoreConflict: It has changed, or the store was restored since the
+                revision was read.
+            StoreUnavailable: The outcome is unknown, or the call was rejected.
+        """
+        self._check_condition(kind, name, revision)
+        reply = await self._call(
+            "remove", kind, b"DELETE", f"/{name}?rev={revision.number}"
         )
-        if status != NOT_FOUND:
-            _check_status(kind, status, answer)
+        if reply.status != NOT_FOUND:
+            _check_status(kind, reply.status, reply.body)
 
     async def close(self) -> None:
         """Closes all connections."""
         await self._pool.close()
 
+    def _check_era(self, kind: str, revision: Revision) -> None:
+        """Raises an error if a watch is from a former era.
+
+        A revision of a higher era, which a peer has read, tells of that era.
+        """
+        self._note_era(max(self._era, revision.era))
+        if revision.era < self._era:
+            raise HistoryGone(f"{kind}: restored since {revision}")
+
+    def _check_condition(self, kind: str, name: str, revision: Revision) -> None:
+        """Raises an error if a condition names a revision of a former era.
+
+        The number may have been given out again, for another content.
+        """
+        self._note_era(max(self._era, revision.era))
+        if revision.era < self._era:
+            raise StoreConflict(f"{kind}/{name}: restored since {revision}")
+
     async def _call(
         self,
         operation: str,
@@ -232,7 +295,7 @@
         suffix: str,
         body: bytes = b"",
         wait: float | None = None,
-    ) -> tuple[int, bytes]:
+    ) -> _Reply:
         """Makes one call and reads its whole answer.
 
         Args:
@@ -260,24 +323,28 @@
         except (CodedError, OSError, TimeoutError) as error:
             maybe_done = is_write and getattr(error, "sent", True)
             raise StoreUnavailable(f"{target}: {error!r}", maybe_done) from error
-        self._note_era(response.headers)
+        era = self._era_of(response.headers)
+        if era < self._era:
+            raise StoreUnavailable(f"{target}: answer of era {era}", is_write)
+        self._note_era(era)
         if response.status in REJECTED_STATUSES:
             raise StoreUnavailable(f"{target}: status {response.status}")
-        return response.status, answer
-
-    def _note_era(self, headers: Headers) -> None:
-        """Records the era that an answer states and logs its changes."""
-        era = _era(find_header(headers, STORE_ERA))
-        if era is not None and era > self._era:
-            _log.info("store_era_changed", era=era, before=self._era)
-            self._era = era
+        return _Reply(response.status, answer, era)
 
+    def _era_of(self, headers: Headers) -> int:
+        """Returns the era that an answer states; the last one known without any."""
+        value = find_header(headers, STORE_ERA)
+        if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+            return self._era
+        return int(value)
 
-def _era(value: bytes | None) -> int | None:
-    """Decodes the era that an answer states, None if there is none."""
-    if value is None or not value.isdigit() or len(value) > MAX_ERA_DIGITS:
-        return None
-    return int(value)
+    def _note_era(self, era: int) -> None:
+        """Records the era of an answer; logs and reports its changes."""
+        if era == self._era:
+            return
+        _log.info("store_era_changed", era=era, before=self._era)
+        self._era = era
+        self._on_era_changed()
 
 
 def _body(name: str, content: bytes, revision: int | None) -> bytes:
@@ -296,32 +363,35 @@
         raise StoreError(f"{kind}: status {status}: {body[:200]!r}")
 
 
-def _decode_object(kind: str, status: int, body: bytes) -> StoredObject:
+def _decode_object(kind: str, reply: _Reply) -> StoredObject:
     """Decodes an answer that contains one object."""
-    stored = _stored_object(kind, msgspec.Raw(body))
-    if status == CONFLICT and stored.name and not stored.unreadable:
-        raise StoreConflict(f"{kind}: status {status}", stored)
-    _check_status(kind, status, body)
+    stored = _stored_object(kind, msgspec.Raw(reply.body), reply.era)
+    if reply.status == CONFLICT and stored.name and not stored.unreadable:
+        raise StoreConflict(f"{kind}: status {reply.status}", stored)
+    _check_status(kind, reply.status, reply.body)
     if stored.unreadable:
         raise StoreError(f"{kind}: {stored.unreadable}")
     return stored
 
 
-def _decode(body: bytes, body_type: type[_Body], status: int) -> _Body:
+def _decode(reply: _Reply, body_type: type[_Body]) -> _Body:
     """Decodes a successful answer; raises an error for any other."""
-    _check_status("answer", status, body)
+    _check_status("answer", reply.status, reply.body)
     try:
-        return msgspec.json.decode(body, type=body_type)
+        return msgspec.json.decode(reply.body, type=body_type)
     except msgspec.MsgspecError as error:
         raise StoreError(f"answer: {error}") from error
 
 
-def _stored_object(kind: str, raw: msgspec.Raw, deleted: bool = False) -> StoredObject:
+def _stored_object(
+    kind: str, raw: msgspec.Raw, era: int, deleted: bool = False
+) -> StoredObject:
     """Decodes one object; a malformed one gets no name, so that readers ignore it."""
     try:
         decoded = msgspec.json.decode(raw, type=_Object)
     except msgspec.MsgspecError as error:
-        return StoredObject(kind, "", 0, None, str(error))
+        return StoredObject(kind, "", NO_REVISION, None, str(error))
     gone = deleted or decoded.metadata.deleting
     content = None if gone else bytes(decoded.spec)
-    return StoredObject(kind, decoded.metadata.name, decoded.metadata.rev, content)
+    revision = Revision(era, decoded.metadata.rev)
+    return StoredObject(kind, decoded.metadata.name, revision, content)
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -4,11 +4,15 @@
 upstream leaves, is gone, or is in an availability zone that operators took out.
 Keys of an unresponsive process are reassigned by the first of the others by name,
 once a suspicion has been recorded for long enough that its lease has expired.
+
+When the store was restored from a copy, its table may lack changes that are in force.
+It is written again as a process knew it, and nobody takes keys over or uses keys that
+it did not own before until all leases of the former era have expired.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
 from rosemarydeal.core.fleet import LAST_KEY, KeyRange, Member, RangeTable
@@ -18,6 +22,7 @@
 __all__ = [
     "HandOver",
     "OwnershipView",
+    "RestoredTable",
     "WriteTable",
     "eligible_owners",
     "propose",
@@ -31,10 +36,39 @@
 SUSPECT_AFTER_S = 2.0
 # Added per rank, so that a process proposes only if those before it did not.
 RANK_DELAY_S = 1.0
+# Peers' changes of the former era arrive before.
+RESTORE_SETTLE_S = 0.3
+# A process without records of the former era leaves the restore to others, which may
+# all have restarted, however.
+RESTORE_COPY_AFTER_S = 3.0
 # A new member should own keys soon, but only after its peers have linked to it.
 JOIN_SETTLE_S = 0.6
 
 
+@dataclass(frozen=True, slots=True)
+class RestoredTable:
+    """What a process knows of its table since the store was restored.
+
+    Attributes:
+        era: Era of the store.
+        outdated_s: How long the table is known not to have been written in this era,
+            None if it has been.
+        stored_top_token: Highest token of the copy.
+        remembered: Whether the table was received in a former era, and not from the
+            copy.
+        settled: Whether all leases of the former era have expired since the table
+            was restored.
+        unusable: Whether own ranges may not be used until then.
+    """
+
+    era: int = 0
+    outdated_s: float | None = None
+    stored_top_token: int = 0
+    remembered: bool = False
+    settled: bool = True
+    unusable: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class OwnershipView:
     """Input for the choice of a proposal.
@@ -56,6 +90,7 @@
         members_stable_s: Time since the members last changed.
         store_ready: Whether the store answers and all objects have been read.
         writer: Unique name for the write.
+        restored: State of the table since a restore of the store.
     """
 
     node: str
@@ -73,6 +108,7 @@
     members_stable_s: float
     store_ready: bool
     writer: str
+    restored: RestoredTable = RestoredTable()
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +127,7 @@
 
 
 Proposal = WriteTable | HandOver | None
+_Step = Callable[[RangeTable, OwnershipView, Member | None], Proposal]
 
 
 def eligible_owners(view: OwnershipView) -> list[Member]:
@@ -118,20 +155,25 @@
     own = _own_member(view)
     if table is None:
         return _first_table(view, own)
-    for step in (
-        _refute_suspicion,
-        _leave,
-        _renew_incarnation,
-        _take_over,
-        _suspect,
-        _share_with_joined,
-    ):
+    if view.restored.outdated_s is not None:
+        return _restore(table, view, own)
+    for step in _steps(view.restored):
         proposal = step(table, view, own)
         if proposal is not None:
             return proposal
     return None
 
 
+def _steps(restored: RestoredTable) -> tuple[_Step, ...]:
+    """Returns the changes that may be due, in order of their urgency."""
+    if restored.unusable:
+        return (_refute_suspicion, _suspect)
+    own_keys = (_refute_suspicion, _leave, _renew_incarnation)
+    if not restored.settled:
+        return (*own_keys, _suspect, _share_with_joined)
+    return (*own_keys, _settle, _take_over, _suspect, _share_with_joined)
+
+
 def renew_tokens(table: RangeTable, member: Member, writer: str) -> RangeTable:
     """Returns the table with new tokens for all ranges of a member."""
     token = table.top_token + 1
@@ -173,10 +215,35 @@
     rank = initial_owners.index(own)
     if view.members_stable_s < STARTUP_SETTLE_S + rank * RANK_DELAY_S:
         return None
-    table = tables.initial_table(view.service, initial_owners, view.writer)
+    table = tables.initial_table(
+        view.service, initial_owners, view.writer, view.restored.era
+    )
     return WriteTable(table, "first-table")
 
 
+def _restore(table: RangeTable, view: OwnershipView, own: Member | None) -> Proposal:
+    """Writes a table again that the store has lost, or of which it has a copy."""
+    if own is None:
+        return None
+    restored = view.restored
+    wait_s = RESTORE_SETTLE_S if restored.remembered else RESTORE_COPY_AFTER_S
+    if not _is_my_turn(view, own, restored.outdated_s - wait_s):
+        return None
+    top_token = max(table.top_token, restored.stored_top_token)
+    changed = tables.restore(table, top_token, restored.era, view.writer)
+    return WriteTable(changed, "store-restored")
+
+
+def _settle(table: RangeTable, view: OwnershipView, own: Member | None) -> Proposal:
+    """Ends the precautions after a restore, once former leases have expired."""
+    if own is None or not table.restored_token:
+        return None
+    if not _is_my_turn(view, own, view.members_stable_s):
+        return None
+    settled = replace(table, restored_token=0, writer=view.writer)
+    return WriteTable(settled, "restore-settled")
+
+
 def _refute_suspicion(
     table: RangeTable, view: OwnershipView, own: Member | None
 ) -> Proposal:
--- a/rosemarydeal/policy/keyranges/table.py
+++ b/rosemarydeal/policy/keyranges/table.py
@@ -32,26 +32,50 @@
     "reassign",
     "remove_suspicion",
     "renew_incarnation",
+    "restore",
     "subtract",
 ]
 
 # Bounds how many new owners share one owner's keys, to keep the table short.
 MAX_NEW_OWNERS = 4
+# More tokens than can be issued in the seconds that a copy of the store lacks: each
+# one takes a write, and the store takes a few hundred a second.
+LOST_TOKENS = 100_000
 
 
-def initial_table(service: str, members: Sequence[Member], writer: str) -> RangeTable:
+def initial_table(
+    service: str, members: Sequence[Member], writer: str, era: int = 0
+) -> RangeTable:
     """Returns the first table of a service, with ranges in proportion to weights.
 
     Args:
         service: Name of the service.
         members: Members with an upstream; at least one.
         writer: Unique name of the write.
+        era: Era of the store.
     """
     ranges = tuple(
         KeyRange(first, last, member.node, member.incarnation, 1)
         for member, first, last in _weighted_parts(members, 0, LAST_KEY)
     )
-    return RangeTable(service, ranges, 1, (), writer)
+    return RangeTable(service, ranges, 1, (), writer, era)
+
+
+def restore(known: RangeTable, top_token: int, era: int, writer: str) -> RangeTable:
+    """Returns a table as it was known before the store lost its latest changes.
+
+    All assignments get one token above those that may have been issued in the lost
+    changes, of which this process may not have heard.
+
+    Args:
+        known: The newest table of a former era that this process has.
+        top_token: Highest token of any known table.
+        era: Era of the store.
+        writer: Unique name of the write.
+    """
+    token = top_token + LOST_TOKENS
+    ranges = tuple(replace(keys, token=token, handover="") for keys in known.ranges)
+    return RangeTable(known.service, ranges, token, (), writer, era, token)
 
 
 def overlaps(one: KeyRange, other: KeyRange) -> bool:
@@ -131,25 +155,19 @@
 
 
 def apply_delta(
-    old: RangeTable,
-    changed: Sequence[KeyRange],
-    top_token: int,
-    suspicions: tuple[Suspicion, ...],
-    writer: str,
+    old: RangeTable, changed: Sequence[KeyRange], new: RangeTable
 ) -> RangeTable:
     """Returns the old table with the changed ranges applied.
 
     Args:
         old: The old table.
         changed: Ranges that `new_ranges` returned.
-        top_token: Highest token issued up to the new table.
-        suspicions: All suspicions of the new table.
-        writer: Name of the write that made the new table.
+        new: The new table, without its ranges.
     """
     ranges = list(old.ranges)
-    for new in changed:
-        ranges = [part for keys in ranges for part in _replace_part(keys, new)]
-    return RangeTable(old.service, tuple(ranges), top_token, suspicions, writer)
+    for keys in changed:
+        ranges = [part for other in ranges for part in _replace_part(other, keys)]
+    return replace(new, ranges=tuple(ranges))
 
 
 def assign_evenly(
--- a/rosemarydeal/policy/membership/spans.py
+++ b/rosemarydeal/policy/membership/spans.py
@@ -9,6 +9,8 @@
 
 from dataclasses import dataclass
 
+from rosemarydeal.core.fleet import Revision
+
 __all__ = ["ChangeSpans"]
 
 
@@ -21,8 +23,8 @@
         until: Revision up to which the own watches have returned.
     """
 
-    since: int
-    until: int
+    since: Revision
+    until: Revision
 
 
 class ChangeSpans:
@@ -31,7 +33,7 @@
     def __init__(self) -> None:
         self._spans: dict[str, _Span] = {}
 
-    def extend(self, kind: str, start: int, end: int) -> int:
+    def extend(self, kind: str, start: Revision, end: Revision) -> Revision:
         """Adds a watch that returned all changes between two revisions.
 
         Returns:
@@ -42,6 +44,6 @@
         self._spans[kind] = _Span(since, end)
         return since
 
-    def begin(self, kind: str, revision: int) -> None:
+    def begin(self, kind: str, revision: Revision) -> None:
         """Starts a new span after a message, or after a listing of the kind."""
         self._spans[kind] = _Span(revision, revision)
