Number suspicions so that none is taken for an earlier one

Cause: a suspicion had the lowest number that was free in the table. A process that missed the table in which the first one was refuted took the second for the first, whose wait had long run, and took the keys over while the owner's lease was valid. Class of fault: an identity that is given out again.

Change: the number is the next token, which is never issued twice.

--- a/features/keyranges.feature
+++ b/features/keyranges.feature
@@ -100,6 +100,11 @@
     Then others with demands 0.3 and 0.4 can absorb an owner with demand 0.3
     But others with demands 0.8 and 0.9 cannot absorb an owner with demand 0.9
 
+  Scenario: Keys are taken over early if the wait runs from a suspicion that was refuted
+    Given nodes a, b and c that own all keys
+    When a suspicion against it is refuted, and a second one is recorded
+    Then a process that missed the refutation tells the suspicions apart
+
   Scenario: After a restore of the store, an owner that did not use keys before waits for former leases
     Given a table of a former era in which a owns the keys, and one in which b owns them
     When the store is restored, and a writes the table again as it knew it
--- a/features/steps/keyranges_steps.py
+++ b/features/steps/keyranges_steps.py
@@ -492,6 +492,19 @@
     assert context.records.is_member_removed("b", Revision(0, 1000))
 
 
+@when("a suspicion against it is refuted, and a second one is recorded")
+def step_suspected_twice(context):
+    table = tables.add_suspicion(context.range_table, "b", "a", "w")
+    context.first_suspicion = table.suspicions[0]
+    table = tables.remove_suspicion(table, "b", "w")
+    context.range_table = tables.add_suspicion(table, "b", "a", "w")
+
+
+@then("a process that missed the refutation tells the suspicions apart")
+def step_distinct(context):
+    assert context.range_table.suspicions[0] != context.first_suspicion
+
+
 ERA = 2
 # When the former era's tables and the restored one are received.
 BEFORE, RESTORED_AT = 10.0, 20.0
--- a/rosemarydeal/policy/keyranges/table.py
+++ b/rosemarydeal/policy/keyranges/table.py
@@ -214,10 +214,14 @@
 
 
 def add_suspicion(table: RangeTable, node: str, by: str, writer: str) -> RangeTable:
-    """Records a suspicion, from which the wait for a node's lease to expire runs."""
-    number = 1 + max((s.number for s in table.suspicions), default=0)
+    """Records a suspicion, from which the wait for a node's lease to expire runs.
+
+    Its number is a token, as it must never have been that of an earlier suspicion:
+    a process may have missed that this was refuted.
+    """
+    number = table.top_token + 1
     suspicions = (*table.suspicions, Suspicion(node, by, number))
-    return replace(table, suspicions=suspicions, writer=writer)
+    return replace(table, suspicions=suspicions, top_token=number, writer=writer)
 
 
 def remove_suspicion(table: RangeTable, node: str, writer: str) -> RangeTable:
