End a watch once when the store is restored again before it has ended

Callers: none seen; a second change of the era within one turn of the event loop would have failed the call that noticed it.

Cause: a timeout that has been triggered can't be moved again. Ruled out by reading: that the first trigger is lost, as the watch ends in the same turn.

Change: watches that are ending are left alone.

--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -160,7 +160,8 @@
     def end_watches(self) -> None:
         """Ends all watches, because the store was restored from a copy."""
         for watch in self._watches.values():
-            watch.reschedule(asyncio.get_running_loop().time())
+            if not watch.expired():
+                watch.reschedule(asyncio.get_running_loop().time())
 
     async def close(self) -> None:
         """Stops all tasks."""
