Do not grant released keys again when the process stops

Cause: a hand-over in flight when the process closes is cancelled. On its way out it took the keys for owned again, as the write of their new owners had not returned, and renewed all grants; the write could still take effect. Class of fault: cleaning up after a cancellation as if nothing had been started.

Ruled out: a renewal in flight when the release was decided (the release waits for it), and a call repeated after a time-out (the scenario has none).

Change: only a hand-over whose outcome is known makes the keys usable again.

--- a/features/standin_store.py
+++ b/features/standin_store.py
@@ -27,6 +27,7 @@
         self.events = []
         self.dropped_until = 0
         self.turns_away = set()
+        self.rejects_writes = False
         self.lose_answers = 0
         self.stale_s = 0.0
         self.calls = []
@@ -84,6 +85,8 @@
             return await self._watch(kind, int(query["watch"]), query)
         if method == "GET":
             return self._read(kind, name)
+        if self.rejects_writes:
+            return _json(503, {})
         return await self._write(method, kind, name, query, body)
 
     def _read(self, kind, name):
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -454,11 +454,13 @@
             released = await asyncio.gather(*map(self._grants.release, moving))
             await self._write_new_owners(transfers, released)
         finally:
-            self._moving = []
             self._writing = False
-            self._grants.invalidate(moving)
-            self._update_grants()
-            self._advance_guard()
+        # Not reached when the process ends: the last write may still take effect, so
+        # the released keys must not be granted again.
+        self._moving = []
+        self._grants.invalidate(moving)
+        self._update_grants()
+        self._advance_guard()
 
     async def _write_new_owners(
         self,
