Split the notices of the upstream off the guard

Callers: none affected.

Cause: node/guard.py had grown to 518 lines with the limits and the leaving that answers state. Ruled out: moving them into UpstreamWatch, which knows heartbeats only.

Change: node/upstream_notices.py; the log line rate_limit_changed no longer has the number of waiting requests, which the dispatch lines have.

--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -24,7 +23,6 @@
     Rejected,
     RequestOutcome,
     RoutedRequest,
-    UpstreamNotice,
     UpstreamRequest,
     UpstreamResult,
 )
@@ -48,6 +46,7 @@
 
 from .metrics import Metrics
 from .upstream import UpstreamState, UpstreamWatch
+from .upstream_notices import UpstreamNotices
 
 __all__ = ["ZONE_OUT", "Guard", "GuardHooks"]
 
@@ -119,7 +118,7 @@
         self._metrics = metrics
         self._cold_limiter = ColdStartLimiter()
         self._rate_limiter = RateLimiter()
-        self._unreadable_limit = ""
+        self._notices = UpstreamNotices(watch, self._rate_limiter)
         self._queue = DispatchQueue(
             self._cold_limiter, self._rate_limiter, hooks.admits
         )
@@ -389,7 +388,7 @@
         result: UpstreamResult | None = None
         try:
             result = await self._client.run(upstream_request)
-            self._apply_notice(result, state.incarnation, started)
+            self._notices.apply(result, state.incarnation, started)
         finally:
             completed = isinstance(result, Answered)
             decisions = self._queue.finish(number, now(), completed)
@@ -402,46 +401,6 @@
         if not active.future.done():
             active.future.set_result(outcome)
 
-    def _apply_notice(
-        self, result: UpstreamResult, incarnation: str, sent_at: float
-    ) -> None:
-        """Applies what the upstream asks of its callers in an answer.
-
-        An answer of a former incarnation changes nothing.
-        """
-        match result:
-            case (
-                Answered(notice=UpstreamNotice() as notice)
-                | Rejected(notice=UpstreamNotice() as notice)
-            ) if self._watch.is_current(incarnation):
-                self._apply_rate_limit(notice, incarnation, sent_at)
-                if notice.leaving:
-                    self._watch.report_leaving(incarnation)
-
-    def _apply_rate_limit(
-        self, notice: UpstreamNotice, incarnation: str, sent_at: float
-    ) -> None:
-        """Applies the stated rate limit and logs its changes."""
-        if notice.unreadable and notice.unreadable != self._unreadable_limit:
-            _log.warning(
-                "rate_limit_unreadable",
-                incarnation=incarnation,
-                value=notice.unreadable,
-            )
-        self._unreadable_limit = notice.unreadable
-        if notice.rate_limit_per_s is None:
-            return
-        old = self._rate_limiter.per_s
-        if self._rate_limiter.apply(notice.rate_limit_per_s, sent_at, now()):
-            _log.info(
-                "rate_limit_changed",
-                incarnation=incarnation,
-                per_s=_loggable(self._rate_limiter.per_s),
-                before=_loggable(old),
-                sent_per_s=self.sent_per_s,
-                waiting=self.waiting,
-            )
-
     def _outcome(
         self, active: _ActiveRequest, result: UpstreamResult, incarnation: str
     ) -> RequestOutcome:
@@ -511,8 +470,3 @@
             slots=self.slots,
             slowdown=load.slowdown if load is not None else None,
         )
-
-
-def _loggable(per_s: float) -> float | None:
-    """Returns a rate for a log line, None if it is infinite."""
-    return per_s if math.isfinite(per_s) else None
