Keep a suspected owner from handing over keys that it may not use

Cause: the refutation of a suspicion ends in a hand-over when most peers are unreachable, also while own ranges may not be used. Ruled out: leaving out the refutation, which keeps a live owner from losing its keys.

Change: without usable keys nothing is handed over.

--- a/features/keyranges.feature
+++ b/features/keyranges.feature
@@ -116,6 +116,10 @@
     Given a table that was restored, whose owner b has been removed
     Then a proposes no takeover for 12 seconds, and one afterwards
 
+  Scenario: A suspected owner hands over keys that it may not use yet after a restore
+    Given a restored table with a suspicion against a, which may not use its keys yet
+    Then a hands nothing over although it reaches few peers
+
   Scenario: Joined ranges of a restored table stay in use
     Given an owner of two adjacent ranges with different tokens
     When the store is restored, and the table with both ranges joined
--- a/features/steps/keyranges_steps.py
+++ b/features/steps/keyranges_steps.py
@@ -590,6 +590,23 @@
     assert proposed(RESTORED_AT + TAKEOVER_S).reason == "owner-gone"
 
 
+@given("a restored table with a suspicion against a, which may not use its keys yet")
+def step_restored_suspected(context):
+    context.members = [a_member(node) for node in "abc"]
+    known = tables.initial_table(SERVICE, context.members, "w", ERA - 1)
+    context.restored = tables.add_suspicion(a_restored_table(known), "a", "b", "w")
+
+
+@then("a hands nothing over although it reaches few peers")
+def step_hands_nothing_over(context):
+    state = proposals.RestoredTable(ERA, settled=False, unusable=True)
+    view = a_view("a", context.members, links_up=0, restored=state)
+    assert proposals.propose(context.restored, view) is None
+    usable_state = replace(state, unusable=False)
+    view = a_view("a", context.members, links_up=0, restored=usable_state)
+    assert isinstance(proposals.propose(context.restored, view), proposals.HandOver)
+
+
 @given("an owner of two adjacent ranges with different tokens")
 def step_two_ranges(context):
     a, b = a_member("a"), a_member("b")
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -44,7 +44,7 @@
 MEMBERS = "rosemarydeal-members"
 RANGES = "rosemarydeal-ranges"
 KINDS = (CONFIGURATION_KIND, ZONES_OUT_KIND, MEMBERS, RANGES)
-# Their objects are independent of each other, and the writers of all of them live.
+# Each of their objects has a writer, which writes it again if it still exists.
 CARRIED_KINDS = (ZONES_OUT_KIND, MEMBERS)
 
 _log = structlog.get_logger()
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -254,6 +254,9 @@
     if own is not None and 2 * view.links_up >= others:
         cleared = tables.remove_suspicion(table, view.node, view.writer)
         return WriteTable(cleared, "suspicion-refuted")
+    if view.restored.unusable:
+        # The keys may be those of another owner, which this node can't release.
+        return None
     suspected_by = next(s.by for s in table.suspicions if s.node == view.node)
     suspecting = [m for m in view.members if m.node == suspected_by and m.accepting]
     return _transfer_own_ranges(table, view, eligible_owners(view) or suspecting)
