Log how the end of an unusual answer was marked

Cause: no log line told how the end of an answer was marked, the number of the exchange on its connection or the id in the answer, so that the hypotheses of the incident could not be told apart. Ruled out: a line for each answer, which would double the log of a request for what is rare.

Change: Response has the framing and the number of the exchange; the client of the upstream logs answers that it can't use or that end with their connection, and the detail of failed exchanges.

--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 import msgspec
+import structlog
 
 from rosemarydeal.core import Address, CodedError
 from rosemarydeal.core.fleet import KeyRange, UpstreamLoad
@@ -24,6 +25,7 @@
     BytesBody,
     ConnectFailed,
     ConnectionSettings,
+    Framing,
     Headers,
     Pool,
     PoolSettings,
@@ -55,6 +57,8 @@
 # A limit in this length has any precision that an upstream could mean.
 MAX_RATE_LIMIT_BYTES = 32
 
+_log = structlog.get_logger()
+
 
 class UpstreamCallFailed(CodedError):
     """A call to the upstream got no usable answer."""
@@ -160,9 +164,18 @@
         except ProxyTimeout as error:
             return Failed(error.code, error.sent, timed_out=True)
         except ProxyError as error:
+            _log.info(
+                "upstream_request_failed",
+                request_id=routed.request_id,
+                code=error.code,
+                detail=error.detail,
+            )
             refused = isinstance(error, ConnectFailed) and error.refused
             return Failed(error.code, getattr(error, "sent", True), refused=refused)
-        return _classify_answer(routed, response, body)
+        result = _classify_answer(routed, response, body)
+        if isinstance(result, Failed) or response.framing is Framing.CLOSE:
+            _log_unusual_answer(routed, response, body, result)
+        return result
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -230,6 +243,23 @@
     return Answered(response.status, headers, body, load, notice)
 
 
+def _log_unusual_answer(
+    routed: RoutedRequest, response: Response, body: bytes, result: UpstreamResult
+) -> None:
+    """Logs an answer that can't be used, or whose end only the connection marks."""
+    echoed_id = find_header(response.headers, names.REQUEST_ID)
+    _log.info(
+        "upstream_answer_unusual",
+        request_id=routed.request_id,
+        code=result.code if isinstance(result, Failed) else "",
+        echoed_id=echoed_id.decode("ascii", "replace") if echoed_id else None,
+        status=response.status,
+        framing=response.framing.value,
+        exchange=response.exchange,
+        body_bytes=len(body),
+    )
+
+
 def _notice(headers: Headers) -> UpstreamNotice:
     """Decodes what the upstream asks of its callers."""
     leaving = find_header(headers, names.LEAVING) == b"1"
--- a/rosemarydeal/proxy/__init__.py
+++ b/rosemarydeal/proxy/__init__.py
@@ -15,6 +15,7 @@
 from .limits import HttpLimits
 from .message import (
     BytesBody,
+    Framing,
     Headers,
     Request,
     Response,
@@ -36,6 +37,7 @@
     "BytesBody",
     "ConnectFailed",
     "ConnectionSettings",
+    "Framing",
     "Handler",
     "Headers",
     "HttpLimits",
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -12,7 +12,7 @@
 from rosemarydeal.core import Address
 
 from .errors import BadMessage, ProxyTimeout, ResponseBroken, SendFailed
-from .framing import request_head
+from .framing import request_head, response_framing
 from .http_stream import END_OF_MESSAGE, HttpStream
 from .message import (
     BytesBody,
@@ -99,7 +99,7 @@
         self._poll.register(writer.get_extra_info("socket"), select.POLLIN)
         self._acquired = False
         self._lost = False
-        self._used = False
+        self._exchanges = 0
         self._in_exchange = False
         self._send_started = False
         self._head_received = False
@@ -120,7 +120,7 @@
         """Returns whether an idle connection was closed or received any bytes."""
         if self._reader.at_eof() or self._writer.is_closing():
             return True
-        return self._used and bool(self._poll.poll(0))
+        return self._exchanges > 0 and bool(self._poll.poll(0))
 
     async def exchange(self, request: Request, deadline: float) -> Response:
         """Sends a request and reads the head of its response.
@@ -145,7 +145,7 @@
             raise SendFailed(f"the request is not valid: {error}", False) from error
         try:
             head, headers = await self._read_response_head()
-            return self._build_response(head, headers)
+            return self._build_response(request.method, head, headers)
         except (OSError, BadMessage) as error:
             failure = self._translate_error(error)
             self.abort()
@@ -197,7 +197,7 @@
 
     def abort_if_unsolicited(self) -> None:
         """Aborts a connection whose peer sends or closes between exchanges."""
-        if self._used and not self._in_exchange:
+        if self._exchanges and not self._in_exchange:
             self.abort()
 
     def mark_lost(self) -> bool:
@@ -208,9 +208,9 @@
 
     def _start_exchange(self, deadline: float) -> None:
         """Resets the state for an exchange and starts its deadline timer."""
-        if self._used:
+        if self._exchanges:
             self._stream.start_next_exchange()
-        self._used = True
+        self._exchanges += 1
         self._in_exchange = True
         self._send_started = False
         self._head_received = False
@@ -281,9 +281,12 @@
                 self._allow_body()
         raise BadMessage("the upstream sent too many informational responses")
 
-    def _build_response(self, head: h11.Response, headers: Headers) -> Response:
+    def _build_response(
+        self, method: bytes, head: h11.Response, headers: Headers
+    ) -> Response:
         """Builds the response, buffered if its whole body was received already."""
         self._head_received = True
+        framing = response_framing(method, head.status_code, headers)
         headers = strip_hop_by_hop(headers)
         identifying_header = self._settings.identifying_header
         self._identified = not identifying_header or (
@@ -292,9 +295,10 @@
         received, complete = self._stream.read_available_body()
         if complete:
             self._end_exchange()
-            return Response(head.status_code, headers, BytesBody(received))
-        body = ResponseBody(self, received)
-        return Response(head.status_code, headers, body)
+            body = BytesBody(received)
+        else:
+            body = ResponseBody(self, received)
+        return Response(head.status_code, headers, body, framing, self._exchanges)
 
     def _end_exchange(self) -> None:
         """Ends the exchange; closes the connection if it can't be reused safely."""
--- a/rosemarydeal/proxy/framing.py
+++ b/rosemarydeal/proxy/framing.py
@@ -8,9 +8,16 @@
 
 from rosemarydeal.core import Address
 
-from .message import BytesBody, Request, Response, strip_hop_by_hop
+from .message import (
+    BytesBody,
+    Framing,
+    Headers,
+    Request,
+    Response,
+    strip_hop_by_hop,
+)
 
-__all__ = ["has_no_body", "request_head", "response_head"]
+__all__ = ["has_no_body", "request_head", "response_framing", "response_head"]
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 BODILESS_STATUSES = frozenset({204, 304})
@@ -47,6 +54,22 @@
     return method == b"HEAD" or status in BODILESS_STATUSES
 
 
+def response_framing(method: bytes, status: int, headers: Headers) -> Framing:
+    """Returns how the end of a response's body is known.
+
+    Args:
+        method: Method of the request.
+        status: Status of the response.
+        headers: All headers of the response, with their names in lower case.
+    """
+    if has_no_body(method, status):
+        return Framing.NONE
+    names = {name for name, _ in headers}
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKED
+    return Framing.LENGTH if b"content-length" in names else Framing.CLOSE
+
+
 def response_head(method: bytes, response: Response, close: bool) -> h11.Response:
     """Builds the head of a response.
 
--- a/rosemarydeal/proxy/message.py
+++ b/rosemarydeal/proxy/message.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from enum import Enum
 from http import HTTPStatus
 
 import msgspec
@@ -14,6 +15,7 @@
 
 __all__ = [
     "BytesBody",
+    "Framing",
     "Headers",
     "Request",
     "Response",
@@ -96,6 +98,22 @@
     peer: Address
 
 
+class Framing(Enum):
+    """How the end of a response's body is known.
+
+    Attributes:
+        NONE: The response has no body.
+        LENGTH: By its length.
+        CHUNKED: By its last chunk.
+        CLOSE: By the end of the connection.
+    """
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 @dataclass(frozen=True, slots=True)
 class Response:
     """HTTP response; header names are in lower case.
@@ -104,11 +122,15 @@
         status: HTTP status code.
         headers: End-to-end headers in the order of arrival.
         body: Pieces of the body; can be iterated once.
+        framing: How the upstream marked the end of the body.
+        exchange: Number of the exchange on its connection, from 1 on.
     """
 
     status: int
     headers: Headers
     body: AsyncIterator[bytes]
+    framing: Framing = Framing.LENGTH
+    exchange: int = 1
 
     async def aclose(self) -> None:
         """Closes the body; a connection with unread body is aborted."""
