Add failing scenarios for answers that belong to another exchange

Callers: a success whose body contains other bytes (MIXED); 'not run, try again' for a request that runs (REFUSED, TWICE); two upstreams at work on a key (OWNER).

A status that promises 'not run' is passed on from an upstream that did not say so.

Ruled out by scenarios that pass: an answer that stops within its head or its body, at eight places, is not taken for whole; three of five cuts of a copy before an answer.

--- /dev/null
+++ b/features/late_copies.feature
@@ -0,0 +1,97 @@
+Feature: Bytes that belong to another answer are never taken for a request's answer
+
+  Scenario: A late copy of an earlier answer becomes part of an answer without a length
+    Given an upstream whose answer without a length contains a copy of an earlier answer
+    When two requests are sent over the same connection
+    Then the second is not answered, as it may have run
+
+  Scenario: An answer without a length that is sent twice becomes one body
+    Given an upstream that sends an answer without a length twice
+    When one request is sent
+    Then it is not answered, as it may have run
+
+  Scenario: An answer without a length that ends with the start of a copy is taken for whole
+    Given an upstream whose answer without a length ends with a part of a status line
+    When one request is sent
+    Then it is not answered, as it may have run
+
+  Scenario: A successful answer without a length that ends after its head is taken for whole
+    Given an upstream that ends its answer after the head, which states no length
+    When one request is sent
+    Then it is not answered, as it may have run
+
+  Scenario: An answer without a length is returned whole
+    Given an upstream whose answer without a length comes in pieces
+    When one request is sent
+    Then it is answered with the whole body
+
+  Scenario: A copy of a refusal denies a request that runs
+    Given an upstream that repeats a refusal of r1 while its next attempt runs
+    When r1 is sent twice, one after the other
+    Then the second attempt ends with its own answer
+
+  Scenario: A copy of a failure is returned for the next attempt
+    Given an upstream that repeats a failure of r1 while its next attempt runs
+    When r1 is sent twice, one after the other
+    Then the second attempt ends with its own answer
+
+  Scenario: A refusal without an id on a reused connection denies a request that runs
+    Given an upstream that answers r1 and then writes a refusal that names no request
+    When two requests are sent over the same connection
+    Then the second is not answered, as it may have run
+
+  Scenario Outline: A status that promises that a request has not run is believed without proof
+    Given an upstream that answers <status> but does not say that it did not run the request
+    When one request is sent
+    Then it is not answered, as it may have run
+
+    Examples:
+      | status                |
+      | 503 Unavailable       |
+      | 429 Too Many Requests |
+      | 408 Timeout           |
+
+  Scenario Outline: A copy that is cut short merges with the next answer
+    Given an upstream that writes the start of a refusal, cut <where>, before an answer
+    When one request is sent
+    Then it is not answered, as it may have run
+
+    Examples:
+      | where                    |
+      | in the reason            |
+      | in the not-run header    |
+      | after a line             |
+      | in the name of a header  |
+      | within the status        |
+
+  Scenario Outline: An answer that stops within its head is taken for whole
+    Given an upstream that stops its answer <where> and closes
+    When one request is sent
+    Then it is not answered, as it may have run
+
+    Examples:
+      | where                          |
+      | in the status line             |
+      | after the status line          |
+      | in the name of a header        |
+      | in the length                  |
+      | after the length               |
+      | before the last line end       |
+      | before the end of the body     |
+      | before the last chunk          |
+
+  Scenario Outline: A copy of the answer to another call completes a release
+    Given an upstream that repeats its answer to a <call> while it still works on the keys
+    When the <call> is answered and the keys are released
+    Then the release waited for its own answer
+
+    Examples:
+      | call    |
+      | grant   |
+      | probe   |
+      | release |
+
+  Scenario: A copy of the answer to a grant hides that the next one is refused
+    Given an upstream that repeats its answer to a grant before it refuses the next one
+    When two grants are sent
+    Then the second is refused
--- a/features/run.py
+++ b/features/run.py
@@ -49,10 +49,10 @@
     failed = [s for s in scenarios if s.status.has_failed()]
     known = known_failures()
     for scenario in failed:
-        label = "known red" if scenario.name in known else "FAILED"
+        label = "known red" if scenario.name.strip() in known else "FAILED"
         print(f"{label}: {scenario.name} ({scenario.location})")
         print(failure_details(scenario))
-    unexpected = [s for s in failed if s.name not in known]
+    unexpected = [s for s in failed if s.name.strip() not in known]
     if run_failed and not failed:
         print("behave stopped on an error outside the scenarios")
     failed_count = max(len(unexpected), 1 if run_failed and not failed else 0)
--- /dev/null
+++ b/features/steps/late_copies_steps.py
@@ -0,0 +1,223 @@
+"""Steps for copies of answers, and answers that break off, at the upstream's client."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from features.builders_stutter import (
+    PAUSE,
+    TIMEOUT_S,
+    ScriptedUpstream,
+    a_call_answer,
+    a_refusal,
+    an_answer,
+    run_requests,
+)
+from rosemarydeal.core.fleet import KeyRange
+from rosemarydeal.core.requests import Answered, Failed
+from rosemarydeal.platform.upstream import GrantRefused
+
+BODY = b"the body of the answer"
+KEYS = KeyRange(0, 9, "n", "l", 1)
+OTHER_KEYS = KeyRange(10, 19, "n", "l", 2)
+HOLD_S = 4.0
+# Work on released keys, which the answer to their release waits for.
+RELEASE_S = 0.2
+FIRST = an_answer("r1", BODY)
+UNFRAMED = an_answer("r1", BODY, framed=False)
+UNFRAMED_SECOND = an_answer("r2", BODY, framed=False)
+
+
+@given("an upstream whose answer without a length contains a copy of an earlier answer")
+def step_copy_inside(context):
+    parts = [UNFRAMED_SECOND, PAUSE, FIRST, PAUSE, b"the rest"]
+    context.upstream = ScriptedUpstream([[FIRST], parts])
+
+
+@given("an upstream that sends an answer without a length twice")
+def step_unframed_twice(context):
+    context.upstream = ScriptedUpstream([[UNFRAMED, PAUSE, UNFRAMED]])
+
+
+@given("an upstream whose answer without a length ends with a part of a status line")
+def step_part_of_status_line(context):
+    context.upstream = ScriptedUpstream([[UNFRAMED, PAUSE, b"HTTP/1."]])
+
+
+@given("an upstream that ends its answer after the head, which states no length")
+def step_only_head(context):
+    answer = an_answer("r1", framed=False)
+    context.upstream = ScriptedUpstream([[answer]])
+
+
+@given("an upstream whose answer without a length comes in pieces")
+def step_pieces(context):
+    head = an_answer("r1", framed=False)
+    parts = [head, PAUSE, BODY[:5], PAUSE, BODY[5:]]
+    context.upstream = ScriptedUpstream([parts])
+
+
+@given("an upstream that repeats a refusal of r1 while its next attempt runs")
+def step_refusal_repeated(context):
+    copies_first(context, a_refusal("r1"))
+
+
+@given("an upstream that repeats a failure of r1 while its next attempt runs")
+def step_failure_repeated(context):
+    copies_first(context, an_answer("r1", b"", b"500 Failed"))
+
+
+def copies_first(context, first):
+    """Prepares an upstream that answers with bytes, and then with a copy first."""
+    context.upstream = ScriptedUpstream(
+        [[first], [first, PAUSE, FIRST]], [[PAUSE, FIRST]]
+    )
+
+
+@given("an upstream that answers r1 and then writes a refusal that names no request")
+def step_unnamed_refusal(context):
+    context.upstream = ScriptedUpstream([[FIRST], [a_refusal(""), PAUSE, FIRST]])
+
+
+@given(
+    "an upstream that answers {status} but does not say that it did not run the request"
+)
+def step_unproved_status(context, status):
+    answer = an_answer("r1", b"", status.encode())
+    context.upstream = ScriptedUpstream([[answer]])
+
+
+CUT_REFUSALS = {
+    "in the reason": b"HTTP/1.1 503 Fu",
+    "in the not-run header": b"HTTP/1.1 503 Full\r\nNot-Executed: 1",
+    "after a line": b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n",
+    "in the name of a header": b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequ",
+    "within the status": b"HTTP/1.1 50",
+}
+
+
+@given("an upstream that writes the start of a refusal, cut {where}, before an answer")
+def step_cut_refusal(context, where):
+    context.upstream = ScriptedUpstream([[CUT_REFUSALS[where] + FIRST]])
+
+
+CUT_ANSWERS = {
+    "in the status line": b"HTTP/1.1 200",
+    "after the status line": b"HTTP/1.1 200 OK\r\n",
+    "in the name of a header": FIRST[: FIRST.index(b"Content-Le") + 10],
+    "in the length": FIRST[: FIRST.index(b"Content-Length: ") + 17],
+    "after the length": FIRST[: FIRST.index(b"\r\n\r\n") + 2],
+    "before the last line end": FIRST[: FIRST.index(b"\r\n\r\n") + 3],
+    "before the end of the body": FIRST[:-1],
+    "before the last chunk": UNFRAMED.replace(
+        b"\r\n\r\n" + BODY, b"\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nthe\r\n"
+    ),
+}
+
+
+@given("an upstream that stops its answer {where} and closes")
+def step_cut_answer(context, where):
+    context.upstream = ScriptedUpstream([[CUT_ANSWERS[where]]])
+
+
+@when("one request is sent")
+def step_one(context):
+    context.results = run_requests(context.upstream, "r1")
+
+
+@when("two requests are sent over the same connection")
+def step_two(context):
+    context.results = run_requests(context.upstream, "r1", "r2")
+    assert [number for number, _ in context.upstream.requests] == [0, 0]
+
+
+@when("r1 is sent twice, one after the other")
+def step_same_twice(context):
+    context.results = run_requests(context.upstream, "r1", "r1")
+
+
+@then("the second is not answered, as it may have run")
+@then("it is not answered, as it may have run")
+def step_unknown(context):
+    result = context.results[-1]
+    assert isinstance(result, Failed) and result.sent, result
+    assert not result.timed_out, result
+
+
+@then("it is answered with the whole body")
+def step_whole(context):
+    result = context.results[-1]
+    assert isinstance(result, Answered) and result.body == BODY, result
+
+
+@then("the second attempt ends with its own answer")
+def step_own_answer(context):
+    result = context.results[-1]
+    assert isinstance(result, Answered) and result.status == 200, result
+    assert result.body == BODY, result
+
+
+GRANT_ANSWER = a_call_answer()
+CALL_ANSWERS = {
+    "grant": GRANT_ANSWER,
+    "probe": a_call_answer(headers=(b"Server-Load: 0,0,8",)),
+    "release": a_call_answer(headers=(b"Handover: h0",)),
+}
+RELEASED = a_call_answer(headers=(b"Handover: h1",))
+
+
+@given(
+    "an upstream that repeats its answer to a {call} while it still works on the keys"
+)
+def step_call_repeated(context, call):
+    answer = CALL_ANSWERS[call]
+    context.upstream = ScriptedUpstream(
+        [[answer], [answer, RELEASE_S, RELEASED]], [[RELEASE_S, RELEASED]]
+    )
+
+
+@when("the {call} is answered and the keys are released")
+def step_call_and_release(context, call):
+    async def go():
+        async with context.upstream.client() as client:
+            match call:
+                case "grant":
+                    await client.grant(KEYS, HOLD_S, TIMEOUT_S)
+                case "probe":
+                    await client.probe("/healthz", TIMEOUT_S)
+                case "release":
+                    assert await client.release(OTHER_KEYS, TIMEOUT_S) == "h0"
+            started = asyncio.get_running_loop().time()
+            context.handover = await client.release(KEYS, TIMEOUT_S)
+            context.seconds = asyncio.get_running_loop().time() - started
+
+    asyncio.run(go())
+
+
+@given("an upstream that repeats its answer to a grant before it refuses the next one")
+def step_grant_repeated(context):
+    refused = a_call_answer(b"409 Conflict")
+    context.upstream = ScriptedUpstream(
+        [[GRANT_ANSWER], [GRANT_ANSWER, PAUSE, refused]], [[PAUSE, refused]]
+    )
+
+
+@when("two grants are sent")
+def step_two_grants(context):
+    async def go():
+        async with context.upstream.client() as client:
+            await client.grant(KEYS, HOLD_S, TIMEOUT_S)
+            try:
+                await client.grant(OTHER_KEYS, HOLD_S, TIMEOUT_S)
+            except GrantRefused:
+                context.refused = True
+
+    context.refused = False
+    asyncio.run(go())
+
+
+@then("the second is refused")
+def step_refused(context):
+    assert context.refused
