Refuse a body without a length that contains another response's head

Cause: an answer without a length ends with its connection, and every byte until then was taken for its body. Class of fault: bytes are matched to a request by their place on the connection alone.

Evidence: 'An answer without a length that is sent twice becomes one body' and its two neighbours returned Answered(200) with the second head in the body. Ruled out: accepting such an answer on a new connection only, as its own second copy follows there too; returning the part before the head, as the first copy may have been cut short.

Change: the pieces of a body that ends with its connection are searched for a status line, also one that is cut off at the end. A copy that begins after the answer's own head begins with a status line; one that begins before fails the answer by its id. Such an answer ends as broken: it may have run, and an idempotent request is sent again. A legitimate body without a length that contains a status line is refused too.

--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -11,11 +11,13 @@
 
 from rosemarydeal.core import Address
 
+from .embedded_heads import EmbeddedHeadDetector
 from .errors import BadMessage, ProxyTimeout, ResponseBroken, SendFailed
 from .framing import request_head, response_framing
 from .http_stream import END_OF_MESSAGE, HttpStream
 from .message import (
     BytesBody,
+    Framing,
     Headers,
     Request,
     Response,
@@ -109,6 +111,8 @@
         self._continue_received: asyncio.Future[bool] | None = None
         self._request_body_error: Exception | None = None
         self._identified = True
+        # Set while a body is read that ends with the connection.
+        self._unframed_body: EmbeddedHeadDetector | None = None
 
     @property
     def address(self) -> Address:
@@ -165,6 +169,8 @@
         """
         try:
             piece = await self._stream.read_body()
+            if self._unframed_body is not None:
+                self._unframed_body.check(piece)
         except (OSError, BadMessage) as error:
             failure = self._translate_error(error)
             self.abort()
@@ -293,6 +299,10 @@
             find_header(headers, identifying_header) is not None
         )
         received, complete = self._stream.read_available_body()
+        self._unframed_body = None
+        if framing is Framing.CLOSE:
+            self._unframed_body = EmbeddedHeadDetector()
+            self._unframed_body.check(received)
         if complete:
             self._end_exchange()
             body = BytesBody(received)
--- /dev/null
+++ b/rosemarydeal/proxy/embedded_heads.py
@@ -0,0 +1,40 @@
+"""Detects the head of another response among the bytes of a response.
+
+Load pattern: faulty upstreams that write a response twice, or a copy of an earlier one
+late. A body that ends with its connection would then contain the copy.
+"""
+
+from __future__ import annotations
+
+import re
+
+from .errors import BadMessage
+
+__all__ = ["EmbeddedHeadDetector"]
+
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
+STATUS_LINE_BYTES = 12
+# A copy that was cut short as well; shorter starts are common at the end of a text.
+STATUS_LINE_START = re.compile(rb"HTTP/(1(\.([01]( ([1-5][0-9]?)?)?)?)?)?\Z")
+
+
+class EmbeddedHeadDetector:
+    """Searches the pieces of a body for a status line."""
+
+    def __init__(self) -> None:
+        self._tail = b""
+
+    def check(self, piece: bytes | None) -> None:
+        """Checks the next piece of the body, or its end.
+
+        Raises:
+            BadMessage: A status line has begun, in part or as a whole.
+        """
+        if piece is None:
+            if STATUS_LINE_START.search(self._tail):
+                raise BadMessage("the body ends with the start of another response")
+            return
+        searched = self._tail + piece
+        if STATUS_LINE.search(searched):
+            raise BadMessage("the body contains the head of another response")
+        self._tail = searched[1 - STATUS_LINE_BYTES :]
