Send each attempt of a request over a connection that has not carried it

Callers: 'not run, try again' for a request that ran or was running (REFUSED), or a second run at another upstream (TWICE); the failure of an earlier attempt (MIXED).

Cause: the id in an answer tells requests apart, but not two attempts of one request. A keyed request that its owner's upstream refuses goes to the same upstream again, most likely over the connection that was used last; a late copy of the refusal was then taken for the answer.

Ruled out: a new connection for each request, which costs a connection each; refusing all answers without an id, as the first answer on a connection can't be a copy.

Change: a connection keeps the ids that it has carried; the pool chooses one that has not carried the request, opens one, or closes an idle one to make room. The connection itself checks that a response names its request and no other, and refuses one without an id unless it is the first there.

--- a/features/builders_stutter.py
+++ b/features/builders_stutter.py
@@ -49,8 +49,9 @@
         requests: The heads received, with the numbers of their connections.
     """
 
-    def __init__(self, *connections):
+    def __init__(self, *connections, limit=CONNECTIONS):
         self._scripts = list(connections)
+        self._limit = limit
         self.requests = []
         self._opened = 0
 
@@ -58,7 +59,7 @@
     async def client(self):
         """Runs the upstream; yields a client of it."""
         async with raw_upstream(self._serve) as address:
-            client = UpstreamClient(address, CONNECTIONS)
+            client = UpstreamClient(address, self._limit)
             try:
                 yield client
             finally:
--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -35,6 +35,11 @@
     When r1 is sent twice, one after the other
     Then the second attempt ends with its own answer
 
+  Scenario: The next attempt of a request waits in vain for a connection that it may use
+    Given an upstream that accepts one connection and repeats a refusal of r1
+    When r1 is sent twice, one after the other
+    Then the second attempt ends with its own answer
+
   Scenario: A refusal without an id on a reused connection denies a request that runs
     Given an upstream that answers r1 and then writes a refusal that names no request
     When two requests are sent over the same connection
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -69,10 +69,15 @@
     copies_first(context, an_answer("r1", b"", b"500 Failed"))
 
 
-def copies_first(context, first):
+@given("an upstream that accepts one connection and repeats a refusal of r1")
+def step_refusal_repeated_on_one(context):
+    copies_first(context, a_refusal("r1"), limit=1)
+
+
+def copies_first(context, first, **settings):
     """Prepares an upstream that answers with bytes, and then with a copy first."""
     context.upstream = ScriptedUpstream(
-        [[first], [first, PAUSE, FIRST]], [[PAUSE, FIRST]]
+        [[first], [first, PAUSE, FIRST]], [[PAUSE, FIRST]], **settings
     )
 
 
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -172,7 +172,7 @@
             )
             refused = isinstance(error, ConnectFailed) and error.refused
             return Failed(error.code, getattr(error, "sent", True), refused=refused)
-        result = _classify_answer(routed, response, body)
+        result = _classify_answer(response, body)
         if isinstance(result, Failed) or response.framing is Framing.CLOSE:
             _log_unusual_answer(routed, response, body, result)
         return result
@@ -219,18 +219,11 @@
     )
 
 
-def _classify_answer(
-    routed: RoutedRequest, response: Response, body: bytes
-) -> UpstreamResult:
+def _classify_answer(response: Response, body: bytes) -> UpstreamResult:
     """Classifies an answer: the request's own, a rejection or a failure."""
     headers = response.headers
     load = _load(find_header(headers, names.LOAD))
     echoed_id = find_header(headers, names.REQUEST_ID)
-    if (
-        echoed_id is not None
-        and echoed_id.decode("ascii", "replace") != routed.request_id
-    ):
-        return Failed("foreign-answer", sent=True)
     notice = _notice(headers) if echoed_id is not None else None
     rejected = find_header(headers, names.NOT_RUN) is not None
     if rejected or response.status == MISDIRECTED:
--- a/rosemarydeal/proxy/client.py
+++ b/rosemarydeal/proxy/client.py
@@ -101,11 +101,12 @@
             ConnectFailed: If no connection could be opened; nothing was sent.
             SendFailed: If the connection failed before the response's head.
             ResponseBroken: If the response is not valid HTTP.
+            ForeignResponse: If the response belongs to another request.
             ProxyTimeout: If the exchange exceeded its time limit.
         """
         deadline = asyncio.get_running_loop().time() + timeout_s
         while True:
-            connection = await self._acquire(address, deadline, max_idle_s)
+            connection = await self._acquire(address, request, deadline, max_idle_s)
             if connection.stale:
                 connection.abort()
                 continue
@@ -121,19 +122,27 @@
                 connection.abort()
 
     async def _acquire(
-        self, address: Address, deadline: float, max_idle_s: float | None
+        self,
+        address: Address,
+        request: Request,
+        deadline: float,
+        max_idle_s: float | None,
     ) -> ClientConnection:
         """Returns an idle or a new connection, waiting for a free slot if needed."""
-        pool = self._pools.setdefault(address, AddressPool())
-        while (
-            not pool.idle and pool.open_count >= self._settings.connections_per_address
-        ):
-            await self._wait_for_slot(pool, deadline)
+        while True:
             # The address's pool may have been removed with its last connection.
             pool = self._pools.setdefault(address, AddressPool())
-        has_capacity = pool.open_count < self._settings.connections_per_address
-        if pool.idle and not (has_capacity and _idle_longer_than(pool, max_idle_s)):
-            return pool.idle.pop()[0]
+            has_capacity = pool.open_count < self._settings.connections_per_address
+            if not (has_capacity and _idle_longer_than(pool, max_idle_s)):
+                connection = _take_idle(pool, request)
+                if connection is not None:
+                    return connection
+            if has_capacity:
+                break
+            if pool.idle:
+                # All idle connections have carried the request; its slot is freed.
+                pool.idle.popleft()[0].abort()
+            await self._wait_for_slot(pool, deadline)
         pool.open_count += 1
         try:
             return await self._open(address, deadline)
@@ -240,8 +249,18 @@
             )
 
 
+def _take_idle(pool: AddressPool, request: Request) -> ClientConnection | None:
+    """Removes the most recently used idle connection that may carry a request."""
+    for index in range(len(pool.idle) - 1, -1, -1):
+        connection = pool.idle[index][0]
+        if not connection.has_carried(request):
+            del pool.idle[index]
+            return connection
+    return None
+
+
 def _idle_longer_than(pool: AddressPool, max_idle_s: float | None) -> bool:
     """Returns whether the most recently used idle connection exceeds a limit."""
-    if max_idle_s is None:
+    if max_idle_s is None or not pool.idle:
         return False
     return asyncio.get_running_loop().time() - pool.idle[-1][1] > max_idle_s
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -12,7 +12,13 @@
 from rosemarydeal.core import Address
 
 from .embedded_heads import EmbeddedHeadDetector
-from .errors import BadMessage, ProxyTimeout, ResponseBroken, SendFailed
+from .errors import (
+    BadMessage,
+    ForeignResponse,
+    ProxyTimeout,
+    ResponseBroken,
+    SendFailed,
+)
 from .framing import request_head, response_framing
 from .http_stream import END_OF_MESSAGE, HttpStream
 from .message import (
@@ -33,6 +39,8 @@
 CONTINUE = 100
 # A final response follows a few of these.
 MAX_INFORMATIONAL_RESPONSES = 16
+# The identities of the requests on a connection are kept while it is open.
+MAX_IDENTIFIED_REQUESTS = 1000
 SWITCHING_PROTOCOLS = 101
 
 
@@ -44,9 +52,10 @@
         header_bytes: Maximum size of the head of a response.
         continue_time_s: Time to wait for a 100 response before sending the body.
         identifying_header: Header that tells which request a response belongs to,
-            in lower case; empty if there is none. A connection is not reused after
-            a response without it: a late copy of that response could not be told
-            from the response to the next request.
+            in lower case; empty if there is none. Upstreams echo its value. A late
+            copy of a response must not be taken for the response to a later
+            request: a connection carries one request of each value, and is not
+            reused after a response without the header.
     """
 
     header_bytes: int = 32_768
@@ -111,6 +120,7 @@
         self._continue_received: asyncio.Future[bool] | None = None
         self._request_body_error: Exception | None = None
         self._identified = True
+        self._identities: set[bytes] = set()
         # Set while a body is read that ends with the connection.
         self._unframed_body: EmbeddedHeadDetector | None = None
 
@@ -126,6 +136,10 @@
             return True
         return self._exchanges > 0 and bool(self._poll.poll(0))
 
+    def has_carried(self, request: Request) -> bool:
+        """Returns whether a request with the identity of this one was sent here."""
+        return self._identity(request) in self._identities
+
     async def exchange(self, request: Request, deadline: float) -> Response:
         """Sends a request and reads the head of its response.
 
@@ -139,9 +153,13 @@
         Raises:
             SendFailed: If the connection failed before the response's head.
             ResponseBroken: If the response is not valid HTTP.
+            ForeignResponse: If the response belongs to another request.
             ProxyTimeout: If the deadline passed.
         """
         self._start_exchange(deadline)
+        identity = self._identity(request)
+        if identity is not None:
+            self._identities.add(identity)
         try:
             self._send(request)
         except h11.LocalProtocolError as error:
@@ -149,6 +167,7 @@
             raise SendFailed(f"the request is not valid: {error}", False) from error
         try:
             head, headers = await self._read_response_head()
+            self._check_identity(identity, headers)
             return self._build_response(request.method, head, headers)
         except (OSError, BadMessage) as error:
             failure = self._translate_error(error)
@@ -287,6 +306,25 @@
                 self._allow_body()
         raise BadMessage("the upstream sent too many informational responses")
 
+    def _identity(self, request: Request) -> bytes | None:
+        """Returns the value by which the response to a request is identified."""
+        return find_header(request.headers, self._settings.identifying_header)
+
+    def _check_identity(self, identity: bytes | None, headers: Headers) -> None:
+        """Checks that a response belongs to the request with an identity.
+
+        Raises:
+            ForeignResponse: It names another request, or none although it may be a
+                copy of the response to an earlier one.
+        """
+        name = self._settings.identifying_header
+        echoed = {value for field, value in headers if field == name}
+        self._identified = not name or bool(echoed)
+        if echoed - {identity}:
+            raise ForeignResponse(f"the response names {sorted(echoed)}")
+        if not self._identified and self._exchanges > 1:
+            raise ForeignResponse("the response on a reused connection names none")
+
     def _build_response(
         self, method: bytes, head: h11.Response, headers: Headers
     ) -> Response:
@@ -294,10 +332,6 @@
         self._head_received = True
         framing = response_framing(method, head.status_code, headers)
         headers = strip_hop_by_hop(headers)
-        identifying_header = self._settings.identifying_header
-        self._identified = not identifying_header or (
-            find_header(headers, identifying_header) is not None
-        )
         received, complete = self._stream.read_available_body()
         self._unframed_body = None
         if framing is Framing.CLOSE:
@@ -318,7 +352,11 @@
             self._protocol.received_bytes != self._stream.consumed_bytes
         )
         still_open = not self._reader.at_eof() and not self._writer.is_closing()
-        reusable = self._stream.reusable and self._identified
+        reusable = (
+            self._stream.reusable
+            and self._identified
+            and len(self._identities) < MAX_IDENTIFIED_REQUESTS
+        )
         if reusable and still_open and not has_unparsed:
             self._protocol.notify_idle()
         else:
--- a/rosemarydeal/proxy/errors.py
+++ b/rosemarydeal/proxy/errors.py
@@ -12,6 +12,7 @@
     "BadMessage",
     "BodyTooLarge",
     "ConnectFailed",
+    "ForeignResponse",
     "ProxyError",
     "ProxyTimeout",
     "ResponseBroken",
@@ -74,6 +75,13 @@
     sent = True
 
 
+class ForeignResponse(ProxyError):  # noqa: N818
+    """The response belongs to another request, or may do so."""
+
+    code = "foreign-answer"
+    sent = True
+
+
 class ProxyTimeout(ProxyError):  # noqa: N818
     """The exchange exceeded its time limit.
 
