Refuse a head into which another response's start has merged

Callers: 'not run, try again' for a request that ran (REFUSED), or a success with the status of another answer (MIXED).

Cause: a copy of a refusal that breaks off within its reason phrase or a header's value is followed by the status line of the next answer, and both read as one head: the status or the 'not run' of the first, the id of the second.

Evidence: two of five cuts returned Answered(503) and Rejected(503) for a request that was answered 200. Ruled out: the three other cuts, which are no valid head; comparing the number of id headers, as the copy ends before its id.

Change: a head with a status line in its reason phrase or a header's value is broken.

--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -11,7 +11,7 @@
 
 from rosemarydeal.core import Address
 
-from .embedded_heads import EmbeddedHeadDetector
+from .embedded_heads import EmbeddedHeadDetector, check_spliced_head
 from .errors import (
     BadMessage,
     ForeignResponse,
@@ -296,6 +296,7 @@
             if not await self._stream.wait_for_bytes():
                 raise ConnectionResetError("the upstream closed the connection")
             head, headers = await self._stream.read_head()
+            check_spliced_head(head.reason, headers)
             if type(head) is h11.Response:
                 return head, headers
             if head.status_code == SWITCHING_PROTOCOLS:
--- a/rosemarydeal/proxy/embedded_heads.py
+++ b/rosemarydeal/proxy/embedded_heads.py
@@ -9,8 +9,9 @@
 import re
 
 from .errors import BadMessage
+from .message import Headers
 
-__all__ = ["EmbeddedHeadDetector"]
+__all__ = ["EmbeddedHeadDetector", "check_spliced_head"]
 
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 STATUS_LINE_BYTES = 12
@@ -18,6 +19,18 @@
 STATUS_LINE_START = re.compile(rb"HTTP/(1(\.([01]( ([1-5][0-9]?)?)?)?)?)?\Z")
 
 
+def check_spliced_head(reason: bytes, headers: Headers) -> None:
+    """Checks that a head was not written over the start of another one.
+
+    Raises:
+        BadMessage: A status line follows in the reason phrase or a header's value, so
+            that the status, or some headers, belong to another response.
+    """
+    for text in (reason, *(value for _, value in headers)):
+        if STATUS_LINE.search(text):
+            raise BadMessage("the head contains the head of another response")
+
+
 class EmbeddedHeadDetector:
     """Searches the pieces of a body for a status line."""
 
