Take no status of an upstream for a promise that it did not give

Callers: 'not run, try again' for a request that an upstream had run (REFUSED).

Cause: callers take 408, 429 and 503 for the promise that a request has not run and never will. An upstream gives it by a header of its own; its answers with these statuses but without the header were passed on unchanged. Class of fault: a statement of another system taken for more than it says.

Evidence: 'A status that promises that a request has not run is believed without proof' returned Answered with 503, 429 and 408. Ruled out: passing such an answer on under another status, as it bears the upstream's signature.

Change: such an answer counts as a failure after which the request may have run.

--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -54,6 +54,8 @@
 CONFLICT = 409
 MISDIRECTED = 421
 SUCCESSES = range(200, 300)
+# Callers take these for the promise that a request has not run.
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
 # A limit in this length has any precision that an upstream could mean.
 MAX_RATE_LIMIT_BYTES = 32
 
@@ -228,6 +230,8 @@
     rejected = find_header(headers, names.NOT_RUN) is not None
     if rejected or response.status == MISDIRECTED:
         return Rejected(response.status, load, notice)
+    if response.status in NOT_RUN_STATUSES:
+        return Failed("unproved-rejection", sent=True)
     signed = find_header(headers, names.SIGNATURE) is not None
     if response.status in SUCCESSES and not (signed and echoed_id):
         return Failed("unsigned-answer", sent=True)
