Give each test run loopback addresses of its own

Callers: none affected; tests.

The checks are the same.

Figures: monitors, hostile and late_copies pass; node and leaving pass beside them.

--- a/features/builders_fleet_types.py
+++ b/features/builders_fleet_types.py
@@ -99,12 +99,12 @@
     )
 
 
-def a_routed_request(**changes):
+def a_routed_request(request_id="r1", **changes):
     fields = {
-        "request_id": "r1",
+        "request_id": request_id,
         "method": b"GET",
         "target": b"/a/1",
-        "headers": ((b"host", b"h.example"), (b"request-id", b"r1")),
+        "headers": ((b"host", b"h.example"), (b"request-id", request_id.encode())),
         "body": b"",
         "caller_service": "shop",
         "service": SERVICE,
--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from features.builders_addresses import a_loopback_host
 from features.builders_fleet_types import an_identity
 from features.standin_endpoint import StandInEndpoint
 from features.standin_store import StandInStore
@@ -82,7 +83,7 @@
         self.address = await self.store.start("127.0.0.1")
         self.store.put("config", "main", a_configuration())
         for index, name in enumerate(self._names):
-            self.hosts[name] = f"127.0.1.{index + 1}"
+            self.hosts[name] = a_loopback_host(index + 1)
             await self.start_node(name)
             await self.start_endpoint(name)
         await self.wait(lambda: all(self.serves(key) for key in self.sample()))
--- a/features/builders_stutter.py
+++ b/features/builders_stutter.py
@@ -78,9 +78,7 @@
 
 
 def an_upstream_request(request_id="r1", **changes):
-    headers = ((b"host", b"h.example"), (b"request-id", request_id.encode()))
-    routed = a_routed_request(request_id=request_id, headers=headers, **changes)
-    return UpstreamRequest(routed, "i", TIMEOUT_S)
+    return UpstreamRequest(a_routed_request(request_id, **changes), "i", TIMEOUT_S)
 
 
 def run_requests(upstream, *request_ids):
--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from features.builders_addresses import a_loopback_host
 from features.builders_fleet_types import a_routed_request
 from features.builders_proxy import raw_upstream
 from rosemarydeal.core import Address
@@ -35,7 +36,7 @@
 TIMEOUT_S = 2.0
 # The limit of the process's memory must not be reached by one answer.
 PORT = 9111
-HOST = "127.0.2.2"
+HOST = a_loopback_host(202)
 
 
 @given("an upstream whose answers are {answers} at {speed}")
--- a/features/steps/monitors_steps.py
+++ b/features/steps/monitors_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from features.builders_addresses import a_loopback_host
 from features.builders_fleet_types import a_member
 from features.builders_node import run
 from rosemarydeal.core import Address
@@ -16,7 +17,7 @@
 from rosemarydeal.node.messages import LoadReport, Ping, Pong
 from rosemarydeal.policy.membership.monitors import monitored_peers
 
-HOST = "127.0.2.1"
+HOST = a_loopback_host(201)
 IDLE = LoadReport(0, 0, 1, 0, 100)
 PEER_PORT = 9101
 MONITOR_PORT = 9102
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -6,6 +6,7 @@
 
 from behave import then, when
 
+from features.builders_addresses import a_loopback_host
 from features.builders_fleet_types import an_identity
 from features.builders_node import (
     a_configuration,
@@ -21,8 +22,8 @@
 def step_start_rejected(context):
     deployment = context.deployment
     deployment.store.turns_away.add("*")
-    deployment.hosts["vm-z"] = "127.0.1.200"
-    identity = an_identity("vm-z", "127.0.1.200", deployment.address)
+    host = deployment.hosts["vm-z"] = a_loopback_host(200)
+    identity = an_identity("vm-z", host, deployment.address)
 
     async def start():
         deployment.nodes["vm-z"] = NodeProcess(identity)
