Refuse a success without a length that ends after its head

Cause: an upstream that stops after the head of an answer without a length closes the connection as one that has sent its whole body does. The client took the answer for whole and passed it on with a length of 0.

Evidence: 'A successful answer without a length that ends after its head' returned Answered(200, body=b''). The report itself, an upstream that stops within its head, can't be reproduced: eight cuts within head and body end as broken. Ruled out: passing the answer on without a length, as it would not look broken to the caller either.

Change: such a success is broken; the request may have run. An upstream whose whole body is empty states a length of 0. Failures may end after their head. An end within a body without a length can't be noticed when the connection is closed in order.

--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -11,7 +11,7 @@
 
 from rosemarydeal.core import Address
 
-from .embedded_heads import EmbeddedHeadDetector, check_spliced_head
+from .embedded_heads import UnframedBodyCheck, check_spliced_head
 from .errors import (
     BadMessage,
     ForeignResponse,
@@ -42,6 +42,7 @@
 # The identities of the requests on a connection are kept while it is open.
 MAX_IDENTIFIED_REQUESTS = 1000
 SWITCHING_PROTOCOLS = 101
+SUCCESSES = range(200, 300)
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +123,7 @@
         self._identified = True
         self._identities: set[bytes] = set()
         # Set while a body is read that ends with the connection.
-        self._unframed_body: EmbeddedHeadDetector | None = None
+        self._unframed_body: UnframedBodyCheck | None = None
 
     @property
     def address(self) -> Address:
@@ -336,7 +337,7 @@
         received, complete = self._stream.read_available_body()
         self._unframed_body = None
         if framing is Framing.CLOSE:
-            self._unframed_body = EmbeddedHeadDetector()
+            self._unframed_body = UnframedBodyCheck(head.status_code in SUCCESSES)
             self._unframed_body.check(received)
         if complete:
             self._end_exchange()
--- a/rosemarydeal/proxy/embedded_heads.py
+++ b/rosemarydeal/proxy/embedded_heads.py
@@ -11,7 +11,7 @@
 from .errors import BadMessage
 from .message import Headers
 
-__all__ = ["EmbeddedHeadDetector", "check_spliced_head"]
+__all__ = ["UnframedBodyCheck", "check_spliced_head"]
 
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 STATUS_LINE_BYTES = 12
@@ -31,23 +31,36 @@
             raise BadMessage("the head contains the head of another response")
 
 
-class EmbeddedHeadDetector:
-    """Searches the pieces of a body for a status line."""
+class UnframedBodyCheck:
+    """Checks the pieces of a body whose end only the end of the connection marks."""
 
-    def __init__(self) -> None:
+    def __init__(self, success: bool) -> None:
+        """Creates a check that has seen no piece.
+
+        Args:
+            success: Whether the response's status is that of a success.
+        """
+        self._needs_body = success
         self._tail = b""
 
     def check(self, piece: bytes | None) -> None:
         """Checks the next piece of the body, or its end.
 
         Raises:
-            BadMessage: A status line has begun, in part or as a whole.
+            BadMessage: A status line has begun, in part or as a whole; or the body
+                of a success is empty, as the upstream may have stopped after the head.
         """
         if piece is None:
-            if STATUS_LINE_START.search(self._tail):
-                raise BadMessage("the body ends with the start of another response")
+            self._check_end()
             return
         searched = self._tail + piece
         if STATUS_LINE.search(searched):
             raise BadMessage("the body contains the head of another response")
         self._tail = searched[1 - STATUS_LINE_BYTES :]
+
+    def _check_end(self) -> None:
+        """Checks that the body does not end too early."""
+        if STATUS_LINE_START.search(self._tail):
+            raise BadMessage("the body ends with the start of another response")
+        if self._needs_body and not self._tail:
+            raise BadMessage("a success without a length ended after its head")
