Give calls to the upstream ids, and those without an echo a connection each

Cause: calls (grant, release, probe) had no id and shared connections, so that a late copy of one answer completed the next call: a release returned after 0.4 ms without a hand-over token, and a refused grant was taken for granted.

Evidence: 'A copy of the answer to another call completes a release' failed for grant, probe and release.

--- a/features/builders_stutter.py
+++ b/features/builders_stutter.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 from features.builders_fleet_types import a_routed_request
 from features.builders_proxy import raw_upstream
@@ -39,11 +41,28 @@
     )
 
 
+@dataclass(frozen=True)
+class EchoedAnswer:
+    """An answer that echoes the id of a request on its connection.
+
+    Attributes:
+        exchange: Index of that request.
+        headers: Further headers.
+    """
+
+    exchange: int
+    headers: tuple = ()
+
+    def to_bytes(self, heads):
+        identity = re.search(rb"(?i)request-id: ([^\r]+)", heads[self.exchange])[1]
+        return a_call_answer(headers=(b"Request-Id: " + identity, *self.headers))
+
+
 class ScriptedUpstream:
     """Writes the next prepared answer for each request it reads.
 
-    An answer is a list of bytes to write and of pauses in seconds. After the last
-    prepared answer of a connection, the connection is closed.
+    An answer is a list of bytes or echoed answers to write and of pauses in seconds.
+    After the last prepared answer of a connection, the connection is closed.
 
     Attributes:
         requests: The heads received, with the numbers of their connections.
@@ -67,14 +86,18 @@
 
     async def _serve(self, reader, writer):
         number, self._opened = self._opened, self._opened + 1
+        heads = []
         for answer in self._scripts[number]:
-            self.requests.append((number, await reader.readuntil(b"\r\n\r\n")))
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            self.requests.append((number, heads[-1]))
             for part in answer:
-                if isinstance(part, bytes):
-                    writer.write(part)
-                    await writer.drain()
-                else:
-                    await asyncio.sleep(part)
+                match part:
+                    case float():
+                        await asyncio.sleep(part)
+                    case EchoedAnswer():
+                        writer.write(part.to_bytes(heads))
+                    case bytes():
+                        writer.write(part)
 
 
 def an_upstream_request(request_id="r1", **changes):
--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -96,6 +96,11 @@
       | probe   |
       | release |
 
+  Scenario: A copy of an answer that echoes the id of its call completes a release
+    Given an upstream that echoes the ids of calls and repeats its answer to a grant
+    When a grant is answered and the keys are released
+    Then the release fails, and succeeds when it is called again
+
   Scenario: A copy of the answer to a grant hides that the next one is refused
     Given an upstream that repeats its answer to a grant before it refuses the next one
     When two grants are sent
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -9,6 +9,7 @@
 from features.builders_stutter import (
     PAUSE,
     TIMEOUT_S,
+    EchoedAnswer,
     ScriptedUpstream,
     a_call_answer,
     a_refusal,
@@ -17,7 +18,7 @@
 )
 from rosemarydeal.core.fleet import KeyRange
 from rosemarydeal.core.requests import Answered, Failed
-from rosemarydeal.platform.upstream import GrantRefused
+from rosemarydeal.platform.upstream import GrantRefused, UpstreamCallFailed
 
 BODY = b"the body of the answer"
 KEYS = KeyRange(0, 9, "n", "l", 1)
@@ -201,6 +202,36 @@
     asyncio.run(go())
 
 
+@given("an upstream that echoes the ids of calls and repeats its answer to a grant")
+def step_echoed_call_repeated(context):
+    released = EchoedAnswer(0, (b"Handover: h1",))
+    context.upstream = ScriptedUpstream(
+        [[EchoedAnswer(0)], [EchoedAnswer(0), PAUSE, EchoedAnswer(1)]], [[released]]
+    )
+
+
+@when("a grant is answered and the keys are released")
+def step_echoed_release(context):
+    async def go():
+        async with context.upstream.client() as client:
+            await client.grant(KEYS, HOLD_S, TIMEOUT_S)
+            try:
+                await client.release(KEYS, TIMEOUT_S)
+            except UpstreamCallFailed:
+                context.release_failed = True
+            context.handover = await client.release(KEYS, TIMEOUT_S)
+
+    context.release_failed = False
+    asyncio.run(go())
+
+
+@then("the release fails, and succeeds when it is called again")
+def step_release_again(context):
+    assert context.release_failed
+    assert context.handover == "h1", context.handover
+    assert [number for number, _ in context.upstream.requests] == [0, 0, 1]
+
+
 @given("an upstream that repeats its answer to a grant before it refuses the next one")
 def step_grant_repeated(context):
     refused = a_call_answer(b"409 Conflict")
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
-from dataclasses import replace
+import secrets
 
 import msgspec
 import structlog
@@ -50,6 +51,8 @@
 ANSWER_BUDGET_BYTES = 32 * 1024 * 1024
 # Answers to grants, releases and probes are short.
 MAX_CALL_ANSWER_BYTES = 64 * 1024
+# Ids of calls begin with as many random bytes, and differ from all other ids.
+CALL_PREFIX_BYTES = 6
 OK = 200
 CONFLICT = 409
 MISDIRECTED = 421
@@ -83,12 +86,13 @@
             connections_per_address=connections,
             idle_time_s=IDLE_TIME_S,
             connect_time_s=CONNECT_TIME_S,
+            connection=ConnectionSettings(identifying_header=names.REQUEST_ID),
         )
-        identified = ConnectionSettings(identifying_header=names.REQUEST_ID)
-        self._pool = Pool(replace(settings, connection=identified))
-        # A second pool: a late extra answer to a request must not be read as the
-        # answer to a call.
+        self._pool = Pool(settings)
+        # Calls do not wait for connections that requests use.
         self._calls = Pool(settings)
+        self._call_prefix = secrets.token_hex(CALL_PREFIX_BYTES)
+        self._call_numbers = itertools.count(1)
         self._buffers = BodyBuffers(ANSWER_BUDGET_BYTES)
 
     async def grant(self, keys: KeyRange, hold_s: float, timeout_s: float) -> None:
@@ -187,9 +191,17 @@
     async def _call(
         self, path: bytes, body: dict[str, object] | None, timeout_s: float
     ) -> Response:
-        """Makes a call, as POST if it has a body, and reads its whole answer."""
+        """Makes a call, as POST if it has a body, and reads its whole answer.
+
+        Each call has an id. The answers of an upstream that does not echo it can't be
+        told apart; each of its calls then gets a connection of its own.
+        """
         method, encoded = b"GET", b""
-        headers = [(b"host", str(self._address).encode("ascii"))]
+        call_id = f"{self._call_prefix}{next(self._call_numbers):x}"
+        headers = [
+            (b"host", str(self._address).encode("ascii")),
+            (names.REQUEST_ID, call_id.encode("ascii")),
+        ]
         if body is not None:
             method, encoded = b"POST", msgspec.json.encode(body)
             headers.append((b"content-type", b"application/json"))
