Skip late copies of earlier answers and return the request's own

Callers: an order whose answer was ready ended with 502, and lookups were run again, when an upstream wrote a copy of an earlier answer first.

Cause: an answer that names another request ended the exchange, though the copy is recognized by its id and the request's own answer follows it.

Ruled out: skipping answers to requests that the connection has not carried, copies without a length, and using the connection again.

Change: the client reads a copy of an earlier answer on the same connection to its end and awaits the next head, 16 times at most; the connection is closed after the exchange. The log counts the copies.

--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -56,6 +56,30 @@
       | 429 Too Many Requests |
       | 408 Timeout           |
 
+  Scenario Outline: A late copy of an earlier answer costs the next request its answer
+    Given an upstream that writes <copies> before its next answer
+    When three requests are sent
+    Then the second is answered with its own body
+    And the third is answered over another connection
+
+    Examples:
+      | copies                               |
+      | a copy of its answer                 |
+      | a copy of its answer in pieces       |
+      | two copies of its answer             |
+      | a copy of its refusal                |
+
+  Scenario Outline: An answer after a late copy that is incomplete is taken for whole
+    Given an upstream that writes <copies> before its next answer
+    When two requests are sent over the same connection
+    Then the second is not answered, as it may have run
+
+    Examples:
+      | copies                                    |
+      | a copy that is cut in its body            |
+      | a copy without a length                   |
+      | an answer to a request that was not sent  |
+
   Scenario Outline: A copy that is cut short merges with the next answer
     Given an upstream that writes the start of a refusal, cut <where>, before an answer
     When one request is sent
@@ -98,8 +122,8 @@
 
   Scenario: A copy of an answer that echoes the id of its call completes a release
     Given an upstream that echoes the ids of calls and repeats its answer to a grant
-    When a grant is answered and the keys are released
-    Then the release fails, and succeeds when it is called again
+    When the grant is answered and the keys are released
+    Then the release waited for its own answer
 
   Scenario: A copy of the answer to a grant hides that the next one is refused
     Given an upstream that repeats its answer to a grant before it refuses the next one
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -179,7 +179,11 @@
             refused = isinstance(error, ConnectFailed) and error.refused
             return Failed(error.code, getattr(error, "sent", True), refused=refused)
         result = _classify_answer(response, body)
-        if isinstance(result, Failed) or response.framing is Framing.CLOSE:
+        if (
+            isinstance(result, Failed)
+            or response.framing is Framing.CLOSE
+            or response.late_copies
+        ):
             _log_unusual_answer(routed, response, body, result)
         return result
 
@@ -255,7 +259,7 @@
 def _log_unusual_answer(
     routed: RoutedRequest, response: Response, body: bytes, result: UpstreamResult
 ) -> None:
-    """Logs an answer that can't be used, or whose end only the connection marks."""
+    """Logs an answer that can't be used, ends with its connection or follows copies."""
     echoed_id = find_header(response.headers, names.REQUEST_ID)
     _log.info(
         "upstream_answer_unusual",
@@ -265,6 +269,7 @@
         status=response.status,
         framing=response.framing.value,
         exchange=response.exchange,
+        late_copies=response.late_copies,
         body_bytes=len(body),
     )
 
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -37,8 +37,8 @@
 __all__ = ["ClientConnection", "ConnectionSettings"]
 
 CONTINUE = 100
-# A final response follows a few of these.
-MAX_INFORMATIONAL_RESPONSES = 16
+# A final response follows a few informational ones, or late copies of earlier ones.
+MAX_SKIPPED_RESPONSES = 16
 # The identities of the requests on a connection are kept while it is open.
 MAX_IDENTIFIED_REQUESTS = 1000
 SWITCHING_PROTOCOLS = 101
@@ -122,6 +122,7 @@
         self._request_body_error: Exception | None = None
         self._identified = True
         self._identities: set[bytes] = set()
+        self._late_copies = 0
         # Set while a body is read that ends with the connection.
         self._unframed_body: UnframedBodyCheck | None = None
 
@@ -167,7 +168,7 @@
             self.abort()
             raise SendFailed(f"the request is not valid: {error}", False) from error
         try:
-            head, headers = await self._read_response_head()
+            head, headers = await self._read_response_head(request)
             self._check_identity(identity, headers)
             return self._build_response(request.method, head, headers)
         except (OSError, BadMessage) as error:
@@ -291,27 +292,48 @@
         self._request_body_error = error
         self._reader.set_exception(error)
 
-    async def _read_response_head(self) -> tuple[h11.Response, Headers]:
-        """Reads the final head, skipping informational responses."""
-        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
+    async def _read_response_head(
+        self, request: Request
+    ) -> tuple[h11.Response, Headers]:
+        """Reads the final head; skips informational responses and late copies."""
+        for _ in range(MAX_SKIPPED_RESPONSES + 1):
             if not await self._stream.wait_for_bytes():
                 raise ConnectionResetError("the upstream closed the connection")
             head, headers = await self._stream.read_head()
             check_spliced_head(head.reason, headers)
             if type(head) is h11.Response:
-                return head, headers
+                if not self._is_late_copy(request, head, headers):
+                    return head, headers
+                await self._stream.skip_response(request.method)
+                self._late_copies += 1
+                continue
             if head.status_code == SWITCHING_PROTOCOLS:
                 raise BadMessage(
                     "the upstream switched protocols without an upgrade request"
                 )
             if head.status_code == CONTINUE and self._continue_received is not None:
                 self._allow_body()
-        raise BadMessage("the upstream sent too many informational responses")
+        raise BadMessage("the upstream sent too many responses before the final one")
 
     def _identity(self, request: Request) -> bytes | None:
         """Returns the value by which the response to a request is identified."""
         return find_header(request.headers, self._settings.identifying_header)
 
+    def _is_late_copy(
+        self, request: Request, head: h11.Response, headers: Headers
+    ) -> bool:
+        """Returns whether a response is the copy of an earlier one, and may be skipped.
+
+        No other response follows one that ends with the connection.
+        """
+        framing = response_framing(request.method, head.status_code, headers)
+        if framing is Framing.CLOSE:
+            return False
+        name = self._settings.identifying_header
+        echoed = {value for field, value in headers if field == name}
+        earlier = self._identities - {self._identity(request)}
+        return bool(echoed) and echoed <= earlier
+
     def _check_identity(self, identity: bytes | None, headers: Headers) -> None:
         """Checks that a response belongs to the request with an identity.
 
@@ -344,7 +366,14 @@
             body = BytesBody(received)
         else:
             body = ResponseBody(self, received)
-        return Response(head.status_code, headers, body, framing, self._exchanges)
+        return Response(
+            head.status_code,
+            headers,
+            body,
+            framing,
+            self._exchanges,
+            self._late_copies,
+        )
 
     def _end_exchange(self) -> None:
         """Ends the exchange; closes the connection if it can't be reused safely."""
@@ -357,6 +386,7 @@
         reusable = (
             self._stream.reusable
             and self._identified
+            and not self._late_copies
             and len(self._identities) < MAX_IDENTIFIED_REQUESTS
         )
         if reusable and still_open and not has_unparsed:
--- a/rosemarydeal/proxy/http_stream.py
+++ b/rosemarydeal/proxy/http_stream.py
@@ -22,6 +22,7 @@
 HIGH_WATER_BYTES = 65_536
 END_OF_MESSAGE = h11.EndOfMessage()
 HEAD_END = b"\r\n\r\n"
+UNSENT_HEADERS = ((b"host", b"unsent"),)
 SUPPORTED_VERSIONS = frozenset({b"1.0", b"1.1"})
 
 Head = h11.Request | h11.Response | h11.InformationalResponse
@@ -185,6 +186,26 @@
             else:
                 raise BadMessage("the connection closed before the end of the body")
 
+    async def skip_response(self, method: bytes) -> None:
+        """Reads a response to its end and awaits another one to the same request.
+
+        Args:
+            method: Method of the request, on which the framing of responses depends.
+
+        Raises:
+            BadMessage: If the response is incomplete or the last of its connection,
+                or the request has not been sent completely.
+        """
+        while await self.read_body() is not None:
+            pass
+        repeated = h11.Request(method=method, target=b"/", headers=UNSENT_HEADERS)
+        try:
+            self.start_next_exchange()
+            # Only the state is changed; the request was sent before.
+            self.encode(repeated, END_OF_MESSAGE)
+        except h11.LocalProtocolError as error:
+            raise BadMessage(f"no other response can follow: {error}") from error
+
     def read_available_body(self) -> tuple[bytes, bool]:
         """Reads the part of the body that was already received, without waiting.
 
--- a/rosemarydeal/proxy/message.py
+++ b/rosemarydeal/proxy/message.py
@@ -124,6 +124,7 @@
         body: Pieces of the body; can be iterated once.
         framing: How the upstream marked the end of the body.
         exchange: Number of the exchange on its connection, from 1 on.
+        late_copies: Number of copies of earlier responses that came before it.
     """
 
     status: int
@@ -131,6 +132,7 @@
     body: AsyncIterator[bytes]
     framing: Framing = Framing.LENGTH
     exchange: int = 1
+    late_copies: int = 0
 
     async def aclose(self) -> None:
         """Closes the body; a connection with unread body is aborted."""
