Refuse a body whose end another response has filled

Cause: an answer broke off before its length was reached, and the connection stayed open; the copy of an earlier answer, or its own second copy, was read as the rest of the body.

Evidence: 'A copy fills the rest of an answer that broke off' returned Answered(200) with the copy in the body in 5 of 5 examples. Ruled out: refusing every body with a status line, as a document may quote one ('A body that quotes another response'); refusing an answer with bytes behind it, which is the usual second copy.

--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -56,6 +56,24 @@
       | 429 Too Many Requests |
       | 408 Timeout           |
 
+  Scenario Outline: A copy fills the rest of an answer that broke off
+    Given an upstream that breaks an answer <framing> off and then writes <copy>
+    When two requests are sent over the same connection
+    Then the second is not answered, as it may have run
+
+    Examples:
+      | framing          | copy                                            |
+      | with a length    | a copy of an earlier answer, which just fits    |
+      | with a length    | a copy of an earlier answer, which is longer    |
+      | with a length    | its second copy                                 |
+      | with a length    | its second copy, cut where the body ends        |
+      | with chunks      | a copy of an earlier answer, which just fits    |
+
+  Scenario: A body that quotes another response is refused
+    Given an upstream whose answer's body is the text of another response
+    When one request is sent
+    Then it is answered with the text
+
   Scenario Outline: A late copy of an earlier answer costs the next request its answer
     Given an upstream that writes <copies> before its next answer
     When three requests are sent
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -22,6 +22,8 @@
 
 BODY = b"the body of the answer"
 OTHER_BODY = b"another body"
+# An answer to a request that the connection has not carried.
+FOREIGN_TEXT = b"an example:" + an_answer("r9", BODY)
 KEYS = KeyRange(0, 9, "n", "l", 1)
 OTHER_KEYS = KeyRange(10, 19, "n", "l", 2)
 HOLD_S = 4.0
@@ -96,6 +98,49 @@
     context.upstream = ScriptedUpstream([[answer]])
 
 
+LONG_BODY = b"the start of a long body, " + b"x" * 40
+LONG_FIRST = an_answer("r1", LONG_BODY)
+
+
+def broken_off(filler, extra=b"", chunked=False):
+    """Returns an answer to r2 of which a filler takes the place of the last part."""
+    body = LONG_BODY[:26]
+    framing = b"Content-Length: %d" % len(body + filler)
+    if chunked:
+        framing = b"Transfer-Encoding: chunked"
+        body = b"%x\r\n" % len(body + filler) + body
+        extra = b"\r\n0\r\n\r\n" + extra
+    head = an_answer("r2", framed=False, headers=(framing,))
+    return [head + body, PAUSE, filler + extra]
+
+
+SECOND_COPY = an_answer("r2", LONG_BODY)
+BROKEN_OFF = {
+    "a copy of an earlier answer, which just fits": (LONG_FIRST, b""),
+    "a copy of an earlier answer, which is longer": (LONG_FIRST[:20], LONG_FIRST[20:]),
+    "its second copy": (SECOND_COPY, b""),
+    "its second copy, cut where the body ends": (SECOND_COPY[:50], SECOND_COPY[50:]),
+}
+
+
+@given("an upstream that breaks an answer {framing} off and then writes {copy}")
+def step_broken_off(context, framing, copy):
+    filler, extra = BROKEN_OFF[copy]
+    parts = broken_off(filler, extra, framing == "with chunks")
+    context.upstream = ScriptedUpstream([[LONG_FIRST], parts])
+
+
+@given("an upstream whose answer's body is the text of another response")
+def step_text(context):
+    context.upstream = ScriptedUpstream([[an_answer("r1", FOREIGN_TEXT)]])
+
+
+@then("it is answered with the text")
+def step_text_answered(context):
+    result = context.results[-1]
+    assert isinstance(result, Answered) and result.body == FOREIGN_TEXT, result
+
+
 SECOND = an_answer("r2", OTHER_BODY)
 THIRD = an_answer("r3", OTHER_BODY)
 EARLIER_COPIES = {
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -11,7 +11,7 @@
 
 from rosemarydeal.core import Address
 
-from .embedded_heads import UnframedBodyCheck, check_spliced_head
+from .embedded_heads import BodyCheck, check_spliced_head
 from .errors import (
     BadMessage,
     ForeignResponse,
@@ -123,8 +123,7 @@
         self._identified = True
         self._identities: set[bytes] = set()
         self._late_copies = 0
-        # Set while a body is read that ends with the connection.
-        self._unframed_body: UnframedBodyCheck | None = None
+        self._body_check: BodyCheck | None = None
 
     @property
     def address(self) -> Address:
@@ -138,6 +137,13 @@
             return True
         return self._exchanges > 0 and bool(self._poll.poll(0))
 
+    @property
+    def _has_further_bytes(self) -> bool:
+        """Returns whether more than the exchange's bytes were received."""
+        return self._stream.has_unparsed_bytes or (
+            self._protocol.received_bytes != self._stream.consumed_bytes
+        )
+
     def has_carried(self, request: Request) -> bool:
         """Returns whether a request with the identity of this one was sent here."""
         return self._identity(request) in self._identities
@@ -190,8 +196,7 @@
         """
         try:
             piece = await self._stream.read_body()
-            if self._unframed_body is not None:
-                self._unframed_body.check(piece)
+            self._check_body(piece or b"", piece is None)
         except (OSError, BadMessage) as error:
             failure = self._translate_error(error)
             self.abort()
@@ -357,10 +362,13 @@
         framing = response_framing(method, head.status_code, headers)
         headers = strip_hop_by_hop(headers)
         received, complete = self._stream.read_available_body()
-        self._unframed_body = None
-        if framing is Framing.CLOSE:
-            self._unframed_body = UnframedBodyCheck(head.status_code in SUCCESSES)
-            self._unframed_body.check(received)
+        self._body_check = BodyCheck(
+            framing,
+            head.status_code in SUCCESSES,
+            self._settings.identifying_header,
+            self._identities,
+        )
+        self._check_body(received, complete)
         if complete:
             self._end_exchange()
             body = BytesBody(received)
@@ -379,9 +387,6 @@
         """Ends the exchange; closes the connection if it can't be reused safely."""
         self._cancel_tasks()
         self._in_exchange = False
-        has_unparsed = self._stream.has_unparsed_bytes or (
-            self._protocol.received_bytes != self._stream.consumed_bytes
-        )
         still_open = not self._reader.at_eof() and not self._writer.is_closing()
         reusable = (
             self._stream.reusable
@@ -389,11 +394,17 @@
             and not self._late_copies
             and len(self._identities) < MAX_IDENTIFIED_REQUESTS
         )
-        if reusable and still_open and not has_unparsed:
+        if reusable and still_open and not self._has_further_bytes:
             self._protocol.notify_idle()
         else:
             self.abort()
 
+    def _check_body(self, piece: bytes, complete: bool) -> None:
+        """Checks a piece of the response's body, and its end after the last one."""
+        self._body_check.check(piece)
+        if complete:
+            self._body_check.check_end(self._has_further_bytes)
+
     def _allow_body(self) -> None:
         """Starts sending the body after a 100 response."""
         if not self._continue_received.done():
--- a/rosemarydeal/proxy/embedded_heads.py
+++ b/rosemarydeal/proxy/embedded_heads.py
@@ -1,22 +1,28 @@
 """Detects the head of another response among the bytes of a response.
 
 Load pattern: faulty upstreams that write a response twice, or a copy of an earlier one
-late. A body that ends with its connection would then contain the copy.
+late. A body that ends with its connection would then contain the copy, the copy would
+fill the rest of a body that broke off, and a copy that is cut short would merge with
+the head that follows.
 """
 
 from __future__ import annotations
 
 import re
+from collections.abc import Set
 
 from .errors import BadMessage
-from .message import Headers
+from .message import Framing, Headers
 
-__all__ = ["UnframedBodyCheck", "check_spliced_head"]
+__all__ = ["BodyCheck", "check_spliced_head"]
 
+VERSION = b"HTTP/1."
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
 STATUS_LINE_BYTES = 12
 # A copy that was cut short as well; shorter starts are common at the end of a text.
 STATUS_LINE_START = re.compile(rb"HTTP/(1(\.([01]( ([1-5][0-9]?)?)?)?)?)?\Z")
+# Longest line that names a request, of which a piece may hold only a part.
+IDENTITY_LINE_BYTES = 512
 
 
 def check_spliced_head(reason: bytes, headers: Headers) -> None:
@@ -31,36 +37,74 @@
             raise BadMessage("the head contains the head of another response")
 
 
-class UnframedBodyCheck:
-    """Checks the pieces of a body whose end only the end of the connection marks."""
+class BodyCheck:
+    """Checks the pieces of a body for the head of another response.
 
-    def __init__(self, success: bool) -> None:
+    A body that ends with its connection must not contain a status line. Any other body
+    may, unless the line is followed by the identity of a request of the connection, or
+    the body by further bytes: what ends the body is then a part of the copy.
+    """
+
+    def __init__(
+        self,
+        framing: Framing,
+        success: bool,
+        identifying_header: bytes,
+        identities: Set[bytes],
+    ) -> None:
         """Creates a check that has seen no piece.
 
         Args:
+            framing: How the end of the body is known.
             success: Whether the response's status is that of a success.
+            identifying_header: Header that names the request of a response, or empty.
+            identities: Values of that header that the connection has carried.
         """
-        self._needs_body = success
+        self._unframed = framing is Framing.CLOSE
+        self._needs_body = self._unframed and success
+        self._identifying_header = identifying_header
+        self._identities = identities
         self._tail = b""
+        self._has_status_line = False
 
-    def check(self, piece: bytes | None) -> None:
-        """Checks the next piece of the body, or its end.
+    def check(self, piece: bytes) -> None:
+        """Checks the next piece of the body.
 
         Raises:
-            BadMessage: A status line has begun, in part or as a whole; or the body
-                of a success is empty, as the upstream may have stopped after the head.
+            BadMessage: It contains bytes of another response.
         """
-        if piece is None:
-            self._check_end()
+        if not piece:
             return
+        self._needs_body = False
         searched = self._tail + piece
-        if STATUS_LINE.search(searched):
+        if VERSION in searched and STATUS_LINE.search(searched):
+            self._has_status_line = True
+        if self._has_status_line and (self._unframed or self._names_request(searched)):
             raise BadMessage("the body contains the head of another response")
-        self._tail = searched[1 - STATUS_LINE_BYTES :]
+        kept = IDENTITY_LINE_BYTES if self._has_status_line else STATUS_LINE_BYTES - 1
+        self._tail = searched[-kept:]
+
+    def check_end(self, bytes_follow: bool) -> None:
+        """Checks the end of the body.
+
+        Args:
+            bytes_follow: Whether the connection has received more than the body.
 
-    def _check_end(self) -> None:
-        """Checks that the body does not end too early."""
-        if STATUS_LINE_START.search(self._tail):
-            raise BadMessage("the body ends with the start of another response")
-        if self._needs_body and not self._tail:
+        Raises:
+            BadMessage: The body ends within another response; or it is that of a
+                success, has no length and is empty, as the upstream may have stopped
+                after the head.
+        """
+        has_start = self._has_status_line or STATUS_LINE_START.search(self._tail)
+        if has_start and (self._unframed or bytes_follow):
+            raise BadMessage("the body ends within another response")
+        if self._needs_body:
             raise BadMessage("a success without a length ended after its head")
+
+    def _names_request(self, searched: bytes) -> bool:
+        """Returns whether bytes name a request that the connection has carried."""
+        if not self._identifying_header:
+            return False
+        name = re.escape(self._identifying_header)
+        named = re.findall(rb"(?i)\n" + name + rb":[ \t]*([^\r\n]*)\r", searched)
+        return not self._identities.isdisjoint(named)
