Add a scenario for a second answer with a body of its own

Callers: a success whose body is not the upstream's (MIXED), as the users reported it.

Ruled out: a copy byte for byte as the only form.

Change: a scenario of two examples.

--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -35,6 +35,16 @@
     When r1 is sent twice, one after the other
     Then the second attempt ends with its own answer
 
+  Scenario Outline: A second answer with another body is returned for the next attempt
+    Given an upstream that <answers> r1, and answers it again while it runs again
+    When r1 is sent twice, one after the other
+    Then the second attempt ends with its own answer
+
+    Examples:
+      | answers |
+      | fails   |
+      | refuses |
+
   Scenario: The next attempt of a request waits in vain for a connection that it may use
     Given an upstream that accepts one connection and repeats a refusal of r1
     When r1 is sent twice, one after the other
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -78,10 +78,16 @@
     copies_first(context, a_refusal("r1"), limit=1)
 
 
-def copies_first(context, first, **settings):
+@given("an upstream that {answers} r1, and answers it again while it runs again")
+def step_answered_again(context, answers):
+    first = {"fails": an_answer("r1", b"", b"500 Failed"), "refuses": a_refusal("r1")}
+    copies_first(context, first[answers], an_answer("r1", b"ok"))
+
+
+def copies_first(context, first, second=None, **settings):
     """Prepares an upstream that answers with bytes, and then with a copy first."""
     context.upstream = ScriptedUpstream(
-        [[first], [first, PAUSE, FIRST]], [[PAUSE, FIRST]], **settings
+        [[first], [second or first, PAUSE, FIRST]], [[PAUSE, FIRST]], **settings
     )
 
 
