Reuse the daemon's connections only after an answer that names its order

Cause: the daemon's guard matched an answer to an order by its place on the connection; the protocol with upstreams had nothing that names an answer. Upstreams that do not return the header keep working and get a connection for each order; the guard no longer counts those as free, so that the limit of new connections holds for them. The stand-in upstream returns the header. Ruled out: keeping the connection of an upstream that names nothing and closing it after failures only: a copy follows successful answers as well.

--- /dev/null
+++ b/features/answers_elsewhere.feature
@@ -0,0 +1,29 @@
+Feature: Answers at the daemon, its clients and its callers are their own and whole
+
+  Scenario Outline: A late copy of an upstream's answer answers the daemon's next order
+    Given an upstream of the daemon that repeats <answer> before it answers the next order
+    When the guard serves two orders one after the other
+    Then the second ends with its own answer or as unknown
+
+    Examples:
+      | answer                            |
+      | its answer                        |
+      | its refusal                       |
+      | its answer that names no order    |
+      | its refusal that names no order   |
+
+  Scenario: A late copy of a refusal denies the daemon's order that is sent again
+    Given an upstream of the daemon that repeats a refusal while the order runs
+    When the guard serves the order twice, one after the other
+    Then the second attempt ends with the order's own answer
+
+  Scenario: Orders of an upstream that names them share a connection
+    Given an upstream of the daemon that names each order in its answer
+    When the guard serves two orders one after the other
+    Then both end with their own answers over one connection
+
+  Scenario: Closed connections to an upstream that names no order count as free
+    Given an upstream of the daemon that names no order in its answers
+    When the guard serves two orders one after the other
+    Then both end with their own answers over two connections
+    And the guard counts no free connection
--- /dev/null
+++ b/features/builders_daemon.py
@@ -0,0 +1,79 @@
+"""Builders of parts of the daemon beside servers that write prepared bytes."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+
+from features.builders_proxy import raw_upstream
+from features.builders_proxy import request as a_request
+from features.builders_stutter import ScriptedUpstream
+from rosemarydeal.core.clock import now
+from rosemarydeal.daemon.classify import RequestDetails, request_fingerprint
+from rosemarydeal.daemon.guard import GuardHooks, GuardTask
+from rosemarydeal.policy import guard
+
+DEADLINE_S = 2.0
+
+
+def an_answer(request_id, body=b"", status=b"200 OK", headers=()):
+    """Returns the bytes of an answer that names a request, unless the id is empty."""
+    lines = [b"HTTP/1.1 " + status, *headers]
+    if request_id:
+        lines.append(b"Idempotency-Key: " + request_id.encode())
+    lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join([*lines, b"", body])
+
+
+def a_refusal(request_id):
+    """Returns the bytes of an answer that states that a request has not run."""
+    not_run = b"Rosemarydeal-Outcome: not-run"
+    return an_answer(request_id, b"", b"503 Full", (not_run,))
+
+
+class ScriptedServer(ScriptedUpstream):
+    """Writes prepared bytes to the parts of the daemon and to its clients."""
+
+    @asynccontextmanager
+    async def listen(self):
+        """Runs the server; yields its address."""
+        async with raw_upstream(self._serve) as address:
+            yield address
+
+    @asynccontextmanager
+    async def guard(self, **settings):
+        """Runs the server as an upstream; yields its guard."""
+        async with self.listen() as address:
+            task = a_guard(address, **settings)
+            try:
+                yield task
+            finally:
+                await task.close()
+
+
+def a_guard(address, **settings):
+    """Builds the guard of an upstream that has started and is warm."""
+    hooks = GuardHooks(
+        may_admit=lambda: True,
+        slice_ownership=lambda _: None,
+        on_idle=lambda _: None,
+        on_connect_failed=lambda: None,
+        on_suspects=lambda _: None,
+        on_ledger=lambda _: None,
+    )
+    task = GuardTask(guard.GuardSettings(**settings), address, hooks)
+    task.post(guard.UpstreamStarted(False))
+    return task
+
+
+def an_order(request_id, body=b"", idempotent=False, deadline_s=DEADLINE_S):
+    """Builds the arguments with which a guard serves a request without a key."""
+    request = a_request(b"POST", b"/orders", body)
+    deadline = now() + deadline_s
+    fingerprint = request_fingerprint(request, "", body)
+    arrived = guard.RequestArrived(
+        0, request_id, fingerprint, "", None, idempotent, deadline
+    )
+    details = RequestDetails(
+        "", "", "", None, request_id, False, None, idempotent, deadline, None, 0
+    )
+    return request, arrived, details
--- /dev/null
+++ b/features/steps/answers_elsewhere_steps.py
@@ -0,0 +1,110 @@
+"""Steps for answers of other servers than the platform's upstream."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from features.builders_daemon import ScriptedServer, a_refusal, an_answer, an_order
+from features.builders_stutter import PAUSE
+from rosemarydeal.core import Unknown
+from rosemarydeal.daemon.guard import NoAnswer
+from rosemarydeal.proxy import read_bytes
+
+BODY_LIMIT = 1 << 16
+OWN_BODY = b"the answer to the second"
+FIRST = an_answer("o1", b"the answer to the first")
+SECOND = an_answer("o2", OWN_BODY)
+REPEATED = {
+    "its answer": FIRST,
+    "its refusal": a_refusal("o1"),
+    "its answer that names no order": an_answer("", b"the answer to the first"),
+    "its refusal that names no order": a_refusal(""),
+}
+
+
+def serve_orders(context, *request_ids):
+    """Has a guard serve orders one after the other; keeps the replies."""
+
+    async def go():
+        replies = []
+        async with context.server.guard() as guard:
+            for request_id in request_ids:
+                reply = await guard.serve(*an_order(request_id))
+                if not isinstance(reply, NoAnswer):
+                    body = await read_bytes(reply.body, BODY_LIMIT)
+                    reply = (reply.status, body)
+                replies.append(reply)
+            context.free_connections = guard.state.admission.idle
+        return replies
+
+    context.replies = asyncio.run(go())
+
+
+def is_unknown(reply):
+    return isinstance(reply, NoAnswer) and isinstance(reply.outcome, Unknown)
+
+
+@given(
+    "an upstream of the daemon that repeats {answer} before it answers the next order"
+)
+def step_repeats(context, answer):
+    copy = REPEATED[answer]
+    context.server = ScriptedServer([[copy], [copy, PAUSE, SECOND]], [[SECOND]])
+
+
+@given("an upstream of the daemon that repeats a refusal while the order runs")
+def step_repeats_refusal(context):
+    refusal, answer = a_refusal("o1"), an_answer("o1", OWN_BODY)
+    context.server = ScriptedServer([[refusal], [refusal, PAUSE, answer]], [[answer]])
+
+
+@given("an upstream of the daemon that names each order in its answer")
+def step_names_orders(context):
+    context.server = ScriptedServer([[FIRST], [SECOND]])
+
+
+@given("an upstream of the daemon that names no order in its answers")
+def step_names_none(context):
+    answers = [an_answer("", body) for body in (b"the first", OWN_BODY)]
+    context.server = ScriptedServer(*([[answer]] for answer in answers))
+
+
+@when("the guard serves two orders one after the other")
+def step_two_orders(context):
+    serve_orders(context, "o1", "o2")
+
+
+@when("the guard serves the order twice, one after the other")
+def step_order_twice(context):
+    serve_orders(context, "o1", "o1")
+
+
+@then("the second ends with its own answer or as unknown")
+def step_own_or_unknown(context):
+    reply = context.replies[1]
+    assert reply == (200, OWN_BODY) or is_unknown(reply), reply
+
+
+@then("the second attempt ends with the order's own answer")
+def step_own_answer(context):
+    assert context.replies[1] == (200, OWN_BODY), context.replies
+
+
+@then("both end with their own answers over one connection")
+def step_one_connection(context):
+    assert context.replies[1] == (200, OWN_BODY), context.replies
+    assert [number for number, _ in context.server.requests] == [0, 0]
+    assert context.free_connections == 1
+
+
+@then("both end with their own answers over two connections")
+def step_two_connections(context):
+    assert context.replies == [(200, b"the first"), (200, OWN_BODY)], context.replies
+    assert [number for number, _ in context.server.requests] == [0, 1]
+
+
+@then("the guard counts no free connection")
+def step_no_free_connection(context):
+    assert context.free_connections == 0
--- a/rosemarydeal/daemon/exchange.py
+++ b/rosemarydeal/daemon/exchange.py
@@ -10,6 +10,7 @@
 from rosemarydeal.core import SliceId, headers
 from rosemarydeal.policy import guard
 from rosemarydeal.proxy import (
+    ConnectionSettings,
     PoolSettings,
     ProxyError,
     Request,
@@ -19,7 +20,13 @@
     strip_hop_by_hop,
 )
 
-__all__ = ["pool_settings", "find_rejection", "stream_body", "upstream_request"]
+__all__ = [
+    "find_rejection",
+    "keeps_connection",
+    "pool_settings",
+    "stream_body",
+    "upstream_request",
+]
 
 MS_PER_S = 1000.0
 
@@ -92,7 +99,7 @@
     seconds = 0.0
     with contextlib.suppress(ValueError):
         seconds = max(0.0, float(retry_after))
-    return guard.UpstreamRejected(request_id, seconds)
+    return guard.UpstreamRejected(request_id, seconds, keeps_connection(response))
 
 
 def pool_settings(settings: guard.GuardSettings) -> PoolSettings:
@@ -100,4 +107,10 @@
     return PoolSettings(
         connections_per_address=settings.connections,
         idle_per_address=settings.connections,
+        connection=ConnectionSettings(identifying_header=headers.IDEMPOTENCY_KEY),
     )
+
+
+def keeps_connection(response: Response) -> bool:
+    """Returns whether a response names its request, so its connection is reused."""
+    return find_header(response.headers, headers.IDEMPOTENCY_KEY) is not None
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -38,7 +38,13 @@
 )
 
 from .classify import RequestDetails
-from .exchange import find_rejection, pool_settings, stream_body, upstream_request
+from .exchange import (
+    find_rejection,
+    keeps_connection,
+    pool_settings,
+    stream_body,
+    upstream_request,
+)
 from .loadmeter import UpstreamLoadMeter
 
 __all__ = ["GuardHooks", "GuardTask", "NoAnswer", "Reply"]
@@ -269,7 +275,11 @@
                 return rejection
             size = await self._read_answer(action, response)
         return guard.UpstreamAnswered(
-            action.request_id, response.status, size, now() - started
+            action.request_id,
+            response.status,
+            size,
+            now() - started,
+            keeps_connection(response),
         )
 
     def _run_until(self, action: guard.Dispatch) -> float | None:
@@ -283,6 +293,12 @@
 
     def _failure(self, request_id: str, error: ProxyError) -> guard.UpstreamFailed:
         """Returns the event for a connection error."""
+        _log.info(
+            "upstream_exchange_failed",
+            request_id=request_id,
+            code=error.code,
+            detail=error.detail,
+        )
         if isinstance(error, ConnectFailed):
             self._hooks.on_connect_failed()
         sent = getattr(error, "sent", True)
--- a/rosemarydeal/policy/admission.py
+++ b/rosemarydeal/policy/admission.py
@@ -108,7 +108,11 @@
 
 
 def record_answer(
-    admission: Admission, settings: GuardSettings, latency: float, share: float
+    admission: Admission,
+    settings: GuardSettings,
+    latency: float,
+    share: float,
+    connection_kept: bool,
 ) -> Admission:
     """Records an answer and adapts the limit to its latency."""
     at_limit = admission.running >= capacity(admission, settings, share)
@@ -135,19 +139,19 @@
     return replace(
         admission,
         running=admission.running - 1,
-        idle=admission.idle + 1,
+        idle=admission.idle + connection_kept,
         limit=max(1.0, limit),
         short_latency=short,
         long_latency=long,
     )
 
 
-def record_shed(admission: Admission) -> Admission:
-    """Records a request that the upstream shed; its connection stays open."""
+def record_shed(admission: Admission, connection_kept: bool) -> Admission:
+    """Records a request that the upstream shed."""
     return replace(
         admission,
         running=admission.running - 1,
-        idle=admission.idle + 1,
+        idle=admission.idle + connection_kept,
         limit=max(1.0, admission.limit * SHED_BACKOFF_FACTOR),
     )
 
--- a/rosemarydeal/policy/completions.py
+++ b/rosemarydeal/policy/completions.py
@@ -93,7 +93,7 @@
         return state, ()
     share = cold_share(state, now)
     counts = admission.record_answer(
-        state.admission, state.settings, event.latency, share
+        state.admission, state.settings, event.latency, share, event.connection_kept
     )
     cold = coldstart.record_latency(state.cold, state.settings, event.latency, now)
     server_error = event.status >= SERVER_ERROR_STATUS
@@ -147,7 +147,8 @@
     live = _running(state, event.request_id)
     if live is None:
         return state, ()
-    state = replace(state, admission=admission.record_shed(state.admission))
+    counts = admission.record_shed(state.admission, event.connection_kept)
+    state = replace(state, admission=counts)
     outcome = NotRun(SHED_CODE, "The upstream shed the request.", event.retry_after)
     return _finish_not_run(state, live, outcome, now)
 
--- a/rosemarydeal/policy/guard_interface.py
+++ b/rosemarydeal/policy/guard_interface.py
@@ -122,27 +122,36 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamAnswered:
-    """The whole answer was received, and its connection is free again.
+    """The whole answer was received.
 
     Attributes:
         request_id: The request that ran.
         status: HTTP status of the answer.
         size: Bytes of the answer, which the driver holds.
         latency: Seconds from the dispatch to the end of the answer.
+        connection_kept: Whether its connection is free again, not closed.
     """
 
     request_id: str
     status: int
     size: int
     latency: float
+    connection_kept: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class UpstreamRejected:
-    """The upstream shed the request and did not run it."""
+    """The upstream shed the request and did not run it.
+
+    Attributes:
+        request_id: The request.
+        retry_after: Seconds after which it is worth sending again.
+        connection_kept: Whether its connection is free again, not closed.
+    """
 
     request_id: str
     retry_after: float
+    connection_kept: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/standins/upstream.py
+++ b/rosemarydeal/standins/upstream.py
@@ -12,11 +12,12 @@
 import time
 import uuid
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
 from rosemarydeal.core import Address
+from rosemarydeal.core.headers import IDEMPOTENCY_KEY
 from rosemarydeal.proxy import (
     HttpLimits,
     HttpServer,
@@ -25,6 +26,7 @@
     bytes_response,
     find_header,
     read_bytes,
+    replace_header,
     serve,
 )
 
@@ -199,10 +201,10 @@
         """Runs a request unless it has to be rejected."""
         code = self._rejection_code(request)
         if code is not None:
-            return _not_run_response(code)
+            return _named(request, _not_run_response(code))
         self._running += 1
         try:
-            return await self._run(request, path)
+            return _named(request, await self._run(request, path))
         finally:
             self._running -= 1
 
@@ -233,7 +235,7 @@
         """Runs a request and counts it."""
         body = await read_bytes(request.body, MAX_BODY_BYTES)
         self._counts.requests += 1
-        request_id = find_header(request.headers, b"idempotency-key") or b""
+        request_id = find_header(request.headers, IDEMPOTENCY_KEY) or b""
         if request.method == b"POST":
             self._counts.runs[request_id.decode("latin-1")] += 1
         if POISON_MARKER in body:
@@ -261,6 +263,13 @@
         return bytes_response(500, b"")
 
 
+def _named(request: Request, response: Response) -> Response:
+    """Returns a response that names its request, as the protocol asks."""
+    request_id = find_header(request.headers, IDEMPOTENCY_KEY)
+    fields = replace_header(response.headers, IDEMPOTENCY_KEY, request_id)
+    return replace(response, headers=fields)
+
+
 def _not_run_response(code: bytes) -> Response:
     """Returns a rejection of a request that did not run."""
     headers = (
