Take no copy of another call's answer for a write's acknowledgement

What could happen: a late copy of the store's answer to an earlier write, or to a read, was taken for the acknowledgement of the next conditional write on the kept connection. The writer went on as if it owned a version that another writer had written (rows of slices, so two owners); a copy of one object's answer was read as another object. Cause: the client of the object API matched an answer to a call by its place on the connection; a status and a version of another answer were believed. Change: each call has an id that the answer returns (Call-Id). A foreign answer to a write counts as lost, and the object is read back as before. The stand-in platform returns the header. Ruled out: checking the version alone (expected + 1): another object's answer can have the same one, and reads have nothing to compare.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -27,3 +27,26 @@
     When the guard serves two orders one after the other
     Then both end with their own answers over two connections
     And the guard counts no free connection
+
+  Scenario Outline: A late copy of another call's answer is taken for a write's acknowledgement
+    Given a store that repeats its answer to a <call>, and names <named> in its answers
+    When the <call> is answered and an object is written that another writer has changed
+    Then the write is a conflict
+
+    Examples:
+      | call  | named    |
+      | write | no call  |
+      | read  | no call  |
+      | write | the call |
+      | read  | the call |
+
+  Scenario: A late copy of an object's answer is taken for another object
+    Given a store that repeats its answer before it answers the next read
+    When two objects are read one after the other
+    Then each read returns its own object
+
+  Scenario: Calls of a store that names them share a connection
+    Given a store that names the call in its answers
+    When two objects are read one after the other
+    Then each read returns its own object
+    And both calls went over one connection
--- a/features/builders_daemon.py
+++ b/features/builders_daemon.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from contextlib import asynccontextmanager
 
 from features.builders_proxy import raw_upstream
 from features.builders_proxy import request as a_request
-from features.builders_stutter import ScriptedUpstream
+from features.builders_stutter import PAUSE, ScriptedUpstream
 from rosemarydeal.core.clock import now
 from rosemarydeal.daemon.classify import RequestDetails, request_fingerprint
 from rosemarydeal.daemon.guard import GuardHooks, GuardTask
@@ -50,6 +51,56 @@
                 await task.close()
 
 
+class RepeatingServer:
+    """Repeats the last answer on a connection, late, before it writes the next one.
+
+    The answers are written in order, over whichever connections requests come. Each
+    returns a header of its request, if the header has a name.
+
+    Attributes:
+        connections: Number of connections that were opened.
+    """
+
+    def __init__(self, answers, named_by=b"", repeats=True):
+        self._answers = iter(answers)
+        self._named_by = named_by
+        self._repeats = repeats
+        self.connections = 0
+
+    @asynccontextmanager
+    async def listen(self):
+        """Runs the server; yields its address."""
+        async with raw_upstream(self._serve) as address:
+            yield address
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        previous = None
+        while True:
+            request = await read_request(reader)
+            if previous is not None and self._repeats:
+                writer.write(previous)
+                await asyncio.sleep(PAUSE)
+            previous = self._named(request, next(self._answers))
+            writer.write(previous)
+
+    def _named(self, request, answer):
+        """Returns an answer with the header of its request by which it is named."""
+        for line in request.split(b"\r\n"):
+            if self._named_by and line.lower().startswith(self._named_by + b":"):
+                return answer.replace(b"\r\n", b"\r\n" + line + b"\r\n", 1)
+        return answer
+
+
+async def read_request(reader):
+    """Reads a request whose head states the length of its body; returns the head."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            await reader.readexactly(int(line.partition(b":")[2]))
+    return head
+
+
 def a_guard(address, **settings):
     """Builds the guard of an upstream that has started and is warm."""
     hooks = GuardHooks(
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -6,10 +6,22 @@
 
 from behave import given, then, when
 
-from features.builders_daemon import ScriptedServer, a_refusal, an_answer, an_order
+from features.builders_daemon import (
+    RepeatingServer,
+    ScriptedServer,
+    a_refusal,
+    an_answer,
+    an_order,
+)
 from features.builders_stutter import PAUSE
 from rosemarydeal.core import Unknown
 from rosemarydeal.daemon.guard import NoAnswer
+from rosemarydeal.objects import (
+    PlatformClient,
+    PlatformConflict,
+    PlatformSettings,
+    PlatformUnavailable,
+)
 from rosemarydeal.proxy import read_bytes
 
 BODY_LIMIT = 1 << 16
@@ -108,3 +120,86 @@
 @then("the guard counts no free connection")
 def step_no_free_connection(context):
     assert context.free_connections == 0
+
+
+def an_object(version, change_id, value=b""):
+    """Returns the bytes of a store's answer with an object or its new version."""
+    headers = (b'ETag: "%d"' % version, b"Change-Id: " + change_id)
+    return an_answer("", value, headers=headers)
+
+
+CONFLICT = an_answer("", b"", b"412 Precondition Failed")
+CALL_ANSWERS = {"write": an_object(3, b"w1"), "read": an_object(3, b"w0", b"value")}
+NAMED = {"no call": b"", "the call": b"call-id"}
+
+
+def with_store_client(context, calls):
+    """Makes calls with a client of the scenario's store; returns their result."""
+
+    async def go():
+        async with context.server.listen() as address:
+            client = PlatformClient(PlatformSettings(address))
+            try:
+                return await calls(client)
+            finally:
+                await client.close()
+
+    return asyncio.run(go())
+
+
+@given("a store that repeats its answer to a {call}, and names {named} in its answers")
+def step_store_repeats(context, call, named):
+    # The write that conflicts is read back.
+    answers = [CALL_ANSWERS[call], CONFLICT, an_object(9, b"other", b"other")]
+    context.server = RepeatingServer(answers, NAMED[named])
+
+
+OBJECTS = [an_object(3, b"w0", b"value"), an_object(9, b"other", b"other")]
+
+
+@given("a store that repeats its answer before it answers the next read")
+def step_store_repeats_read(context):
+    context.server = RepeatingServer(OBJECTS)
+
+
+@given("a store that names the call in its answers")
+def step_store_names(context):
+    context.server = RepeatingServer(OBJECTS, b"call-id", repeats=False)
+
+
+@when("the {call} is answered and an object is written that another writer has changed")
+def step_call_and_write(context, call):
+    async def calls(client):
+        if call == "write":
+            await client.put("a", b"value", 2, "w1")
+        else:
+            await client.get("a")
+        try:
+            return await client.put("b", b"value", 2, "w2")
+        except (PlatformConflict, PlatformUnavailable) as error:
+            return error.code
+
+    context.result = with_store_client(context, calls)
+
+
+@then("the write is a conflict")
+def step_conflict(context):
+    assert context.result == "platform_conflict", context.result
+
+
+@when("two objects are read one after the other")
+def step_two_reads(context):
+    async def calls(client):
+        return [await client.get("a"), await client.get("b")]
+
+    context.result = with_store_client(context, calls)
+
+
+@then("each read returns its own object")
+def step_own_objects(context):
+    assert [found.value for found in context.result] == [b"value", b"other"]
+
+
+@then("both calls went over one connection")
+def step_shared_connection(context):
+    assert context.server.connections == 1
--- a/rosemarydeal/objects/client.py
+++ b/rosemarydeal/objects/client.py
@@ -2,13 +2,16 @@
 
 Each call has a timeout and counts against the process's call budget. When the
 response to a write is lost, the client reads the object back and compares the
-change id to determine the outcome; it never repeats a write blindly.
+change id to determine the outcome; it never repeats a write blindly. Each call
+has an id: a connection is reused only after a response that names its call, so that
+a late copy of a response is not taken for the response to a later call.
 """
 
 from __future__ import annotations
 
 import asyncio
 import time
+import uuid
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -17,6 +20,7 @@
 from rosemarydeal.core import Address, CodedError, Versioned
 from rosemarydeal.proxy import (
     BytesBody,
+    ConnectionSettings,
     Pool,
     PoolSettings,
     Request,
@@ -28,12 +32,13 @@
 from . import budget
 from .errors import PlatformConflict, PlatformError, PlatformUnavailable
 from .interface import Changes
-from .wire import ChangesBody
+from .wire import CALL_ID, ChangesBody
 
 __all__ = ["PlatformClient", "PlatformSettings"]
 
 MAX_LISTING_BYTES = 256 * 1024 * 1024
 WATCH_TIMEOUT_MARGIN_S = 2.0
+POOL = PoolSettings(connection=ConnectionSettings(identifying_header=CALL_ID))
 _CHANGES = msgspec.json.Decoder(ChangesBody)
 
 
@@ -69,7 +74,7 @@
 
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
-        self._pool = Pool(PoolSettings())
+        self._pool = Pool(POOL)
         self._budget = budget.start(
             settings.calls_per_s, settings.burst, time.monotonic()
         )
@@ -175,7 +180,7 @@
         request = Request(
             method,
             target.encode("ascii"),
-            (host, length, *headers),
+            (host, length, (CALL_ID, uuid.uuid4().hex.encode("ascii")), *headers),
             BytesBody(body),
             address,
         )
--- a/rosemarydeal/objects/wire.py
+++ b/rosemarydeal/objects/wire.py
@@ -1,4 +1,4 @@
-"""Defines the JSON bodies of the object API, as described in docs/PROTOCOL.md.
+"""Defines the bodies and headers of the object API, as described in docs/PROTOCOL.md.
 
 A watch is `GET /changes?prefix=A&prefix=B&after=REVISION&wait_s=SECONDS`. One
 call covers all of its prefixes and counts once. The response holds the latest
@@ -9,7 +9,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["ChangesBody", "ObjectBody"]
+__all__ = ["CALL_ID", "ChangesBody", "ObjectBody"]
+
+CALL_ID = b"call-id"
+"""Header with the id of a call, which its response returns."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/standins/platform.py
+++ b/rosemarydeal/standins/platform.py
@@ -9,13 +9,13 @@
 import asyncio
 import contextlib
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
 
 from rosemarydeal.core import Address
-from rosemarydeal.objects.wire import ChangesBody, ObjectBody
+from rosemarydeal.objects.wire import CALL_ID, ChangesBody, ObjectBody
 from rosemarydeal.proxy import (
     HttpLimits,
     HttpServer,
@@ -24,6 +24,7 @@
     bytes_response,
     find_header,
     read_bytes,
+    replace_header,
     serve,
 )
 
@@ -93,6 +94,13 @@
             self._server = None
 
     async def _handle(self, request: Request) -> Response:
+        """Answers one call; the response returns its id."""
+        response = await self._answer(request)
+        call_id = find_header(request.headers, CALL_ID)
+        fields = replace_header(response.headers, CALL_ID, call_id)
+        return replace(response, headers=fields)
+
+    async def _answer(self, request: Request) -> Response:
         """Routes one call to its handler."""
         self._calls[request.method.decode("ascii")] += 1
         url = urlsplit(request.target.decode("ascii"))
