Poll the daemon's upstream over a connection for each poll

What happened (scenario): a late copy of the answer about health was read as the answer about the load. The reported load was 0 on a busy upstream; a copy could as well report a failing upstream as healthy. Cause: both polls shared a kept connection, and nothing in their answers names the poll. Evidence: before, load=0.0 for an upstream with 6 of 8 slots in use. Change: a connection carries one poll.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -50,3 +50,8 @@
     When two objects are read one after the other
     Then each read returns its own object
     And both calls went over one connection
+
+  Scenario: A late copy of the answer about health is taken for the load
+    Given a busy upstream of the daemon that repeats its answer about its health
+    When its health and load are polled
+    Then its load is reported
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -15,6 +15,7 @@
 )
 from features.builders_stutter import PAUSE
 from rosemarydeal.core import Unknown
+from rosemarydeal.daemon import upstream
 from rosemarydeal.daemon.guard import NoAnswer
 from rosemarydeal.objects import (
     PlatformClient,
@@ -22,9 +23,11 @@
     PlatformSettings,
     PlatformUnavailable,
 )
+from rosemarydeal.policy.guard import UpstreamReported
 from rosemarydeal.proxy import read_bytes
 
 BODY_LIMIT = 1 << 16
+POLLED_S = 2.0
 OWN_BODY = b"the answer to the second"
 FIRST = an_answer("o1", b"the answer to the first")
 SECOND = an_answer("o2", OWN_BODY)
@@ -203,3 +206,34 @@
 @then("both calls went over one connection")
 def step_shared_connection(context):
     assert context.server.connections == 1
+
+
+@given("a busy upstream of the daemon that repeats its answer about its health")
+def step_busy(context):
+    load = b'{"running": 6, "slots": 8}'
+    context.server = RepeatingServer([an_answer(""), an_answer("", load)])
+
+
+@when("its health and load are polled")
+def step_polled(context):
+    async def go():
+        reported = asyncio.get_running_loop().create_future()
+
+        def on_event(event):
+            if isinstance(event, UpstreamReported):
+                reported.set_result(event)
+
+        async with context.server.listen() as address:
+            task = upstream.UpstreamTask(address, on_event, lambda: None)
+            task.announce(upstream.Announcement("life"))
+            polls = asyncio.create_task(task.run())
+            context.report = await asyncio.wait_for(reported, POLLED_S)
+            polls.cancel()
+            await asyncio.gather(polls, return_exceptions=True)
+
+    asyncio.run(go())
+
+
+@then("its load is reported")
+def step_load_reported(context):
+    assert context.report.healthy and context.report.load == 0.75, context.report
--- a/rosemarydeal/daemon/upstream.py
+++ b/rosemarydeal/daemon/upstream.py
@@ -31,7 +31,9 @@
 UNRESPONSIVE_S = 3.0
 POLL_TIMEOUT_S = 1.0
 MAX_REPORT_BYTES = 65_536
-POLL_POOL = PoolSettings(connections_per_address=2, idle_per_address=1)
+# Nothing in these answers names the poll, so a connection is not used twice: a late
+# copy of one answer would be taken for the next.
+POLL_POOL = PoolSettings(connections_per_address=2, idle_per_address=0)
 
 _log = structlog.get_logger()
 
