Run the order that arrived, not a rejected one with the same id

What callers saw (scenario): an order that reached the guard with the id of one that had been rejected from the queue in the same turn of the event loop ran with the content of the rejected one and got its answer; it was recorded under the fingerprint of the new one. Cause: the guard kept the request under its id until the task of the rejected caller ran again, and a new request with the id did not replace it. For a body that is streamed, that is the body of another caller's connection. Change: a request replaces the kept one unless the policy has a live request with its id; repeats of a live request still join it, and a request with other content is still refused as request-id-conflict.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -55,3 +55,8 @@
     Given a busy upstream of the daemon that repeats its answer about its health
     When its health and load are polled
     Then its load is reported
+
+  Scenario: The answer to a rejected order is returned for another order with its id
+    Given an upstream of the daemon that returns what it is sent
+    When an order with the id of one that has just been rejected reaches the guard
+    Then it ends with the answer to its own content
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -9,12 +9,14 @@
 from features.builders_daemon import (
     RepeatingServer,
     ScriptedServer,
+    a_guard,
     a_refusal,
     an_answer,
     an_order,
 )
+from features.builders_proxy import running_server
 from features.builders_stutter import PAUSE
-from rosemarydeal.core import Unknown
+from rosemarydeal.core import NotRun, Unknown
 from rosemarydeal.daemon import upstream
 from rosemarydeal.daemon.guard import NoAnswer
 from rosemarydeal.objects import (
@@ -23,14 +25,16 @@
     PlatformSettings,
     PlatformUnavailable,
 )
-from rosemarydeal.policy.guard import UpstreamReported
-from rosemarydeal.proxy import read_bytes
+from rosemarydeal.policy.guard import UpstreamGone, UpstreamReported, UpstreamStarted
+from rosemarydeal.proxy import bytes_response, read_bytes
 
 BODY_LIMIT = 1 << 16
 POLLED_S = 2.0
 OWN_BODY = b"the answer to the second"
 FIRST = an_answer("o1", b"the answer to the first")
 SECOND = an_answer("o2", OWN_BODY)
+# Longer than the answers that the guard stores.
+LARGE = an_answer("o1", b"x" * 1_500_000)
 REPEATED = {
     "its answer": FIRST,
     "its refusal": a_refusal("o1"),
@@ -237,3 +241,67 @@
 @then("its load is reported")
 def step_load_reported(context):
     assert context.report.healthy and context.report.load == 0.75, context.report
+
+
+@given("an upstream of the daemon that returns what it is sent")
+def step_echo(context):
+    context.server = None
+
+
+@when("an order with the id of one that has just been rejected reaches the guard")
+def step_reused_id(context):
+    async def echo_slowly(received):
+        body = await read_bytes(received.body, BODY_LIMIT)
+        await asyncio.sleep(PAUSE)
+        return bytes_response(200, body)
+
+    async def go():
+        async with running_server(echo_slowly) as server:
+            guard = a_guard(server.address, slots=1)
+            running = asyncio.create_task(guard.serve(*an_order("o1", b"running")))
+            queued = asyncio.create_task(guard.serve(*an_order("o2", b"rejected")))
+            await asyncio.sleep(0)
+            # The queued order is rejected, but its task has not run since.
+            guard.post(UpstreamGone())
+            guard.post(UpstreamStarted(False))
+            reply = await guard.serve(*an_order("o2", b"the second order"))
+            context.rejected = await queued
+            context.body = await read_bytes(reply.body, BODY_LIMIT)
+            await running
+            await guard.close()
+
+    asyncio.run(go())
+
+
+@then("it ends with the answer to its own content")
+def step_own_content(context):
+    assert isinstance(context.rejected.outcome, NotRun), context.rejected
+    assert context.body == b"the second order", context.body
+
+
+@given("an upstream of the daemon that answers an order and then at length")
+def step_at_length(context):
+    context.server = ScriptedServer([[an_answer("o1", OWN_BODY)]], [[PAUSE, LARGE]])
+
+
+@when("two callers send a lookup with the id of an order that was answered")
+def step_lookup_with_id(context):
+    async def body_of(reply):
+        reply = await reply
+        if isinstance(reply, NoAnswer):
+            return reply.outcome.code.encode()
+        return await read_bytes(reply.body, 2 * len(LARGE))
+
+    async def go():
+        async with context.server.guard() as guard:
+            await guard.serve(*an_order("o1"))
+            lookups = [guard.serve(*an_order("o1", b"q", True)) for _ in range(2)]
+            return await asyncio.gather(*map(body_of, lookups))
+
+    context.replies = asyncio.run(go())
+
+
+@then("neither receives the answer to the order")
+def step_not_the_order(context):
+    assert OWN_BODY not in context.replies, [reply[:40] for reply in context.replies]
+    assert LARGE.partition(b"\r\n\r\n")[2] in context.replies
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -167,7 +167,8 @@
         waiter = self._last_waiter
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._waiters[waiter] = future
-        if arrived.request_id not in self._exchanges:
+        # The request of an id that is not live may be one that was just rejected.
+        if arrived.request_id not in self._state.live:
             self._exchanges[arrived.request_id] = _Exchange(request, details)
         self.post(replace(arrived, caller=waiter))
         try:
