Return no stored answer for a large answer to a request with the same id

What callers saw (scenario): an order was answered, and its answer stored. Two callers then sent a lookup with the same id; its answer was too large to store and went to the first caller. The second got 200 with the answer to the order. Cause: an idempotent request isn't compared with the ledger, and the answer that is stored under its id was taken for its own. Evidence: before, the replies were the large body and b'the answer to the second' (the order's body). Change: the stored answer is removed when a larger one is streamed under its id. A repeat of the order gets answer-not-kept, as it already did after a short answer to such a lookup.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -60,3 +60,8 @@
     Given an upstream of the daemon that returns what it is sent
     When an order with the id of one that has just been rejected reaches the guard
     Then it ends with the answer to its own content
+
+  Scenario: A stored answer is returned for a large answer to another request with its id
+    Given an upstream of the daemon that answers an order and then at length
+    When two callers send a lookup with the id of an order that was answered
+    Then neither receives the answer to the order
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -336,6 +336,8 @@
         Returns:
             Size of the body, in bytes.
         """
+        # A request of another kind may have used the id.
+        self._answers.pop(action.request_id, None)
         live = self._state.live.get(action.request_id)
         waiter = live.callers[0] if live is not None and live.callers else 0
         queue: asyncio.Queue[bytes | ProxyError | None] = asyncio.Queue(1)
