Break off a large answer whose request is cancelled

What callers saw (scenario): the guard cancels a lookup at its deadline, and an order a second later. If its answer was being passed on in pieces by then (over 1 MB), the caller waited without an end: the answer neither went on nor broke off, and its connection and the caller's stayed in use. Cause: only errors of the upstream's connection were passed on to the reader of the pieces, not the cancellation of the exchange. Change: a cancelled exchange ends the pieces with response-broken, at once and without waiting for the reader, and the caller's connection is aborted as for other answers that break off.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -65,3 +65,8 @@
     Given an upstream of the daemon that answers an order and then at length
     When two callers send a lookup with the id of an order that was answered
     Then neither receives the answer to the order
+
+  Scenario: A large answer that is cancelled midway keeps its caller waiting for ever
+    Given an upstream of the daemon that stops midway in a large answer
+    When a lookup's deadline passes while its answer is passed on
+    Then its answer breaks off
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.builders_daemon import (
+    DEADLINE_S,
     RepeatingServer,
     ScriptedServer,
     a_guard,
@@ -26,7 +27,7 @@
     PlatformUnavailable,
 )
 from rosemarydeal.policy.guard import UpstreamGone, UpstreamReported, UpstreamStarted
-from rosemarydeal.proxy import bytes_response, read_bytes
+from rosemarydeal.proxy import ProxyError, bytes_response, read_bytes
 
 BODY_LIMIT = 1 << 16
 POLLED_S = 2.0
@@ -305,3 +306,32 @@
 def step_not_the_order(context):
     assert OWN_BODY not in context.replies, [reply[:40] for reply in context.replies]
     assert LARGE.partition(b"\r\n\r\n")[2] in context.replies
+
+
+@given("an upstream of the daemon that stops midway in a large answer")
+def step_stops_midway(context):
+    context.server = ScriptedServer([[LARGE[:-1000], DEADLINE_S]])
+
+
+@when("a lookup's deadline passes while its answer is passed on")
+def step_deadline_midway(context):
+    async def go():
+        async with context.server.guard() as guard:
+            ticks = asyncio.create_task(guard.run())
+            order = an_order("o1", idempotent=True, deadline_s=4 * PAUSE)
+            reply = await guard.serve(*order)
+            try:
+                async with asyncio.timeout(DEADLINE_S / 2):
+                    await read_bytes(reply.body, 2 * len(LARGE))
+            except (ProxyError, TimeoutError) as error:
+                context.error = error
+            ticks.cancel()
+            await asyncio.gather(ticks, return_exceptions=True)
+
+    context.error = None
+    asyncio.run(go())
+
+
+@then("its answer breaks off")
+def step_breaks_off(context):
+    assert isinstance(context.error, ProxyError), repr(context.error)
--- a/rosemarydeal/daemon/exchange.py
+++ b/rosemarydeal/daemon/exchange.py
@@ -21,6 +21,7 @@
 )
 
 __all__ = [
+    "break_off",
     "find_rejection",
     "keeps_connection",
     "pool_settings",
@@ -62,6 +63,15 @@
             on_abandoned()
 
 
+def break_off(
+    queue: asyncio.Queue[bytes | ProxyError | None], error: ProxyError
+) -> None:
+    """Ends a streamed answer with an error; pieces that were not read are dropped."""
+    while not queue.empty():
+        queue.get_nowait()
+    queue.put_nowait(error)
+
+
 def upstream_request(
     action: guard.Dispatch, request: Request, timeout_s: float
 ) -> Request:
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -32,6 +32,7 @@
     ProxyError,
     Request,
     Response,
+    ResponseBroken,
     find_header,
     replace_header,
     strip_hop_by_hop,
@@ -39,6 +40,7 @@
 
 from .classify import RequestDetails
 from .exchange import (
+    break_off,
     find_rejection,
     keeps_connection,
     pool_settings,
@@ -351,8 +353,11 @@
             async for piece in response.body:
                 size += len(piece)
                 await queue.put(piece)
+            await queue.put(None)
         except ProxyError as error:
-            await queue.put(error)
+            break_off(queue, error)
+            raise
+        except asyncio.CancelledError:
+            break_off(queue, ResponseBroken("the request was cancelled"))
             raise
-        await queue.put(None)
         return size
