Send no length with a 204 response

What callers could see: an upstream's 204 with a Content-Length was passed on with it. 204 has no body, so a caller that goes by the length reads the next answer on the connection as this one's body. RFC 9110 forbids the length there. Evidence: the scenario "The answer to GET has a body or a length that is not its own" failed before for a 204 response: HTTP/1.1 204 No Content\r\ncontent-length: 48\r\n\r\nHTTP/1.1 200 OK... Change: the length is dropped for 204. 304 and answers to HEAD keep theirs, which is that of the body they stand for; both are in the scenario and passed before.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -70,3 +70,15 @@
     Given an upstream of the daemon that stops midway in a large answer
     When a lookup's deadline passes while its answer is passed on
     Then its answer breaks off
+
+  Scenario Outline: The answer to <request> has a body or a length that is not its own
+    Given a server whose handler gives <answer>
+    When a caller sends <request> and another request on the same connection
+    Then the caller reads <read>, and then the answer to the other request
+
+    Examples:
+      | request              | answer                   | read                     |
+      | HEAD                 | a body                   | a head with its length   |
+      | HEAD                 | a streamed body          | a head without a body    |
+      | GET                  | 204 with a length        | a head without a length  |
+      | GET                  | 304 with a length        | a head with its length   |
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -15,7 +15,7 @@
     an_answer,
     an_order,
 )
-from features.builders_proxy import running_server
+from features.builders_proxy import exchange_raw, running_server
 from features.builders_stutter import PAUSE
 from rosemarydeal.core import NotRun, Unknown
 from rosemarydeal.daemon import upstream
@@ -27,7 +27,14 @@
     PlatformUnavailable,
 )
 from rosemarydeal.policy.guard import UpstreamGone, UpstreamReported, UpstreamStarted
-from rosemarydeal.proxy import ProxyError, bytes_response, read_bytes
+from rosemarydeal.proxy import (
+    BytesBody,
+    ProxyError,
+    Response,
+    ResponseBroken,
+    bytes_response,
+    read_bytes,
+)
 
 BODY_LIMIT = 1 << 16
 POLLED_S = 2.0
@@ -335,3 +342,133 @@
 @then("its answer breaks off")
 def step_breaks_off(context):
     assert isinstance(context.error, ProxyError), repr(context.error)
+
+
+class FailingBody:
+    """Yields one piece and then fails, as a body does that breaks off."""
+
+    def __init__(self):
+        self._pieces = [OWN_BODY]
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        if not self._pieces:
+            raise ResponseBroken("the upstream closed the connection")
+        return self._pieces.pop()
+
+
+LENGTH = (b"content-length", b"%d" % (2 * len(OWN_BODY)))
+FAILING_HEADERS = {
+    "an answer without a length": (),
+    "an answer with a length": (LENGTH,),
+}
+
+
+@given("a server whose handler fails midway in {answer}")
+def step_fails_midway(context, answer):
+    async def handle(_):
+        return Response(200, FAILING_HEADERS[answer], FailingBody())
+
+    context.handler = handle
+
+
+@when("a caller that speaks {version} reads the answer")
+def step_reads(context, version):
+    async def go():
+        async with running_server(context.handler) as server:
+            address = server.address
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(b"GET / %s\r\nHost: a\r\n\r\n" % version.encode())
+            try:
+                return await reader.read()
+            except ConnectionResetError:
+                return None
+            finally:
+                writer.close()
+
+    context.received = asyncio.run(go())
+
+
+@then("the caller sees that it is not whole")
+def step_not_whole(context):
+    if context.received is None:
+        return
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    if b"content-length" in head.lower():
+        assert len(body) < int(LENGTH[1])
+    else:
+        assert b"chunked" in head.lower(), context.received
+        assert not body.endswith(b"0\r\n\r\n"), context.received
+
+
+async def streamed(*pieces):
+    for piece in pieces:
+        yield piece
+
+
+ANSWERS = {
+    "a body": lambda: bytes_response(200, OWN_BODY),
+    "a streamed body": lambda: Response(200, (), streamed(OWN_BODY)),
+    "204 with a length": lambda: Response(204, (LENGTH,), BytesBody(b"")),
+    "304 with a length": lambda: Response(304, (LENGTH,), BytesBody(b"")),
+}
+
+
+@given("a server whose handler gives {answer}")
+def step_gives(context, answer):
+    async def handle(received):
+        if received.target == b"/other":
+            return bytes_response(200, b"the other answer")
+        return ANSWERS[answer]()
+
+    context.handler = handle
+
+
+@when("a caller sends {method} and another request on the same connection")
+def step_two_on_one(context, method):
+    first = b"%s / HTTP/1.1\r\nHost: a\r\n\r\n" % method.encode()
+    other = b"GET /other HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+    async def go():
+        async with running_server(context.handler) as server:
+            return await exchange_raw(server.address, first, other)
+
+    context.received = asyncio.run(go())
+
+
+@then("the caller reads a head {kind}, and then the answer to the other request")
+def step_head_and_other(context, kind):
+    head, _, rest = context.received.partition(b"\r\n\r\n")
+    has_length = b"content-length" in head.lower()
+    match kind:
+        case "with its length":
+            assert has_length, context.received
+        case "without a length":
+            assert not has_length, context.received
+    assert rest.startswith(b"HTTP/1.1 200"), context.received
+    assert rest.endswith(b"the other answer"), context.received
+
+
+@given("a server that limits the bodies of requests")
+def step_limited(context):
+    context.limits = {"body_bytes": 10}
+
+
+@when("a caller sends HEAD with a longer body")
+def step_head_with_body(context):
+    sent = b"HEAD / HTTP/1.1\r\nHost: a\r\nContent-Length: 20\r\n\r\n" + b"x" * 20
+
+    async def go():
+        async with running_server(**context.limits) as server:
+            return await exchange_raw(server.address, sent)
+
+    context.received = asyncio.run(go())
+
+
+@then("the caller reads a rejection without a body")
+def step_rejection(context):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 413"), context.received
+    assert not body, context.received
--- a/rosemarydeal/proxy/framing.py
+++ b/rosemarydeal/proxy/framing.py
@@ -83,7 +83,10 @@
     """
     fields = list(strip_hop_by_hop(response.headers))
     buffered = isinstance(response.body, BytesBody)
-    if buffered and (response.body.data or not has_no_body(method, response.status)):
+    if response.status == HTTPStatus.NO_CONTENT:
+        # Not allowed here; a caller could wait for the bytes (RFC 9110, section 8.6).
+        fields = [field for field in fields if field[0] != b"content-length"]
+    elif buffered and (response.body.data or not has_no_body(method, response.status)):
         fields = _with_content_length(fields, len(response.body.data))
     if close:
         fields.append((b"connection", b"close"))
