Answer a rejected HEAD request

What callers saw: a HEAD request that the server rejects (a body over its limit, a target that is not a path) got no answer; its connection was closed, which promises nothing, and the log had a traceback. Cause: the rejection was written with a body, which h11 refuses after HEAD. Evidence: the scenario "A rejected HEAD request closes the connection without an answer" read b'' before; h11 raised "Too much data for declared Content-Length". Change: the rejection is written for the method of the request that was read.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -82,3 +82,8 @@
       | HEAD                 | a streamed body          | a head without a body    |
       | GET                  | 204 with a length        | a head without a length  |
       | GET                  | 304 with a length        | a head with its length   |
+
+  Scenario: A rejected HEAD request closes the connection without an answer
+    Given a server that limits the bodies of requests
+    When a caller sends HEAD with a longer body
+    Then the caller reads a rejection without a body
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -99,6 +99,8 @@
         self._closing = False
         self._caller_disconnected = False
         self._body_bytes = 0
+        # Of the request that is being served, empty before its head was read.
+        self._method = b""
 
     @property
     def peer(self) -> Address:
@@ -168,6 +170,7 @@
     async def _serve_one(self) -> bool:
         """Serves one request; returns whether the connection can serve another."""
         self._awaiting_request = True
+        self._method = b""
         idle_time_s = DRAIN_GRACE_S if self._closing else self._limits.idle_time_s
         self._watchdog.arm(idle_time_s, self._close_idle)
         if not await self._stream.wait_for_bytes() or self._writer.is_closing():
@@ -177,6 +180,7 @@
         try:
             head, headers = await self._stream.read_head()
             self._watchdog.disarm()
+            self._method = head.method
             request = self._build_request(head, headers)
         except BadMessage as error:
             await self._reject_request(NotRun(error.code, error.detail))
@@ -272,7 +276,7 @@
         if self._stream.response_started:
             raise ConnectionAbortedError
         self._closing = True
-        await self._write_response(b"", refusal_response(outcome))
+        await self._write_response(self._method, refusal_response(outcome))
         await self._linger()
 
     async def _linger(self) -> None:
