Reset a connection whose response is not wholly sent

What callers saw (scenario): an answer over 1 MB without a length, passed on to a caller that speaks HTTP/1.0, broke off at the upstream. The caller read HTTP/1.0: 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n' and a part of the body and then a normal end of the connection, which marks the end of such a body: the part looked whole. The same after a write time-out or a shutdown midway. Cause: the connection was closed the same way as after a whole response. Change: a connection that is given up with a response started and not ended, or with bytes not yet written, is reset (SO_LINGER 0). Bytes that the caller has received are still read first on Linux. What remains: if the process is killed in the middle of such a response, the kernel ends the connection normally.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -71,6 +71,18 @@
     When a lookup's deadline passes while its answer is passed on
     Then its answer breaks off
 
+  Scenario Outline: An answer that breaks off midway looks whole to its caller
+    Given a server whose handler fails midway in <answer>
+    When a caller that speaks <version> reads the answer
+    Then the caller sees that it is not whole
+
+    Examples:
+      | answer                     | version  |
+      | an answer without a length | HTTP/1.0 |
+      | an answer without a length | HTTP/1.1 |
+      | an answer with a length    | HTTP/1.0 |
+      | an answer with a length    | HTTP/1.1 |
+
   Scenario Outline: The answer to <request> has a body or a length that is not its own
     Given a server whose handler gives <answer>
     When a caller sends <request> and another request on the same connection
--- a/rosemarydeal/proxy/http_stream.py
+++ b/rosemarydeal/proxy/http_stream.py
@@ -117,6 +117,11 @@
         """Returns whether the final head of our response was written."""
         return self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
+    @property
+    def response_incomplete(self) -> bool:
+        """Returns whether our response was started but not ended."""
+        return self._h11.our_state in (h11.SEND_BODY, h11.ERROR)
+
     @property
     def has_unparsed_bytes(self) -> bool:
         """Returns whether bytes were received that are not parsed yet."""
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -37,6 +39,7 @@
 LINGER_BYTES = 1_048_576
 LINGER_S = 1.0
 DRAIN_GRACE_S = 0.2
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 log = structlog.get_logger(__name__)
 
@@ -119,10 +122,10 @@
             while await self._serve_one():
                 self._stream.start_next_exchange()
         except (ConnectionError, asyncio.CancelledError):
-            self._writer.transport.abort()
+            self._abort()
         except Exception:
             log.exception("connection failed", peer=str(self._peer))
-            self._writer.transport.abort()
+            self._abort()
         finally:
             self._close()
 
@@ -131,7 +134,7 @@
         try:
             await self._reject_request(outcome)
         except (ConnectionError, asyncio.CancelledError):
-            self._writer.transport.abort()
+            self._abort()
         finally:
             self._close()
 
@@ -266,7 +269,7 @@
         """Waits until the caller has read enough, or aborts after `write_time_s`."""
         if self._writer.transport.get_write_buffer_size() <= HIGH_WATER_BYTES:
             return
-        self._watchdog.arm(self._limits.write_time_s, self._writer.transport.abort)
+        self._watchdog.arm(self._limits.write_time_s, self._abort)
         await self._stream.flush()
         self._watchdog.disarm()
 
@@ -288,7 +291,7 @@
         if not self._writer.can_write_eof() or self._writer.is_closing():
             return
         self._writer.write_eof()
-        self._watchdog.arm(LINGER_S, self._writer.transport.abort)
+        self._watchdog.arm(LINGER_S, self._abort)
         remaining = LINGER_BYTES
         try:
             while remaining > 0 and (data := await self._reader.read(READ_BYTES)):
@@ -326,10 +329,22 @@
         if self._awaiting_request:
             self._writer.close()
 
+    def _abort(self) -> None:
+        """Aborts the connection, by a reset if a response is not wholly sent.
+
+        A response to HTTP/1.0 may end with its connection: a normal close would
+        make the part that was sent look like the whole.
+        """
+        sock = self._writer.get_extra_info("socket")
+        unsent = self._writer.transport.get_write_buffer_size() > 0
+        if (unsent or self._stream.response_incomplete) and sock.fileno() >= 0:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._writer.transport.abort()
+
     def _close(self) -> None:
         """Closes after pending writes, or aborts after `write_time_s`."""
         self._watchdog.close()
         self._writer.close()
         if self._writer.transport.get_write_buffer_size() > 0:
             loop = asyncio.get_running_loop()
-            loop.call_later(self._limits.write_time_s, self._writer.transport.abort)
+            loop.call_later(self._limits.write_time_s, self._abort)
