Keep the other objects of a listing when one can't be decoded

An object nested a few thousand levels deep made the decoder of the listing raise RecursionError, also where the object is only skipped. That is no error of the store's layer: the task that lists and watches the kind ended, and the process no longer followed it. An unpaired surrogate made the whole answer malformed. A revision beyond 64 bits, or above the listing's own, was taken over, so that the object's later revisions looked old. A listing with an object without a readable name counted the object as removed, and the keys of a removed member are taken over at once.

The new module core/decoding.py checks the depth before it decodes, so that all processes come to the same result whatever their stack, and turns every error of the decoder into one coded error. If an answer can't be decoded at once, its parts are separated by a scan over brackets and strings, without recursion, and decoded one by one. An object without a valid revision is unreadable; a listing leaves what is known of it, and of all others if it has no name either, unchanged.

--- /dev/null
+++ b/features/odd_entries.feature
@@ -0,0 +1,56 @@
+Feature: One odd entry harms no other, and a repaired one is followed again
+
+  Scenario Outline: An object with <odd> hides none of the others
+    Given a store with the members vm-a, vm-b and vm-c
+    When another writer leaves an object vm-b with <odd>
+    Then a listing of the members contains vm-a and vm-c as before
+    And a watch of the members reports a change of vm-c that comes after it
+    When vm-b is written as it should be
+    Then a watch of the members reports vm-b as it was written
+
+    Examples:
+      | odd                                      |
+      | content nested 5000 levels               |
+      | content nested 100 levels                |
+      | content of objects nested 5000 levels    |
+      | content nested beside text with brackets |
+      | content of another type                  |
+      | content with a number too large          |
+      | content that is not UTF-8                |
+      | content with an unpaired surrogate       |
+      | no object                                |
+      | an empty object                          |
+      | nested 5000 levels                       |
+      | metadata nested 5000 levels              |
+      | metadata without a name                  |
+      | a name of another type                   |
+      | a name that is not UTF-8                 |
+      | a revision beyond 64 bits                |
+      | a revision of 5000 digits                |
+      | a revision above the store's             |
+      | a negative revision                      |
+
+  Scenario Outline: A member whose object gets <odd> is not taken for removed
+    Given a store with the members vm-a, vm-b and vm-c
+    And records of its members
+    When another writer leaves an object vm-b with <odd>
+    And the members are listed again
+    Then no member is taken for removed, and vm-a and vm-c are members
+    When vm-b is written as it should be
+    And the members are listed again
+    Then vm-b is a member as it was written
+    When vm-b is removed
+    And the members are listed again
+    Then vm-b is taken for removed
+
+    Examples:
+      | odd                          |
+      | content nested 5000 levels   |
+      | content nested 100 levels    |
+      | content of another type      |
+      | metadata nested 5000 levels  |
+      | no object                    |
+      | a name of another type       |
+      | a revision beyond 64 bits    |
+      | a revision above the store's |
+
--- a/features/standin_store.py
+++ b/features/standin_store.py
@@ -2,7 +2,7 @@
 
 Implements the documented protocol: lists, watches and conditional writes. The
 faults are a dropped history, rejected calls, late watches, writes that take effect
-without an answer, and a restore from a copy.
+without an answer, a restore from a copy, and odd bytes in place of an object.
 """
 
 from __future__ import annotations
@@ -10,7 +10,9 @@
 import asyncio
 import json
 from dataclasses import replace
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import msgspec
 
 from rosemarydeal.core import Address
 from rosemarydeal.proxy import HttpLimits, Request, bytes_response, read_bytes, serve
@@ -23,7 +25,11 @@
 
     def __init__(self):
         self.objects = {}
+        # Bytes sent in place of an object, by kind and name.
+        self.odd_bytes = {}
         self.revision = 1
+        # Objects on one page of a listing.
+        self.page_objects = 500
         self.events = []
         self.dropped_until = 0
         self.turns_away = set()
@@ -48,6 +54,24 @@
         """Writes an object as an operator does."""
         return self._change(kind, name, spec)
 
+    def put_odd(self, kind, name, odd_object):
+        """Writes an object as a faulty writer does.
+
+        Args:
+            kind: Kind of the object.
+            name: Name under which the store files it.
+            odd_object: Its bytes; `REVISION` stands for its revision.
+        """
+        stored = self._change(kind, name, {})
+        revision = b"%d" % self.revision
+        self.odd_bytes[kind, name] = odd_object.replace(b"REVISION", revision)
+        self.events[-1] = (
+            self.revision,
+            kind,
+            {"object": self._shown(kind, name), "deleted": False},
+        )
+        return stored
+
     def remove(self, kind, name):
         self._change(kind, name, None)
 
@@ -75,7 +99,7 @@
     async def _answer(self, request: Request):
         url = urlsplit(request.target.decode())
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
-        kind, _, name = url.path[len(PREFIX) :].partition("/")
+        kind, _, name = unquote(url.path[len(PREFIX) :]).partition("/")
         body = await read_bytes(request.body, 1 << 20)
         method = request.method.decode()
         self.calls.append((request.peer.host, method, kind))
@@ -84,17 +108,27 @@
         if "watch" in query:
             return await self._watch(kind, int(query["watch"]), query)
         if method == "GET":
-            return self._read(kind, name)
+            return self._read(kind, name, query.get("after", ""))
         if self.rejects_writes:
             return _json(503, {})
         return await self._write(method, kind, name, query, body)
 
-    def _read(self, kind, name):
+    def _shown(self, kind, name):
+        """Returns an object as answers contain it."""
+        odd_bytes = self.odd_bytes.get((kind, name))
+        return msgspec.Raw(odd_bytes) if odd_bytes else self.objects[kind, name]
+
+    def _read(self, kind, name, after):
         if name:
-            stored = self.objects.get((kind, name))
-            return _json(200, stored) if stored else _json(404, {})
-        items = [o for (k, _), o in sorted(self.objects.items()) if k == kind]
-        page = {"items": items, "truncated": False, "current_rev": self.revision}
+            known = (kind, name) in self.objects
+            return _json(200, self._shown(kind, name)) if known else _json(404, {})
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        items = [self._shown(kind, n) for n in names[: self.page_objects]]
+        page = {
+            "items": items,
+            "truncated": len(names) > self.page_objects,
+            "current_rev": self.revision,
+        }
         return _json(200, page)
 
     async def _watch(self, kind, after, query):
@@ -125,11 +159,11 @@
         expected = metadata.get("rev", query.get("rev"))
         old = self.objects.get((kind, name))
         if method == "POST" and old is not None:
-            return _json(409, old)
+            return _json(409, self._shown(kind, name))
         if method != "POST" and old is None:
             return _json(404, {})
         if expected is not None and old and int(expected) != old["metadata"]["rev"]:
-            return _json(409, old)
+            return _json(409, self._shown(kind, name))
         spec = None if method == "DELETE" else content["spec"]
         stored = self._change(kind, name, spec)
         if self.lose_answers:
@@ -140,6 +174,7 @@
     def _change(self, kind, name, spec):
         self.revision += 1
         old = self.objects.pop((kind, name), None)
+        self.odd_bytes.pop((kind, name), None)
         metadata = {"name": name, "rev": self.revision, "finalizers": []}
         stored = {"metadata": metadata, "spec": spec, "status": None}
         if spec is not None:
@@ -153,4 +188,4 @@
 
 def _json(status, value):
     kind = ((b"content-type", b"application/json"),)
-    return bytes_response(status, json.dumps(value).encode(), kind)
+    return bytes_response(status, msgspec.json.encode(value), kind)
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -278,19 +278,26 @@
         self._apply_pending_delta(delta.service)
 
     def apply_listing(self, kind: str, listing: Listing) -> None:
-        """Applies a full listing; objects that it lacks were deleted."""
+        """Applies a full listing; objects that it lacks were deleted.
+
+        An unreadable object leaves what is known of it unchanged. If the name is
+        unreadable too, it may be any of those that the listing lacks.
+        """
         kind_state = self._kinds[kind]
         if listing.revision.era < kind_state.revision.era:
             return
         self._enter_era(kind, listing.revision.era)
         present = {stored.name for stored in listing.objects}
         for old in list(kind_state.objects.values()):
-            if old.name not in present and old.revision <= listing.revision:
+            missing = old.name not in present and "" not in present
+            if missing and old.revision <= listing.revision:
                 deleted = StoredObject(kind, old.name, listing.revision, None)
                 kind_state.objects[old.name] = deleted
         for stored in listing.objects:
             old = kind_state.objects.get(stored.name)
-            if stored.name and (old is None or old.revision < stored.revision):
+            if not stored.unreadable and (
+                old is None or old.revision < stored.revision
+            ):
                 kind_state.objects[stored.name] = stored
                 kind_state.last_change = max(kind_state.last_change, stored.revision)
         kind_state.revision = max(kind_state.revision, listing.revision)
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -6,12 +6,20 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 import structlog
 
 from rosemarydeal.core import Address, CodedError
+from rosemarydeal.core.decoding import (
+    Malformed,
+    Name,
+    decode_json,
+    decode_unchecked,
+    split_array,
+    split_object,
+)
 from rosemarydeal.core.fleet import NO_REVISION, Revision, StoredObject
 from rosemarydeal.proxy import (
     BytesBody,
@@ -43,7 +51,10 @@
 CONFLICT = 409
 GONE = 410
 REJECTED_STATUSES = (429, 503)
+# The largest that fits into 64 bits with a sign.
+MAX_REVISION = 2**63 - 1
 _Body = TypeVar("_Body")
+_RevisionNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
 
 _log = structlog.get_logger()
 
@@ -94,8 +105,8 @@
 class _Metadata(msgspec.Struct):
     """Name and revision of an object."""
 
-    name: str
-    rev: int = 0
+    name: Name
+    rev: _RevisionNumber = 0
     deleting: bool = False
 
 
@@ -110,7 +121,7 @@
     """One page of a listing."""
 
     items: list[msgspec.Raw]
-    current_rev: int
+    current_rev: _RevisionNumber
     truncated: bool = False
 
 
@@ -124,8 +135,8 @@
 class _WatchBody(msgspec.Struct):
     """Answer to a watch."""
 
-    events: list[_Event]
-    current_rev: int
+    events: list[msgspec.Raw]
+    current_rev: _RevisionNumber
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,8 +192,11 @@
         while True:
             query = f"?after={after}" if after else ""
             reply = await self._call("list", kind, b"GET", query)
-            page = _decode(reply, _ListBody)
-            objects += [_stored_object(kind, item, reply.era) for item in page.items]
+            page = _decode_list(reply, _ListBody)
+            objects += [
+                _stored_object(kind, item, reply.era, page.current_rev)
+                for item in page.items
+            ]
             if objects and objects[0].revision.era != reply.era:
                 raise StoreUnavailable(f"{kind}: restored while it was listed")
             if not page.truncated or not page.items:
@@ -218,9 +232,9 @@
         if reply.status == GONE:
             raise HistoryGone(f"{kind}: history since {revision} is gone")
         self._check_era(kind, revision)
-        answer = _decode(reply, _WatchBody)
+        answer = _decode_list(reply, _WatchBody)
         changes = [
-            _stored_object(kind, event.object, reply.era, event.deleted)
+            _changed_object(kind, event, reply.era, answer.current_rev)
             for event in answer.events
         ]
         return Listing(tuple(changes), Revision(reply.era, answer.current_rev))
@@ -365,7 +379,7 @@
 
 def _decode_object(kind: str, reply: _Reply) -> StoredObject:
     """Decodes an answer that contains one object."""
-    stored = _stored_object(kind, msgspec.Raw(reply.body), reply.era)
+    stored = _stored_object(kind, reply.body, reply.era)
     if reply.status == CONFLICT and stored.name and not stored.unreadable:
         raise StoreConflict(f"{kind}: status {reply.status}", stored)
     _check_status(kind, reply.status, reply.body)
@@ -374,24 +388,106 @@
     return stored
 
 
-def _decode(reply: _Reply, body_type: type[_Body]) -> _Body:
-    """Decodes a successful answer; raises an error for any other."""
+def _decode_list(reply: _Reply, body_type: type[_Body]) -> _Body:
+    """Decodes the answer to a listing or a watch, whose entries stay undecoded."""
     _check_status("answer", reply.status, reply.body)
     try:
-        return msgspec.json.decode(reply.body, type=body_type)
-    except msgspec.MsgspecError as error:
-        raise StoreError(f"answer: {error}") from error
+        return _decode(reply.body, body_type)
+    except Malformed as error:
+        raise StoreError(f"answer: {error.detail}") from error
+
+
+def _decode(text: bytes | msgspec.Raw, body_type: type[_Body]) -> _Body:
+    """Decodes a structure, whose undecoded parts may be odd.
+
+    An odd part can make it impossible to decode all at once; the parts are then
+    separated first.
+
+    Raises:
+        Malformed: If a field is missing or has another type.
+    """
+    try:
+        return decode_unchecked(text, body_type)
+    except Malformed:
+        return _decode_parts(bytes(text), body_type)
+
+
+def _decode_parts(text: bytes, body_type: type[_Body]) -> _Body:
+    """Decodes the fields of a structure one by one, and passes over unknown ones.
+
+    Raises:
+        Malformed: If a field is missing or has another type.
+    """
+    members = split_object(text)
+    fields = {
+        field.name: _decode_part(members[field.name], field.type)
+        for field in msgspec.structs.fields(body_type)
+        if field.name in members
+    }
+    try:
+        return body_type(**fields)
+    except TypeError as error:
+        raise Malformed(str(error)) from error
+
+
+def _decode_part(text: bytes, part_type: type) -> object:
+    """Decodes one field of a structure, unless its type leaves it undecoded."""
+    if part_type is msgspec.Raw:
+        return msgspec.Raw(text)
+    if part_type == list[msgspec.Raw]:
+        return [msgspec.Raw(part) for part in split_array(text)]
+    if isinstance(part_type, type) and issubclass(part_type, msgspec.Struct):
+        return _decode_parts(text, part_type)
+    return decode_json(text, part_type)
+
+
+def _changed_object(
+    kind: str, event: msgspec.Raw, era: int, current_revision: int
+) -> StoredObject:
+    """Decodes one change that a watch returned."""
+    try:
+        change = _decode(event, _Event)
+    except Malformed as error:
+        return StoredObject(kind, "", NO_REVISION, None, error.detail)
+    return _stored_object(kind, change.object, era, current_revision, change.deleted)
 
 
 def _stored_object(
-    kind: str, raw: msgspec.Raw, era: int, deleted: bool = False
+    kind: str,
+    raw: bytes | msgspec.Raw,
+    era: int,
+    current_revision: int = MAX_REVISION,
+    deleted: bool = False,
 ) -> StoredObject:
-    """Decodes one object; a malformed one gets no name, so that readers ignore it."""
+    """Decodes one object, whose content stays undecoded.
+
+    Args:
+        kind: Its kind.
+        raw: Its text.
+        era: Era of the answer that contained it.
+        current_revision: Revision of the store that the answer reflects.
+        deleted: Whether it has been deleted.
+
+    Returns:
+        The object. Without a valid revision it is unreadable, and without a valid
+        name it has none.
+    """
     try:
-        decoded = msgspec.json.decode(raw, type=_Object)
-    except msgspec.MsgspecError as error:
-        return StoredObject(kind, "", NO_REVISION, None, str(error))
+        decoded = _decode(raw, _Object)
+        number = decoded.metadata.rev
+        if number > current_revision:
+            raise Malformed(f"revision {number} is above {current_revision}")
+    except Malformed as error:
+        name = _stated_name(bytes(raw))
+        return StoredObject(kind, name, NO_REVISION, None, error.detail)
     gone = deleted or decoded.metadata.deleting
     content = None if gone else bytes(decoded.spec)
-    revision = Revision(era, decoded.metadata.rev)
-    return StoredObject(kind, decoded.metadata.name, revision, content)
+    return StoredObject(kind, decoded.metadata.name, Revision(era, number), content)
+
+
+def _stated_name(text: bytes) -> str:
+    """Returns the name of an object that can't be decoded, or an empty one."""
+    try:
+        return decode_json(split_object(split_object(text)["metadata"])["name"], Name)
+    except (Malformed, KeyError):
+        return ""
