Take no position in a listing from an object that is unreadable

The next page of a listing began after the name of the page's last object, and the era of a listing was that of its first object. An unreadable object has neither: at the end of a page, the listing began again with the first page, without a pause and without end; at the beginning, the listing was taken for one during which the store was restored, and failed each time.

The next page now begins after the last readable name, a listing that does not advance fails, and the eras of the answers are compared.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -54,3 +54,30 @@
       | a revision beyond 64 bits    |
       | a revision above the store's |
 
+
+  Scenario Outline: An object with <odd> at the end of a page does not stop the listing
+    Given a store with the members vm-a, vm-b and vm-c, and 2 objects on a page
+    When another writer leaves an object vm-b with <odd>
+    Then a listing of the members contains vm-a and vm-c as before
+
+    Examples:
+      | odd                        |
+      | content nested 5000 levels |
+      | a revision beyond 64 bits  |
+      | no object                  |
+      | a name of another type     |
+
+  Scenario: A listing whose page names no object fails, and does not go on without end
+    Given a store with the members vm-a, vm-b and vm-c, and 1 objects on a page
+    When another writer leaves an object vm-b with no object
+    Then a listing of the members fails with the code store-failed
+
+  Scenario Outline: A first object with <odd> is not taken for a restore of the store
+    Given a store with the members vm-a, vm-b and vm-c
+    When another writer leaves an object vm-a with <odd>
+    Then a listing of the members contains vm-b and vm-c as before
+
+    Examples:
+      | odd                       |
+      | no object                 |
+      | a revision beyond 64 bits |
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -188,20 +188,24 @@
             StoreError: The answer is malformed.
         """
         objects: list[StoredObject] = []
-        after = ""
+        after, era = "", None
         while True:
             query = f"?after={after}" if after else ""
             reply = await self._call("list", kind, b"GET", query)
             page = _decode_list(reply, _ListBody)
-            objects += [
-                _stored_object(kind, item, reply.era, page.current_rev)
-                for item in page.items
-            ]
-            if objects and objects[0].revision.era != reply.era:
+            if era is not None and era != reply.era:
                 raise StoreUnavailable(f"{kind}: restored while it was listed")
-            if not page.truncated or not page.items:
-                return Listing(tuple(objects), Revision(reply.era, page.current_rev))
-            after = objects[-1].name
+            era = reply.era
+            listed = [
+                _stored_object(kind, item, era, page.current_rev) for item in page.items
+            ]
+            objects += listed
+            if not page.truncated or not listed:
+                return Listing(tuple(objects), Revision(era, page.current_rev))
+            last = next((o.name for o in reversed(listed) if o.name), after)
+            if last == after:
+                raise StoreError(f"{kind}: no readable name follows {after!r}")
+            after = last
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns the current object, or None if there is none."""
