Quote the names of objects in the paths of store calls

A name was put into the path as it is. A member of another writer whose name has a letter beyond ASCII raised UnicodeEncodeError: in the next page of a listing, and when the reachable process with the lowest name removed that member because it was unreachable, which ended this process again and again. A name with "?" or "/" made the call read or remove another object.

Before, the new scenario failed with "UnicodeEncodeError: 'ascii' codec can't encode character '\xf6' in position 36". Now it passes.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -81,3 +81,8 @@
       | odd                       |
       | no object                 |
       | a revision beyond 64 bits |
+
+  Scenario: An object whose name is no plain part of a path is listed, read and removed
+    Given a store with the members vm-a, vm-ö ?&/# and vm-c, and 2 objects on a page
+    Then a listing of the members contains vm-a and vm-c as before
+    And the member vm-ö ?&/# can be read and removed
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Annotated, TypeVar
+from urllib.parse import quote
 
 import msgspec
 import structlog
@@ -190,7 +191,7 @@
         objects: list[StoredObject] = []
         after, era = "", None
         while True:
-            query = f"?after={after}" if after else ""
+            query = f"?after={_quoted(after)}" if after else ""
             reply = await self._call("list", kind, b"GET", query)
             page = _decode_list(reply, _ListBody)
             if era is not None and era != reply.era:
@@ -209,7 +210,7 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns the current object, or None if there is none."""
-        reply = await self._call("read", kind, b"GET", f"/{name}")
+        reply = await self._call("read", kind, b"GET", f"/{_quoted(name)}")
         return None if reply.status == NOT_FOUND else _decode_object(kind, reply)
 
     async def watch(
@@ -265,7 +266,7 @@
         """
         self._check_condition(kind, name, revision)
         body = _body(name, content, revision.number)
-        reply = await self._call("replace", kind, b"PUT", f"/{name}", body)
+        reply = await self._call("replace", kind, b"PUT", f"/{_quoted(name)}", body)
         return _decode_object(kind, reply)
 
     async def remove(self, kind: str, name: str, revision: Revision) -> None:
@@ -277,9 +278,8 @@
             StoreUnavailable: The outcome is unknown, or the call was rejected.
         """
         self._check_condition(kind, name, revision)
-        reply = await self._call(
-            "remove", kind, b"DELETE", f"/{name}?rev={revision.number}"
-        )
+        suffix = f"/{_quoted(name)}?rev={revision.number}"
+        reply = await self._call("remove", kind, b"DELETE", suffix)
         if reply.status != NOT_FOUND:
             _check_status(kind, reply.status, reply.body)
 
@@ -365,6 +365,11 @@
         self._on_era_changed()
 
 
+def _quoted(name: str) -> str:
+    """Returns a name as a part of a path or a query."""
+    return quote(name, safe="")
+
+
 def _body(name: str, content: bytes, revision: int | None) -> bytes:
     """Builds the body of a write."""
     metadata: dict[str, object] = {"name": name}
