Move the identification of responses into a module of its own

Callers: none affected.

Ruled out: keeping them in the pool, which does not see responses.

Change: proxy/identification.py; no change of behaviour.

--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -14,13 +14,13 @@
 from .embedded_heads import BodyCheck, check_spliced_head
 from .errors import (
     BadMessage,
-    ForeignResponse,
     ProxyTimeout,
     ResponseBroken,
     SendFailed,
 )
 from .framing import request_head, response_framing
 from .http_stream import END_OF_MESSAGE, HttpStream
+from .identification import Identification
 from .message import (
     BytesBody,
     Framing,
@@ -39,8 +39,6 @@
 CONTINUE = 100
 # A final response follows a few informational ones, or late copies of earlier ones.
 MAX_SKIPPED_RESPONSES = 16
-# The identities of the requests on a connection are kept while it is open.
-MAX_IDENTIFIED_REQUESTS = 1000
 SWITCHING_PROTOCOLS = 101
 SUCCESSES = range(200, 300)
 
@@ -120,8 +118,7 @@
         self._body_task: asyncio.Task | None = None
         self._continue_received: asyncio.Future[bool] | None = None
         self._request_body_error: Exception | None = None
-        self._identified = True
-        self._identities: set[bytes] = set()
+        self._identification = Identification(settings.identifying_header)
         self._late_copies = 0
         self._body_check: BodyCheck | None = None
 
@@ -146,7 +143,7 @@
 
     def has_carried(self, request: Request) -> bool:
         """Returns whether a request with the identity of this one was sent here."""
-        return self._identity(request) in self._identities
+        return self._identification.has_carried(request)
 
     async def exchange(self, request: Request, deadline: float) -> Response:
         """Sends a request and reads the head of its response.
@@ -165,9 +162,7 @@
             ProxyTimeout: If the deadline passed.
         """
         self._start_exchange(deadline)
-        identity = self._identity(request)
-        if identity is not None:
-            self._identities.add(identity)
+        self._identification.start(request)
         try:
             self._send(request)
         except h11.LocalProtocolError as error:
@@ -175,7 +170,7 @@
             raise SendFailed(f"the request is not valid: {error}", False) from error
         try:
             head, headers = await self._read_response_head(request)
-            self._check_identity(identity, headers)
+            self._identification.check(headers)
             return self._build_response(request.method, head, headers)
         except (OSError, BadMessage) as error:
             failure = self._translate_error(error)
@@ -320,10 +315,6 @@
                 self._allow_body()
         raise BadMessage("the upstream sent too many responses before the final one")
 
-    def _identity(self, request: Request) -> bytes | None:
-        """Returns the value by which the response to a request is identified."""
-        return find_header(request.headers, self._settings.identifying_header)
-
     def _is_late_copy(
         self, request: Request, head: h11.Response, headers: Headers
     ) -> bool:
@@ -332,27 +323,7 @@
         No other response follows one that ends with the connection.
         """
         framing = response_framing(request.method, head.status_code, headers)
-        if framing is Framing.CLOSE:
-            return False
-        name = self._settings.identifying_header
-        echoed = {value for field, value in headers if field == name}
-        earlier = self._identities - {self._identity(request)}
-        return bool(echoed) and echoed <= earlier
-
-    def _check_identity(self, identity: bytes | None, headers: Headers) -> None:
-        """Checks that a response belongs to the request with an identity.
-
-        Raises:
-            ForeignResponse: It names another request, or none although it may be a
-                copy of the response to an earlier one.
-        """
-        name = self._settings.identifying_header
-        echoed = {value for field, value in headers if field == name}
-        self._identified = not name or bool(echoed)
-        if echoed - {identity}:
-            raise ForeignResponse(f"the response names {sorted(echoed)}")
-        if not self._identified and self._exchanges > 1:
-            raise ForeignResponse("the response on a reused connection names none")
+        return framing is not Framing.CLOSE and self._identification.is_earlier(headers)
 
     def _build_response(
         self, method: bytes, head: h11.Response, headers: Headers
@@ -366,7 +337,7 @@
             framing,
             head.status_code in SUCCESSES,
             self._settings.identifying_header,
-            self._identities,
+            self._identification.carried,
         )
         self._check_body(received, complete)
         if complete:
@@ -390,9 +361,8 @@
         still_open = not self._reader.at_eof() and not self._writer.is_closing()
         reusable = (
             self._stream.reusable
-            and self._identified
+            and self._identification.allows_reuse
             and not self._late_copies
-            and len(self._identities) < MAX_IDENTIFIED_REQUESTS
         )
         if reusable and still_open and not self._has_further_bytes:
             self._protocol.notify_idle()
