--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -45,6 +45,11 @@
       | fails   |
       | refuses |
 
+  Scenario: A connection that is one answer behind returns the second answer to an attempt
+    Given an upstream that answers twice, the second time after the next request
+    When r1, r2, r3 and r2 again are sent
+    Then all are answered with their own bodies
+
   Scenario: The next attempt of a request waits in vain for a connection that it may use
     Given an upstream that accepts one connection and repeats a refusal of r1
     When r1 is sent twice, one after the other
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -81,7 +81,38 @@
 @given("an upstream that {answers} r1, and answers it again while it runs again")
 def step_answered_again(context, answers):
     first = {"fails": an_answer("r1", b"", b"500 Failed"), "refuses": a_refusal("r1")}
-    copies_first(context, first[answers], an_answer("r1", b"ok"))
+    copies_first(context, first[answers], again("r1"))
+
+
+@given(
+    "an upstream that answers each request twice, the second time after the next one"
+)
+def step_one_behind(context):
+    context.upstream = ScriptedUpstream(
+        [
+            [FIRST],
+            [an_answer("r1", b"ok"), PAUSE, SECOND],
+            [],
+            [an_answer("r2", b"ok")],
+        ],
+        [[THIRD], [SECOND]],
+    )
+
+
+@when("r1, r2, r3 and r2 again are sent")
+def step_one_behind_sent(context):
+    context.results = run_requests(context.upstream, "r1", "r2", "r3", "r2")
+
+
+@then("all are answered with their own bodies")
+def step_own_bodies(context):
+    bodies = [getattr(result, "body", result) for result in context.results]
+    assert bodies == [BODY, OTHER_BODY, OTHER_BODY, OTHER_BODY], context.results
+
+
+def again(request_id):
+    """Returns a second answer, which has a body of its own."""
+    return an_answer(request_id, b"ok")
 
 
 def copies_first(context, first, second=None, **settings):
