Name the step of the traced exchange as its scenario does

Callers: none affected; tests.

Ruled out: a fault of the code; the scenario passed under its former text.

Change: the text of the step.

--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -84,9 +84,7 @@
     copies_first(context, first[answers], again("r1"))
 
 
-@given(
-    "an upstream that answers each request twice, the second time after the next one"
-)
+@given("an upstream that answers twice, the second time after the next request")
 def step_one_behind(context):
     context.upstream = ScriptedUpstream(
         [
