Compare the idle time of the connection that is chosen

Callers: an order sent again could end with 502, as it went over a connection that its upstream had dropped while idle.

Cause: the limit on the idle time was compared with the connection used last; if that had carried the request before, the next older one was taken whatever its idle time.

Evidence: 'The next attempt of an order goes over a connection that was idle for too long' failed: it went over the first connection. Ruled out: sorting by age, as the deque is.

Change: the limit holds for the connection that is chosen.

--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -50,6 +50,11 @@
     When r1, r2, r3 and r2 again are sent
     Then all are answered with their own bodies
 
+  Scenario: The next attempt of an order goes over a connection that was idle for too long
+    Given an upstream that refuses r1 on the second of two connections
+    When r1 is sent again, with the first connection idle for longer than allowed
+    Then it is sent over a third connection
+
   Scenario: The next attempt of a request waits in vain for a connection that it may use
     Given an upstream that accepts one connection and repeats a refusal of r1
     When r1 is sent twice, one after the other
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -14,10 +15,11 @@
     a_call_answer,
     a_refusal,
     an_answer,
+    an_upstream_request,
     run_requests,
 )
 from rosemarydeal.core.fleet import KeyRange
-from rosemarydeal.core.requests import Answered, Failed
+from rosemarydeal.core.requests import Answered, Failed, Rejected
 from rosemarydeal.platform.upstream import GrantRefused
 
 BODY = b"the body of the answer"
@@ -108,6 +110,35 @@
     assert bodies == [BODY, OTHER_BODY, OTHER_BODY, OTHER_BODY], context.results
 
 
+@given("an upstream that refuses r1 on the second of two connections")
+def step_two_connections(context):
+    context.upstream = ScriptedUpstream(
+        [[PAUSE, an_answer("r2", OTHER_BODY)], [FIRST]],
+        [[PAUSE, PAUSE, PAUSE, a_refusal("r1")], [FIRST]],
+        [[FIRST]],
+    )
+
+
+@when("r1 is sent again, with the first connection idle for longer than allowed")
+def step_idle_too_long(context):
+    async def go():
+        async with context.upstream.client() as client:
+            first = an_upstream_request("r1")
+            other = asyncio.create_task(client.run(an_upstream_request("r2")))
+            await asyncio.sleep(PAUSE / 2)
+            assert isinstance(await client.run(first), Rejected)
+            await other
+            return await client.run(replace(first, max_idle_s=PAUSE))
+
+    context.result = asyncio.run(go())
+
+
+@then("it is sent over a third connection")
+def step_third_connection(context):
+    assert isinstance(context.result, Answered), context.result
+    assert [number for number, _ in context.upstream.requests] == [0, 1, 2]
+
+
 def again(request_id):
     """Returns a second answer, which has a body of its own."""
     return an_answer(request_id, b"ok")
--- a/rosemarydeal/proxy/client.py
+++ b/rosemarydeal/proxy/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -133,10 +134,10 @@
             # The address's pool may have been removed with its last connection.
             pool = self._pools.setdefault(address, AddressPool())
             has_capacity = pool.open_count < self._settings.connections_per_address
-            if not (has_capacity and _idle_longer_than(pool, max_idle_s)):
-                connection = _take_idle(pool, request)
-                if connection is not None:
-                    return connection
+            longest = max_idle_s if has_capacity else None
+            connection = _take_idle(pool, request, longest)
+            if connection is not None:
+                return connection
             if has_capacity:
                 break
             if pool.idle:
@@ -249,18 +250,22 @@
             )
 
 
-def _take_idle(pool: AddressPool, request: Request) -> ClientConnection | None:
-    """Removes the most recently used idle connection that may carry a request."""
+def _take_idle(
+    pool: AddressPool, request: Request, max_idle_s: float | None
+) -> ClientConnection | None:
+    """Removes the most recently used idle connection that may carry a request.
+
+    Returns:
+        The connection; None if there is none, or it was idle for too long.
+    """
+    oldest = -math.inf
+    if max_idle_s is not None:
+        oldest = asyncio.get_running_loop().time() - max_idle_s
     for index in range(len(pool.idle) - 1, -1, -1):
-        connection = pool.idle[index][0]
+        connection, idle_since = pool.idle[index]
+        if idle_since < oldest:
+            return None
         if not connection.has_carried(request):
             del pool.idle[index]
             return connection
     return None
-
-
-def _idle_longer_than(pool: AddressPool, max_idle_s: float | None) -> bool:
-    """Returns whether the most recently used idle connection exceeds a limit."""
-    if max_idle_s is None or not pool.idle:
-        return False
-    return asyncio.get_running_loop().time() - pool.idle[-1][1] > max_idle_s
