Do not copy the ids of a connection for each response

Callers: none affected; processor time.

Cause: each response copied the set of all ids that its connection had carried, up to 1,000, and its framing was found twice. Found by the review.

Change: the current id is compared alone; the framing of copies only is found early.

--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -322,8 +322,10 @@
 
         No other response follows one that ends with the connection.
         """
+        if not self._identification.is_earlier(headers):
+            return False
         framing = response_framing(request.method, head.status_code, headers)
-        return framing is not Framing.CLOSE and self._identification.is_earlier(headers)
+        return framing is not Framing.CLOSE
 
     def _build_response(
         self, method: bytes, head: h11.Response, headers: Headers
--- a/rosemarydeal/proxy/identification.py
+++ b/rosemarydeal/proxy/identification.py
@@ -58,7 +58,7 @@
     def is_earlier(self, headers: Headers) -> bool:
         """Returns whether a response names only requests before the current one."""
         named = self._named(headers)
-        return bool(named) and named <= self._carried - {self._current}
+        return bool(named) and self._current not in named and named <= self._carried
 
     def check(self, headers: Headers) -> None:
         """Checks that a response belongs to the current request.
