Refuse a body that another response's head ends

Callers: a success whose body is not the upstream's (MIXED).

Cause: the head of a copy that fills the rest of a body names no request if it is cut before that line, or has none, and the bytes behind it may arrive later.

Evidence: three of the four new examples returned Answered(200) with the copy's head in the body. Ruled out: refusing a body that quotes a status line anywhere.

Change: a body that ends within or just after a head is broken. One that ends with a quoted head is refused, too. A start of less than a status line is still accepted where no bytes follow.

--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -87,6 +87,10 @@
       | with a length    | a copy of an earlier answer, which is longer    |
       | with a length    | its second copy                                 |
       | with a length    | its second copy, cut where the body ends        |
+      | with a length    | its second copy, cut where the body ends, late  |
+      | with a length    | its second copy, cut in its status line         |
+      | with a length    | its second copy, cut in its head                |
+      | with a length    | a refusal without an id, which just fits        |
       | with chunks      | a copy of an earlier answer, which just fits    |
 
   Scenario: A body that quotes another response is refused
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -186,6 +186,10 @@
     "a copy of an earlier answer, which is longer": (LONG_FIRST[:20], LONG_FIRST[20:]),
     "its second copy": (SECOND_COPY, b""),
     "its second copy, cut where the body ends": (SECOND_COPY[:50], SECOND_COPY[50:]),
+    "its second copy, cut where the body ends, late": (SECOND_COPY[:50], b""),
+    "its second copy, cut in its status line": (SECOND_COPY[:14], b""),
+    "its second copy, cut in its head": (SECOND_COPY[:30], b""),
+    "a refusal without an id, which just fits": (a_refusal(""), b""),
 }
 
 
--- a/rosemarydeal/proxy/embedded_heads.py
+++ b/rosemarydeal/proxy/embedded_heads.py
@@ -21,8 +21,13 @@
 STATUS_LINE_BYTES = 12
 # A copy that was cut short as well; shorter starts are common at the end of a text.
 STATUS_LINE_START = re.compile(rb"HTTP/(1(\.([01]( ([1-5][0-9]?)?)?)?)?)?\Z")
-# Longest line that names a request, of which a piece may hold only a part.
-IDENTITY_LINE_BYTES = 512
+# A head that reaches the end of the body, where it may be cut; quoted ones rarely do.
+HEAD_AT_END = re.compile(
+    rb"HTTP/1\.[01] [1-5][0-9][0-9](?: [A-Za-z '-]*)?"
+    rb"(?:\r\n[!-9;-~]+:[^\r\n]*)*(?:\r\n[!-~]*)?(?:\r\n)?\r?\Z"
+)
+# Longest head of which a piece may hold only a part.
+MAX_HEAD_BYTES = 4096
 
 
 def check_spliced_head(reason: bytes, headers: Headers) -> None:
@@ -33,7 +38,7 @@
             that the status, or some headers, belong to another response.
     """
     for text in (reason, *(value for _, value in headers)):
-        if STATUS_LINE.search(text):
+        if VERSION in text and STATUS_LINE.search(text):
             raise BadMessage("the head contains the head of another response")
 
 
@@ -41,8 +46,9 @@
     """Checks the pieces of a body for the head of another response.
 
     A body that ends with its connection must not contain a status line. Any other body
-    may, unless the line is followed by the identity of a request of the connection, or
-    the body by further bytes: what ends the body is then a part of the copy.
+    may, unless the line is followed by the identity of a request of the connection, the
+    head reaches the end of the body, or further bytes follow the body: what ends the
+    body is then a part of the copy.
     """
 
     def __init__(
@@ -81,7 +87,7 @@
             self._has_status_line = True
         if self._has_status_line and (self._unframed or self._names_request(searched)):
             raise BadMessage("the body contains the head of another response")
-        kept = IDENTITY_LINE_BYTES if self._has_status_line else STATUS_LINE_BYTES - 1
+        kept = MAX_HEAD_BYTES if self._has_status_line else STATUS_LINE_BYTES - 1
         self._tail = searched[-kept:]
 
     def check_end(self, bytes_follow: bool) -> None:
@@ -98,6 +104,8 @@
         has_start = self._has_status_line or STATUS_LINE_START.search(self._tail)
         if has_start and (self._unframed or bytes_follow):
             raise BadMessage("the body ends within another response")
+        if self._has_status_line and HEAD_AT_END.search(self._tail):
+            raise BadMessage("the body ends within another response")
         if self._needs_body:
             raise BadMessage("a success without a length ended after its head")
 
