Show that an answer that is cut within its head or body never looks whole

Cut in the status line, in a header's name, in the length, before the last line end and in the body. Not covered here: a head that states no length and is followed by nothing, which has a scenario of its own in features/late_copies.feature.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -99,3 +99,29 @@
     Given a server that limits the bodies of requests
     When a caller sends HEAD with a longer body
     Then the caller reads a rejection without a body
+
+  Scenario Outline: An answer that is cut at the daemon's upstream ends an order as answered
+    Given an upstream of the daemon that stops its answer <where> and closes
+    When the guard serves an order
+    Then it ends as unknown
+
+    Examples:
+      | where                    |
+      | in the status line       |
+      | in the name of a header  |
+      | in the length            |
+      | before the last line end |
+      | in the body              |
+
+  Scenario Outline: An answer that is cut at an upstream reaches a platform's caller as whole
+    Given a deployment of 2 VMs whose upstreams stop each first answer <where> and close
+    When callers at both VMs send orders and lookups for keys of both
+    Then each order ends with 502, and each lookup with 502 or its own whole answer
+
+    Examples:
+      | where                    |
+      | in the status line       |
+      | in the name of a header  |
+      | in the length            |
+      | before the last line end |
+      | in the body              |
--- a/features/builders_daemon.py
+++ b/features/builders_daemon.py
@@ -77,7 +77,7 @@
         self.connections += 1
         previous = None
         while True:
-            request = await read_request(reader)
+            request, _ = await read_request(reader)
             if previous is not None and self._repeats:
                 writer.write(previous)
                 await asyncio.sleep(PAUSE)
@@ -93,12 +93,13 @@
 
 
 async def read_request(reader):
-    """Reads a request whose head states the length of its body; returns the head."""
+    """Reads a request whose head states the length of its body; returns both."""
     head = await reader.readuntil(b"\r\n\r\n")
     for line in head.lower().split(b"\r\n"):
         if line.startswith(b"content-length:"):
-            await reader.readexactly(int(line.partition(b":")[2]))
-    return head
+            length = int(line.partition(b":")[2])
+            return head, await reader.readexactly(length)
+    return head, b""
 
 
 def a_guard(address, **settings):
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -6,6 +6,7 @@
 
 from behave import given, then, when
 
+from features.builders_cut_answers import cut, cut_first_answers
 from features.builders_daemon import (
     DEADLINE_S,
     RepeatingServer,
@@ -15,6 +16,7 @@
     an_answer,
     an_order,
 )
+from features.builders_node import run, start_deployment
 from features.builders_proxy import exchange_raw, running_server
 from features.builders_stutter import PAUSE
 from rosemarydeal.core import NotRun, Unknown
@@ -472,3 +474,62 @@
     head, _, body = context.received.partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 413"), context.received
     assert not body, context.received
+
+
+@given("an upstream of the daemon that stops its answer {where} and closes")
+def step_cut(context, where):
+    context.server = ScriptedServer([[cut(FIRST, where)]])
+
+
+@when("the guard serves an order")
+def step_one_order(context):
+    serve_orders(context, "o1")
+
+
+@then("it ends as unknown")
+def step_ends_unknown(context):
+    assert is_unknown(context.replies[0]), context.replies
+
+
+@given(
+    "a deployment of {count:d} VMs whose upstreams stop each first answer {where}"
+    " and close"
+)
+def step_cut_deployment(context, count, where):
+    start_deployment(context, count)
+    deployment = context.deployment
+
+    async def replace_servers():
+        context.cut = [
+            await cut_first_answers(endpoint, deployment.hosts[name], where)
+            for name, endpoint in deployment.endpoints.items()
+        ]
+        await deployment.wait(lambda: all(map(deployment.serves, deployment.sample())))
+
+    run(context, replace_servers())
+
+
+@when("callers at both VMs send orders and lookups for keys of both")
+def step_cut_requests(context):
+    async def send_all():
+        sent = {
+            (path, f"{name}{path}{key}"): context.deployment.send_request(
+                name, key, path, request_id=f"{name}{path}{key}"
+            )
+            for name in context.deployment.nodes
+            for path in ("/order/1", "/a/1")
+            for key in list(context.deployment.sample())[::5]
+        }
+        return dict(zip(sent, await asyncio.gather(*sent.values()), strict=True))
+
+    context.answers = run(context, send_all())
+
+
+@then("each order ends with 502, and each lookup with 502 or its own whole answer")
+def step_cut_answers(context):
+    assert all(context.cut), "an upstream cut no answer"
+    for (path, identity), answer in context.answers.items():
+        own = answer.status == 200 and answer.body == b"ran " + identity.encode()
+        # A repeat of a lookup is within the retry budget or not made.
+        may_be_answered = path.startswith("/a/")
+        assert answer.status == 502 or own and may_be_answered, (identity, answer)
