Show that the rest of a body follows an early answer

An upstream answers before it has read a body of 4 MB, keeps the connection and reads on later. The bytes that follow are the rest of that body, or the connection ends; the next request never comes in its place. Bodies in memory, in pieces, and held back for a 100.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -125,3 +125,14 @@
       | in the length            |
       | before the last line end |
       | in the body              |
+
+  Scenario Outline: After an early answer other bytes follow where the rest of a body is due
+    Given an upstream that answers before it has read a long body, and reads on later
+    When a request with a body <sent> and another one are sent
+    Then the upstream receives the rest of the body or the end of the connection
+
+    Examples:
+      | sent                   |
+      | in memory              |
+      | in pieces              |
+      | held back for a 100    |
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -17,8 +18,15 @@
     an_order,
 )
 from features.builders_node import run, start_deployment
-from features.builders_proxy import exchange_raw, running_server
+from features.builders_proxy import (
+    exchange_raw,
+    pool,
+    raw_upstream,
+    request,
+    running_server,
+)
 from features.builders_stutter import PAUSE
+from features.builders_stutter import an_answer as a_platform_answer
 from rosemarydeal.core import NotRun, Unknown
 from rosemarydeal.daemon import upstream
 from rosemarydeal.daemon.guard import NoAnswer
@@ -31,6 +39,7 @@
 from rosemarydeal.policy.guard import UpstreamGone, UpstreamReported, UpstreamStarted
 from rosemarydeal.proxy import (
     BytesBody,
+    ConnectionSettings,
     ProxyError,
     Response,
     ResponseBroken,
@@ -44,6 +53,8 @@
 FIRST = an_answer("o1", b"the answer to the first")
 SECOND = an_answer("o2", OWN_BODY)
 # Longer than the answers that the guard stores.
+FIRST_NAMED = a_platform_answer("r1", OWN_BODY)
+SECOND_NAMED = a_platform_answer("r2", OWN_BODY)
 LARGE = an_answer("o1", b"x" * 1_500_000)
 REPEATED = {
     "its answer": FIRST,
@@ -533,3 +544,70 @@
         # A repeat of a lookup is within the retry budget or not made.
         may_be_answered = path.startswith("/a/")
         assert answer.status == 502 or own and may_be_answered, (identity, answer)
+
+
+PIECE = b"p" * 65_536
+PIECES = 64
+LONG_BODY = PIECE * PIECES
+
+
+async def slow_pieces():
+    for _ in range(PIECES):
+        await asyncio.sleep(PAUSE / 10)
+        yield PIECE
+
+
+def long_request(sent):
+    """Builds a request whose body is longer than what the sockets hold."""
+    length = (b"content-length", b"%d" % len(LONG_BODY))
+    headers = (length, (b"request-id", b"r1"))
+    if sent == "held back for a 100":
+        headers += ((b"expect", b"100-continue"),)
+    built = request(b"POST", b"/long", LONG_BODY, headers)
+    return replace(built, body=slow_pieces()) if sent == "in pieces" else built
+
+
+@given("an upstream that answers before it has read a long body, and reads on later")
+def step_early_answer(context):
+    context.received = {}
+
+    async def serve_connection(reader, writer):
+        received = context.received[len(context.received)] = bytearray()
+        answers = [FIRST_NAMED, SECOND_NAMED]
+        for answer in answers if len(context.received) == 1 else answers[1:]:
+            received += await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            await asyncio.sleep(4 * PAUSE)
+            if answer is FIRST_NAMED:
+                received += await reader.read(len(LONG_BODY))
+                while len(received) < len(LONG_BODY) and not reader.at_eof():
+                    received += await reader.read(len(LONG_BODY) - len(received))
+
+    context.serve_connection = serve_connection
+
+
+@when("a request with a body {sent} and another one are sent")
+def step_long_and_another(context, sent):
+    connection = ConnectionSettings(identifying_header=b"request-id")
+
+    async def go():
+        async with (
+            raw_upstream(context.serve_connection) as address,
+            pool(connection=connection) as (connections, _),
+        ):
+            other = request(headers=((b"request-id", b"r2"),))
+            for sent_request in (long_request(sent), other):
+                response = await connections.send(address, sent_request, DEADLINE_S)
+                await read_bytes(response.body, BODY_LIMIT)
+            await asyncio.sleep(8 * PAUSE)
+
+    asyncio.run(go())
+
+
+@then("the upstream receives the rest of the body or the end of the connection")
+def step_rest_of_body(context):
+    first = bytes(context.received[0])
+    assert first.count(b"r1") == 1, first[:200]
+    after_head = first.partition(b"\r\n\r\n")[2][: len(LONG_BODY)]
+    assert not after_head.strip(b"p"), after_head.strip(b"p")[:200]
+    assert any(b"r2" in received for received in context.received.values())
