Name a request in a response as its caller did

What callers could see: a rejection or a 502 of a process of the platform named another id than the request, if that was not ASCII: each such byte came back as a question mark, so two requests could get the same name. Evidence: the scenario read b'r-??' for b'r-\xe9\xff' before.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -136,3 +136,8 @@
       | in memory              |
       | in pieces              |
       | held back for a 100    |
+
+  Scenario: A response of the platform's process names another request than the caller's
+    Given a platform's caller whose request id is not ASCII
+    When the process rejects its request
+    Then the response names the id as the caller sent it
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -28,6 +28,7 @@
 from features.builders_stutter import PAUSE
 from features.builders_stutter import an_answer as a_platform_answer
 from rosemarydeal.core import NotRun, Unknown
+from rosemarydeal.core.requests import NotServed
 from rosemarydeal.daemon import upstream
 from rosemarydeal.daemon.guard import NoAnswer
 from rosemarydeal.objects import (
@@ -36,6 +37,7 @@
     PlatformSettings,
     PlatformUnavailable,
 )
+from rosemarydeal.platform import callers
 from rosemarydeal.policy.guard import UpstreamGone, UpstreamReported, UpstreamStarted
 from rosemarydeal.proxy import (
     BytesBody,
@@ -44,6 +46,7 @@
     Response,
     ResponseBroken,
     bytes_response,
+    find_header,
     read_bytes,
 )
 
@@ -611,3 +614,22 @@
     after_head = first.partition(b"\r\n\r\n")[2][: len(LONG_BODY)]
     assert not after_head.strip(b"p"), after_head.strip(b"p")[:200]
     assert any(b"r2" in received for received in context.received.values())
+
+
+@given("a platform's caller whose request id is not ASCII")
+def step_odd_id(context):
+    context.request_id = b"r-\xe9\xff"
+
+
+@when("the process rejects its request")
+def step_rejects(context):
+    headers = ((b"host", b"h.example"), (b"request-id", context.request_id))
+    sent = request(headers=headers)
+    caller = asyncio.run(callers.decode_request(sent, BODY_LIMIT))
+    context.response = callers.respond(caller.request_id, NotServed("no-upstream"))
+
+
+@then("the response names the id as the caller sent it")
+def step_names_id(context):
+    named = find_header(context.response.headers, b"request-id")
+    assert named == context.request_id, context.response.headers
--- a/rosemarydeal/platform/callers.py
+++ b/rosemarydeal/platform/callers.py
@@ -46,7 +46,7 @@
         raise Unreadable("the request has no id", "request-id-missing")
     host = find_header(headers, b"host") or b""
     return CallerRequest(
-        request_id=request_id.decode("ascii", "replace"),
+        request_id=request_id.decode("latin-1"),
         host=host.partition(b":")[0].decode("ascii", "replace").lower(),
         method=request.method,
         target=request.target,
@@ -91,7 +91,7 @@
     """Builds a response that no upstream gave, with its code as the body."""
     headers: Headers = ((b"content-type", b"text/plain"),)
     if request_id:
-        headers += ((names.REQUEST_ID, request_id.encode("ascii", "replace")),)
+        headers += ((names.REQUEST_ID, request_id.encode("latin-1")),)
     if retry_after_s is not None:
         headers += ((names.RETRY_AFTER, b"%.3f" % retry_after_s),)
     return bytes_response(status, code.encode("ascii"), headers)
