Show that replies between processes belong to their requests

Three scenarios with a scripted peer: a reply that comes after its request was given up, a reply to a request of a lost link on the next link, and a late reply to a relayed call of the store. All passed on the code as it is: numbers are not used again while a process lives, a reply is looked up among the requests of its link, and a lost link ends them as unknown. A process that starts again opens new links; a frame of the former life can't arrive on them, as they are other TCP connections.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -141,3 +141,19 @@
     Given a platform's caller whose request id is not ASCII
     When the process rejects its request
     Then the response names the id as the caller sent it
+
+  Scenario: A peer's late reply answers a later request
+    Given a peer that replies to a request after it was given up
+    When a process has two requests run by the peer, and gives the first up
+    Then the second ends with its own answer from the peer
+
+  Scenario: A reply to a request of a lost link answers a request on the next link
+    Given a peer that closes the link, and replies on the next one
+    When a process has two requests run by the peer over both links
+    Then the first ends as unknown
+    And the second ends with its own answer from the peer
+
+  Scenario: A peer's late reply to a call of the store answers a later call
+    Given a peer that replies to a relayed call after it was given up
+    When a process relays two calls of the store, and gives the first up
+    Then the second call ends with its own reply
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
+from unittest.mock import MagicMock
 
 from behave import given, then, when
 
@@ -17,6 +19,7 @@
     an_answer,
     an_order,
 )
+from features.builders_fleet_types import a_routed_request
 from features.builders_node import run, start_deployment
 from features.builders_proxy import (
     exchange_raw,
@@ -27,10 +30,20 @@
 )
 from features.builders_stutter import PAUSE
 from features.builders_stutter import an_answer as a_platform_answer
-from rosemarydeal.core import NotRun, Unknown
-from rosemarydeal.core.requests import NotServed
+from rosemarydeal.core import Address, NotRun, Unknown
+from rosemarydeal.core.requests import NotServed, OutcomeUnknown
 from rosemarydeal.daemon import upstream
 from rosemarydeal.daemon.guard import NoAnswer
+from rosemarydeal.node.frames import FrameConnection
+from rosemarydeal.node.links import Links
+from rosemarydeal.node.messages import (
+    AnswerReply,
+    Hello,
+    RunRequest,
+    StoreRelayReply,
+    StoreRelayRequest,
+)
+from rosemarydeal.node.records import RANGES
 from rosemarydeal.objects import (
     PlatformClient,
     PlatformConflict,
@@ -633,3 +646,134 @@
 def step_names_id(context):
     named = find_header(context.response.headers, b"request-id")
     assert named == context.request_id, context.response.headers
+
+
+def an_answer_reply(number, body):
+    return AnswerReply(number, 200, (), body, 0)
+
+
+class ScriptedPeer:
+    """Replies to numbered messages as a script says; one function for each link."""
+
+    def __init__(self, *links):
+        self._links = iter(links)
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(self._make_connection, "127.0.0.1", 0)
+
+    def _make_connection(self):
+        on_message = next(self._links)
+
+        def receive(connection, message):
+            if isinstance(message, Hello):
+                connection.peer = message.node
+            elif isinstance(message, RunRequest | StoreRelayRequest):
+                on_message(connection, message)
+
+        ignore = MagicMock()
+        return FrameConnection(receive, ignore, ignore, ignore)
+
+
+async def with_peer(context, calls):
+    """Makes calls over links to the scenario's peer; returns their result."""
+    server = await context.peer.start()
+    address = Address(*server.sockets[0].getsockname()[:2])
+    hooks = MagicMock()
+    hooks.known_revisions = lambda: ()
+    links = Links("a", "a-1", hooks)
+    links.set_members({"b": SimpleNamespace(peer=address)})
+    try:
+        return await calls(links)
+    finally:
+        await links.close()
+        server.close()
+
+
+async def wait_up(links):
+    deadline = asyncio.get_running_loop().time() + DEADLINE_S
+    while not links.is_up("b"):
+        assert asyncio.get_running_loop().time() < deadline, "the link is not up"
+        await asyncio.sleep(PAUSE / 10)
+
+
+@given("a peer that replies to a request after it was given up")
+def step_late_reply(context):
+    received = []
+
+    def on_message(connection, message):
+        received.append(message.number)
+        if len(received) == 2:
+            connection.send(an_answer_reply(received[0], b"the first"))
+            connection.send(an_answer_reply(received[1], OWN_BODY))
+
+    context.peer = ScriptedPeer(on_message)
+
+
+@given("a peer that closes the link, and replies on the next one")
+def step_next_link(context):
+    received = []
+
+    def close_link(connection, message):
+        received.append(message.number)
+        connection.abort()
+
+    def on_message(connection, message):
+        connection.send(an_answer_reply(received[0], b"the first"))
+        connection.send(an_answer_reply(message.number, OWN_BODY))
+
+    context.peer = ScriptedPeer(close_link, on_message)
+
+
+@when("a process has two requests run by the peer, and gives the first up")
+@when("a process has two requests run by the peer over both links")
+def step_two_requests(context):
+    async def calls(links):
+        outcomes = []
+        for request_id in ("r1", "r2"):
+            await wait_up(links)
+            routed = a_routed_request(request_id, time_left_s=4 * PAUSE)
+            outcomes.append(await links.run_on_peer("b", routed))
+        return outcomes
+
+    context.outcomes = asyncio.run(with_peer(context, calls))
+
+
+@then("the first ends as unknown")
+def step_first_unknown(context):
+    assert context.outcomes[0] == OutcomeUnknown("peer-lost"), context.outcomes
+
+
+@then("the second ends with its own answer from the peer")
+def step_own_from_peer(context):
+    assert isinstance(context.outcomes[0], OutcomeUnknown), context.outcomes
+    assert context.outcomes[1].body == OWN_BODY, context.outcomes
+
+
+@given("a peer that replies to a relayed call after it was given up")
+def step_late_relay(context):
+    received = []
+
+    def on_message(connection, message):
+        received.append(message.number)
+        if len(received) == 2:
+            for number, done in zip(received, (True, False), strict=True):
+                connection.send(StoreRelayReply(number, RANGES, None, done))
+
+    context.peer = ScriptedPeer(on_message)
+
+
+@when("a process relays two calls of the store, and gives the first up")
+def step_two_relays(context):
+    async def calls(links):
+        await wait_up(links)
+        call = StoreRelayRequest(0, RANGES, "box-office", b"")
+        return [await links.relay_store_call("b", call, 2 * PAUSE) for _ in range(2)]
+
+    context.outcomes = asyncio.run(with_peer(context, calls))
+
+
+@then("the second call ends with its own reply")
+def step_own_relay(context):
+    assert context.outcomes[0] is None, context.outcomes
+    assert not context.outcomes[1].done, context.outcomes
