Believe only an entry's response that names the caller's request

What callers saw (scenario): behind an entry, or a proxy before it, that writes a response once more, late, the caller library returned the body of the earlier request as the answer to the next one, or reported the next one as not run and sent it again although it ran. Cause: the library matched a response to a request by its place on a kept connection; responses of entries named no request. Change: an entry returns the Idempotency-Key in every response that its handler gives. The library checks it, also for the routes; it closes a connection after a response without it, and never sends an attempt over a connection that has carried the request. A rejection that the server gives before the handler (a malformed head, a body over the limit) has no id: on a reused connection it now counts as unknown instead of not run. Not changed: the pool by which an entry forwards to other processes. Both ends are the product's own server, which writes one response to each request.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -157,3 +157,15 @@
     Given a peer that replies to a relayed call after it was given up
     When a process relays two calls of the store, and gives the first up
     Then the second call ends with its own reply
+
+  Scenario Outline: A late copy of an entry's <answer> answers the caller's next request
+    Given an entry that repeats its <answer>, and names <named> in its answers
+    When the caller library sends two requests one after the other
+    Then the second outcome is its own answer or unknown
+
+    Examples:
+      | answer    | named       |
+      | answer    | no request  |
+      | rejection | no request  |
+      | answer    | the request |
+      | rejection | the request |
--- a/features/builders_daemon.py
+++ b/features/builders_daemon.py
@@ -9,6 +9,7 @@
 from features.builders_proxy import request as a_request
 from features.builders_stutter import PAUSE, ScriptedUpstream
 from rosemarydeal.core.clock import now
+from rosemarydeal.core.routes import ROUTES_PATH
 from rosemarydeal.daemon.classify import RequestDetails, request_fingerprint
 from rosemarydeal.daemon.guard import GuardHooks, GuardTask
 from rosemarydeal.policy import guard
@@ -55,7 +56,8 @@
     """Repeats the last answer on a connection, late, before it writes the next one.
 
     The answers are written in order, over whichever connections requests come. Each
-    returns a header of its request, if the header has a name.
+    returns a header of its request, if the header has a name. Requests for routes
+    get 404, outside the order.
 
     Attributes:
         connections: Number of connections that were opened.
@@ -78,6 +80,10 @@
         previous = None
         while True:
             request, _ = await read_request(reader)
+            if request.startswith(b"GET " + ROUTES_PATH.encode()):
+                not_found = an_answer("", b"", b"404 Not Found")
+                writer.write(self._named(request, not_found))
+                continue
             if previous is not None and self._repeats:
                 writer.write(previous)
                 await asyncio.sleep(PAUSE)
--- a/features/caller_fleet.feature
+++ b/features/caller_fleet.feature
@@ -7,3 +7,4 @@
     And the fleet names the owner that answered a forwarded request
     And a request that is sent to the fleet again runs once
     And the fleet rejects a request without a key as not run
+    And the fleet names the request in each kind of response
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 
+from features.builders_caller import caller_of
 from features.builders_cut_answers import cut, cut_first_answers
 from features.builders_daemon import (
     DEADLINE_S,
@@ -30,7 +31,8 @@
 )
 from features.builders_stutter import PAUSE
 from features.builders_stutter import an_answer as a_platform_answer
-from rosemarydeal.core import Address, NotRun, Unknown
+from rosemarydeal.caller import Call
+from rosemarydeal.core import Address, Answer, NotRun, Unknown
 from rosemarydeal.core.requests import NotServed, OutcomeUnknown
 from rosemarydeal.daemon import upstream
 from rosemarydeal.daemon.guard import NoAnswer
@@ -777,3 +779,43 @@
 def step_own_relay(context):
     assert context.outcomes[0] is None, context.outcomes
     assert not context.outcomes[1].done, context.outcomes
+
+
+ANSWERED = (b"Rosemarydeal-Outcome: answer",)
+ENTRY_ANSWERS = {
+    "answer": an_answer("", b"the answer to the first", headers=ANSWERED),
+    "rejection": an_answer(
+        "",
+        b"{}",
+        b"503 Full",
+        (b"Rosemarydeal-Outcome: not-run", b"Rosemarydeal-Code: draining"),
+    ),
+}
+NAMED_REQUEST = {"no request": b"", "the request": b"idempotency-key"}
+
+
+@given("an entry that repeats its {answer}, and names {named} in its answers")
+def step_entry_repeats(context, answer, named):
+    own = an_answer("", OWN_BODY, headers=ANSWERED)
+    answers = [ENTRY_ANSWERS[answer], own]
+    context.server = RepeatingServer(answers, NAMED_REQUEST[named])
+
+
+@when("the caller library sends two requests one after the other")
+def step_caller_two(context):
+    async def go():
+        async with (
+            context.server.listen() as address,
+            caller_of([address], attempts=1) as caller,
+        ):
+            calls = [Call("POST", "/orders", deadline_s=DEADLINE_S)] * 2
+            return [(await caller.send(call)).outcome for call in calls]
+
+    context.outcomes = asyncio.run(go())
+
+
+@then("the second outcome is its own answer or unknown")
+def step_own_outcome(context):
+    outcome = context.outcomes[1]
+    own = isinstance(outcome, Answer) and outcome.body == OWN_BODY
+    assert own or isinstance(outcome, Unknown), context.outcomes
--- a/features/steps/caller_fleet_steps.py
+++ b/features/steps/caller_fleet_steps.py
@@ -146,3 +146,22 @@
             assert (reply.outcome.code, reply.attempts) == ("key-missing", 1)
 
     context.caller_loop.run(check())
+
+
+@then("the fleet names the request in each kind of response")
+def step_names_request(context):
+    targets = [b"/shows/1/seats", b"/", f"{ROUTES_PATH}?service={SERVICE}".encode()]
+    identity = ((names.IDEMPOTENCY_KEY, b"named"),)
+
+    async def check():
+        async with pool() as (connections, _):
+            for target in targets:
+                sent = request(target=target, headers=identity)
+                response = await connections.send(
+                    context.entries[0], sent, REQUEST_TIMEOUT_S
+                )
+                await read_bytes(response.body, 1 << 22)
+                named = find_header(response.headers, names.IDEMPOTENCY_KEY)
+                assert named == b"named", (target, response)
+
+    context.caller_loop.run(check())
--- a/rosemarydeal/caller/client.py
+++ b/rosemarydeal/caller/client.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
+from rosemarydeal.core import headers as names
 from rosemarydeal.proxy import Pool
 
 from .budget import RetryBudget
@@ -26,7 +28,10 @@
 
     def __init__(self, settings: CallerSettings) -> None:
         rng = random.Random()
-        pool = Pool(settings.pool)
+        connection = replace(
+            settings.pool.connection, identifying_header=names.IDEMPOTENCY_KEY
+        )
+        pool = Pool(replace(settings.pool, connection=connection))
         routes = RouteCache(settings.seeds, rng)
         self._context = CallerContext(
             settings,
--- a/rosemarydeal/caller/route_fetcher.py
+++ b/rosemarydeal/caller/route_fetcher.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import uuid
 
 import structlog
 
 from rosemarydeal.core import Address
+from rosemarydeal.core import headers as names
 from rosemarydeal.core.routes import ROUTES_PATH, decode_routes
 from rosemarydeal.proxy import BytesBody, Pool, ProxyError, Request, read_bytes
 
@@ -103,7 +105,8 @@
         """Fetches the table from one entry if it has a newer one."""
         service, version = self._settings.service, self._routes.version
         target = f"{ROUTES_PATH}?service={service}&after={version}"
-        request = Request(b"GET", target.encode(), (), BytesBody(b""), NO_PEER)
+        identity = ((names.IDEMPOTENCY_KEY, uuid.uuid4().hex.encode("ascii")),)
+        request = Request(b"GET", target.encode(), identity, BytesBody(b""), NO_PEER)
         timeout_s = self._settings.routes_time_s
         async with await self._pool.send(entry, request, timeout_s) as response:
             body = await read_bytes(response.body, self._settings.routes_bytes)
--- a/rosemarydeal/daemon/entry.py
+++ b/rosemarydeal/daemon/entry.py
@@ -24,6 +24,7 @@
     ProxyError,
     Request,
     Response,
+    find_header,
     replace_header,
 )
 from rosemarydeal.settings import ServiceSettings
@@ -137,8 +138,16 @@
             request: The request.
 
         Returns:
-            The upstream's answer, or a problem response with a code.
+            The upstream's answer, or a problem response with a code; it names the
+            request if the request has an id.
         """
+        response = await self._answer(service, request)
+        request_id = find_header(request.headers, headers.IDEMPOTENCY_KEY)
+        fields = replace_header(response.headers, headers.IDEMPOTENCY_KEY, request_id)
+        return replace(response, headers=fields)
+
+    async def _answer(self, service: str, request: Request) -> Response:
+        """Routes one request and returns the response to it."""
         arrived_at = now()
         configuration = self._configuration()
         settings = configuration.deployment.services[service]
