Route orders to the own process as soon as it serves their slice

What callers saw: after the loss of an owner, an order sent to the process that already served the key was forwarded to the lost owner. If that one was paused, not dead, the order stayed there until its deadline and ended unknown (502 connection-lost after 8 s). Cause: an entry chose the node by the row in the platform's table. A successor that takes a slice over serves it before the new row is written (0.1 s here, as long as the outage if the platform is out), and its own entry was not told. Change: the ownership policy's notices go to the entry as well; it prefers its own process for slices that this process serves, and sends waiting orders there. The guard decides as before, so this stays a hint. Ruled out: clearing the preference with a newer row, as for other fallbacks: the row of another change can arrive after the slice was gained.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -29,6 +29,14 @@
     When the platform's process receives SIGCONT
     Then the platform's row lists the new owner of the key first
 
+  Scenario: An order at the new owner is sent to the former one while the platform is out
+    When the platform's process receives SIGSTOP
+    And the owner's process receives SIGSTOP
+    Then another process answers the order "in-outage" for the key
+    When the platform's process receives SIGCONT
+    And the paused process receives SIGCONT
+    Then the resumed process has lost its lease and forwards the key's requests
+
   Scenario: A graceful shutdown under load interrupts no request
     When callers continuously send orders and lookups to all processes
     And the owner's process receives SIGTERM
--- a/rosemarydeal/daemon/configuration.py
+++ b/rosemarydeal/daemon/configuration.py
@@ -129,6 +129,7 @@
     """Returns the settings of the entry at this process."""
     own = configuration.own
     return EntrySettings(
+        node=node.node,
         availability_zone=node.availability_zone,
         retry_share=own.retries.budget_share,
         attempts_max=own.retries.attempts,
--- a/rosemarydeal/daemon/process.py
+++ b/rosemarydeal/daemon/process.py
@@ -415,10 +415,12 @@
                 self._metrics.right_changes.labels("gained").inc()
                 _log.info("ownership_gained", slice=slice_id.index, token=token)
                 self._guard.post(notice)
+                self._entry.post(notice)
             case guard.OwnershipLost(slice_id):
                 self._metrics.right_changes.labels("lost").inc()
                 _log.info("ownership_lost", slice=slice_id.index)
                 self._guard.post(notice)
+                self._entry.post(notice)
             case _:
                 self._guard.post(notice)
 
--- a/rosemarydeal/policy/attempts.py
+++ b/rosemarydeal/policy/attempts.py
@@ -75,9 +75,11 @@
         row = state.rows.get(accepted.slice)
         if row is None:
             return state, None
-        fallback_node = state.fallback_nodes.get(accepted.slice)
+        preferred_node = state.fallback_nodes.get(accepted.slice)
+        if accepted.slice in state.own_tokens:
+            preferred_node = state.settings.node
         node = route.next_node(
-            row, fallback_node, state.stats_by_node, request.rejected_by, now
+            row, preferred_node, state.stats_by_node, request.rejected_by, now
         )
         return state, node or (row.owner.node if row.owner else None)
     members = members_of(state, accepted.service)
--- a/rosemarydeal/policy/entry.py
+++ b/rosemarydeal/policy/entry.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from typing import TypeVar
 
 import immutables
 
@@ -52,7 +53,7 @@
     with_stats,
 )
 from .guard_state import REROUTE_CODES
-from .interface import Tick
+from .interface import OwnershipGained, OwnershipLost, Tick
 from .parking import is_parked, park, release_all
 from .timers import due, schedule
 
@@ -65,6 +66,7 @@
     "wake_at",
 ]
 
+Value = TypeVar("Value")
 Step = tuple[EntryState, tuple[EntryAction, ...]]
 SERVER_ERROR_STATUS = 500
 RETRY_ELSEWHERE_CODES = frozenset({"connect-failed", "not-sent", "upstream-down"})
@@ -106,13 +108,18 @@
                 stats, event.busy, now, event.age, not event.healthy
             )
             return with_stats(state, event.node, stats), ()
+        case OwnershipGained(slice, token):
+            state = replace(state, own_tokens=state.own_tokens.set(slice, token))
+            return _resume_parked(state, slice, now)
+        case OwnershipLost(slice):
+            return replace(state, own_tokens=_without(state.own_tokens, slice)), ()
         case Tick():
             return _tick(state, now)
 
 
 def _without(
-    table: immutables.Map[SliceId, str], slice: SliceId
-) -> immutables.Map[SliceId, str]:
+    table: immutables.Map[SliceId, Value], slice: SliceId
+) -> immutables.Map[SliceId, Value]:
     """Returns the table without the slice."""
     return table.delete(slice) if slice in table else table
 
--- a/rosemarydeal/policy/entry_interface.py
+++ b/rosemarydeal/policy/entry_interface.py
@@ -11,7 +11,7 @@
 
 from rosemarydeal.core import Member, NotRun, Row, SliceId, Unknown
 
-from .interface import Tick
+from .interface import OwnershipGained, OwnershipLost, Tick
 
 __all__ = [
     "AttemptAnswered",
@@ -39,6 +39,7 @@
     """Limits on retries and hedges, and parameters of the choice of upstreams.
 
     Attributes:
+        node: Name of this process.
         availability_zone: Availability zone of this process.
         retry_share: Retries allowed per accepted request, on average.
         retry_burst: Retries allowed at once.
@@ -58,6 +59,7 @@
         unresponsive_s: Seconds without an answer after which a node is suspected.
     """
 
+    node: str = ""
     availability_zone: str = ""
     retry_share: float = 0.1
     retry_burst: float = 10.0
@@ -200,6 +202,8 @@
     | MembersChanged
     | RowsChanged
     | LoadReported
+    | OwnershipGained
+    | OwnershipLost
     | Tick
 )
 
--- a/rosemarydeal/policy/entry_state.py
+++ b/rosemarydeal/policy/entry_state.py
@@ -87,6 +87,8 @@
         choices_made: Number of random choices made so far.
         members: Members by service.
         rows: Rows by slice.
+        own_tokens: Tokens of the slices that this process serves itself, which it
+            knows before the row that names it as the owner is written.
         fallback_nodes: Node that last answered in place of the owner, by slice.
         parked: Numbers of the parked requests by slice; the first one probes.
         stats_by_node: Statistics of each node.
@@ -104,6 +106,7 @@
         default_factory=immutables.Map
     )
     rows: immutables.Map[SliceId, Row] = field(default_factory=immutables.Map)
+    own_tokens: immutables.Map[SliceId, int] = field(default_factory=immutables.Map)
     fallback_nodes: immutables.Map[SliceId, str] = field(default_factory=immutables.Map)
     parked: immutables.Map[SliceId, tuple[int, ...]] = field(
         default_factory=immutables.Map
--- a/rosemarydeal/policy/route.py
+++ b/rosemarydeal/policy/route.py
@@ -32,7 +32,7 @@
 
 def next_node(
     row: Row,
-    fallback_node: str | None,
+    preferred_node: str | None,
     stats_by_node: Mapping[str, NodeStats],
     rejected_by: frozenset[str],
     now: float,
@@ -41,7 +41,7 @@
 
     Args:
         row: The row of the slice.
-        fallback_node: Node that last answered in the owner's place, if any.
+        preferred_node: Node that serves the slice in the owner's place, if any.
         stats_by_node: Statistics of each node.
         rejected_by: Nodes that have rejected this request.
         now: Current time, in seconds.
@@ -51,8 +51,8 @@
         that has not rejected it; None if all have.
     """
     order = [i.node for i in row.succession]
-    if fallback_node in order:
-        order.insert(0, fallback_node)
+    if preferred_node in order:
+        order.insert(0, preferred_node)
     remaining = [node for node in order if node not in rejected_by]
     responsive = [
         n for n in remaining if stats_by_node.get(n, NO_STATS).unresponsive_until <= now
