Bound the contents of members and tables when they are decoded

One odd member among the others ended the tasks that rely on its numbers, or the one that decodes it: an unknown field nested a few thousand levels raised RecursionError in the task that watches the members, slots beyond a float raised OverflowError in the task that proposes the key ranges, which ended the process again and again, and a port out of range or a host with a NUL raised OverflowError and ValueError in the task of the link. Tables with tokens beyond 64 bits were taken over and can't be sent to peers.

Members are decoded into a type of their own with the bounds of each field: ports from 1 to 65535, IP addresses as hosts (no name is looked up), slots, pace and start within what an upstream can have, printable ASCII where a header carries the value. Tables have bounds for keys and tokens. Each content's depth is checked. Tables are cached like members, so that the check costs nothing at each change of another table.

--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -112,6 +112,13 @@
         await self.start_node(new)
         await self.start_endpoint(new)
 
+    async def join(self, name):
+        """Starts another VM at an address of its own."""
+        self._names.append(name)
+        self.hosts[name] = a_loopback_host(len(self._names))
+        await self.start_node(name)
+        await self.start_endpoint(name)
+
     async def close(self):
         for endpoint in self.endpoints.values():
             await endpoint.stop()
--- a/features/builders_odd_entries.py
+++ b/features/builders_odd_entries.py
@@ -8,11 +8,21 @@
 
 import msgspec
 
-__all__ = ["ODD_CONTENTS", "ODD_OBJECTS", "an_odd_object", "nested"]
+__all__ = [
+    "ODD_MEMBERS",
+    "ODD_OBJECTS",
+    "ODD_TABLES",
+    "an_object",
+    "an_odd_member",
+    "an_odd_object",
+    "an_odd_table",
+    "nested",
+]
 
 # The decoder of JSON fails at about a thousand levels, depending on the stack.
 DEEP = 5000
 SHALLOW = 100
+HUGE = msgspec.Raw(b"1" + b"0" * 30)
 METADATA = b'{"name":"NAME","rev":REVISION}'
 
 
@@ -30,7 +40,17 @@
     return b'{"metadata":%s,"spec":%s}' % (METADATA, content)
 
 
-ODD_CONTENTS = {
+def an_object(name, content):
+    """Returns the bytes of an object with a content.
+
+    Args:
+        name: Name under which the store files it.
+        content: Its content, encoded.
+    """
+    return _with_content(content).replace(b"NAME", name.encode())
+
+
+_ODD_CONTENTS = {
     "content nested 5000 levels": nested(DEEP),
     "content nested 100 levels": nested(SHALLOW),
     "content of objects nested 5000 levels": nested_objects(DEEP),
@@ -44,7 +64,7 @@
 """Contents that are valid for no kind, by what is odd about them."""
 
 ODD_OBJECTS = {
-    **{label: _with_content(content) for label, content in ODD_CONTENTS.items()},
+    **{label: _with_content(content) for label, content in _ODD_CONTENTS.items()},
     "no object": b"7",
     "an empty object": b"{}",
     "nested 5000 levels": nested(DEEP),
@@ -70,6 +90,71 @@
 """Objects that must name nothing to use, by what is odd about them."""
 
 
+ODD_MEMBERS = {
+    "an unknown field nested 5000 levels": {"extra": msgspec.Raw(nested(DEEP))},
+    "an unknown field nested 100 levels": {"extra": msgspec.Raw(nested(SHALLOW))},
+    "port 70000": {"peer": {"host": "127.0.0.1", "port": 70000}},
+    "port 0": {"peer": {"host": "127.0.0.1", "port": 0}},
+    "port -1": {"peer": {"host": "127.0.0.1", "port": -1}},
+    "a port beyond 64 bits": {"peer": {"host": "127.0.0.1", "port": HUGE}},
+    "a host with a NUL": {"peer": {"host": "127.0.0.1\0", "port": 7000}},
+    "a long label as host": {"peer": {"host": "a" * 300, "port": 7000}},
+    "a name as host": {"peer": {"host": "vm.example", "port": 7000}},
+    "no host": {"peer": {"host": "", "port": 7000}},
+    "slots beyond 64 bits": {"slots": HUGE},
+    "slots beyond a float": {"slots": msgspec.Raw(b"1" + b"0" * 400)},
+    "slots beyond any upstream": {"slots": 2**40},
+    "negative slots": {"slots": -1},
+    "a pace of 1e300": {"pace": 1e300},
+    "a negative pace": {"pace": -1.0},
+    "a start beyond 64 bits": {"born_ms": HUGE},
+    "a negative start": {"born_ms": -1},
+    "an endless instance": {"instance": "i" * 100_000},
+    "an instance with a line break": {"instance": "i\r\nx: y"},
+    "an instance that is not ASCII": {"instance": "i-\u00f6"},
+    "an endless zone": {"zone": "z" * 100_000},
+    "an endless service": {"service": "s" * 100_000},
+}
+"""Changes to a valid member that make it odd, by what is odd about it."""
+
+
+ODD_TABLES = {
+    "an unknown field nested 5000 levels": {"extra": msgspec.Raw(nested(DEEP))},
+    "an unknown field nested 100 levels": {"extra": msgspec.Raw(nested(SHALLOW))},
+    "a highest token beyond 64 bits": {"top_token": HUGE},
+    "a negative highest token": {"top_token": -1},
+    "a token beyond 64 bits": {"ranges": [[0, 0, HUGE]]},
+    "a negative token": {"ranges": [[0, 0, -5]]},
+    "a first key beyond 64 bits": {"ranges": [[0, 0, 1], [HUGE, 0, 1]]},
+    "an owner beyond 64 bits": {"ranges": [[0, HUGE, 1]]},
+    "an era beyond 64 bits": {"era": HUGE},
+    "a suspicion beyond 64 bits": {
+        "suspicions": [{"node": "vm-a", "by": "vm-b", "number": HUGE}]
+    },
+}
+"""Changes to a valid table that make it odd, by what is odd about them."""
+
+
+def an_odd_table(odd, content):
+    """Returns the content of a table that is odd.
+
+    Args:
+        odd: What is odd about it, a key of `ODD_TABLES`.
+        content: Content of a valid table.
+    """
+    return msgspec.json.encode({**msgspec.json.decode(content), **ODD_TABLES[odd]})
+
+
+def an_odd_member(odd, member):
+    """Returns the content of a member that is odd.
+
+    Args:
+        odd: What is odd about it, a key of `ODD_MEMBERS`.
+        member: Content of a valid member.
+    """
+    return msgspec.json.encode({**member, **ODD_MEMBERS[odd]})
+
+
 def an_odd_object(odd, name, content=None):
     """Returns the bytes of an odd object.
 
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -86,3 +86,71 @@
     Given a store with the members vm-a, vm-ö ?&/# and vm-c, and 2 objects on a page
     Then a listing of the members contains vm-a and vm-c as before
     And the member vm-ö ?&/# can be read and removed
+
+  Scenario Outline: A member with <odd> is no member, and a repaired one is
+    Given a store with the members vm-a, vm-b and vm-c
+    And records of its members
+    When another writer leaves a member vm-b with <odd>
+    And the members are listed again
+    Then only vm-a and vm-c are members
+    And no member is taken for removed, and vm-a and vm-c are members
+    When vm-b is written as it should be
+    And the members are listed again
+    Then vm-b is a member as it was written
+
+    Examples:
+      | odd |
+      | an unknown field nested 5000 levels |
+      | an unknown field nested 100 levels |
+      | port 70000 |
+      | port 0 |
+      | port -1 |
+      | a port beyond 64 bits |
+      | a host with a NUL |
+      | a long label as host |
+      | a name as host |
+      | no host |
+      | slots beyond 64 bits |
+      | slots beyond a float |
+      | slots beyond any upstream |
+      | negative slots |
+      | a pace of 1e300 |
+      | a negative pace |
+      | a start beyond 64 bits |
+      | a negative start |
+      | an endless instance |
+      | an instance with a line break |
+      | an instance that is not ASCII |
+      | an endless zone |
+      | an endless service |
+
+  Scenario Outline: A table with <odd> replaces none, and a later one is applied
+    Given records with a table, and three consecutive deltas
+    When the store returns a table with <odd>
+    Then the records still hold the first table
+    When the store returns the table after two changes
+    Then the records hold the table after the second change
+
+    Examples:
+      | odd |
+      | an unknown field nested 5000 levels |
+      | an unknown field nested 100 levels |
+      | a highest token beyond 64 bits |
+      | a negative highest token |
+      | a token beyond 64 bits |
+      | a negative token |
+      | a first key beyond 64 bits |
+      | an owner beyond 64 bits |
+      | an era beyond 64 bits |
+      | a suspicion beyond 64 bits |
+
+  Scenario: Processes outlast odd members, and follow one that joins under a name among them
+    Given a deployment of 2 VMs
+    When another writer leaves members that are odd in every way, also vm-a and vm-c
+    And the VM vm-c joins
+    Then vm-a, vm-b and vm-c follow the members vm-a, vm-b and vm-c
+    And keys reach the upstream of vm-c within 4 seconds
+    And no task of a process has failed
+    When the operator moves the route to /b/
+    Then vm-a serves /b/ and no longer /a/ within 2 seconds
+    And vm-c serves /b/ and no longer /a/ within 2 seconds
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -8,18 +8,30 @@
 import msgspec
 from behave import given, then, when
 
-from features.builders_fleet_types import a_member
-from features.builders_node import run
-from features.builders_odd_entries import an_odd_object
+from features.builders_fleet_types import SERVICE, a_member
+from features.builders_node import a_configuration, run
+from features.builders_odd_entries import (
+    ODD_MEMBERS,
+    ODD_OBJECTS,
+    an_object,
+    an_odd_member,
+    an_odd_object,
+    an_odd_table,
+)
 from features.standin_store import StandInStore
+from features.steps.records_steps import revision, stored_table
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import Revision
+from rosemarydeal.node.contents import encode_table
 from rosemarydeal.node.records import MEMBERS, Records
 from rosemarydeal.platform.errors import StoreError
 from rosemarydeal.platform.store import StoreClient, StoreSettings
 
 LIST_TIMEOUT_S = 5.0
 WATCH_S = 0.2
+FOLLOW_S = 5.0
+# Shorter than the pause of a watch between two calls: some come together.
+ODD_PAUSE_S = 0.05
 FIRST_PORT = 7001
 # Port of each member, by node.
 PORTS = {}
@@ -159,3 +171,99 @@
 def step_is_removed(context, name):
     assert name not in context.records.members
     assert is_removed(context, name)
+
+
+@when("another writer leaves a member {name} with {odd}")
+def step_odd_member(context, name, odd):
+    put_odd_member(context.store, name, odd)
+
+
+def put_odd_member(store, name, odd):
+    content = an_odd_member(odd, member_content(name))
+    store.put_odd(MEMBERS, name, an_object(name, content))
+
+
+@then("only {one} and {two} are members")
+def step_only(context, one, two):
+    assert set(context.records.members) == {one, two}, context.records.members
+
+
+@when("another writer leaves members that are odd in every way, also {one} and {two}")
+def step_odd_every_way(context, one, two):
+    async def go():
+        store = context.deployment.store
+        for name in (one, two):
+            put_odd_member(store, name, "an unknown field nested 5000 levels")
+        for number, odd in enumerate(ODD_MEMBERS):
+            put_odd_member(store, f"odd-{number}", odd)
+            await asyncio.sleep(ODD_PAUSE_S)
+        for number, odd in enumerate(ODD_OBJECTS):
+            name = f"odd-object-{number}"
+            odd_object = an_odd_object(odd, name, member_content(name))
+            store.put_odd(MEMBERS, name, odd_object)
+            await asyncio.sleep(ODD_PAUSE_S)
+
+    run(context, go())
+
+
+@when("the VM {name} joins")
+def step_joins(context, name):
+    run(context, context.deployment.join(name))
+
+
+@then("vm-a, vm-b and vm-c follow the members {one}, {two} and {three}")
+def step_follow(context, one, two, three):
+    def follow():
+        return all(
+            set(node._records.members) == {one, two, three}
+            for node in context.deployment.nodes.values()
+        )
+
+    run(context, context.deployment.wait(follow, FOLLOW_S))
+
+
+@then("no task of a process has failed")
+def step_alive(context):
+    async def has_failed(node):
+        try:
+            async with asyncio.timeout(0.05):
+                await node.wait_failed()
+        except TimeoutError:
+            return False
+        return True
+
+    for name, node in context.deployment.nodes.items():
+        assert not run(context, has_failed(node)), name
+
+
+@when("the operator moves the route to /b/")
+def step_route(context):
+    context.deployment.store.put("config", "main", a_configuration(2, prefix="/b/"))
+
+
+@then("keys reach the upstream of {name} within {seconds:d} seconds")
+def step_keys_reach(context, name, seconds):
+    deployment = context.deployment
+    endpoint = deployment.endpoints[name]
+    holds = deployment.wait(
+        lambda: any(endpoint.held(key) for key in deployment.sample()), seconds
+    )
+    run(context, holds)
+
+
+@when("the store returns a table with {odd}")
+def step_odd_table(context, odd):
+    content = an_odd_table(odd, encode_table(context.tables[1]))
+    context.records.apply(
+        replace(stored_table(context.tables[1], revision(1)), content=content)
+    )
+
+
+@when("the store returns the table after two changes")
+def step_second_table(context):
+    context.records.apply(stored_table(context.tables[2], revision(2)))
+
+
+@then("the records hold the table after the second change")
+def step_second(context):
+    assert context.records.table(SERVICE) == context.tables[2]
--- a/rosemarydeal/core/decoding.py
+++ b/rosemarydeal/core/decoding.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import re
+import socket
 from collections.abc import Iterator
 from typing import Annotated, TypeVar
 
@@ -21,10 +22,15 @@
 __all__ = [
     "MAX_DEPTH",
     "Count",
+    "Identifier",
+    "Integer64",
     "Malformed",
     "Name",
+    "Pace",
     "Port",
+    "Slots",
     "check_depth",
+    "check_ip_address",
     "decode_json",
     "decode_unchecked",
     "split_array",
@@ -37,8 +43,21 @@
 # Integers up to this one are exact in each reader of JSON, and fit 64 bits.
 MAX_COUNT = 2**53 - 1
 
+# Fits 64 bits with a sign.
+MAX_INTEGER = 2**63 - 1
+# Far above what one VM runs concurrently, and how much slower one is than another.
+MAX_SLOTS = 100_000
+MAX_PACE = 1000.0
+
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+# Part of a header or a path: printable ASCII without blanks.
+Identifier = Annotated[
+    str, msgspec.Meta(max_length=MAX_NAME_LENGTH, pattern=r"\A[!-~]*\Z")
+]
+Integer64 = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+Pace = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_PACE)]
+Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=LAST_PORT)]
 
 _Value = TypeVar("_Value")
@@ -99,6 +118,19 @@
         raise Malformed(f"nested deeper than {MAX_DEPTH} levels, or not closed")
 
 
+def check_ip_address(host: str) -> None:
+    """Checks that a host is an IP address, so that no name is looked up.
+
+    Raises:
+        ValueError: If it is not.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        socket.inet_pton(family, host)
+    except OSError as error:
+        raise ValueError(f"{host[:MAX_NAME_LENGTH]!r} is no IP address") from error
+
+
 def split_object(text: bytes) -> dict[str, bytes]:
     """Returns the members of a JSON object, undecoded.
 
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from .data import Address
+from .decoding import Integer64
 
 __all__ = [
     "LAST_KEY",
@@ -390,7 +391,7 @@
 
     node: str
     by: str
-    number: int
+    number: Integer64
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -1,6 +1,7 @@
 """Encodes and decodes the contents of the store's objects.
 
-A malformed object is logged and ignored. A member or table that is stored under
+A malformed object is logged and ignored, also one with a number, address or name
+out of bounds, since other tasks rely on them. A member or table that is stored under
 another name than its own is ignored too.
 """
 
@@ -13,6 +14,18 @@
 import structlog
 
 from rosemarydeal.core import Address
+from rosemarydeal.core.decoding import (
+    Count,
+    Identifier,
+    Integer64,
+    Malformed,
+    Name,
+    Pace,
+    Port,
+    Slots,
+    check_ip_address,
+    decode_json,
+)
 from rosemarydeal.core.fleet import (
     LAST_KEY,
     Configuration,
@@ -37,16 +50,55 @@
 
 # Several revisions of each member of a fleet of hundreds.
 MAX_CACHED_MEMBERS = 4096
+# The tables of a few services are decoded again at each change of one of them.
+MAX_CACHED_TABLES = 16
 
 _log = structlog.get_logger()
 
 
+class _StoredAddress(msgspec.Struct):
+    """Address of a process."""
+
+    host: str
+    port: Port
+
+    def __post_init__(self) -> None:
+        """Checks the host.
+
+        Raises:
+            ValueError: If it is no IP address.
+        """
+        check_ip_address(self.host)
+
+
+class _StoredMember(msgspec.Struct):
+    """Content of a member, within bounds; the fields are those of `Member`."""
+
+    node: Name
+    process: Identifier
+    peer: _StoredAddress
+    zone: Identifier
+    service: Identifier
+    instance: Identifier = ""
+    born_ms: Count = 0
+    slots: Slots = 0
+    accepting: bool = False
+    pace: Pace = 1.0
+    leaving: bool = False
+
+    def to_member(self) -> Member:
+        """Returns the member."""
+        fields = {name: getattr(self, name) for name in self.__struct_fields__}
+        peer = Address(self.peer.host, self.peer.port)
+        return Member(**{**fields, "peer": peer})
+
+
 class _StoredRange(msgspec.Struct, array_like=True):
     """A range up to the next one's first key; `owner` is an index into `owners`."""
 
-    first: int
-    owner: int
-    token: int
+    first: Count
+    owner: Count
+    token: Integer64
     handover: str = ""
 
 
@@ -67,11 +119,11 @@
     service: str
     owners: tuple[tuple[str, str], ...]
     ranges: tuple[_StoredRange, ...]
-    top_token: int
+    top_token: Integer64
     suspicions: tuple[Suspicion, ...] = ()
     writer: str = ""
-    era: int = 0
-    restored_token: int = 0
+    era: Integer64 = 0
+    restored_token: Integer64 = 0
 
     def __post_init__(self) -> None:
         """Checks constraints that the types can't express.
@@ -176,9 +228,11 @@
 @lru_cache(maxsize=MAX_CACHED_MEMBERS)
 def decode_member(stored: StoredObject) -> Member | None:
     """Decodes a member; only new revisions of an object are decoded."""
-    return _decode(stored, Member)
+    member = _decode(stored, _StoredMember)
+    return member.to_member() if member is not None else None
 
 
+@lru_cache(maxsize=MAX_CACHED_TABLES)
 def decode_table(stored: StoredObject) -> RangeTable | None:
     """Decodes a table; returns None if it is deleted, malformed or misnamed."""
     table = _decode(stored, _StoredTable)
@@ -197,7 +251,7 @@
     if stored.content is None:
         return None
     try:
-        return msgspec.json.decode(stored.content, type=content_type)
-    except msgspec.MsgspecError as error:
-        _log.warning("object_unreadable", name=stored.name, detail=str(error))
+        return decode_json(stored.content, content_type)
+    except Malformed as error:
+        _log.warning("object_unreadable", name=stored.name, detail=error.detail)
         return None
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Annotated, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -14,6 +14,8 @@
 
 from rosemarydeal.core import Address, CodedError
 from rosemarydeal.core.decoding import (
+    MAX_INTEGER,
+    Integer64,
     Malformed,
     Name,
     decode_json,
@@ -52,10 +54,7 @@
 CONFLICT = 409
 GONE = 410
 REJECTED_STATUSES = (429, 503)
-# The largest that fits into 64 bits with a sign.
-MAX_REVISION = 2**63 - 1
 _Body = TypeVar("_Body")
-_RevisionNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
 
 _log = structlog.get_logger()
 
@@ -107,7 +106,7 @@
     """Name and revision of an object."""
 
     name: Name
-    rev: _RevisionNumber = 0
+    rev: Integer64 = 0
     deleting: bool = False
 
 
@@ -122,7 +121,7 @@
     """One page of a listing."""
 
     items: list[msgspec.Raw]
-    current_rev: _RevisionNumber
+    current_rev: Integer64
     truncated: bool = False
 
 
@@ -137,7 +136,7 @@
     """Answer to a watch."""
 
     events: list[msgspec.Raw]
-    current_rev: _RevisionNumber
+    current_rev: Integer64
 
 
 @dataclass(frozen=True, slots=True)
@@ -465,7 +464,7 @@
     kind: str,
     raw: bytes | msgspec.Raw,
     era: int,
-    current_revision: int = MAX_REVISION,
+    current_revision: int = MAX_INTEGER,
     deleted: bool = False,
 ) -> StoredObject:
     """Decodes one object, whose content stays undecoded.
