Count malformed objects of the store and log them at a bounded rate

A malformed object was logged as object_ignored or object_unreadable, without its kind or without its name, and a malformed table again at each change of another one. There was no metric for it.

All places report to one object of the process, which counts by kind (rosemarydeal_objects_rejected) and logs object_rejected with kind, name, revision and reason: once a minute for an object, at most 20 lines a minute.

The new scenario needs the new parts and could not run before.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -154,3 +154,14 @@
     When the operator moves the route to /b/
     Then vm-a serves /b/ and no longer /a/ within 2 seconds
     And vm-c serves /b/ and no longer /a/ within 2 seconds
+
+  Scenario: Odd objects are counted and logged by kind and name, but not again and again
+    Given a store with the members vm-a, vm-b and vm-c
+    And records of its members
+    When another writer leaves an object vm-b with a revision beyond 64 bits
+    And another writer leaves a member vm-c with port 70000
+    And the members are listed 10 times
+    Then 2 rejected objects are counted, and logged with kind, name and reason
+    When another writer leaves 200 objects with a revision beyond 64 bits
+    And the members are listed 10 times
+    Then 202 rejected objects are counted, and 20 are logged
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -18,6 +18,7 @@
     an_odd_object,
     an_odd_table,
 )
+from features.builders_rate_limit import captured_logs
 from features.standin_store import StandInStore
 from features.steps.records_steps import revision, stored_table
 from rosemarydeal.core import Address
@@ -25,6 +26,7 @@
 from rosemarydeal.node.contents import encode_table
 from rosemarydeal.node.records import MEMBERS, Records
 from rosemarydeal.platform.errors import StoreError
+from rosemarydeal.platform.rejected_objects import RejectedObjects
 from rosemarydeal.platform.store import StoreClient, StoreSettings
 
 LIST_TIMEOUT_S = 5.0
@@ -61,7 +63,8 @@
     context.loop = asyncio.new_event_loop()
     context.store = StandInStore()
     address = run(context, context.store.start("127.0.0.1"))
-    context.client = StoreClient(StoreSettings(address))
+    context.rejected = RejectedObjects()
+    context.client = StoreClient(StoreSettings(address), rejected=context.rejected)
     context.add_cleanup(close, context)
     for node in (one, two, three):
         context.store.put(MEMBERS, node, member_content(node))
@@ -134,7 +137,7 @@
 
 @given("records of its members")
 def step_records(context):
-    context.records = Records()
+    context.records = Records(context.rejected)
     step_listed_again(context)
     assert set(context.records.members) == {"vm-a", "vm-b", "vm-c"}
 
@@ -267,3 +270,32 @@
 @then("the records hold the table after the second change")
 def step_second(context):
     assert context.records.table(SERVICE) == context.tables[2]
+
+
+@when("the members are listed {count:d} times")
+def step_listed_often(context, count):
+    with captured_logs() as lines:
+        for _ in range(count):
+            step_listed_again(context)
+    context.lines = [line for line in lines if line["event"] == "object_rejected"]
+
+
+@then("{count:d} rejected objects are counted, and logged with kind, name and reason")
+def step_counted(context, count):
+    assert context.rejected.counts[MEMBERS] == count, context.rejected.counts
+    assert len(context.lines) == count, context.lines
+    for line in context.lines:
+        assert line["kind"] == MEMBERS and line["name"] and line["reason"], line
+
+
+@when("another writer leaves {count:d} objects with {odd}")
+def step_many_odd(context, count, odd):
+    context.logged = len(context.lines)
+    for number in range(count):
+        step_odd(context, f"odd-{number}", odd)
+
+
+@then("{count:d} rejected objects are counted, and {logged:d} are logged")
+def step_bounded(context, count, logged):
+    assert context.rejected.counts[MEMBERS] == count, context.rejected.counts
+    assert context.logged + len(context.lines) == logged, len(context.lines)
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -1,6 +1,6 @@
 """Encodes and decodes the contents of the store's objects.
 
-A malformed object is logged and ignored, also one with a number, address or name
+A malformed object is reported and ignored, also one with a number, address or name
 out of bounds, since other tasks rely on them. A member or table that is stored under
 another name than its own is ignored too.
 """
@@ -9,9 +9,9 @@
 
 from collections.abc import Iterable
 from functools import lru_cache
+from typing import TypeVar
 
 import msgspec
-import structlog
 
 from rosemarydeal.core import Address
 from rosemarydeal.core.decoding import (
@@ -37,6 +37,7 @@
 )
 from rosemarydeal.platform.errors import Unreadable
 from rosemarydeal.platform.operator import decode_configuration
+from rosemarydeal.platform.rejected_objects import RejectedObjects
 
 __all__ = [
     "configuration_of",
@@ -53,7 +54,7 @@
 # The tables of a few services are decoded again at each change of one of them.
 MAX_CACHED_TABLES = 16
 
-_log = structlog.get_logger()
+_Value = TypeVar("_Value")
 
 
 class _StoredAddress(msgspec.Struct):
@@ -192,14 +193,16 @@
     return msgspec.json.encode(stored)
 
 
-def configuration_of(stored: StoredObject | None) -> Configuration | None:
+def configuration_of(
+    stored: StoredObject | None, rejected: RejectedObjects
+) -> Configuration | None:
     """Returns the configuration in an object, None if absent or malformed."""
     if stored is None or stored.content is None:
         return None
     try:
         return decode_configuration(stored.content)
     except Unreadable as error:
-        _log.warning("configuration_unreadable", detail=error.detail)
+        rejected.note(stored, error.detail)
         return None
 
 
@@ -208,7 +211,9 @@
     return frozenset(stored.name for stored in objects if stored.content is not None)
 
 
-def members_of(objects: Iterable[StoredObject]) -> dict[str, Member]:
+def members_of(
+    objects: Iterable[StoredObject], rejected: RejectedObjects
+) -> dict[str, Member]:
     """Returns the members by node; only the newest one at each address.
 
     An older member at the same address has ended, and its upstream with it.
@@ -216,8 +221,8 @@
     members: dict[str, Member] = {}
     at_address: dict[Address, str] = {}
     for stored in sorted(objects, key=lambda stored: stored.revision):
-        member = decode_member(stored)
-        if member is None or member.node != stored.name:
+        member = decode_member(stored, rejected)
+        if member is None:
             continue
         members.pop(at_address.get(member.peer, ""), None)
         at_address[member.peer] = member.node
@@ -225,20 +230,18 @@
     return members
 
 
-@lru_cache(maxsize=MAX_CACHED_MEMBERS)
-def decode_member(stored: StoredObject) -> Member | None:
-    """Decodes a member; only new revisions of an object are decoded."""
-    member = _decode(stored, _StoredMember)
-    return member.to_member() if member is not None else None
+def decode_member(
+    stored: StoredObject, rejected: RejectedObjects | None = None
+) -> Member | None:
+    """Decodes a member; returns None if it is deleted, malformed or misnamed."""
+    return _accepted(stored, _member_of(stored), rejected)
 
 
-@lru_cache(maxsize=MAX_CACHED_TABLES)
-def decode_table(stored: StoredObject) -> RangeTable | None:
+def decode_table(
+    stored: StoredObject, rejected: RejectedObjects | None = None
+) -> RangeTable | None:
     """Decodes a table; returns None if it is deleted, malformed or misnamed."""
-    table = _decode(stored, _StoredTable)
-    if table is None or table_name(table.service) != stored.name:
-        return None
-    return table.to_table()
+    return _accepted(stored, _table_of(stored), rejected)
 
 
 def table_name(service: str) -> str:
@@ -246,12 +249,44 @@
     return service
 
 
-def _decode(stored: StoredObject, content_type: type) -> object | None:
-    """Decodes an object's content; returns None if it is deleted or malformed."""
+@lru_cache(maxsize=MAX_CACHED_MEMBERS)
+def _member_of(stored: StoredObject) -> Member | Malformed | None:
+    """Decodes a member; only new revisions of an object are decoded."""
     if stored.content is None:
         return None
     try:
-        return decode_json(stored.content, content_type)
+        member = decode_json(stored.content, _StoredMember).to_member()
     except Malformed as error:
-        _log.warning("object_unreadable", name=stored.name, detail=error.detail)
+        return error
+    return member if member.node == stored.name else _misnamed(member.node)
+
+
+@lru_cache(maxsize=MAX_CACHED_TABLES)
+def _table_of(stored: StoredObject) -> RangeTable | Malformed | None:
+    """Decodes a table; only new revisions of an object are decoded."""
+    if stored.content is None:
         return None
+    try:
+        table = decode_json(stored.content, _StoredTable).to_table()
+    except Malformed as error:
+        return error
+    fits = table_name(table.service) == stored.name
+    return table if fits else _misnamed(table.service)
+
+
+def _misnamed(name: str) -> Malformed:
+    """Returns the error of a content that belongs to an object of another name."""
+    return Malformed(f"the content belongs to {name!r}")
+
+
+def _accepted(
+    stored: StoredObject,
+    decoded: _Value | Malformed | None,
+    rejected: RejectedObjects | None,
+) -> _Value | None:
+    """Returns a decoded content; reports a malformed one."""
+    if not isinstance(decoded, Malformed):
+        return decoded
+    if rejected is not None:
+        rejected.note(stored, decoded.detail)
+    return None
--- a/rosemarydeal/node/metrics.py
+++ b/rosemarydeal/node/metrics.py
@@ -59,6 +59,7 @@
         self._dispatches: Counter[tuple[str, ...]] = Counter()
         self._dispatch_latency: dict[tuple[str, ...], _Latencies] = {}
         self._store_calls: Mapping[StoreCall, int] = {}
+        self._rejected_objects: Mapping[str, int] = {}
         self._messages: Mapping[str, int] = {}
         self._gauges: dict[str, float] = {}
 
@@ -80,6 +81,10 @@
         """Sets the counts of store calls, by operation and kind."""
         self._store_calls = calls
 
+    def count_rejected_objects(self, counts: Mapping[str, int]) -> None:
+        """Sets the counts of malformed objects of the store, by kind."""
+        self._rejected_objects = counts
+
     def count_messages(self, sent: Mapping[str, int], sent_bytes: int) -> None:
         """Sets the counts of messages sent to peers by type, and of their bytes."""
         self._messages = sent
@@ -132,6 +137,12 @@
             ("operation", "kind"),
             calls,
         )
+        yield _counter(
+            "rosemarydeal_objects_rejected",
+            "Malformed objects of the platform's store, by kind.",
+            ("kind",),
+            {(kind,): n for kind, n in self._rejected_objects.items()},
+        )
         yield _counter(
             "rosemarydeal_peer_messages_sent",
             "Messages sent to other processes, by type.",
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -14,6 +14,7 @@
 from rosemarydeal.platform import announcements, callers
 from rosemarydeal.platform.errors import Unreadable
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
+from rosemarydeal.platform.rejected_objects import RejectedObjects
 from rosemarydeal.platform.store import StoreClient, StoreSettings
 from rosemarydeal.platform.upstream import UpstreamClient
 from rosemarydeal.proxy import (
@@ -62,14 +63,16 @@
         self._identity = identity
         self._process = f"{time.time_ns():x}-{secrets.token_hex(3)}"
         self._metrics = Metrics()
+        self._rejected = RejectedObjects()
         self._store = StoreClient(
             StoreSettings(identity.store),
             on_era_changed=lambda: self._store_watcher.end_watches(),
+            rejected=self._rejected,
         )
         self._health = UpstreamHealth()
         self._client = UpstreamClient(identity.upstream, UPSTREAM_CONNECTIONS)
         self._links = Links(identity.node, self._process, self._link_hooks())
-        self._records = Records()
+        self._records = Records(self._rejected)
         self._access = StoreAccess(self._store, self._records, self._links)
         self._store_watcher = StoreWatcher(
             identity, self._store, self._access, self._records, self._links
@@ -361,6 +364,7 @@
         ):
             self._metrics.set_gauge(name, value)
         self._metrics.count_store_calls(self._store.calls)
+        self._metrics.count_rejected_objects(self._rejected.counts)
         self._metrics.count_messages(self._links.sent, self._links.sent_bytes)
         kind = ((b"content-type", b"text/plain; version=0.0.4"),)
         return bytes_response(200, self._metrics.render(), kind)
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -33,6 +33,7 @@
     CONFIGURATION_NAME,
     ZONES_OUT_KIND,
 )
+from rosemarydeal.platform.rejected_objects import RejectedObjects
 from rosemarydeal.platform.store import Listing
 
 from . import contents
@@ -77,8 +78,13 @@
 class Records:
     """Holds the objects and their decoded contents."""
 
-    def __init__(self) -> None:
-        """Creates empty records."""
+    def __init__(self, rejected: RejectedObjects | None = None) -> None:
+        """Creates empty records.
+
+        Args:
+            rejected: Counts the objects whose contents are malformed.
+        """
+        self._rejected = rejected or RejectedObjects()
         self._kinds = {kind: _KindState() for kind in KINDS}
         self._listeners: list[Callable[[str], None]] = []
         self._configuration: Configuration | None = None
@@ -199,7 +205,6 @@
         """
         kind_state = self._kinds[stored.kind]
         if stored.unreadable or not stored.name:
-            _log.warning("object_ignored", kind=stored.kind, reason=stored.unreadable)
             return False
         if stored.revision.era < kind_state.revision.era:
             return False
@@ -350,7 +355,7 @@
     def _refresh_configuration(self) -> bool:
         """Puts the configuration in force if its version is higher."""
         stored = self.stored(CONFIGURATION_KIND, CONFIGURATION_NAME)
-        configuration = contents.configuration_of(stored)
+        configuration = contents.configuration_of(stored, self._rejected)
         old = self._configuration
         if configuration is None or (
             old is not None and configuration.version <= old.version
@@ -376,7 +381,9 @@
 
     def _refresh_members(self) -> bool:
         """Updates the members; malformed ones are left out."""
-        members = contents.members_of(self._kinds[MEMBERS].known.values())
+        members = contents.members_of(
+            self._kinds[MEMBERS].known.values(), self._rejected
+        )
         if members == self._members:
             return False
         self._members = members
@@ -386,7 +393,7 @@
     def _refresh_tables(self) -> bool:
         """Updates the tables that are well-formed, and applies pending deltas."""
         for stored in self._kinds[RANGES].objects.values():
-            table = contents.decode_table(stored)
+            table = contents.decode_table(stored, self._rejected)
             if table is not None:
                 self._apply_table(table, stored.revision.era)
         for service in list(self._tables):
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import quote
@@ -41,6 +41,7 @@
     StoreUnavailable,
 )
 from .names import OBJECTS_PATH, STORE_ERA
+from .rejected_objects import RejectedObjects
 
 __all__ = ["Listing", "StoreCall", "StoreClient", "StoreSettings"]
 
@@ -157,14 +158,17 @@
         self,
         settings: StoreSettings,
         on_era_changed: Callable[[], None] = lambda: None,
+        rejected: RejectedObjects | None = None,
     ) -> None:
         """Creates a client without connections.
 
         Args:
             settings: Settings of the client.
             on_era_changed: Called when an answer states a higher era.
+            rejected: Counts the objects that are malformed.
         """
         self._settings = settings
+        self._rejected = rejected or RejectedObjects()
         self._on_era_changed = on_era_changed
         self._pool = Pool(PoolSettings(connect_time_s=settings.timeout_s))
         self._calls: Counter[StoreCall] = Counter()
@@ -199,6 +203,7 @@
             listed = [
                 _stored_object(kind, item, era, page.current_rev) for item in page.items
             ]
+            self._report_unreadable(listed)
             objects += listed
             if not page.truncated or not listed:
                 return Listing(tuple(objects), Revision(era, page.current_rev))
@@ -241,6 +246,7 @@
             _changed_object(kind, event, reply.era, answer.current_rev)
             for event in answer.events
         ]
+        self._report_unreadable(changes)
         return Listing(tuple(changes), Revision(reply.era, answer.current_rev))
 
     async def create(self, kind: str, name: str, content: bytes) -> StoredObject:
@@ -286,6 +292,12 @@
         """Closes all connections."""
         await self._pool.close()
 
+    def _report_unreadable(self, objects: Iterable[StoredObject]) -> None:
+        """Reports the unreadable ones among the objects of an answer."""
+        for stored in objects:
+            if stored.unreadable:
+                self._rejected.note(stored, stored.unreadable)
+
     def _check_era(self, kind: str, revision: Revision) -> None:
         """Raises an error if a watch is from a former era.
 
