Keep the configuration in force when a malformed one follows it

An odd configuration ended the task that watches for the next one: a resource nested a few thousand levels raised RecursionError in each process. A configuration with a health path beyond ASCII, a negative time-out or numbers beyond a float was put in force; one whose version was beyond 64 bits made all later versions look old.

The configuration is decoded within the depth and the bounds of each field, and the former one stays in force until a valid one follows.

Before, 19 of the 22 new scenarios failed: two with "RecursionError: maximum recursion depth exceeded", 16 because the odd configuration was in force, and the one with two processes because vm-a did not serve the next route within two seconds. Now all pass.

--- a/features/builders_odd_entries.py
+++ b/features/builders_odd_entries.py
@@ -9,10 +9,12 @@
 import msgspec
 
 __all__ = [
+    "ODD_CONFIGURATIONS",
     "ODD_MEMBERS",
     "ODD_OBJECTS",
     "ODD_TABLES",
     "an_object",
+    "an_odd_configuration",
     "an_odd_member",
     "an_odd_object",
     "an_odd_table",
@@ -145,6 +147,76 @@
     return msgspec.json.encode({**msgspec.json.decode(content), **ODD_TABLES[odd]})
 
 
+def _a_route(**changes):
+    spec = {"hostname": "h", "path_prefix": "/", "kind": "idempotent"}
+    spec |= {"timeout_ms": 1000, "service": "box-office", **changes}
+    return {"type": "routes", "metadata": {"name": "odd"}, "spec": spec}
+
+
+def _a_service(**changes):
+    return {"type": "services", "metadata": {"name": "odd"}, "spec": changes}
+
+
+def _limits(**changes):
+    return {"type": "limits", "metadata": {}, "spec": changes}
+
+
+ODD_RESOURCES = {
+    "a route nested 5000 levels": _a_route(extra=msgspec.Raw(nested(DEEP))),
+    "a route nested 100 levels": _a_route(extra=msgspec.Raw(nested(SHALLOW))),
+    "an unknown resource nested 5000 levels": {
+        "type": "novelties",
+        "metadata": {"name": "odd"},
+        "spec": msgspec.Raw(nested(DEEP)),
+    },
+    "a time-out of 1e300": _a_route(timeout_ms=1e300),
+    "a time-out beyond a float": _a_route(timeout_ms=msgspec.Raw(b"1e999")),
+    "a negative time-out": _a_route(timeout_ms=-1),
+    "a priority beyond a float": _a_route(priority=msgspec.Raw(b"1" + b"0" * 400)),
+    "attempts beyond 64 bits": _a_route(attempts=HUGE),
+    "a weight of 1e300": _a_route(backends=[{"service": "s", "weight": 1e300}]),
+    "a negative weight": _a_route(backends=[{"service": "s", "weight": -1}]),
+    "an endless host": _a_route(hostname="h" * 100_000),
+    "a health path that is not ASCII": _a_service(health_path="/\u00f6"),
+    "a health path with a line break": _a_service(health_path="/a\r\nx: y"),
+    "connections beyond a float": _a_service(max_conns=msgspec.Raw(b"1" + b"0" * 400)),
+    "a cold rate of 1e300": _a_service(cold_per_s=1e300),
+    "a negative cold period": _a_service(cold_period_s=-1),
+    "a body limit beyond 64 bits": _limits(max_body_bytes=HUGE),
+    "a negative idle time-out": _limits(idle_timeout_ms=-1),
+}
+"""Resources that make a configuration odd, by what is odd about them."""
+
+
+def an_odd_configuration(odd, configuration):
+    """Returns the content of a configuration that is odd.
+
+    Args:
+        odd: What is odd about it: a key of `ODD_RESOURCES`, or its version.
+        configuration: Content of a valid configuration.
+    """
+    changes = {}
+    match odd:
+        case "a version beyond 64 bits":
+            changes["version"] = HUGE
+        case "a negative version":
+            changes["version"] = -1
+        case "nothing but a number":
+            return b"7"
+        case _:
+            changes["resources"] = [*configuration["resources"], ODD_RESOURCES[odd]]
+    return msgspec.json.encode({**configuration, **changes})
+
+
+ODD_CONFIGURATIONS = (
+    *ODD_RESOURCES,
+    "a version beyond 64 bits",
+    "a negative version",
+    "nothing but a number",
+)
+"""What is odd about a configuration."""
+
+
 def an_odd_member(odd, member):
     """Returns the content of a member that is odd.
 
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -165,3 +165,42 @@
     When another writer leaves 200 objects with a revision beyond 64 bits
     And the members are listed 10 times
     Then 202 rejected objects are counted, and 20 are logged
+
+  Scenario Outline: A configuration with <odd> leaves the former one in force
+    Given records that hold version 7 of the configuration
+    When another writer leaves version 8 of the configuration with <odd>
+    Then version 7 stays in force
+    When a valid version 9 of the configuration follows
+    Then version 9 is in force
+
+    Examples:
+      | odd |
+      | a route nested 5000 levels |
+      | a route nested 100 levels |
+      | an unknown resource nested 5000 levels |
+      | a time-out of 1e300 |
+      | a time-out beyond a float |
+      | a negative time-out |
+      | a priority beyond a float |
+      | attempts beyond 64 bits |
+      | a weight of 1e300 |
+      | a negative weight |
+      | an endless host |
+      | a health path that is not ASCII |
+      | a health path with a line break |
+      | connections beyond a float |
+      | a cold rate of 1e300 |
+      | a negative cold period |
+      | a body limit beyond 64 bits |
+      | a negative idle time-out |
+      | a version beyond 64 bits |
+      | a negative version |
+      | nothing but a number |
+
+  Scenario: Processes outlast odd configurations and follow the next one
+    Given a deployment of 2 VMs
+    When another writer leaves configurations that are odd in every way
+    And the operator moves the route to /b/
+    Then vm-a serves /b/ and no longer /a/ within 2 seconds
+    And vm-b serves /b/ and no longer /a/ within 2 seconds
+    And no task of a process has failed
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -11,9 +11,11 @@
 from features.builders_fleet_types import SERVICE, a_member
 from features.builders_node import a_configuration, run
 from features.builders_odd_entries import (
+    ODD_CONFIGURATIONS,
     ODD_MEMBERS,
     ODD_OBJECTS,
     an_object,
+    an_odd_configuration,
     an_odd_member,
     an_odd_object,
     an_odd_table,
@@ -22,7 +24,7 @@
 from features.standin_store import StandInStore
 from features.steps.records_steps import revision, stored_table
 from rosemarydeal.core import Address
-from rosemarydeal.core.fleet import Revision
+from rosemarydeal.core.fleet import Revision, StoredObject
 from rosemarydeal.node.contents import encode_table
 from rosemarydeal.node.records import MEMBERS, Records
 from rosemarydeal.platform.errors import StoreError
@@ -34,6 +36,8 @@
 FOLLOW_S = 5.0
 # Shorter than the pause of a watch between two calls: some come together.
 ODD_PAUSE_S = 0.05
+# Longer than the pause of a watch of the configuration: each one is seen.
+ODD_CONFIGURATION_PAUSE_S = 0.2
 FIRST_PORT = 7001
 # Port of each member, by node.
 PORTS = {}
@@ -299,3 +303,38 @@
 def step_bounded(context, count, logged):
     assert context.rejected.counts[MEMBERS] == count, context.rejected.counts
     assert context.logged + len(context.lines) == logged, len(context.lines)
+
+
+def apply_configuration(context, content):
+    context.number = getattr(context, "number", 1000) + 1
+    stored = StoredObject("config", "main", Revision(0, context.number), content)
+    context.records.apply(stored)
+
+
+@when("another writer leaves version {version:d} of the configuration with {odd}")
+def step_odd_configuration(context, version, odd):
+    configuration = a_configuration(version)
+    apply_configuration(context, an_odd_configuration(odd, configuration))
+
+
+@when("a valid version {version:d} of the configuration follows")
+def step_good_configuration(context, version):
+    apply_configuration(context, msgspec.json.encode(a_configuration(version)))
+
+
+@then("version {version:d} is in force")
+def step_in_force(context, version):
+    assert context.records.configuration.version == version
+
+
+@when("another writer leaves configurations that are odd in every way")
+def step_odd_configurations(context):
+    async def go():
+        for odd in ODD_CONFIGURATIONS:
+            content = an_odd_configuration(odd, a_configuration(2))
+            context.deployment.store.put_odd(
+                "config", "main", an_object("main", content)
+            )
+            await asyncio.sleep(ODD_CONFIGURATION_PAUSE_S)
+
+    run(context, go())
--- a/rosemarydeal/platform/operator.py
+++ b/rosemarydeal/platform/operator.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from rosemarydeal.core.decoding import (
+    Count,
+    Identifier,
+    Malformed,
+    Name,
+    decode_json,
+)
 from rosemarydeal.core.fleet import (
     CallerLimits,
     Configuration,
@@ -17,48 +26,55 @@
 __all__ = ["decode_configuration"]
 
 MS_PER_S = 1000.0
+# Bounds far above what an operator could mean: a month, and a million a second.
+MAX_DURATION_MS = 31 * 24 * 3600 * 1000
+MAX_RATE = 1_000_000.0
+
+_DurationMs = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS)]
+_DurationS = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS / MS_PER_S)]
+_Rate = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE)]
 
 
 class _Backend(msgspec.Struct):
     """One service of a split route."""
 
-    service: str
-    weight: float
+    service: Identifier
+    weight: _Rate
 
 
 class _RouteBody(msgspec.Struct):
     """Content of a route; either `service` or `backends` is set."""
 
-    hostname: str
-    path_prefix: str
+    hostname: Name
+    path_prefix: Name
     kind: str
-    timeout_ms: float
-    latency_target_ms: float = 0.0
-    priority: int = 0
-    service: str = ""
+    timeout_ms: _DurationMs
+    latency_target_ms: _DurationMs = 0.0
+    priority: Count = 0
+    service: Identifier = ""
     backends: list[_Backend] = []
-    attempts: int = 1
+    attempts: Count = 1
 
 
 class _ServiceBody(msgspec.Struct):
     """Content of a service."""
 
-    health_path: str = "/healthz"
-    max_conns: int = 100
-    cold_period_s: float = 0.0
-    cold_per_s: float = 0.0
+    health_path: Identifier = "/healthz"
+    max_conns: Count = 100
+    cold_period_s: _DurationS = 0.0
+    cold_per_s: _Rate = 0.0
     # The wire name of a keyed service is "sharded".
     sharded: bool = False
-    warmup_s: float = 0.0
+    warmup_s: _DurationS = 0.0
 
 
 class _LimitsBody(msgspec.Struct):
     """Content of the callers' limits."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 67_108_864
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 67_108_864
+    header_timeout_ms: _DurationMs = 3000
+    idle_timeout_ms: _DurationMs = 15_000
 
 
 class _Metadata(msgspec.Struct):
@@ -78,7 +94,7 @@
 class _ConfigurationBody(msgspec.Struct):
     """A configuration as the operator wrote it."""
 
-    version: int
+    version: Count
     resources: list[_Resource]
 
 
@@ -86,10 +102,10 @@
     """Decodes the operator's configuration.
 
     Raises:
-        Unreadable: If a field is missing or has a wrong type.
+        Unreadable: If a field is missing, has a wrong type or is out of bounds.
     """
     try:
-        configuration = msgspec.json.decode(body, type=_ConfigurationBody)
+        configuration = decode_json(body, _ConfigurationBody)
         routes, services, limits = [], {}, CallerLimits()
         for resource in configuration.resources:
             name = resource.metadata.name
@@ -100,14 +116,14 @@
                     services[name] = _service(name, resource.spec)
                 case "limits":
                     limits = _limits(resource.spec)
-    except msgspec.MsgspecError as error:
-        raise Unreadable(f"configuration: {error}") from error
+    except Malformed as error:
+        raise Unreadable(f"configuration: {error.detail}") from error
     return Configuration(configuration.version, tuple(routes), services, limits)
 
 
 def _route(name: str, spec: msgspec.Raw) -> Route:
     """Decodes a route."""
-    body = msgspec.json.decode(spec, type=_RouteBody)
+    body = decode_json(spec, _RouteBody)
     backends = tuple(WeightedService(b.service, b.weight) for b in body.backends)
     return Route(
         name=name,
@@ -124,7 +140,7 @@
 
 def _service(name: str, spec: msgspec.Raw) -> Service:
     """Decodes a service."""
-    body = msgspec.json.decode(spec, type=_ServiceBody)
+    body = decode_json(spec, _ServiceBody)
     return Service(
         name=name,
         health_path=body.health_path,
@@ -138,7 +154,7 @@
 
 def _limits(spec: msgspec.Raw) -> CallerLimits:
     """Decodes the limits of callers."""
-    body = msgspec.json.decode(spec, type=_LimitsBody)
+    body = decode_json(spec, _LimitsBody)
     return CallerLimits(
         header_bytes=body.max_header_bytes,
         body_bytes=body.max_body_bytes,
