Fuzz the client of the upstream with copies and cuts of answers

Three state machines now drive the real client against an upstream on loopback that draws for each exchange: the answer, its framing, copies of earlier answers and of its own (whole, cut, in pieces, around and within the answer, the rest before the next one), copies of answers of other connections, cuts, resets, silence, answers without an id. The client repeats ids, cancels, sends several at once and makes calls. Oracle: an answer is that of its own attempt and whole; what is called not run has not run, and does not run later; a call returns what its own answer says; nothing exceeds its time limit; an exchange without a fault is answered.

What no client can tell is counted and not taken for a fault: a body without a length that the upstream ends early and cleanly, and bytes in a body that are too few to be the start of another answer.

The third machine fails: a copy that is written inside an answer with a length becomes its body.

--- a/features/fuzz.py
+++ b/features/fuzz.py
@@ -24,6 +24,9 @@
     "ownership": "features.ownership_machine:OwnershipMachine",
     "ownership-steered": "features.ownership_steered:SteeredMachine",
     "requests": "features.requests_machine:RequestsMachine",
+    "stutter": "features.stutter_machine:StutterMachine",
+    "stutter-calls": "features.stutter_machine:StutterCallsMachine",
+    "stutter-inside": "features.stutter_machine:InsideMachine",
 }
 """State machines to fuzz, by name, as `module:class`."""
 
