--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -88,16 +88,22 @@
       | with a length    | its second copy                                 |
       | with a length    | its second copy, cut where the body ends        |
       | with a length    | its second copy, cut where the body ends, late  |
-      | with a length    | its second copy, cut in its status line         |
+      | with a length    | its second copy, cut after its status line      |
+      | with a length    | its second copy, cut in the name of a header    |
       | with a length    | its second copy, cut in its head                |
       | with a length    | a refusal without an id, which just fits        |
       | with chunks      | a copy of an earlier answer, which just fits    |
 
-  Scenario: A body that quotes another response is refused
-    Given an upstream whose answer's body is the text of another response
+  Scenario Outline: A body that quotes another response is refused
+    Given an upstream whose answer's body is <text>
     When one request is sent
     Then it is answered with the text
 
+    Examples:
+      | text                              |
+      | the text of another response      |
+      | a sentence that ends with a status |
+
   Scenario Outline: A late copy of an earlier answer costs the next request its answer
     Given an upstream that writes <copies> before its next answer
     When three requests are sent
