Ask who serves the key each time the platform's row is compared

The step "the platform's row lists the new owner of the key first" asked once which process serves the key, and then compared the row with that one for 20 s. If the key moves on, the row never names it again.

--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -125,10 +125,11 @@
 
 @then("the platform's row lists the new owner of the key first")
 def step_recorded(context):
-    serving = context.processes.owner(context.key, excluding=context.owner)
     target = f"/locate?service=box-office&key={context.key}"
 
     def recorded():
+        # The slice may move on while the process that returned is given its share.
+        serving = context.processes.owner(context.key, excluding=context.owner)
         located = json.loads(serving.admin(target).body)
         rows = [r for r in context.processes.rows() if r["slice"] == located["slice"]]
         return [r["succession"][0]["node"] for r in rows] == [serving.name]
