Take no rejection for a promise about the earlier attempts of an order

What callers could see: an order whose outcome was unknown is sent again. A process that operators have excluded (or one that serves another service, is no known member, or has too many connections) rejects that attempt as not run. The entry took this for proof that no earlier attempt had run: - it sent the order to the next process as a new one, with a ticket of the present row, under which that process runs it (a second time); - or it told the caller not-run, so that a new call seemed safe. Cause: the guard's policy answers unknown where an earlier attempt may have run; the entry relied on it for every not-run, but such rejections are also made outside of that policy. Only the upstream's own rejection after a dispatch shows that the guard had checked the order's ticket. Change: only upstream-shed clears the doubt; an excluded guard answers unknown to an order that is sent again, as the policy does.

--- a/features/builders_daemon.py
+++ b/features/builders_daemon.py
@@ -108,10 +108,10 @@
     return head, b""
 
 
-def a_guard(address, **settings):
+def a_guard(address, may_admit=lambda: True, **settings):
     """Builds the guard of an upstream that has started and is warm."""
     hooks = GuardHooks(
-        may_admit=lambda: True,
+        may_admit=may_admit,
         slice_ownership=lambda _: None,
         on_idle=lambda _: None,
         on_connect_failed=lambda: None,
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -23,6 +23,10 @@
 )
 from rosemarydeal.core.clock import now
 from rosemarydeal.policy import guard
+from rosemarydeal.policy.guard_state import (
+    earlier_run_possible,
+    include_earlier_attempts,
+)
 from rosemarydeal.policy.reporting import LocalLoad
 from rosemarydeal.proxy import (
     BytesBody,
@@ -164,7 +168,10 @@
             The answer, or the outcome without one.
         """
         if not self._hooks.may_admit():
-            return NoAnswer(NotRun("moving", EXCLUDED_DETAIL, EXCLUDED_RETRY_AFTER_S))
+            outcome = NotRun("moving", EXCLUDED_DETAIL, EXCLUDED_RETRY_AFTER_S)
+            return NoAnswer(
+                include_earlier_attempts(outcome, earlier_run_possible(arrived))
+            )
         self._last_waiter += 1
         waiter = self._last_waiter
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
--- a/rosemarydeal/policy/completions.py
+++ b/rosemarydeal/policy/completions.py
@@ -21,6 +21,7 @@
     UpstreamRejected,
 )
 from .guard_state import (
+    SHED_CODE,
     GuardState,
     LiveRequest,
     cold_share,
@@ -41,7 +42,6 @@
 
 Step = tuple[GuardState, tuple[GuardAction, ...]]
 SERVER_ERROR_STATUS = 500
-SHED_CODE = "upstream-shed"
 RETRY_AFTER_FAILURE_S = 0.1
 
 
--- a/rosemarydeal/policy/entry.py
+++ b/rosemarydeal/policy/entry.py
@@ -52,7 +52,7 @@
     wake_at,
     with_stats,
 )
-from .guard_state import REROUTE_CODES
+from .guard_state import REROUTE_CODES, SHED_CODE
 from .interface import OwnershipGained, OwnershipLost, Tick
 from .parking import is_parked, park, release_all
 from .timers import due, schedule
@@ -235,7 +235,8 @@
     state = _record_reply(state, attempt, event.busy, now)
     outcome = event.outcome
     keyed = request.accepted.slice is not None
-    if isinstance(outcome, NotRun):
+    if isinstance(outcome, NotRun) and outcome.code == SHED_CODE:
+        # The guard checked the ticket; other rejections hold for this attempt alone.
         request = replace(request, earlier_outcome_unknown=False)
     if keyed and outcome.code in REROUTE_CODES:
         return _reroute(state, request, attempt, event, now)
