Keep a call that is sent again unknown unless its upstream rejects it

What callers saw (scenario): a call with an unknown outcome, sent again with its id and ticket, ended NotRun(connect-failed) or NotRun(draining) when no entry could take it. Cause: the library returned the outcome of its own attempts as that of the call. Change: for a call that is sent again, only upstream-shed stays not run; any other rejection ends as unknown (may-have-run), with the id and the ticket. The library still retries within the deadline as before.

--- a/features/resent_orders.feature
+++ b/features/resent_orders.feature
@@ -30,3 +30,18 @@
     Given a guard whose upstream operators have excluded
     When an order that may have run reaches it
     Then its reply is unknown
+
+  Scenario Outline: The caller library reports a call that may have run as not run
+    Given <entries> for the caller library
+    When a call that may have run is sent again
+    Then its reply is unknown, with the id and the ticket to send it again
+
+    Examples:
+      | entries                             |
+      | an entry that nothing listens at    |
+      | an entry that rejects as draining   |
+
+  Scenario: The caller library reports a rejection by the upstream as not run
+    Given an entry that rejects as upstream-shed for the caller library
+    When a call that may have run is sent again
+    Then its reply is not run
--- a/features/steps/resent_orders_steps.py
+++ b/features/steps/resent_orders_steps.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import asynccontextmanager
 from dataclasses import replace
 
 from behave import given, then, when
 
 from features.builders import incarnation
+from features.builders_caller import caller_of, fleet
 from features.builders_daemon import a_guard, an_order
 from features.builders_proxy import LOOPBACK
-from rosemarydeal.core import NotRun, Row, SliceId, Unknown
+from rosemarydeal.caller import Call
+from rosemarydeal.core import Address, NotRun, Row, SliceId, Unknown
 from rosemarydeal.policy import entry
 
 SLICE = SliceId("box-office", 2)
@@ -86,3 +89,47 @@
 @then("its reply is unknown")
 def step_reply_unknown(context):
     assert isinstance(context.reply.outcome, Unknown), context.reply
+
+
+@given("an entry that nothing listens at for the caller library")
+def step_no_entry(context):
+    context.entries = no_entry
+
+
+@given("an entry that rejects as {code} for the caller library")
+def step_rejecting_entry(context, code):
+    context.entries = lambda: fleet(lambda _: NotRun(code, ""), 1)
+
+
+@asynccontextmanager
+async def no_entry():
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    server.close()
+    yield [], [address]
+
+
+@when("a call that may have run is sent again")
+def step_call_again(context):
+    call = Call("POST", "/orders", request_id="o1", ticket=TICKET)
+
+    async def go():
+        async with (
+            context.entries() as (_, addresses),
+            caller_of(addresses, attempts=2) as caller,
+        ):
+            return await caller.send(call)
+
+    context.reply = asyncio.run(go())
+
+
+@then("its reply is unknown, with the id and the ticket to send it again")
+def step_unknown_reply(context):
+    reply = context.reply
+    assert isinstance(reply.outcome, Unknown), reply
+    assert (reply.request_id, reply.ticket) == ("o1", TICKET), reply
+
+
+@then("its reply is not run")
+def step_not_run_reply(context):
+    assert isinstance(context.reply.outcome, NotRun), context.reply
--- a/rosemarydeal/caller/exchange.py
+++ b/rosemarydeal/caller/exchange.py
@@ -9,7 +9,7 @@
 
 from rosemarydeal.core import Address, NotRun, Outcome, SliceId, Unknown
 from rosemarydeal.core import headers as names
-from rosemarydeal.core.codes import find_code
+from rosemarydeal.core.codes import SHED_CODE, find_code
 from rosemarydeal.proxy import (
     BytesBody,
     Headers,
@@ -85,8 +85,18 @@
                 break
             if not await self._back_off(outcome):
                 break
+        outcome = self._include_earlier_call(outcome)
         return Reply(outcome, self._request_id, self._ticket, self._attempts)
 
+    def _include_earlier_call(self, outcome: Outcome) -> Outcome:
+        """Returns an outcome that also holds for the earlier call, if there is one."""
+        if not self._call.resent or not isinstance(outcome, NotRun):
+            return outcome
+        if outcome.code == SHED_CODE:
+            return outcome
+        detail = f"The earlier call may have run; this one did not ({outcome.code})."
+        return Unknown("may-have-run", detail)
+
     async def _attempt(self) -> Outcome:
         """Sends the request to the best remaining entry."""
         routes = self._context.routes
--- a/rosemarydeal/core/codes.py
+++ b/rosemarydeal/core/codes.py
@@ -10,7 +10,11 @@
 
 from .headers import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 
-__all__ = ["CODES", "Code", "find_code", "render_table"]
+__all__ = ["CODES", "SHED_CODE", "Code", "find_code", "render_table"]
+
+SHED_CODE = "upstream-shed"
+"""The rejection that holds for all attempts of a request: the guard had checked its
+ticket, and the upstream then did not run it."""
 
 NOT_RUN = OUTCOME_NOT_RUN.decode()
 UNKNOWN = OUTCOME_UNKNOWN.decode()
@@ -136,7 +140,7 @@
     Code("draining", 503, NOT_RUN, "The process is shutting down.", RETRY),
     Code("upstream-down", 503, NOT_RUN, "The upstream is not there.", RETRY),
     Code(
-        "upstream-shed",
+        SHED_CODE,
         503,
         NOT_RUN,
         "The upstream refused it under load.",
--- a/rosemarydeal/policy/completions.py
+++ b/rosemarydeal/policy/completions.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from rosemarydeal.core import NotRun, SliceId, Unknown
+from rosemarydeal.core.codes import SHED_CODE
 from rosemarydeal.core.messages import LedgerHandOver
 
 from . import admission, coldstart, crash_suspects, fairqueue, ledger, tickets
@@ -21,7 +22,6 @@
     UpstreamRejected,
 )
 from .guard_state import (
-    SHED_CODE,
     GuardState,
     LiveRequest,
     cold_share,
--- a/rosemarydeal/policy/entry.py
+++ b/rosemarydeal/policy/entry.py
@@ -14,6 +14,7 @@
 import immutables
 
 from rosemarydeal.core import Member, NotRun, Row, SliceId, Unknown
+from rosemarydeal.core.codes import SHED_CODE
 
 from . import node_stats, route
 from .attempts import (
@@ -52,7 +53,7 @@
     wake_at,
     with_stats,
 )
-from .guard_state import REROUTE_CODES, SHED_CODE
+from .guard_state import REROUTE_CODES
 from .interface import OwnershipGained, OwnershipLost, Tick
 from .parking import is_parked, park, release_all
 from .timers import due, schedule
--- a/rosemarydeal/policy/guard_state.py
+++ b/rosemarydeal/policy/guard_state.py
@@ -19,7 +19,6 @@
 
 __all__ = [
     "REROUTE_CODES",
-    "SHED_CODE",
     "GuardState",
     "GuardStatus",
     "LiveRequest",
@@ -40,9 +39,6 @@
 REROUTE_CODES = frozenset({"moving", "not-owner", "not-sent", "upstream-down"})
 """Codes after which the entry sends a request to another process."""
 
-SHED_CODE = "upstream-shed"
-"""Code of a request that was dispatched, and that the upstream did not run."""
-
 
 @dataclass(frozen=True, slots=True)
 class LiveRequest:
