Send the lookups after an unanswered one to the successor

What callers saw: with the platform out and an owner paused, so that the row of its successor can't be written, each lookup at the other entries waited at the paused owner for the whole deadline (8 s) and ended unknown, deadline-passed; the successor served the key all the while. And the successor's answer to a lookup sent there on suspicion was not remembered. Change: a deadline that passes suspects the nodes that have sent nothing since; a node that answers in the owner's place is preferred until the row changes or it rejects a request, however it came to be asked. It has checked its ownership. Evidence: both new scenarios of features/own_slices.feature failed before.

--- a/features/own_slices.feature
+++ b/features/own_slices.feature
@@ -24,3 +24,13 @@
     Given an entry whose table names a lost owner first and its own process second
     When an order has been rejected by all and its process gains the slice
     Then the order is sent to the own process with the ticket of its rank
+
+  Scenario: Each lookup waits until its deadline at an owner that does not answer
+    Given an entry at a third process, whose table names a silent owner first
+    When a lookup has waited at the owner until its deadline
+    Then the next lookup is sent to the successor
+
+  Scenario: Lookups return to a silent owner although its successor answers them
+    Given an entry at a third process, whose table names a silent owner first
+    When the successor has answered the lookup after one that the owner did not answer
+    Then a lookup long after it is sent to the successor
--- a/features/steps/own_slices_steps.py
+++ b/features/steps/own_slices_steps.py
@@ -94,3 +94,49 @@
 @then("the order is sent to the owner in the table")
 def step_sent_to_owner(context):
     assert context.sent[-1].node == LOST, context.sent
+
+
+LOOKUP_S = 8.0
+
+
+def a_lookup(context, number):
+    deadline = context.now + LOOKUP_S
+    return entry.RequestAccepted(
+        number, f"l{number}", "box-office", SLICE, idempotent=True, deadline=deadline
+    )
+
+
+@given("an entry at a third process, whose table names a silent owner first")
+def step_third(context):
+    step_entry(context)
+    context.entry = entry.start(entry.EntrySettings(node="box-office-2"), 1)
+    feed(context, row(1))
+
+
+@when("a lookup has waited at the owner until its deadline")
+def step_waited(context):
+    feed(context, a_lookup(context, 1))
+    context.now = 1.0
+    feed(context, entry.Tick())
+    context.now = LOOKUP_S
+    feed(context, entry.Tick())
+
+
+@then("the next lookup is sent to the successor")
+def step_next_lookup(context):
+    feed(context, a_lookup(context, 2))
+    assert [attempt.node for attempt in context.sent] == [LOST, OWN], context.sent
+
+
+@when("the successor has answered the lookup after one that the owner did not answer")
+def step_successor_answers(context):
+    step_waited(context)
+    step_next_lookup(context)
+    feed(context, entry.AttemptAnswered(2, 1, 200, 0.01))
+
+
+@then("a lookup long after it is sent to the successor")
+def step_long_after(context):
+    context.now += 30.0
+    feed(context, a_lookup(context, 3))
+    assert [a.node for a in context.sent] == [LOST, OWN, OWN], context.sent
--- a/rosemarydeal/policy/entry.py
+++ b/rosemarydeal/policy/entry.py
@@ -201,16 +201,14 @@
 
 
 def _record_fallback(state: EntryState, request: OpenRequest, node: str) -> EntryState:
-    """Records a node that served a slice after the slice's owner rejected it."""
+    """Records a node that answered for a slice without being the owner in its row."""
     slice = request.accepted.slice
     row = None if slice is None else state.rows.get(slice)
     if row is None or row.owner is None:
         return state
-    if row.owner.node in request.rejected_by:
-        return replace(state, fallback_nodes=state.fallback_nodes.set(slice, node))
     if row.owner.node == node:
         return replace(state, fallback_nodes=_without(state.fallback_nodes, slice))
-    return state
+    return replace(state, fallback_nodes=state.fallback_nodes.set(slice, node))
 
 
 def _record_reply(
@@ -419,8 +417,10 @@
 
 
 def _expire(state: EntryState, request: OpenRequest, now: float) -> Step:
-    """Ends a request whose deadline has passed."""
-    if request.open_attempts or request.last_rejection is None:
+    """Ends a request whose deadline has passed, and suspects the nodes it waits for."""
+    outcome = request.last_rejection
+    if request.open_attempts or outcome is None:
         outcome = Unknown("deadline-passed", "No answer came before the deadline.")
-        return finish(state, request, outcome, now)
-    return finish(state, request, request.last_rejection, now)
+    state, suspicions = _suspect_unresponsive(state, request, now)
+    state, actions = finish(state, request, outcome, now)
+    return state, (*suspicions, *actions)
