Show that a Connection header can't make an answer look other than it is

An upstream may name any header in Connection, which is then not passed on. Without its signature or its id a success counts as a failure, a refusal without its proof is not believed, and Content-Length is kept and stated anew.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -169,3 +169,15 @@
       | rejection | no request  |
       | answer    | the request |
       | rejection | the request |
+
+  Scenario Outline: A Connection header hides what makes an answer the upstream's own
+    Given an upstream whose <answer> names <header> in its Connection header
+    When one request is sent
+    Then the result of the request is <end>
+
+    Examples:
+      | answer  | header             | end                   |
+      | success | response-signature | a failure             |
+      | success | request-id         | a failure             |
+      | success | content-length     | its own whole answer  |
+      | refusal | not-executed       | a failure             |
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -29,11 +29,11 @@
     request,
     running_server,
 )
-from features.builders_stutter import PAUSE
+from features.builders_stutter import PAUSE, ScriptedUpstream
 from features.builders_stutter import an_answer as a_platform_answer
 from rosemarydeal.caller import Call
 from rosemarydeal.core import Address, Answer, NotRun, Unknown
-from rosemarydeal.core.requests import NotServed, OutcomeUnknown
+from rosemarydeal.core.requests import Failed, NotServed, OutcomeUnknown
 from rosemarydeal.daemon import upstream
 from rosemarydeal.daemon.guard import NoAnswer
 from rosemarydeal.node.frames import FrameConnection
@@ -819,3 +819,24 @@
     outcome = context.outcomes[1]
     own = isinstance(outcome, Answer) and outcome.body == OWN_BODY
     assert own or isinstance(outcome, Unknown), context.outcomes
+
+
+@given("an upstream whose {answer} names {header} in its Connection header")
+def step_hidden(context, answer, header):
+    hidden = (b"Connection: " + header.encode(),)
+    answers = {
+        "success": a_platform_answer("r1", OWN_BODY, headers=hidden),
+        "refusal": a_platform_answer(
+            "r1", b"", b"503 Full", (b"Not-Executed: 1", *hidden)
+        ),
+    }
+    context.upstream = ScriptedUpstream([[answers[answer]]])
+
+
+@then("the result of the request is {end}")
+def step_hidden_end(context, end):
+    result = context.results[-1]
+    if end == "a failure":
+        assert isinstance(result, Failed) and result.sent, result
+    else:
+        assert result.status == 200 and result.body == OWN_BODY, result
