Read the status of a process over a connection for each request

What operators could see (scenario): a late copy of a process's answer about one key was shown as the status of the next key. The command line had one kept connection to each process, and nothing in these answers names the request. Evidence: before, the status of slice 1 was returned for both keys. Change: a connection carries one request; the command line makes few.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -181,3 +181,8 @@
       | success | request-id         | a failure             |
       | success | content-length     | its own whole answer  |
       | refusal | not-executed       | a failure             |
+
+  Scenario: A late copy of a process's status is shown for the next key
+    Given a process of the daemon that repeats its answer about a key
+    When the operators' command line asks about two keys
+    Then it shows the status of each key
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 from unittest.mock import MagicMock
 
+import msgspec
 from behave import given, then, when
 
 from features.builders_caller import caller_of
@@ -32,7 +33,15 @@
 from features.builders_stutter import PAUSE, ScriptedUpstream
 from features.builders_stutter import an_answer as a_platform_answer
 from rosemarydeal.caller import Call
-from rosemarydeal.core import Address, Answer, NotRun, Unknown
+from rosemarydeal.cli.nodes import NodeReader
+from rosemarydeal.core import (
+    Address,
+    Answer,
+    NotRun,
+    SliceId,
+    SliceStatus,
+    Unknown,
+)
 from rosemarydeal.core.requests import Failed, NotServed, OutcomeUnknown
 from rosemarydeal.daemon import upstream
 from rosemarydeal.daemon.guard import NoAnswer
@@ -840,3 +849,28 @@
         assert isinstance(result, Failed) and result.sent, result
     else:
         assert result.status == 200 and result.body == OWN_BODY, result
+
+
+@given("a process of the daemon that repeats its answer about a key")
+def step_status_repeats(context):
+    context.located = [SliceStatus(SliceId("box-office", index)) for index in (1, 2)]
+    bodies = map(msgspec.json.encode, context.located)
+    context.server = RepeatingServer([an_answer("", body) for body in bodies])
+
+
+@when("the operators' command line asks about two keys")
+def step_two_keys(context):
+    async def go():
+        async with context.server.listen() as address:
+            reader = NodeReader("")
+            try:
+                return [await reader.locate(address, "box-office", key) for key in "ab"]
+            finally:
+                await reader.close()
+
+    context.result = asyncio.run(go())
+
+
+@then("it shows the status of each key")
+def step_each_key(context):
+    assert context.result == context.located, context.result
--- a/rosemarydeal/cli/nodes.py
+++ b/rosemarydeal/cli/nodes.py
@@ -54,7 +54,8 @@
             token: Token that authenticates operators to the processes, may be empty.
         """
         self._token = token
-        self._pool = Pool(PoolSettings())
+        # Nothing in these answers names the request, so a connection carries one.
+        self._pool = Pool(PoolSettings(idle_per_address=0))
 
     async def status(self, admin: Address) -> NodeStatus:
         """Returns the status of the process at an address.
