Start a failed task again, and log and count its error

A task that lists and watches a kind, maintains a link or works in the background ended with its first unexpected error, and nothing told of it: the process stopped following that kind or that peer. A task of the process itself ended the process, which then ended again and again while the cause lasted.

All background tasks of a process are started through node/tasks.py. Its tasks that follow something are started again with backoff; each failure is logged as task_failed and counted (rosemarydeal_task_failures). A step of the key ranges that fails is safe to repeat, since the lease limits what the upstream may do in the meantime. Only an error in the middle of a hand-over ends the process: whether the keys are released is unknown, and this process would grant them to nobody again. A link whose task has failed is closed before it is opened again, and an address that can't be connected to counts as unreachable.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -204,3 +204,28 @@
     Then vm-a serves /b/ and no longer /a/ within 2 seconds
     And vm-b serves /b/ and no longer /a/ within 2 seconds
     And no task of a process has failed
+
+  Scenario: A watch that fails unexpectedly is started again
+    Given a deployment of 1 VM
+    When the watch of the configuration fails 2 times at vm-a
+    And the operator moves the route to /b/
+    Then vm-a serves /b/ and no longer /a/ within 2 seconds
+    And vm-a has counted 2 failures of watch-config, and goes on
+
+  Scenario: A link whose task fails unexpectedly is opened again
+    Given a deployment of 2 VMs
+    When the monitoring of links fails 2 times at vm-a, and its link to vm-b is cut
+    Then vm-a reaches vm-b within 3 seconds, also after another cut
+    And vm-a has counted 2 failures of peer-link, and goes on
+
+  Scenario: Key ranges are managed on after an unexpected error
+    Given a deployment of 3 VMs
+    When the step of the key ranges fails 3 times at vm-a
+    And the upstream of vm-b crashes
+    Then all keys are served again within 4 seconds
+    And vm-a has counted 3 failures of ownership, and goes on
+
+  Scenario: An error in the middle of a hand-over ends the process
+    Given a deployment of 2 VMs
+    When a release of vm-a fails unexpectedly as its upstream drains
+    Then vm-a has counted 1 failures of hand-over, and ends
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -34,6 +34,11 @@
 LIST_TIMEOUT_S = 5.0
 WATCH_S = 0.2
 FOLLOW_S = 5.0
+# Time in which a task that has failed a few times is running again.
+WATCH_RESTARTS_S = 1.2
+LINK_RESTARTS_S = 0.6
+STEP_RESTARTS_S = 2.0
+RELEASE_S = 0.6
 # Shorter than the pause of a watch between two calls: some come together.
 ODD_PAUSE_S = 0.05
 # Longer than the pause of a watch of the configuration: each one is seen.
@@ -338,3 +343,99 @@
             await asyncio.sleep(ODD_CONFIGURATION_PAUSE_S)
 
     run(context, go())
+
+
+def failing(original, count):
+    """Returns a function that fails unexpectedly some times, and then works."""
+    left = [count]
+
+    def call(*args, **kwargs):
+        if left[0]:
+            left[0] -= 1
+            raise ZeroDivisionError("unexpected")
+        return original(*args, **kwargs)
+
+    return call
+
+
+@when("the watch of the configuration fails {count:d} times at {name}")
+def step_watch_fails(context, count, name):
+    store = context.deployment.nodes[name].store
+    watch, fail = store.watch, failing(lambda: None, count)
+
+    async def failing_watch(kind, *args):
+        if kind == "config":
+            fail()
+        return await watch(kind, *args)
+
+    store.watch = failing_watch
+    # Completes the watch that is waiting.
+    context.deployment.store.put("config", "main", a_configuration(1))
+    run(context, asyncio.sleep(WATCH_RESTARTS_S))
+
+
+@when(
+    "the monitoring of links fails {count:d} times at {name},"
+    " and its link to {peer} is cut"
+)
+def step_monitoring_fails(context, count, name, peer):
+    links = context.deployment.nodes[name]._links
+    links._monitor.run = failing(links._monitor.run, count)
+    links._links[peer].connection.abort()
+    run(context, asyncio.sleep(0.1))
+
+
+@then("{name} reaches {peer} within {seconds:d} seconds, also after another cut")
+def step_reaches(context, name, peer, seconds):
+    links = context.deployment.nodes[name]._links
+
+    async def go():
+        for _ in range(2):
+            await context.deployment.wait(lambda: links.is_up(peer), seconds)
+            await asyncio.sleep(LINK_RESTARTS_S)
+            await context.deployment.wait(lambda: links.is_up(peer), seconds)
+            links._links[peer].connection.abort()
+            await asyncio.sleep(0.05)
+        await context.deployment.wait(lambda: links.is_up(peer), seconds)
+
+    run(context, go())
+
+
+@when("the step of the key ranges fails {count:d} times at {name}")
+def step_ownership_fails(context, count, name):
+    ownership = context.deployment.nodes[name]._ownership
+    step = ownership._step
+    ownership._step = failing(step, count)
+    run(context, asyncio.sleep(STEP_RESTARTS_S))
+
+
+@when("a release of {name} fails unexpectedly as its upstream drains")
+def step_release_fails(context, name):
+    deployment = context.deployment
+    grants = deployment.nodes[name]._ownership._grants
+    grants.release = failing(grants.release, 1)
+    deployment.endpoints[name].state = "draining"
+    run(context, asyncio.sleep(RELEASE_S))
+
+
+def counted_failures(context, name):
+    failures = getattr(context.deployment.nodes[name], "_failures", None)
+    return failures.counts if failures is not None else {}
+
+
+@then("{name} has counted {count:d} failures of {task}, and goes on")
+def step_failures(context, name, count, task):
+    step_alive(context)
+    counts = counted_failures(context, name)
+    assert counts == {task: count}, counts
+
+
+@then("{name} has counted {count:d} failures of {task}, and ends")
+def step_fatal(context, name, count, task):
+    async def wait_failed():
+        async with asyncio.timeout(FOLLOW_S):
+            await context.deployment.nodes[name].wait_failed()
+
+    run(context, wait_failed())
+    counts = counted_failures(context, name)
+    assert counts == {task: count}, counts
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -102,9 +102,7 @@
 
 async def restart_watches(watcher):
     """Ends the waiting watches, so that the next ones are rejected."""
-    for task in watcher._tasks:
-        task.cancel()
-    watcher._tasks.clear()
+    await watcher.close()
     watcher.start()
 
 
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -112,6 +112,11 @@
         if self.connection is not None:
             self.connection.send(message)
 
+    def abort(self) -> None:
+        """Closes the connection, if there is one, without sending what is buffered."""
+        if self.connection is not None:
+            self.connection.abort()
+
     @property
     def up(self) -> bool:
         """Returns whether messages can be sent."""
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -9,7 +9,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Mapping
+from collections.abc import Mapping
+from functools import partial
 
 import msgspec
 import structlog
@@ -52,6 +53,7 @@
     TableDelta,
     reply_of,
 )
+from .tasks import TaskFailures, Tasks
 
 __all__ = ["LinkHooks", "Links", "PeerState"]
 
@@ -67,14 +69,28 @@
 class Links:
     """Opens, monitors and closes links; sends and receives messages."""
 
-    def __init__(self, node: str, process: str, hooks: LinkHooks) -> None:
+    def __init__(
+        self,
+        node: str,
+        process: str,
+        hooks: LinkHooks,
+        failures: TaskFailures | None = None,
+    ) -> None:
+        """Creates links that are not started yet.
+
+        Args:
+            node: Node of this process.
+            process: Identifier of this process's start.
+            hooks: Callbacks to the other tasks.
+            failures: Failures of the process's tasks.
+        """
         self._node = node
         self._process = process
         self._hooks = hooks
         self._links: dict[str, Link] = {}
         self._accepted: set[FrameConnection] = set()
         self._serving: dict[tuple[FrameConnection, int], asyncio.Task[None]] = {}
-        self._background: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks(failures)
         self._last_number = 0
         self._listener: asyncio.Server | None = None
         self._monitor = LinkMonitor(hooks.known_revisions, self.broadcast)
@@ -177,7 +193,9 @@
             link = Link(node, member.peer)
             self._links[node] = link
             link.unreachable_since = asyncio.get_running_loop().time()
-            link.task = asyncio.create_task(self._maintain(link))
+            link.task = self._tasks.keep_running(
+                "peer-link", partial(self._maintain, link)
+            )
         for node in [n for n in self._links if n not in members]:
             self._close_link(node)
         monitored = monitored_peers(self._node, sorted(members))
@@ -274,8 +292,7 @@
             return
         if link.task is not None:
             link.task.cancel()
-        if link.connection is not None:
-            link.connection.abort()
+        link.abort()
 
     async def _maintain(self, link: Link) -> None:
         """Keeps a link open: reconnects with backoff, and pings while it is up."""
@@ -283,7 +300,10 @@
         while True:
             if await self._connect(link):
                 pause = RECONNECT_MIN_S
-                await self._monitor.run(link)
+                try:
+                    await self._monitor.run(link)
+                finally:
+                    link.abort()
             await asyncio.sleep(pause)
             pause = min(RECONNECT_MAX_S, 2 * pause)
 
@@ -303,7 +323,9 @@
                     link.address.host,
                     link.address.port,
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            if not isinstance(error, OSError):
+                _log.warning("peer_address_wrong", peer=link.node, detail=str(error))
             if link.unreachable_since is None:
                 link.unreachable_since = loop.time()
             return False
@@ -377,7 +399,8 @@
                     connection.abort()
             case RunRequest(number):
                 request = message.to_request()
-                task = asyncio.create_task(self._serve(connection, number, request))
+                work = self._serve(connection, number, request)
+                task = self._tasks.spawn("peer-request", work)
                 self._serving[connection, number] = task
             case CancelRequest(number):
                 task = self._serving.get((connection, number))
@@ -408,7 +431,8 @@
             case SuspectCleared():
                 self._hooks.on_suspect_cleared(message)
             case StoreRelayRequest():
-                self._spawn(self._relay_store_call(connection, message))
+                work = self._relay_store_call(connection, message)
+                self._tasks.spawn("store-relay", work)
 
     async def _serve(
         self, connection: FrameConnection, number: int, request: RoutedRequest
@@ -440,12 +464,6 @@
         for connection in self._accepted:
             connection.send(Leaving(self._node))
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        """Runs work in the background until it ends."""
-        task = asyncio.ensure_future(work)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
 
 def _record_load(link: Link, load: LoadReport | None) -> None:
     """Records the load that a peer reported."""
--- a/rosemarydeal/node/main.py
+++ b/rosemarydeal/node/main.py
@@ -31,8 +31,8 @@
     """Runs until SIGTERM.
 
     Returns:
-        Exit code: 0 after a graceful shutdown, 1 if a task failed, 2 if the
-        settings are wrong.
+        Exit code: 0 after a graceful shutdown, 1 after an error that a running
+        process can't repair, 2 if the settings are wrong.
     """
     try:
         identity = load_identity()
@@ -50,7 +50,7 @@
 
 
 async def _serve(identity: NodeIdentity, sink: log.LogSink) -> int:
-    """Runs the process until it gets a signal or a task fails."""
+    """Runs the process until it gets a signal or has to end after an error."""
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/rosemarydeal/node/metrics.py
+++ b/rosemarydeal/node/metrics.py
@@ -60,6 +60,7 @@
         self._dispatch_latency: dict[tuple[str, ...], _Latencies] = {}
         self._store_calls: Mapping[StoreCall, int] = {}
         self._rejected_objects: Mapping[str, int] = {}
+        self._task_failures: Mapping[str, int] = {}
         self._messages: Mapping[str, int] = {}
         self._gauges: dict[str, float] = {}
 
@@ -85,6 +86,10 @@
         """Sets the counts of malformed objects of the store, by kind."""
         self._rejected_objects = counts
 
+    def count_task_failures(self, counts: Mapping[str, int]) -> None:
+        """Sets the counts of tasks that failed unexpectedly, by task."""
+        self._task_failures = counts
+
     def count_messages(self, sent: Mapping[str, int], sent_bytes: int) -> None:
         """Sets the counts of messages sent to peers by type, and of their bytes."""
         self._messages = sent
@@ -143,6 +148,12 @@
             ("kind",),
             {(kind,): n for kind, n in self._rejected_objects.items()},
         )
+        yield _counter(
+            "rosemarydeal_task_failures",
+            "Unexpected errors of the process's tasks, by task.",
+            ("task",),
+            {(task,): n for task, n in self._task_failures.items()},
+        )
         yield _counter(
             "rosemarydeal_peer_messages_sent",
             "Messages sent to other processes, by type.",
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 
 import structlog
 
@@ -43,6 +43,7 @@
 from .messages import ObjectState, ObjectUpdate, TableDelta
 from .records import RANGES, Records
 from .store_access import StoreAccess
+from .tasks import TaskFailures, Tasks
 from .upstream import UpstreamWatch
 
 __all__ = ["Ownership"]
@@ -74,6 +75,7 @@
         watch: UpstreamWatch,
         is_keyed: Callable[[], bool],
         lease_reader: Callable[[], str | None],
+        failures: TaskFailures | None = None,
     ) -> None:
         """Creates an ownership without a table.
 
@@ -87,6 +89,7 @@
             is_keyed: Returns whether the own service is keyed.
             lease_reader: Returns the node that reads tables for this process, None
                 if it reads them itself.
+            failures: Failures of the process's tasks.
         """
         self._identity = identity
         self._records = records
@@ -104,7 +107,7 @@
         self._restored = RestoredRanges(identity.node)
         self._moving: list[KeyRange] = []
         self._writing = False
-        self._background: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks(failures)
         self._suspicions: dict[tuple[str, int], float] = {}
         self._propose_at = 0.0
         self._stopping = False
@@ -192,9 +195,7 @@
 
     async def close(self) -> None:
         """Cancels all calls and writes in flight."""
-        for task in list(self._background):
-            task.cancel()
-        await asyncio.gather(*self._background, return_exceptions=True)
+        await self._tasks.close()
         await self._grants.close()
 
     def on_table_changed(self) -> None:
@@ -243,7 +244,7 @@
         """Creates the carrier that the deployment uses."""
 
         def on_refused() -> None:
-            self._spawn(self._renew_token())
+            self._tasks.spawn("token-renewal", self._renew_token())
 
         max_hold_s = self._identity.bounds.max_hold_s
         match self._identity.grant_carrier:
@@ -261,7 +262,7 @@
         moment = now()
         if moment >= self._renew_at and not self._renewing and self.owned:
             self._renewing = True
-            self._spawn(self._renew_lease())
+            self._tasks.spawn("lease-renewal", self._renew_lease())
         self._update_grants()
         if self._writing or moment < self._propose_at:
             return
@@ -348,10 +349,9 @@
         match proposal:
             case proposals.WriteTable(changed, reason):
                 self._writing = True
-                self._spawn(self._write_proposal(changed, reason))
+                self._tasks.spawn("table-write", self._write_proposal(changed, reason))
             case proposals.HandOver(transfers):
-                self._writing = True
-                self._spawn(self._hand_over(transfers))
+                self._start_hand_over(transfers)
             case None:
                 self._balance(moment, view)
 
@@ -443,8 +443,16 @@
         eligible = proposals.eligible_owners(view)
         transfers = self._balancer.plan(self._guard, eligible, self.owned, moment)
         if transfers:
-            self._writing = True
-            self._spawn(self._hand_over(transfers))
+            self._start_hand_over(transfers)
+
+    def _start_hand_over(self, transfers: tuple[tuple[KeyRange, Member], ...]) -> None:
+        """Starts to hand ranges over.
+
+        After an unexpected error, this process can't tell whether they are released,
+        and grants them to nobody until a new process reads the table.
+        """
+        self._writing = True
+        self._tasks.spawn("hand-over", self._hand_over(transfers), fatal=True)
 
     async def _hand_over(self, transfers: tuple[tuple[KeyRange, Member], ...]) -> None:
         """Releases ranges from the upstream and assigns them to their new owners."""
@@ -533,13 +541,6 @@
             self._links.broadcast(delta)
         return True
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
-        """Runs a coroutine in the background."""
-        task = asyncio.create_task(work)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-        return task
-
 
 def _writer() -> str:
     """Returns a new identifier for a write."""
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -5,7 +5,6 @@
 import asyncio
 import secrets
 import time
-from collections.abc import Coroutine
 
 import structlog
 
@@ -37,6 +36,7 @@
 from .records import MEMBERS, RANGES, Records
 from .store_access import StoreAccess
 from .store_watch import StoreWatcher
+from .tasks import TaskFailures, Tasks
 from .upstream import CallResult, UpstreamState, UpstreamWatch
 
 __all__ = ["NodeProcess"]
@@ -63,6 +63,8 @@
         self._identity = identity
         self._process = f"{time.time_ns():x}-{secrets.token_hex(3)}"
         self._metrics = Metrics()
+        self._failures = TaskFailures()
+        self._tasks = Tasks(self._failures)
         self._rejected = RejectedObjects()
         self._store = StoreClient(
             StoreSettings(identity.store),
@@ -71,11 +73,18 @@
         )
         self._health = UpstreamHealth()
         self._client = UpstreamClient(identity.upstream, UPSTREAM_CONNECTIONS)
-        self._links = Links(identity.node, self._process, self._link_hooks())
+        self._links = Links(
+            identity.node, self._process, self._link_hooks(), self._failures
+        )
         self._records = Records(self._rejected)
         self._access = StoreAccess(self._store, self._records, self._links)
         self._store_watcher = StoreWatcher(
-            identity, self._store, self._access, self._records, self._links
+            identity,
+            self._store,
+            self._access,
+            self._records,
+            self._links,
+            self._failures,
         )
         self._watch = UpstreamWatch(identity, self._on_upstream_changed)
         self._ownership = Ownership(
@@ -87,6 +96,7 @@
             self._watch,
             self._is_keyed,
             lambda: self._store_watcher.shared_reader,
+            self._failures,
         )
         self._guard = Guard(
             identity, self._client, self._watch, self._guard_hooks(), self._metrics
@@ -111,10 +121,8 @@
             self._guard,
         )
         self._stopping = False
-        self._task_failed = asyncio.Event()
         self._servers: list[HttpServer] = []
         self._callers: HttpServer | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
         self._was_zone_out = False
 
     @property
@@ -141,18 +149,18 @@
         await self._links.start(identity.peer)
         self._records.subscribe(self._on_records_changed)
         self._store_watcher.start()
-        for work in (
-            self._ownership.run(),
-            self._guard.check_heartbeats(),
-            self._membership.run(),
-            self._membership.remove_unreachable(),
+        for name, work in (
+            ("ownership", self._ownership.run),
+            ("heartbeat-check", self._guard.check_heartbeats),
+            ("member-writes", self._membership.run),
+            ("member-removal", self._membership.remove_unreachable),
         ):
-            self._spawn(work)
+            self._tasks.keep_running(name, work)
         _log.info("started", process=self._process, zone=identity.zone)
 
     async def wait_failed(self) -> None:
-        """Waits until a task of the process has failed."""
-        await self._task_failed.wait()
+        """Waits until a task has failed in a way that has to end the process."""
+        await self._failures.wait_fatal()
 
     async def shut_down(self) -> None:
         """Completes open requests and closes everything within the grace period."""
@@ -179,9 +187,7 @@
 
     async def close(self) -> None:
         """Closes everything immediately; open requests are cut off."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
         await self._ownership.close()
         await self._store_watcher.close()
         await self._access.close()
@@ -365,20 +371,7 @@
             self._metrics.set_gauge(name, value)
         self._metrics.count_store_calls(self._store.calls)
         self._metrics.count_rejected_objects(self._rejected.counts)
+        self._metrics.count_task_failures(self._failures.counts)
         self._metrics.count_messages(self._links.sent, self._links.sent_bytes)
         kind = ((b"content-type", b"text/plain; version=0.0.4"),)
         return bytes_response(200, self._metrics.render(), kind)
-
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        """Starts a task whose failure ends the process."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        """Logs the failure of a task and has the process end."""
-        self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
-            return
-        _log.critical("task_failed", exc_info=task.exception())
-        self._task_failed.set()
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -13,8 +13,9 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import partial
 
 import structlog
 
@@ -31,6 +32,7 @@
 from .messages import FetchObjects, ObjectChanges, ObjectState, StoreReachability
 from .records import KINDS, MEMBERS, RANGES, Records
 from .store_access import StoreAccess
+from .tasks import TaskFailures, Tasks
 
 __all__ = ["StoreWatcher"]
 
@@ -90,6 +92,7 @@
         access: StoreAccess,
         records: Records,
         links: Links,
+        failures: TaskFailures | None = None,
     ) -> None:
         """Creates a watcher that is not started yet.
 
@@ -99,6 +102,7 @@
             access: Notified whether the store is reachable.
             records: Updated with the objects that the store returns.
             links: Links to the peers.
+            failures: Failures of the process's tasks.
         """
         self._node = identity.node
         self._zone = identity.zone
@@ -107,8 +111,7 @@
         self._records = records
         self._links = links
         self._lags: dict[str, _Lag] = {}
-        self._tasks: list[asyncio.Task[None]] = []
-        self._background: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks(failures)
         self._spans = ChangeSpans()
         self._failed_at: float | None = None
         self._started_at = now()
@@ -155,7 +158,9 @@
     def start(self) -> None:
         """Starts to list and watch all kinds."""
         for kind in KINDS:
-            self._tasks.append(asyncio.create_task(self._list_and_watch(kind)))
+            self._tasks.keep_running(
+                f"watch-{kind}", partial(self._list_and_watch, kind)
+            )
 
     def end_watches(self) -> None:
         """Ends all watches, because the store was restored from a copy."""
@@ -167,10 +172,7 @@
         """Stops all tasks."""
         if self._carry_timer is not None:
             self._carry_timer.cancel()
-        tasks = [*self._tasks, *self._background]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.close()
 
     def apply_peer_changes(self, node: str, changes: ObjectChanges) -> None:
         """Applies the changes that a reader sent, or fetches what is missing."""
@@ -178,7 +180,7 @@
         if kind not in KINDS or changes.revision <= self._records.revision(kind):
             return
         if not changes.complete:
-            self._spawn(self._read_large_change(kind, node))
+            self._tasks.spawn("read-change", self._read_large_change(kind, node))
         elif not self._records.listed(kind) or (
             self._records.revision(kind) < changes.since
         ):
@@ -368,12 +370,6 @@
             self._access.note_reachable(False, str(error))
             self._links.send(node, FetchObjects(kind))
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        """Runs a coroutine in the background."""
-        task = asyncio.create_task(work)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
     def _delay_s(self, kind: str) -> float:
         """Returns the coalescing delay of a kind, in seconds."""
         if kind not in SCALED_KINDS:
