--- a/features/mutant_list_stutter.py
+++ b/features/mutant_list_stutter.py
@@ -7,7 +7,8 @@
 __all__ = ["MUTANTS"]
 
 FUZZ = ("-m", "features.stutter_budget", "requests", "calls")
-CONNECTION = "rosemarydeal/proxy/client_connection.py"
+IDENTIFICATION = "rosemarydeal/proxy/identification.py"
+INSIDE = ("-m", "features.stutter_budget", "inside")
 HEADS = "rosemarydeal/proxy/embedded_heads.py"
 POOL = "rosemarydeal/proxy/client.py"
 UPSTREAM = "rosemarydeal/platform/upstream.py"
@@ -16,28 +17,28 @@
     Mutant(
         "copy passed on in a body",
         HEADS,
-        "if STATUS_LINE.search(searched):",
+        "if VERSION in searched and STATUS_LINE.search(searched):",
         "if False:",
         FUZZ,
     ),
     Mutant(
         "start of a copy passed on in a body",
         HEADS,
-        "if STATUS_LINE_START.search(self._tail):",
-        "if False:",
+        "has_start = self._has_status_line or STATUS_LINE_START.search(self._tail)",
+        "has_start = self._has_status_line",
         FUZZ,
     ),
     Mutant(
         "success that ends after its head",
         HEADS,
-        "if self._needs_body and not self._tail:",
-        "if False:",
+        "        if self._needs_body:\n",
+        "        if False:\n",
         FUZZ,
     ),
     Mutant(
         "headers of two answers merged",
         HEADS,
-        "if STATUS_LINE.search(text):",
+        "if VERSION in text and STATUS_LINE.search(text):",
         "if False:",
         FUZZ,
     ),
@@ -64,16 +65,23 @@
     ),
     Mutant(
         "answer without an id taken for identified",
-        CONNECTION,
-        "self._identified = not name or bool(echoed)",
+        IDENTIFICATION,
+        "self._identified = not self._header or bool(named)",
         "self._identified = True",
         FUZZ,
     ),
     Mutant(
         "answer to another request taken",
-        CONNECTION,
-        "        if echoed - {identity}:\n",
+        IDENTIFICATION,
+        "        if named - {self._current}:\n",
         "        if False:\n",
         FUZZ,
     ),
+    Mutant(
+        "body with a length not searched for copies",
+        HEADS,
+        "if VERSION in searched and STATUS_LINE.search(searched):",
+        "if self._unframed and STATUS_LINE.search(searched):",
+        INSIDE,
+    ),
 )
--- a/features/stutter_upstream.py
+++ b/features/stutter_upstream.py
@@ -136,7 +136,8 @@
         head, body = _answer_bytes(attempt, request_head, named)
         attempt.answer = head, body
         connection.answers.append(head + body)
-        request_id = REQUEST_ID.search(request_head)[1]
+        sent_id = REQUEST_ID.search(request_head)
+        request_id = sent_id and sent_id[1]
         elsewhere = [
             answer
             for number, other_id, answer in self._answers
