Let the upstreams of the deployment tests stutter

The stand-in upstream writes shares of its answers once more, before or after the next request and in part; ends some within their head; states no length in some; and repeats refusals. Calls that grant and release keys are disturbed as well. A scenario sends lookups and orders through three VMs meanwhile and checks that each answer of an upstream is that of its request and whole, that no order ran twice, that none that was answered 408, 421, 429 or 503 has run, and that no key had two holders.

--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -12,6 +12,7 @@
 from features.builders_fleet_types import an_identity
 from features.standin_endpoint import StandInEndpoint
 from features.standin_store import StandInStore
+from features.standin_stutter import Stutter
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import GrantCarrier
 from rosemarydeal.node.process import NodeProcess
@@ -67,12 +68,15 @@
 class Deployment:
     """Runs nodes with their upstreams; every VM has a loopback address."""
 
-    def __init__(self, count, work_s=0.01, carrier=GrantCarrier.CALL):
+    def __init__(
+        self, count, work_s=0.01, carrier=GrantCarrier.CALL, stutter_seed=None
+    ):
         self.store = StandInStore()
         self.nodes, self.endpoints, self.hosts = {}, {}, {}
         self._names = [f"vm-{chr(ord('a') + i)}" for i in range(count)]
         self._work_s = work_s
         self._carrier = carrier
+        self._stutter_seed = stutter_seed
         self._pool = Pool(PoolSettings())
         self._count = 0
 
@@ -102,6 +106,8 @@
         endpoint = StandInEndpoint(
             name, self.hosts[name], "box-office", zone, self._work_s, by_heartbeat
         )
+        if self._stutter_seed is not None:
+            endpoint.stutter = Stutter(f"{self._stutter_seed}-{name}")
         self.endpoints[name] = endpoint
         await endpoint.start()
 
@@ -169,10 +175,10 @@
     return context.loop.run_until_complete(work)
 
 
-def start_deployment(context, count, carrier=GrantCarrier.CALL):
+def start_deployment(context, count, carrier=GrantCarrier.CALL, **settings):
     """Starts a deployment, which is closed with the scenario."""
     context.loop = asyncio.new_event_loop()
-    context.deployment = Deployment(count, carrier=carrier)
+    context.deployment = Deployment(count, carrier=carrier, **settings)
     context.doubled = []
     run(context, context.deployment.start())
     watching = watch_holders(context.deployment, context.doubled)
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -12,6 +12,7 @@
 import secrets
 import time
 
+from features.standin_stutter import serve_stuttering
 from rosemarydeal.core import Address
 from rosemarydeal.proxy import (
     BytesBody,
@@ -61,19 +62,26 @@
         self._host, self._service, self._zone = host, service, zone
         self._sequence = 0
         self._born = 1_000
+        # Disturbs its answers if it is set before the start.
+        self.stutter = None
         self._server = None
         self._task = None
         self._pool = Pool(PoolSettings())
 
     async def start(self):
         address = Address(self._host, 9001)
-        self._server = await serve(self.answer, address, HttpLimits())
+        if self.stutter is None:
+            self._server = await serve(self.answer, address, HttpLimits())
+        else:
+            self._server = await serve_stuttering(self.answer, address, self.stutter)
         self._task = asyncio.create_task(self._announce())
 
     async def stop(self):
         """Stops as a crashed upstream does, without a departure."""
         self._task.cancel()
-        await self._server.close()
+        closing = self._server.close()
+        if closing is not None:
+            await closing
         await self._pool.close()
 
     def restart(self):
