State the lower bound of rates as the settings do

Callers: none affected; the committed schemas.

Cause: equal annotations are one object, whichever module is imported first; the bound 0.0 of the operator's rates took the place of the settings' bound 0, and the generated schema had another text.

Change: the bound is 0.

--- a/rosemarydeal/platform/operator.py
+++ b/rosemarydeal/platform/operator.py
@@ -30,9 +30,9 @@
 MAX_DURATION_MS = 31 * 24 * 3600 * 1000
 MAX_RATE = 1_000_000.0
 
-_DurationMs = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS)]
-_DurationS = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS / MS_PER_S)]
-_Rate = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE)]
+_DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+_DurationS = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS / MS_PER_S)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
 
 
 class _Backend(msgspec.Struct):
