Search the end of a body for a head without backtracking

Callers: requests at the same process waited while a body was checked that holds many status lines, for instance a log of responses with CR LF.

Cause: the pattern for a head that reaches the end of the body gave up each line one byte at a time, for each status line in the last 4 KB.

Ruled out: the last status line as the only start, as it may stand in a header's value.

--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -103,6 +103,7 @@
       | text                              |
       | the text of another response      |
       | a sentence that ends with a status |
+      | a page that quotes a status       |
 
   Scenario Outline: A late copy of an earlier answer costs the next request its answer
     Given an upstream that writes <copies> before its next answer
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -28,6 +28,7 @@
     # An answer to a request that the connection has not carried.
     "the text of another response": b"an example:" + an_answer("r9", BODY),
     "a sentence that ends with a status": b"The store answered HTTP/1.1 503 Busy",
+    "a page that quotes a status": b"<p>HTTP/1.1 200 OK</p>\r\n</html>",
 }
 KEYS = KeyRange(0, 9, "n", "l", 1)
 OTHER_KEYS = KeyRange(10, 19, "n", "l", 2)
--- a/rosemarydeal/proxy/embedded_heads.py
+++ b/rosemarydeal/proxy/embedded_heads.py
@@ -22,10 +22,12 @@
 # A copy that was cut short as well; shorter starts are common at the end of a text.
 STATUS_LINE_START = re.compile(rb"HTTP/(1(\.([01]( ([1-5][0-9]?)?)?)?)?)?\Z")
 # A head with the start of a header that reaches the end of the body, where it may be
-# cut. Texts may end with a quoted status line, but rarely with a quoted head.
+# cut. Texts may end with a quoted status line, but rarely with a quoted head. It is
+# matched without backtracking, as a body may hold hundreds of status lines.
 HEAD_AT_END = re.compile(
-    rb"HTTP/1\.[01] [1-5][0-9][0-9][^\r\n]*(?:\r\n[!-9;-~]+:[^\r\n]*)*"
-    rb"\r\n(?:[!-9;-~]*(?::[^\r\n]*)?|\r\n?)\Z"
+    rb"HTTP/1\.[01] [1-5][0-9][0-9][^\r\n]*+"
+    rb"(?:\r\n[A-Za-z0-9-]++:[^\r\n]*+(?=\r\n))*+"
+    rb"\r\n(?:[A-Za-z0-9-]*+(?::[^\r\n]*+)?+|\r\n?)\Z"
 )
 # Longest head of which a piece may hold only a part.
 MAX_HEAD_BYTES = 4096
