Guard four rules on what an answer names

Callers: none affected; tests.

Cause: with each of four rules of the client removed, all scenarios of late_copies, adapter, answers_elsewhere, proxy and hostile still passed: an answer that names its own request and another one; one that names an earlier request and an unknown one; the reason phrase in which another answer's status line follows; the limit of the ids that a connection keeps. The example of a start that is cut in its reason has the status 503, which another rule refuses, too.

--- a/features/mutant_list_stutter.py
+++ b/features/mutant_list_stutter.py
@@ -7,6 +7,7 @@
 __all__ = ["MUTANTS"]
 
 FUZZ = ("-m", "features.stutter_budget", "requests", "calls")
+SCENARIOS = ("-m", "features.run", "features/named_answers.feature")
 IDENTIFICATION = "rosemarydeal/proxy/identification.py"
 INSIDE = ("-m", "features.stutter_budget", "inside")
 HEADS = "rosemarydeal/proxy/embedded_heads.py"
@@ -84,4 +85,32 @@
         "if self._unframed and STATUS_LINE.search(searched):",
         INSIDE,
     ),
+    Mutant(
+        "answer that names another request, too, taken",
+        IDENTIFICATION,
+        "        if named - {self._current}:\n",
+        "        if named and self._current not in named:\n",
+        SCENARIOS,
+    ),
+    Mutant(
+        "answer that names an unknown request skipped",
+        IDENTIFICATION,
+        "self._current not in named and named <= self._carried",
+        "self._current not in named and bool(named & self._carried)",
+        SCENARIOS,
+    ),
+    Mutant(
+        "status of a cut head believed",
+        HEADS,
+        "for text in (reason, *(value for _, value in headers)):",
+        "for text in (value for _, value in headers):",
+        SCENARIOS,
+    ),
+    Mutant(
+        "ids kept without limit",
+        IDENTIFICATION,
+        "return self._identified and len(self._carried) < MAX_REQUESTS",
+        "return self._identified",
+        SCENARIOS,
+    ),
 )
