Ignore a load of an upstream whose figures are out of bounds

An upstream whose fourth figure of Server-Load had some hundred digits made the request never end: the division raised OverflowError in the task of the request, which nothing catches, and its caller waited until its own time-out. A figure of 100,000,000,000 was taken over as a slowdown, and the requests' time-outs and the balancing follow it.

Figures beyond the slots and the pace that an upstream can have make the load unknown; the answer itself is passed on.

Before, two of the seven new scenarios failed: with 400 digits, 12 requests were not answered within two seconds ("OverflowError: int too large to convert to float"), and the peers were told a slowdown of 30,615,763,970 percent. Now all pass.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -229,3 +229,19 @@
     Given a deployment of 2 VMs
     When a release of vm-a fails unexpectedly as its upstream drains
     Then vm-a has counted 1 failures of hand-over, and ends
+
+  Scenario Outline: An answer that states <load> as its load is passed on
+    Given a deployment of 1 VM
+    When the upstream of vm-a states <load> as its load
+    Then 12 requests to vm-a are answered within 2 seconds
+    And the load of vm-a is finite
+
+    Examples:
+      | load               |
+      | 0,0,8,1e999        |
+      | 400 digits         |
+      | 5000 digits        |
+      | 0,0,8,-100         |
+      | 0,0,8,100000000000 |
+      | -1,-1,-1,100       |
+      | nothing            |
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -41,6 +41,7 @@
         self.arrivals = []
         # Stated in its answers: a limit in requests per second, and its leaving.
         self.rate_limit = None
+        self.load = None
         self.leaving = False
         self.first_stated_at = None
         self.holds = []
@@ -176,6 +177,8 @@
     def _statements(self):
         """Returns the headers that state its limit and that it leaves."""
         stated = ()
+        if self.load is not None:
+            stated += ((b"server-load", self.load.encode()),)
         if self.rate_limit is not None:
             stated += ((b"server-limit", str(self.rate_limit).encode()),)
         if self.leaving:
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -439,3 +439,50 @@
     run(context, wait_failed())
     counts = counted_failures(context, name)
     assert counts == {task: count}, counts
+
+
+@when("the upstream of {name} states {load} as its load")
+def step_states_load(context, name, load):
+    stated = {
+        "400 digits": "0,0,8," + "9" * 400,
+        "5000 digits": "0,0,8," + "9" * 5000,
+        "nothing": "",
+    }
+    context.deployment.endpoints[name].load = stated.get(load, load)
+
+
+@then("{count:d} requests to {name} are answered within {seconds:d} seconds")
+def step_answered(context, count, name, seconds):
+    async def go():
+        async with asyncio.timeout(seconds):
+            return await asyncio.gather(
+                *(
+                    context.deployment.send_request(name, key, "/order/1")
+                    for key in range(count)
+                )
+            )
+
+    answers = run(context, go())
+    assert [answer.status for answer in answers] == [200] * count, answers
+
+
+@then("the load of {name} is finite")
+def step_finite_load(context, name):
+    load = context.deployment.nodes[name]._load()
+    assert 1 <= load.slowdown_percent <= 1000, load
+    assert 0 <= load.demand_percent < 10_000, load
+
+
+@when("the client of the upstream fails {count:d} times at {name}")
+def step_client_fails(context, count, name):
+    client = context.deployment.nodes[name]._client
+    client.run = failing(client.run, count)
+
+
+@then("a request to {name} ends with {status:d} within {seconds:d} seconds")
+def step_ends(context, name, status, seconds):
+    async def go():
+        async with asyncio.timeout(seconds):
+            return await context.deployment.send_request(name, 1, "/order/1")
+
+    assert run(context, go()).status == status
--- a/rosemarydeal/core/decoding.py
+++ b/rosemarydeal/core/decoding.py
@@ -21,6 +21,9 @@
 
 __all__ = [
     "MAX_DEPTH",
+    "MAX_INTEGER",
+    "MAX_PACE",
+    "MAX_SLOTS",
     "Count",
     "Identifier",
     "Integer64",
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -11,6 +11,7 @@
 import structlog
 
 from rosemarydeal.core import Address, CodedError
+from rosemarydeal.core.decoding import MAX_PACE, MAX_SLOTS
 from rosemarydeal.core.fleet import KeyRange, UpstreamLoad
 from rosemarydeal.core.requests import (
     Answered,
@@ -61,6 +62,8 @@
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
 # A limit in this length has any precision that an upstream could mean.
 MAX_RATE_LIMIT_BYTES = 32
+# Four figures, with room for more.
+MAX_LOAD_BYTES = 128
 
 _log = structlog.get_logger()
 
@@ -292,11 +295,16 @@
 
 def _load(value: bytes | None) -> UpstreamLoad | None:
     """Decodes an upstream's load; returns None if it is missing or malformed."""
-    if value is None:
+    if value is None or len(value) > MAX_LOAD_BYTES:
         return None
     try:
-        figures = [int(part) for part in value.split(b",")]
-        slowdown = figures[3] / 100.0 if len(figures) > 3 else 1.0
-        return UpstreamLoad(figures[0], figures[1], figures[2], slowdown)
-    except (ValueError, IndexError):
+        running, waiting, slots, *more = (int(part) for part in value.split(b","))
+    except ValueError:
+        return None
+    slowdown = more[0] / 100.0 if more else 1.0
+    counts = (running, waiting, slots)
+    if not all(0 <= count <= MAX_SLOTS for count in counts):
+        return None
+    if not 0.0 < slowdown <= MAX_PACE:
         return None
+    return UpstreamLoad(running, waiting, slots, slowdown)
