Complete a request with an unknown outcome when its task fails

When the task that runs a request failed unexpectedly, at the own upstream or on behalf of a peer, nobody set the request's outcome: the caller waited until its own time-out, and at the own upstream the error was not logged either.

The request now ends as one that may have run (502, dispatch-failed or peer-failed), and the error is logged and counted.

Before, both new scenarios failed: no outcome within a second. Now they pass.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -245,3 +245,16 @@
       | 0,0,8,100000000000 |
       | -1,-1,-1,100       |
       | nothing            |
+
+  Scenario: A request whose run fails unexpectedly gets an outcome at once
+    Given a deployment of 1 VM
+    When the client of the upstream fails 1 times at vm-a
+    Then a request to vm-a ends with 502 within 1 seconds
+    And 12 requests to vm-a are answered within 2 seconds
+    And vm-a has counted 1 failures of dispatch, and goes on
+
+  Scenario: A request whose run at a peer fails unexpectedly gets an outcome at once
+    Given a deployment of 2 VMs
+    When the guard fails 1 times at vm-b
+    Then an order at vm-a for a key of vm-b ends with 502 within 1 seconds
+    And vm-b has counted 1 failures of peer-request, and goes on
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -486,3 +486,24 @@
             return await context.deployment.send_request(name, 1, "/order/1")
 
     assert run(context, go()).status == status
+
+
+@when("the guard fails {count:d} times at {name}")
+def step_guard_fails(context, count, name):
+    guard = context.deployment.nodes[name]._guard
+    guard.serve = failing(guard.serve, count)
+
+
+@then(
+    "an order at {name} for a key of {peer} ends with {status:d}"
+    " within {seconds:d} seconds"
+)
+def step_peer_ends(context, name, peer, status, seconds):
+    deployment = context.deployment
+    key = next(k for k in deployment.sample() if deployment.holders(k) == [peer])
+
+    async def go():
+        async with asyncio.timeout(seconds):
+            return await deployment.send_request(name, key, "/order/1")
+
+    assert run(context, go()).status == status
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -45,6 +45,7 @@
 from rosemarydeal.policy.routing import leaving
 
 from .metrics import Metrics
+from .tasks import TaskFailures
 from .upstream import UpstreamState, UpstreamWatch
 from .upstream_notices import UpstreamNotices
 
@@ -110,8 +111,10 @@
         watch: UpstreamWatch,
         hooks: GuardHooks,
         metrics: Metrics,
+        failures: TaskFailures | None = None,
     ) -> None:
         self._identity = identity
+        self._failures = failures or TaskFailures()
         self._client = client
         self._watch = watch
         self._hooks = hooks
@@ -389,6 +392,10 @@
         try:
             result = await self._client.run(upstream_request)
             self._notices.apply(result, state.incarnation, started)
+        except Exception as error:
+            # The caller waits for an outcome, and the request may have been sent.
+            self._failures.note("dispatch", error)
+            result = result or Failed("dispatch-failed", sent=True)
         finally:
             completed = isinstance(result, Answered)
             decisions = self._queue.finish(number, now(), completed)
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -61,6 +61,7 @@
 RECONNECT_MAX_S = 1.0
 CONNECT_TIMEOUT_S = 0.7
 RELAY_TIMEOUT_S = 0.5
+PEER_FAILED = OutcomeUnknown("peer-failed")
 UNREACHABLE = NotServed("peer-unreachable", elsewhere=True)
 
 _log = structlog.get_logger()
@@ -441,6 +442,9 @@
         try:
             outcome = await self._hooks.serve(request)
             connection.send(reply_of(number, outcome, self._hooks.load()))
+        except Exception:
+            connection.send(OutcomeUnknownReply(number, PEER_FAILED))
+            raise
         finally:
             self._serving.pop((connection, number), None)
 
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -99,7 +99,12 @@
             self._failures,
         )
         self._guard = Guard(
-            identity, self._client, self._watch, self._guard_hooks(), self._metrics
+            identity,
+            self._client,
+            self._watch,
+            self._guard_hooks(),
+            self._metrics,
+            self._failures,
         )
         self._ownership.set_guard(self._guard)
         self._entry = Entry(
