Bound the time that a caller says it has left

A Deadline-Ms of a few hundred digits raised OverflowError in the handler: the caller got 500, which says nothing about whether the request ran.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -258,3 +258,18 @@
     When the guard fails 1 times at vm-b
     Then an order at vm-a for a key of vm-b ends with 502 within 1 seconds
     And vm-b has counted 1 failures of peer-request, and goes on
+
+  Scenario Outline: A caller that states <time left> as its time left gets <status>
+    Given a deployment of 1 VM
+    When a caller of vm-a states <time left> as its time left
+    Then it gets the status <status>
+
+    Examples:
+      | time left   | status |
+      | 400 digits  | 200    |
+      | 30 digits   | 200    |
+      | -400 digits | 503    |
+      | -1          | 503    |
+      | 5000 digits | 400    |
+      | 1e3         | 400    |
+      | nan         | 400    |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from features.builders_fleet_types import SERVICE, a_member
-from features.builders_node import a_configuration, run
+from features.builders_node import HOST, a_configuration, run
 from features.builders_odd_entries import (
     ODD_CONFIGURATIONS,
     ODD_MEMBERS,
@@ -30,6 +30,7 @@
 from rosemarydeal.platform.errors import StoreError
 from rosemarydeal.platform.rejected_objects import RejectedObjects
 from rosemarydeal.platform.store import StoreClient, StoreSettings
+from rosemarydeal.proxy import BytesBody, Pool, PoolSettings, ProxyError, Request
 
 LIST_TIMEOUT_S = 5.0
 WATCH_S = 0.2
@@ -507,3 +508,39 @@
             return await deployment.send_request(name, key, "/order/1")
 
     assert run(context, go()).status == status
+
+
+def digits(text):
+    """Returns as many nines as the text states digits, or the text itself."""
+    sign, text = ("-", text[1:]) if text.startswith("-") else ("", text)
+    count, _, unit = text.partition(" ")
+    return sign + ("9" * int(count) if unit == "digits" else text)
+
+
+@when("a caller of {name} states {time_left} as its time left")
+def step_time_left(context, name, time_left):
+    deployment = context.deployment
+    address = Address(deployment.hosts[name], 9002)
+    headers = (
+        (b"host", HOST.encode()),
+        (b"request-id", b"odd"),
+        (b"deadline-ms", digits(time_left).encode()),
+        (b"shard-key", b"1"),
+    )
+    request = Request(b"GET", b"/a/1", headers, BytesBody(b""), address)
+
+    async def go():
+        pool = Pool(PoolSettings())
+        try:
+            return (await pool.send(address, request, FOLLOW_S)).status
+        except ProxyError as error:
+            return error.code
+        finally:
+            await pool.close()
+
+    context.status = run(context, go())
+
+
+@then("it gets the status {status:d}")
+def step_status(context, status):
+    assert context.status == status, context.status
--- a/rosemarydeal/platform/callers.py
+++ b/rosemarydeal/platform/callers.py
@@ -25,6 +25,8 @@
 __all__ = ["decode_request", "is_readiness", "readiness_response", "respond"]
 
 MS_PER_S = 1000.0
+# No caller waits longer than a day; a longer time does not fit all timers.
+MAX_TIME_LEFT_MS = 24 * 3600 * 1000
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
@@ -102,9 +104,10 @@
     if value is None:
         return None
     try:
-        return int(value) / MS_PER_S
+        left_ms = int(value)
     except ValueError as error:
         raise Unreadable(f"time left: {value!r}", "time-left-invalid") from error
+    return max(-MAX_TIME_LEFT_MS, min(left_ms, MAX_TIME_LEFT_MS)) / MS_PER_S
 
 
 def _key(value: bytes | None) -> int | None:
