Reject a heartbeat whose fields are out of bounds

A heartbeat whose numbers have hundreds of digits was acknowledged. With a start or a sequence number beyond 64 bits, all later heartbeats of the upstream looked old; slots beyond a float raise OverflowError wherever shares are computed, and the process publishes them as its member. A token beyond 64 bits can't be sent to peers. Deep nesting raised RecursionError and was answered with 500.

Heartbeats and departures are decoded within the depth and the bounds of each field, and the instance has to fit a header. They are rejected with 400 as other malformed ones, and announcement_unreadable tells why.

--- a/features/builders_odd_entries.py
+++ b/features/builders_odd_entries.py
@@ -10,6 +10,8 @@
 
 __all__ = [
     "ODD_CONFIGURATIONS",
+    "ODD_HEARTBEATS",
+    "ODD_INSTANCES",
     "ODD_MEMBERS",
     "ODD_OBJECTS",
     "ODD_TABLES",
@@ -217,6 +219,27 @@
 """What is odd about a configuration."""
 
 
+ODD_HEARTBEATS = {
+    "an unknown field nested 5000 levels": {"extra": msgspec.Raw(nested(DEEP))},
+    "an unknown field nested 100 levels": {"extra": msgspec.Raw(nested(SHALLOW))},
+    "slots beyond a float": {"slots": msgspec.Raw(b"1" + b"0" * 400)},
+    "slots beyond 64 bits": {"slots": HUGE},
+    "negative slots": {"slots": -1},
+    "a sequence number beyond 64 bits": {"seq": HUGE},
+    "a start beyond 64 bits": {"born": HUGE},
+    "a negative start": {"born": -1},
+    "a cold time of 1e300": {"cold_left_ms": 1e300},
+    "a port beyond 64 bits": {"addr": "127.0.0.1:1" + "0" * 30},
+    "a token beyond 64 bits": {"holds": [[0, 1, HUGE]]},
+}
+"""Changes to a valid heartbeat that make it odd, by what is odd about it."""
+
+ODD_INSTANCES = {
+    "an endless instance": "i" * 4000,
+}
+"""Instances of upstreams that can't be used, by what is odd about them."""
+
+
 def an_odd_member(odd, member):
     """Returns the content of a member that is odd.
 
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -273,3 +273,37 @@
       | 5000 digits | 400    |
       | 1e3         | 400    |
       | nan         | 400    |
+
+  Scenario Outline: A heartbeat with <odd> is rejected, and the next one counts
+    Given a deployment of 1 VM
+    When a heartbeat of the upstream of vm-a has <odd>
+    Then it is answered with 400
+    And 12 requests to vm-a are answered within 2 seconds
+    And no task of a process has failed
+    And vm-a knows its upstream as it is
+
+    Examples:
+      | odd                                  |
+      | an unknown field nested 5000 levels  |
+      | an unknown field nested 100 levels   |
+      | slots beyond a float                 |
+      | slots beyond 64 bits                 |
+      | negative slots                       |
+      | a sequence number beyond 64 bits     |
+      | a start beyond 64 bits               |
+      | a negative start                     |
+      | a cold time of 1e300                 |
+      | a port beyond 64 bits                |
+      | a token beyond 64 bits               |
+      | an endless instance                  |
+
+  Scenario Outline: A departure with <odd> is rejected
+    Given a deployment of 1 VM
+    When a departure of the upstream of vm-a has <odd>
+    Then it is answered with 400
+    And 12 requests to vm-a are answered within 2 seconds
+
+    Examples:
+      | odd                                  |
+      | an unknown field nested 5000 levels  |
+      | a start beyond 64 bits               |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -12,6 +12,8 @@
 from features.builders_node import HOST, a_configuration, run
 from features.builders_odd_entries import (
     ODD_CONFIGURATIONS,
+    ODD_HEARTBEATS,
+    ODD_INSTANCES,
     ODD_MEMBERS,
     ODD_OBJECTS,
     an_object,
@@ -544,3 +546,46 @@
 @then("it gets the status {status:d}")
 def step_status(context, status):
     assert context.status == status, context.status
+
+
+async def send_call(deployment, name, call, instance, body):
+    """Sends an upstream's call to the process beside it; returns the status."""
+    address = Address(deployment.hosts[name], 9004)
+    path = f"/v1/instances/{instance}/{call}".encode()
+    encoded = BytesBody(msgspec.json.encode(body))
+    request = Request(b"POST", path, ((b"host", b"x"),), encoded, address)
+    pool = Pool(PoolSettings())
+    try:
+        return (await pool.send(address, request, FOLLOW_S)).status
+    except ProxyError as error:
+        return error.code
+    finally:
+        await pool.close()
+
+
+@when("a {call} of the upstream of {name} has {odd}")
+def step_odd_call(context, call, name, odd):
+    deployment = context.deployment
+    endpoint = deployment.endpoints[name]
+    instance = ODD_INSTANCES.get(odd, endpoint.instance)
+    body = {**endpoint.announcement(), **ODD_HEARTBEATS.get(odd, {})}
+    names = {"heartbeat": "heartbeat", "departure": "deregister"}
+    context.status = run(
+        context, send_call(deployment, name, names[call], instance, body)
+    )
+
+
+@then("it is answered with {status:d}")
+def step_call_status(context, status):
+    assert context.status == status, context.status
+
+
+@then("{name} knows its upstream as it is")
+def step_knows_upstream(context, name):
+    deployment = context.deployment
+    state = deployment.nodes[name]._watch.state
+    run(context, asyncio.sleep(WATCH_S))
+    later = deployment.nodes[name]._watch.state
+    assert later.announcement.instance == deployment.endpoints[name].instance
+    assert later.announcement.sequence > state.announcement.sequence
+    assert later.accepting and later.announcement.slots == 8
--- a/rosemarydeal/core/decoding.py
+++ b/rosemarydeal/core/decoding.py
@@ -34,6 +34,7 @@
     "Slots",
     "check_depth",
     "check_ip_address",
+    "decode_identifier",
     "decode_json",
     "decode_unchecked",
     "split_array",
@@ -121,6 +122,18 @@
         raise Malformed(f"nested deeper than {MAX_DEPTH} levels, or not closed")
 
 
+def decode_identifier(text: bytes) -> str:
+    """Decodes a part of a header or a path that names something.
+
+    Raises:
+        Malformed: If it is too long, or not printable ASCII without blanks.
+    """
+    try:
+        return msgspec.convert(text.decode("ascii"), Identifier)
+    except (UnicodeDecodeError, msgspec.ValidationError) as error:
+        raise Malformed(str(error)) from error
+
+
 def check_ip_address(host: str) -> None:
     """Checks that a host is an IP address, so that no name is looked up.
 
--- a/rosemarydeal/platform/announcements.py
+++ b/rosemarydeal/platform/announcements.py
@@ -6,9 +6,20 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from rosemarydeal.core import Address
+from rosemarydeal.core.decoding import (
+    Count,
+    Identifier,
+    Integer64,
+    Malformed,
+    Slots,
+    decode_identifier,
+    decode_json,
+)
 from rosemarydeal.core.fleet import (
     LAST_KEY,
     Announcement,
@@ -36,27 +47,31 @@
 MAX_BODY_BYTES = 131_072
 ACKNOWLEDGED = 200
 BAD_REQUEST = 400
+# No upstream is cold for a day.
+MAX_COLD_MS = 24 * 3600 * 1000
+
+_ColdMs = Annotated[float, msgspec.Meta(ge=-MAX_COLD_MS, le=MAX_COLD_MS)]
 
 
 class _Heartbeat(msgspec.Struct):
     """Body of an announcement."""
 
-    service: str
-    addr: str
-    zone: str
-    slots: int
+    service: Identifier
+    addr: Identifier
+    zone: Identifier
+    slots: Slots
     state: str
-    cold_left_ms: float
-    seq: int
-    born: int
-    holds: list[tuple[int, int, int]] | None = None
-    released: list[tuple[int, int, str]] = []
+    cold_left_ms: _ColdMs
+    seq: Integer64
+    born: Count
+    holds: list[tuple[Count, Count, Integer64]] | None = None
+    released: list[tuple[Count, Count, str]] = []
 
 
 class _Leave(msgspec.Struct):
     """Body of a departure."""
 
-    born: int | None = None
+    born: Count | None = None
 
 
 async def decode_call(request: Request) -> Announcement | Departure:
@@ -69,10 +84,10 @@
     try:
         body = await read_bytes(request.body, MAX_BODY_BYTES)
         if call == LEAVE_CALL:
-            leave = msgspec.json.decode(body, type=_Leave) if body else _Leave()
+            leave = decode_json(body, _Leave) if body else _Leave()
             return Departure(instance, leave.born)
-        return _announcement(instance, msgspec.json.decode(body, type=_Heartbeat))
-    except (msgspec.MsgspecError, ValueError, BodyTooLarge) as error:
+        return _announcement(instance, decode_json(body, _Heartbeat))
+    except (Malformed, ValueError, BodyTooLarge) as error:
         raise Unreadable(f"announcement of {instance}: {error}") from error
 
 
@@ -107,7 +122,10 @@
     instance, _, call = path[len(INSTANCES_PATH) :].partition(b"/")
     if not instance or call not in (ANNOUNCE_CALL, LEAVE_CALL):
         raise Unreadable(f"no such call: {path!r}")
-    return instance.decode("ascii", "replace"), call
+    try:
+        return decode_identifier(instance), call
+    except Malformed as error:
+        raise Unreadable(f"instance: {error.detail}") from error
 
 
 def _announcement(instance: str, body: _Heartbeat) -> Announcement:
@@ -123,7 +141,7 @@
         zone=body.zone,
         slots=body.slots,
         draining=body.state == "draining",
-        cold_left_s=body.cold_left_ms / MS_PER_S,
+        cold_left_s=max(0.0, body.cold_left_ms) / MS_PER_S,
         sequence=body.seq,
         holds=_held(body.holds) if body.holds is not None else None,
         released=_released(body.released),
