Check ports, durations and names of the process's settings

A port out of range, an address without a host or a heartbeat period of nan was accepted, and the process failed later, where it listened or slept. An address or a bound that is no text raised AttributeError, and deep nesting RecursionError, in place of the coded error with which the process says what is wrong.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -307,3 +307,34 @@
       | odd                                  |
       | an unknown field nested 5000 levels  |
       | a start beyond 64 bits               |
+
+  Scenario Outline: Settings with <setting> = <value> raise a coded error
+    Given the settings file from the platform's documentation
+    When the line of <setting> says <value>
+    Then reading it fails with the code <code>
+
+    Examples:
+      | setting        | value                | code                |
+      | app_addr       | "10.1.0.35:70000"    | settings-wrong      |
+      | app_addr       | "10.1.0.35:0"        | settings-wrong      |
+      | app_addr       | "10.1.0.35:-1"       | settings-wrong      |
+      | app_addr       | ":8147"              | settings-wrong      |
+      | app_addr       | 8147                 | settings-wrong      |
+      | internal_ports | [inf, inf]           | settings-wrong      |
+      | internal_ports | [70000, 70001]       | settings-wrong      |
+      | internal_ports | [65535, 65540]       | settings-wrong      |
+      | heartbeat_ms   | inf                  | settings-wrong      |
+      | heartbeat_ms   | nan                  | settings-wrong      |
+      | heartbeat_ms   | 0                    | settings-wrong      |
+      | heartbeat_ms   | -870                 | settings-wrong      |
+      | bounds         | ["drain_ms=nan"]     | settings-wrong      |
+      | bounds         | ["grace_s=inf"]      | settings-wrong      |
+      | bounds         | ["max_hold_ms=-1"]   | settings-wrong      |
+      | bounds         | [7]                  | settings-wrong      |
+      | addr           | 7                    | settings-wrong      |
+      | outbound       | "10.1.0.35:99999"    | settings-wrong      |
+      | ip             | 7                    | settings-wrong      |
+      | service        | "bl\u00e5tt"         | settings-wrong      |
+      | service        | "two words"          | settings-wrong      |
+      | zone           | 7                    | settings-wrong      |
+      | node_name      | arrays of 5000 levels | settings-unreadable |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -21,6 +21,7 @@
     an_odd_member,
     an_odd_object,
     an_odd_table,
+    nested,
 )
 from features.builders_rate_limit import captured_logs
 from features.standin_store import StandInStore
@@ -589,3 +590,13 @@
     assert later.announcement.instance == deployment.endpoints[name].instance
     assert later.announcement.sequence > state.announcement.sequence
     assert later.accepting and later.announcement.slots == 8
+
+
+@when("the line of {setting} says {value}")
+def step_setting(context, setting, value):
+    if value == "arrays of 5000 levels":
+        value = nested(5000).decode()
+    lines = context.toml.splitlines()
+    number = next(n for n, line in enumerate(lines) if line.startswith(f"{setting} "))
+    lines[number] = f"{setting} = {value}"
+    context.toml = "\n".join(lines)
--- a/rosemarydeal/core/decoding.py
+++ b/rosemarydeal/core/decoding.py
@@ -20,6 +20,7 @@
 from .errors import CodedError
 
 __all__ = [
+    "LAST_PORT",
     "MAX_DEPTH",
     "MAX_INTEGER",
     "MAX_PACE",
--- a/rosemarydeal/platform/node_settings.py
+++ b/rosemarydeal/platform/node_settings.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import os
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 
 from rosemarydeal.core import Address
+from rosemarydeal.core.decoding import LAST_PORT, Malformed, decode_identifier
 from rosemarydeal.core.fleet import Bounds, GrantCarrier, NodeIdentity
 
 from .errors import SettingsWrong
@@ -46,34 +48,37 @@
     """
     try:
         fields = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise SettingsWrong(str(error), "settings-unreadable") from error
     try:
         return _identity(fields)
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except (LookupError, TypeError, ValueError, OverflowError, Malformed) as error:
         raise SettingsWrong(f"missing or wrong: {error!r}") from error
 
 
 def _identity(fields: Mapping[str, object]) -> NodeIdentity:
     """Builds the identity from the parsed file."""
     listen = fields["listen"]
-    first_port, last_port = fields["internal_ports"]
-    host = fields["ip"]
+    first_port, last_port = map(_port, fields["internal_ports"])
+    host = _text(fields["ip"])
     if last_port <= first_port:
         raise ValueError("internal_ports has fewer than two ports")
+    heartbeat_ms = _number(fields["heartbeat_ms"])
+    if heartbeat_ms <= 0.0:
+        raise ValueError("heartbeat_ms is not positive")
     return NodeIdentity(
         node=_text(fields["node_name"]),
-        zone=_text(fields["zone"]),
+        zone=_identifier(fields["zone"]),
         zones=tuple(fields["zones"]),
-        service=_text(fields["service"]),
+        service=_identifier(fields["service"]),
         upstream=_address(fields["app_addr"]),
         callers=_address(listen["outbound"]),
         readiness=_address(listen["ready"]),
         announcements=_address(listen["control"]),
-        peer=Address(host, int(first_port)),
-        metrics=Address(host, int(first_port) + 1),
+        peer=Address(host, first_port),
+        metrics=Address(host, first_port + 1),
         store=_address(fields["provider"]["addr"]),
-        announce_period_s=float(fields["heartbeat_ms"]) / MS_PER_S,
+        announce_period_s=heartbeat_ms / MS_PER_S,
         bounds=_bounds(fields["bounds"]),
         grant_carrier=GRANT_CARRIERS[fields.get("grants", DEFAULT_GRANTS)],
     )
@@ -81,11 +86,11 @@
 
 def _bounds(entries: list[str]) -> Bounds:
     """Parses a list of `name=value` entries; missing bounds keep their defaults."""
-    values = dict(text.split("=", 1) for text in entries)
+    values = dict(_text(entry).split("=", 1) for entry in entries)
     defaults = Bounds()
 
     def number(name: str, default: float, unit: float = 1.0) -> float:
-        return float(values[name]) / unit if name in values else default
+        return _number(values[name]) / unit if name in values else default
 
     return Bounds(
         drain_s=number("drain_ms", defaults.drain_s, MS_PER_S),
@@ -99,10 +104,31 @@
     )
 
 
-def _address(text: str) -> Address:
+def _address(text: object) -> Address:
     """Parses `host:port`."""
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
+    host, _, port = _text(text).rpartition(":")
+    return Address(_text(host), _port(port))
+
+
+def _port(value: object) -> int:
+    """Returns a port, written as a number or as text."""
+    port = int(value)
+    if not 1 <= port <= LAST_PORT:
+        raise ValueError(f"{port} is no port")
+    return port
+
+
+def _number(value: object) -> float:
+    """Returns a duration, rate or count."""
+    number = float(value)
+    if not 0.0 <= number < math.inf:
+        raise ValueError(f"{value!r} is negative or not finite")
+    return number
+
+
+def _identifier(value: object) -> str:
+    """Returns a name that members, tables and headers carry."""
+    return decode_identifier(_text(value).encode())
 
 
 def _text(value: object) -> str:
