Keep a link when one of its messages can't be handled

A frame nested some thousand levels raised RecursionError in place of the decoder's own error, and an error in the handler of a message reached the event loop, which closed the connection: the messages behind it were lost, the requests pending on the link ended with unknown outcome, and no log line told why.

The decoder's errors all become Malformed, with which a frame is rejected and logged as before. An error of a handler is logged and counted, and the link goes on.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -338,3 +338,14 @@
       | service        | "two words"          | settings-wrong      |
       | zone           | 7                    | settings-wrong      |
       | node_name      | arrays of 5000 levels | settings-unreadable |
+
+  Scenario: A stranger's frame that is nested too deeply is rejected as malformed
+    Given a process that listens for peers
+    When a stranger sends a frame nested 3000 levels
+    Then its connection is closed, and logged as peer_frame_malformed
+
+  Scenario: A peer's message that can't be handled does not cut the link
+    Given a deployment of 2 VMs
+    When vm-b sends vm-a a message whose handler fails, and then a change of a zone
+    Then vm-a has applied the change of the zone over the same link
+    And vm-a has counted 1 failures of peer-message, and goes on
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -8,6 +8,7 @@
 import msgspec
 from behave import given, then, when
 
+from features.builders_addresses import a_loopback_host
 from features.builders_fleet_types import SERVICE, a_member
 from features.builders_node import HOST, a_configuration, run
 from features.builders_odd_entries import (
@@ -29,12 +30,14 @@
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import Revision, StoredObject
 from rosemarydeal.node.contents import encode_table
+from rosemarydeal.node.messages import CrashSuspects, ObjectState, ObjectUpdate
 from rosemarydeal.node.records import MEMBERS, Records
 from rosemarydeal.platform.errors import StoreError
 from rosemarydeal.platform.rejected_objects import RejectedObjects
 from rosemarydeal.platform.store import StoreClient, StoreSettings
 from rosemarydeal.proxy import BytesBody, Pool, PoolSettings, ProxyError, Request
 
+STRANGERS = Address(a_loopback_host(203), 9105)
 LIST_TIMEOUT_S = 5.0
 WATCH_S = 0.2
 FOLLOW_S = 5.0
@@ -600,3 +603,54 @@
     number = next(n for n, line in enumerate(lines) if line.startswith(f"{setting} "))
     lines[number] = f"{setting} = {value}"
     context.toml = "\n".join(lines)
+
+
+@when("a stranger sends a frame nested {levels:d} levels")
+def step_deep_frame(context, levels):
+    # A message may be followed by fields of a later version, which are skipped.
+    hello = b"\x95\x01\xa1n\xa1p\xa1a" + b"\x91" * levels + b"\x01"
+
+    async def go():
+        await context.stranger_links.start(STRANGERS)
+        reader, writer = await asyncio.open_connection(STRANGERS.host, STRANGERS.port)
+        writer.write(len(hello).to_bytes(4, "big") + hello)
+        try:
+            async with asyncio.timeout(FOLLOW_S):
+                return await reader.read()
+        except ConnectionError:
+            return b""
+        finally:
+            writer.close()
+            await context.stranger_links.close()
+
+    with captured_logs() as lines:
+        context.received = run(context, go())
+    context.lines = lines
+
+
+@then("its connection is closed, and logged as {event}")
+def step_closed_logged(context, event):
+    assert context.received == b""
+    assert [line for line in context.lines if line["event"] == event], context.lines
+
+
+@when("vm-b sends vm-a a message whose handler fails, and then a change of a zone")
+def step_failing_message(context):
+    nodes = context.deployment.nodes
+    guard = nodes["vm-a"]._guard
+    guard.add_crash_suspects = failing(guard.add_crash_suspects, 1)
+    links = nodes["vm-b"]._links
+    context.opened = links.sent["Hello"]
+    revision = nodes["vm-a"]._records.revision("evacuations")
+    later = Revision(revision.era, revision.number + 1)
+    links.send("vm-a", CrashSuspects(("x",)))
+    change = ObjectUpdate("evacuations", ObjectState("perth-z", later, b"{}"))
+    links.send("vm-a", change)
+    run(context, asyncio.sleep(WATCH_S))
+
+
+@then("vm-a has applied the change of the zone over the same link")
+def step_applied(context):
+    nodes = context.deployment.nodes
+    assert nodes["vm-a"]._records.zones_out == {"perth-z"}
+    assert nodes["vm-b"]._links.sent["Hello"] == context.opened
--- a/rosemarydeal/node/frames.py
+++ b/rosemarydeal/node/frames.py
@@ -6,9 +6,10 @@
 import socket
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
+from rosemarydeal.core.decoding import Malformed
+
 from . import messages
 from .messages import HEADER_BYTES, MAX_MESSAGE_BYTES, Message
 
@@ -78,8 +79,8 @@
             del self._buffer[:end]
             try:
                 message = messages.decode(body)
-            except msgspec.MsgspecError as error:
-                self._reject(str(error))
+            except Malformed as error:
+                self._reject(error.detail)
                 return
             self._on_message(self, message)
 
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -9,8 +9,9 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
+from typing import TypeVar
 
 import msgspec
 import structlog
@@ -64,6 +65,8 @@
 PEER_FAILED = OutcomeUnknown("peer-failed")
 UNREACHABLE = NotServed("peer-unreachable", elsewhere=True)
 
+_Source = TypeVar("_Source", Link, FrameConnection)
+
 _log = structlog.get_logger()
 
 
@@ -91,7 +94,8 @@
         self._links: dict[str, Link] = {}
         self._accepted: set[FrameConnection] = set()
         self._serving: dict[tuple[FrameConnection, int], asyncio.Task[None]] = {}
-        self._tasks = Tasks(failures)
+        self._failures = failures or TaskFailures()
+        self._tasks = Tasks(self._failures)
         self._last_number = 0
         self._listener: asyncio.Server | None = None
         self._monitor = LinkMonitor(hooks.known_revisions, self.broadcast)
@@ -174,7 +178,7 @@
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             lambda: FrameConnection(
-                self._on_request,
+                partial(self._handle, self._on_request),
                 self._accepted.add,
                 self._on_accepted_closed,
                 self._count_sent,
@@ -316,7 +320,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
                     lambda: FrameConnection(
-                        lambda _, message: self._on_reply(link, message),
+                        lambda _, message: self._handle(self._on_reply, link, message),
                         lambda _: None,
                         lambda _: self._on_disconnect(link),
                         self._count_sent,
@@ -352,6 +356,18 @@
         link.check_requested.set()
         _log.warning("peer_link_down", peer=link.node)
 
+    def _handle(
+        self,
+        handler: Callable[[_Source, Message], None],
+        source: _Source,
+        message: Message,
+    ) -> None:
+        """Handles a message; an error does not cut the link to its sender."""
+        try:
+            handler(source, message)
+        except Exception as error:
+            self._failures.note("peer-message", error)
+
     def _on_reply(self, link: Link, message: Message) -> None:
         """Handles a message on a link that this process opened."""
         match message:
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from rosemarydeal.core.decoding import Malformed
 from rosemarydeal.core.fleet import (
     NO_REVISION,
     KeyRange,
@@ -416,9 +417,12 @@
     """Returns the message of a frame's body.
 
     Raises:
-        msgspec.MsgspecError: If the body is not a message.
+        Malformed: If the body is not a message.
     """
-    return _DECODER.decode(body)
+    try:
+        return _DECODER.decode(body)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise Malformed(str(error)) from error
 
 
 def reply_of(number: int, outcome: RequestOutcome, load: LoadReport) -> Reply:
