--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -75,7 +75,7 @@
         self.nodes, self.endpoints, self.hosts = {}, {}, {}
         self._names = [f"vm-{chr(ord('a') + i)}" for i in range(count)]
         self._work_s = work_s
-        self._carrier = carrier
+        self.carrier = carrier
         self._stutter_seed = stutter_seed
         self._pool = Pool(PoolSettings())
         self._count = 0
@@ -92,19 +92,22 @@
             await self.start_endpoint(name)
         await self.wait(lambda: all(self.serves(key) for key in self.sample()))
 
+    def zone(self, name):
+        return "perth-a" if self._names.index(name) % 2 == 0 else "perth-b"
+
     async def start_node(self, name):
-        zone = "perth-a" if self._names.index(name) % 2 == 0 else "perth-b"
         identity = an_identity(
-            name, self.hosts[name], self.address, zone=zone, carrier=self._carrier
+            *(name, self.hosts[name], self.address),
+            zone=self.zone(name),
+            carrier=self.carrier,
         )
         self.nodes[name] = NodeProcess(identity)
         await self.nodes[name].start()
 
     async def start_endpoint(self, name):
-        zone = "perth-a" if self._names.index(name) % 2 == 0 else "perth-b"
-        by_heartbeat = self._carrier is GrantCarrier.HEARTBEAT
         endpoint = StandInEndpoint(
-            name, self.hosts[name], "box-office", zone, self._work_s, by_heartbeat
+            *(name, self.hosts[name], "box-office", self.zone(name), self._work_s),
+            by_heartbeat=self.carrier is GrantCarrier.HEARTBEAT,
         )
         if self._stutter_seed is not None:
             endpoint.stutter = Stutter(f"{self._stutter_seed}-{name}")
--- /dev/null
+++ b/features/builders_node_programs.py
@@ -0,0 +1,124 @@
+"""Runs node processes as programs of their own beside stand-ins, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+from features.builders_node import Deployment
+
+__all__ = ["NodeProgram", "ProgramDeployment"]
+
+GRACE_S = 6.0
+# A busy machine ends a process a little later.
+END_SLACK_S = 2.0
+
+SETTINGS = """
+node_name = "{name}"
+zone = "{zone}"
+zones = ["perth-a", "perth-b"]
+service = "box-office"
+ip = "{host}"
+app_addr = "{host}:9001"
+internal_ports = [9005, 9006]
+heartbeat_ms = 300
+bounds = ["grace_s={grace_s}"]
+grants = "{grants}"
+
+[listen]
+outbound = "{host}:9002"
+ready = "{host}:9003"
+control = "{host}:9004"
+
+[provider]
+addr = "{store}"
+"""
+
+
+class NodeProgram:
+    """One life of a node process.
+
+    Attributes:
+        planned: Whether its end was asked for with SIGTERM.
+        killed: Whether it was killed.
+    """
+
+    def __init__(self, settings: Path, log: Path) -> None:
+        self._settings = settings
+        self._log = log
+        self._child = None
+        self._started_at = 0.0
+        self.planned = False
+        self.killed = False
+
+    @property
+    def age_s(self) -> float:
+        """Returns the time since its start."""
+        return time.monotonic() - self._started_at
+
+    @property
+    def alive(self) -> bool:
+        """Returns whether it has not ended yet."""
+        return self._child is not None and self._child.returncode is None
+
+    async def start(self) -> None:
+        """Starts the program."""
+        self._started_at = time.monotonic()
+        environment = os.environ | {"ROSEMARYDEAL_NODE_FILE": str(self._settings)}
+        with self._log.open("ab") as log:
+            self._child = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "rosemarydeal.node.main"),
+                env=environment,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal if it is alive."""
+        if not self.alive:
+            return
+        self.planned |= number is signal.SIGTERM
+        self.killed |= number is signal.SIGKILL
+        self._child.send_signal(number)
+
+    async def wait_end(self) -> int:
+        """Returns the exit code once it has ended.
+
+        Raises:
+            TimeoutError: It has not ended within the time between SIGTERM and SIGKILL.
+        """
+        return await asyncio.wait_for(self._child.wait(), GRACE_S + END_SLACK_S)
+
+    async def close(self) -> None:
+        """Kills it if it is alive."""
+        self.send(signal.SIGKILL)
+        await self._child.wait()
+
+
+class ProgramDeployment(Deployment):
+    """A deployment whose node processes are programs of their own."""
+
+    def __init__(self, count, directory: Path, **settings) -> None:
+        super().__init__(count, **settings)
+        self._directory = directory
+
+    async def start_node(self, name):
+        """Starts a life of the process of a VM."""
+        settings = self._directory / f"{name}.toml"
+        text = SETTINGS.format(
+            name=name,
+            zone=self.zone(name),
+            host=self.hosts[name],
+            store=self.address,
+            grants=self.carrier.name.lower(),
+            grace_s=GRACE_S,
+        )
+        settings.write_text(text, "utf-8")
+        program = NodeProgram(settings, self._directory / f"{name}.log")
+        await program.start()
+        self.nodes[name] = program
