Take no other answer of the store for the one to a read or a write

Callers: two upstreams at work on a key (OWNER), if the store wrote an answer twice: a write of the table that it refused was taken for done.

Cause: the store's answers name no call, and the client believed their place on the connection.

Ruled out: an id for each call, which the store does not echo; a connection for each call, which every lease would wait for.

Change: an answer with an object of another name is no answer; the answer to a write has the content that was written and no revision before that of the condition, or the outcome is unknown. What remains: a copy of a read of the same object, which may be old.

--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -215,7 +215,9 @@
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns the current object, or None if there is none."""
         reply = await self._call("read", kind, b"GET", f"/{_quoted(name)}")
-        return None if reply.status == NOT_FOUND else _decode_object(kind, reply)
+        if reply.status == NOT_FOUND:
+            return None
+        return _decode_object(kind, name, reply)
 
     async def watch(
         self, kind: str, revision: Revision, wait_s: float, stale: bool = False
@@ -257,7 +259,8 @@
             StoreUnavailable: The outcome is unknown, or the call was rejected.
         """
         body = _body(name, content, None)
-        return _decode_object(kind, await self._call("create", kind, b"POST", "", body))
+        reply = await self._call("create", kind, b"POST", "", body)
+        return _decode_written(kind, name, reply, content, NO_REVISION)
 
     async def replace(
         self, kind: str, name: str, content: bytes, revision: Revision
@@ -272,7 +275,7 @@
         self._check_condition(kind, name, revision)
         body = _body(name, content, revision.number)
         reply = await self._call("replace", kind, b"PUT", f"/{_quoted(name)}", body)
-        return _decode_object(kind, reply)
+        return _decode_written(kind, name, reply, content, revision)
 
     async def remove(self, kind: str, name: str, revision: Revision) -> None:
         """Removes an object if it is still at a revision or already deleted.
@@ -397,10 +400,17 @@
         raise StoreError(f"{kind}: status {status}: {body[:200]!r}")
 
 
-def _decode_object(kind: str, reply: _Reply) -> StoredObject:
-    """Decodes an answer that contains one object."""
+def _decode_object(kind: str, name: str, reply: _Reply) -> StoredObject:
+    """Decodes an answer that contains an object.
+
+    The store's answers name no call: one with another object may be a late copy of
+    the answer to an earlier call, and counts as no answer.
+    """
     stored = _stored_object(kind, reply.body, reply.era)
-    if reply.status == CONFLICT and stored.name and not stored.unreadable:
+    readable = stored.name and not stored.unreadable
+    if readable and stored.name != name:
+        raise StoreUnavailable(f"{kind}/{name}: answer with {stored.name!r}", True)
+    if reply.status == CONFLICT and readable:
         raise StoreConflict(f"{kind}: status {reply.status}", stored)
     _check_status(kind, reply.status, reply.body)
     if stored.unreadable:
@@ -408,6 +418,32 @@
     return stored
 
 
+def _decode_written(
+    kind: str, name: str, reply: _Reply, content: bytes, condition: Revision
+) -> StoredObject:
+    """Decodes the answer to a write.
+
+    An object with another content, or a revision before that of the condition, is
+    not what was written: the answer may be a late copy, and the outcome is unknown.
+    """
+    stored = _decode_object(kind, name, reply)
+    written = stored.content is not None and _same_content(stored.content, content)
+    if not written or stored.revision.number < condition.number:
+        detail = f"{kind}/{name}: answer with another content at {stored.revision}"
+        raise StoreUnavailable(detail, maybe_done=True)
+    return stored
+
+
+def _same_content(stored: bytes, content: bytes) -> bool:
+    """Returns whether two contents are equal, however the store writes its own."""
+    if stored == content:
+        return True
+    try:
+        return decode_json(stored, object) == decode_json(content, object)
+    except Malformed:
+        return False
+
+
 def _decode_list(reply: _Reply, body_type: type[_Body]) -> _Body:
     """Decodes the answer to a listing or a watch, whose entries stay undecoded."""
     _check_status("answer", reply.status, reply.body)
