Count no malformed answer as a crash of the daemon's upstream

What callers saw (scenario): the daemon's upstream sent an answer that is not valid HTTP, as faulty ones do, and went on serving. The guard took it for a crash of the upstream: the order ended upstream-crashed, the upstream counted as cold again, and the requests in flight became crash suspects, which all processes refuse after the second time. Cause: response-broken stands for bytes that are not valid and for a connection that ended early; only the second is a sign of a crash. Change: the error says whether the upstream closed before the end of its answer.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -186,3 +186,16 @@
     Given a process of the daemon that repeats its answer about a key
     When the operators' command line asks about two keys
     Then it shows the status of each key
+
+  Scenario Outline: A malformed answer of the daemon's upstream counts as its crash
+    Given an upstream of the daemon whose answer <fault>
+    When the guard serves an order
+    Then it ends as unknown, <code>, with <number> crash suspects
+
+    Examples:
+      | fault                       | code             | number |
+      | has two lengths             | connection-lost  | 0      |
+      | is no HTTP                  | connection-lost  | 0      |
+      | repeats itself to its end   | connection-lost  | 0      |
+      | breaks off in its body      | upstream-crashed | 1      |
+      | breaks off in its head      | upstream-crashed | 1      |
--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -104,6 +104,7 @@
                     reply = (reply.status, body)
                 replies.append(reply)
             context.free_connections = guard.state.admission.idle
+            context.crash_suspects = len(guard.state.suspects.records)
         return replies
 
     context.replies = asyncio.run(go())
@@ -874,3 +875,25 @@
 @then("it shows the status of each key")
 def step_each_key(context):
     assert context.result == context.located, context.result
+
+
+FAULTS = {
+    "has two lengths": an_answer("o1", OWN_BODY, headers=(b"Content-Length: 1",)),
+    "is no HTTP": b"\x00\x01\x02 no answer\r\n\r\n",
+    "repeats itself to its end": b"HTTP/1.1 200 OK\r\n\r\nbody HTTP/1.1",
+    "breaks off in its body": FIRST[:-1],
+    "breaks off in its head": FIRST[:20],
+}
+
+
+@given("an upstream of the daemon whose answer {fault}")
+def step_faulty(context, fault):
+    pauses = (PAUSE,) if fault in ("has two lengths", "is no HTTP") else ()
+    context.server = ScriptedServer([[FAULTS[fault], *pauses]])
+
+
+@then("it ends as unknown, {code}, with {number:d} crash suspects")
+def step_crash_suspects(context, code, number):
+    assert is_unknown(context.replies[0]), context.replies
+    assert context.replies[0].outcome.code == code, context.replies
+    assert context.crash_suspects == number, context.crash_suspects
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -37,6 +37,7 @@
     Request,
     Response,
     ResponseBroken,
+    SendFailed,
     find_header,
     replace_header,
     strip_hop_by_hop,
@@ -312,8 +313,8 @@
         if isinstance(error, ConnectFailed):
             self._hooks.on_connect_failed()
         sent = getattr(error, "sent", True)
-        crashed = sent and error.code in ("send-failed", "response-broken")
-        return guard.UpstreamFailed(request_id, sent, crashed)
+        lost = isinstance(error, SendFailed) or getattr(error, "closed", False)
+        return guard.UpstreamFailed(request_id, sent, crashed=sent and lost)
 
     async def _read_answer(self, action: guard.Dispatch, response: Response) -> int:
         """Stores a small answer, or streams a large one to the caller.
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -411,8 +411,11 @@
             return ProxyTimeout(
                 "the deadline of the exchange passed", self._send_started
             )
+        closed = isinstance(error, OSError) or self._stream.peer_broke_off
         if self._head_received:
-            return ResponseBroken(f"the response is incomplete or not valid: {error}")
+            detail = f"the response is incomplete or not valid: {error}"
+            return ResponseBroken(detail, closed)
         if isinstance(error, BadMessage):
-            return ResponseBroken(f"the head of the response is not valid: {error}")
+            detail = f"the head of the response is not valid: {error}"
+            return ResponseBroken(detail, closed)
         return SendFailed(f"{self._address}: {error}", self._send_started)
--- a/rosemarydeal/proxy/errors.py
+++ b/rosemarydeal/proxy/errors.py
@@ -69,11 +69,20 @@
 
 
 class ResponseBroken(ProxyError):  # noqa: N818
-    """The response is incomplete or not valid HTTP."""
+    """The response is incomplete or not valid HTTP.
+
+    Attributes:
+        closed: Whether the upstream closed or reset the connection before the end;
+            false if it sent bytes that are not valid.
+    """
 
     code = "response-broken"
     sent = True
 
+    def __init__(self, detail: str, closed: bool = False) -> None:
+        super().__init__(detail)
+        self.closed = closed
+
 
 class ForeignResponse(ProxyError):  # noqa: N818
     """The response belongs to another request, or may do so."""
--- a/rosemarydeal/proxy/http_stream.py
+++ b/rosemarydeal/proxy/http_stream.py
@@ -83,6 +83,7 @@
         self._writer = writer
         self._header_bytes = header_bytes
         self._consumed_bytes = 0
+        self._peer_closed = False
         self._pieces = 0
         self._body_bytes = 0
 
@@ -122,6 +123,12 @@
         """Returns whether our response was started but not ended."""
         return self._h11.our_state in (h11.SEND_BODY, h11.ERROR)
 
+    @property
+    def peer_broke_off(self) -> bool:
+        """Returns whether the peer closed before the end of its message."""
+        incomplete = (h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR)
+        return self._peer_closed and self._h11.their_state in incomplete
+
     @property
     def has_unparsed_bytes(self) -> bool:
         """Returns whether bytes were received that are not parsed yet."""
@@ -157,6 +164,7 @@
             search_from = max(0, len(buffered) - len(HEAD_END) + 1)
             data = await self._reader.read(READ_BYTES)
             if not data:
+                self._peer_closed = True
                 raise BadMessage("the connection closed before the end of the head")
             self._feed(data)
             buffered += data
@@ -266,6 +274,7 @@
     def _feed(self, data: bytes) -> None:
         """Passes bytes to h11; empty bytes mean that the peer closed."""
         self._consumed_bytes += len(data)
+        self._peer_closed = self._peer_closed or not data
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
