--- a/features/mutant_list_stutter.py
+++ b/features/mutant_list_stutter.py
@@ -7,6 +7,7 @@
 __all__ = ["MUTANTS"]
 
 FUZZ = ("-m", "features.stutter_budget", "requests", "calls")
+STATED = ("-m", "features.run", "features/stated_answers.feature")
 SCENARIOS = ("-m", "features.run", "features/named_answers.feature")
 IDENTIFICATION = "rosemarydeal/proxy/identification.py"
 INSIDE = ("-m", "features.stutter_budget", "inside")
@@ -113,4 +114,46 @@
         "return self._identified",
         SCENARIOS,
     ),
+    Mutant(
+        "success without a signature passed on",
+        UPSTREAM,
+        "if response.status in SUCCESSES and not (signed and echoed_id):",
+        "if response.status in SUCCESSES and not echoed_id:",
+        STATED,
+    ),
+    Mutant(
+        "success without an id passed on",
+        UPSTREAM,
+        "if response.status in SUCCESSES and not (signed and echoed_id):",
+        "if response.status in SUCCESSES and not signed:",
+        STATED,
+    ),
+    Mutant(
+        "encoded success passed on",
+        UPSTREAM,
+        'if find_header(headers, b"content-encoding") is not None:',
+        "if False:",
+        STATED,
+    ),
+    Mutant(
+        "misdirected request taken for run",
+        UPSTREAM,
+        "if rejected or response.status == MISDIRECTED:",
+        "if rejected:",
+        STATED,
+    ),
+    Mutant(
+        "empty failure without a length refused",
+        HEADS,
+        "self._needs_body = self._unframed and success",
+        "self._needs_body = self._unframed",
+        STATED,
+    ),
+    Mutant(
+        "answer to a request taken for a call's",
+        UPSTREAM,
+        "if find_header(response.headers, names.SIGNATURE) is not None:",
+        "if False:",
+        STATED,
+    ),
 )
