End the stand-in upstream's work when its request's connection closes

Cause: a cancelled request left its key in the list of the keys that are worked on, so that the stand-in never completed the release of the range.

Change: the work ends with the request.

--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -161,9 +161,12 @@
         self.caller_services.append(find_header(request.headers, b"caller-service"))
         if key is not None:
             self._running_keys.append(int(key))
-        await asyncio.sleep(self.work_s)
-        if key is not None:
-            self._running_keys.remove(int(key))
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            # The work ends as well when the connection of its request closes.
+            if key is not None:
+                self._running_keys.remove(int(key))
         own_headers = ((b"request-id", identity), (SIGNATURE, b"sig-" + identity))
         own_headers += self._statements()
         match self.faulty_answers.pop(identity.decode(), None):
