Answer the requests that still wait when a process ends

Callers: an order that a stopping process had read was cut off without an answer after 3.9 s, although it had not run.

Cause: requests for keys that are being released wait in the queue until the table names their next owner. Where the upstream works on one of the keys for longer than the grace time, they waited until the process closed its connections.

The new scenario failed before (4 of 4 orders: the connection closed). Ruled out: rejecting them as soon as no new requests are accepted, as most of them still run.

Change: 0.8 s before the process closes it rejects what still waits in its queue, so that the callers get 503, the promise that they have not run. Running requests are not affected.

--- a/features/node_heartbeat_grants.feature
+++ b/features/node_heartbeat_grants.feature
@@ -56,3 +56,8 @@
     And all keys are served again within 2 seconds
     When the operator returns perth-b to service
     Then vm-b holds keys within 3 seconds
+
+  Scenario: Orders that wait for keys when their process ends are cut off without an answer
+    Given a deployment of 2 VMs whose heartbeats carry the grants
+    When the process of vm-a ends while its upstream works on a key, and 4 orders for it arrive
+    Then the 4 orders are answered 503 and have not run
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -93,6 +93,10 @@
         self._born += 1
         self._task = asyncio.create_task(self._announce())
 
+    def work_on(self, key):
+        """Starts work on a key that does not end."""
+        self._running_keys.append(key)
+
     async def call(self, name, body):
         """Calls the process beside the upstream and returns the status."""
         return (await self._exchange(name, body))[0]
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -12,6 +12,8 @@
 from rosemarydeal.node import store_watch
 from rosemarydeal.node.records import MEMBERS, RANGES
 
+ORDERS_AFTER_S = 1.9
+
 
 @given(
     "a deployment of {count:d} VMs treated as a large fleet,"
@@ -303,3 +305,34 @@
 def step_still_owns(context):
     node = context.deployment.nodes["vm-b"]
     assert node._ownership.owned and node._watch.state.alive
+
+
+@when(
+    "the process of {name} ends while its upstream works on a key,"
+    " and {count:d} orders for it arrive"
+)
+def step_end_while_working(context, name, count):
+    deployment = context.deployment
+
+    async def end():
+        key = next(k for k in deployment.sample() if name in deployment.holders(k))
+        deployment.endpoints[name].work_on(key)
+        ending = asyncio.create_task(deployment.nodes[name].shut_down())
+        # The keys are being released then, and requests are still accepted.
+        await asyncio.sleep(ORDERS_AFTER_S)
+        sends = [
+            deployment.send_request(name, key, "/order/1", f"waiting-{number}")
+            for number in range(count)
+        ]
+        context.answers = await asyncio.gather(*sends, return_exceptions=True)
+        await ending
+
+    run(context, end())
+
+
+@then("the {count:d} orders are answered 503 and have not run")
+def step_answered_503(context, count):
+    statuses = [getattr(answer, "status", answer) for answer in context.answers]
+    assert statuses == [503] * count, statuses
+    ran = [r for e in context.deployment.endpoints.values() for r in e.ran]
+    assert not [r for r in ran if r.startswith("waiting")], ran
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -200,6 +200,10 @@
         """Rejects all new requests; called when the process is about to end."""
         self._stopping = True
 
+    def reject_waiting(self) -> None:
+        """Rejects the queued requests, which the process won't live to run."""
+        self.close_queue(PROCESS_ENDING)
+
     async def serve(self, request: RoutedRequest) -> RequestOutcome:
         """Runs a request at the upstream, or returns why it was not run."""
         rejection = self._rejection(request)
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -52,6 +52,8 @@
 # Time between the notice to the peers and the rejection of new requests.
 LEAVING_NOTICE_S = 0.8
 SHUTDOWN_MARGIN_S = 0.5
+# Time in which the rejections of the requests that still wait reach their callers.
+REJECTION_TIME_S = 0.8
 
 _log = structlog.get_logger()
 
@@ -182,6 +184,9 @@
             self._links.announce_leaving()
         await asyncio.sleep(LEAVING_NOTICE_S)
         self._guard.stop_accepting()
+        reject_in_s = max(0.0, deadline - now() - REJECTION_TIME_S)
+        loop = asyncio.get_running_loop()
+        loop.call_later(reject_in_s, self._guard.reject_waiting)
         await self._callers.drain(max(0.1, deadline - now() - 0.3))
         await self._links.wait_idle(max(0.0, deadline - now()))
         await self._callers.wait_closed(max(0.0, deadline - now()))
