--- a/features/stutter_machine.py
+++ b/features/stutter_machine.py
@@ -326,7 +326,9 @@
         except TimeoutError as error:
             raise self.failure("the call hangs", attempt, call) from error
         TOTALS[f"{call} {'failed' if result is None else 'answered'}"] += 1
-        if result is not None:
+        if result is not None and _merged_unnoticeably(attempt):
+            TOTALS["unnoticeable"] += 1
+        elif result is not None:
             self.expect(attempt.answering, "no answer was written", attempt, result)
             self.expect(result == self.own(call, attempt), "foreign", attempt, result)
         elif attempt.undisturbed and plan.status == 200 and _answerable(plan):
