Let the upstream of the fuzzing end disturbed connections that are idle

Cause: a copy that breaks off takes the bytes of the next answer, and the client then waits until its time limit of 2 s.

Change: the scripted upstream closes a connection that it has disturbed after 0.2 s without a request, as upstreams do later. The budget is 40 examples for each machine again.

--- a/features/stutter_budget.py
+++ b/features/stutter_budget.py
@@ -20,7 +20,7 @@
 
 __all__ = ["check_stutter"]
 
-EXAMPLES = 25
+EXAMPLES = 40
 STEPS = 30
 MACHINES = {
     "requests": StutterMachine,
--- a/features/stutter_upstream.py
+++ b/features/stutter_upstream.py
@@ -18,6 +18,7 @@
 
 # Long enough for the client, in the same event loop, to read what was written.
 PAUSE_S = 0.001
+DISTURBED_IDLE_S = 0.2
 ATTEMPT = re.compile(rb"\r\nattempt: (\d+)\r\n", re.IGNORECASE)
 REQUEST_ID = re.compile(rb"\r\nrequest-id: ([^\r]+)\r\n", re.IGNORECASE)
 LENGTH = re.compile(rb"\r\ncontent-length: (\d+)\r\n", re.IGNORECASE)
@@ -115,7 +116,14 @@
         connection = UpstreamConnection(self._opened)
         self._opened += 1
         while True:
-            head = await reader.readuntil(b"\r\n\r\n")
+            # A copy that breaks off may have taken the bytes of an answer: the client
+            # waits until the connection ends.
+            limit_s = DISTURBED_IDLE_S if connection.disturbed else None
+            try:
+                async with asyncio.timeout(limit_s):
+                    head = await reader.readuntil(b"\r\n\r\n")
+            except TimeoutError:
+                return
             length = LENGTH.search(head)
             body = await reader.readexactly(int(length[1])) if length else b""
             attempt = self._attempts[_number(head, body)]
