Keep a healthy member whose address another member names

A member of another writer that named the address of a healthy one evicted it, as the newest member at an address is taken for the successor of a lost VM. The others closed their links to the healthy process and took its keys over at once, without waiting for its lease, while its upstream still held them. It never became a member again, since its own object had not changed.

The behaviour for a VM that was replaced stays, but what a foreign entry says is no longer believed alone: - A process keeps its own member; no other one can be at its address. - An evicted process writes its member again (the new field renewals makes the content differ), so that it is the newest at the address; at most every five seconds, lest two processes write in turn without end. - The keys of an evicted owner are taken over only once the process at the address has answered as the successor, and a member that has not answered gets no keys.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -349,3 +349,14 @@
     When vm-b sends vm-a a message whose handler fails, and then a change of a zone
     Then vm-a has applied the change of the zone over the same link
     And vm-a has counted 1 failures of peer-message, and goes on
+
+  Scenario: A member that names the address of a healthy one does not take its place
+    Given a deployment of 3 VMs
+    When another writer leaves a member that names the address of vm-b
+    Then all processes follow the members vm-a, vm-b and vm-c within 4 seconds
+    And vm-b still holds its keys, and all keys are served
+    And no key was ever held by two upstreams
+    When another writer leaves it once more
+    Then all processes follow the members vm-a, vm-b and vm-c within 8 seconds
+    And vm-b still holds its keys, and all keys are served
+    And no key was ever held by two upstreams
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -41,6 +41,8 @@
 LIST_TIMEOUT_S = 5.0
 WATCH_S = 0.2
 FOLLOW_S = 5.0
+# Processes learn of a change, and act on it, within this time.
+CLAIM_S = 1.5
 # Time in which a task that has failed a few times is running again.
 WATCH_RESTARTS_S = 1.2
 LINK_RESTARTS_S = 0.6
@@ -654,3 +656,47 @@
     nodes = context.deployment.nodes
     assert nodes["vm-a"]._records.zones_out == {"perth-z"}
     assert nodes["vm-b"]._links.sent["Hello"] == context.opened
+
+
+def claim_address(context):
+    deployment = context.deployment
+    member = member_content("vm-z", slots=8)
+    member["peer"] = {"host": deployment.hosts["vm-b"], "port": 9005}
+    deployment.store.put(MEMBERS, "vm-z", member)
+    run(context, asyncio.sleep(CLAIM_S))
+
+
+@when("another writer leaves a member that names the address of vm-b")
+def step_claimed(context):
+    deployment = context.deployment
+    context.held = [k for k in deployment.sample() if "vm-b" in deployment.holders(k)]
+    assert context.held
+    claim_address(context)
+
+
+@when("another writer leaves it once more")
+def step_claimed_again(context):
+    claim_address(context)
+
+
+@then("all processes follow the members {names} within {seconds:d} seconds")
+def step_follow_within(context, names, seconds):
+    expected = set(names.replace(" and ", ", ").split(", "))
+    nodes = context.deployment.nodes.values()
+
+    def follow():
+        return all(set(node._records.members) == expected for node in nodes)
+
+    run(context, context.deployment.wait(follow, seconds))
+
+
+@then("vm-b still holds its keys, and all keys are served")
+def step_still_holds(context):
+    deployment = context.deployment
+    for key in context.held:
+        assert deployment.holders(key) == ["vm-b"], (key, deployment.holders(key))
+
+    async def go():
+        return [await deployment.send_request("vm-a", key) for key in context.held]
+
+    assert {answer.status for answer in run(context, go())} == {200}
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -311,6 +311,8 @@
         pace: Slowdown factor measured at the upstream's start; 1.0 is normal.
             Stored under this name.
         leaving: Whether the upstream has said that it leaves.
+        renewals: How often it was written again because another member named its
+            address.
     """
 
     node: str
@@ -324,6 +326,7 @@
     accepting: bool = False
     pace: float = 1.0
     leaving: bool = False
+    renewals: int = 0
 
     @property
     def weight(self) -> float:
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -46,6 +46,7 @@
     "decode_table",
     "members_of",
     "names_of",
+    "successor_of",
     "table_name",
 ]
 
@@ -86,6 +87,7 @@
     accepting: bool = False
     pace: Pace = 1.0
     leaving: bool = False
+    renewals: Count = 0
 
     def to_member(self) -> Member:
         """Returns the member."""
@@ -212,11 +214,17 @@
 
 
 def members_of(
-    objects: Iterable[StoredObject], rejected: RejectedObjects
+    objects: Iterable[StoredObject], rejected: RejectedObjects, own_node: str = ""
 ) -> dict[str, Member]:
     """Returns the members by node; only the newest one at each address.
 
-    An older member at the same address has ended, and its upstream with it.
+    An older member at the same address has ended, and its upstream with it. This
+    process knows that it has not.
+
+    Args:
+        objects: The objects of the members.
+        rejected: Counts the malformed ones.
+        own_node: Node of this process.
     """
     members: dict[str, Member] = {}
     at_address: dict[Address, str] = {}
@@ -224,12 +232,31 @@
         member = decode_member(stored, rejected)
         if member is None:
             continue
-        members.pop(at_address.get(member.peer, ""), None)
+        older = at_address.get(member.peer, "")
+        if older and older == own_node != member.node:
+            continue
+        members.pop(older, None)
         at_address[member.peer] = member.node
         members[member.node] = member
     return members
 
 
+def successor_of(stored: StoredObject, objects: Iterable[StoredObject]) -> str | None:
+    """Returns the node of the newest later member at a member's address, if any."""
+    member = decode_member(stored)
+    if member is None:
+        return None
+    later = [
+        (other.revision, successor.node)
+        for other in objects
+        if other.revision > stored.revision
+        and (successor := decode_member(other)) is not None
+        and successor.peer == member.peer
+        and successor.node != member.node
+    ]
+    return max(later)[1] if later else None
+
+
 def decode_member(
     stored: StoredObject, rejected: RejectedObjects | None = None
 ) -> Member | None:
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -147,6 +147,10 @@
         link = self._links.get(node)
         return link.peer_state if link is not None else None
 
+    def is_confirmed(self, node: str) -> bool:
+        """Returns whether the process at a node's address answers as that node."""
+        return node == self._node or self.peer_state(node) is not None
+
     def limit_delay_s(self, node: str) -> float:
         """Returns how long a node's rate limit delays a request that arrives now.
 
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -28,6 +28,8 @@
 __all__ = ["Membership"]
 
 PUBLISH_RETRY_S = 0.3
+# Two processes that claim the same address do not write without end.
+RENEWAL_PAUSE_S = 5.0
 # Noisy neighbours slow an upstream for 0.4 s at a time; probes are further apart.
 SLOWDOWN_PROBES = 3
 PROBE_PAUSE_S = 0.42
@@ -64,6 +66,8 @@
         self._watch = watch
         self._guard = guard
         self._slowdown: float | None = None
+        self._renewals = 0
+        self._renewed_at = -RENEWAL_PAUSE_S
         self._changed = asyncio.Event()
         self._stopping = False
 
@@ -75,6 +79,7 @@
         """Schedules a write of the own member if it was removed or is outdated."""
         published = self._records.stored_member(self._identity.node)
         self.restore_leaving()
+        self._renew_if_claimed()
         if self._watch.state is not None and published != self._own_member():
             self._changed.set()
 
@@ -113,12 +118,27 @@
         """Removes members that are unreachable for long, until cancelled."""
         while True:
             await asyncio.sleep(REMOVAL_CHECK_PERIOD_S * random.uniform(0.8, 1.2))
+            self._renew_if_claimed()
             reachable_nodes = sorted([self._identity.node, *self._links.up])
             if reachable_nodes[0] != self._identity.node or not self._access.reachable:
                 continue
             for node in list(self._records.members):
                 await self._remove_if_unreachable(node)
 
+    def _renew_if_claimed(self) -> None:
+        """Schedules a write of the own member if a later one names its address.
+
+        The others take that one for its successor, until the own one is newer.
+        """
+        successor = self._records.successor(self._identity.node)
+        moment = asyncio.get_running_loop().time()
+        if successor is None or moment - self._renewed_at < RENEWAL_PAUSE_S:
+            return
+        _log.warning("member_address_claimed", member=successor)
+        self._renewed_at = moment
+        self._renewals += 1
+        self._changed.set()
+
     async def _remove_if_unreachable(self, node: str) -> None:
         """Removes a member if it has been unreachable for long."""
         unreachable_since = self._links.unreachable_since(node)
@@ -166,6 +186,7 @@
             accepting=state is not None and state.accepting,
             pace=self._slowdown or 1.0,
             leaving=state is not None and state.leaving_since is not None,
+            renewals=self._renewals,
         )
 
     async def _probe_slowdown(self) -> float:
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -373,7 +373,9 @@
             since = self._links.unreachable_since(member.node)
             if since is not None:
                 unresponsive_s[member.node] = loop_now - since
-            elif self._links.is_leaving(member.node):
+            elif self._links.is_leaving(member.node) or not self._links.is_confirmed(
+                member.node
+            ):
                 unresponsive_s[member.node] = 0.0
         lease_expired = frozenset(
             node
@@ -434,8 +436,18 @@
             node
             for node in owners - self._records.members.keys()
             if self._records.is_member_removed(node, stored.revision)
+            and self._has_ended(node)
         )
 
+    def _has_ended(self, node: str) -> bool:
+        """Returns whether no other process pretends to be at an owner's address.
+
+        Anyone may write a member with a foreign address, so a successor has to answer
+        there before it takes the owner's place.
+        """
+        successor = self._records.successor(node)
+        return successor is None or self._links.is_confirmed(successor)
+
     def _balance(self, moment: float, view: proposals.OwnershipView) -> None:
         """Hands keys over if that balances the load."""
         if not self._access.reachable or view.restored.unusable:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -78,7 +78,7 @@
         self._links = Links(
             identity.node, self._process, self._link_hooks(), self._failures
         )
-        self._records = Records(self._rejected)
+        self._records = Records(self._rejected, identity.node)
         self._access = StoreAccess(self._store, self._records, self._links)
         self._store_watcher = StoreWatcher(
             identity,
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -78,12 +78,16 @@
 class Records:
     """Holds the objects and their decoded contents."""
 
-    def __init__(self, rejected: RejectedObjects | None = None) -> None:
+    def __init__(
+        self, rejected: RejectedObjects | None = None, own_node: str = ""
+    ) -> None:
         """Creates empty records.
 
         Args:
             rejected: Counts the objects whose contents are malformed.
+            own_node: Node of this process.
         """
+        self._own_node = own_node
         self._rejected = rejected or RejectedObjects()
         self._kinds = {kind: _KindState() for kind in KINDS}
         self._listeners: list[Callable[[str], None]] = []
@@ -191,6 +195,17 @@
             return stored.content is None or superseded
         return self.listed(MEMBERS) and self.revision(MEMBERS) >= revision
 
+    def successor(self, node: str) -> str | None:
+        """Returns the newest later member at a member's address, if there is one.
+
+        Its content alone does not prove that it is the one at the address.
+        """
+        known = self._kinds[MEMBERS].known
+        stored = known.get(node)
+        if stored is None:
+            return None
+        return contents.successor_of(stored, known.values())
+
     def subscribe(self, listener: Callable[[str], None]) -> None:
         """Registers a function that is called with the kind after each change."""
         self._listeners.append(listener)
@@ -382,7 +397,7 @@
     def _refresh_members(self) -> bool:
         """Updates the members; malformed ones are left out."""
         members = contents.members_of(
-            self._kinds[MEMBERS].known.values(), self._rejected
+            self._kinds[MEMBERS].known.values(), self._rejected, self._own_node
         )
         if members == self._members:
             return False
