Take no answer of the store that does not fit the call

On a kept connection, a late copy of an earlier answer was taken for the answer to the next call: a read returned another object, a write was acknowledged with an object of another name, revision or content, a conflict of another object said that a write was not done, and the listing of one kind was taken for that of another, in which all objects of the kind are missing, so that all members would count as removed.

An answer now has to contain the object that was asked for, and the acknowledgement of a write its content at a revision that fits its condition. Any other answer counts as none (ForeignAnswer; a write may be done), is logged as store_answer_foreign, and closes the connections, since the own answer may still arrive for the next call. Objects do not name their kind, so that each kind has connections of its own.

A copy of an answer that names nothing (404, a conflict without its object, an empty watch) can't be told apart and remains possible.

--- a/rosemarydeal/platform/errors.py
+++ b/rosemarydeal/platform/errors.py
@@ -6,6 +6,7 @@
 from rosemarydeal.core.fleet import StoredObject
 
 __all__ = [
+    "ForeignAnswer",
     "HistoryGone",
     "SettingsWrong",
     "StoreConflict",
@@ -47,6 +48,12 @@
         self.maybe_done = maybe_done
 
 
+class ForeignAnswer(StoreUnavailable):
+    """The answer does not fit the call: it belongs to another one, or to none."""
+
+    code = "store-answer-foreign"
+
+
 class StoreConflict(StoreError):
     """The object is at another revision than the write expected.
 
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -12,7 +13,7 @@
 import structlog
 
 from rosemarydeal.core import Address, CodedError
-from rosemarydeal.core.fleet import NO_REVISION, Revision, StoredObject
+from rosemarydeal.core.fleet import Revision, StoredObject
 from rosemarydeal.proxy import (
     BytesBody,
     Headers,
@@ -24,6 +25,7 @@
 )
 
 from .errors import (
+    ForeignAnswer,
     HistoryGone,
     StoreConflict,
     StoreError,
@@ -36,11 +38,13 @@
     Reply,
     WatchBody,
     changed_object,
+    check_name,
     check_status,
     decode_list,
     decode_object,
     decode_written,
     listed_object,
+    stated_name,
 )
 
 __all__ = ["Listing", "StoreCall", "StoreClient", "StoreSettings"]
@@ -115,7 +119,9 @@
         self._settings = settings
         self._rejected = rejected or RejectedObjects()
         self._on_era_changed = on_era_changed
-        self._pool = Pool(PoolSettings(connect_time_s=settings.timeout_s))
+        # Objects do not name their kind, so that a late copy of the listing of one
+        # kind must not arrive where that of another is expected.
+        self._pools: dict[str, Pool] = {}
         self._calls: Counter[StoreCall] = Counter()
         self._era = 0
 
@@ -141,7 +147,8 @@
         while True:
             query = f"?after={_quoted(after)}" if after else ""
             reply = await self._call("list", kind, b"GET", query)
-            page = decode_list(reply, ListBody)
+            async with self._checked(kind):
+                page = decode_list(reply, ListBody)
             if era is not None and era != reply.era:
                 raise StoreUnavailable(f"{kind}: restored while it was listed")
             era = reply.era
@@ -162,7 +169,8 @@
         reply = await self._call("read", kind, b"GET", f"/{_quoted(name)}")
         if reply.status == NOT_FOUND:
             return None
-        return decode_object(kind, name, reply)
+        async with self._checked(kind):
+            return decode_object(kind, name, reply)
 
     async def watch(
         self, kind: str, revision: Revision, wait_s: float, stale: bool = False
@@ -188,7 +196,8 @@
         if reply.status == GONE:
             raise HistoryGone(f"{kind}: history since {revision} is gone")
         self._check_era(kind, revision)
-        answer = decode_list(reply, WatchBody)
+        async with self._checked(kind):
+            answer = decode_list(reply, WatchBody)
         changes = [
             changed_object(kind, event, reply.era, answer.current_rev)
             for event in answer.events
@@ -205,7 +214,8 @@
         """
         body = _body(name, content, None)
         reply = await self._call("create", kind, b"POST", "", body)
-        return decode_written(kind, name, reply, content, NO_REVISION)
+        async with self._checked(kind):
+            return decode_written(kind, name, reply, content)
 
     async def replace(
         self, kind: str, name: str, content: bytes, revision: Revision
@@ -220,7 +230,8 @@
         self._check_condition(kind, name, revision)
         body = _body(name, content, revision.number)
         reply = await self._call("replace", kind, b"PUT", f"/{_quoted(name)}", body)
-        return decode_written(kind, name, reply, content, revision)
+        async with self._checked(kind):
+            return decode_written(kind, name, reply, content, revision.number)
 
     async def remove(self, kind: str, name: str, revision: Revision) -> None:
         """Removes an object if it is still at a revision or already deleted.
@@ -234,11 +245,29 @@
         suffix = f"/{_quoted(name)}?rev={revision.number}"
         reply = await self._call("remove", kind, b"DELETE", suffix)
         if reply.status != NOT_FOUND:
+            async with self._checked(kind):
+                check_name(kind, name, stated_name(reply.body), maybe_done=True)
             check_status(kind, reply.status, reply.body)
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self._pool.close()
+        for pool in self._pools.values():
+            await pool.close()
+
+    @asynccontextmanager
+    async def _checked(self, kind: str) -> AsyncIterator[None]:
+        """Closes the connections of a kind if an answer does not fit its call.
+
+        The own answer may still arrive on the connection, as one to the next call.
+        """
+        try:
+            yield
+        except ForeignAnswer as error:
+            _log.warning("store_answer_foreign", kind=kind, detail=error.detail)
+            pool = self._pools.pop(kind, None)
+            if pool is not None:
+                await pool.close()
+            raise
 
     def _report_unreadable(self, objects: Iterable[StoredObject]) -> None:
         """Reports the unreadable ones among the objects of an answer."""
@@ -295,7 +324,7 @@
         is_write = method != b"GET"
         try:
             async with asyncio.timeout(timeout_s):
-                response = await self._pool.send(address, request, timeout_s)
+                response = await self._pool(kind).send(address, request, timeout_s)
                 answer = await read_bytes(response.body, MAX_ANSWER_BYTES)
         except (CodedError, OSError, TimeoutError) as error:
             maybe_done = is_write and getattr(error, "sent", True)
@@ -308,6 +337,14 @@
             raise StoreUnavailable(f"{target}: status {response.status}")
         return Reply(response.status, answer, era)
 
+    def _pool(self, kind: str) -> Pool:
+        """Returns the connections for the calls of a kind."""
+        pool = self._pools.get(kind)
+        if pool is None:
+            pool = Pool(PoolSettings(connect_time_s=self._settings.timeout_s))
+            self._pools[kind] = pool
+        return pool
+
     def _era_of(self, headers: Headers) -> int:
         """Returns the era that an answer states; the last one known without any."""
         value = find_header(headers, STORE_ERA)
--- a/rosemarydeal/platform/store_answers.py
+++ b/rosemarydeal/platform/store_answers.py
@@ -23,18 +23,20 @@
 )
 from rosemarydeal.core.fleet import NO_REVISION, Revision, StoredObject
 
-from .errors import StoreConflict, StoreError, StoreUnavailable
+from .errors import ForeignAnswer, StoreConflict, StoreError
 
 __all__ = [
     "ListBody",
     "Reply",
     "WatchBody",
     "changed_object",
+    "check_name",
     "check_status",
     "decode_list",
     "decode_object",
     "decode_written",
     "listed_object",
+    "stated_name",
 ]
 
 SUCCESS_STATUSES = (200, 201)
@@ -104,45 +106,72 @@
 
 
 def decode_object(kind: str, name: str, reply: Reply) -> StoredObject:
-    """Decodes an answer that contains an object.
-
-    The store's answers name no call: one with another object may be a late copy of
-    the answer to an earlier call, and counts as no answer.
-    """
-    stored = listed_object(kind, reply.body, reply.era)
-    readable = stored.name and not stored.unreadable
-    if readable and stored.name != name:
-        raise StoreUnavailable(f"{kind}/{name}: answer with {stored.name!r}", True)
-    if reply.status == CONFLICT and readable:
-        raise StoreConflict(f"{kind}: status {reply.status}", stored)
+    """Decodes the answer to a read."""
     check_status(kind, reply.status, reply.body)
+    stored = listed_object(kind, reply.body, reply.era)
+    check_name(kind, name, stored.name)
     if stored.unreadable:
         raise StoreError(f"{kind}: {stored.unreadable}")
     return stored
 
 
 def decode_written(
-    kind: str, name: str, reply: Reply, content: bytes, condition: Revision
+    kind: str,
+    name: str,
+    reply: Reply,
+    content: bytes,
+    revision: int | None = None,
 ) -> StoredObject:
     """Decodes the answer to a write.
 
-    An object with another content, or a revision before that of the condition, is
-    not what was written: the answer may be a late copy, and the outcome is unknown.
+    Args:
+        kind: Kind of the object.
+        name: Its name.
+        reply: The answer.
+        content: Content that was written.
+        revision: Revision that was to be replaced, None if it was created.
+
+    Raises:
+        ForeignAnswer: The answer does not fit the write.
+        StoreConflict: The object has changed, was deleted, or exists already.
     """
-    stored = decode_object(kind, name, reply)
-    written = stored.content is not None and _same_content(stored.content, content)
-    if not written or stored.revision.number < condition.number:
-        detail = f"{kind}/{name}: answer with another content at {stored.revision}"
-        raise StoreUnavailable(detail, maybe_done=True)
+    stored = listed_object(kind, reply.body, reply.era)
+    if reply.status == CONFLICT and stored.name:
+        check_name(kind, name, stored.name, maybe_done=True)
+        if stored.unreadable:
+            raise StoreConflict(f"{kind}: status {reply.status}")
+        if stored.revision.number == revision:
+            raise ForeignAnswer(f"{kind}/{name}: conflict at revision {revision}", True)
+        raise StoreConflict(f"{kind}: status {reply.status}", stored)
+    check_status(kind, reply.status, reply.body)
+    check_name(kind, name, stored.name, maybe_done=True)
+    # A write that changes nothing keeps the revision.
+    outdated = revision is not None and stored.revision.number < revision
+    if stored.unreadable or outdated or not _same_content(stored.content, content):
+        raise ForeignAnswer(f"{kind}/{name}: the answer is to another write", True)
     return stored
 
 
-def _same_content(stored: bytes, content: bytes) -> bool:
-    """Returns whether two contents are equal, however the store writes its own."""
-    if stored == content:
-        return True
+def check_name(kind: str, name: str, stated: str, maybe_done: bool = False) -> None:
+    """Checks that an answer contains the object that was asked for.
+
+    A read finds an object without a readable name unreadable; to a removal, the
+    store may answer without the object.
+
+    Raises:
+        ForeignAnswer: It contains another one.
+    """
+    if stated and stated != name:
+        detail = f"{kind}/{name}: the answer contains {stated!r}"
+        raise ForeignAnswer(detail, maybe_done)
+
+
+def _same_content(stored: object, written: bytes) -> bool:
+    """Returns whether two encoded contents are equal once they are decoded."""
+    if not isinstance(stored, bytes):
+        return False
     try:
-        return decode_json(stored, object) == decode_json(content, object)
+        return decode_json(stored, object) == decode_json(written, object)
     except Malformed:
         return False
 
@@ -153,7 +182,7 @@
     try:
         return _decode(reply.body, body_type)
     except Malformed as error:
-        raise StoreError(f"answer: {error.detail}") from error
+        raise ForeignAnswer(f"answer: {error.detail}") from error
 
 
 def _decode(text: bytes | msgspec.Raw, body_type: type[_Body]) -> _Body:
@@ -237,14 +266,14 @@
         if number > current_revision:
             raise Malformed(f"revision {number} is above {current_revision}")
     except Malformed as error:
-        name = _stated_name(bytes(raw))
+        name = stated_name(bytes(raw))
         return StoredObject(kind, name, NO_REVISION, None, error.detail)
     gone = deleted or decoded.metadata.deleting
     content = None if gone else bytes(decoded.spec)
     return StoredObject(kind, decoded.metadata.name, Revision(era, number), content)
 
 
-def _stated_name(text: bytes) -> str:
+def stated_name(text: bytes) -> str:
     """Returns the name of an object that can't be decoded, or an empty one."""
     try:
         return decode_json(split_object(split_object(text)["metadata"])["name"], Name)
