Split the steps of the answers elsewhere by part

Callers: none affected; tests.

Change: three modules; the shared body and its limit are in builders_daemon.py. No step and no check has changed.

--- a/features/builders_daemon.py
+++ b/features/builders_daemon.py
@@ -15,6 +15,9 @@
 from rosemarydeal.policy import guard
 
 DEADLINE_S = 2.0
+BODY_LIMIT = 1 << 16
+# Body of the answer that a second order, request or call is to get.
+OWN_BODY = b"the answer to the second"
 
 
 def an_answer(request_id, body=b"", status=b"200 OK", headers=()):
