Wait out an unanswered grant by the upstream's clock and from its last moment

The wait counted the hold from the sending and by the own clock, while the latest end of the hold, which is kept for other waits, counts from the end of the call with the drift.

Evidence: 'A grant without an answer takes effect after its keys were handed over': the release returned 0.42 s before the latest end. Ruled out: a renewal after the release (none is logged), and the tokens of the table (9 is above 3).

Change: the wait lasts until the latest end that may_hold_until uses.

--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -10,3 +10,8 @@
       | VMs                                   |
       | VMs                                   |
       | VMs whose heartbeats carry the grants |
+
+  Scenario: A grant without an answer takes effect after its keys were handed over
+    Given an upstream that answers no grant, and applies it when the call is given up
+    When a range is granted to it for 1 second and then released
+    Then the release takes until the latest end of the grant by the upstream's clock
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
 
 from features.builders_node import run
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import KeyRange
+from rosemarydeal.node.grants import CallGrantCarrier
+from rosemarydeal.platform.upstream import UpstreamCallFailed
 
 LATE_S = 1.0
+KEYS = KeyRange(0, 9, "vm-a", "i-1", 1)
+# By how much the clock of an upstream may run slow.
+CLOCK_DRIFT = 0.02
 
 
 @when(
@@ -40,3 +48,45 @@
 @then("the upstream of vm-b holds none of the released keys afterwards")
 def step_not_regranted(context):
     assert not context.regranted, sorted(set(context.regranted))
+
+
+class SilentUpstream:
+    """A client whose upstream applies grants just as their calls are given up."""
+
+    def __init__(self):
+        self.applied_at = 0.0
+
+    async def grant(self, keys, hold_s, timeout_s):
+        await asyncio.sleep(timeout_s)
+        self.applied_at = now()
+        raise UpstreamCallFailed("no answer")
+
+    async def release(self, keys, timeout_s):
+        return ""
+
+
+@given("an upstream that answers no grant, and applies it when the call is given up")
+def step_silent(context):
+    context.upstream = SilentUpstream()
+
+
+@when("a range is granted to it for {hold_s:d} second and then released")
+def step_grant_and_release(context, hold_s):
+    async def go():
+        watch = SimpleNamespace(state=SimpleNamespace(alive=True, incarnation="i-1"))
+        carrier = CallGrantCarrier(
+            context.upstream, watch, 0.0, lambda: None, lambda: None
+        )
+        carrier.update([KEYS], float(hold_s))
+        await carrier.release(KEYS)
+        context.latest_end = context.upstream.applied_at + hold_s * (1 + CLOCK_DRIFT)
+        context.released_at = now()
+        await carrier.close()
+
+    asyncio.run(go())
+
+
+@then("the release takes until the latest end of the grant by the upstream's clock")
+def step_waited_out(context):
+    early_s = context.latest_end - context.released_at
+    assert early_s <= 0, early_s
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -210,24 +210,29 @@
         """Sends a grant to the upstream and records how long it holds."""
         sent_at = now()
         first = grant.valid_until == 0.0
+        answered = False
         try:
             await self._client.grant(grant.keys, hold_s, GRANT_TIMEOUT_S)
+            answered = True
             grant.valid_until = max(grant.valid_until, sent_at + hold_s)
             grant.renew_at = sent_at + RENEW_AFTER_S
             if first:
                 _log_granted(grant.keys, hold_s)
         except GrantRefused as error:
+            answered = True
             _log.warning("grant_refused", detail=error.detail)
             grant.renew_at = now() + REFUSED_PAUSE_S
             self._on_refused()
         except UpstreamCallFailed as error:
             _log.info("grant_unanswered", detail=error.detail)
             grant.renew_at = now() + GRANT_RETRY_S
-            grant.unanswered_until = max(grant.unanswered_until, sent_at + hold_s)
         finally:
             grant.call_pending = False
+            # The call may have arrived just now, and the upstream's clock be slow.
             latest_end = now() + hold_s * (1.0 + ownership_lease.CLOCK_DRIFT)
             grant.may_hold_until = max(grant.may_hold_until, latest_end)
+            if not answered:
+                grant.unanswered_until = max(grant.unanswered_until, latest_end)
         self._on_call_ended()
 
     def _may_hold(self, keys: KeyRange) -> bool:
