Wait out an unanswered grant of a range that was split during its call

Callers: two upstreams at work on a key (OWNER): a grant that is applied late came back after a part of its range had been handed over.

Cause: a call that was in flight as its range was split recorded its end on the grant of the whole range alone, which was no longer there; the grants of the parts, and a release of one of them, did not know of it.

Ruled out: splitting only while no call is in flight, which would delay hand-overs.

Change: the end of a call is recorded on all grants of its keys, and a release counts the calls in flight that it waits for.

--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -15,3 +15,8 @@
     Given an upstream that answers no grant, and applies it when the call is given up
     When a range is granted to it for 1 second and then released
     Then the release takes until the latest end of the grant by the upstream's clock
+
+  Scenario: A grant in flight as its range is split takes effect after a part was released
+    Given an upstream that does not answer its first grant, and applies it when the call is given up
+    When the range is split during that call, and its second part is released
+    Then the release takes until the latest end of the grant by the upstream's clock
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -51,12 +52,20 @@
 
 
 class SilentUpstream:
-    """A client whose upstream applies grants just as their calls are given up."""
+    """A client whose upstream applies grants just as their calls are given up.
 
-    def __init__(self):
+    Args:
+        unanswered: How many calls get no answer.
+    """
+
+    def __init__(self, unanswered=1_000):
         self.applied_at = 0.0
+        self._unanswered = unanswered
 
     async def grant(self, keys, hold_s, timeout_s):
+        self._unanswered -= 1
+        if self._unanswered < 0:
+            return
         await asyncio.sleep(timeout_s)
         self.applied_at = now()
         raise UpstreamCallFailed("no answer")
@@ -70,15 +79,23 @@
     context.upstream = SilentUpstream()
 
 
-@when("a range is granted to it for {hold_s:d} second and then released")
-def step_grant_and_release(context, hold_s):
+@given(
+    "an upstream that does not answer its first grant,"
+    " and applies it when the call is given up"
+)
+def step_first_silent(context):
+    context.upstream = SilentUpstream(unanswered=1)
+
+
+def release_from(context, hold_s, make_calls):
+    """Makes calls of a carrier whose last one is a release; notes when it ends."""
+
     async def go():
         watch = SimpleNamespace(state=SimpleNamespace(alive=True, incarnation="i-1"))
         carrier = CallGrantCarrier(
             context.upstream, watch, 0.0, lambda: None, lambda: None
         )
-        carrier.update([KEYS], float(hold_s))
-        await carrier.release(KEYS)
+        await make_calls(carrier)
         context.latest_end = context.upstream.applied_at + hold_s * (1 + CLOCK_DRIFT)
         context.released_at = now()
         await carrier.close()
@@ -86,6 +103,30 @@
     asyncio.run(go())
 
 
+@when("a range is granted to it for {hold_s:d} second and then released")
+def step_grant_and_release(context, hold_s):
+    async def make_calls(carrier):
+        carrier.update([KEYS], float(hold_s))
+        await carrier.release(KEYS)
+
+    release_from(context, hold_s, make_calls)
+
+
+@when("the range is split during that call, and its second part is released")
+def step_split_and_release(context):
+    parts = [replace(KEYS, last=4), replace(KEYS, first=5)]
+
+    async def make_calls(carrier):
+        carrier.update([KEYS], LATE_S)
+        await asyncio.sleep(0.05)
+        carrier.update(parts, LATE_S)
+        release = asyncio.create_task(carrier.release(parts[1]))
+        carrier.update(parts[:1], LATE_S)
+        await release
+
+    release_from(context, LATE_S, make_calls)
+
+
 @then("the release takes until the latest end of the grant by the upstream's clock")
 def step_waited_out(context):
     early_s = context.latest_end - context.released_at
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -89,7 +89,7 @@
         self._on_refused = on_refused
         self._predecessor_until = now() + max_hold_s * (1 + ownership_lease.CLOCK_DRIFT)
         self._grants: dict[tuple[int, int, int], Grant] = {}
-        self._calls: dict[asyncio.Task[None], KeyRange] = {}
+        self._calls: dict[asyncio.Task[None], Grant] = {}
 
     def allows(self, key: int, token: int) -> bool:
         """Returns whether the upstream certainly holds a key under a token."""
@@ -120,7 +120,7 @@
             if moment >= grant.renew_at:
                 grant.call_pending = True
                 call = asyncio.create_task(self._call_grant(grant, hold_s))
-                self._calls[call] = grant.keys
+                self._calls[call] = grant
                 call.add_done_callback(self._calls.pop)
 
     def invalidate(self, parts: Sequence[KeyRange]) -> None:
@@ -158,12 +158,16 @@
 
     async def _call_release(self, keys: KeyRange, covering: Sequence[Grant]) -> str:
         """Calls the upstream until it has released a range; returns its token."""
-        # A renewal in flight could reach the upstream after the release.
-        pending_calls = [
-            c for c, called in self._calls.items() if tables.overlaps(called, keys)
-        ]
+        # A renewal in flight could reach the upstream after the release. It may be one
+        # of the range before it was split.
+        pending_calls = {
+            call: grant
+            for call, grant in self._calls.items()
+            if tables.overlaps(grant.keys, keys)
+        }
         if pending_calls:
             await asyncio.wait(pending_calls)
+            covering = [*covering, *pending_calls.values()]
         handover = ""
         while self._may_hold(keys):
             try:
@@ -228,13 +232,23 @@
             grant.renew_at = now() + GRANT_RETRY_S
         finally:
             grant.call_pending = False
-            # The call may have arrived just now, and the upstream's clock be slow.
-            latest_end = now() + hold_s * (1.0 + ownership_lease.CLOCK_DRIFT)
-            grant.may_hold_until = max(grant.may_hold_until, latest_end)
-            if not answered:
-                grant.unanswered_until = max(grant.unanswered_until, latest_end)
+            self._note_latest_end(grant, hold_s, answered)
         self._on_call_ended()
 
+    def _note_latest_end(self, grant: Grant, hold_s: float, answered: bool) -> None:
+        """Records how long a grant whose call has ended may be in effect.
+
+        The call may have arrived just now, and the upstream's clock be slow. The range
+        may have been split during the call, so that other grants have its keys now.
+        """
+        latest_end = now() + hold_s * (1.0 + ownership_lease.CLOCK_DRIFT)
+        for current in (grant, *self._grants.values()):
+            if not tables.overlaps(current.keys, grant.keys):
+                continue
+            current.may_hold_until = max(current.may_hold_until, latest_end)
+            if not answered:
+                current.unanswered_until = max(current.unanswered_until, latest_end)
+
     def _may_hold(self, keys: KeyRange) -> bool:
         """Returns whether the upstream incarnation that was granted keys still runs."""
         state = self._watch.state
