Grant no keys once the own member is about to be removed

Class of fault: a statement about oneself (nothing is held here) that does not bind afterwards.

Evidence: 'A process that has removed its member grants keys assigned to it afterwards' failed with grants by call (0 to 21844 taken after the removal) and passed with grants by heartbeat. Ruled out: a late grant (none is unanswered), and a wait before the keys of a removed member are taken, which each scale-in would pay.

Change: the process grants nothing from just before the removal on.

--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -20,3 +20,13 @@
     Given an upstream that does not answer its first grant, and applies it when the call is given up
     When the range is split during that call, and its second part is released
     Then the release takes until the latest end of the grant by the upstream's clock
+
+  Scenario Outline: A process that has removed its member grants keys assigned to it afterwards
+    Given a deployment of 3 <VMs>
+    When vm-b retires with its upstream, and vm-a assigns keys to it afterwards
+    Then the upstream of vm-b has taken no keys since
+
+    Examples:
+      | VMs                                   |
+      | VMs                                   |
+      | VMs whose heartbeats carry the grants |
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -13,6 +14,7 @@
 from rosemarydeal.core.fleet import KeyRange
 from rosemarydeal.node.grants import CallGrantCarrier
 from rosemarydeal.platform.upstream import UpstreamCallFailed
+from rosemarydeal.policy.keyranges import table as tables
 
 LATE_S = 1.0
 KEYS = KeyRange(0, 9, "vm-a", "i-1", 1)
@@ -131,3 +133,36 @@
 def step_waited_out(context):
     early_s = context.latest_end - context.released_at
     assert early_s <= 0, early_s
+
+
+@when("vm-b retires with its upstream, and vm-a assigns keys to it afterwards")
+def step_assigned_after_retiring(context):
+    async def go():
+        deployment = context.deployment
+        endpoint, node = deployment.endpoints["vm-b"], deployment.nodes.pop("vm-b")
+        other = deployment.nodes["vm-a"]
+        member = other._records.members["vm-b"]
+        endpoint.state = "draining"
+        await deployment.wait(lambda: not node._ownership.owned, 6.0)
+        remove = node._membership.retire
+
+        async def remove_and_assign():
+            await remove()
+            context.retired_at = time.monotonic()
+            table = other._records.table("box-office")
+            keys = next(k for k in table.ranges if k.node == "vm-a")
+            changed = tables.move_ranges(table, [(keys, member, "")], "writer")
+            await other._ownership._write(changed, "hand-over")
+
+        node._membership.retire = remove_and_assign
+        await node.shut_down()
+        context.taken = [
+            taken for taken in endpoint.taken if taken[0] > context.retired_at
+        ]
+
+    run(context, go())
+
+
+@then("the upstream of vm-b has taken no keys since")
+def step_none_taken(context):
+    assert not context.taken, context.taken
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -111,6 +111,7 @@
         self._suspicions: dict[tuple[str, int], float] = {}
         self._propose_at = 0.0
         self._stopping = False
+        self._retired = False
         # Set when the table or the lease changes.
         self._changed = asyncio.Event()
 
@@ -173,6 +174,14 @@
             else:
                 await asyncio.sleep(IDLE_STEP_S)
 
+    def retire(self) -> None:
+        """Grants no keys any more, as this process is about to remove its member.
+
+        The others take the keys of a removed member at once, also those that were
+        assigned to it by processes that had not learned of its removal.
+        """
+        self._retired = True
+
     def stop(self) -> bool:
         """Prepares a shutdown; hands all keys over if the others can absorb them.
 
@@ -308,7 +317,8 @@
 
     def _update_grants(self) -> None:
         """Grants the own ranges to the upstream, except those that move."""
-        ranges = self._restored.usable(self.owned, now())
+        owned = () if self._retired else self.owned
+        ranges = self._restored.usable(owned, now())
         for moving in self._moving:
             ranges = [rest for keys in ranges for rest in tables.subtract(keys, moving)]
         max_hold_s = self._identity.bounds.max_hold_s
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -179,6 +179,7 @@
         )
         await asyncio.sleep(READINESS_NOTICE_S - LEAVING_NOTICE_S)
         if self._may_retire():
+            self._ownership.retire()
             await self._membership.retire()
         if not self._is_keyed() or self._ownership.stop():
             self._links.announce_leaving()
