--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -78,7 +78,7 @@
 """
 
 
-def configuration() -> dict:
+def configuration(aim_ms: int) -> dict:
     """Returns the operator's configuration."""
 
     def route(name: str, path: str, kind: str, priority: int) -> dict:
@@ -87,7 +87,7 @@
             "path_prefix": path,
             "kind": kind,
             "timeout_ms": 1500,
-            "latency_target_ms": 800,
+            "latency_target_ms": aim_ms,
             "priority": priority,
             "service": SERVICE,
             "attempts": 2,
@@ -173,12 +173,15 @@
     sent: list[Sent] = field(default_factory=list)
     overlaps: list[Overlap] = field(default_factory=list)
     lines: list[str] = field(default_factory=list)
+    # How long clients wait, and how many requests they send a second.
+    deadline_s: float = 3.0
+    per_s: float = 0.0
 
-    async def start(self, count: int) -> None:
+    async def start(self, count: int, aim_ms: int) -> None:
         """Starts the store, the machines and the watch of the held keys."""
         self.store = Store(self.record)
         self.store_port = await self.store.start("127.0.0.1")
-        self.store.put("config", "main", configuration())
+        self.store.put("config", "main", configuration(aim_ms))
         self._open: dict[tuple, Overlap] = {}
         self._tasks = [asyncio.create_task(self._watch_holders())]
         for index in range(count):
@@ -286,15 +289,17 @@
         )
         return width >= 65_536
 
-    async def send(self, machine: Machine, key: int, path: str) -> Sent:
-        """Sends a client's request to a machine and records the answer."""
+    async def send(
+        self, machine: Machine, key: int, path: str, leave_s: float | None = None
+    ) -> Sent:
+        """Sends a client's request; the client leaves early if that is asked for."""
         request_id = f"{len(self.sent):016x}"
         sent = Sent(request_id, key, path, time.monotonic())
         self.sent.append(sent)
         headers = {
             "Host": HOST_NAME,
             "Request-Id": request_id,
-            "Deadline-Ms": "3000",
+            "Deadline-Ms": str(int(self.deadline_s * 1000)),
             "Shard-Key": str(key),
         }
         method = "POST" if path.startswith("/order/") else "GET"
@@ -303,7 +308,7 @@
             reply = await fetch(
                 *(machine.host, machine.ports[1], method, path, headers),
                 body=b"one" if method == "POST" else b"",
-                timeout_s=3.0,
+                timeout_s=self.deadline_s if leave_s is None else leave_s,
             )
             sent.status = reply.status
         except (ConnectionEnded, TimeoutError):
@@ -316,11 +321,13 @@
 
     def load(self, per_s: float) -> None:
         """Sends requests for keys all over until the end."""
-        self._tasks.append(asyncio.create_task(self._load(per_s)))
+        self.per_s = per_s
+        self._tasks.append(asyncio.create_task(self._load()))
 
-    async def _load(self, per_s: float) -> None:
+    async def _load(self) -> None:
         pending: set[asyncio.Task] = set()
         number = 0
+        due = time.monotonic()
         while True:
             number += 1
             ready = [
@@ -334,7 +341,8 @@
             task = asyncio.create_task(self.send(machine, key, path))
             pending.add(task)
             task.add_done_callback(pending.discard)
-            await asyncio.sleep(1.0 / per_s)
+            due = max(due, time.monotonic() - 1.0) + 1.0 / self.per_s
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
 
     async def _watch_holders(self) -> None:
         """Notes each pair of endpoints that hold the same keys at the same time."""
@@ -426,7 +434,9 @@
                 entry.close()
 
 
-def run(case: Callable[[Deployment], object], count: int, folder: Path) -> int:
+def run(
+    case: Callable[[Deployment], object], count: int, folder: Path, aim_ms: int = 800
+) -> int:
     """Runs a case; returns 1 if the rule was broken, 0 if it held, else 2."""
 
     async def play() -> int:
@@ -435,7 +445,7 @@
             verdict = 2
             try:
                 async with asyncio.timeout(110):
-                    await deployment.start(count)
+                    await deployment.start(count, aim_ms)
                     verdict = await case(deployment)
             except Exception as error:  # noqa: BLE001 - the case could not run
                 deployment.record(f"the case could not run: {error!r}")
