--- a/review/common/endpoint.py
+++ b/review/common/endpoint.py
@@ -55,6 +55,10 @@
     up: bool = False
     holds: list[Hold] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    # How far the time of day of its machine is off.
+    clock_ms: int = 0
+    # Heartbeats of this start that were acknowledged.
+    acknowledged: int = 0
     # When it last answered a release.
     released_at: float = -1e9
     # Returns a replacement for an answer, or None.
@@ -62,7 +66,8 @@
 
     async def start(self) -> None:
         """Starts to listen and to send heartbeats."""
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) + self.clock_ms
+        self.acknowledged = 0
         self.instance = f"i-{self.machine}-{self.born % 1_000_000}"
         self._fences = [0] * KEYS
         self._sequence = 0
@@ -202,7 +207,9 @@
             )
         except (ConnectionEnded, TimeoutError):
             return False
-        return 200 <= reply.status < 300
+        acknowledged = 200 <= reply.status < 300
+        self.acknowledged += acknowledged
+        return acknowledged
 
 
 def _echo(call: Call, reply: Reply) -> Reply:
