--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -176,6 +176,10 @@
     # How long clients wait, and how many requests they send a second.
     deadline_s: float = 3.0
     per_s: float = 0.0
+    slots: int = 6
+    work_s: float = 0.22
+    # Numbers that make each path differ, if there are any.
+    path_numbers: Iterator[int] | None = None
 
     async def start(self, count: int, aim_ms: int) -> None:
         """Starts the store, the machines and the watch of the held keys."""
@@ -205,7 +209,17 @@
                 store=f"127.0.0.1:{self.store_port}",
             )
         )
-        endpoint = Endpoint(name, host, ports[0], ports[3], SERVICE, zone, self.record)
+        endpoint = Endpoint(
+            name,
+            host,
+            ports[0],
+            ports[3],
+            SERVICE,
+            zone,
+            self.record,
+            self.slots,
+            self.work_s,
+        )
         machine = Machine(name, host, zone, ports, settings, endpoint)
         self.machines[name] = machine
         await endpoint.start()
@@ -293,6 +307,8 @@
         self, machine: Machine, key: int, path: str, leave_s: float | None = None
     ) -> Sent:
         """Sends a client's request; the client leaves early if that is asked for."""
+        if self.path_numbers is not None:
+            path += f"/{next(self.path_numbers)}"
         request_id = f"{len(self.sent):016x}"
         sent = Sent(request_id, key, path, time.monotonic())
         self.sent.append(sent)
@@ -435,13 +451,18 @@
 
 
 def run(
-    case: Callable[[Deployment], object], count: int, folder: Path, aim_ms: int = 800
+    case: Callable[[Deployment], object],
+    count: int,
+    folder: Path,
+    aim_ms: int = 800,
+    slots: int = 6,
+    work_s: float = 0.22,
 ) -> int:
     """Runs a case; returns 1 if the rule was broken, 0 if it held, else 2."""
 
     async def play() -> int:
         with tempfile.TemporaryDirectory() as directory:
-            deployment = Deployment(Path(directory))
+            deployment = Deployment(Path(directory), slots=slots, work_s=work_s)
             verdict = 2
             try:
                 async with asyncio.timeout(110):
--- a/review/common/endpoint.py
+++ b/review/common/endpoint.py
@@ -55,6 +55,7 @@
     up: bool = False
     holds: list[Hold] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    _server: Server | None = None
     # How far the time of day of its machine is off.
     clock_ms: int = 0
     # Heartbeats of this start that were acknowledged.
@@ -72,8 +73,11 @@
         self._fences = [0] * KEYS
         self._sequence = 0
         self._beat_tasks: set[asyncio.Task[None]] = set()
-        self._server = Server(self._handle)
-        await self._server.start(self.host, self.port)
+        if self._server is None:
+            self._server = Server(self._handle)
+            await self._server.start(self.host, self.port)
+        else:
+            self._server.wake()
         self.up = True
         self._beating = asyncio.create_task(self._beat())
 
@@ -83,7 +87,18 @@
         self._beating.cancel()
         for task in self._beat_tasks:
             task.cancel()
-        await self._server.stop()
+        if self._server is not None:
+            await self._server.stop()
+        self._server = None
+        self.holds = []
+
+    async def go_dark(self) -> None:
+        """Loses its power: open connections stay silent, and so do new ones."""
+        self.up = False
+        self._beating.cancel()
+        for task in self._beat_tasks:
+            task.cancel()
+        self._server.go_dark()
         self.holds = []
 
     def held(self, moment: float) -> list[Hold]:
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -50,10 +50,10 @@
         url = urlsplit(call.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         kind, _, name = unquote(url.path[len(PREFIX) :]).partition("/")
-        await asyncio.sleep(ANSWER_S)
         if "watch" in query:
             return await self._watch(kind, int(query["watch"]), query)
         if call.method == "GET":
+            await asyncio.sleep(ANSWER_S)
             return self._read(kind, name, query.get("after", ""))
         content = json.loads(call.body) if call.body else {}
         metadata = content.get("metadata", {})
@@ -61,6 +61,7 @@
         expected = metadata.get("rev", query.get("rev"))
         late_s = self.on_write(call.method, kind, name, content)
         if late_s is None:
+            await asyncio.sleep(ANSWER_S)
             return self._write(call.method, kind, name, expected, content)
         task = asyncio.create_task(
             self._write_late(late_s, call.method, kind, name, expected, content)
--- a/review/common/wire.py
+++ b/review/common/wire.py
@@ -79,6 +79,9 @@
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._dark = False
+        # Connections of a former life stay silent.
+        self._life = 0
 
     async def start(self, host: str, port: int) -> int:
         """Listens and returns the port."""
@@ -87,6 +90,14 @@
         )
         return self._server.sockets[0].getsockname()[1]
 
+    def go_dark(self) -> None:
+        """Answers nothing more; open connections and new ones stay silent."""
+        self._life, self._dark = self._life + 1, True
+
+    def wake(self) -> None:
+        """Serves new connections again; those of before stay silent."""
+        self._life, self._dark = self._life + 1, False
+
     async def stop(self) -> None:
         """Stops listening and resets all connections, as a crash does."""
         if self._server is not None:
@@ -112,11 +123,12 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         peer = writer.get_extra_info("peername")
+        life = self._life
         while True:
             first, headers, body = await read_message(reader)
             method, path, _ = first.split(" ", 2)
             call = Call(method, path, headers, body, peer)
-            reply = await self._answer(call, reader)
+            reply = await self._answer(call, reader, life)
             if reply is None or reply.status == 0:
                 return
             head = f"HTTP/1.1 {reply.status} {REASON}\r\n"
@@ -125,9 +137,19 @@
             writer.write(head.encode("latin-1") + b"\r\n" + reply.body)
             await writer.drain()
 
-    async def _answer(self, call: Call, reader: asyncio.StreamReader) -> Reply | None:
+    async def _handle(self, call: Call, life: int) -> Reply:
+        """Runs the handler, but never ends once the life has ended."""
+        silent = self._dark or life != self._life
+        reply = None if silent else await self._handler(call)
+        if reply is None or life != self._life:
+            await asyncio.sleep(3600)
+        return reply
+
+    async def _answer(
+        self, call: Call, reader: asyncio.StreamReader, life: int
+    ) -> Reply | None:
         """Runs the handler; it is cancelled when the caller leaves."""
-        work = asyncio.ensure_future(self._handler(call))
+        work = asyncio.ensure_future(self._handle(call, life))
         while True:
             done, _ = await asyncio.wait({work}, timeout=0.01)
             if done:
