--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -144,6 +144,7 @@
     path: str
     sent: float
     status: int | None = None
+    body: bytes = b""
 
 
 @dataclass
@@ -326,7 +327,7 @@
                 body=b"one" if method == "POST" else b"",
                 timeout_s=self.deadline_s if leave_s is None else leave_s,
             )
-            sent.status = reply.status
+            sent.status, sent.body = reply.status, reply.body
         except (ConnectionEnded, TimeoutError):
             sent.status = None
         self.record(
