--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -466,7 +466,7 @@
             deployment = Deployment(Path(directory), slots=slots, work_s=work_s)
             verdict = 2
             try:
-                async with asyncio.timeout(110):
+                async with asyncio.timeout(115):
                     await deployment.start(count, aim_ms)
                     verdict = await case(deployment)
             except Exception as error:  # noqa: BLE001 - the case could not run
