Write a table only over the revision it was computed from

Cause: a proposal was computed from the table of one revision and written in a task of its own, a turn of the event loop later. The write took its condition from the newest record. A change that arrived in between was undone by a write that the store accepted. The class of fault: a condition that is read at another moment than what it guards.

Change: TableChange ties a table to the base that it was computed from; the base is read in the turn of the computation, and StoreAccess.write and remove take the expected revision from their caller, so that no write can say otherwise. A change whose base has passed is not sent, and is computed again. The same holds for member records. A change that lowers the highest token is refused by its writer; a process that reads a lower one logs it and goes on from the highest it has known, so that no token is issued twice. Looked at as well: renewals of tokens and hand-overs computed and wrote in one turn; relayed writes name their revision; the configuration and zones are not written here. The daemon was not looked at.

--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -147,10 +147,11 @@
     context.spec = stored["spec"] | {"writer": "someone-else"}
 
     async def write():
+        revision = access._records.stored_revision(RANGES, "box-office")
         deployment.store.put(RANGES, "box-office", context.spec)
         before = reads_of(access)
         try:
-            await access.write(RANGES, "box-office", b"{}")
+            await access.write(RANGES, "box-office", b"{}", revision)
         except StoreConflict:
             return reads_of(access) - before
         raise AssertionError("the write was not refused")
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -15,6 +15,7 @@
 from rosemarydeal.node.grants import CallGrantCarrier
 from rosemarydeal.platform.upstream import UpstreamCallFailed
 from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges.table_changes import TableChange
 
 LATE_S = 1.0
 KEYS = KeyRange(0, 9, "vm-a", "i-1", 1)
@@ -149,10 +150,10 @@
         async def remove_and_assign():
             await remove()
             context.retired_at = time.monotonic()
-            table = other._records.table("box-office")
-            keys = next(k for k in table.ranges if k.node == "vm-a")
-            changed = tables.move_ranges(table, [(keys, member, "")], "writer")
-            await other._ownership._write(changed, "hand-over")
+            base = other._records.table_base("box-office")
+            keys = next(k for k in base.table.ranges if k.node == "vm-a")
+            changed = tables.move_ranges(base.table, [(keys, member, "")], "writer")
+            await other._ownership._write(TableChange(base, changed, "hand-over"))
 
         node._membership.retire = remove_and_assign
         await node.shut_down()
--- /dev/null
+++ b/features/steps/table_writes_steps.py
@@ -0,0 +1,191 @@
+"""Steps for tables that are written over the revision they were computed from."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+from structlog.testing import CapturingLogger
+
+from features.builders_fleet_types import SERVICE, a_member
+from features.builders_node import run
+from features.builders_tables import (
+    stored_table,
+    undone_ranges,
+    written_tables,
+)
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import Revision, StoredObject
+from rosemarydeal.node.contents import encode_table, table_name
+from rosemarydeal.node.records import MEMBERS, RANGES, Records
+from rosemarydeal.platform.errors import StoreConflict
+from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges.table_changes import TableChange
+
+UNREACHABLE_S = 60.0
+SETTLE_S = 1.0
+
+
+def put_table(store, table):
+    """Writes a table as another process does; returns the stored object."""
+    spec = msgspec.json.decode(encode_table(table))
+    stored = store.put(RANGES, table_name(table.service), spec)
+    return stored_table(stored["metadata"]["rev"], spec, store.era)
+
+
+@when("vm-a learns of a hand-over in the turn in which it has proposed a suspicion")
+def step_proposed_before_hand_over(context):
+    async def go():
+        deployment = context.deployment
+        node = deployment.nodes["vm-a"]
+        ownership, records = node._ownership, node._records
+        await deployment.wait(lambda: not ownership._writing)
+        context.first_revision = deployment.store.revision
+        loop_now = asyncio.get_running_loop().time()
+        unreachable = {"vm-c": loop_now - UNREACHABLE_S}
+        node._links.unreachable_since = unreachable.get
+        ownership._propose(now())
+        table = records.table("box-office")
+        keys = tables.owned_by(table, "vm-c")[0]
+        moved = tables.move_ranges(
+            table, [(keys, records.members["vm-b"], "")], "another-writer"
+        )
+        context.moved = (keys.first, moved.top_token)
+        records.apply(put_table(deployment.store, moved), changed=True)
+        await asyncio.sleep(SETTLE_S)
+
+    run(context, go())
+
+
+@then("no table undid the change of another")
+def step_nothing_undone(context):
+    written = written_tables(context.deployment.store)
+    for old, new in zip(written, written[1:], strict=False):
+        assert new.top_token >= old.top_token, (old.top_token, new.top_token)
+        assert not undone_ranges(old, new), (undone_ranges(old, new), new.writer)
+
+
+@then("the suspicion is recorded without undoing the hand-over")
+def step_suspicion_after_hand_over(context):
+    first_key, token = context.moved
+    written = written_tables(context.deployment.store, context.first_revision)
+    suspecting = [
+        table
+        for table in written
+        if any((s.node, s.by) == ("vm-c", "vm-a") for s in table.suspicions)
+    ]
+    assert suspecting
+    assert tables.lookup(suspecting[0], first_key).token >= token
+
+
+@when("a process writes a table computed from a revision that has passed")
+def step_passed_revision(context):
+    async def go():
+        deployment = context.deployment
+        node = deployment.nodes["vm-a"]
+        base = node._records.table_base("box-office")
+        newer = replace(base.table, writer="another-writer")
+        node._records.apply(put_table(deployment.store, newer), changed=True)
+        content = encode_table(replace(base.table, writer="outdated"))
+        try:
+            await node._access.write(RANGES, "box-office", content, base.revision)
+        except StoreConflict as error:
+            context.conflict = error
+
+    context.conflict = None
+    run(context, go())
+
+
+@then("the write is refused as a conflict")
+def step_refused_as_conflict(context):
+    assert context.conflict is not None
+    table = context.deployment.nodes["vm-a"]._records.table("box-office")
+    assert table.writer != "outdated"
+
+
+@when("vm-a is to write a table whose highest token is lower than that of its base")
+def step_lower_token(context):
+    async def go():
+        deployment = context.deployment
+        ownership = deployment.nodes["vm-a"]._ownership
+        base = ownership._table_base()
+        context.first_revision = deployment.store.revision
+        lowered = replace(base.table, top_token=base.table.top_token - 1, writer="low")
+        context.written = await ownership._write(TableChange(base, lowered, "test"))
+
+    run(context, go())
+
+
+@then("the store gets no write of a table")
+def step_no_table_written(context):
+    assert not context.written
+    written = written_tables(context.deployment.store, context.first_revision)
+    assert all(table.writer != "low" for table in written)
+
+
+@given("records of a table whose highest token is {token:d}")
+def step_records(context, token):
+    context.records = Records()
+    table = tables.initial_table(SERVICE, [a_member("a")], "first", 1)
+    context.known_table = replace(table, top_token=token)
+    context.records.apply(_stored(context.known_table, 5), changed=True)
+
+
+@when("a table of another writer arrives, whose highest token is {token:d}")
+def step_fallen(context, token):
+    fallen = replace(context.known_table, top_token=token, writer="another-writer")
+    other = StoredObject(RANGES, "other", Revision(1, 7), b"{}")
+    logger = CapturingLogger()
+    with mock.patch("rosemarydeal.node.records._log", logger):
+        context.records.apply(_stored(fallen, 6), changed=True)
+        # Each change of the kind decodes all tables again.
+        context.records.apply(other, changed=True)
+    context.logged = logger.calls
+
+
+@then("the next token of that table is {token:d}")
+def step_next_token(context, token):
+    table = context.records.table(SERVICE)
+    suspecting = tables.add_suspicion(table, "a", "b", "writer")
+    assert suspecting.top_token == token, suspecting.top_token
+
+
+@then("the fall was logged once as an error")
+def step_fall_logged(context):
+    fallen = [call for call in context.logged if call.args == ("table_token_fell",)]
+    assert [call.method_name for call in fallen] == ["error"], context.logged
+
+
+@when("vm-a removes the member of vm-b as it was before its last write")
+def step_remove_earlier(context):
+    async def go():
+        deployment = context.deployment
+        node = deployment.nodes["vm-a"]
+        revision = node._records.stored_revision(MEMBERS, "vm-b")
+        stored = deployment.store.objects[MEMBERS, "vm-b"]
+        deployment.store.put(MEMBERS, "vm-b", stored["spec"] | {"renewals": 7})
+        await deployment.wait(
+            lambda: node._records.stored_revision(MEMBERS, "vm-b") > revision
+        )
+        try:
+            await node._access.remove(MEMBERS, "vm-b", revision)
+        except StoreConflict:
+            context.refused = True
+
+    context.refused = False
+    run(context, go())
+
+
+@then("the member of vm-b is still there")
+def step_member_there(context):
+    assert context.refused
+    assert (MEMBERS, "vm-b") in context.deployment.store.objects
+
+
+def _stored(table, number):
+    """Returns the object of a table."""
+    content = encode_table(table)
+    return StoredObject(RANGES, table_name(SERVICE), Revision(1, number), content)
--- /dev/null
+++ b/features/table_writes.feature
@@ -0,0 +1,28 @@
+Feature: A table of key ranges is written over the revision that it was computed from
+
+  Scenario: A table that was computed before another change undoes that change
+    Given a deployment of 3 VMs
+    When vm-a learns of a hand-over in the turn in which it has proposed a suspicion
+    Then no table undid the change of another
+    And the suspicion is recorded without undoing the hand-over
+
+  Scenario: A write over a revision that has passed succeeds
+    Given a deployment of 3 VMs
+    When a process writes a table computed from a revision that has passed
+    Then the write is refused as a conflict
+
+  Scenario: A table whose highest token is lower than that of its base is written
+    Given a deployment of 3 VMs
+    When vm-a is to write a table whose highest token is lower than that of its base
+    Then the store gets no write of a table
+
+  Scenario: A token is issued again after the highest token of the stored table fell
+    Given records of a table whose highest token is 9
+    When a table of another writer arrives, whose highest token is 7
+    Then the next token of that table is 10
+    And the fall was logged once as an error
+
+  Scenario: A member that was written again is removed on an earlier decision
+    Given a deployment of 3 VMs
+    When vm-a removes the member of vm-b as it was before its last write
+    Then the member of vm-b is still there
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -109,8 +109,11 @@
 
     async def retire(self) -> None:
         """Removes the own member, because the upstream does not come back."""
+        node = self._identity.node
         try:
-            await self._access.remove(MEMBERS, self._identity.node)
+            await self._access.remove(
+                MEMBERS, node, self._records.stored_revision(MEMBERS, node)
+            )
         except StoreError as error:
             _log.warning("member_not_removed", detail=error.detail)
 
@@ -145,8 +148,9 @@
         loop_now = asyncio.get_running_loop().time()
         if unreachable_since is None or loop_now - unreachable_since < REMOVE_AFTER_S:
             return
+        revision = self._records.stored_revision(MEMBERS, node)
         try:
-            await self._access.remove(MEMBERS, node)
+            await self._access.remove(MEMBERS, node, revision)
             _log.info("unreachable_member_removed", member=node)
         except StoreError as error:
             _log.info("unreachable_member_not_removed", detail=error.detail)
@@ -155,9 +159,10 @@
         """Writes the own member unless the store already holds it."""
         if self._records.stored_member(member.node) == member:
             return
+        revision = self._records.stored_revision(MEMBERS, member.node)
         try:
             content = msgspec.json.encode(member)
-            stored = await self._access.write(MEMBERS, member.node, content)
+            stored = await self._access.write(MEMBERS, member.node, content, revision)
             state = ObjectState(stored.name, stored.revision, stored.content)
             self._links.broadcast(ObjectUpdate(MEMBERS, state))
             _log.info(
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -33,6 +33,7 @@
 from rosemarydeal.policy.keyranges import balance, ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
+from rosemarydeal.policy.keyranges.table_changes import TableBase, TableChange
 
 from .balancer import Balancer
 from .contents import encode_table, table_name
@@ -333,15 +334,17 @@
 
     async def _renew_token(self) -> None:
         """Writes higher tokens for the own ranges after the upstream refused one."""
-        table = self.table
+        base = self._table_base()
         state = self._watch.state
-        if table is None or state is None or self._writing or self._has_unusable():
+        if base.table is None or state is None:
+            return
+        if self._writing or self._has_unusable():
             return
         member = self._records.members.get(self._identity.node)
         if member is None:
             return
-        changed = proposals.renew_tokens(table, member, _writer())
-        await self._write(changed, "token-refused")
+        changed = proposals.renew_tokens(base.table, member, _writer())
+        await self._write(TableChange(base, changed, "token-refused"))
 
     def _track_suspicions(self, moment: float) -> None:
         """Records when this process first saw each suspicion of the table."""
@@ -354,17 +357,23 @@
 
     def _propose(self, moment: float) -> None:
         """Starts the change of the table that is due, if any."""
+        base = self._table_base()
         view = self._view(moment)
-        proposal = proposals.propose(self.table, view)
+        proposal = proposals.propose(base.table, view)
         match proposal:
             case proposals.WriteTable(changed, reason):
                 self._writing = True
-                self._tasks.spawn("table-write", self._write_proposal(changed, reason))
+                change = TableChange(base, changed, reason)
+                self._tasks.spawn("table-write", self._write_proposal(change))
             case proposals.HandOver(transfers):
                 self._start_hand_over(transfers)
             case None:
                 self._balance(moment, view)
 
+    def _table_base(self) -> TableBase:
+        """Returns the own service's table with the revision that the store holds."""
+        return self._records.table_base(self._identity.service)
+
     def _view(self, moment: float) -> proposals.OwnershipView:
         """Builds the input of a proposal."""
         identity = self._identity
@@ -504,38 +513,61 @@
         """
         pause = WRITE_RETRY_FIRST_S
         while True:
-            table = self.table
+            base = self._table_base()
             moved = [
                 (keys, new_owner, handover)
                 for (_, new_owner), parts in zip(transfers, released, strict=True)
                 for keys, handover in parts
-                if proposals.still_owned(table, keys, self._identity.node)
+                if proposals.still_owned(base.table, keys, self._identity.node)
             ]
             if not moved:
                 return
-            changed = tables.move_ranges(table, moved, _writer())
-            if await self._write(changed, "hand-over"):
+            changed = tables.move_ranges(base.table, moved, _writer())
+            if await self._write(TableChange(base, changed, "hand-over")):
                 return
             await asyncio.sleep(pause * random.uniform(0.7, 1.3))
             pause = min(WRITE_RETRY_MAX_S, 2 * pause)
 
-    async def _write_proposal(self, changed: RangeTable, reason: str) -> None:
+    async def _write_proposal(self, change: TableChange) -> None:
         """Writes a proposed table; the next proposal may follow."""
         try:
-            if not await self._write(changed, reason):
+            if not await self._write(change):
                 await asyncio.sleep(0.3 * random.uniform(0.5, 1.5))
         finally:
             self._writing = False
 
-    async def _write(self, changed: RangeTable, reason: str) -> bool:
-        """Writes a table over the last known revision and sends it to the peers."""
-        name = table_name(changed.service)
-        base, old = self._records.stored(RANGES, name), self.table
-        if changed.era != self._records.era(RANGES):
-            _log.info("table_outdated", reason=reason, era=changed.era)
+    def _may_write(self, change: TableChange) -> bool:
+        """Returns whether a change is still one of the table that is known now."""
+        known = self._table_base()
+        if change.lowers_token:
+            _log.error(
+                "table_token_lowered",
+                reason=change.reason,
+                top_token=change.table.top_token,
+                base=change.base.revision,
+            )
+            return False
+        if not change.applies_to(known):
+            _log.info(
+                "table_change_outdated",
+                reason=change.reason,
+                base=change.base.revision,
+                known=known.revision,
+                era=change.table.era,
+            )
             return False
+        return True
+
+    async def _write(self, change: TableChange) -> bool:
+        """Writes a table over the revision of its base and sends it to the peers."""
+        if not self._may_write(change):
+            return False
+        changed, reason = change.table, change.reason
+        name = table_name(changed.service)
         try:
-            stored = await self._access.write(RANGES, name, encode_table(changed))
+            stored = await self._access.write(
+                RANGES, name, encode_table(changed), change.base.revision
+            )
         except StoreConflict:
             table = self.table
             applied = table is not None and table.writer == changed.writer
@@ -555,14 +587,19 @@
             top_token=changed.top_token,
             ranges=len(changed.ranges),
         )
-        if old is None or base is None or old.era != changed.era:
-            state = ObjectState(name, stored.revision, stored.content)
-            self._links.broadcast(ObjectUpdate(RANGES, state))
-        else:
-            delta = TableDelta.of(base.revision, stored.revision, old, changed)
-            self._links.broadcast(delta)
+        self._send_to_peers(change, stored)
         return True
 
+    def _send_to_peers(self, change: TableChange, stored: StoredObject) -> None:
+        """Sends a table that was written, or its difference from the base."""
+        base, changed = change.base, change.table
+        if base.table is None or base.table.era != changed.era:
+            state = ObjectState(stored.name, stored.revision, stored.content)
+            self._links.broadcast(ObjectUpdate(RANGES, state))
+            return
+        delta = TableDelta.of(base.revision, stored.revision, base.table, changed)
+        self._links.broadcast(delta)
+
 
 def _writer() -> str:
     """Returns a new identifier for a write."""
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -35,6 +35,7 @@
 )
 from rosemarydeal.platform.rejected_objects import RejectedObjects
 from rosemarydeal.platform.store import Listing
+from rosemarydeal.policy.keyranges.table_changes import TableBase
 
 from . import contents
 from .messages import ObjectListing, ObjectState, ObjectUpdate, TableDelta
@@ -139,6 +140,11 @@
         """Returns the table of a service."""
         return self._tables.get(service)
 
+    def table_base(self, service: str) -> TableBase:
+        """Returns the table of a service with the revision that the store holds."""
+        revision = self.stored_revision(RANGES, contents.table_name(service))
+        return TableBase(self.table(service), revision, self.era(RANGES))
+
     def is_table_outdated(self, service: str) -> bool:
         """Returns whether a table was not written in the present era of the store.
 
@@ -172,6 +178,12 @@
         """Returns an object of the present era; a deleted one has no content."""
         return self._kinds[kind].objects.get(name)
 
+    def stored_revision(self, kind: str, name: str) -> Revision:
+        """Returns the revision of an object, NO_REVISION if it does not exist."""
+        stored = self.stored(kind, name)
+        exists = stored is not None and stored.content is not None
+        return stored.revision if exists else NO_REVISION
+
     def stored_member(self, node: str) -> Member | None:
         """Returns a member as the store has it in its present era."""
         stored = self.stored(MEMBERS, node)
@@ -410,21 +422,42 @@
         for stored in self._kinds[RANGES].objects.values():
             table = contents.decode_table(stored, self._rejected)
             if table is not None:
-                self._apply_table(table, stored.revision.era)
+                self._apply_table(table, stored.revision)
         for service in list(self._tables):
             self._apply_pending_delta(service)
         return True
 
-    def _apply_table(self, table: RangeTable, era: int) -> None:
+    def _apply_table(self, table: RangeTable, revision: Revision) -> None:
         """Applies a stored table; a copy does not replace a table that is known."""
         service = table.service
-        if table.era == era:
+        if table.era == revision.era:
             self._outdated_tables.discard(service)
-            self._tables[service] = table
+            self._tables[service] = self._with_highest_token(table, revision)
             return
         self._outdated_tables.add(service)
         self._tables.setdefault(service, table)
 
+    def _with_highest_token(self, table: RangeTable, revision: Revision) -> RangeTable:
+        """Returns a table from which no token is issued a second time.
+
+        The highest token of a service never falls, unless a writer has overwritten
+        a change that it had not read.
+        """
+        known = self._tables.get(table.service)
+        if known is None or table.top_token >= known.top_token:
+            return table
+        raised = replace(table, top_token=known.top_token)
+        if raised != known:
+            _log.error(
+                "table_token_fell",
+                service=table.service,
+                revision=revision,
+                top_token=table.top_token,
+                highest=known.top_token,
+                writer=table.writer,
+            )
+        return raised
+
     def _apply_pending_delta(self, service: str) -> None:
         """Applies the delta for the table's current revision, if there is one."""
         if service in self._outdated_tables:
--- a/rosemarydeal/node/store_access.py
+++ b/rosemarydeal/node/store_access.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from rosemarydeal.core.fleet import NO_REVISION, StoredObject
+from rosemarydeal.core.fleet import NO_REVISION, Revision, StoredObject
 from rosemarydeal.platform.errors import StoreConflict, StoreError
 from rosemarydeal.platform.store import StoreClient
 from rosemarydeal.policy.keyranges import ownership_lease
@@ -101,19 +101,27 @@
         except StoreError as error:
             return await self._read_through_peer(kind, name, error)
 
-    async def write(self, kind: str, name: str, content: bytes) -> StoredObject:
-        """Writes an object if the store still holds the recorded revision.
+    async def write(
+        self, kind: str, name: str, content: bytes, expected: Revision
+    ) -> StoredObject:
+        """Writes an object if the store still holds the given revision of it.
+
+        Args:
+            kind: Kind of the object.
+            name: Name within the kind.
+            content: The new content.
+            expected: Revision from which the content was computed; NO_REVISION if
+                the object did not exist.
 
         Raises:
             StoreConflict: It has changed; the new state has been read.
             StoreUnavailable: The outcome is unknown, or nothing was written.
         """
-        old = self._records.stored(kind, name)
         try:
-            if old is None or old.content is None:
+            if expected == NO_REVISION:
                 stored = await self._store.create(kind, name, content)
             else:
-                stored = await self._store.replace(kind, name, content, old.revision)
+                stored = await self._store.replace(kind, name, content, expected)
         except StoreConflict as conflict:
             if conflict.current is not None and conflict.current.name == name:
                 self._records.apply(conflict.current)
@@ -122,8 +130,7 @@
             raise
         except StoreError as error:
             self.note_reachable(False, str(error))
-            revision = old.revision if old is not None and old.content else NO_REVISION
-            call = StoreRelayRequest(0, kind, name, content, revision)
+            call = StoreRelayRequest(0, kind, name, content, expected)
             stored, done = await self._relay_through_peer(call, error)
             if stored is not None:
                 self._records.apply(stored, changed=done)
@@ -230,11 +237,21 @@
             return stored, reply.done
         raise error
 
-    async def remove(self, kind: str, name: str) -> None:
-        """Removes an object if the store still holds the recorded revision."""
-        old = self._records.stored(kind, name)
-        if old is not None and old.content is not None:
-            await self._store.remove(kind, name, old.revision)
+    async def remove(self, kind: str, name: str, expected: Revision) -> None:
+        """Removes an object if the store still holds the given revision of it.
+
+        Args:
+            kind: Kind of the object.
+            name: Name within the kind.
+            expected: Revision at which its removal was decided; with NO_REVISION
+                there is nothing to remove.
+
+        Raises:
+            StoreConflict: It has changed.
+            StoreUnavailable: The outcome is unknown, or nothing was removed.
+        """
+        if expected != NO_REVISION:
+            await self._store.remove(kind, name, expected)
 
     async def close(self) -> None:
         """Cancels all waiting reads."""
--- /dev/null
+++ b/rosemarydeal/policy/keyranges/table_changes.py
@@ -0,0 +1,55 @@
+"""Ties a changed table to the revision of the store that it was computed from.
+
+Invariant: a table is written under the condition that the store still holds the
+revision from which it was computed. Under a later one it would undo the changes of
+others, and issue their tokens again.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from rosemarydeal.core.fleet import RangeTable, Revision
+
+__all__ = ["TableBase", "TableChange"]
+
+
+@dataclass(frozen=True, slots=True)
+class TableBase:
+    """The table from which a change is computed.
+
+    Attributes:
+        table: The table as this process knows it, None if there is none.
+        revision: Revision of the object that the store holds for it, NO_REVISION if
+            it holds none.
+        era: Era of the store.
+    """
+
+    table: RangeTable | None
+    revision: Revision
+    era: int
+
+
+@dataclass(frozen=True, slots=True)
+class TableChange:
+    """A table that may replace its base, and nothing else.
+
+    Attributes:
+        base: What it was computed from.
+        table: The changed table.
+        reason: Why it is changed, for the log.
+    """
+
+    base: TableBase
+    table: RangeTable
+    reason: str
+
+    @property
+    def lowers_token(self) -> bool:
+        """Returns whether tokens that were issued could be issued again."""
+        old = self.base.table
+        return old is not None and self.table.top_token < old.top_token
+
+    def applies_to(self, base: TableBase) -> bool:
+        """Returns whether it was computed from the table that is known now."""
+        return self.base.revision == base.revision and self.table.era == base.era
