Expire crash suspects and keep at most 4,096 of them

Callers: once 4,096 requests had run when upstreams crashed, each further crash of an upstream failed inside its process: the heartbeat of its next start was answered with an error, and its keys stayed with the former incarnation, served by nobody.

Cause: `OrderedDict.popitem` was called with an argument that it does not have, in a line that runs beyond 4,096 entries only; no test had so many.

Class: a bound of memory that no test reaches. Looked for in the daemon's `policy/crash_suspects.py`: its records expire and its bound works, but claims went only with their record: those that came without one, or outlived it, were kept for ever.

Evidence: both new scenarios of features/dispatch.feature fail on the product before (`TypeError`; 300 claims of 300 kept).

Change: the oldest entry goes first. Entries whose last crash is more than a minute ago go with the next request or crash, whichever request it concerns. The daemon drops claims that have ended.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -45,6 +45,15 @@
     Then the crash suspect is rejected
     But a request that succeeded after the first crash is not
 
+  Scenario: More crash suspects than a process keeps, and some that are outdated
+    Given 5000 requests that ran when upstreams crashed, the last of them twice
+    Then the process keeps 4096 of them and rejects the last
+    And after 61 seconds it rejects none of them and keeps none
+
+  Scenario: Claims of crash suspects without a crash are kept for ever
+    Given 300 claims of crash suspects by another process
+    Then after 3 seconds no claim is kept
+
   Scenario Outline: Retry decision after an attempt
     Given <a> request with a limit of 2 attempts
     When an attempt ends as <outcome>
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -11,6 +11,7 @@
 from features.builders_fleet_types import a_queue, a_queued_request, a_route
 from rosemarydeal.core.fleet import Bounds
 from rosemarydeal.core.requests import Answered, NotServed, OutcomeUnknown
+from rosemarydeal.policy import crash_suspects
 from rosemarydeal.policy.dispatch.cold_start import ColdStartLimiter
 from rosemarydeal.policy.dispatch.crash_suspects import (
     CrashSuspectCounter,
@@ -219,6 +220,45 @@
     assert context.counter.is_suspect(context.fingerprint, 6.0)
 
 
+@given(
+    "{count:d} requests that ran when upstreams crashed, the last of them twice",
+)
+def step_many_suspects(context, count):
+    context.counter = CrashSuspectCounter()
+    for number in range(count):
+        context.counter.record_crash((f"f{number}",), 1.0)
+    context.fingerprint = f"f{count - 1}"
+    context.counter.record_crash((context.fingerprint,), 1.0)
+
+
+@then("the process keeps {kept:d} of them and rejects the last")
+def step_keeps(context, kept):
+    assert context.counter.count == kept, context.counter.count
+    assert context.counter.is_suspect(context.fingerprint, 2.0)
+
+
+@then("after {seconds:d} seconds it rejects none of them and keeps none")
+def step_expired(context, seconds):
+    assert not context.counter.is_suspect("another", 1.0 + seconds)
+    assert context.counter.count == 0, context.counter.count
+
+
+@given("{count:d} claims of crash suspects by another process")
+def step_claims(context, count):
+    context.suspects = crash_suspects.Suspects()
+    for number in range(count):
+        context.suspects, _ = crash_suspects.claim(
+            context.suspects, "box-office", "vm-b", number, 1.0
+        )
+    assert len(context.suspects.claims) == count
+
+
+@then("after {seconds:d} seconds no claim is kept")
+def step_claims_ended(context, seconds):
+    expired = crash_suspects.expire(context.suspects, 1.0 + seconds, 60.0)
+    assert not expired.claims, len(expired.claims)
+
+
 @then("a request that succeeded after the first crash is not")
 def step_cleared_served(context):
     assert not context.counter.is_suspect(context.cleared, 6.0)
--- a/rosemarydeal/policy/crash_suspects.py
+++ b/rosemarydeal/policy/crash_suspects.py
@@ -271,14 +271,23 @@
 
 
 def expire(suspects: Suspects, now: float, window_s: float) -> Suspects:
-    """Removes records without a crash within the window."""
-    old = [
+    """Removes records without a crash within the window, and claims that have ended."""
+    old = {
         f
         for f, record in suspects.records.items()
         if now - record.last_crash_at > window_s
+    }
+    # A claim may have come without a record, or outlive it.
+    ended = [
+        f
+        for f, held in suspects.claims.items()
+        if f in old or now - held.claimed_at > CLAIM_TTL_S
     ]
+    if not old and not ended:
+        return suspects
     records, claims = suspects.records, suspects.claims
     for fingerprint in old:
         records = records.delete(fingerprint)
-        claims = claims.delete(fingerprint) if fingerprint in claims else claims
-    return replace(suspects, records=records, claims=claims) if old else suspects
+    for fingerprint in ended:
+        claims = claims.delete(fingerprint)
+    return replace(suspects, records=records, claims=claims)
--- a/rosemarydeal/policy/dispatch/crash_suspects.py
+++ b/rosemarydeal/policy/dispatch/crash_suspects.py
@@ -18,7 +18,10 @@
 __all__ = ["CrashSuspectCounter", "request_fingerprint"]
 
 CRASHES_TO_REJECT = 2
+# A request is retried within its deadline, of seconds. What a caller sends again after
+# a minute is a new request, which may run again.
 ENTRY_TTL_S = 60.0
+# Bounds the memory if many upstreams crash within that time; the oldest go first.
 MAX_ENTRIES = 4096
 
 
@@ -48,15 +51,22 @@
     """Crash counts by request fingerprint, in bounded memory."""
 
     def __init__(self) -> None:
+        # In the order of their last crashes.
         self._entries: OrderedDict[str, _Entry] = OrderedDict()
 
+    @property
+    def count(self) -> int:
+        """Returns the number of requests with a crash that counts."""
+        return len(self._entries)
+
     def record_crash(self, running: tuple[str, ...], now: float) -> None:
         """Counts a crash for each request that was running."""
+        self._expire(now)
         for fingerprint in running:
             entry = self._entries.pop(fingerprint, None) or _Entry(0, now)
             self._entries[fingerprint] = _Entry(entry.crashes + 1, now)
         while len(self._entries) > MAX_ENTRIES:
-            self._entries.popitem(last_at=False)
+            self._entries.popitem(last=False)
 
     def clear(self, fingerprint: str) -> bool:
         """Removes a request that has succeeded at an upstream.
@@ -68,10 +78,14 @@
 
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Returns whether a request is to be rejected."""
+        self._expire(now)
         entry = self._entries.get(fingerprint)
-        if entry is None:
-            return False
-        if now - entry.last_at > ENTRY_TTL_S:
-            del self._entries[fingerprint]
-            return False
-        return entry.crashes >= CRASHES_TO_REJECT
+        return entry is not None and entry.crashes >= CRASHES_TO_REJECT
+
+    def _expire(self, now: float) -> None:
+        """Removes the requests whose last crash was too long ago."""
+        while self._entries:
+            oldest = next(iter(self._entries))
+            if now - self._entries[oldest].last_at <= ENTRY_TTL_S:
+                return
+            del self._entries[oldest]
