Suspect an owner again only after a delay once it has refuted a suspicion

Operators and callers: suspicions against an owner that only some peers can't reach are written, refuted and written again several times a second. Each is a write of the store that every process reads, and a chance for a suspicion to land beside a hand-over.

Cause: a process that can't reach an owner proposes a suspicion as soon as the table has none, whatever became of its earlier ones.

Change: each process delays its next suspicion against an owner that has refuted one, 1 s at first and up to 16 s, with jitter; it forgets this after a minute without a refutation. A first suspicion is not delayed, and neither are those of other processes, which suspect an owner that has failed meanwhile. `suspicion_refuted` is logged, and `suspicions_refuted` counts them on the metrics address.

--- a/features/keyranges.feature
+++ b/features/keyranges.feature
@@ -124,3 +124,16 @@
     Given an owner of two adjacent ranges with different tokens
     When the store is restored, and the table with both ranges joined
     Then it goes on with the joined range
+
+  Scenario: Suspicions that are refuted each time are written several times a second
+    Given nodes a, b and c that own all keys
+    When b refutes each suspicion of a at once, for 60 seconds
+    Then a has suspected b at most 10 times
+    And after each refutation c suspects b at once, if b is unresponsive
+    And a suspects b at once if it was reachable for a minute
+
+  Scenario: Refuted suspicions are not counted on the metrics address
+    Given a deployment of 3 VMs
+    When vm-a can't reach vm-c, which refutes the suspicions of vm-a, for 6 seconds
+    Then vm-a has written at most 4 suspicions
+    And the metrics of vm-a count the refuted ones
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -33,6 +33,7 @@
 from rosemarydeal.policy.keyranges import balance, ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
+from rosemarydeal.policy.keyranges.suspicion_backoff import SuspicionBackoff
 from rosemarydeal.policy.keyranges.table_changes import TableBase, TableChange
 
 from .balancer import Balancer
@@ -110,6 +111,7 @@
         self._writing = False
         self._tasks = Tasks(failures)
         self._suspicions: dict[tuple[str, int], float] = {}
+        self._suspicion_backoff = SuspicionBackoff(identity.node)
         self._propose_at = 0.0
         self._stopping = False
         self._retired = False
@@ -125,6 +127,11 @@
         """Returns the range table of the own service."""
         return self._records.table(self._identity.service)
 
+    @property
+    def suspicions_refuted(self) -> int:
+        """Returns the number of suspicions of this process that were refuted."""
+        return self._suspicion_backoff.refuted_count
+
     @property
     def owned(self) -> tuple[KeyRange, ...]:
         """Returns the ranges that the table assigns to this node."""
@@ -214,6 +221,7 @@
         moment = now()
         lease_valid = moment < ownership_lease.lease_expiry(self._lease)
         self._restored.update(self.table, self._is_outdated(), lease_valid, moment)
+        self._note_refutations(moment)
         if self._is_keyed() and self._watch.state is not None:
             self._step()
             self._advance_guard()
@@ -346,6 +354,13 @@
         changed = proposals.renew_tokens(base.table, member, _writer())
         await self._write(TableChange(base, changed, "token-refused"))
 
+    def _note_refutations(self, moment: float) -> None:
+        """Delays further suspicions against owners that refuted an earlier one."""
+        if self.table is None:
+            return
+        for node in self._suspicion_backoff.update(self.table, moment):
+            _log.info("suspicion_refuted", member=node, count=self.suspicions_refuted)
+
     def _track_suspicions(self, moment: float) -> None:
         """Records when this process first saw each suspicion of the table."""
         table = self.table
@@ -418,6 +433,7 @@
             store_ready=self._records.complete,
             writer=_writer(),
             restored=self._restored_state(moment),
+            suspicions_delayed=self._suspicion_backoff.delayed(moment),
         )
 
     def _restored_state(self, moment: float) -> proposals.RestoredTable:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -375,6 +375,7 @@
             ("rate_limit_per_s", self._guard.rate_limit_per_s),
             ("sent_per_s", self._guard.sent_per_s),
             ("key_ranges", len(self._ownership.owned)),
+            ("suspicions_refuted", self._ownership.suspicions_refuted),
             ("peer_links", len(self._links.up)),
             ("store_reachable", self._access.reachable),
             ("store_era", self._store.era),
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -91,6 +91,8 @@
         store_ready: Whether the store answers and all objects have been read.
         writer: Unique name for the write.
         restored: State of the table since a restore of the store.
+        suspicions_delayed: Nodes that have refuted suspicions of this node, and must
+            not be suspected by it again yet.
     """
 
     node: str
@@ -109,6 +111,7 @@
     store_ready: bool
     writer: str
     restored: RestoredTable = RestoredTable()
+    suspicions_delayed: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -333,6 +336,8 @@
         unresponsive_s = view.unresponsive_s.get(node, 0.0)
         if node == view.node or node in suspected or unresponsive_s < SUSPECT_AFTER_S:
             continue
+        if node in view.suspicions_delayed:
+            continue
         if _is_my_turn(view, own, unresponsive_s - SUSPECT_AFTER_S):
             changed = tables.add_suspicion(table, node, view.node, view.writer)
             return WriteTable(changed, "owner-unresponsive")
