Take the upstream that answers at the address, whatever start it states

Cause: of two starts, the lower stated time was taken for the former one, and its heartbeats were answered with 200 without an effect. Nine periods later, the silence of the start before was taken for its end and for that of its grants, which the upstream at the address had gone on taking. Classes: an order that rests on a clock that may jump, and silence taken for an end. The second also ended a release in progress, let a process that shuts down remove its member, and ended a release as soon as a later incarnation was known. `born_ms` is compared nowhere else.

Evidence: features/earlier_starts.feature. Ruled out: to take every start in the order of arrival (a late heartbeat of a former start would be taken), to ask the address at each restart (a probe for each), and to end grants before nine periods (work that outlasts its lease ends with 500).

Change: a start that states a later time and is new is taken at once. Any other one has to be the instance that answers at the address or, under the same id, announce itself for three periods in which the current one does not; until then its calls get 409 with the reason. Former starts are remembered. The keys of an upstream that is only silent are released before they move, by a call or by the end of its grants. A refused connection ends it at once, after three missed announcements also that of a grant; a grant whose connection was not opened was not sent. The stand-in upstream names its instance on its health path; its stated start can go back, it can fall silent, and the fuzzing of grants has a silent upstream.

--- /dev/null
+++ b/features/earlier_starts.feature
@@ -0,0 +1,54 @@
+Feature: The upstream that runs at the address is the one in use, whatever start it states
+
+  Scenario Outline: An upstream that states an earlier start is acknowledged and never used
+    Given a deployment of 3 <VMs>
+    When the upstream of vm-b restarts under <id>, and its clock has jumped back by half a second
+    Then it is the current upstream of vm-b within 2 seconds
+    And until then none of its heartbeats was acknowledged
+    And all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+
+    Examples:
+      | VMs                                   | id          |
+      | VMs                                   | another id  |
+      | VMs                                   | the same id |
+      | VMs whose heartbeats carry the grants | another id  |
+
+  Scenario Outline: A late heartbeat of a former start that stated a later time makes it current again
+    Given a deployment of 1 VMs
+    When the upstream of vm-a restarts under <id>, and its clock has jumped back by half a second
+    Then it is the current upstream of vm-a within 2 seconds
+    When 5 late heartbeats of its former start arrive within 1.5 seconds
+    Then each of them is refused, and the upstream stays the current one
+
+    Examples:
+      | id          |
+      | another id  |
+      | the same id |
+
+  Scenario: A departure of an upstream that is not in use is acknowledged
+    Given a deployment of 1 VMs
+    When an upstream that never announced itself to vm-a departs
+    Then its departure is refused
+
+  Scenario Outline: The keys of an upstream that only fell silent are given away while it holds them
+    Given a deployment of 3 <VMs>
+    When the upstream of vm-b falls silent and <answers>
+    Then all keys are served again within 9 seconds
+    And no key was ever held by two upstreams
+
+    Examples:
+      | VMs                                   | answers            |
+      | VMs                                   | answers no release |
+      | VMs                                   | answers releases   |
+      | VMs whose heartbeats carry the grants | answers no release |
+
+  Scenario: The keys of a crashed upstream wait although nothing can hold them
+    Given a deployment of 3 VMs
+    When the upstream of vm-b crashes while no requests arrive
+    Then all keys are served again within 4 seconds
+
+  Scenario: A grant that could not be sent counts as one that may be in effect
+    Given an upstream that accepts no connection in time
+    When a range is granted to it for 1 second
+    Then it holds no keys
--- a/features/grants_machine.py
+++ b/features/grants_machine.py
@@ -161,6 +161,11 @@
             if token:
                 assert self.upstream.issued[token] in part, (part, token)
 
+    @rule(chance=st.integers(0, RESTART_CHANCE))
+    def find_upstream_silent(self, chance):
+        if not chance:
+            self.grants.suspend()
+
     @rule(key=st.integers(0, KEYS - 1))
     def request(self, key):
         token = self.owned.get(key)
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -60,6 +60,8 @@
         self.handovers_received = set()
         self._released = []
         self._running_keys = []
+        self.releases_answered = asyncio.Event()
+        self.releases_answered.set()
         self._host, self._service, self._zone = host, service, zone
         self._sequence = 0
         self._born = 1_000
@@ -85,14 +87,19 @@
             await closing
         await self._pool.close()
 
-    def restart(self):
+    def restart(self, born_change=1, renamed=True):
         """Starts a new incarnation, which holds no keys and announces itself."""
         self._task.cancel()
-        self.instance = f"{self.instance}-{secrets.token_hex(2)}"
+        if renamed:
+            self.instance = f"{self.instance}-{secrets.token_hex(2)}"
         self.holds, self._released, self._sequence = [], [], 0
-        self._born += 1
+        self._born += born_change
         self._task = asyncio.create_task(self._announce())
 
+    def fall_silent(self):
+        """Announces itself no more, but runs on."""
+        self._task.cancel()
+
     def work_on(self, key):
         """Starts work on a key that does not end."""
         self._running_keys.append(key)
@@ -142,10 +149,11 @@
         if request.target == b"/v1/grant":
             return self._grant(json.loads(body))
         if request.target == b"/v1/release":
-            return self._release(json.loads(body))
+            return await self._release(json.loads(body))
         if request.target == b"/healthz":
-            load = ((b"server-load", b"0,0,8,100"),)
-            return bytes_response(200, b"", load)
+            load = (b"server-load", b"0,0,8,100")
+            named = (b"instance-id", self.instance.encode())
+            return bytes_response(200, b"", (load, named))
         return await self._run(request)
 
     async def _run(self, request):
@@ -204,7 +212,8 @@
         self.taken.append((moment, first, last, token))
         return bytes_response(200, b"")
 
-    def _release(self, call):
+    async def _release(self, call):
+        await self.releases_answered.wait()
         self._remove_held(call["from"], call["to"])
         return bytes_response(200, b"", ((b"handover", b"h-1"),))
 
--- /dev/null
+++ b/features/steps/earlier_starts_steps.py
@@ -0,0 +1,175 @@
+"""Steps for upstreams that start with an earlier time, or that fall silent."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from features.builders_node import run
+from rosemarydeal.core import Address
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import KeyRange
+from rosemarydeal.node.grants import CallGrantCarrier
+from rosemarydeal.platform.upstream import UpstreamClient
+
+JUMP_MS = 500
+ACKNOWLEDGED = 200
+REFUSED = 409
+LATE_HEARTBEATS_S = 1.5
+KEYS = KeyRange(0, 9, "vm-a", "i-1", 1)
+# A queue that is shorter than this accepts no connection.
+CONNECTIONS = 3
+# Longer than a call waits for an answer.
+CALL_S = 0.7
+
+
+@when(
+    "the upstream of {name} restarts under {identity},"
+    " and its clock has jumped back by half a second"
+)
+def step_restart_earlier(context, name, identity):
+    endpoint = context.deployment.endpoints[name]
+    context.name, context.endpoint = name, endpoint
+    context.statuses = []
+    exchange = endpoint._exchange
+
+    async def recorded(call, body):
+        status, content = await exchange(call, body)
+        if context.deployment.nodes[name]._watch.state.announcement.born_ms != (
+            endpoint._born
+        ):
+            context.statuses.append(status)
+        return status, content
+
+    async def go():
+        context.former = endpoint.announcement()
+        context.former_instance = endpoint.instance
+        endpoint._exchange = recorded
+        endpoint.restart(-JUMP_MS, renamed=identity == "another id")
+
+    run(context, go())
+
+
+def is_current(context):
+    watch = context.deployment.nodes[context.name]._watch
+    endpoint = context.endpoint
+    return watch.is_current(f"{endpoint.instance}@{endpoint._born}")
+
+
+@then("it is the current upstream of {name} within {seconds:d} seconds")
+def step_current(context, name, seconds):
+    run(context, context.deployment.wait(lambda: is_current(context), seconds))
+
+
+@then("until then none of its heartbeats was acknowledged")
+def step_none_acknowledged(context):
+    assert ACKNOWLEDGED not in context.statuses, context.statuses
+
+
+@when("{count:d} late heartbeats of its former start arrive within 1.5 seconds")
+def step_late_heartbeats(context, count):
+    endpoint = context.endpoint
+
+    async def go():
+        context.late = []
+        for number in range(count):
+            body = context.former | {"seq": 100_000 + number}
+            current, endpoint.instance = endpoint.instance, context.former_instance
+            call = asyncio.create_task(endpoint.call("heartbeat", body))
+            await asyncio.sleep(0)
+            endpoint.instance = current
+            context.late.append(await call)
+            await asyncio.sleep(LATE_HEARTBEATS_S / count)
+
+    run(context, go())
+
+
+@then("each of them is refused, and the upstream stays the current one")
+def step_late_refused(context):
+    assert set(context.late) == {REFUSED}, context.late
+    assert is_current(context)
+
+
+@when("an upstream that never announced itself to {name} departs")
+def step_foreign_departure(context, name):
+    endpoint = context.deployment.endpoints[name]
+    current, endpoint.instance = endpoint.instance, "i-never-seen"
+    context.status = run(context, endpoint.call("deregister", {}))
+    endpoint.instance = current
+
+
+@then("its departure is refused")
+def step_departure_refused(context):
+    assert context.status == REFUSED, context.status
+
+
+@when("the upstream of {name} falls silent and answers no release")
+def step_silent(context, name):
+    context.deployment.endpoints[name].releases_answered.clear()
+    fall_silent(context, name)
+
+
+@when("the upstream of {name} falls silent and answers releases")
+def step_silent_releasing(context, name):
+    fall_silent(context, name)
+
+
+def fall_silent(context, name):
+    """Waits until the process has given the keys of a silent upstream away."""
+    deployment = context.deployment
+    deployment.endpoints[name].fall_silent()
+    owned = deployment.nodes[name]._ownership
+    run(context, deployment.wait(lambda: not owned.owned, 12.0))
+
+
+@when("the upstream of {name} crashes while no requests arrive")
+def step_crash(context, name):
+    endpoint = context.deployment.endpoints[name]
+
+    async def go():
+        await endpoint.stop()
+        endpoint.holds = []
+
+    run(context, go())
+
+
+@given("an upstream that accepts no connection in time")
+def step_no_connection(context):
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    context.add_cleanup(listener.close)
+    context.address = Address(*listener.getsockname())
+    for _ in range(CONNECTIONS):
+        waiting = socket.socket()
+        waiting.setblocking(False)
+        waiting.connect_ex(listener.getsockname())
+        context.add_cleanup(waiting.close)
+
+
+@when("a range is granted to it for 1 second")
+def step_grant_unsent(context):
+    async def go():
+        client = UpstreamClient(context.address, 1)
+        state = SimpleNamespace(alive=True, incarnation="i-1", silent=False)
+        carrier = CallGrantCarrier(
+            client,
+            SimpleNamespace(state=state),
+            0.0,
+            lambda: None,
+            lambda: None,
+        )
+        carrier.update([KEYS], 1.0)
+        await asyncio.sleep(CALL_S)
+        latest = max(grant.may_hold_until for grant in carrier._grants.values())
+        context.may_hold = latest > now()
+        await carrier.close()
+        await client.close()
+
+    asyncio.run(go())
+
+
+@then("it holds no keys")
+def step_holds_none(context):
+    assert not context.may_hold
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -268,6 +268,11 @@
     holds: tuple[HeldKeys, ...] | None = None
     released: tuple[ReleasedKeys, ...] = ()
 
+    @property
+    def incarnation(self) -> str:
+        """Identifier of the incarnation."""
+        return f"{self.instance}@{self.born_ms}"
+
 
 @dataclass(frozen=True, slots=True)
 class Departure:
@@ -276,6 +281,12 @@
     instance: str
     born_ms: int | None
 
+    def is_from(self, incarnation: str) -> bool:
+        """Returns whether it may come from an incarnation."""
+        if self.born_ms is None:
+            return incarnation.rpartition("@")[0] == self.instance
+        return incarnation == f"{self.instance}@{self.born_ms}"
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamLoad:
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -2,7 +2,8 @@
 
 Renews grants well before they expire and releases keys before they move to
 another upstream. A call without an answer may still have taken effect, so each
-grant also records how long the upstream may hold its keys.
+grant also records how long the upstream may hold its keys. What listens at the address
+takes a grant whichever incarnation it was meant for.
 """
 
 from __future__ import annotations
@@ -88,9 +89,15 @@
         self._on_call_ended = on_call_ended
         self._on_refused = on_refused
         self._predecessor_until = now() + max_hold_s * (1 + ownership_lease.CLOCK_DRIFT)
+        self._held_until = self._predecessor_until
         self._grants: dict[tuple[int, int, int], Grant] = {}
         self._calls: dict[asyncio.Task[None], Grant] = {}
 
+    @property
+    def may_hold(self) -> bool:
+        """Returns whether the upstream may hold any key."""
+        return bool(self._calls) or now() <= self._held_until
+
     def allows(self, key: int, token: int) -> bool:
         """Returns whether the upstream certainly holds a key under a token."""
         for grant in self._grants.values():
@@ -98,9 +105,17 @@
                 return now() < grant.valid_until - HOLD_MARGIN_S
         return False
 
-    def clear(self) -> None:
-        """Removes all grants; called when the upstream is gone."""
-        self._grants.clear()
+    def clear(self, silent: bool) -> None:
+        """Makes all grants unusable; called when the upstream is gone.
+
+        Args:
+            silent: Whether it may still run and hold its keys.
+        """
+        if not silent:
+            self._grants.clear()
+        for grant in self._grants.values():
+            grant.valid_until = 0.0
+            grant.renew_at = 0.0
 
     def update(self, ranges: Sequence[KeyRange], hold_s: float) -> None:
         """Grants new ranges and renews the grants that are due.
@@ -169,18 +184,20 @@
             await asyncio.wait(pending_calls)
             covering = [*covering, *pending_calls.values()]
         handover = ""
-        while self._may_hold(keys):
+        while self._may_hold():
             try:
                 handover = await self._client.release(keys, RELEASE_TIMEOUT_S)
                 break
             except UpstreamCallFailed as error:
                 _log.info("release_unanswered", detail=error.detail)
+                if error.refused:
+                    self._watch.report_call_refused()
                 if now() > max(grant.may_hold_until for grant in covering):
                     return ""
                 await asyncio.sleep(GRANT_RETRY_S)
         # An unanswered grant could take effect after the release.
         unanswered_s = max(grant.unanswered_until for grant in covering) - now()
-        if unanswered_s > 0 and self._may_hold(keys):
+        if unanswered_s > 0 and self._may_hold():
             await asyncio.sleep(unanswered_s)
         _log.info("keys_released", first=keys.first, last=keys.last, token=keys.token)
         return handover
@@ -204,17 +221,15 @@
             if grant is None:
                 grant = Grant(keys, may_hold_until=self._predecessor_until)
                 for previous in old.values():
-                    if tables.covers(previous.keys, keys):
-                        grant.valid_until = previous.valid_until
-                        grant.may_hold_until = previous.may_hold_until
-                        grant.unanswered_until = previous.unanswered_until
+                    if tables.overlaps(previous.keys, keys):
+                        _inherit(grant, previous)
             self._grants[_grant_key(keys)] = grant
 
     async def _call_grant(self, grant: Grant, hold_s: float) -> None:
         """Sends a grant to the upstream and records how long it holds."""
         sent_at = now()
         first = grant.valid_until == 0.0
-        answered = False
+        answered, arrived = False, True
         try:
             await self._client.grant(grant.keys, hold_s, GRANT_TIMEOUT_S)
             answered = True
@@ -230,9 +245,13 @@
         except UpstreamCallFailed as error:
             _log.info("grant_unanswered", detail=error.detail)
             grant.renew_at = now() + GRANT_RETRY_S
+            arrived = error.sent
+            if error.refused:
+                self._watch.report_call_refused()
         finally:
             grant.call_pending = False
-            self._note_latest_end(grant, hold_s, answered)
+            if arrived:
+                self._note_latest_end(grant, hold_s, answered)
         self._on_call_ended()
 
     def _note_latest_end(self, grant: Grant, hold_s: float, answered: bool) -> None:
@@ -242,6 +261,7 @@
         may have been split during the call, so that other grants have its keys now.
         """
         latest_end = now() + hold_s * (1.0 + ownership_lease.CLOCK_DRIFT)
+        self._held_until = max(self._held_until, latest_end)
         for current in (grant, *self._grants.values()):
             if not tables.overlaps(current.keys, grant.keys):
                 continue
@@ -249,12 +269,18 @@
             if not answered:
                 current.unanswered_until = max(current.unanswered_until, latest_end)
 
-    def _may_hold(self, keys: KeyRange) -> bool:
-        """Returns whether the upstream incarnation that was granted keys still runs."""
+    def _may_hold(self) -> bool:
+        """Returns whether an upstream may run at the address, so that it holds keys."""
         state = self._watch.state
-        return (
-            state is not None and state.alive and state.incarnation == keys.incarnation
-        )
+        return state is not None and (state.alive or state.silent)
+
+
+def _inherit(grant: Grant, previous: Grant) -> None:
+    """Carries the times of a grant over to a later one of some of its keys."""
+    if tables.covers(previous.keys, grant.keys):
+        grant.valid_until = previous.valid_until
+    grant.may_hold_until = max(grant.may_hold_until, previous.may_hold_until)
+    grant.unanswered_until = max(grant.unanswered_until, previous.unanswered_until)
 
 
 def _grant_key(keys: KeyRange) -> tuple[int, int, int]:
--- a/rosemarydeal/node/heartbeat_grants.py
+++ b/rosemarydeal/node/heartbeat_grants.py
@@ -51,12 +51,24 @@
         self._logged: frozenset[KeyRange] = frozenset()
         self._heartbeat_answered = asyncio.Event()
 
+    @property
+    def may_hold(self) -> bool:
+        """Returns whether the upstream may hold any key."""
+        return self._grants.may_hold(now())
+
     def allows(self, key: int, token: int) -> bool:
         """Returns whether the upstream certainly holds a key under a token."""
         return self._grants.allows(key, token, now())
 
-    def clear(self) -> None:
-        """Removes all grants; called when the upstream is gone."""
+    def clear(self, silent: bool) -> None:
+        """Makes all grants unusable; called when the upstream is gone.
+
+        Args:
+            silent: Whether it may still run and hold its keys.
+        """
+        if silent:
+            self._grants.suspend()
+            return
         self._grants.forget()
         self._heartbeat_answered.set()
 
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -206,7 +206,7 @@
         slowdowns = []
         for _ in range(SLOWDOWN_PROBES):
             try:
-                load = await self._client.probe(self._health_path(), PROBE_TIMEOUT_S)
+                load = await self._client.probe(self.health_path(), PROBE_TIMEOUT_S)
             except UpstreamCallFailed as error:
                 _log.info("probe_failed", detail=error.detail)
                 break
@@ -218,7 +218,7 @@
         _log.info("slowdown_probed", slowdown=slowdown, probes=len(slowdowns))
         return slowdown
 
-    def _health_path(self) -> str:
+    def health_path(self) -> str:
         """Returns the health path of the own service."""
         configuration = self._records.configuration
         if configuration is None:
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -138,6 +138,12 @@
         table = self.table
         return tables.owned_by(table, self._identity.node) if table else ()
 
+    @property
+    def may_hold_silently(self) -> bool:
+        """Returns whether an upstream that fell silent may still hold keys."""
+        state = self._watch.state
+        return state is not None and state.silent and self._grants.may_hold
+
     def admits(self, key: int) -> Admission:
         """Returns whether requests for a key may run here now."""
         table = self.table
@@ -229,8 +235,8 @@
     def on_upstream_changed(self) -> None:
         """Removes the grants if the upstream is gone, and runs a step at once."""
         state = self._watch.state
-        if state is None or not state.alive:
-            self._grants.clear()
+        if state is not None and not state.alive:
+            self._grants.clear(state.silent)
         self._propose_at = 0.0
         self.on_table_changed()
 
@@ -422,6 +428,7 @@
             incarnation=state.incarnation if state is not None else "",
             accepting=state is not None and state.accepting and not self._stopping,
             alive=state is not None and state.alive,
+            may_hold=self.may_hold_silently,
             members=members,
             removed=self._removed_owners(),
             zones_out=zones_out,
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -34,6 +34,7 @@
 from .metrics import Metrics
 from .ownership import Ownership
 from .records import MEMBERS, RANGES, Records
+from .start_check import StartCheck
 from .store_access import StoreAccess
 from .store_watch import StoreWatcher
 from .tasks import TaskFailures, Tasks
@@ -127,6 +128,9 @@
             self._watch,
             self._guard,
         )
+        self._start_check = StartCheck(
+            self._watch, self._client, self._membership.health_path
+        )
         self._stopping = False
         self._servers: list[HttpServer] = []
         self._callers: HttpServer | None = None
@@ -219,7 +223,8 @@
         state = self._watch.state
         if state is None or state.accepting:
             return False
-        return not state.alive or not self._ownership.owned
+        may_hold = state.alive or self._ownership.may_hold_silently
+        return not may_hold or not self._ownership.owned
 
     def _is_keyed(self) -> bool:
         """Returns whether the own service is keyed."""
@@ -338,6 +343,7 @@
             or old.incarnation != state.incarnation
             or old.accepting != state.accepting
             or old.alive != state.alive
+            or old.silent != state.silent
         )
         if changed:
             self._ownership.on_upstream_changed()
@@ -355,9 +361,11 @@
         except Unreadable as error:
             _log.warning("announcement_unreadable", detail=error.detail)
             return announcements.reject()
-        match self._watch.apply(call), call:
+        match await self._start_check.apply(call), call:
             case CallResult.FOREIGN, _:
                 return announcements.reject()
+            case CallResult.UNCONFIRMED, _:
+                return announcements.refuse_unconfirmed()
             case CallResult.APPLIED, Announcement():
                 statement = await self._ownership.answer_heartbeat(call)
                 return announcements.acknowledge(statement)
@@ -379,6 +387,7 @@
             ("peer_links", len(self._links.up)),
             ("store_reachable", self._access.reachable),
             ("store_era", self._store.era),
+            ("starts_unconfirmed", self._start_check.refused),
         ):
             self._metrics.set_gauge(name, value)
         self._metrics.count_store_calls(self._store.calls)
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -1,12 +1,18 @@
 """Tracks the state of the upstream beside this process.
 
 The state follows from the upstream's announcements, its departure and failed
-connections. Announcements that are older, come from a former incarnation or
-name another service or address are ignored.
+connections. Announcements that are older or name another service or address change
+nothing.
+
+Which of two incarnations is the later can't rest on their clocks alone, and a call may
+arrive after its sender has ended. An incarnation that isn't known to be later has to be
+confirmed: by the instance that answers at the address, or by several announcements
+while the current incarnation sends none.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import Enum, auto
@@ -22,6 +28,8 @@
 # gone; one that has missed nine is gone whatever its connections do.
 SUSPECT_AFTER_PERIODS = 3.0
 GONE_AFTER_PERIODS = 9.0
+# Calls of a former incarnation arrive seconds late at most.
+FORMER_INCARNATIONS = 32
 
 _log = structlog.get_logger()
 
@@ -31,15 +39,31 @@
 
     Attributes:
         APPLIED: It is the newest of the current incarnation.
-        OUTDATED: It was acknowledged but changed nothing.
+        OUTDATED: Its sender has replaced it by a newer one, or has ended before.
+        UNCONFIRMED: It came from an incarnation that may not be the current one, and
+            changed nothing.
         FOREIGN: It came from another upstream and is rejected.
     """
 
     APPLIED = auto()
     OUTDATED = auto()
+    UNCONFIRMED = auto()
     FOREIGN = auto()
 
 
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    """An unconfirmed incarnation.
+
+    Attributes:
+        announcement: Its last announcement.
+        first_at: When its first one arrived.
+    """
+
+    announcement: Announcement
+    first_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamState:
     """State of the upstream.
@@ -49,17 +73,20 @@
         last_heartbeat_at: Time of its last announcement or departure.
         leaving_since: When it first announced that it leaves, None if it stays.
         alive: Whether it is considered to be running.
+        silent: Whether it is considered to be gone only because it has missed
+            announcements, so that it may still run.
     """
 
     announcement: Announcement
     last_heartbeat_at: float
     leaving_since: float | None
     alive: bool
+    silent: bool = False
 
     @property
     def incarnation(self) -> str:
         """Returns the identifier of its incarnation."""
-        return f"{self.announcement.instance}@{self.announcement.born_ms}"
+        return self.announcement.incarnation
 
     @property
     def accepting(self) -> bool:
@@ -84,6 +111,8 @@
         self._identity = identity
         self._on_change = on_change
         self._state: UpstreamState | None = None
+        self._former: deque[str] = deque(maxlen=FORMER_INCARNATIONS)
+        self._candidate: _Candidate | None = None
 
     @property
     def state(self) -> UpstreamState | None:
@@ -102,21 +131,27 @@
             case Departure():
                 return self._apply_departure(call)
 
+    def apply_confirmed(self, call: Announcement) -> CallResult:
+        """Applies an announcement whose instance answers at the address."""
+        if self.is_current(call.incarnation):
+            return self.apply(call)
+        self._apply_new(call)
+        return CallResult.APPLIED
+
     def report_connect_failed(self) -> None:
         """Marks the upstream as gone, since it refused a connection."""
         state = self._state
-        if state is not None and state.alive:
+        if state is not None and (state.alive or state.silent):
             _log.warning(
                 "upstream_gone", incarnation=state.incarnation, reason="connect-failed"
             )
-            self._update(
-                UpstreamState(
-                    state.announcement,
-                    state.last_heartbeat_at,
-                    state.leaving_since,
-                    False,
-                )
-            )
+            self._update(replace(state, alive=False, silent=False))
+
+    def report_call_refused(self) -> None:
+        """Marks the upstream as gone if it has missed announcements as well."""
+        state = self._state
+        if state is not None and self._missed_periods(state) > SUSPECT_AFTER_PERIODS:
+            self.report_connect_failed()
 
     def report_leaving(self, incarnation: str) -> None:
         """Marks an incarnation as leaving, as it said so in an answer."""
@@ -130,21 +165,14 @@
         state = self._state
         if state is None or not state.alive:
             return
-        unresponsive_s = now() - state.last_heartbeat_at
-        if unresponsive_s > GONE_AFTER_PERIODS * self._identity.announce_period_s:
+        if self._missed_periods(state) > GONE_AFTER_PERIODS:
             _log.warning(
                 "upstream_gone",
                 incarnation=state.incarnation,
-                unresponsive_s=unresponsive_s,
-            )
-            self._update(
-                UpstreamState(
-                    state.announcement,
-                    state.last_heartbeat_at,
-                    state.leaving_since,
-                    False,
-                )
+                reason="silent",
+                unresponsive_s=now() - state.last_heartbeat_at,
             )
+            self._update(replace(state, alive=False, silent=True))
 
     def _apply_announcement(self, new: Announcement) -> CallResult:
         """Applies an announcement unless it is old or another upstream's."""
@@ -159,35 +187,58 @@
             )
             return CallResult.FOREIGN
         state = self._state
-        if state is not None:
-            old = state.announcement
-            same_incarnation = (old.instance, old.born_ms) == (
-                new.instance,
-                new.born_ms,
-            )
-            if new.born_ms < old.born_ms or (
-                same_incarnation and new.sequence <= old.sequence
-            ):
-                return CallResult.OUTDATED
-            if not same_incarnation:
-                state = None
+        if state is None or state.incarnation != new.incarnation:
+            if state is not None and not self._is_later(new, state):
+                return CallResult.UNCONFIRMED
+        elif new.sequence <= state.announcement.sequence:
+            return CallResult.OUTDATED
+        self._apply_new(new)
+        return CallResult.APPLIED
+
+    def _is_later(self, new: Announcement, state: UpstreamState) -> bool:
+        """Returns whether another incarnation has replaced the current one."""
+        known = new.incarnation in self._former
+        if not known and new.born_ms > state.announcement.born_ms:
+            return True
+        candidate = self._candidate
+        if candidate is None or candidate.announcement.incarnation != new.incarnation:
+            self._candidate = _Candidate(new, now())
+            return False
+        if new.sequence <= candidate.announcement.sequence:
+            return False
+        self._candidate = replace(candidate, announcement=new)
+        periods = (now() - candidate.first_at) / self._identity.announce_period_s
+        return periods >= SUSPECT_AFTER_PERIODS
+
+    def _missed_periods(self, state: UpstreamState) -> float:
+        """Returns the time since the last announcement, in periods."""
+        return (now() - state.last_heartbeat_at) / self._identity.announce_period_s
+
+    def _apply_new(self, new: Announcement) -> None:
+        """Applies the newest announcement of the current incarnation."""
+        self._candidate = None
+        state = self._state
+        if state is not None and state.incarnation != new.incarnation:
+            self._former.append(state.incarnation)
+            state = None
         leaving_since = state.leaving_since if state is not None else None
         if new.draining and leaving_since is None:
             leaving_since = now()
             _log.info("upstream_draining", instance=new.instance)
         self._update(UpstreamState(new, now(), leaving_since, True))
-        return CallResult.APPLIED
 
     def _apply_departure(self, call: Departure) -> CallResult:
         """Applies a departure; changes nothing if the upstream already leaves."""
         state = self._state
-        if state is None or state.announcement.instance != call.instance:
-            return CallResult.OUTDATED
-        if call.born_ms is not None and call.born_ms != state.announcement.born_ms:
+        if state is None:
             return CallResult.OUTDATED
+        current = state.announcement
+        if not call.is_from(current.incarnation):
+            former = any(map(call.is_from, self._former))
+            return CallResult.OUTDATED if former else CallResult.UNCONFIRMED
         if state.leaving_since is None:
             _log.info("upstream_left", instance=call.instance)
-            self._update(UpstreamState(state.announcement, now(), now(), state.alive))
+            self._update(replace(state, last_heartbeat_at=now(), leaving_since=now()))
         return CallResult.APPLIED
 
     def _update(self, state: UpstreamState) -> None:
--- a/rosemarydeal/platform/announcements.py
+++ b/rosemarydeal/platform/announcements.py
@@ -39,7 +39,7 @@
 from .errors import Unreadable
 from .names import ANNOUNCE_CALL, INSTANCES_PATH, LEAVE_CALL
 
-__all__ = ["acknowledge", "decode_call", "reject"]
+__all__ = ["acknowledge", "decode_call", "refuse_unconfirmed", "reject"]
 
 MS_PER_S = 1000.0
 # An upstream reports one row per grant; a table has a few hundred ranges.
@@ -47,6 +47,8 @@
 MAX_BODY_BYTES = 131_072
 ACKNOWLEDGED = 200
 BAD_REQUEST = 400
+CONFLICT = 409
+UNCONFIRMED_BODY = b'{"reason":"not known to be the upstream at this address"}'
 # No upstream is cold for a day.
 MAX_COLD_MS = 24 * 3600 * 1000
 
@@ -114,6 +116,13 @@
     return bytes_response(BAD_REQUEST, b"{}", ((b"content-type", b"application/json"),))
 
 
+def refuse_unconfirmed() -> Response:
+    """Returns the answer to a call whose sender may not run at the address."""
+    return bytes_response(
+        CONFLICT, UNCONFIRMED_BODY, ((b"content-type", b"application/json"),)
+    )
+
+
 def _split(target: bytes) -> tuple[str, bytes]:
     """Splits a path into the instance and the kind of call."""
     path = target.partition(b"?")[0]
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -47,6 +47,7 @@
 # Below the shortest documented idle time-out of an upstream, 10 s.
 IDLE_TIME_S = 4.0
 CONNECT_TIME_S = 1.0
+DEADLINE_MARGIN_S = 0.05
 # Memory for all answers that are being read. The smallest VM gives a process 200 MB,
 # and an answer is copied when it is passed on.
 ANSWER_BUDGET_BYTES = 32 * 1024 * 1024
@@ -69,10 +70,20 @@
 
 
 class UpstreamCallFailed(CodedError):
-    """A call to the upstream got no usable answer."""
+    """A call to the upstream got no usable answer.
+
+    Attributes:
+        sent: Whether the call may have reached the upstream.
+        refused: Whether nothing listens at the upstream's address.
+    """
 
     code = "upstream-call-failed"
 
+    def __init__(self, detail: str, sent: bool = True, refused: bool = False) -> None:
+        super().__init__(detail)
+        self.sent = sent
+        self.refused = refused
+
 
 class GrantRefused(CodedError):
     """The upstream has seen a higher token for one of the keys."""
@@ -145,6 +156,19 @@
         response = await self._call(path, None, timeout_s)
         return _load(find_header(response.headers, names.LOAD))
 
+    async def identify(self, health_path: str, timeout_s: float) -> str:
+        """Requests the upstream's health path; returns the instance that answers.
+
+        Returns:
+            The instance, "" if the answer does not name it.
+
+        Raises:
+            UpstreamCallFailed: No answer came.
+        """
+        response = await self._call(health_path.encode("ascii"), None, timeout_s)
+        instance = find_header(response.headers, names.INSTANCE) or b""
+        return instance.decode("ascii", "replace")
+
     async def run(self, upstream_request: UpstreamRequest) -> UpstreamResult:
         """Sends a request and reads its whole answer.
 
@@ -216,11 +240,15 @@
             method, path, tuple(headers), BytesBody(encoded), self._address
         )
         try:
-            async with asyncio.timeout(timeout_s):
+            # The connection's own deadline tells whether the call was sent.
+            async with asyncio.timeout(timeout_s + DEADLINE_MARGIN_S):
                 response = await self._calls.send(self._address, request, timeout_s)
                 await read_bytes(response.body, MAX_CALL_ANSWER_BYTES)
         except (ProxyError, TimeoutError) as error:
-            raise UpstreamCallFailed(f"{path!r}: {error!r}") from error
+            sent = getattr(error, "sent", True)
+            refused = isinstance(error, ConnectFailed) and error.refused
+            detail = f"{path!r}: {error!r}"
+            raise UpstreamCallFailed(detail, sent, refused) from error
         if find_header(response.headers, names.SIGNATURE) is not None:
             raise UpstreamCallFailed(f"{path!r}: the answer to another request")
         return response
--- a/rosemarydeal/policy/keyranges/heartbeat_grants.py
+++ b/rosemarydeal/policy/keyranges/heartbeat_grants.py
@@ -98,6 +98,10 @@
         """Returns whether the upstream ignores a range, having seen a higher token."""
         return any(s.missed >= REFUSED_AFTER_HEARTBEATS for s in self._stated)
 
+    def may_hold(self, now: float) -> bool:
+        """Returns whether the upstream may hold any key."""
+        return now <= self._may_hold_until
+
     def allows(self, key: int, token: int, now: float) -> bool:
         """Returns whether the upstream holds a key under a token."""
         return any(
@@ -110,6 +114,10 @@
         """Sets all ranges that the upstream is to hold from the next answer on."""
         self._wanted = tuple(ranges)
 
+    def suspend(self) -> None:
+        """Makes all keys unusable, as the upstream is silent; it may hold them."""
+        self._stated = ()
+
     def forget(self) -> None:
         """Clears the state of an upstream that is gone; its releases have ended."""
         self._stated = ()
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -1,7 +1,8 @@
 """Decides which change to a service's table this process proposes now.
 
 An owner transfers its own keys without waiting for a lease to expire when its
-upstream leaves, is gone, or is in an availability zone that operators took out.
+upstream leaves, is gone, or is in an availability zone that operators took out. One
+that is gone only by its silence may still hold keys, and has to release them first.
 Keys of an unresponsive process are reassigned by the first of the others by name,
 once a suspicion has been recorded for long enough that its lease has expired.
 
@@ -79,6 +80,7 @@
         incarnation: Incarnation of its upstream, empty if none is known.
         accepting: Whether its upstream accepts new work.
         alive: Whether its upstream is running.
+        may_hold: Whether its upstream, if it is not alive, may still hold keys.
         members: Members of the service, by node.
         removed: Nodes whose members have been removed from the store. A node that
             is just missing from the members may be one not heard of yet.
@@ -112,6 +114,7 @@
     writer: str
     restored: RestoredTable = RestoredTable()
     suspicions_delayed: frozenset[str] = frozenset()
+    may_hold: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -283,7 +286,7 @@
     owned = tables.owned_by(table, view.node)
     if not owned or not eligible:
         return None
-    if not view.alive:
+    if not view.alive and not view.may_hold:
         changed = tables.reassign(table, owned, eligible, view.writer)
         return WriteTable(changed, "upstream-gone")
     return HandOver(tuple(tables.assign_evenly(table, owned, eligible)))
