Give back the slot of each request that was started

Cause: the queue counts a request as running when it decides to start it. The guard made no task if the caller had left by then, and only the task gives the slot back. A caller that leaves in the turn of the event loop in which an answer frees a slot is started that way; after a freeze all answers and departures are handled in one turn.

Class: counted in one place, given back by another that may never run. Found for each: - cold limit of a restarted upstream (`RateLimiter.may_send`): the same leaked requests count against the two before the first answer; closed with the fault. - cold start, rate limit, rate that was sent: counted requests that never reached the upstream; withdrawn with the slot now, and the token is given back. - slots that a peer holds for another: a task that is cancelled before its first step ran no `finally`, so that `Links.serving` kept a request that was sent and withdrawn in one turn. It is forgotten by a callback of the task now. No slot was lost. - room for answers, connections by address, open requests of the entry, requests pending at a peer, connections to an upstream: counted and given back in one step or within one `try`; nothing found. Bodies of requests have no room yet. - retry budgets: a window of times; nothing to give back.

Change: `node/slots.py` owns the slots. Each start becomes a task that holds the slot until it ends, also if it never takes its first step, or is withdrawn at once. Once a second the process compares the queue with the tasks, logs `slots_leaked` with the requests' ids, counts `rosemarydeal_slots_leaked` and repairs the count.

--- a/features/builders_fleet_types.py
+++ b/features/builders_fleet_types.py
@@ -78,10 +78,24 @@
 
 
 def a_queued_request(
-    number, now, route="lookup", rank=2, target_s=0.6, time_left_s=2.5, key=None
+    number,
+    now,
+    route="lookup",
+    rank=2,
+    target_s=0.6,
+    time_left_s=2.5,
+    key=None,
+    request_id="",
 ):
     return QueuedRequest(
-        number, route, rank, key, now, now + target_s, now + time_left_s
+        number,
+        route,
+        rank,
+        key,
+        now,
+        now + target_s,
+        now + time_left_s,
+        request_id,
     )
 
 
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -45,6 +45,7 @@
 from rosemarydeal.policy.routing import leaving
 
 from .metrics import Metrics
+from .slots import DispatchSlots
 from .tasks import TaskFailures
 from .upstream import UpstreamState, UpstreamWatch
 from .upstream_notices import UpstreamNotices
@@ -125,6 +126,7 @@
         self._queue = DispatchQueue(
             self._cold_limiter, self._rate_limiter, hooks.admits
         )
+        self._dispatch_slots = DispatchSlots(self._queue, self._apply_decisions)
         self._crash_suspects = CrashSuspectCounter()
         self._active: dict[int, _ActiveRequest] = {}
         self._last_number = 0
@@ -149,6 +151,11 @@
         """Returns the number of requests that may run concurrently."""
         return self._queue.slots
 
+    @property
+    def dispatch_slots(self) -> DispatchSlots:
+        """Returns the owner of the slots that are in use."""
+        return self._dispatch_slots
+
     @property
     def demand(self) -> float:
         """Returns the work that arrives, as a share of the slots' capacity."""
@@ -234,9 +241,10 @@
             moment,
             moment + request.target_s,
             active.deadline,
+            request.request_id,
         )
-        self._apply_decisions(self._queue.offer(queued, moment))
         try:
+            self._apply_decisions(self._queue.offer(queued, moment))
             return await active.future
         finally:
             self._discard(number, active)
@@ -353,23 +361,43 @@
 
     def _apply_decisions(self, decisions: list[Decision]) -> None:
         """Starts and rejects requests as the queue decided."""
-        for decision in decisions:
-            active = self._active.get(decision.number)
-            if active is None or active.future.done():
-                continue
-            match decision:
+        pending = deque(decisions)
+        while pending:
+            match pending.popleft():
                 case Start(number):
-                    active.task = asyncio.create_task(self._run(number, active))
-                case Reject(_, outcome):
-                    self._record_outcome(
-                        active.request,
-                        "refused",
-                        outcome.code,
-                        now() - active.arrived_at,
-                    )
-                    active.future.set_result(outcome)
+                    pending.extend(self._start(number))
+                case Reject(number, outcome):
+                    self._reject(number, outcome)
         self._schedule()
 
+    def _start(self, number: int) -> list[Decision]:
+        """Runs a request, or withdraws it if its caller left in the same turn.
+
+        Returns:
+            What the queue decides when a request is withdrawn.
+        """
+        active = self._active.get(number)
+        if active is None or active.future.done():
+            self._remove_left()
+            return self._queue.withdraw(number, now())
+        active.task = self._dispatch_slots.start(number, self._run(number, active))
+        return []
+
+    def _reject(self, number: int, outcome: NotServed) -> None:
+        """Rejects a request unless its caller has left."""
+        active = self._active.get(number)
+        if active is None or active.future.done():
+            return
+        waited_s = now() - active.arrived_at
+        self._record_outcome(active.request, "refused", outcome.code, waited_s)
+        active.future.set_result(outcome)
+
+    def _remove_left(self) -> None:
+        """Removes the waiting requests whose callers have left."""
+        for number, active in self._active.items():
+            if active.future.done():
+                self._queue.remove(number)
+
     def _schedule(self) -> None:
         """Sets the timer for the queue's next time-based decision."""
         moment = now()
@@ -383,28 +411,28 @@
 
     async def _run(self, number: int, active: _ActiveRequest) -> None:
         """Sends a request to the upstream and completes it with the outcome."""
-        state = self._watch.state
-        time_left_s = active.deadline - now()
-        upstream_request = UpstreamRequest(
-            active.request,
-            state.announcement.instance,
-            time_left_s,
-            attempts.max_idle_s(active.request.idempotent),
-        )
         started = now()
+        incarnation = ""
         result: UpstreamResult | None = None
         try:
+            state = self._watch.state
+            incarnation = state.incarnation
+            upstream_request = UpstreamRequest(
+                active.request,
+                state.announcement.instance,
+                active.deadline - started,
+                attempts.max_idle_s(active.request.idempotent),
+            )
             result = await self._client.run(upstream_request)
-            self._notices.apply(result, state.incarnation, started)
+            self._notices.apply(result, incarnation, started)
         except Exception as error:
             # The caller waits for an outcome, and the request may have been sent.
             self._failures.note("dispatch", error)
             result = result or Failed("dispatch-failed", sent=True)
         finally:
             completed = isinstance(result, Answered)
-            decisions = self._queue.finish(number, now(), completed)
-            self._apply_decisions(decisions)
-        outcome = self._outcome(active, result, state.incarnation)
+            self._dispatch_slots.finish(number, completed)
+        outcome = self._outcome(active, result, incarnation)
         load = result.load if isinstance(result, Answered | Rejected) else None
         self._record_outcome(
             active.request, *attempts.outcome_labels(outcome), now() - started, load
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -423,6 +423,7 @@
                 work = self._serve(connection, number, request)
                 task = self._tasks.spawn("peer-request", work)
                 self._serving[connection, number] = task
+                task.add_done_callback(partial(self._on_served, (connection, number)))
             case CancelRequest(number):
                 task = self._serving.get((connection, number))
                 if task is not None:
@@ -465,8 +466,13 @@
         except Exception:
             connection.send(OutcomeUnknownReply(number, PEER_FAILED))
             raise
-        finally:
-            self._serving.pop((connection, number), None)
+
+    def _on_served(
+        self, served: tuple[FrameConnection, int], task: asyncio.Task[None]
+    ) -> None:
+        """Forgets a peer's request, whose task may have ended before its first step."""
+        if self._serving.get(served) is task:
+            del self._serving[served]
 
     async def _relay_store_call(
         self, connection: FrameConnection, call: StoreRelayRequest
--- a/rosemarydeal/node/metrics.py
+++ b/rosemarydeal/node/metrics.py
@@ -61,6 +61,7 @@
         self._store_calls: Mapping[StoreCall, int] = {}
         self._rejected_objects: Mapping[str, int] = {}
         self._task_failures: Mapping[str, int] = {}
+        self._leaked_slots = 0
         self._messages: Mapping[str, int] = {}
         self._gauges: dict[str, float] = {}
 
@@ -90,6 +91,10 @@
         """Sets the counts of tasks that failed unexpectedly, by task."""
         self._task_failures = counts
 
+    def count_leaked_slots(self, count: int) -> None:
+        """Sets how many slots without a task were found."""
+        self._leaked_slots = count
+
     def count_messages(self, sent: Mapping[str, int], sent_bytes: int) -> None:
         """Sets the counts of messages sent to peers by type, and of their bytes."""
         self._messages = sent
@@ -154,6 +159,12 @@
             ("task",),
             {(task,): n for task, n in self._task_failures.items()},
         )
+        yield _counter(
+            "rosemarydeal_slots_leaked",
+            "Slots of the upstream that no task held, and that were given back.",
+            (),
+            {(): self._leaked_slots},
+        )
         yield _counter(
             "rosemarydeal_peer_messages_sent",
             "Messages sent to other processes, by type.",
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -163,6 +163,7 @@
         for name, work in (
             ("ownership", self._ownership.run),
             ("heartbeat-check", self._guard.check_heartbeats),
+            ("slot-check", self._guard.dispatch_slots.check_regularly),
             ("member-writes", self._membership.run),
             ("member-removal", self._membership.remove_unreachable),
         ):
@@ -393,6 +394,7 @@
         self._metrics.count_store_calls(self._store.calls)
         self._metrics.count_rejected_objects(self._rejected.counts)
         self._metrics.count_task_failures(self._failures.counts)
+        self._metrics.count_leaked_slots(self._guard.dispatch_slots.leaked)
         self._metrics.count_messages(self._links.sent, self._links.sent_bytes)
         kind = ((b"content-type", b"text/plain; version=0.0.4"),)
         return bytes_response(200, self._metrics.render(), kind)
--- a/rosemarydeal/policy/dispatch/cold_start.py
+++ b/rosemarydeal/policy/dispatch/cold_start.py
@@ -60,6 +60,11 @@
         self._sent.append(now)
         self._trim(now)
 
+    def withdraw_sent(self, sent_at: float) -> None:
+        """Removes a request that was recorded as sent, but was not sent."""
+        if sent_at in self._sent:
+            self._sent.remove(sent_at)
+
     def _trim(self, now: float) -> None:
         """Drops the requests that have left the window."""
         while self._sent and self._sent[0] <= now - WINDOW_S - WINDOW_MARGIN_S:
--- a/rosemarydeal/policy/dispatch/queue.py
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -25,7 +25,14 @@
 from .rate_limit import RateLimiter
 from .service_time import ServiceTimes
 
-__all__ = ["Admission", "DispatchQueue", "Reject", "Start", "QueuedRequest"]
+__all__ = [
+    "Admission",
+    "Decision",
+    "DispatchQueue",
+    "QueuedRequest",
+    "Reject",
+    "Start",
+]
 
 CODE_OVERLOADED = "overloaded"
 CODE_NOT_IN_TIME = "not-in-time"
@@ -62,6 +69,7 @@
         arrived: Time of arrival.
         target_at: End of its latency target, after which an answer is worth less.
         deadline: Time after which nobody waits for the answer.
+        request_id: Id of the request, for log lines.
     """
 
     number: int
@@ -71,6 +79,22 @@
     arrived: float
     target_at: float
     deadline: float
+    request_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _Started:
+    """A request that was started.
+
+    Attributes:
+        route: Name of its route.
+        at: When it was started.
+        request_id: Its id.
+    """
+
+    route: str
+    at: float
+    request_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +136,7 @@
         self._admits = admits
         self._service_times = ServiceTimes()
         self._waiting: dict[int, QueuedRequest] = {}
-        self._running: dict[int, tuple[str, float]] = {}
+        self._running: dict[int, _Started] = {}
         self._slots = 1
         self._open = False
 
@@ -121,6 +145,11 @@
         """Returns the number of requests at the upstream."""
         return len(self._running)
 
+    @property
+    def started(self) -> Mapping[int, str]:
+        """Returns the ids of the requests at the upstream, by number."""
+        return {number: entry.request_id for number, entry in self._running.items()}
+
     @property
     def waiting(self) -> int:
         """Returns the number of requests in the queue."""
@@ -172,9 +201,20 @@
             now: The current time.
             completed: Whether it was answered, so that its service time counts.
         """
-        route, started_at = self._running.pop(number, ("", now))
-        if completed:
-            self._service_times.record_service_time(route, now - started_at)
+        started = self._running.pop(number, None)
+        if completed and started is not None:
+            self._service_times.record_service_time(started.route, now - started.at)
+        return self.advance(now)
+
+    def withdraw(self, number: int, now: float) -> list[Decision]:
+        """Removes a started request that was not sent, and starts others.
+
+        It counts neither as running nor, for the limits, as sent.
+        """
+        started = self._running.pop(number, None)
+        if started is not None:
+            self._cold.withdraw_sent(started.at)
+            self._rate.withdraw_sent(started.at, now)
         return self.advance(now)
 
     def advance(self, now: float) -> list[Decision]:
@@ -250,8 +290,10 @@
 
     def _residual_s(self) -> float:
         """Returns the expected time until a running request ends, in seconds."""
-        routes = [route for route, _ in self._running.values()]
-        service_times_s = [self._service_times.expected_s(route) for route in routes]
+        service_times_s = [
+            self._service_times.expected_s(started.route)
+            for started in self._running.values()
+        ]
         return 0.5 * sum(service_times_s) / len(service_times_s) / self._slots
 
     def _check_capacity(self, request: QueuedRequest, now: float) -> Reject | None:
@@ -303,7 +345,7 @@
     def _start(self, request: QueuedRequest, now: float) -> Start:
         """Moves a request from the waiting to the running ones."""
         del self._waiting[request.number]
-        self._running[request.number] = (request.route, now)
+        self._running[request.number] = _Started(request.route, now, request.request_id)
         self._cold.record_sent(now)
         self._rate.record_sent(now)
         return Start(request.number)
--- a/rosemarydeal/policy/dispatch/rate_limit.py
+++ b/rosemarydeal/policy/dispatch/rate_limit.py
@@ -37,6 +37,8 @@
     def __init__(self) -> None:
         self._per_s = math.inf
         self._stated_at = -math.inf
+        # Requests recorded before have taken no token.
+        self._limited_at = math.inf
         self._answered = False
         self._tokens = 0.0
         self._refilled_at = 0.0
@@ -77,6 +79,8 @@
         changed = per_s != self._per_s
         if changed:
             self._refill(now)
+            if not self.limited:
+                self._limited_at = now
             self._per_s = per_s
         return changed
 
@@ -137,6 +141,19 @@
         self._sent.append(now)
         self._trim(now)
 
+    def withdraw_sent(self, sent_at: float, now: float) -> None:
+        """Removes a request that was recorded as sent, but was not sent.
+
+        Args:
+            sent_at: When it was recorded.
+            now: The current time.
+        """
+        if sent_at in self._sent:
+            self._sent.remove(sent_at)
+        if self.limited and sent_at >= self._limited_at:
+            self._refill(now)
+            self._tokens = min(BURST, self._tokens + 1.0)
+
     def _rate(self) -> float:
         """Returns the rate at which tokens come."""
         return max(MIN_PER_S, self._per_s)
