Answer 502 for a body that holds a refusal without an id

Cause: a body that breaks off and is filled up to its length by a refusal with a body of its own. The check noticed the status line, but no request's id follows it, no head ends the body, and no bytes come after it.

Evidence: four rows of 'A copy fills the rest of an answer that broke off'. Ruled out: to refuse each body with a whole head (pages quote them), and to refuse one whose id names a request that the connection has not carried: that one is a text, as the scenario with the answer of r9 has asked for all along.

What can be told: a whole head with an id belongs to that request. One without an id, but with a header that only upstreams of the platform send, may belong to any, so that the answer is 502 (it may have run). What can't: a whole head with neither, and the start of a status line that ends where the body does. The price: a text that quotes such a refusal, with lines ended by CR LF, gets 502 each time; texts with other line ends, other heads or ids do not, and the log line tells which it was.

Change: a connection has marking headers, which the adapter sets; the check looks for them in whole heads, in time linear in the body. The mutant of the adapter's settings follows their new text, and one is added for this rule.

Figures: late_copies: 4 of 61 failed before, 61 pass; the time for a body of many status lines stays within its bound with the marks.

--- a/features/late_copies.feature
+++ b/features/late_copies.feature
@@ -92,6 +92,10 @@
       | with a length    | its second copy, cut in the name of a header    |
       | with a length    | its second copy, cut in its head                |
       | with a length    | a refusal without an id, which just fits        |
+      | with a length    | a refusal without an id but with a body         |
+      | with a length    | such a refusal in pieces                        |
+      | with a length    | a rate limit without an id but with a body      |
+      | with chunks      | a refusal without an id but with a body         |
       | with chunks      | a copy of an earlier answer, which just fits    |
 
   Scenario Outline: A body that quotes another response is refused
@@ -104,6 +108,9 @@
       | the text of another response      |
       | a sentence that ends with a status |
       | a page that quotes a status       |
+      | a page that quotes a whole answer of another protocol |
+      | a page that quotes a whole refusal of another request |
+      | a page that quotes a header of the protocol alone     |
 
   Scenario Outline: A late copy of an earlier answer costs the next request its answer
     Given an upstream that writes <copies> before its next answer
--- a/features/mutant_list_stutter.py
+++ b/features/mutant_list_stutter.py
@@ -9,6 +9,7 @@
 FUZZ = ("-m", "features.stutter_budget", "requests", "calls")
 STATED = ("-m", "features.run", "features/stated_answers.feature")
 SCENARIOS = ("-m", "features.run", "features/named_answers.feature")
+COPIES = ("-m", "features.run", "features/late_copies.feature")
 IDENTIFICATION = "rosemarydeal/proxy/identification.py"
 INSIDE = ("-m", "features.stutter_budget", "inside")
 HEADS = "rosemarydeal/proxy/embedded_heads.py"
@@ -61,10 +62,17 @@
     Mutant(
         "answers not identified",
         UPSTREAM,
-        "connection=ConnectionSettings(identifying_header=names.REQUEST_ID),",
-        "connection=ConnectionSettings(),",
+        "identifying_header=names.REQUEST_ID, marking_headers=names.ANSWER_MARKS",
+        "",
         FUZZ,
     ),
+    Mutant(
+        "heads of the protocol in a body taken for a text",
+        HEADS,
+        "return self._identifying_header not in names",
+        "return False",
+        COPIES,
+    ),
     Mutant(
         "answer without an id taken for identified",
         IDENTIFICATION,
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -29,6 +29,15 @@
     "the text of another response": b"an example:" + an_answer("r9", BODY),
     "a sentence that ends with a status": b"The store answered HTTP/1.1 503 Busy",
     "a page that quotes a status": b"<p>HTTP/1.1 200 OK</p>\r\n</html>",
+    "a page that quotes a whole answer of another protocol": (
+        b"HTTP/1.1 503 Full\r\nRetry-After: 1\r\n\r\n</html>"
+    ),
+    "a page that quotes a whole refusal of another request": (
+        a_refusal("r9") + b"</html>"
+    ),
+    "a page that quotes a header of the protocol alone": (
+        b"HTTP/1.1 503 Full, with this header\r\n\r\nNot-Executed: 1\r\n\r\n</html>"
+    ),
 }
 KEYS = KeyRange(0, 9, "n", "l", 1)
 OTHER_KEYS = KeyRange(10, 19, "n", "l", 2)
@@ -185,6 +194,10 @@
 
 
 SECOND_COPY = an_answer("r2", LONG_BODY)
+# Without an id, and with a body that ends where that of the answer does.
+WITH_BODY = b"Content-Length: 4\r\n\r\nFull"
+OWN_BODY_REFUSAL = b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" + WITH_BODY
+OWN_BODY_LIMIT = b"HTTP/1.1 500 Failed\r\nServer-Limit: 2\r\n" + WITH_BODY
 BROKEN_OFF = {
     "a copy of an earlier answer, which just fits": (LONG_FIRST, b""),
     "a copy of an earlier answer, which is longer": (LONG_FIRST[:20], LONG_FIRST[20:]),
@@ -195,6 +208,9 @@
     "its second copy, cut in the name of a header": (SECOND_COPY[:22], b""),
     "its second copy, cut in its head": (SECOND_COPY[:30], b""),
     "a refusal without an id, which just fits": (a_refusal(""), b""),
+    "a refusal without an id but with a body": (OWN_BODY_REFUSAL, b""),
+    "such a refusal in pieces": (OWN_BODY_REFUSAL, b""),
+    "a rate limit without an id but with a body": (OWN_BODY_LIMIT, b""),
 }
 
 
@@ -202,6 +218,8 @@
 def step_broken_off(context, framing, copy):
     filler, extra = BROKEN_OFF[copy]
     parts = broken_off(filler, extra, framing == "with chunks")
+    if copy.endswith("in pieces"):
+        parts[-1:] = [filler[:30], PAUSE, filler[30:]]
     context.upstream = ScriptedUpstream([[LONG_FIRST], parts])
 
 
--- a/features/steps/many_heads_steps.py
+++ b/features/steps/many_heads_steps.py
@@ -29,7 +29,9 @@
 def step_checked(context):
     times = []
     for _ in range(RUNS):
-        check = BodyCheck(Framing.LENGTH, True, b"request-id", {b"r1"})
+        check = BodyCheck(
+            Framing.LENGTH, True, b"request-id", {b"r1"}, {b"not-executed"}
+        )
         started = time.thread_time()
         check.check(context.body)
         check.check_end(False)
--- a/rosemarydeal/platform/names.py
+++ b/rosemarydeal/platform/names.py
@@ -16,6 +16,10 @@
 COLD_LEFT = b"cold-ms"
 INSTANCE = b"instance-id"
 HANDOVER = b"handover"
+# Headers of upstreams that no text but a quoted answer contains.
+ANSWER_MARKS = frozenset(
+    {NOT_RUN, SIGNATURE, LOAD, RATE_LIMIT, LEAVING, COLD_LEFT, INSTANCE, HANDOVER}
+)
 STORE_ERA = b"store-era"
 RETRY_AFTER = b"retry-after"
 
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -100,7 +100,9 @@
             connections_per_address=connections,
             idle_time_s=IDLE_TIME_S,
             connect_time_s=CONNECT_TIME_S,
-            connection=ConnectionSettings(identifying_header=names.REQUEST_ID),
+            connection=ConnectionSettings(
+                identifying_header=names.REQUEST_ID, marking_headers=names.ANSWER_MARKS
+            ),
         )
         self._pool = Pool(settings)
         # Calls do not wait for connections that requests use.
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -55,11 +55,14 @@
             copy of a response must not be taken for the response to a later
             request: a connection carries one request of each value, and is not
             reused after a response without the header.
+        marking_headers: Headers, in lower case, by which a head within a body is
+            recognized as one of the upstreams' protocol.
     """
 
     header_bytes: int = 32_768
     continue_time_s: float = 1.0
     identifying_header: bytes = b""
+    marking_headers: frozenset[bytes] = frozenset()
 
 
 class ResponseBody:
@@ -340,6 +343,7 @@
             head.status_code in SUCCESSES,
             self._settings.identifying_header,
             self._identification.carried,
+            self._settings.marking_headers,
         )
         self._check_body(received, complete)
         if complete:
--- a/rosemarydeal/proxy/embedded_heads.py
+++ b/rosemarydeal/proxy/embedded_heads.py
@@ -29,6 +29,8 @@
     rb"(?:\r\n[A-Za-z0-9-]++:[^\r\n]*+(?=\r\n))*+"
     rb"\r\n(?:[A-Za-z0-9-]*+(?::[^\r\n]*+)?+|\r\n?)\Z"
 )
+END_OF_LINE = b"\r\n"
+END_OF_HEAD = b"\r\n\r\n"
 # Longest head of which a piece may hold only a part.
 MAX_HEAD_BYTES = 4096
 
@@ -51,7 +53,9 @@
     A body that ends with its connection must not contain a status line. Any other body
     may, unless the line is followed by the identity of a request of the connection, the
     head reaches the end of the body, or further bytes follow the body: what ends the
-    body is then a part of the copy.
+    body is then a part of the copy. A whole head with headers of the upstreams'
+    protocol and without an identity may belong to any request, so it is taken for
+    another response; with an identity that the connection has not carried it is a text.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         success: bool,
         identifying_header: bytes,
         identities: Set[bytes],
+        marking_headers: Set[bytes] = frozenset(),
     ) -> None:
         """Creates a check that has seen no piece.
 
@@ -68,11 +73,13 @@
             success: Whether the response's status is that of a success.
             identifying_header: Header that names the request of a response, or empty.
             identities: Values of that header that the connection has carried.
+            marking_headers: Headers of the upstreams' protocol, in lower case.
         """
         self._unframed = framing is Framing.CLOSE
         self._needs_body = self._unframed and success
         self._identifying_header = identifying_header
         self._identities = identities
+        self._marking_headers = marking_headers
         self._tail = b""
         self._has_status_line = False
 
@@ -90,6 +97,8 @@
             self._has_status_line = True
         if self._has_status_line and (self._unframed or self._names_request(searched)):
             raise BadMessage("the body contains the head of another response")
+        if self._has_status_line and self._has_marked_head(searched):
+            raise BadMessage("the body contains a head of the upstreams' protocol")
         kept = MAX_HEAD_BYTES if self._has_status_line else STATUS_LINE_BYTES - 1
         self._tail = searched[-kept:]
 
@@ -112,6 +121,26 @@
         if self._needs_body:
             raise BadMessage("a success without a length ended after its head")
 
+    def _has_marked_head(self, searched: bytes) -> bool:
+        """Returns whether bytes contain a whole head of the protocol without an id."""
+        if not self._marking_headers:
+            return False
+        *heads, _ = searched.split(END_OF_HEAD)
+        return any(self._ends_with_marked_head(head) for head in heads)
+
+    def _ends_with_marked_head(self, text: bytes) -> bool:
+        """Returns whether a text ends with such a head, without its last line end."""
+        names = set()
+        for line in reversed(text[-MAX_HEAD_BYTES:].split(END_OF_LINE)):
+            if STATUS_LINE.search(line) and not names.isdisjoint(self._marking_headers):
+                return self._identifying_header not in names
+            name, colon, value = line.partition(b":")
+            if not colon or b" " in name:
+                return False
+            if value.strip():
+                names.add(name.lower())
+        return False
+
     def _names_request(self, searched: bytes) -> bool:
         """Returns whether bytes name a request that the connection has carried."""
         if not self._identifying_header:
