End an order as unknown if a refusal without an id ends its answer

Evidence: 'A refusal without an id ends the answer of the daemon's upstream to an order'.

Change: these connections have the outcome's header as a marking header. Connections of the caller library and of the store's client stay as they are: their servers are not known to break answers off and go on writing.

--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -113,6 +113,11 @@
       | before the last line end |
       | in the body              |
 
+  Scenario: A refusal without an id ends the answer of the daemon's upstream to an order
+    Given an upstream of the daemon that breaks its answer off and then writes a refusal
+    When the guard serves an order
+    Then it ends as unknown
+
   Scenario Outline: An answer that is cut at an upstream reaches a platform's caller as whole
     Given a deployment of 2 VMs whose upstreams stop each first answer <where> and close
     When callers at both VMs send orders and lookups for keys of both
--- a/features/steps/answers_daemon_steps.py
+++ b/features/steps/answers_daemon_steps.py
@@ -96,6 +96,13 @@
     context.server = ScriptedServer([[copy], [copy, PAUSE, SECOND]], [[SECOND]])
 
 
+@given("an upstream of the daemon that breaks its answer off and then writes a refusal")
+def step_filled(context):
+    refusal = a_refusal("").replace(b"Length: 0", b"Length: 4") + b"Full"
+    start = an_answer("o1", OWN_BODY[:1] + refusal)[: -len(refusal)]
+    context.server = ScriptedServer([[start, PAUSE, refusal]])
+
+
 @given("an upstream of the daemon that repeats a refusal while the order runs")
 def step_repeats_refusal(context):
     refusal, answer = a_refusal("o1"), an_answer("o1", OWN_BODY)
--- a/rosemarydeal/daemon/exchange.py
+++ b/rosemarydeal/daemon/exchange.py
@@ -117,7 +117,10 @@
     return PoolSettings(
         connections_per_address=settings.connections,
         idle_per_address=settings.connections,
-        connection=ConnectionSettings(identifying_header=headers.IDEMPOTENCY_KEY),
+        connection=ConnectionSettings(
+            identifying_header=headers.IDEMPOTENCY_KEY,
+            marking_headers=frozenset({headers.OUTCOME}),
+        ),
     )
 
 
