Grant no keys after a start before the table has changed once

What callers saw: a process was killed while a hand-over of its keys had no answer yet, and started again.

Cause: a new process does not know what its predecessor has in flight. A running one never grants released keys again before it knows the result of its write; nothing carried that over a start.

A predecessor's writes have the condition of a revision that the store had reached before the new process first read from it. The ownership lease of a new process counts only once it knows a table with a later revision, whoever wrote it: each earlier write has then been carried out, and is shown, or fails. The first table passes the barrier for all that had listed the store without it. Heartbeats that carry grants, and calls, both depend on the lease.

The store away at the start: as before there is no lease without a read. New: with reads but no writes, a process that starts grants nothing until one write of anybody succeeds; its upstream keeps what the former process granted until that ends (5 s at most).

Other records: the own member names its process, so that the first write of a new process always changes its revision, and no later write of the former one can succeed. A removal by the former process that is carried out before that first write isn't covered. A table that moves keys of a retained grant away without their release: each way to it found waits for the lease, needs an upstream that is gone, or was this one, so that the forgotten grant needs no release of its own.

--- a/features/standin_store.py
+++ b/features/standin_store.py
@@ -2,7 +2,8 @@
 
 Implements the documented protocol: lists, watches and conditional writes. The
 faults are a dropped history, rejected calls, late watches, writes that take effect
-without an answer, a restore from a copy, and odd bytes in place of an object.
+without an answer, at once or later, a restore from a copy, and odd bytes in place of
+an object.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
 from rosemarydeal.proxy import HttpLimits, Request, bytes_response, read_bytes, serve
 
 PREFIX = "/v1/objects/"
+# Longer than any caller waits.
+UNANSWERED_S = 30.0
 
 
 class StandInStore:
@@ -35,6 +38,10 @@
         self.turns_away = set()
         self.rejects_writes = False
         self.lose_answers = 0
+        # By kind: how much later its next write is carried out, in seconds.
+        self.late_writes_s = {}
+        # Statuses of the writes that were carried out late.
+        self.late_statuses = []
         self.stale_s = 0.0
         self.calls = []
         self.era = 1
@@ -111,7 +118,24 @@
             return self._read(kind, name, query.get("after", ""))
         if self.rejects_writes:
             return _json(503, {})
-        return await self._write(method, kind, name, query, body)
+        late_s = self.late_writes_s.pop(kind, None)
+        if late_s is not None:
+            return await self._write_late(late_s, method, kind, name, query, body)
+        response = self._write(method, kind, name, query, body)
+        if response.status == 200 and self.lose_answers:
+            self.lose_answers -= 1
+            await asyncio.sleep(UNANSWERED_S)
+        return response
+
+    async def _write_late(self, late_s, *write):
+        """Carries a write out later, also if its connection has closed by then."""
+
+        def carry_out():
+            self.late_statuses.append(self._write(*write).status)
+
+        asyncio.get_running_loop().call_later(late_s, carry_out)
+        await asyncio.sleep(UNANSWERED_S)
+        return _json(503, {})
 
     def _shown(self, kind, name):
         """Returns an object as answers contain it."""
@@ -152,7 +176,7 @@
             except TimeoutError:
                 continue
 
-    async def _write(self, method, kind, name, query, body):
+    def _write(self, method, kind, name, query, body):
         content = json.loads(body) if body else {}
         metadata = content.get("metadata", {})
         name = name or metadata["name"]
@@ -165,11 +189,7 @@
         if expected is not None and old and int(expected) != old["metadata"]["rev"]:
             return _json(409, self._shown(kind, name))
         spec = None if method == "DELETE" else content["spec"]
-        stored = self._change(kind, name, spec)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            await asyncio.sleep(30)
-        return _json(200, stored)
+        return _json(200, self._change(kind, name, spec))
 
     def _change(self, kind, name, spec):
         self.revision += 1
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -23,6 +23,7 @@
     Member,
     NodeIdentity,
     RangeTable,
+    Revision,
     StoredObject,
 )
 from rosemarydeal.platform.errors import StoreConflict, StoreError
@@ -44,6 +45,7 @@
 from .links import Links
 from .messages import ObjectState, ObjectUpdate, TableDelta
 from .records import RANGES, Records
+from .start_barrier import StartBarrier
 from .store_access import StoreAccess
 from .tasks import TaskFailures, Tasks
 from .upstream import UpstreamWatch
@@ -77,6 +79,7 @@
         watch: UpstreamWatch,
         is_keyed: Callable[[], bool],
         lease_reader: Callable[[], str | None],
+        first_listing: Callable[[], Revision | None],
         failures: TaskFailures | None = None,
     ) -> None:
         """Creates an ownership without a table.
@@ -91,6 +94,8 @@
             is_keyed: Returns whether the own service is keyed.
             lease_reader: Returns the node that reads tables for this process, None
                 if it reads them itself.
+            first_listing: Returns the store's revision at which this process first
+                listed the tables from the store, None if it has not.
             failures: Failures of the process's tasks.
         """
         self._identity = identity
@@ -102,7 +107,8 @@
         self._is_keyed = is_keyed
         self._lease_reader = lease_reader
         self._guard: Guard | None = None
-        self._lease = ownership_lease.OwnershipLease()
+        # Without effect before the barrier is passed.
+        self._renewed_lease = ownership_lease.OwnershipLease()
         self._renew_at = 0.0
         self._renewing = False
         self._grants = self._grant_carrier(client)
@@ -110,6 +116,9 @@
         self._moving: list[KeyRange] = []
         self._writing = False
         self._tasks = Tasks(failures)
+        self._barrier = StartBarrier(
+            identity, records, first_listing, self._write_unless_writing, self._tasks
+        )
         self._suspicions: dict[tuple[str, int], float] = {}
         self._suspicion_backoff = SuspicionBackoff(identity.node)
         self._propose_at = 0.0
@@ -144,6 +153,13 @@
         state = self._watch.state
         return state is not None and state.silent and self._grants.may_hold
 
+    @property
+    def _lease(self) -> ownership_lease.OwnershipLease:
+        """Returns the lease, which a new process has once the barrier is passed."""
+        if not self._barrier.passed:
+            return ownership_lease.OwnershipLease()
+        return self._renewed_lease
+
     def admits(self, key: int) -> Admission:
         """Returns whether requests for a key may run here now."""
         table = self.table
@@ -224,6 +240,7 @@
     def on_table_changed(self) -> None:
         """Applies a change of the table without waiting for the next step."""
         self._changed.set()
+        self._barrier.update()
         moment = now()
         lease_valid = moment < ownership_lease.lease_expiry(self._lease)
         self._restored.update(self.table, self._is_outdated(), lease_valid, moment)
@@ -322,10 +339,11 @@
         cached = self._records.stored(RANGES, table_name(self._identity.service))
         if stored is None or table is None or cached is None:
             return
+        self._barrier.note_read(stored.revision)
         if cached.revision < stored.revision or self._is_outdated():
             return
-        self._lease = ownership_lease.renew(
-            self._lease, table, self._identity.node, requested_at
+        self._renewed_lease = ownership_lease.renew(
+            self._renewed_lease, table, self._identity.node, requested_at
         )
         self._changed.set()
         self._update_grants()
@@ -494,6 +512,9 @@
         """Hands keys over if that balances the load."""
         if not self._access.reachable or view.restored.unusable:
             return
+        if not self._barrier.passed:
+            # Its write comes first.
+            return
         eligible = proposals.eligible_owners(view)
         transfers = self._balancer.plan(self._guard, eligible, self.owned, moment)
         if transfers:
@@ -559,6 +580,12 @@
         finally:
             self._writing = False
 
+    async def _write_unless_writing(self, change: TableChange) -> None:
+        """Writes a proposed table, unless another write is in progress."""
+        if not self._writing:
+            self._writing = True
+            await self._write_proposal(change)
+
     def _may_write(self, change: TableChange) -> bool:
         """Returns whether a change is still one of the table that is known now."""
         known = self._table_base()
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -99,6 +99,7 @@
             self._watch,
             self._is_keyed,
             lambda: self._store_watcher.shared_reader,
+            lambda: self._store_watcher.first_listing(RANGES),
             self._failures,
         )
         self._guard = Guard(
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -119,6 +119,7 @@
         self._records_changed = asyncio.Event()
         self._fetched_at: dict[str, float] = {}
         self._watches: dict[str, asyncio.Timeout] = {}
+        self._first_listings: dict[str, Revision] = {}
         self._carry_timer: asyncio.TimerHandle | None = None
         records.subscribe(self._on_records_changed)
 
@@ -155,6 +156,13 @@
         first = self.readers[0]
         return None if first == self._node else first
 
+    def first_listing(self, kind: str) -> Revision | None:
+        """Returns the revision at which this process first listed a kind itself.
+
+        None if it has not, or has the kind from a peer.
+        """
+        return self._first_listings.get(kind)
+
     def start(self) -> None:
         """Starts to list and watch all kinds."""
         for kind in KINDS:
@@ -290,6 +298,7 @@
             revision=listing.revision,
             held=self._records.revision(kind),
         )
+        self._first_listings.setdefault(kind, listing.revision)
         self._records.apply_listing(kind, listing)
         self._note_result(True)
         if self._node in self.readers:
