Pass a request on only if it is answered before a planned stop

Callers: in a planned stop of one process, in calm, orders whose upload ended late in the grace period, or that ran on a peer, were passed on and broken off at 5.5 s. Others that had not run got a 502 too.

Cause: after SIGTERM the entry went on passing requests to peers until the end, and the guard its queue until 4.7 s; nobody compared the time that was left with the time that a request takes. A peer did not know that the entry was about to cut its connections.

Evidence: features/planned_stops.feature, real processes on loopback, 60 uploads of orders that end 0.2 to 5.7 s after SIGTERM, calm. On the code before, the four scenarios with uploads fail (with 0.9 and 2.5 s of work, with a second SIGTERM and a SIGHUP in the grace, with the store away); the one with kept connections and stops in turn passes on both.

Change: policy/requests/planned_stop.py decides until when a request may be passed on: its deadline ends before the cut, or a high estimate of its service time does, with a margin for the way back. The queue applies it at arrival (with the expected wait) and while a request waits, for the cut of its own process and for that of the sender, which travels in a new field of the frame. Frames without the field set no bound. What does not fit is reported as not run at once; for a stop of the guard's process alone, a request without a key is tried elsewhere. A rejection by a stopping entry ends its connection, as the listener closes soon. It holds for idempotent requests as well: the cut of the entry's connection leaves them without an answer just the same. The high estimate is the larger of mean and four mean deviations, of the longest of recent requests, and of those that run. Without a stop, nothing is decided differently.

The half second between the cut and SIGKILL stays unused: on a slow VM the end of the process takes a part of it, and what it would gain is rejected truthfully now.

--- a/rosemarydeal/core/requests.py
+++ b/rosemarydeal/core/requests.py
@@ -66,6 +66,8 @@
         priority: Rank; 0 is the most urgent.
         target_s: Time left until the latency target.
         time_left_s: Time left until the caller stops waiting.
+        cut_s: Time left until the process that the caller is connected to cuts its
+            connections; None unless it is stopping.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     priority: int
     target_s: float
     time_left_s: float
+    cut_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import replace
 
 import structlog
 
@@ -23,7 +23,8 @@
 from rosemarydeal.policy.dispatch.crash_suspects import request_fingerprint
 from rosemarydeal.policy.dispatch.retry_budget import RetryBudget
 from rosemarydeal.policy.keyranges import table as tables
-from rosemarydeal.policy.requests import attempts
+from rosemarydeal.policy.requests import attempts, planned_stop
+from rosemarydeal.policy.requests.planned_stop import NO_STOP, PlannedStop
 from rosemarydeal.policy.requests.rejections import RecentRejections
 from rosemarydeal.policy.routing.choice import Candidate, choose, draw, shortlist
 from rosemarydeal.policy.routing.leaving import LeavingUpstreams, may_accept
@@ -35,7 +36,9 @@
 from .health import UpstreamHealth
 from .links import Links
 from .metrics import Metrics
+from .progress import Progress
 from .records import Records
+from .stop_log import log_rejection_at_entry
 
 __all__ = ["Entry"]
 
@@ -48,19 +51,6 @@
 _log = structlog.get_logger()
 
 
-@dataclass(slots=True)
-class _Progress:
-    """Progress of a caller's request through its attempts."""
-
-    request: CallerRequest
-    route: Route
-    service: str
-    arrived_at: float
-    first_arrived_at: float | None
-    deadline: float
-    attempts: attempts.Attempts
-
-
 class Entry:
     """Routes the requests that arrive at this process."""
 
@@ -96,6 +86,7 @@
         self._profiles = RequestProfiles()
         self._leaving = LeavingUpstreams()
         self._open_requests = 0
+        self._stop = NO_STOP
 
     @property
     def open_requests(self) -> int:
@@ -108,6 +99,10 @@
             self._configuration = configuration
             self._route_index = RouteIndex.of(configuration)
 
+    def begin_stop(self, stop: PlannedStop) -> None:
+        """Passes requests on, from now on, only if they are answered before a stop."""
+        self._stop = stop
+
     async def handle(self, request: Request) -> Response:
         """Handles one caller's request and returns the response."""
         arrived_at = now()
@@ -136,11 +131,14 @@
         finally:
             self._open_requests -= 1
         self._record_outcome(caller, outcome, progress, now() - arrived_at)
-        return callers.respond(caller.request_id, outcome)
+        response = callers.respond(caller.request_id, outcome)
+        # The next attempt of a rejected caller should find another process.
+        close = self._stop.planned and isinstance(outcome, NotServed)
+        return replace(response, close=True) if close else response
 
     async def _serve(
         self, caller: CallerRequest, arrived_at: float
-    ) -> tuple[RequestOutcome, _Progress | None]:
+    ) -> tuple[RequestOutcome, Progress | None]:
         """Finds the route of a request and makes attempts until it is decided."""
         if self._route_index is None:
             return NOT_CONFIGURED, None
@@ -150,7 +148,7 @@
         service = self._service_of(route)
         time_left = min(caller.time_left_s or route.timeout_s, route.timeout_s)
         fingerprint = request_fingerprint(caller.method, caller.target, caller.body)
-        progress = _Progress(
+        progress = Progress(
             caller,
             route,
             service,
@@ -165,13 +163,16 @@
             self._returning.record(fingerprint, arrived_at)
         return outcome, progress
 
-    async def _run(self, progress: _Progress) -> RequestOutcome:
+    async def _run(self, progress: Progress) -> RequestOutcome:
         """Makes attempts until one decides the outcome."""
         tried: set[str] = set()
         while True:
             moment = now()
             if moment >= progress.deadline:
                 return attempts.timeout_outcome(progress.attempts)
+            if self._stop.too_near(moment):
+                log_rejection_at_entry(progress, self._stop)
+                return planned_stop.rejection(False, progress.deadline - moment)
             node = await self._find_node(progress, tried)
             if isinstance(node, NotServed):
                 return node
@@ -198,7 +199,7 @@
                 tried.clear()
                 await asyncio.sleep(PARK_STEP_S)
 
-    async def _find_node(self, progress: _Progress, tried: set[str]) -> str | NotServed:
+    async def _find_node(self, progress: Progress, tried: set[str]) -> str | NotServed:
         """Returns the node to send to; waits briefly while there is none."""
         park_until = now() + attempts.max_owner_wait_s(progress.deadline - now())
         while True:
@@ -212,7 +213,7 @@
                 return attempts.no_upstream_outcome(progress.deadline - now())
             await asyncio.sleep(PARK_STEP_S)
 
-    async def _send(self, node: str, progress: _Progress) -> RequestOutcome:
+    async def _send(self, node: str, progress: Progress) -> RequestOutcome:
         """Sends the request to a node and returns its outcome."""
         moment = now()
         request, route = progress.request, progress.route
@@ -234,6 +235,7 @@
             priority=route.priority,
             target_s=target_from + route.target_s - moment,
             time_left_s=progress.deadline - moment,
+            cut_s=self._stop.time_left_s(moment),
         )
         if node != self._identity.node:
             return await self._links.run_on_peer(node, routed)
@@ -258,7 +260,7 @@
             return node
         return None
 
-    def _choose_node(self, progress: _Progress, tried: set[str]) -> str | None:
+    def _choose_node(self, progress: Progress, tried: set[str]) -> str | None:
         """Chooses the node for a request without a key; None if there is none."""
         same_zone_members, other_zone_members = (
             [
@@ -358,7 +360,7 @@
         self._route_counts[route.name] = count + 1
         return choose_service(route, self._split_start, count)
 
-    def _is_keyed(self, progress: _Progress) -> bool:
+    def _is_keyed(self, progress: Progress) -> bool:
         """Returns whether the request's service is keyed."""
         service = self._configuration.services.get(progress.service)
         return service is not None and service.keyed
@@ -375,7 +377,7 @@
         self,
         caller: CallerRequest,
         outcome: RequestOutcome,
-        progress: _Progress | None,
+        progress: Progress | None,
         seconds: float,
     ) -> None:
         """Records the outcome of a request in the log and the metrics."""
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -42,10 +43,12 @@
 )
 from rosemarydeal.policy.dispatch.rate_limit import RateLimiter
 from rosemarydeal.policy.requests import attempts
+from rosemarydeal.policy.requests.planned_stop import CODE_STOP_TOO_NEAR, PlannedStop
 from rosemarydeal.policy.routing import leaving
 
 from .metrics import Metrics
 from .slots import DispatchSlots
+from .stop_log import log_rejection_at_guard
 from .tasks import TaskFailures
 from .upstream import UpstreamState, UpstreamWatch
 from .upstream_notices import UpstreamNotices
@@ -203,6 +206,10 @@
                 counts[key] = counts.get(key, 0.0) + 1.0
         return counts
 
+    def begin_stop(self, stop: PlannedStop) -> None:
+        """Rejects, from now on, what can't be answered before a planned stop."""
+        self._apply_decisions(self._queue.begin_stop(stop, now()))
+
     def stop_accepting(self) -> None:
         """Rejects all new requests; called when the process is about to end."""
         self._stopping = True
@@ -242,10 +249,14 @@
             moment + request.target_s,
             active.deadline,
             request.request_id,
+            math.inf if request.cut_s is None else moment + request.cut_s,
         )
         try:
             self._apply_decisions(self._queue.offer(queued, moment))
-            return await active.future
+            outcome = await active.future
+            if isinstance(outcome, NotServed) and outcome.code == CODE_STOP_TOO_NEAR:
+                log_rejection_at_guard(self._queue, queued, request.request_id)
+            return outcome
         finally:
             self._discard(number, active)
 
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -93,6 +93,7 @@
     priority: int
     target_s: float
     time_left_s: float
+    cut_s: float | None = None
 
 
 class RunRequest(_Base, tag=2):
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -16,6 +16,7 @@
 from rosemarydeal.platform.rejected_objects import RejectedObjects
 from rosemarydeal.platform.store import StoreClient, StoreSettings
 from rosemarydeal.platform.upstream import UpstreamClient
+from rosemarydeal.policy.requests.planned_stop import PlannedStop
 from rosemarydeal.proxy import (
     HttpLimits,
     HttpServer,
@@ -179,6 +180,9 @@
         """Completes open requests and closes everything within the grace period."""
         deadline = now() + self._identity.bounds.grace_s - SHUTDOWN_MARGIN_S
         self._stopping = True
+        stop = PlannedStop(deadline)
+        self._entry.begin_stop(stop)
+        self._guard.begin_stop(stop)
         self._membership.stop()
         _log.info(
             "stopping", open=self._entry.open_requests, serving=self._links.serving
--- a/rosemarydeal/policy/dispatch/queue.py
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -15,11 +15,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 
 from rosemarydeal.core.requests import NotServed
+from rosemarydeal.policy.requests import planned_stop
+from rosemarydeal.policy.requests.planned_stop import NO_STOP, PlannedStop, RequestTimes
 
 from .cold_start import ColdStartLimiter
 from .rate_limit import RateLimiter
@@ -70,6 +73,7 @@
         target_at: End of its latency target, after which an answer is worth less.
         deadline: Time after which nobody waits for the answer.
         request_id: Id of the request, for log lines.
+        cut_at: When its sender cuts its connections; infinite unless it is stopping.
     """
 
     number: int
@@ -80,6 +84,7 @@
     target_at: float
     deadline: float
     request_id: str = ""
+    cut_at: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +144,7 @@
         self._running: dict[int, _Started] = {}
         self._slots = 1
         self._open = False
+        self._stop = NO_STOP
 
     @property
     def running(self) -> int:
@@ -165,6 +171,11 @@
         """Returns the measured service times."""
         return self._service_times
 
+    @property
+    def stop(self) -> PlannedStop:
+        """Returns the planned stop of this process."""
+        return self._stop
+
     def set_slots(self, slots: int) -> None:
         """Sets how many requests may run at a time."""
         self._slots = max(1, slots)
@@ -180,12 +191,45 @@
         self._waiting.clear()
         return rejected
 
+    def begin_stop(self, stop: PlannedStop, now: float) -> list[Decision]:
+        """Rejects, from now on, what can't be answered before a planned stop."""
+        self._stop = stop
+        return self.advance(now)
+
+    def cut_at(self, request: QueuedRequest) -> float:
+        """Returns when the first process on a request's way cuts its connections."""
+        return min(self._stop.cut_at, request.cut_at)
+
+    def latest_start(self, request: QueuedRequest, now: float) -> float:
+        """Returns until when a request may be sent, with regard to planned stops."""
+        cut_at = self.cut_at(request)
+        if cut_at == math.inf:
+            return math.inf
+        high_s = self.high_service_time_s(request.route, now)
+        times = RequestTimes(high_s, request.deadline)
+        return planned_stop.latest_start(cut_at, times)
+
+    def high_service_time_s(self, route: str, now: float) -> float | None:
+        """Returns a high estimate of a service time, None without a measurement."""
+        high_s = self._service_times.high_s(route)
+        if high_s is None:
+            return None
+        running_s = [
+            now - started.at
+            for started in self._running.values()
+            if started.route == route
+        ]
+        return max([high_s, *running_s])
+
     def offer(self, request: QueuedRequest, now: float) -> list[Decision]:
         """Queues a request, or rejects it at once."""
         self._service_times.record_arrival(request.rank, request.route, now)
         rejected = self._check_capacity(request, now)
         if rejected is not None:
             return [rejected]
+        latest = self.latest_start(request, now)
+        if latest < math.inf and now + self.expected_wait_s(request, now) > latest:
+            return [self._reject_before_stop(request, now)]
         self._waiting[request.number] = request
         return self.advance(now)
 
@@ -202,8 +246,8 @@
             completed: Whether it was answered, so that its service time counts.
         """
         started = self._running.pop(number, None)
-        if completed and started is not None:
-            self._service_times.record_service_time(started.route, now - started.at)
+        if started is not None:
+            self._record_end(started, now - started.at, completed)
         return self.advance(now)
 
     def withdraw(self, number: int, now: float) -> list[Decision]:
@@ -219,9 +263,9 @@
 
     def advance(self, now: float) -> list[Decision]:
         """Starts requests that may run and rejects those that would be too late."""
+        decisions = self._reject_missed_starts(now)
         if not self._open:
-            return self._reject_missed_deadlines(now)
-        decisions: list[Decision] = []
+            return decisions + self._reject_missed_deadlines(now)
         for request in self._ordered(now):
             if not self._may_send(now):
                 break
@@ -244,6 +288,9 @@
             request.deadline - self._service_time_s(request)
             for request in self._waiting.values()
         ]
+        wake_times += [
+            self.latest_start(request, now) for request in self._waiting.values()
+        ]
         if self._open and len(self._running) < self._slots:
             wake_times.append(
                 max(self._cold.next_send_at(now), self._rate.next_send_at(now))
@@ -329,6 +376,30 @@
             rejected.append(Reject(request.number, outcome))
         return rejected
 
+    def _record_end(self, started: _Started, seconds: float, completed: bool) -> None:
+        """Updates the service times with a request that has ended."""
+        if completed:
+            self._service_times.record_service_time(started.route, seconds)
+        else:
+            self._service_times.record_unfinished(started.route, seconds)
+
+    def _reject_missed_starts(self, now: float) -> list[Decision]:
+        """Rejects requests that can't be answered before a planned stop any more."""
+        missed = [
+            request
+            for request in self._waiting.values()
+            if now > self.latest_start(request, now)
+        ]
+        for request in missed:
+            del self._waiting[request.number]
+        return [self._reject_before_stop(request, now) for request in missed]
+
+    def _reject_before_stop(self, request: QueuedRequest, now: float) -> Reject:
+        """Returns the rejection of a request that a planned stop would cut."""
+        elsewhere = request.key is None and self._stop.cut_at < request.cut_at
+        outcome = planned_stop.rejection(elsewhere, request.deadline - now)
+        return Reject(request.number, outcome)
+
     def _ordered(self, now: float) -> list[QueuedRequest]:
         """Returns the waiting requests in the order in which they should run."""
 
--- a/rosemarydeal/policy/dispatch/service_time.py
+++ b/rosemarydeal/policy/dispatch/service_time.py
@@ -13,6 +13,11 @@
 
 # Weight of a new measurement in the moving average: covers about a dozen requests.
 SMOOTHING_WEIGHT = 0.12
+# The high estimate of a route covers its mean, this many mean deviations above it, and
+# the longest of about its last fifty requests.
+HIGH_DEVIATIONS = 4.0
+DEVIATION_WEIGHT = 0.25
+PEAK_DECAY = 0.02
 # Assumed for a route until its first request has completed.
 DEFAULT_SERVICE_TIME_S = 0.1
 # The load on a key can rise within a second.
@@ -51,6 +56,8 @@
 
     def __init__(self) -> None:
         self._mean_s: dict[str, float] = {}
+        self._deviation_s: dict[str, float] = {}
+        self._peak_s: dict[str, float] = {}
         self._work = _RateByRank()
         self._requests = _RateByRank()
 
@@ -58,9 +65,29 @@
         """Returns the expected service time of a route, in seconds."""
         return self._mean_s.get(route, DEFAULT_SERVICE_TIME_S)
 
+    def high_s(self, route: str) -> float | None:
+        """Returns a time that few requests of a route exceed, in seconds.
+
+        It is None until a request of the route has completed.
+        """
+        mean_s = self._mean_s.get(route)
+        if mean_s is None:
+            return None
+        high_s = mean_s + HIGH_DEVIATIONS * self._deviation_s[route]
+        return max(high_s, self._peak_s[route])
+
+    def record_unfinished(self, route: str, seconds: float) -> None:
+        """Records how long a request ran that ended without an answer."""
+        self._peak_s[route] = max(seconds, self._peak_s.get(route, 0.0))
+
     def record_service_time(self, route: str, seconds: float) -> None:
-        """Updates the estimate of a route with a measured service time."""
+        """Updates the estimates of a route with a measured service time."""
         mean_s = self._mean_s.get(route, seconds)
+        deviation_s = self._deviation_s.get(route, 0.5 * seconds)
+        deviation_s += DEVIATION_WEIGHT * (abs(seconds - mean_s) - deviation_s)
+        self._deviation_s[route] = deviation_s
+        peak_s = self._peak_s.get(route, seconds)
+        self._peak_s[route] = max(seconds, peak_s + PEAK_DECAY * (mean_s - peak_s))
         self._mean_s[route] = mean_s + SMOOTHING_WEIGHT * (seconds - mean_s)
 
     def record_arrival(self, rank: int, route: str, now: float) -> None:
--- a/rosemarydeal/proxy/message.py
+++ b/rosemarydeal/proxy/message.py
@@ -125,6 +125,7 @@
         framing: How the upstream marked the end of the body.
         exchange: Number of the exchange on its connection, from 1 on.
         late_copies: Number of copies of earlier responses that came before it.
+        close: Whether the connection is to be closed after it.
     """
 
     status: int
@@ -133,6 +134,7 @@
     framing: Framing = Framing.LENGTH
     exchange: int = 1
     late_copies: int = 0
+    close: bool = False
 
     async def aclose(self) -> None:
         """Closes the body; a connection with unread body is aborted."""
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -239,7 +239,8 @@
     async def _write_response(self, method: bytes, response: Response) -> None:
         """Writes a response; a buffered one in a single write."""
         body = response.body
-        close = self._closing or not self._stream.peer_message_complete
+        complete = self._stream.peer_message_complete
+        close = self._closing or response.close or not complete
         head = response_head(method, response, close)
         if has_no_body(method, response.status):
             self._stream.write(head, END_OF_MESSAGE)
