Limit the callers' bodies by the configuration

Callers: a proper body of more than 16 MiB was refused with 413, whatever `max_body_bytes` of the configuration said (64 MiB where it says nothing).

Cause: the callers' server was started with limits of its own and never learned those of the configuration; only the entry, behind it, did.

Class: a configured limit that one of two places enforces. The other limits of callers had the same cause: the size of a head, the time for it and the idle time. The sizes follow the configuration now; the times are at least the configured ones, so that no caller that keeps them is cut off.

Change: `node/caller_limits.py` builds the limits of connections from a configuration, and the callers' server applies changed ones to the open connections too, but for the size of a head, which is fixed when a connection opens.

Evidence: both scenarios of features/uploads.feature fail on the product before (413 for 20 MiB) and pass now: 20 MiB 200 and 65 MiB 413 by default; 3 MiB 413 and 1 MiB 200 after a change to 2 MiB, 20 MiB 200 after one to 24 MiB, each within 2 s and without a restart. The stand-in upstream accepts up to 128 MiB now, as it refused such bodies itself.

--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -153,7 +153,14 @@
             await asyncio.sleep(0.02)
 
     async def send_request(
-        self, name, key, path="/a/1", request_id=None, time_left_ms=4000, host=HOST
+        self,
+        name,
+        key,
+        path="/a/1",
+        request_id=None,
+        time_left_ms=4000,
+        host=HOST,
+        body=b"",
     ):
         """Sends a request as a caller on a VM does."""
         self._count += 1
@@ -166,7 +173,7 @@
         )
         address = Address(self.hosts[name], 9002)
         method = b"POST" if path.startswith("/order") else b"GET"
-        request = Request(method, path.encode(), headers, BytesBody(b""), address)
+        request = Request(method, path.encode(), headers, BytesBody(body), address)
         sent_at = asyncio.get_running_loop().time()
         response = await self._pool.send(address, request, 5.0)
         body = await read_bytes(response.body, 1 << 20)
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -29,6 +29,8 @@
 ANNOUNCE_S = 0.15
 # Pause before the next heartbeat while a release is not complete.
 RELEASE_ANNOUNCE_S = 0.05
+# Above the largest body that a configuration permits in the tests.
+MAX_BODY_BYTES = 128 * 1024 * 1024
 SIGNATURE = b"response-signature"
 
 
@@ -74,7 +76,9 @@
     async def start(self):
         address = Address(self._host, 9001)
         if self.stutter is None:
-            self._server = await serve(self.answer, address, HttpLimits())
+            self._server = await serve(
+                self.answer, address, HttpLimits(body_bytes=MAX_BODY_BYTES)
+            )
         else:
             self._server = await serve_stuttering(self.answer, address, self.stutter)
         self._task = asyncio.create_task(self._announce())
@@ -143,7 +147,7 @@
         return any(a <= key <= b and moment < until for a, b, _, until in self.holds)
 
     async def answer(self, request: Request):
-        body = await read_bytes(request.body, 1 << 20)
+        body = await read_bytes(request.body, MAX_BODY_BYTES)
         if self.by_heartbeat and request.target.startswith(b"/v1/"):
             return bytes_response(404, b"")
         if request.target == b"/v1/grant":
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -18,7 +18,6 @@
 from rosemarydeal.platform.upstream import UpstreamClient
 from rosemarydeal.policy.requests.planned_stop import PlannedStop
 from rosemarydeal.proxy import (
-    HttpLimits,
     HttpServer,
     Request,
     Response,
@@ -26,6 +25,7 @@
     serve,
 )
 
+from .caller_limits import DEFAULT_LIMITS, http_limits
 from .entry import Entry
 from .guard import ZONE_OUT, Guard, GuardHooks
 from .health import UpstreamHealth
@@ -43,9 +43,6 @@
 
 __all__ = ["NodeProcess"]
 
-# All callers of a VM may come from one address. A process has 4,100 file
-# descriptors or more.
-CALLER_CONNECTIONS = 3000
 # Above the slots of any upstream; the queue enforces the slots.
 UPSTREAM_CONNECTIONS = 100
 # The platform probes readiness once a second and removes a node after two
@@ -151,14 +148,15 @@
     async def start(self) -> None:
         """Opens all sockets and starts all tasks."""
         identity = self._identity
-        limits = HttpLimits(connections_per_address=CALLER_CONNECTIONS)
         for handler, address in (
             (self._answer_readiness, identity.readiness),
             (self._answer_announcement, identity.announcements),
             (self._answer_metrics, identity.metrics),
         ):
-            self._servers.append(await serve(handler, address, limits))
-        self._callers = await serve(self._entry.handle, identity.callers, limits)
+            self._servers.append(await serve(handler, address, DEFAULT_LIMITS))
+        self._callers = await serve(
+            self._entry.handle, identity.callers, DEFAULT_LIMITS
+        )
         await self._links.start(identity.peer)
         self._records.subscribe(self._on_records_changed)
         self._store_watcher.start()
@@ -313,6 +311,9 @@
         if kind == CONFIGURATION_KIND:
             if self._records.configuration is not None:
                 self._entry.configure(self._records.configuration)
+                self._callers.set_limits(
+                    http_limits(self._records.configuration.limits)
+                )
                 self._guard.on_service_changed()
         elif kind == ZONES_OUT_KIND:
             self._on_zones_changed()
--- a/rosemarydeal/proxy/server.py
+++ b/rosemarydeal/proxy/server.py
@@ -95,6 +95,15 @@
         """Returns the number of bytes buffered for all connections."""
         return sum(connection.buffered_bytes for connection in self._connections)
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Applies changed limits, also to the connections that are open.
+
+        The size of a head is fixed when a connection opens.
+        """
+        self._limits = limits
+        for connection in self._connections:
+            connection.set_limits(limits)
+
     async def listen(self, address: Address) -> None:
         """Opens the listening socket.
 
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -138,6 +138,10 @@
         finally:
             self._close()
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Applies changed limits."""
+        self._limits = limits
+
     def close_gracefully(self) -> None:
         """Closes the connection after the request that is running or in transit.
 
