Release no keys of a silent upstream whose grants have expired

Callers: keys without an owner for up to a second and a half longer than needed after an upstream has gone dark.

Cause: since its keys are handed over, a release was tried although nothing could be held any more: a call of a grant that is still being tried counts as one that may be in effect, and at a dark upstream one is tried nearly always.

Evidence: 'The keys of a silent upstream wait for a release after its grants have expired'.

Change: once the calls in flight have ended, the release of a silent upstream ends as soon as its grants have expired. One that is alive is asked in any case, as it may still work.

--- a/features/earlier_starts.feature
+++ b/features/earlier_starts.feature
@@ -48,6 +48,11 @@
     When the upstream of vm-b crashes while no requests arrive
     Then all keys are served again within 4 seconds
 
+  Scenario: The keys of a silent upstream wait for a release after its grants have expired
+    Given an upstream that answers grants and no release
+    When a range is granted to it for 0.3 seconds, it falls silent, and the grant expires
+    Then the release of the range takes less than 0.2 seconds
+
   Scenario: A grant that could not be sent counts as one that may be in effect
     Given an upstream that accepts no connection in time
     When a range is granted to it for 1 second
--- a/features/steps/earlier_starts_steps.py
+++ b/features/steps/earlier_starts_steps.py
@@ -13,7 +13,7 @@
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import KeyRange
 from rosemarydeal.node.grants import CallGrantCarrier
-from rosemarydeal.platform.upstream import UpstreamClient
+from rosemarydeal.platform.upstream import UpstreamCallFailed, UpstreamClient
 
 JUMP_MS = 500
 ACKNOWLEDGED = 200
@@ -136,6 +136,53 @@
     run(context, go())
 
 
+class UnreleasingUpstream:
+    """A client whose upstream answers grants, and no release."""
+
+    async def grant(self, keys, hold_s, timeout_s):
+        return
+
+    async def release(self, keys, timeout_s):
+        await asyncio.sleep(timeout_s)
+        raise UpstreamCallFailed("no answer")
+
+
+@given("an upstream that answers grants and no release")
+def step_unreleasing(context):
+    context.upstream = UnreleasingUpstream()
+
+
+@when(
+    "a range is granted to it for {hold_s:g} seconds,"
+    " it falls silent, and the grant expires"
+)
+def step_granted_and_silent(context, hold_s):
+    async def go():
+        state = SimpleNamespace(alive=True, incarnation="i-1", silent=False)
+        carrier = CallGrantCarrier(
+            context.upstream,
+            SimpleNamespace(state=state),
+            0.0,
+            lambda: None,
+            lambda: None,
+        )
+        carrier.update([KEYS], hold_s)
+        await asyncio.sleep(2 * hold_s)
+        state.alive, state.silent = False, True
+        carrier.clear(silent=True)
+        started = now()
+        await carrier.release(KEYS)
+        context.seconds = now() - started
+        await carrier.close()
+
+    asyncio.run(go())
+
+
+@then("the release of the range takes less than {seconds:g} seconds")
+def step_release_short(context, seconds):
+    assert context.seconds < seconds, context.seconds
+
+
 @given("an upstream that accepts no connection in time")
 def step_no_connection(context):
     listener = socket.create_server(("127.0.0.1", 0), backlog=0)
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -184,7 +184,7 @@
             await asyncio.wait(pending_calls)
             covering = [*covering, *pending_calls.values()]
         handover = ""
-        while self._may_hold():
+        while self._may_hold(covering):
             try:
                 handover = await self._client.release(keys, RELEASE_TIMEOUT_S)
                 break
@@ -197,7 +197,7 @@
                 await asyncio.sleep(GRANT_RETRY_S)
         # An unanswered grant could take effect after the release.
         unanswered_s = max(grant.unanswered_until for grant in covering) - now()
-        if unanswered_s > 0 and self._may_hold():
+        if unanswered_s > 0 and self._may_hold(covering):
             await asyncio.sleep(unanswered_s)
         _log.info("keys_released", first=keys.first, last=keys.last, token=keys.token)
         return handover
@@ -269,10 +269,13 @@
             if not answered:
                 current.unanswered_until = max(current.unanswered_until, latest_end)
 
-    def _may_hold(self) -> bool:
-        """Returns whether an upstream may run at the address, so that it holds keys."""
+    def _may_hold(self, covering: Sequence[Grant]) -> bool:
+        """Returns whether an upstream at the address may hold the keys of grants."""
         state = self._watch.state
-        return state is not None and (state.alive or state.silent)
+        if state is None or state.alive:
+            return state is not None
+        latest_end = max(grant.may_hold_until for grant in covering)
+        return state.silent and now() <= latest_end
 
 
 def _inherit(grant: Grant, previous: Grant) -> None:
