Simulate writes that were computed earlier and carried out later

Cause: the simulated owners of features/restored_world.py computed and wrote a change in one step, under the newest record, and the store carried every write out at once. No order of events could undo another write, or follow its writer's end.

Change: a node computes a change as the product does (TableBase, TableChange), may learn of other writes before it is sent, and writes under the condition of the base. The store carries some writes out 0.5 to 6 s later; their writer waits in vain or is killed. Released keys stay released until a write shows their owner, and a new process uses the product's start barrier. Each accepted write of the present era is compared with the table that it replaces: no token falls, and nothing moves without a token above all that were issued.

The scenario asks for late writes of both results besides its former checks, which are unchanged. The mutant "a copy of a table taken for a table of the present era" named a line of records.py that has been reworded, and is reworded too. That no owner is named which the writer had not seen follows from the condition, and isn't checked by itself.

--- a/features/mutant_list_restored.py
+++ b/features/mutant_list_restored.py
@@ -1,4 +1,4 @@
-"""Deliberate defects of the restore of the store and of stated rate limits."""
+"""Deliberate defects of table writes, restores of the store and stated rate limits."""
 
 from __future__ import annotations
 
@@ -57,8 +57,29 @@
     Mutant(
         "a copy of a table taken for a table of the present era",
         "rosemarydeal/node/records.py",
-        "if table.era == era:",
-        "if table.era <= era:",
+        "if table.era == revision.era:",
+        "if table.era <= revision.era:",
+        RESTORED,
+    ),
+    Mutant(
+        "a table written under the condition of the newest record",
+        "features/restored_world.py",
+        "number = change.base.revision.number",
+        "number = node.base.revision.number",
+        RESTORED,
+    ),
+    Mutant(
+        "keys used after a start while a predecessor's write may follow",
+        f"{RANGES}/start_barrier.py",
+        "return self._table > self._position",
+        "return True",
+        RESTORED,
+    ),
+    Mutant(
+        "the table of the first read taken for a later one",
+        f"{RANGES}/start_barrier.py",
+        "return self._table > self._position",
+        "return self._table >= self._position",
         RESTORED,
     ),
     Mutant(
--- a/features/restored_world.py
+++ b/features/restored_world.py
@@ -1,24 +1,29 @@
 """Simulates owners of keys while their store is restored from copies.
 
-The nodes run the product's records, proposals, leases and restored ranges in virtual
-time. Their processes restart, are cut off from the store and from each other, and
-learn of writes late. The world checks that no key is held by two upstreams, and that
-each upstream takes keys with a token above those of all others.
+The nodes run the product's records, proposals, leases, start barriers and restored
+ranges in virtual time. Their processes restart, are cut off from the store and from
+each other, learn of writes late, also between the computation of a change and its
+write, and the store carries writes out late, also those of a process that has ended.
+The world checks that no key is held by two upstreams, that each upstream takes keys
+with a token above those of all others, and that no accepted write undoes another.
 """
 
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from features.builders_fleet_types import SERVICE, a_member, a_view
+from features.builders_tables import undone_ranges
 from rosemarydeal.core.fleet import KeyRange, RangeTable, Revision, StoredObject
-from rosemarydeal.node.contents import encode_table, table_name
+from rosemarydeal.node.contents import decode_table, encode_table, table_name
 from rosemarydeal.node.records import RANGES, Records
 from rosemarydeal.platform.store import Listing
 from rosemarydeal.policy.keyranges import ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
+from rosemarydeal.policy.keyranges.start_barrier import StartBarrier
+from rosemarydeal.policy.keyranges.table_changes import TableChange
 
 NODES = ("a", "b", "c")
 KEYS = range(0, 65536, 4096)
@@ -63,10 +68,29 @@
         """Writes if the stored revision number is the given one; ignores the era."""
         if (self.written_at if self.content is not None else 0) != number:
             return None
+        old = self.object()
         self.number += 1
         self.content, self.written_at = content, self.number
-        revision = Revision(self.era, self.number)
-        return StoredObject(RANGES, table_name(SERVICE), revision, content)
+        self.check(old, self.object())
+        return self.object()
+
+    def object(self):
+        """Returns the object of the table, None if there is none."""
+        if self.content is None:
+            return None
+        revision = Revision(self.era, self.written_at)
+        return StoredObject(RANGES, table_name(SERVICE), revision, self.content)
+
+    def check(self, old, new):
+        """Checks that a write of the present era undoes no other one."""
+        if old is None:
+            return
+        old_table, table = decode_table(old), decode_table(new)
+        if not old_table.era == table.era == self.era:
+            return
+        assert table.top_token >= old_table.top_token, (old.revision, table)
+        undone = undone_ranges(old_table, table)
+        assert not undone, (old.revision, undone)
 
 
 @dataclass
@@ -83,9 +107,25 @@
     def restart(self):
         self.records = Records()
         self.restored = RestoredRanges(self.name)
-        self.lease = ownership_lease.OwnershipLease()
+        self.renewed_lease = ownership_lease.OwnershipLease()
+        self.barrier = StartBarrier()
         self.suspicions = {}
         self.renew_at = 0.0
+        # Released ranges with their new owners, which are not written yet.
+        self.moving = ()
+        # A change that was computed, and when it is sent to the store.
+        self.change, self.send_at = None, 0.0
+
+    @property
+    def lease(self):
+        """Returns the lease, which counts once the barrier is passed."""
+        if not self.barrier.passed:
+            return ownership_lease.OwnershipLease()
+        return self.renewed_lease
+
+    @property
+    def base(self):
+        return self.records.table_base(SERVICE)
 
     @property
     def table(self) -> RangeTable | None:
@@ -95,13 +135,23 @@
         return self.records.is_table_outdated(SERVICE)
 
     def update(self, now):
+        self.barrier.note_table(self.base.revision)
         valid = now < ownership_lease.lease_expiry(self.lease)
         self.restored.update(self.table, self.is_outdated(), valid, now)
 
     def usable(self, now) -> list[KeyRange]:
         if self.table is None:
             return []
-        return self.restored.usable(tables.owned_by(self.table, self.name), now)
+        owned = tables.owned_by(self.table, self.name)
+        ranges = self.restored.usable(owned, now)
+        for moving, _ in self.moving:
+            ranges = [rest for keys in ranges for rest in tables.subtract(keys, moving)]
+        return ranges
+
+    def has_unusable(self, now) -> bool:
+        """Returns whether own ranges may not be used yet after a restore."""
+        owned = tables.owned_by(self.table, self.name)
+        return len(self.restored.usable(owned, now)) < len(owned)
 
 
 class RestoredWorld:
@@ -109,6 +159,8 @@
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
+        # Few late writes, so that more of the other events meet, or many.
+        self.late_part, self.delay_part = self.rng.choice(((0.01, 0.05), (0.15, 0.5)))
         self.now = 100.0
         self.store = Store()
         self.nodes = {name: Node(name) for name in NODES}
@@ -116,12 +168,16 @@
         self.highest = {}
         self.restores = self.handovers = self.served = 0
         self.deliveries = []
+        # Writes that the store carries out later: time, content, number of the base.
+        self.late = []
+        self.late_accepted = self.late_refused = 0
         self.down_until = None
 
     def run(self, steps):
         for _ in range(steps):
             self.now += STEP_S * self.rng.uniform(0.2, 1.5)
             self.disturb()
+            self.carry_out_late()
             for _, name, stored in [d for d in self.deliveries if d[0] <= self.now]:
                 node = self.nodes[name]
                 if self.now >= node.cut_until:
@@ -159,23 +215,28 @@
         if self.reaches_store(node):
             self.read(node)
         self.grant(node)
-        if self.reaches_store(node) and node.records.listed(RANGES):
+        if node.change is not None:
+            if self.now >= node.send_at:
+                self.send(node)
+        elif self.reaches_store(node) and node.records.listed(RANGES):
             self.propose(node)
 
     def read(self, node):
         """Lists the table in a new era; renews the lease by a read otherwise."""
         listing = self.store.listing()
         if listing.revision.era > node.records.era(RANGES) or self.rng.random() < 0.1:
+            node.barrier.note_position(listing.revision)
             node.records.apply_listing(RANGES, listing)
             node.update(self.now)
         elif self.now >= node.renew_at and node.table is not None:
             node.renew_at = self.now + ownership_lease.renewal_period(len(NODES))
             for stored in listing.objects:
+                node.barrier.note_position(stored.revision)
                 node.records.apply(stored)
             node.update(self.now)
             if not node.is_outdated():
-                node.lease = ownership_lease.renew(
-                    node.lease, node.table, node.name, self.now
+                node.renewed_lease = ownership_lease.renew(
+                    node.renewed_lease, node.table, node.name, self.now
                 )
 
     def grant(self, node):
@@ -205,7 +266,6 @@
             if other is not node and self.now < other.cut_until
         }
         outdated_s = node.restored.outdated_s(self.now)
-        owned = tables.owned_by(node.table, node.name)
         return a_view(
             node.name,
             self.members,
@@ -222,7 +282,7 @@
                 node.records.stored_top_token(SERVICE),
                 node.restored.remembered,
                 node.restored.is_settled(self.now),
-                len(node.usable(self.now)) < len(owned),
+                node.has_unusable(self.now),
             ),
         )
 
@@ -232,19 +292,25 @@
             first = tables.initial_table(
                 SERVICE, self.members, "first", node.records.era(RANGES)
             )
-            self.write(node, first)
+            self.compute(node, first)
+            return
+        if node.moving:
+            self.write_new_owners(node)
+            return
+        owned = tables.owned_by(node.table, node.name)
+        if owned and not node.barrier.passed and not node.is_outdated():
+            self.compute(node, replace(node.table, writer=f"s{self.rng.random()}"))
             return
         view = self.view(node)
         match proposals.propose(node.table, view):
             case proposals.WriteTable(changed):
-                self.write(node, changed)
+                self.compute(node, changed)
             case proposals.HandOver(parts):
                 self.hand_over(node, parts)
             case None:
                 outdated = view.restored.outdated_s is not None
                 if outdated or view.restored.unusable or self.rng.random() > 0.1:
                     return
-                owned = tables.owned_by(node.table, node.name)
                 eligible = proposals.eligible_owners(view)
                 if owned and eligible:
                     part = (self.rng.choice(owned), self.rng.choice(eligible))
@@ -255,23 +321,69 @@
         for keys, _ in parts:
             for key in [key for key in node.holds if key in keys]:
                 del node.holds[key]
-        moved = [(keys, owner, "h") for keys, owner in parts]
-        self.write(node, tables.move_ranges(node.table, moved, f"h{self.now}"))
+        node.moving = tuple(parts)
         self.handovers += 1
-
-    def write(self, node, changed):
-        """Writes a table over the recorded revision; the others learn of it late."""
-        base = node.records.stored(RANGES, table_name(SERVICE))
-        if changed.era != node.records.era(RANGES):
+        self.write_new_owners(node)
+
+    def write_new_owners(self, node):
+        """Computes the table with the new owners of released ranges still owned."""
+        node.moving = tuple(
+            (keys, owner)
+            for keys, owner in node.moving
+            if proposals.still_owned(node.table, keys, node.name)
+        )
+        if node.moving:
+            moved = [(keys, owner, "h") for keys, owner in node.moving]
+            writer = f"h{self.rng.random()}"
+            self.compute(node, tables.move_ranges(node.table, moved, writer))
+
+    def compute(self, node, changed):
+        """Computes a change; the node may learn of others before it is sent."""
+        node.change = TableChange(node.base, changed, "simulated")
+        node.send_at = self.now
+        if self.rng.random() < self.delay_part:
+            node.send_at += self.rng.choice((0.3, 1.0))
+        if node.send_at <= self.now:
+            self.send(node)
+
+    def send(self, node):
+        """Writes the change of a node under the revision that it was computed from."""
+        change, node.change = node.change, None
+        if not self.reaches_store(node) or change.table.era != node.base.era:
+            return
+        number = change.base.revision.number
+        content = encode_table(change.table)
+        if self.rng.random() < self.late_part:
+            late_s = self.rng.uniform(0.5, 6.0)
+            self.late.append((self.now + late_s, content, number))
+            # Its writer is killed before the answer, or waits for it in vain.
+            if self.rng.random() < 0.3:
+                node.restart()
             return
-        number = base.revision.number if base is not None and base.content else 0
-        stored = self.store.write(encode_table(changed), number)
+        stored = self.store.write(content, number)
         if stored is None:
             return
         node.records.apply(stored, changed=True)
         node.update(self.now)
+        node.moving = ()
+        self.tell(stored, node.name)
+
+    def carry_out_late(self):
+        """Carries out the late writes that are due, if the store still permits it."""
+        due = [write for write in self.late if write[0] <= self.now]
+        self.late = [write for write in self.late if write[0] > self.now]
+        for _, content, number in due:
+            stored = self.store.write(content, number) if self.store.up else None
+            if stored is None:
+                self.late_refused += 1
+                continue
+            self.late_accepted += 1
+            self.tell(stored)
+
+    def tell(self, stored, writer=None):
+        """Lets the others learn of a write, most of them and late."""
         for name in NODES:
-            if name != node.name and self.rng.random() < 0.7:
+            if name != writer and self.rng.random() < 0.7:
                 delay_s = self.rng.choice((0.01, 0.5, 3.0))
                 self.deliveries.append((self.now + delay_s, name, stored))
 
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -184,7 +184,7 @@
 
 @then("{count:d} simulated fleets whose store is restored keep one owner for each key")
 def step_simulated(context, count):
-    restores = handovers = served = 0
+    restores = handovers = served = late_accepted = late_refused = 0
     steps = 400
     for seed in range(count):
         world = RestoredWorld(seed)
@@ -195,7 +195,10 @@
         restores += world.restores
         handovers += world.handovers
         served += world.served
+        late_accepted += world.late_accepted
+        late_refused += world.late_refused
     assert restores > count and handovers > count, (restores, handovers)
+    assert late_accepted > 0 and late_refused > count, (late_accepted, late_refused)
     # Keys are held most of the time, or the checks above would show nothing.
     share = served / (count * steps * len(KEYS))
     assert share > 0.5, share
