Check the expected wait and the high estimate before a planned stop

Callers: none affected.

Cause: of ten mutants of the decision, two passed all scenarios: the queue without the expected wait at arrival, and the mean in place of the high estimate.

Change: a scenario for each. No change of the code.

--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -52,6 +52,17 @@
     When an order has run for 2.0 seconds and another arrives 1.5 seconds before a stop
     Then the order is rejected with regard to the stop
 
+  Scenario: An order is given to an upstream that took long for one of the last orders
+    Given an upstream of 2 slots that worked 0.2 seconds on an order
+    But it worked 2.0 seconds on one of the last 10 orders
+    When an order of 8.0 seconds arrives 1.5 seconds before its guard stops
+    Then the order is rejected with regard to the stop
+
+  Scenario: An order is queued although its turn comes too late before a stop
+    Given an upstream of 1 slot that worked 1.0 seconds on an order
+    When 4 orders arrive 3.0 seconds before a stop
+    Then only the last of them is rejected at once
+
   Scenario: A peer of an earlier version sends a request without the time until its stop
     When a request arrives in a frame without that field
     Then it is decoded as one whose sender does not stop
--- a/features/steps/planned_stops_queue_steps.py
+++ b/features/steps/planned_stops_queue_steps.py
@@ -88,6 +88,31 @@
             raise AssertionError(context.decisions)
 
 
+@given("it worked {seconds:g} seconds on one of the last 10 orders")
+def step_one_long(context, seconds):
+    for measured in [seconds] + 9 * [context.queue.times.expected_s("order")]:
+        context.queue.times.record_service_time("order", measured)
+
+
+@when("{count:d} orders arrive {left:g} seconds before a stop")
+def step_arrive(context, count, left):
+    context.queue.begin_stop(PlannedStop(NOW + left), NOW)
+    orders = [an_order(number, NOW) for number in range(count)]
+    context.decisions = [
+        context.queue.offer(replace(order, target_at=order.deadline), NOW)
+        for order in orders
+    ]
+
+
+@then("only the last of them is rejected at once")
+def step_last_rejected(context):
+    first, *queued, last = context.decisions
+    assert first == [Start(0)], first
+    assert not any(queued), queued
+    assert isinstance(last[0], Reject), last
+    assert last[0].outcome.code == CODE_STOP_TOO_NEAR, last
+
+
 @when("a request arrives in a frame without that field")
 def step_earlier_frame(context):
     message = RunRequest.of(1, a_routed_request(cut_s=1.0))
