Move the requests of the dispatch queue to a module of their own

Change: Admission, QueuedRequest, Started, Start, Reject and Decision stand in policy/dispatch/queued.py; queue.py exports the same names as before.

--- a/rosemarydeal/policy/dispatch/queue.py
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -17,14 +17,13 @@
 
 import math
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
-from enum import Enum, auto
 
 from rosemarydeal.core.requests import NotServed
 from rosemarydeal.policy.requests import planned_stop
 from rosemarydeal.policy.requests.planned_stop import NO_STOP, PlannedStop, RequestTimes
 
 from .cold_start import ColdStartLimiter
+from .queued import Admission, Decision, QueuedRequest, Reject, Start, Started
 from .rate_limit import RateLimiter
 from .service_time import ServiceTimes
 
@@ -46,80 +45,6 @@
 MIN_RETRY_AFTER_S = 0.1
 
 
-class Admission(Enum):
-    """Whether a request may run here now, by the ownership of its key.
-
-    Attributes:
-        RUN: It may run now.
-        WAIT: It waits until this upstream may run requests for the key.
-        ELSEWHERE: Another upstream owns the key.
-    """
-
-    RUN = auto()
-    WAIT = auto()
-    ELSEWHERE = auto()
-
-
-@dataclass(frozen=True, slots=True)
-class QueuedRequest:
-    """A request that waits for the upstream.
-
-    Attributes:
-        number: Identifier assigned by the owner of the queue.
-        route: Name of its route, whose requests have similar service times.
-        rank: Priority of the route; 0 is the most urgent.
-        key: Key of the request, if any.
-        arrived: Time of arrival.
-        target_at: End of its latency target, after which an answer is worth less.
-        deadline: Time after which nobody waits for the answer.
-        request_id: Id of the request, for log lines.
-        cut_at: When its sender cuts its connections; infinite unless it is stopping.
-    """
-
-    number: int
-    route: str
-    rank: int
-    key: int | None
-    arrived: float
-    target_at: float
-    deadline: float
-    request_id: str = ""
-    cut_at: float = math.inf
-
-
-@dataclass(frozen=True, slots=True)
-class _Started:
-    """A request that was started.
-
-    Attributes:
-        route: Name of its route.
-        at: When it was started.
-        request_id: Its id.
-    """
-
-    route: str
-    at: float
-    request_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class Start:
-    """Decision to send a request to the upstream now."""
-
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class Reject:
-    """Decision to reject a request without running it."""
-
-    number: int
-    outcome: NotServed
-
-
-Decision = Start | Reject
-
-
 class DispatchQueue:
     """Waiting and running requests of the upstream."""
 
@@ -141,7 +66,7 @@
         self._admits = admits
         self._service_times = ServiceTimes()
         self._waiting: dict[int, QueuedRequest] = {}
-        self._running: dict[int, _Started] = {}
+        self._running: dict[int, Started] = {}
         self._slots = 1
         self._open = False
         self._stop = NO_STOP
@@ -416,7 +341,7 @@
     def _start(self, request: QueuedRequest, now: float) -> Start:
         """Moves a request from the waiting to the running ones."""
         del self._waiting[request.number]
-        self._running[request.number] = _Started(request.route, now, request.request_id)
+        self._running[request.number] = Started(request.route, now, request.request_id)
         self._cold.record_sent(now)
         self._rate.record_sent(now)
         return Start(request.number)
