Give the bodies of requests a common room within the memory

Callers: uploads at once took a process beyond its `memory_mb`, at which the platform kills it with all requests that it has open.

Cause: each body was limited by itself, but nothing limited them together. Answers have had such a budget (`BodyBuffers`) since endless ones were found.

Change: the bodies of all open requests of a process, from callers and from peers, share a fifth of what `memory_mb` leaves beside the process and its answers (30 MB of 300, 10 of 200, which also holds where the settings state none). A body holds its room until its request is answered, and gives it back on every way out. A length that is stated is claimed before the body is read; up to 8 kB need no room. What does not fit is refused as not run, 503 `no-memory` with Retry-After 1 s, logged as `request_body_refused` and counted; `body_room_bytes` on the metrics address is what is left. The rest of a body that is not read is discarded for up to 10 s while it comes in (1 MiB and 1 s before), so that its caller gets the refusal instead of a reset.

Evidence: 24 uploads of 14 MiB at once at one of two processes with 300 MB (features/uploads.feature). Now each is answered 200, or 503 with a time to retry, the upstreams run exactly those answered 200, a small request among them, and a later upload is served.

Open: a body longer than the room alone is refused each time (20 MiB on a VM with 200 MB); fewer copies would make room. Frames of peers are received whole before they count, so that large bodies from many peers at once are not bounded yet.

Tests: `decode_request` takes the room of the body, which a step of features/steps/answers_callers_steps.py passes (0 bytes: its request has no body). The deployments of the scenarios share one process, whose memory is set to 2 GB; those of programs get `memory_mb = 300`.

--- a/features/builders_fleet_types.py
+++ b/features/builders_fleet_types.py
@@ -20,6 +20,8 @@
 from rosemarydeal.policy.keyranges.proposals import OwnershipView
 
 SERVICE = "box-office"
+# All processes of a deployment share the memory of the tests.
+MEMORY_BYTES = 2_000_000_000
 
 
 def a_member(node, slots=12, pace=1.0, zone="perth-a", accepting=True, born_ms=1000):
@@ -156,4 +158,5 @@
         announce_period_s=0.3,
         bounds=bounds or Bounds(),
         grant_carrier=carrier,
+        memory_bytes=MEMORY_BYTES,
     )
--- a/features/builders_node_programs.py
+++ b/features/builders_node_programs.py
@@ -36,7 +36,11 @@
 
 [provider]
 addr = "{store}"
+
+[limits]
+memory_mb = {memory_mb}
 """
+MEMORY_MB = 300
 
 
 class NodeProgram:
@@ -65,6 +69,13 @@
         """Returns whether it has not ended yet."""
         return self._child is not None and self._child.returncode is None
 
+    @property
+    def peak_bytes(self) -> int:
+        """Returns the most memory that it has used."""
+        status = Path(f"/proc/{self._child.pid}/status").read_text("ascii")
+        (line,) = [one for one in status.splitlines() if one.startswith("VmHWM:")]
+        return int(line.split()[1]) * 1024
+
     async def start(self) -> None:
         """Starts the program."""
         self._started_at = time.monotonic()
@@ -117,6 +128,7 @@
             store=self.address,
             grants=self.carrier.name.lower(),
             grace_s=GRACE_S,
+            memory_mb=MEMORY_MB,
         )
         settings.write_text(text, "utf-8")
         program = NodeProgram(settings, self._directory / f"{name}.log")
--- a/features/steps/answers_callers_steps.py
+++ b/features/steps/answers_callers_steps.py
@@ -29,6 +29,7 @@
 from rosemarydeal.core.requests import Failed, NotServed
 from rosemarydeal.platform import callers
 from rosemarydeal.proxy import (
+    BodyBuffers,
     BytesBody,
     Response,
     ResponseBroken,
@@ -178,7 +179,9 @@
 def step_rejects(context):
     headers = ((b"host", b"h.example"), (b"request-id", context.request_id))
     sent = request(headers=headers)
-    caller = asyncio.run(callers.decode_request(sent, BODY_LIMIT))
+    caller = asyncio.run(
+        callers.decode_request(sent, BODY_LIMIT, BodyBuffers(0).room())
+    )
     context.response = callers.respond(caller.request_id, NotServed("no-upstream"))
 
 
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -99,6 +99,10 @@
     HEARTBEAT = auto()
 
 
+# That of the smallest VM.
+DEFAULT_MEMORY_BYTES = 200 * 1000 * 1000
+
+
 @dataclass(frozen=True, slots=True)
 class NodeIdentity:
     """Identity of a process, its location and the addresses that it uses.
@@ -118,6 +122,7 @@
         announce_period_s: Normal time between two announcements.
         bounds: Guarantees of the deployment.
         grant_carrier: How grants reach the upstream.
+        memory_bytes: Memory above which the platform kills the process.
     """
 
     node: str
@@ -134,6 +139,7 @@
     announce_period_s: float
     bounds: Bounds
     grant_carrier: GrantCarrier = GrantCarrier.CALL
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -19,7 +19,6 @@
     RoutedRequest,
 )
 from rosemarydeal.platform import callers
-from rosemarydeal.platform.errors import Unreadable
 from rosemarydeal.policy.dispatch.crash_suspects import request_fingerprint
 from rosemarydeal.policy.dispatch.retry_budget import RetryBudget
 from rosemarydeal.policy.keyranges import table as tables
@@ -30,7 +29,7 @@
 from rosemarydeal.policy.routing.leaving import LeavingUpstreams, may_accept
 from rosemarydeal.policy.routing.request_profiles import RequestProfiles
 from rosemarydeal.policy.routing.route_index import RouteIndex, choose_service
-from rosemarydeal.proxy import Request, Response
+from rosemarydeal.proxy import BodyBuffers, BodyRoom, Request, Response
 
 from .guard import Guard
 from .health import UpstreamHealth
@@ -38,6 +37,7 @@
 from .metrics import Metrics
 from .progress import Progress
 from .records import Records
+from .request_reader import RequestReader
 from .stop_log import log_rejection_at_entry
 
 __all__ = ["Entry"]
@@ -45,8 +45,6 @@
 NOT_CONFIGURED = NotServed("not-configured", 0.5)
 NO_ROUTE = NotServed("route-not-found")
 PARK_STEP_S = 0.02
-# Body limit while there is no configuration.
-UNCONFIGURED_BODY_BYTES = 1_048_576
 
 _log = structlog.get_logger()
 
@@ -62,7 +60,9 @@
         guard: Guard,
         health: UpstreamHealth,
         metrics: Metrics,
+        bodies: BodyBuffers,
     ) -> None:
+        self._reader = RequestReader(bodies, metrics)
         self._identity = identity
         self._records = records
         self._links = links
@@ -104,19 +104,19 @@
         self._stop = stop
 
     async def handle(self, request: Request) -> Response:
-        """Handles one caller's request and returns the response."""
+        """Handles one caller's request and returns the response.
+
+        Its body holds room in the memory until then.
+        """
+        with self._reader.room() as room:
+            return await self._handle(request, room)
+
+    async def _handle(self, request: Request, room: BodyRoom) -> Response:
+        """Reads a request whose body has room, and serves it."""
         arrived_at = now()
-        configuration = self._configuration
-        limit = (
-            configuration.limits.body_bytes
-            if configuration
-            else UNCONFIGURED_BODY_BYTES
-        )
-        try:
-            caller = await callers.decode_request(request, limit)
-        except Unreadable as error:
-            _log.info("request_unreadable", code=error.code, detail=error.detail)
-            return callers.malformed(error)
+        caller = await self._reader.read(request, self._configuration, room)
+        if isinstance(caller, Response):
+            return caller
         self._open_requests += 1
         try:
             outcome, progress = await self._serve(caller, arrived_at)
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections import Counter
 from collections.abc import Callable, Mapping
 from functools import partial
@@ -25,10 +26,12 @@
     RoutedRequest,
 )
 from rosemarydeal.policy.membership.monitors import monitored_peers
+from rosemarydeal.proxy import BodyBuffers, NoBodyRoom
 
 from .frames import FrameConnection
 from .link import Link, LinkHooks, PeerState
 from .link_monitor import LinkMonitor
+from .memory import NO_MEMORY
 from .messages import (
     AnswerReply,
     CancelRequest,
@@ -79,6 +82,7 @@
         process: str,
         hooks: LinkHooks,
         failures: TaskFailures | None = None,
+        bodies: BodyBuffers | None = None,
     ) -> None:
         """Creates links that are not started yet.
 
@@ -87,7 +91,9 @@
             process: Identifier of this process's start.
             hooks: Callbacks to the other tasks.
             failures: Failures of the process's tasks.
+            bodies: Room that the bodies of all requests share; no limit without it.
         """
+        self._bodies = bodies or BodyBuffers(sys.maxsize)
         self._node = node
         self._process = process
         self._hooks = hooks
@@ -461,12 +467,27 @@
     ) -> None:
         """Runs a peer's request and sends its outcome."""
         try:
-            outcome = await self._hooks.serve(request)
+            outcome = await self._serve_with_room(request)
             connection.send(reply_of(number, outcome, self._hooks.load()))
         except Exception:
             connection.send(OutcomeUnknownReply(number, PEER_FAILED))
             raise
 
+    async def _serve_with_room(self, request: RoutedRequest) -> RequestOutcome:
+        """Runs a peer's request, unless its body does not fit into the memory now."""
+        with self._bodies.room() as room:
+            try:
+                room.grow_to(len(request.body))
+            except NoBodyRoom as error:
+                _log.warning(
+                    "request_body_refused",
+                    request_id=request.request_id,
+                    detail=error.detail,
+                    left_bytes=self._bodies.left_bytes,
+                )
+                return NO_MEMORY
+            return await self._hooks.serve(request)
+
     def _on_served(
         self, served: tuple[FrameConnection, int], task: asyncio.Task[None]
     ) -> None:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -31,6 +31,7 @@
 from .health import UpstreamHealth
 from .links import LinkHooks, Links
 from .membership import Membership
+from .memory import request_bodies
 from .messages import CrashSuspects, LoadReport, Pong, SuspectCleared
 from .metrics import Metrics
 from .ownership import Ownership
@@ -74,8 +75,13 @@
         )
         self._health = UpstreamHealth()
         self._client = UpstreamClient(identity.upstream, UPSTREAM_CONNECTIONS)
+        self._bodies = request_bodies(identity)
         self._links = Links(
-            identity.node, self._process, self._link_hooks(), self._failures
+            identity.node,
+            self._process,
+            self._link_hooks(),
+            self._failures,
+            self._bodies,
         )
         self._records = Records(self._rejected, identity.node)
         self._access = StoreAccess(self._store, self._records, self._links)
@@ -116,6 +122,7 @@
             self._guard,
             self._health,
             self._metrics,
+            self._bodies,
         )
         self._membership = Membership(
             identity,
@@ -395,6 +402,7 @@
             ("store_reachable", self._access.reachable),
             ("store_era", self._store.era),
             ("starts_unconfirmed", self._start_check.refused),
+            ("body_room_bytes", self._bodies.left_bytes),
         ):
             self._metrics.set_gauge(name, value)
         self._metrics.count_store_calls(self._store.calls)
--- a/rosemarydeal/platform/callers.py
+++ b/rosemarydeal/platform/callers.py
@@ -11,6 +11,7 @@
     RequestOutcome,
 )
 from rosemarydeal.proxy import (
+    BodyRoom,
     Headers,
     Request,
     Response,
@@ -22,7 +23,14 @@
 from . import names
 from .errors import Unreadable
 
-__all__ = ["decode_request", "is_readiness", "readiness_response", "respond"]
+__all__ = [
+    "decode_request",
+    "is_readiness",
+    "malformed",
+    "readiness_response",
+    "request_id",
+    "respond",
+]
 
 MS_PER_S = 1000.0
 # No caller waits longer than a day; a longer time does not fit all timers.
@@ -36,29 +44,45 @@
 NO_ROUTE_CODE = "route-not-found"
 
 
-async def decode_request(request: Request, body_limit: int) -> CallerRequest:
+async def decode_request(
+    request: Request, body_limit: int, room: BodyRoom
+) -> CallerRequest:
     """Reads and decodes a caller's request, with its whole body.
 
+    Args:
+        request: The request.
+        body_limit: Maximum size of its body.
+        room: Takes the memory of the body.
+
     Raises:
         Unreadable: If its id is missing, or its time left or key is invalid.
+        BodyTooLarge: If the body is longer than the limit.
+        NoBodyRoom: If there is no memory for the body now.
     """
     headers = request.headers
     request_id = find_header(headers, names.REQUEST_ID)
     if not request_id:
         raise Unreadable("the request has no id", "request-id-missing")
     host = find_header(headers, b"host") or b""
+    # What can't be kept is refused before it is read.
+    room.grow_to(min(body_limit, _stated_length(headers)))
     return CallerRequest(
         request_id=request_id.decode("latin-1"),
         host=host.partition(b":")[0].decode("ascii", "replace").lower(),
         method=request.method,
         target=request.target,
         headers=headers,
-        body=await read_bytes(request.body, body_limit),
+        body=await read_bytes(request.body, body_limit, room.grow_to),
         time_left_s=_time_left(find_header(headers, names.TIME_LEFT)),
         key=_key(find_header(headers, names.KEY)),
     )
 
 
+def request_id(request: Request) -> str:
+    """Returns the id of a request, empty if it has none."""
+    return (find_header(request.headers, names.REQUEST_ID) or b"").decode("latin-1")
+
+
 def respond(request_id: str, outcome: RequestOutcome) -> Response:
     """Builds the response for the outcome of a request."""
     match outcome:
@@ -99,6 +123,11 @@
     return bytes_response(status, code.encode("ascii"), headers)
 
 
+def _stated_length(headers: Headers) -> int:
+    """Returns the length that a request states for its body, 0 if it states none."""
+    return int(find_header(headers, b"content-length") or 0)
+
+
 def _time_left(value: bytes | None) -> float | None:
     """Decodes how long the caller waits, in seconds."""
     if value is None:
--- a/rosemarydeal/platform/node_settings.py
+++ b/rosemarydeal/platform/node_settings.py
@@ -10,7 +10,12 @@
 
 from rosemarydeal.core import Address
 from rosemarydeal.core.decoding import LAST_PORT, Malformed, decode_identifier
-from rosemarydeal.core.fleet import Bounds, GrantCarrier, NodeIdentity
+from rosemarydeal.core.fleet import (
+    DEFAULT_MEMORY_BYTES,
+    Bounds,
+    GrantCarrier,
+    NodeIdentity,
+)
 
 from .errors import SettingsWrong
 from .names import SETTINGS_FILE, SETTINGS_VARIABLE
@@ -18,6 +23,7 @@
 __all__ = ["load_identity", "parse_identity"]
 
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1000 * 1000
 # The setting `grants`: whether calls or the answers to heartbeats grant keys.
 GRANT_CARRIERS = {"call": GrantCarrier.CALL, "heartbeat": GrantCarrier.HEARTBEAT}
 DEFAULT_GRANTS = "call"
@@ -80,6 +86,7 @@
         store=_address(fields["provider"]["addr"]),
         announce_period_s=heartbeat_ms / MS_PER_S,
         bounds=_bounds(fields["bounds"]),
+        memory_bytes=_memory_bytes(fields.get("limits", {})),
         grant_carrier=GRANT_CARRIERS[fields.get("grants", DEFAULT_GRANTS)],
     )
 
@@ -104,6 +111,13 @@
     )
 
 
+def _memory_bytes(limits: Mapping[str, object]) -> int:
+    """Returns the limit of the process's memory, or that of the smallest VM."""
+    if "memory_mb" not in limits:
+        return DEFAULT_MEMORY_BYTES
+    return int(_number(limits["memory_mb"]) * BYTES_PER_MB)
+
+
 def _address(text: object) -> Address:
     """Parses `host:port`."""
     host, _, port = _text(text).rpartition(":")
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -41,7 +41,12 @@
 
 from . import names
 
-__all__ = ["GrantRefused", "UpstreamCallFailed", "UpstreamClient"]
+__all__ = [
+    "ANSWER_BUDGET_BYTES",
+    "GrantRefused",
+    "UpstreamCallFailed",
+    "UpstreamClient",
+]
 
 MS_PER_S = 1000.0
 # Below the shortest documented idle time-out of an upstream, 10 s.
--- a/rosemarydeal/proxy/__init__.py
+++ b/rosemarydeal/proxy/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 server for callers and client for upstreams, using h11 and asyncio."""
 
-from .buffering import BodyBuffers
+from .buffering import BodyBuffers, BodyRoom
 from .client import Pool, PoolSettings
 from .client_connection import ConnectionSettings
 from .errors import (
@@ -8,6 +8,7 @@
     BodyTooLarge,
     ConnectFailed,
     ForeignResponse,
+    NoBodyRoom,
     ProxyError,
     ProxyTimeout,
     ResponseBroken,
@@ -34,6 +35,7 @@
 __all__ = [
     "BadMessage",
     "BodyBuffers",
+    "BodyRoom",
     "BodyTooLarge",
     "BytesBody",
     "ConnectFailed",
@@ -44,6 +46,7 @@
     "Headers",
     "HttpLimits",
     "HttpServer",
+    "NoBodyRoom",
     "Pool",
     "PoolSettings",
     "ProxyError",
--- a/rosemarydeal/proxy/buffering.py
+++ b/rosemarydeal/proxy/buffering.py
@@ -1,42 +1,49 @@
 """Limits the memory of messages that are read whole before they are passed on.
 
-Load pattern: faulty peers whose bodies never end. Each body may always hold a small
-amount; what exceeds it comes from a budget that all bodies share, so that a few
-endless ones cannot use up the memory of the process and small ones are not affected.
+Load pattern: peers whose bodies never end, and many large bodies at once. Each body
+may always hold a small amount; what exceeds it comes from a budget that all bodies
+share, so that a few large ones cannot use up the memory of the process and small ones
+are not affected.
 """
 
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
 
-from .errors import BodyTooLarge
+from .errors import BodyTooLarge, NoBodyRoom
 from .message import BytesBody, close_body
 
-__all__ = ["BodyBuffers"]
+__all__ = ["BodyBuffers", "BodyRoom"]
 
 # Most answers are smaller than this.
 FREE_BYTES = 256 * 1024
 
 
 class BodyBuffers:
-    """Reads bodies within a budget that they share."""
+    """Budget that bodies share."""
 
-    def __init__(self, budget_bytes: int) -> None:
+    def __init__(self, budget_bytes: int, free_bytes: int = FREE_BYTES) -> None:
         """Creates an unused budget.
 
         Args:
             budget_bytes: Bytes that all bodies together may hold beyond the amount
                 that each may always hold.
+            free_bytes: That amount.
         """
         self._left = budget_bytes
+        self._free_bytes = free_bytes
 
     @property
     def left_bytes(self) -> int:
         """Returns the unused part of the budget."""
         return self._left
 
+    def room(self) -> BodyRoom:
+        """Returns the room of one body, which holds nothing yet."""
+        return BodyRoom(self)
+
     async def read(self, body: AsyncIterator[bytes]) -> bytes:
-        """Reads a body to its end.
+        """Reads a body to its end; it holds its room until then.
 
         Raises:
             BodyTooLarge: If the body exceeds what is left of the budget.
@@ -44,17 +51,56 @@
         if isinstance(body, BytesBody):
             return body.data
         pieces: list[bytes] = []
-        length = reserved = 0
-        try:
+        length = 0
+        with self.room() as room:
             async for piece in body:
                 length += len(piece)
-                needed = max(0, length - FREE_BYTES) - reserved
-                if needed > self._left:
+                try:
+                    room.grow_to(length)
+                except NoBodyRoom as error:
                     await close_body(body)
-                    raise BodyTooLarge(f"no memory for a body of {length} bytes")
-                self._left -= needed
-                reserved += needed
+                    raise BodyTooLarge(error.detail) from error
                 pieces.append(piece)
             return b"".join(pieces)
-        finally:
-            self._left += reserved
+
+    def take(self, held_bytes: int, length: int) -> int:
+        """Takes what a body needs beyond what it holds; used by `BodyRoom`.
+
+        Returns:
+            What the body holds then.
+
+        Raises:
+            NoBodyRoom: If too little of the budget is left.
+        """
+        needed = max(held_bytes, length - self._free_bytes, 0)
+        if needed - held_bytes > self._left:
+            raise NoBodyRoom(f"no memory for a body of {length} bytes")
+        self._left -= needed - held_bytes
+        return needed
+
+    def give_back(self, held_bytes: int) -> None:
+        """Gives back what a body holds; used by `BodyRoom`."""
+        self._left += held_bytes
+
+
+class BodyRoom:
+    """Room of one body; a context manager that gives it back at its end."""
+
+    def __init__(self, buffers: BodyBuffers) -> None:
+        self._buffers = buffers
+        self._held_bytes = 0
+
+    def grow_to(self, length: int) -> None:
+        """Takes room for a body of a length, unless it has as much.
+
+        Raises:
+            NoBodyRoom: If too little of the budget is left.
+        """
+        self._held_bytes = self._buffers.take(self._held_bytes, length)
+
+    def __enter__(self) -> BodyRoom:
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        held_bytes, self._held_bytes = self._held_bytes, 0
+        self._buffers.give_back(held_bytes)
--- a/rosemarydeal/proxy/errors.py
+++ b/rosemarydeal/proxy/errors.py
@@ -13,6 +13,7 @@
     "BodyTooLarge",
     "ConnectFailed",
     "ForeignResponse",
+    "NoBodyRoom",
     "ProxyError",
     "ProxyTimeout",
     "ResponseBroken",
@@ -38,6 +39,12 @@
     code = "body-too-large"
 
 
+class NoBodyRoom(ProxyError):  # noqa: N818
+    """Other bodies use the memory that a body needs."""
+
+    code = "no-memory"
+
+
 class ConnectFailed(ProxyError):  # noqa: N818
     """No connection could be opened, so nothing was sent.
 
--- a/rosemarydeal/proxy/message.py
+++ b/rosemarydeal/proxy/message.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
@@ -188,12 +188,18 @@
     return bytes_response(status, msgspec.json.encode(problem), content_type + headers)
 
 
-async def read_bytes(body: AsyncIterator[bytes], limit: int) -> bytes:
+async def read_bytes(
+    body: AsyncIterator[bytes],
+    limit: int,
+    on_length: Callable[[int], None] = lambda _length: None,
+) -> bytes:
     """Reads a body to its end.
 
     Args:
         body: The body.
         limit: Maximum number of bytes.
+        on_length: Called with the length so far before each piece is kept; what it
+            raises ends the reading.
 
     Returns:
         The whole body.
@@ -204,6 +210,7 @@
     if isinstance(body, BytesBody):
         if len(body.data) > limit:
             raise BodyTooLarge(f"the body is longer than {limit} bytes")
+        on_length(len(body.data))
         return body.data
     pieces = []
     length = 0
@@ -212,6 +219,7 @@
         if length > limit:
             await close_body(body)
             raise BodyTooLarge(f"the body is longer than {limit} bytes")
+        on_length(length)
         pieces.append(piece)
     return b"".join(pieces)
 
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -38,6 +38,8 @@
 
 LINGER_BYTES = 1_048_576
 LINGER_S = 1.0
+# For the rest of a body that the handler has not read, while it comes in.
+BODY_LINGER_S = 10.0
 DRAIN_GRACE_S = 0.2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -199,7 +201,7 @@
         self._handler_running = False
         if self._stream.reusable:
             return True
-        await self._linger()
+        await self._linger(max(LINGER_BYTES, self._limits.body_bytes), BODY_LINGER_S)
         return False
 
     def _build_request(self, head: h11.Request, headers: Headers) -> Request:
@@ -287,19 +289,30 @@
         await self._write_response(self._method, refusal_response(outcome))
         await self._linger()
 
-    async def _linger(self) -> None:
+    async def _linger(
+        self, remaining: int = LINGER_BYTES, time_s: float = LINGER_S
+    ) -> None:
         """Discards what the caller still sends, so that it receives the response.
 
         Closing a connection with unread bytes resets it, and the caller could
-        lose the response.
+        lose the response. It ends when nothing comes for `LINGER_S`.
+
+        Args:
+            remaining: Maximum number of bytes to discard.
+            time_s: Maximum time for it.
         """
         if not self._writer.can_write_eof() or self._writer.is_closing():
             return
         self._writer.write_eof()
-        self._watchdog.arm(LINGER_S, self._abort)
-        remaining = LINGER_BYTES
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + time_s
         try:
-            while remaining > 0 and (data := await self._reader.read(READ_BYTES)):
+            while remaining > 0:
+                left_s = max(0.0, deadline - loop.time())
+                self._watchdog.arm(min(LINGER_S, left_s), self._abort)
+                data = await self._reader.read(READ_BYTES)
+                if not data:
+                    return
                 remaining -= len(data)
         except BadMessage:
             return
