Name the type of a started request after its move

Cause: the request types of the queue moved to a module of their own beside a change that uses one of them by its former name.

Evidence: the linter named it; nothing that runs evaluates it.

Change: the annotation has the new name.

--- a/rosemarydeal/policy/dispatch/queue.py
+++ b/rosemarydeal/policy/dispatch/queue.py
@@ -301,7 +301,7 @@
             rejected.append(Reject(request.number, outcome))
         return rejected
 
-    def _record_end(self, started: _Started, seconds: float, completed: bool) -> None:
+    def _record_end(self, started: Started, seconds: float, completed: bool) -> None:
         """Updates the service times with a request that has ended."""
         if completed:
             self._service_times.record_service_time(started.route, seconds)
