Restore a table that another writer removed or damaged as after a restore of the store

Callers: requests for one key at two upstreams (OWNER), after another writer has removed a service's table or left something else in its place.

Cause: a process that had missed the last valid table wrote its older one over the odd object. The revision of the odd object stood for that of the table, and the difference from the older table was sent to peers that had the newer one, so that one revision had two contents. A process that had just started wrote a first table at once. The class: a table and a revision that do not belong together.

Change: a table that the store no longer holds counts as outdated, as after a restore: it is written again as a process knew it, with tokens above all known ones, owners whose lease is valid go on, and all other keys wait until former leases have expired. It is sent to peers as a whole. A first table in place of something else comes later, and its owners wait. `table_replaced` is logged as an error.

--- a/features/builders_tables.py
+++ b/features/builders_tables.py
@@ -19,14 +19,16 @@
 
 
 def written_tables(store, after=0) -> list[RangeTable]:
-    """Returns the tables of all writes that a store has accepted, in order."""
-    written = []
-    for revision, kind, event in store.events:
-        if kind == RANGES and revision > after:
-            written.append(
-                decode_table(stored_table(revision, event["object"]["spec"]))
-            )
-    return written
+    """Returns the tables of all writes that a store has accepted, in order.
+
+    What else has been in their place is left out.
+    """
+    stored = [
+        stored_table(revision, event["object"]["spec"])
+        for revision, kind, event in store.events
+        if kind == RANGES and revision > after
+    ]
+    return [table for table in map(decode_table, stored) if table is not None]
 
 
 def undone_ranges(old: RangeTable, new: RangeTable) -> list[KeyRange]:
--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from structlog.testing import CapturingLogger
 
-from features.builders_fleet_types import SERVICE, a_member
+from features.builders_fleet_types import SERVICE, a_member, a_view
 from features.builders_node import run
 from features.builders_tables import (
     stored_table,
@@ -22,7 +22,10 @@
 from rosemarydeal.node.contents import encode_table, table_name
 from rosemarydeal.node.records import MEMBERS, RANGES, Records
 from rosemarydeal.platform.errors import StoreConflict
+from rosemarydeal.policy.dispatch.queue import Admission
+from rosemarydeal.policy.keyranges import ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
 from rosemarydeal.policy.keyranges.table_changes import TableChange
 
 UNREACHABLE_S = 60.0
@@ -126,6 +129,70 @@
     assert all(table.writer != "low" for table in written)
 
 
+@when("vm-a misses a hand-over after which the table is {replaced} by another writer")
+def step_replaced(context, replaced):
+    async def go():
+        deployment = context.deployment
+        store, nodes = deployment.store, deployment.nodes
+        await deployment.wait(lambda: not nodes["vm-a"]._ownership._writing)
+        table = nodes["vm-a"]._records.table("box-office")
+        keys = tables.owned_by(table, "vm-c")[0]
+        member = nodes["vm-a"]._records.members["vm-b"]
+        moved = tables.move_ranges(table, [(keys, member, "")], "another-writer")
+        context.moved_key = keys.first
+        # As a reader that lists the store between the two changes and after them.
+        handed_over = put_table(store, moved)
+        if replaced == "damaged":
+            spec = {"service": "box-office", "odd": True}
+            last = store.put(RANGES, "box-office", spec)
+            last = stored_table(last["metadata"]["rev"], spec, store.era)
+        else:
+            store.remove(RANGES, "box-office")
+            revision = Revision(store.era, store.revision)
+            last = StoredObject(RANGES, "box-office", revision, None)
+        for name in ("vm-b", "vm-c"):
+            nodes[name]._records.apply(handed_over, changed=True)
+        for node in nodes.values():
+            node._records.apply(last, changed=True)
+        await asyncio.sleep(0)
+
+    run(context, go())
+
+
+@then("all processes know the same table within {seconds:d} seconds")
+def step_same_table(context, seconds):
+    deployment = context.deployment
+
+    def same():
+        records = [node._records for node in deployment.nodes.values()]
+        bases = {known.table_base("box-office") for known in records}
+        (base,) = bases if len(bases) == 1 else (None,)
+        return base is not None and base.current
+
+    run(context, deployment.wait(same, seconds))
+
+
+@then(
+    "the keys of the hand-over are granted to one upstream at most"
+    " for {seconds:d} seconds"
+)
+def step_one_holder(context, seconds):
+    async def go():
+        deployment = context.deployment
+        ends_at = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < ends_at:
+            # The hand-over of this test released nothing: vm-c holds its last grant.
+            granted = [
+                name
+                for name, node in deployment.nodes.items()
+                if node._ownership.admits(context.moved_key) is Admission.RUN
+            ]
+            assert len(granted) <= 1, granted
+            await asyncio.sleep(0.01)
+
+    run(context, go())
+
+
 @given("records of a table whose highest token is {token:d}")
 def step_records(context, token):
     context.records = Records()
@@ -189,3 +256,37 @@
     """Returns the object of a table."""
     content = encode_table(table)
     return StoredObject(RANGES, table_name(SERVICE), Revision(1, number), content)
+
+
+@given("nodes a, b and c of which none knows a table, and something else in its place")
+def step_nothing_known(context):
+    context.members = [a_member(node) for node in "abc"]
+
+
+@when("the members have been stable for {seconds:g} seconds")
+def step_stable(context, seconds):
+    restored = proposals.RestoredTable(replaced=True)
+    changes = {"members_stable_s": seconds, "restored": restored}
+    view = a_view("a", context.members, **changes)
+    context.proposal = proposals.propose(None, view)
+
+
+@then("a proposes no table")
+def step_no_table(context):
+    assert context.proposal is None, context.proposal
+
+
+@then("a proposes a table whose owners wait until former leases have expired")
+def step_waiting_table(context):
+    table = context.proposal.table
+    restored = RestoredRanges("a")
+    restored.update(table, outdated=False, lease_valid=False, now=0.0)
+    owned = tables.owned_by(table, "a")
+    wait_s = ownership_lease.takeover_wait()
+    assert owned and not restored.usable(owned, wait_s - 0.1)
+    assert restored.usable(owned, wait_s + 0.1) == list(owned)
+
+
+@then("its tokens are above {token:d}")
+def step_tokens_above(context, token):
+    assert all(keys.token > token for keys in context.proposal.table.ranges)
--- a/features/table_writes.feature
+++ b/features/table_writes.feature
@@ -26,3 +26,23 @@
     Given a deployment of 3 VMs
     When vm-a removes the member of vm-b as it was before its last write
     Then the member of vm-b is still there
+
+  Scenario Outline: A table that was <replaced> by another writer is written from an older one
+    Given a deployment of 3 VMs
+    When vm-a misses a hand-over after which the table is <replaced> by another writer
+    Then all processes know the same table within 3 seconds
+    And no table undid the change of another
+    And the keys of the hand-over are granted to one upstream at most for 3 seconds
+
+    Examples:
+      | replaced |
+      | damaged  |
+      | removed  |
+
+  Scenario: A process that starts writes a first table over something else
+    Given nodes a, b and c of which none knows a table, and something else in its place
+    When the members have been stable for 2.0 seconds
+    Then a proposes no table
+    When the members have been stable for 4.0 seconds
+    Then a proposes a table whose owners wait until former leases have expired
+    And its tokens are above 100000
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -16,6 +16,7 @@
 
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import (
+    NO_REVISION,
     Announcement,
     GrantCarrier,
     GrantStatement,
@@ -474,12 +475,18 @@
             remembered=self._restored.remembered,
             settled=self._restored.is_settled(moment),
             unusable=self._has_unusable(),
+            replaced=self._is_replaced(),
         )
 
     def _is_outdated(self) -> bool:
         """Returns whether the table was not written in the present era of the store."""
         return self._records.is_table_outdated(self._identity.service)
 
+    def _is_replaced(self) -> bool:
+        """Returns whether the store holds something else where a table was."""
+        base = self._table_base()
+        return base.table is None and base.revision != NO_REVISION
+
     def _has_unusable(self) -> bool:
         """Returns whether own ranges may not be used yet after a restore."""
         owned = self.owned
@@ -643,7 +650,7 @@
     def _send_to_peers(self, change: TableChange, stored: StoredObject) -> None:
         """Sends a table that was written, or its difference from the base."""
         base, changed = change.base, change.table
-        if base.table is None or base.table.era != changed.era:
+        if base.table is None or not base.current or base.table.era != changed.era:
             state = ObjectState(stored.name, stored.revision, stored.content)
             self._links.broadcast(ObjectUpdate(RANGES, state))
             return
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -96,7 +96,7 @@
         self._members: dict[str, Member] = {}
         self._members_changed_at = now()
         self._tables: dict[str, RangeTable] = {}
-        # Services whose table was not written in the present era.
+        # Services whose known table is not the one that the store holds.
         self._outdated_tables: set[str] = set()
         self._zones_out: frozenset[str] = frozenset()
         self._pending_deltas = PendingDeltas()
@@ -143,12 +143,14 @@
     def table_base(self, service: str) -> TableBase:
         """Returns the table of a service with the revision that the store holds."""
         revision = self.stored_revision(RANGES, contents.table_name(service))
-        return TableBase(self.table(service), revision, self.era(RANGES))
+        current = not self.is_table_outdated(service)
+        return TableBase(self.table(service), revision, self.era(RANGES), current)
 
     def is_table_outdated(self, service: str) -> bool:
-        """Returns whether a table was not written in the present era of the store.
+        """Returns whether the store does not hold a table in its present era.
 
-        It may lack changes that the store has lost and that are in force.
+        The known one may lack changes that the store has lost and that are in force:
+        it was written in a former era, or something else has taken its place.
         """
         return service in self._outdated_tables
 
@@ -423,6 +425,8 @@
             table = contents.decode_table(stored, self._rejected)
             if table is not None:
                 self._apply_table(table, stored.revision)
+            elif stored.name in self._tables:
+                self._note_replaced(stored)
         for service in list(self._tables):
             self._apply_pending_delta(service)
         return True
@@ -437,6 +441,21 @@
         self._outdated_tables.add(service)
         self._tables.setdefault(service, table)
 
+    def _note_replaced(self, stored: StoredObject) -> None:
+        """Notes that a table was removed or replaced by something else.
+
+        Changes of the table before that may not have been received.
+        """
+        if stored.name in self._outdated_tables:
+            return
+        self._outdated_tables.add(stored.name)
+        _log.error(
+            "table_replaced",
+            service=stored.name,
+            revision=stored.revision,
+            removed=stored.content is None,
+        )
+
     def _with_highest_token(self, table: RangeTable, revision: Revision) -> RangeTable:
         """Returns a table from which no token is issued a second time.
 
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -60,6 +60,8 @@
         settled: Whether all leases of the former era have expired since the table
             was restored.
         unusable: Whether own ranges may not be used until then.
+        replaced: Whether the store holds something that is no table, and this process
+            knows none.
     """
 
     era: int = 0
@@ -68,6 +70,7 @@
     remembered: bool = False
     settled: bool = True
     unusable: bool = False
+    replaced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,10 +222,13 @@
     initial_owners = [own, *eligible_owners(view)]
     initial_owners.sort(key=lambda member: member.node)
     rank = initial_owners.index(own)
-    if view.members_stable_s < STARTUP_SETTLE_S + rank * RANK_DELAY_S:
+    restored = view.restored
+    # A process that knows the replaced table writes it again before.
+    settle_s = RESTORE_COPY_AFTER_S if restored.replaced else STARTUP_SETTLE_S
+    if view.members_stable_s < settle_s + rank * RANK_DELAY_S:
         return None
     table = tables.initial_table(
-        view.service, initial_owners, view.writer, view.restored.era
+        view.service, initial_owners, view.writer, restored.era, restored.replaced
     )
     return WriteTable(table, "first-table")
 
--- a/rosemarydeal/policy/keyranges/table.py
+++ b/rosemarydeal/policy/keyranges/table.py
@@ -49,25 +49,31 @@
 
 
 def initial_table(
-    service: str, members: Sequence[Member], writer: str, era: int = 0
+    service: str,
+    members: Sequence[Member],
+    writer: str,
+    era: int = 0,
+    replaced: bool = False,
 ) -> RangeTable:
     """Returns the first table of a service, with ranges in proportion to weights.
 
-    After a restore of the store it may not be the first one: its owners have to wait
-    as those of a restored table do.
+    After a restore of the store, or in place of something else, it may not be the first
+    one: its owners have to wait as those of a restored table do.
 
     Args:
         service: Name of the service.
         members: Members with an upstream; at least one.
         writer: Unique name of the write.
         era: Era of the store.
+        replaced: Whether the store holds something else under its name, which has
+            replaced a table that no process knows any more.
     """
-    token = _first_token(era)
+    token = _first_token(era) + (LOST_TOKENS if replaced else 0)
     ranges = tuple(
         KeyRange(first, last, member.node, member.incarnation, token)
         for member, first, last in _weighted_parts(members, 0, LAST_KEY)
     )
-    restored_token = token if era > FIRST_ERA else 0
+    restored_token = token if era > FIRST_ERA or replaced else 0
     return RangeTable(service, ranges, token, (), writer, era, restored_token)
 
 
--- a/rosemarydeal/policy/keyranges/table_changes.py
+++ b/rosemarydeal/policy/keyranges/table_changes.py
@@ -23,11 +23,14 @@
         revision: Revision of the object that the store holds for it, NO_REVISION if
             it holds none.
         era: Era of the store.
+        current: Whether that object is the table. It is not after a restore of the
+            store, or if another writer has left something else in its place.
     """
 
     table: RangeTable | None
     revision: Revision
     era: int
+    current: bool = True
 
 
 @dataclass(frozen=True, slots=True)
