Bound the delay of further suspicions at eight seconds

Callers: keys of an owner that fails just after it has refuted suspicions wait for the process that suspected it, in a fleet of two for up to 20 s longer (found by a review).

Cause: the longest delay was 16 s, and a quarter more by its jitter.

Evidence: read in the code; no play.

Change: 8 s, ten at the most.

--- a/rosemarydeal/policy/keyranges/suspicion_backoff.py
+++ b/rosemarydeal/policy/keyranges/suspicion_backoff.py
@@ -16,7 +16,8 @@
 __all__ = ["SuspicionBackoff"]
 
 FIRST_DELAY_S = 1.0
-MAX_DELAY_S = 16.0
+# Bounds how much later the keys of an owner that then fails are taken over.
+MAX_DELAY_S = 8.0
 # Share by which delays vary, so that several processes don't suspect in step.
 JITTER = 0.25
 # After this time without a refutation, the next one counts as the first.
