Check the condition of a write that a peer carries out

Callers: none affected.

Evidence: the new scenario has the record change while the own call fails.

Change: a scenario, no change of the code.

--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -21,7 +21,7 @@
 from rosemarydeal.core.fleet import Revision, StoredObject
 from rosemarydeal.node.contents import encode_table, table_name
 from rosemarydeal.node.records import MEMBERS, RANGES, Records
-from rosemarydeal.platform.errors import StoreConflict
+from rosemarydeal.platform.errors import StoreConflict, StoreUnavailable
 from rosemarydeal.policy.dispatch.queue import Admission
 from rosemarydeal.policy.keyranges import ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
@@ -102,6 +102,29 @@
     run(context, go())
 
 
+@when("the store fails vm-a's own write of a table as it learns of another change")
+def step_relayed_write(context):
+    async def go():
+        deployment = context.deployment
+        node = deployment.nodes["vm-a"]
+        base = node._records.table_base("box-office")
+        newer = replace(base.table, writer="another-writer")
+
+        async def fail(*_):
+            node._records.apply(put_table(deployment.store, newer), changed=True)
+            raise StoreUnavailable("rejected")
+
+        node.store.replace = fail
+        content = encode_table(replace(base.table, writer="outdated"))
+        try:
+            await node._access.write(RANGES, "box-office", content, base.revision)
+        except StoreConflict as error:
+            context.conflict = error
+
+    context.conflict = None
+    run(context, go())
+
+
 @then("the write is refused as a conflict")
 def step_refused_as_conflict(context):
     assert context.conflict is not None
--- a/features/table_writes.feature
+++ b/features/table_writes.feature
@@ -11,6 +11,11 @@
     When a process writes a table computed from a revision that has passed
     Then the write is refused as a conflict
 
+  Scenario: A write that a peer carries out names a later revision than its base
+    Given a deployment of 3 VMs
+    When the store fails vm-a's own write of a table as it learns of another change
+    Then the write is refused as a conflict
+
   Scenario: A table whose highest token is lower than that of its base is written
     Given a deployment of 3 VMs
     When vm-a is to write a table whose highest token is lower than that of its base
