Choose the owners of released keys again at each write of a hand-over

Cause: the new owners were chosen when the hand-over began, and the write was tried with them until it succeeded. The class is that of the table written under another revision: computed at one moment and used at another.

Change: each write takes the members as they are then. Ranges whose owner is not eligible any more go to others, without the hand-over data; if nobody is eligible, the chosen ones stay. A write in flight still names them.

--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -30,3 +30,8 @@
       | VMs                                   |
       | VMs                                   |
       | VMs whose heartbeats carry the grants |
+
+  Scenario: Released keys are handed to an owner that has become unreachable meanwhile
+    Given a deployment of 3 VMs
+    When vm-a drains while the store rejects writes, and vm-b ends before they succeed
+    Then the keys that vm-a released are assigned to vm-c within 2 seconds
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -167,3 +167,43 @@
 @then("the upstream of vm-b has taken no keys since")
 def step_none_taken(context):
     assert not context.taken, context.taken
+
+
+@when("vm-a drains while the store rejects writes, and vm-b ends before they succeed")
+def step_target_ends(context):
+    async def go():
+        deployment = context.deployment
+        node = deployment.nodes["vm-a"]
+        context.released = [
+            key for key in deployment.sample() if deployment.holders(key) == ["vm-a"]
+        ]
+        deployment.store.rejects_writes = True
+        deployment.endpoints["vm-a"].state = "draining"
+        await deployment.wait(
+            lambda: not any(map(deployment.endpoints["vm-a"].held, context.released)),
+            6.0,
+        )
+        await deployment.nodes.pop("vm-b").close()
+        await deployment.endpoints.pop("vm-b").stop()
+        await deployment.wait(
+            lambda: node._links.unreachable_since("vm-b") is not None, 6.0
+        )
+        # A write that was begun before still names vm-b.
+        await asyncio.sleep(LATE_S)
+        deployment.store.rejects_writes = False
+
+    run(context, go())
+
+
+@then("the keys that vm-a released are assigned to vm-c within {seconds:d} seconds")
+def step_assigned_elsewhere(context, seconds):
+    deployment = context.deployment
+    records = deployment.nodes["vm-c"]._records
+
+    def assigned():
+        table = records.table("box-office")
+        owners = {tables.lookup(table, key).node for key in context.released}
+        return owners == {"vm-c"}
+
+    assert context.released
+    run(context, deployment.wait(assigned, seconds))
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -32,7 +32,12 @@
     UpstreamClient,
 )
 from rosemarydeal.policy.dispatch.queue import Admission
-from rosemarydeal.policy.keyranges import balance, ownership_lease, proposals
+from rosemarydeal.policy.keyranges import (
+    balance,
+    hand_over_targets,
+    ownership_lease,
+    proposals,
+)
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
 from rosemarydeal.policy.keyranges.suspicion_backoff import SuspicionBackoff
@@ -573,6 +578,8 @@
             ]
             if not moved:
                 return
+            eligible = proposals.eligible_owners(self._view(now()))
+            moved = hand_over_targets.current_targets(base.table, moved, eligible)
             changed = tables.move_ranges(base.table, moved, _writer())
             if await self._write(TableChange(base, changed, "hand-over")):
                 return
