Confirm a start that states a later time while the current one is heard

Cause: an incarnation that was not known as a former one (kept in memory only) and stated a later start became current at once, even while the current one announced itself. Its heartbeat holds nothing, so that the releases ended and the keys were granted to others.

Change: while the current start has been heard within three periods, a later one is confirmed as well: by the instance that answers at the address, or by three periods without an announcement of the current one. One that is gone (a refused connection) or has missed three announcements is replaced at once, as before.

Weighed: taking it at once for dispatch alone, with no release ended. It needs two current incarnations side by side, and gains nothing measurable where the instance is named.

Evidence: 'A late heartbeat of a start that states a later time ends the releases of the current one' (another id, the same id) fails on the product before, 2 of 2, and passes. 'An upstream that is back at once waits to be used' holds the price; it passes before too.

A test changed: in leaving, 'A late answer of a former incarnation does not mark its successor as leaving' applies the successor as confirmed; unconfirmed, it is no successor within three periods. Its assertion is the same.

--- a/features/earlier_starts.feature
+++ b/features/earlier_starts.feature
@@ -26,6 +26,32 @@
       | another id  |
       | the same id |
 
+  Scenario Outline: A late heartbeat of a start that states a later time ends the releases of the current one
+    Given a deployment of 3 <VMs>
+    When the upstream of vm-b drains, and a late heartbeat of an unknown start arrives that states <time> under <id>
+    Then the late heartbeat is refused
+    And all keys are served again within 5 seconds
+    And no key was ever held by two upstreams
+
+    Examples:
+      | VMs                                   | time         | id          |
+      | VMs whose heartbeats carry the grants | a later time | another id  |
+      | VMs whose heartbeats carry the grants | a later time | the same id |
+
+  Scenario Outline: An upstream that is back at once waits to be used
+    Given a deployment of 3 <VMs>
+    When the upstream of vm-b restarts at once under <id>, and its health path names <named>
+    Then it is the current upstream of vm-b within <seconds> seconds
+    And all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+
+    Examples:
+      | VMs                                   | id          | named        | seconds |
+      | VMs                                   | another id  | its instance | 0.3     |
+      | VMs whose heartbeats carry the grants | another id  | its instance | 0.3     |
+      | VMs                                   | another id  | no instance  | 1.3     |
+      | VMs                                   | the same id | its instance | 1.3     |
+
   Scenario: A departure of an upstream that is not in use is acknowledged
     Given a deployment of 1 VMs
     When an upstream that never announced itself to vm-a departs
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -67,6 +67,8 @@
         self._host, self._service, self._zone = host, service, zone
         self._sequence = 0
         self._born = 1_000
+        # Whether its health path names it.
+        self.names_instance = True
         # Disturbs its answers if it is set before the start.
         self.stutter = None
         self._server = None
@@ -104,18 +106,27 @@
         """Announces itself no more, but runs on."""
         self._task.cancel()
 
+    def pause_announcing(self, seconds):
+        """Announces itself again only after a pause."""
+        self._task.cancel()
+
+        def go_on():
+            self._task = asyncio.create_task(self._announce())
+
+        asyncio.get_running_loop().call_later(seconds, go_on)
+
     def work_on(self, key):
         """Starts work on a key that does not end."""
         self._running_keys.append(key)
 
-    async def call(self, name, body):
+    async def call(self, name, body, instance=None):
         """Calls the process beside the upstream and returns the status."""
-        return (await self._exchange(name, body))[0]
+        return (await self._exchange(name, body, instance))[0]
 
-    async def _exchange(self, name, body):
+    async def _exchange(self, name, body, instance=None):
         """Calls the process beside the upstream; returns the status and the body."""
         address = Address(self._host, 9004)
-        path = f"/v1/instances/{self.instance}/{name}".encode()
+        path = f"/v1/instances/{instance or self.instance}/{name}".encode()
         encoded = BytesBody(json.dumps(body).encode())
         request = Request(b"POST", path, ((b"host", b"x"),), encoded, address)
         response = await self._pool.send(address, request, 1.0)
@@ -156,8 +167,10 @@
             return await self._release(json.loads(body))
         if request.target == b"/healthz":
             load = (b"server-load", b"0,0,8,100")
-            named = (b"instance-id", self.instance.encode())
-            return bytes_response(200, b"", (load, named))
+            named = ((b"instance-id", self.instance.encode()),)
+            return bytes_response(
+                200, b"", (load, *(named if self.names_instance else ()))
+            )
         return await self._run(request)
 
     async def _run(self, request):
--- a/features/steps/earlier_starts_steps.py
+++ b/features/steps/earlier_starts_steps.py
@@ -16,6 +16,9 @@
 from rosemarydeal.platform.upstream import UpstreamCallFailed, UpstreamClient
 
 JUMP_MS = 500
+LATER_MS = 10_000
+# Shorter than the time after which an upstream counts as silent.
+HEARTBEAT_PAUSE_S = 0.8
 ACKNOWLEDGED = 200
 REFUSED = 409
 LATE_HEARTBEATS_S = 1.5
@@ -36,8 +39,8 @@
     context.statuses = []
     exchange = endpoint._exchange
 
-    async def recorded(call, body):
-        status, content = await exchange(call, body)
+    async def recorded(call, body, instance=None):
+        status, content = await exchange(call, body, instance)
         if context.deployment.nodes[name]._watch.state.announcement.born_ms != (
             endpoint._born
         ):
@@ -59,7 +62,50 @@
     return watch.is_current(f"{endpoint.instance}@{endpoint._born}")
 
 
-@then("it is the current upstream of {name} within {seconds:d} seconds")
+@when(
+    "the upstream of {name} restarts at once under {identity},"
+    " and its health path names {named}"
+)
+def step_restart_at_once(context, name, identity, named):
+    endpoint = context.deployment.endpoints[name]
+    context.name, context.endpoint = name, endpoint
+    endpoint.names_instance = named == "its instance"
+
+    async def go():
+        endpoint.restart(renamed=identity == "another id")
+
+    run(context, go())
+
+
+@when(
+    "the upstream of {name} drains, and a late heartbeat of an unknown start arrives"
+    " that states a later time under {identity}"
+)
+def step_late_unknown(context, name, identity):
+    endpoint = context.deployment.endpoints[name]
+    ownership = context.deployment.nodes[name]._ownership
+
+    async def go():
+        late = endpoint.announcement(
+            seq=100_000, born=endpoint._born + LATER_MS, state="draining", holds=[]
+        )
+        endpoint.state = "draining"
+        await context.deployment.wait(lambda: ownership._moving, 3.0)
+        # Its next heartbeat reports the releases.
+        endpoint.pause_announcing(HEARTBEAT_PAUSE_S)
+        instance = endpoint.instance
+        sender = instance if identity == "the same id" else "i-never-seen"
+        context.late = [await endpoint.call("heartbeat", late, sender)]
+
+    run(context, go())
+
+
+@then("the late heartbeat is refused")
+def step_late_unknown_refused(context):
+    assert context.late == [REFUSED], context.late
+
+
+@then("it is the current upstream of {name} within {seconds:g} seconds")
 def step_current(context, name, seconds):
     run(context, context.deployment.wait(lambda: is_current(context), seconds))
 
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -65,7 +65,8 @@
         running = asyncio.create_task(context.guard.serve(a_routed_request()))
         await asyncio.sleep(0.01)
         identity = context.guard._identity
-        context.guard._watch.apply(an_announcement(identity, "j", born_ms=2))
+        successor = an_announcement(identity, "j", born_ms=2)
+        context.guard._watch.apply_confirmed(successor)
         context.client.blocked.set()
         await running
         context.client.notice = UpstreamNotice(math.inf)
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -5,9 +5,9 @@
 nothing.
 
 Which of two incarnations is the later can't rest on their clocks alone, and a call may
-arrive after its sender has ended. An incarnation that isn't known to be later has to be
-confirmed: by the instance that answers at the address, or by several announcements
-while the current incarnation sends none.
+arrive after its sender has ended. While the current incarnation may still run, another
+one has to be confirmed: by the instance that answers at the address, or by several
+periods in which the current incarnation announces nothing.
 """
 
 from __future__ import annotations
@@ -198,7 +198,8 @@
     def _is_later(self, new: Announcement, state: UpstreamState) -> bool:
         """Returns whether another incarnation has replaced the current one."""
         known = new.incarnation in self._former
-        if not known and new.born_ms > state.announcement.born_ms:
+        later = not known and new.born_ms > state.announcement.born_ms
+        if later and not self._is_heard(state):
             return True
         candidate = self._candidate
         if candidate is None or candidate.announcement.incarnation != new.incarnation:
@@ -210,6 +211,10 @@
         periods = (now() - candidate.first_at) / self._identity.announce_period_s
         return periods >= SUSPECT_AFTER_PERIODS
 
+    def _is_heard(self, state: UpstreamState) -> bool:
+        """Returns whether the upstream runs, judging by its announcements."""
+        return state.alive and self._missed_periods(state) < SUSPECT_AFTER_PERIODS
+
     def _missed_periods(self, state: UpstreamState) -> float:
         """Returns the time since the last announcement, in periods."""
         return (now() - state.last_heartbeat_at) / self._identity.announce_period_s
