Let a refused connection end only the incarnation that it was meant for

Callers: after a pause of the process, the successor of a crashed upstream was marked as gone on a connection that the former one had refused, until its next heartbeat; a request that was never sent counted for two crashes and was rejected as a crash suspect.

Cause: `report_connect_failed()` named no incarnation, and applied to the current one. Besides, a refused request counted as running at the crash that its refusal showed. Class: a result applied to whatever is current when it arrives.

Change: the report names the incarnation and is dropped if another one is current. A request that was not sent doesn't count as running when its upstream is found to be gone. What remains: one whose connection is still being opened when the end becomes known is counted for that one crash (not for two), even if it then turns out to be unsent.

--- a/features/earlier_starts.feature
+++ b/features/earlier_starts.feature
@@ -83,3 +83,15 @@
     Given an upstream that accepts no connection in time
     When a range is granted to it for 1 second
     Then it holds no keys
+
+  Scenario: A connection that a former upstream refused marks its successor as gone
+    Given a guard that sends a request to its upstream
+    When the successor of the upstream announces itself, and then the connection turns out to be refused
+    Then the successor is the current upstream, and runs
+    And the request is no crash suspect
+
+  Scenario: A request that was not sent counts as running when its upstream crashed
+    Given a guard that sends a request to its upstream
+    When the connection turns out to be refused
+    Then the upstream is gone
+    And no request counts as running at the crash
--- a/features/steps/earlier_starts_steps.py
+++ b/features/steps/earlier_starts_steps.py
@@ -8,12 +8,16 @@
 
 from behave import given, then, when
 
+from features.builders_fleet_types import a_routed_request
 from features.builders_node import run
+from features.builders_rate_limit import a_limited_guard, an_announcement
 from rosemarydeal.core import Address
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import KeyRange
+from rosemarydeal.core.requests import Failed
 from rosemarydeal.node.grants import CallGrantCarrier
 from rosemarydeal.platform.upstream import UpstreamCallFailed, UpstreamClient
+from rosemarydeal.policy.dispatch.crash_suspects import request_fingerprint
 
 JUMP_MS = 500
 LATER_MS = 10_000
@@ -266,3 +270,71 @@
 @then("it holds no keys")
 def step_holds_none(context):
     assert not context.may_hold
+
+
+class UndecidedClient:
+    """A client whose request waits for the result that a test sets."""
+
+    def __init__(self):
+        self.started = asyncio.Event()
+        self.result = None
+
+    async def run(self, upstream_request):
+        self.result = asyncio.get_running_loop().create_future()
+        self.started.set()
+        return await self.result
+
+
+async def refuse(context, successor=None):
+    """Sends a request, whose connection is refused after a successor is known."""
+    serving = asyncio.create_task(context.guard.serve(a_routed_request("r1")))
+    await context.client.started.wait()
+    if successor is not None:
+        context.guard._watch.apply_confirmed(successor)
+    refused = Failed("connect-failed", sent=False, refused=True)
+    context.client.result.set_result(refused)
+    context.outcome = await serving
+
+
+@given("a guard that sends a request to its upstream")
+def step_guard(context):
+    context.client = UndecidedClient()
+    context.guard = a_limited_guard(context.client)
+
+
+@when(
+    "the successor of the upstream announces itself,"
+    " and then the connection turns out to be refused"
+)
+def step_refused_late(context):
+    successor = an_announcement(context.guard._identity, "j", born_ms=2)
+    asyncio.run(refuse(context, successor))
+
+
+@when("the connection turns out to be refused")
+def step_refused(context):
+    asyncio.run(refuse(context))
+
+
+@then("the successor is the current upstream, and runs")
+def step_successor_runs(context):
+    state = context.guard._watch.state
+    assert state.incarnation == "j@2", state
+    assert state.alive, state
+
+
+@then("the request is no crash suspect")
+def step_no_suspect(context):
+    request = a_routed_request("r1")
+    fingerprint = request_fingerprint(request.method, request.target, request.body)
+    assert not context.guard._crash_suspects.is_suspect(fingerprint, now())
+
+
+@then("the upstream is gone")
+def step_gone(context):
+    assert not context.guard._watch.state.alive
+
+
+@then("no request counts as running at the crash")
+def step_none_counted(context):
+    assert context.guard._crash_suspects.count == 0
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -95,7 +95,11 @@
 
 @dataclass(slots=True)
 class _ActiveRequest:
-    """A request that is queued or running here."""
+    """A request that is queued or running here.
+
+    Attributes:
+        unsent: Whether its attempt has ended before anything was sent.
+    """
 
     request: RoutedRequest
     fingerprint: str
@@ -103,6 +107,7 @@
     deadline: float
     future: asyncio.Future[RequestOutcome]
     task: asyncio.Task[None] | None = None
+    unsent: bool = False
 
 
 class Guard:
@@ -472,8 +477,9 @@
                 )
             case Failed(code, sent, timed_out, refused):
                 if not sent:
+                    active.unsent = True
                     if refused:
-                        self._watch.report_connect_failed()
+                        self._watch.report_connect_failed(incarnation)
                     return NotServed(code, elsewhere=True)
                 return OutcomeUnknown(code, timed_out)
 
@@ -482,7 +488,7 @@
         fingerprints = tuple(
             active.fingerprint
             for active in self._active.values()
-            if active.task is not None
+            if active.task is not None and not active.unsent
         )
         if fingerprints:
             _log.warning("upstream_crashed", running=len(fingerprints))
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -138,12 +138,12 @@
         self._apply_new(call)
         return CallResult.APPLIED
 
-    def report_connect_failed(self) -> None:
-        """Marks the upstream as gone, since it refused a connection."""
+    def report_connect_failed(self, incarnation: str) -> None:
+        """Marks an incarnation as gone, since it refused a connection."""
         state = self._state
-        if state is not None and (state.alive or state.silent):
+        if self.is_current(incarnation) and (state.alive or state.silent):
             _log.warning(
-                "upstream_gone", incarnation=state.incarnation, reason="connect-failed"
+                "upstream_gone", incarnation=incarnation, reason="connect-failed"
             )
             self._update(replace(state, alive=False, silent=False))
 
@@ -151,7 +151,7 @@
         """Marks the upstream as gone if it has missed announcements as well."""
         state = self._state
         if state is not None and self._missed_periods(state) > SUSPECT_AFTER_PERIODS:
-            self.report_connect_failed()
+            self.report_connect_failed(state.incarnation)
 
     def report_leaving(self, incarnation: str) -> None:
         """Marks an incarnation as leaving, as it said so in an answer."""
