Give back the slot of the daemon's guard however an exchange ends

Callers: an upstream beside the daemon that gets less and less work, and nothing at all once each slot is lost; requests wait and are rejected until the process is restarted.

Cause: the policy counts a request as running from its dispatch. Its end was reported by the last line of the exchange's own task, which never runs if the task is cancelled before its first step, nor after an error other than `ProxyError`. The first is reached: a lookup is dispatched, its deadline passes in the same turn of the event loop, and the tick at the end of that turn cancels it. For the second no way through the product was found; it is closed all the same.

Change: the task returns its result, and its done callback, which runs on every way out, reports it. A task that was cancelled before its first step has sent nothing, so its request has not run. An unforeseen error is logged as `upstream_exchange_broken`, with its traceback, and the outcome is unknown.

--- a/rosemarydeal/daemon/exchange.py
+++ b/rosemarydeal/daemon/exchange.py
@@ -7,6 +7,8 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 
+import structlog
+
 from rosemarydeal.core import SliceId, headers
 from rosemarydeal.policy import guard
 from rosemarydeal.proxy import (
@@ -26,11 +28,14 @@
     "keeps_connection",
     "pool_settings",
     "stream_body",
+    "task_result",
     "upstream_request",
 ]
 
 MS_PER_S = 1000.0
 
+_log = structlog.get_logger()
+
 
 async def stream_body(
     queue: asyncio.Queue[bytes | ProxyError | None],
@@ -127,3 +132,21 @@
 def keeps_connection(response: Response) -> bool:
     """Returns whether a response names its request, so its connection is reused."""
     return find_header(response.headers, headers.IDEMPOTENCY_KEY) is not None
+
+
+def task_result(
+    request_id: str, task: asyncio.Task[guard.GuardEvent], sent: bool
+) -> guard.GuardEvent:
+    """Returns the result of an exchange whose task has ended.
+
+    Args:
+        request_id: Id of the request.
+        task: The task, which may have been cancelled before its first step.
+        sent: Whether a part of the request may have been sent.
+    """
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        _log.error("upstream_exchange_broken", request_id=request_id, exc_info=error)
+    if error is not None or task.cancelled():
+        return guard.UpstreamFailed(request_id, sent, crashed=False)
+    return task.result()
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 import structlog
 
@@ -50,6 +51,7 @@
     keeps_connection,
     pool_settings,
     stream_body,
+    task_result,
     upstream_request,
 )
 from .loadmeter import UpstreamLoadMeter
@@ -109,11 +111,19 @@
 
 @dataclass(slots=True)
 class _Exchange:
-    """A request at the guard, with the task that exchanges it with the upstream."""
+    """A request at the guard, with the task that exchanges it with the upstream.
+
+    Attributes:
+        request: The request with its body.
+        details: Fields read from the request.
+        task: The task, once the request was dispatched.
+        started_at: Time of the task's first step, in seconds.
+    """
 
     request: Request
     details: RequestDetails
-    task: asyncio.Task[None] | None = None
+    task: asyncio.Task[guard.GuardEvent] | None = None
+    started_at: float | None = None
 
 
 class GuardTask:
@@ -247,6 +257,7 @@
         """Starts the exchange of a request with the upstream."""
         exchange = self._exchanges[action.request_id]
         exchange.task = asyncio.create_task(self._run(action, exchange))
+        exchange.task.add_done_callback(partial(self._finish, action, exchange))
 
     def _cancel(self, request_id: str) -> None:
         """Cancels an exchange; its connection closes, so the upstream can stop."""
@@ -254,20 +265,32 @@
         if exchange is not None and exchange.task is not None:
             exchange.task.cancel()
 
-    async def _run(self, action: guard.Dispatch, exchange: _Exchange) -> None:
-        """Runs one exchange and reports its result to the policy."""
-        started = now()
-        event: guard.GuardEvent
+    async def _run(
+        self, action: guard.Dispatch, exchange: _Exchange
+    ) -> guard.GuardEvent:
+        """Runs one exchange and returns its result for the policy."""
+        exchange.started_at = now()
         try:
-            event = await self._exchange(action, exchange, started)
+            return await self._exchange(action, exchange, exchange.started_at)
         except ProxyError as error:
-            event = self._failure(action.request_id, error)
-        except asyncio.CancelledError:
-            event = guard.UpstreamFailed(action.request_id, sent=True, crashed=False)
+            return self._failure(action.request_id, error)
+
+    def _finish(
+        self,
+        action: guard.Dispatch,
+        exchange: _Exchange,
+        task: asyncio.Task[guard.GuardEvent],
+    ) -> None:
+        """Reports the result of an exchange to the policy, however its task ended.
+
+        The policy counts the request as running until then.
+        """
         self._exchanges.pop(action.request_id, None)
-        digest = key_hash(exchange.details.key)
-        self._load_meter.add(action.slice, digest, now() - started)
-        self.post(event)
+        started = exchange.started_at
+        if started is not None:
+            digest = key_hash(exchange.details.key)
+            self._load_meter.add(action.slice, digest, now() - started)
+        self.post(task_result(action.request_id, task, sent=started is not None))
 
     async def _exchange(
         self, action: guard.Dispatch, exchange: _Exchange, started: float
