Tell the daemon's guard that a waiting caller has left

Callers: an order whose caller has given up, or whose connection was lost, while it waited was sent to the upstream all the same, and ran with nobody to get its outcome. A lookup ran on to its end in a slot that others waited for.

Cause: a caller that leaves cancels its task, which cancels the future for which it waits. The guard reported the caller as gone only if its future was not done; a cancelled future is done, so it never did.

Change: the guard reports the caller when its wait is cancelled. The policy ignores a caller that it has already answered.

Evidence: of the twelve scenarios of features/daemon_slots.feature, the eight in which a caller of a waiting order or lookup, or of a running lookup, leaves fail on the code before and pass now. Two more pass before and now: a lookup with a second caller, and an order that was sent, run on.

--- a/features/steps/daemon_slots_steps.py
+++ b/features/steps/daemon_slots_steps.py
@@ -15,6 +15,8 @@
 from features.builders_rate_limit import captured_logs
 from rosemarydeal.core import Unknown
 
+KINDS = {"an order": False, "a lookup": True}
+
 
 @given("a guard of the daemon with one slot")
 def step_guard(context):
@@ -80,3 +82,98 @@
 
     reply = context.run(go())
     assert reply.status == 200, reply
+
+
+@when("an order holds the slot and the caller of {kind} that waits leaves")
+def step_waiting_left(context, kind):
+    async def go():
+        context.slots.arrive("held")
+        context.slots.arrive("left", idempotent=KINDS[kind])
+        await settle()
+        context.slots.leave("left")
+        await settle()
+
+    context.run(go())
+
+
+@when("the order is answered")
+def step_answered(context):
+    async def go():
+        context.slots.answer("held")
+        await settle()
+
+    context.run(go())
+
+
+@then("nothing but the order was sent to the daemon's upstream")
+def step_only_order(context):
+    assert context.slots.pool.sent == ["held"], context.slots.pool.sent
+
+
+def send_and_leave(context, idempotent):
+    """Sends a request whose caller leaves while it runs."""
+
+    async def go():
+        context.slots.arrive("left", idempotent)
+        await settle()
+        assert context.slots.pool.sent == ["left"], context.slots.pool.sent
+        context.slots.leave("left")
+        await settle()
+
+    context.run(go())
+
+
+@when("a lookup is sent and its caller leaves")
+def step_lookup_left(context):
+    send_and_leave(context, idempotent=True)
+
+
+@when("an order is sent and its caller leaves")
+def step_order_left(context):
+    send_and_leave(context, idempotent=False)
+
+
+@then("it still runs at the daemon's upstream")
+def step_still_runs(context):
+    assert list(context.slots.pool.open) == ["left"], context.slots.pool.open
+
+
+@when("a lookup is sent for two callers and the first leaves")
+def step_first_of_two(context):
+    async def go():
+        context.slots.arrive("shared", idempotent=True)
+        await settle()
+        first = context.slots.callers["shared"]
+        context.slots.arrive("shared", idempotent=True)
+        await settle()
+        first.cancel()
+        await settle()
+
+    context.run(go())
+
+
+@then("the second caller gets the answer")
+def step_second_answered(context):
+    async def go():
+        context.slots.answer("shared")
+        return await context.slots.callers["shared"]
+
+    reply = context.run(go())
+    assert reply.status == 200, reply
+
+
+@when(
+    "an order is answered and {turns:d} turns later the caller of a lookup that waits "
+    "leaves"
+)
+def step_left_after_answer(context, turns):
+    async def go():
+        context.slots.arrive("held")
+        context.slots.arrive("left", idempotent=True)
+        await settle()
+        context.slots.answer("held")
+        await settle(turns)
+        context.slots.leave("left")
+        await settle()
+
+    context.run(go())
--- a/rosemarydeal/daemon/guard.py
+++ b/rosemarydeal/daemon/guard.py
@@ -193,9 +193,11 @@
         self.post(replace(arrived, caller=waiter))
         try:
             return await future
+        except asyncio.CancelledError:
+            self.post(guard.CallerGone(waiter))
+            raise
         finally:
-            if self._waiters.pop(waiter, None) is not None and not future.done():
-                self.post(guard.CallerGone(waiter))
+            del self._waiters[waiter]
             self._drop_idle_exchange(arrived.request_id)
 
     async def close(self) -> None:
