Move the writing of tables to a module of its own

Evidence: no behaviour changes; the methods moved as they were, and the table is looked up by the service of the change.

Change: node/table_writer.py checks, writes and sends changed tables. Two steps that called the former method call the writer.

--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -153,7 +153,9 @@
             base = other._records.table_base("box-office")
             keys = next(k for k in base.table.ranges if k.node == "vm-a")
             changed = tables.move_ranges(base.table, [(keys, member, "")], "writer")
-            await other._ownership._write(TableChange(base, changed, "hand-over"))
+            await other._ownership._table_writer.write(
+                TableChange(base, changed, "hand-over")
+            )
 
         node._membership.retire = remove_and_assign
         await node.shut_down()
--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -140,7 +140,9 @@
         base = ownership._table_base()
         context.first_revision = deployment.store.revision
         lowered = replace(base.table, top_token=base.table.top_token - 1, writer="low")
-        context.written = await ownership._write(TableChange(base, lowered, "test"))
+        context.written = await ownership._table_writer.write(
+            TableChange(base, lowered, "test")
+        )
 
     run(context, go())
 
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -27,7 +27,7 @@
     Revision,
     StoredObject,
 )
-from rosemarydeal.platform.errors import StoreConflict, StoreError
+from rosemarydeal.platform.errors import StoreError
 from rosemarydeal.platform.upstream import (
     UpstreamClient,
 )
@@ -44,15 +44,15 @@
 from rosemarydeal.policy.keyranges.table_changes import TableBase, TableChange
 
 from .balancer import Balancer
-from .contents import encode_table, table_name
+from .contents import table_name
 from .grants import CallGrantCarrier
 from .guard import Guard
 from .heartbeat_grants import HeartbeatGrantCarrier
 from .links import Links
-from .messages import ObjectState, ObjectUpdate, TableDelta
 from .records import RANGES, Records
 from .start_barrier import StartBarrier
 from .store_access import StoreAccess
+from .table_writer import TableWriter
 from .tasks import TaskFailures, Tasks
 from .upstream import UpstreamWatch
 
@@ -108,6 +108,7 @@
         self._records = records
         self._access = access
         self._links = links
+        self._table_writer = TableWriter(records, access, links)
         self._balancer = Balancer(identity.node, links)
         self._watch = watch
         self._is_keyed = is_keyed
@@ -382,7 +383,7 @@
         if member is None:
             return
         changed = proposals.renew_tokens(base.table, member, _writer())
-        await self._write(TableChange(base, changed, "token-refused"))
+        await self._table_writer.write(TableChange(base, changed, "token-refused"))
 
     def _note_refutations(self, moment: float) -> None:
         """Delays further suspicions against owners that refuted an earlier one."""
@@ -581,7 +582,7 @@
             eligible = proposals.eligible_owners(self._view(now()))
             moved = hand_over_targets.current_targets(base.table, moved, eligible)
             changed = tables.move_ranges(base.table, moved, _writer())
-            if await self._write(TableChange(base, changed, "hand-over")):
+            if await self._table_writer.write(TableChange(base, changed, "hand-over")):
                 return
             await asyncio.sleep(pause * random.uniform(0.7, 1.3))
             pause = min(WRITE_RETRY_MAX_S, 2 * pause)
@@ -589,7 +590,7 @@
     async def _write_proposal(self, change: TableChange) -> None:
         """Writes a proposed table; the next proposal may follow."""
         try:
-            if not await self._write(change):
+            if not await self._table_writer.write(change):
                 await asyncio.sleep(0.3 * random.uniform(0.5, 1.5))
         finally:
             self._writing = False
@@ -600,70 +601,6 @@
             self._writing = True
             await self._write_proposal(change)
 
-    def _may_write(self, change: TableChange) -> bool:
-        """Returns whether a change is still one of the table that is known now."""
-        known = self._table_base()
-        if change.lowers_token:
-            _log.error(
-                "table_token_lowered",
-                reason=change.reason,
-                top_token=change.table.top_token,
-                base=change.base.revision,
-            )
-            return False
-        if not change.applies_to(known):
-            _log.info(
-                "table_change_outdated",
-                reason=change.reason,
-                base=change.base.revision,
-                known=known.revision,
-                era=change.table.era,
-            )
-            return False
-        return True
-
-    async def _write(self, change: TableChange) -> bool:
-        """Writes a table over the revision of its base and sends it to the peers."""
-        if not self._may_write(change):
-            return False
-        changed, reason = change.table, change.reason
-        name = table_name(changed.service)
-        try:
-            stored = await self._access.write(
-                RANGES, name, encode_table(changed), change.base.revision
-            )
-        except StoreConflict:
-            table = self.table
-            applied = table is not None and table.writer == changed.writer
-            _log.info("table_conflict", reason=reason, applied=applied)
-            return applied
-        except StoreError as error:
-            _log.warning("table_not_written", reason=reason, detail=error.detail)
-            return False
-        if stored.revision.era != changed.era:
-            # The revision was given out again, for a table that was lost by this.
-            _log.warning("table_overwritten", reason=reason, era=changed.era)
-            return False
-        _log.info(
-            "table_written",
-            reason=reason,
-            revision=stored.revision,
-            top_token=changed.top_token,
-            ranges=len(changed.ranges),
-        )
-        self._send_to_peers(change, stored)
-        return True
-
-    def _send_to_peers(self, change: TableChange, stored: StoredObject) -> None:
-        """Sends a table that was written, or its difference from the base."""
-        base, changed = change.base, change.table
-        if base.table is None or not base.current or base.table.era != changed.era:
-            state = ObjectState(stored.name, stored.revision, stored.content)
-            self._links.broadcast(ObjectUpdate(RANGES, state))
-            return
-        delta = TableDelta.of(base.revision, stored.revision, base.table, changed)
-        self._links.broadcast(delta)
-
 
 def _writer() -> str:
     """Returns a new identifier for a write."""
