--- a/features/mutant_list_restored.py
+++ b/features/mutant_list_restored.py
@@ -43,7 +43,7 @@
     Mutant(
         "a table written after a restore taken for the first one",
         f"{RANGES}/table.py",
-        "restored_token = token if era > FIRST_ERA else 0",
+        "restored_token = token if era > FIRST_ERA or replaced else 0",
         "restored_token = 0",
         RESTORED,
     ),
