Choose the loopback network of a live deployment when it starts

Callers: none; a test run failed as another one started at the same moment.

Cause: the network number was taken when the module was loaded, the first free one from 100 on.

No check changes.

--- a/features/builders_live.py
+++ b/features/builders_live.py
@@ -17,7 +17,6 @@
 
 __all__ = ["LiveDeployment"]
 
-NETWORK = free_network()
 START_TIMEOUT_S = 20.0
 
 
@@ -27,7 +26,7 @@
     def __init__(self) -> None:
         plan = FleetPlan(
             Path("examples/fremantle.json"),
-            NETWORK,
+            free_network(),
             {"box-office": 3, "show-schedule": 1},
         )
         self._loop = asyncio.new_event_loop()
