End the watches of operators' changes before a silent connection hides them

Callers: after all open connections to the store had fallen silent, without a reset, the processes handled requests by the former configuration for 22 s: new routes were answered 404 (CONFIG, DENIED).

Cause: a watch waits 25 s for a change, and its connection shows no fault until then. All readers of all zones depend on such connections. After a call without an answer, the next ones went over other silent connections, 0.3 s each.

Change: the first reader of a zone ends its watches of the configuration after 1.5 s, of zones that are out after 3 s; a watch without an answer is asked for once more over a new connection; a call without an answer closes all idle connections to the store.

--- a/features/standin_store.py
+++ b/features/standin_store.py
@@ -44,6 +44,10 @@
         self.late_statuses = []
         self.stale_s = 0.0
         self.calls = []
+        # How much later each call is answered, in seconds.
+        self.answer_s = 0.0
+        self._callers = set()
+        self._silent_callers = set()
         self.era = 1
         self._copy = None
         self._changed = asyncio.Event()
@@ -97,9 +101,17 @@
         self.era += 1
         self._changed.set()
 
+    def silence_connections(self):
+        """Answers nothing any more on the connections that are open now."""
+        self._silent_callers |= self._callers
+
     async def answer(self, request: Request):
         """Answers a call; each answer states the era."""
+        self._callers.add(request.peer)
         response = await self._answer(request)
+        await asyncio.sleep(self.answer_s)
+        if request.peer in self._silent_callers:
+            await asyncio.sleep(UNANSWERED_S)
         era = (b"store-era", str(self.era).encode())
         return replace(response, headers=(*response.headers, era))
 
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -38,6 +38,10 @@
 
 # Longer watches cost less; the store allows 30 s.
 WATCH_TIMEOUT_S = 25.0
+# A connection may fall silent without a reset, which only the end of a watch shows.
+# The first reader of a zone ends the watches of operators' changes early: in force
+# within two seconds, and within five, are due three seconds after such a fault.
+CHECKED_WATCH_TIMEOUT_S = {CONFIGURATION_KIND: 1.5, ZONES_OUT_KIND: 3.0}
 # Delay between a change and the next call, which then returns several changes.
 # Operators' changes must be in force within two seconds; tables arrive earlier
 # from the peers that write them.
@@ -336,7 +340,7 @@
         try:
             async with asyncio.timeout(None) as self._watches[kind]:
                 listing = await self._store.watch(
-                    kind, revision, WATCH_TIMEOUT_S, allow_stale
+                    kind, revision, self._watch_timeout_s(kind), allow_stale
                 )
         except TimeoutError as error:
             raise HistoryGone(f"{kind}: restored since {revision}") from error
@@ -349,6 +353,12 @@
             # Further changes are then returned by one call.
             await asyncio.sleep(self._delay_s(kind))
 
+    def _watch_timeout_s(self, kind: str) -> float:
+        """Returns how long a watch of a kind waits for changes, in seconds."""
+        if self.shared_reader is not None:
+            return WATCH_TIMEOUT_S
+        return CHECKED_WATCH_TIMEOUT_S.get(kind, WATCH_TIMEOUT_S)
+
     def _push(self, kind: str, since: Revision, listing: Listing) -> None:
         """Sends all changes since a revision to the other processes of the zone."""
         self._spans.begin(kind, listing.revision)
--- a/rosemarydeal/platform/errors.py
+++ b/rosemarydeal/platform/errors.py
@@ -11,6 +11,7 @@
     "SettingsWrong",
     "StoreConflict",
     "StoreError",
+    "StoreTimeout",
     "StoreUnavailable",
     "Unreadable",
 ]
@@ -48,6 +49,12 @@
         self.maybe_done = maybe_done
 
 
+class StoreTimeout(StoreUnavailable):
+    """No answer came in time; the connection may have fallen silent."""
+
+    code = "store-timeout"
+
+
 class ForeignAnswer(StoreUnavailable):
     """The answer does not fit the call: it belongs to another one, or to none."""
 
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -19,6 +19,7 @@
     Headers,
     Pool,
     PoolSettings,
+    ProxyTimeout,
     Request,
     find_header,
     read_bytes,
@@ -29,6 +30,7 @@
     HistoryGone,
     StoreConflict,
     StoreError,
+    StoreTimeout,
     StoreUnavailable,
 )
 from .names import OBJECTS_PATH, STORE_ERA
@@ -177,6 +179,8 @@
     ) -> Listing:
         """Waits for changes of a kind after a revision.
 
+        If no answer comes, changes are asked for once more, over a new connection.
+
         Args:
             kind: The kind.
             revision: Revision up to which changes have been received.
@@ -191,8 +195,15 @@
         query = f"?watch={revision.number}&wait_ms={int(wait_s * MS_PER_S)}"
         if stale:
             query += STALE_QUERY
-        wait = wait_s + self._settings.watch_slack_s
-        reply = await self._call("watch", kind, b"GET", query, wait=wait)
+        slack_s = self._settings.watch_slack_s
+        try:
+            reply = await self._call(
+                "watch", kind, b"GET", query, wait=wait_s + slack_s
+            )
+        except StoreTimeout:
+            # Only the connection may have fallen silent; this takes a new one.
+            query = f"?watch={revision.number}&wait_ms=0"
+            reply = await self._call("watch", kind, b"GET", query, wait=slack_s)
         if reply.status == GONE:
             raise HistoryGone(f"{kind}: history since {revision} is gone")
         self._check_era(kind, revision)
@@ -251,7 +262,15 @@
 
     async def close(self) -> None:
         """Closes all connections."""
-        for pool in self._pools.values():
+        await self._close_pools()
+
+    async def _close_pools(self) -> None:
+        """Closes the idle connections; those in use close when their call ends.
+
+        After a call without an answer any of them may have fallen silent as well.
+        """
+        pools, self._pools = self._pools, {}
+        for pool in pools.values():
             await pool.close()
 
     @asynccontextmanager
@@ -326,7 +345,11 @@
             async with asyncio.timeout(timeout_s):
                 response = await self._pool(kind).send(address, request, timeout_s)
                 answer = await read_bytes(response.body, MAX_ANSWER_BYTES)
-        except (CodedError, OSError, TimeoutError) as error:
+        except (ProxyTimeout, TimeoutError) as error:
+            await self._close_pools()
+            maybe_done = is_write and getattr(error, "sent", True)
+            raise StoreTimeout(f"{target}: {error!r}", maybe_done) from error
+        except (CodedError, OSError) as error:
             maybe_done = is_write and getattr(error, "sent", True)
             raise StoreUnavailable(f"{target}: {error!r}", maybe_done) from error
         era = self._era_of(response.headers)
