Follow the settings file while the process runs

Cause: the settings file was read at the start only; SIGHUP was logged and changed nothing.

Change: the file is read once a second and at SIGHUP.

--- a/features/builders_node_programs.py
+++ b/features/builders_node_programs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -120,17 +121,34 @@
 
     async def start_node(self, name):
         """Starts a life of the process of a VM."""
-        settings = self._directory / f"{name}.toml"
-        text = SETTINGS.format(
-            name=name,
-            zone=self.zone(name),
-            host=self.hosts[name],
-            store=self.address,
-            grants=self.carrier.name.lower(),
-            grace_s=GRACE_S,
-            memory_mb=MEMORY_MB,
+        program = NodeProgram(
+            self.write_settings(name), self._directory / f"{name}.log"
         )
-        settings.write_text(text, "utf-8")
-        program = NodeProgram(settings, self._directory / f"{name}.log")
         await program.start()
         self.nodes[name] = program
+
+    def write_settings(self, name, **changes):
+        """Writes the settings file of a VM's process; returns its path.
+
+        Args:
+            name: Name of the VM.
+            changes: Other values than those of the deployment.
+        """
+        settings = self._directory / f"{name}.toml"
+        values = {
+            "name": name,
+            "zone": self.zone(name),
+            "host": self.hosts[name],
+            "store": self.address,
+            "grants": self.carrier.name.lower(),
+            "grace_s": GRACE_S,
+            "memory_mb": MEMORY_MB,
+        }
+        settings.write_text(SETTINGS.format(**values | changes), "utf-8")
+        return settings
+
+    def logged(self, name, event):
+        """Returns the log lines of an event that a VM's processes wrote."""
+        lines = (self._directory / f"{name}.log").read_text("utf-8").splitlines()
+        entries = [json.loads(line) for line in lines if line.startswith("{")]
+        return [entry for entry in entries if entry["event"] == event]
--- a/features/standin_store.py
+++ b/features/standin_store.py
@@ -58,6 +58,13 @@
         self._server = await serve(self.answer, Address(host, 0), HttpLimits())
         return self._server.address
 
+    async def move(self):
+        """Listens on another port and no longer on the former; returns the address."""
+        former = self._server
+        address = await self.start(former.address.host)
+        await former.close()
+        return address
+
     async def close(self):
         await self._server.close()
 
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -99,6 +99,12 @@
             self._configuration = configuration
             self._route_index = RouteIndex.of(configuration)
 
+    def apply_settings(self, settings: NodeIdentity) -> None:
+        """Applies changed settings; the retries so far still count."""
+        self._identity = settings
+        for budget in self._budgets.values():
+            budget.set_bounds(settings.bounds)
+
     def begin_stop(self, stop: PlannedStop) -> None:
         """Passes requests on, from now on, only if they are answered before a stop."""
         self._stop = stop
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -211,6 +211,10 @@
                 counts[key] = counts.get(key, 0.0) + 1.0
         return counts
 
+    def apply_settings(self, settings: NodeIdentity) -> None:
+        """Applies changed settings."""
+        self._identity = settings
+
     def begin_stop(self, stop: PlannedStop) -> None:
         """Rejects, from now on, what can't be answered before a planned stop."""
         self._apply_decisions(self._queue.begin_stop(stop, now()))
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from rosemarydeal.core import Address
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import Announcement, NodeIdentity, Service
 from rosemarydeal.platform import announcements, callers
@@ -36,6 +37,7 @@
 from .metrics import Metrics
 from .ownership import Ownership
 from .records import MEMBERS, RANGES, Records
+from .settings_watch import SettingsWatch
 from .start_check import StartCheck
 from .store_access import StoreAccess
 from .store_watch import StoreWatcher
@@ -137,6 +139,7 @@
         self._start_check = StartCheck(
             self._watch, self._client, self._membership.health_path
         )
+        self._settings_watch = SettingsWatch(identity, self._apply_settings)
         self._stopping = False
         self._servers: list[HttpServer] = []
         self._callers: HttpServer | None = None
@@ -177,6 +180,14 @@
             self._tasks.keep_running(name, work)
         _log.info("started", process=self._process, zone=identity.zone)
 
+    def follow_settings(self) -> None:
+        """Follows the settings file from now on."""
+        self._tasks.keep_running("settings-watch", self._settings_watch.run)
+
+    def check_settings(self) -> None:
+        """Reads the settings file now, as a signal tells that it has changed."""
+        self._settings_watch.check()
+
     async def wait_failed(self) -> None:
         """Waits until a task has failed in a way that has to end the process."""
         await self._failures.wait_fatal()
@@ -330,6 +341,20 @@
         elif kind == RANGES:
             self._ownership.on_table_changed()
 
+    def _apply_settings(self, settings: NodeIdentity) -> None:
+        """Applies changed settings."""
+        store_moved = settings.store != self._identity.store
+        self._identity = settings
+        for component in (self._entry, self._guard, self._watch):
+            component.apply_settings(settings)
+        if store_moved:
+            self._tasks.spawn("store-move", self._move_store(settings.store))
+
+    async def _move_store(self, address: Address) -> None:
+        """Calls the store at another address from now on."""
+        await self._store.set_address(address)
+        self._store_watcher.end_watches()
+
     def _on_zones_changed(self) -> None:
         """Stops or resumes dispatching when operators take the zone out or back."""
         out = self._is_zone_out()
--- a/rosemarydeal/node/program.py
+++ b/rosemarydeal/node/program.py
@@ -55,10 +55,11 @@
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload)
     flusher = asyncio.create_task(sink.run())
     process = NodeProcess(identity)
+    loop.add_signal_handler(signal.SIGHUP, _reload, process)
     await process.start()
+    process.follow_settings()
     stop = asyncio.create_task(stop_requested.wait())
     failure = asyncio.create_task(process.wait_failed())
     await asyncio.wait((stop, failure), return_when=asyncio.FIRST_COMPLETED)
@@ -69,6 +70,7 @@
     return EXIT_OK
 
 
-def _reload() -> None:
-    """Logs SIGHUP, which changes nothing: settings are read at the start only."""
-    _log.info("settings_reloaded", changed=False)
+def _reload(process: NodeProcess) -> None:
+    """Logs SIGHUP, and reads the settings file again."""
+    _log.info("settings_reloaded")
+    process.check_settings()
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -175,7 +175,10 @@
             )
 
     def end_watches(self) -> None:
-        """Ends all watches, because the store was restored from a copy."""
+        """Ends all watches, after which their kinds are listed anew.
+
+        The store was restored from a copy, or has another address.
+        """
         for watch in self._watches.values():
             if not watch.expired():
                 watch.reschedule(asyncio.get_running_loop().time())
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -119,6 +119,10 @@
         """Returns the state, None before the first announcement."""
         return self._state
 
+    def apply_settings(self, settings: NodeIdentity) -> None:
+        """Applies changed settings."""
+        self._identity = settings
+
     def is_current(self, incarnation: str) -> bool:
         """Returns whether an incarnation is the one that was announced last."""
         return self._state is not None and self._state.incarnation == incarnation
--- a/rosemarydeal/platform/node_settings.py
+++ b/rosemarydeal/platform/node_settings.py
@@ -20,7 +20,7 @@
 from .errors import SettingsWrong
 from .names import SETTINGS_FILE, SETTINGS_VARIABLE
 
-__all__ = ["load_identity", "parse_identity"]
+__all__ = ["load_identity", "parse_identity", "read_settings"]
 
 MS_PER_S = 1000.0
 BYTES_PER_MB = 1000 * 1000
@@ -30,17 +30,25 @@
 
 
 def load_identity() -> NodeIdentity:
-    """Reads the settings file of this process.
+    """Reads and parses the settings file of this process.
 
     Raises:
         SettingsWrong: If the file can't be read, or lacks a setting.
     """
+    return parse_identity(read_settings())
+
+
+def read_settings() -> str:
+    """Returns the text of this process's settings file.
+
+    Raises:
+        SettingsWrong: If the file can't be read.
+    """
     path = Path(os.environ.get(SETTINGS_VARIABLE, SETTINGS_FILE))
     try:
-        text = path.read_text("utf-8")
+        return path.read_text("utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsWrong(f"{path}: {error}", "settings-unreadable") from error
-    return parse_identity(text)
 
 
 def parse_identity(text: str) -> NodeIdentity:
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import quote
 
 import msgspec
@@ -260,6 +260,15 @@
                 check_name(kind, name, stated_name(reply.body), maybe_done=True)
             check_status(kind, reply.status, reply.body)
 
+    async def set_address(self, address: Address) -> None:
+        """Calls the store at another address from now on.
+
+        Calls that wait for an answer of the former address go on; a watch should be
+        ended by its caller.
+        """
+        self._settings = replace(self._settings, address=address)
+        await self._close_pools()
+
     async def close(self) -> None:
         """Closes all connections."""
         await self._close_pools()
--- a/rosemarydeal/policy/dispatch/retry_budget.py
+++ b/rosemarydeal/policy/dispatch/retry_budget.py
@@ -23,6 +23,10 @@
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Applies changed bounds."""
+        self._bounds = bounds
+
     def record_request(self, now: float) -> None:
         """Records a request, which raises the budget."""
         self._requests.append(now)
