Decode only the entries that a version of the configuration changes

Callers: with thousands of routes, each version stalled each process, and each request was compared with the routes of its host one by one; on a busy machine a new version is then in force late (CONFIG), and a new route is answered 404 (DENIED).

Cause: every version was checked and decoded whole in the event loop.

Change: an entry is decoded only if its text is new; routes are indexed by prefix.

--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -36,7 +36,7 @@
     Suspicion,
 )
 from rosemarydeal.platform.errors import Unreadable
-from rosemarydeal.platform.operator import decode_configuration
+from rosemarydeal.platform.operator import ConfigurationDecoder
 from rosemarydeal.platform.rejected_objects import RejectedObjects
 
 __all__ = [
@@ -196,13 +196,15 @@
 
 
 def configuration_of(
-    stored: StoredObject | None, rejected: RejectedObjects
+    stored: StoredObject | None,
+    rejected: RejectedObjects,
+    decoder: ConfigurationDecoder,
 ) -> Configuration | None:
     """Returns the configuration in an object, None if absent or malformed."""
     if stored is None or stored.content is None:
         return None
     try:
-        return decode_configuration(stored.content)
+        return decoder.decode(stored.content)
     except Unreadable as error:
         rejected.note(stored, error.detail)
         return None
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -33,6 +33,7 @@
     CONFIGURATION_NAME,
     ZONES_OUT_KIND,
 )
+from rosemarydeal.platform.operator import ConfigurationDecoder
 from rosemarydeal.platform.rejected_objects import RejectedObjects
 from rosemarydeal.platform.store import Listing
 from rosemarydeal.policy.keyranges.table_changes import TableBase
@@ -93,6 +94,7 @@
         self._kinds = {kind: _KindState() for kind in KINDS}
         self._listeners: list[Callable[[str], None]] = []
         self._configuration: Configuration | None = None
+        self._decoder = ConfigurationDecoder()
         self._members: dict[str, Member] = {}
         self._members_changed_at = now()
         self._tables: dict[str, RangeTable] = {}
@@ -384,7 +386,7 @@
     def _refresh_configuration(self) -> bool:
         """Puts the configuration in force if its version is higher."""
         stored = self.stored(CONFIGURATION_KIND, CONFIGURATION_NAME)
-        configuration = contents.configuration_of(stored, self._rejected)
+        configuration = contents.configuration_of(stored, self._rejected, self._decoder)
         old = self._configuration
         if configuration is None or (
             old is not None and configuration.version <= old.version
--- a/rosemarydeal/platform/operator.py
+++ b/rosemarydeal/platform/operator.py
@@ -12,6 +12,7 @@
     Malformed,
     Name,
     decode_json,
+    decode_unchecked,
 )
 from rosemarydeal.core.fleet import (
     CallerLimits,
@@ -23,7 +24,7 @@
 
 from .errors import Unreadable
 
-__all__ = ["decode_configuration"]
+__all__ = ["ConfigurationDecoder", "decode_configuration"]
 
 MS_PER_S = 1000.0
 # Bounds far above what an operator could mean: a month, and a million a second.
@@ -92,33 +93,82 @@
 
 
 class _ConfigurationBody(msgspec.Struct):
-    """A configuration as the operator wrote it."""
+    """A configuration as the operator wrote it, with undecoded entries."""
 
     version: Count
-    resources: list[_Resource]
+    resources: list[msgspec.Raw]
+
+
+_Entry = Route | Service | CallerLimits
+
+
+class ConfigurationDecoder:
+    """Decodes successive configurations, whose entries are mostly the same.
+
+    An entry is decoded again only if its text has changed, so that a new version of a
+    configuration with thousands of routes does not stall the requests.
+    """
+
+    def __init__(self) -> None:
+        """Creates a decoder that has not decoded a configuration yet."""
+        self._entries: dict[bytes, _Entry | None] = {}
+
+    def decode(self, body: bytes) -> Configuration:
+        """Decodes the operator's configuration.
+
+        Raises:
+            Unreadable: If a field is missing, has a wrong type or is out of bounds.
+        """
+        try:
+            decoded = decode_unchecked(body, _ConfigurationBody)
+            entries = self._decode_entries(decoded.resources)
+        except Malformed as error:
+            raise Unreadable(f"configuration: {error.detail}") from error
+        routes, services, limits = [], {}, CallerLimits()
+        for entry in entries:
+            match entry:
+                case Route():
+                    routes.append(entry)
+                case Service():
+                    services[entry.name] = entry
+                case CallerLimits():
+                    limits = entry
+        return Configuration(decoded.version, tuple(routes), services, limits)
+
+    def _decode_entries(self, resources: list[msgspec.Raw]) -> list[_Entry | None]:
+        """Decodes the entries whose text is new, and keeps those of this version."""
+        known, self._entries = self._entries, {}
+        entries = []
+        for resource in resources:
+            text = bytes(resource)
+            entry = known[text] if text in known else _decode_entry(text)
+            self._entries[text] = entry
+            entries.append(entry)
+        return entries
 
 
 def decode_configuration(body: bytes) -> Configuration:
-    """Decodes the operator's configuration.
+    """Decodes a configuration of which no other version is known.
 
     Raises:
         Unreadable: If a field is missing, has a wrong type or is out of bounds.
     """
-    try:
-        configuration = decode_json(body, _ConfigurationBody)
-        routes, services, limits = [], {}, CallerLimits()
-        for resource in configuration.resources:
-            name = resource.metadata.name
-            match resource.type:
-                case "routes":
-                    routes.append(_route(name, resource.spec))
-                case "services":
-                    services[name] = _service(name, resource.spec)
-                case "limits":
-                    limits = _limits(resource.spec)
-    except Malformed as error:
-        raise Unreadable(f"configuration: {error.detail}") from error
-    return Configuration(configuration.version, tuple(routes), services, limits)
+    return ConfigurationDecoder().decode(body)
+
+
+def _decode_entry(text: bytes) -> _Entry | None:
+    """Decodes an entry; returns None if its type is unknown."""
+    resource = decode_json(text, _Resource)
+    name = resource.metadata.name
+    match resource.type:
+        case "routes":
+            return _route(name, resource.spec)
+        case "services":
+            return _service(name, resource.spec)
+        case "limits":
+            return _limits(resource.spec)
+        case _:
+            return None
 
 
 def _route(name: str, spec: msgspec.Raw) -> Route:
--- a/rosemarydeal/policy/routing/route_index.py
+++ b/rosemarydeal/policy/routing/route_index.py
@@ -17,27 +17,56 @@
 GOLDEN_STEP = 0.618033988749895
 
 
+@dataclass(frozen=True, slots=True)
+class HostRoutes:
+    """Routes of one host.
+
+    Attributes:
+        by_prefix: Routes by the prefix of their paths.
+        lengths: Lengths of the prefixes, the longest first.
+    """
+
+    by_prefix: dict[str, Route]
+    lengths: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RouteIndex:
-    """Routes by host, sorted by descending length of prefix."""
+    """Routes by host and prefix.
+
+    A request costs a step for each length of the host's prefixes, not for each of its
+    routes, of which there may be thousands.
+    """
 
-    by_host: dict[str, tuple[Route, ...]]
+    by_host: dict[str, HostRoutes]
 
     @classmethod
     def of(cls, configuration: Configuration) -> RouteIndex:
-        """Builds the index of a configuration's routes."""
-        by_host: dict[str, list[Route]] = {}
+        """Builds the index of a configuration's routes.
+
+        The first of several routes with the same host and prefix counts.
+        """
+        by_host: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
-            by_host.setdefault(route.host, []).append(route)
-        for routes in by_host.values():
-            routes.sort(key=lambda route: -len(route.prefix))
-        return cls({host: tuple(routes) for host, routes in by_host.items()})
+            by_host.setdefault(route.host, {}).setdefault(route.prefix, route)
+        return cls(
+            {
+                host: HostRoutes(
+                    by_prefix, tuple(sorted(set(map(len, by_prefix)), reverse=True))
+                )
+                for host, by_prefix in by_host.items()
+            }
+        )
 
     def find(self, host: str, target: bytes) -> Route | None:
         """Returns the route with the longest prefix of the target's path, or None."""
+        routes = self.by_host.get(host)
+        if routes is None:
+            return None
         path = target.partition(b"?")[0].decode("ascii", "replace")
-        for route in self.by_host.get(host, ()):
-            if path.startswith(route.prefix):
+        for length in routes.lengths:
+            route = routes.by_prefix.get(path[:length])
+            if route is not None:
                 return route
         return None
 
