Give a process no part of the fixed retries for one window after its start

Callers: repeats could pile up beyond the deployment's budget when processes start again within the window of the budget (BUDGET).

Cause: the record of what a process has spent ends with it, and the next process on the VM began with a full share of the slack.

Evidence: virtual time, nine processes, ratio 0.2, slack 58, one starts again each 3 s: 90 retries in 10 s, 76 allowed ('Processes that start again repeat their share of the fixed retries' failed before).

Change: the slack counts only from one window after the start of the process; the share of its own requests counts at once.

--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -40,6 +40,9 @@
   Scenario: The retries of all processes together stay within the budget
     Then 9 processes of ratio 0.2 and slack 58 stay in budget
 
+  Scenario: Processes that start again repeat their share of the fixed retries
+    Then 9 processes of ratio 0.2 and slack 58 that start again each 3 seconds stay in budget
+
   Scenario: A request that ran during two crashes of upstreams is rejected
     Given a request that ran when two upstreams crashed
     Then the crash suspect is rejected
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -205,6 +205,31 @@
         assert 0 < len(window) <= ratio * requests + slack
 
 
+@then(
+    "{n:d} processes of ratio {ratio:f} and slack {slack:d} that start again each"
+    " {seconds:d} seconds stay in budget"
+)
+def step_budget_restarts(context, n, ratio, slack, seconds):
+    bounds = Bounds(retry_ratio=ratio, retry_slack=float(slack), retry_window_s=10.0)
+    budgets = [RetryBudget(bounds) for _ in range(n)]
+    taken, requests = [], []
+    for tick in range(4000):
+        moment = tick * 0.01
+        if tick and tick % (seconds * 100) == 0:
+            # The processes start again in turn; the others go on.
+            budgets[tick // (seconds * 100) % n] = RetryBudget(bounds, moment)
+        for budget in budgets:
+            if tick % 100 == 0:
+                budget.record_request(moment)
+                requests.append(moment)
+            if budget.try_spend(moment, n, 1.0):
+                taken.append(moment)
+    for start in range(30):
+        window = [t for t in taken if start <= t < start + 10]
+        owed = [t for t in requests if start <= t < start + 10]
+        assert 0 < len(window) <= ratio * len(owed) + slack, (start, len(window))
+
+
 @given("a request that ran when two upstreams crashed")
 def step_crash_suspect(context):
     context.counter = CrashSuspectCounter()
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -81,6 +81,7 @@
         self._split_start = self._random.random()
         self._route_counts: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self._started_at = now()
         self._returning = RecentRejections()
         self._incarnations_tried: dict[str, str] = {}
         self._profiles = RequestProfiles()
@@ -375,7 +376,7 @@
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._identity.bounds)
+            budget = RetryBudget(self._identity.bounds, self._started_at)
             self._budgets[service] = budget
         return budget
 
--- a/rosemarydeal/policy/dispatch/retry_budget.py
+++ b/rosemarydeal/policy/dispatch/retry_budget.py
@@ -4,10 +4,13 @@
 while retries would double the load on the others. The deployment's budget covers
 all processes together. Each process limits its retries to the ratio of its own
 requests plus an equal part of the fixed slack, so the sum never exceeds the budget.
+A process that has just started has no part of the slack for one window, since the
+former process of its VM may have spent it.
 """
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from rosemarydeal.core.fleet import Bounds
@@ -18,8 +21,15 @@
 class RetryBudget:
     """Retry budget of one service at one process, over a sliding window."""
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(self, bounds: Bounds, started_at: float = -math.inf) -> None:
+        """Creates an unused budget.
+
+        Args:
+            bounds: Bounds of all processes together.
+            started_at: When this process started.
+        """
         self._bounds = bounds
+        self._started_at = started_at
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -45,8 +55,9 @@
             Whether the retry was within the budget.
         """
         self._trim(now)
-        slack = self._bounds.retry_slack / max(1, processes)
-        allowed = self._bounds.retry_ratio * len(self._requests) + slack
+        allowed = self._bounds.retry_ratio * len(self._requests)
+        if now - self._started_at >= self._bounds.retry_window_s:
+            allowed += self._bounds.retry_slack / max(1, processes)
         if len(self._retries) + 1 > allowed * share:
             return False
         self._retries.append(now)
