Take a stated time left of 0 as it is, and accept a fraction of a millisecond

Callers: a request with no time left ran with the whole time of its route (BUDGET); a deadline such as 1500.5 was answered 400 (DENIED).

Cause: a time left of 0 was taken for one that is not stated, and the time was parsed as a whole number.

Evidence: 'A caller that states <time left> as its time left gets <status>' failed for 0 (200) and 1500.5 (400) before.

Change: 0 counts as stated; a fraction of a millisecond is dropped.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -270,6 +270,9 @@
       | 30 digits   | 200    |
       | -400 digits | 503    |
       | -1          | 503    |
+      | 0           | 503    |
+      | 1500.5      | 200    |
+      | 1500.       | 400    |
       | 5000 digits | 400    |
       | 1e3         | 400    |
       | nan         | 400    |
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -153,7 +153,9 @@
         if route is None:
             return NO_ROUTE, None
         service = self._service_of(route)
-        time_left = min(caller.time_left_s or route.timeout_s, route.timeout_s)
+        time_left = route.timeout_s
+        if caller.time_left_s is not None:
+            time_left = min(caller.time_left_s, time_left)
         fingerprint = request_fingerprint(caller.method, caller.target, caller.body)
         progress = Progress(
             caller,
--- a/rosemarydeal/platform/callers.py
+++ b/rosemarydeal/platform/callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from rosemarydeal.core.fleet import LAST_KEY
 from rosemarydeal.core.requests import (
     Answered,
@@ -35,6 +37,7 @@
 MS_PER_S = 1000.0
 # No caller waits longer than a day; a longer time does not fit all timers.
 MAX_TIME_LEFT_MS = 24 * 3600 * 1000
+TIME_LEFT = re.compile(rb"(-?[0-9]+)\.[0-9]+")
 OK = 200
 BAD_REQUEST = 400
 NOT_FOUND = 404
@@ -132,8 +135,10 @@
     """Decodes how long the caller waits, in seconds."""
     if value is None:
         return None
+    stated = TIME_LEFT.fullmatch(value)
     try:
-        left_ms = int(value)
+        # A fraction of a millisecond is dropped.
+        left_ms = int(stated[1]) if stated else int(value)
     except ValueError as error:
         raise Unreadable(f"time left: {value!r}", "time-left-invalid") from error
     return max(-MAX_TIME_LEFT_MS, min(left_ms, MAX_TIME_LEFT_MS)) / MS_PER_S
