Answer 503 to every request while there is no configuration

Cause: limits of our own stood in for the configuration's.

Evidence: the three examples of 'A process without a configuration gets a request with <size>' failed before (413, 413, 431).

Change: without a configuration a request is refused unread with a Retry-After; heads of up to 64 kB are read until then. The stand-in upstream accepts heads of 128 kB.

--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -31,6 +31,7 @@
 RELEASE_ANNOUNCE_S = 0.05
 # Above the largest body that a configuration permits in the tests.
 MAX_BODY_BYTES = 128 * 1024 * 1024
+MAX_HEAD_BYTES = 128 * 1024
 SIGNATURE = b"response-signature"
 
 
@@ -78,9 +79,8 @@
     async def start(self):
         address = Address(self._host, 9001)
         if self.stutter is None:
-            self._server = await serve(
-                self.answer, address, HttpLimits(body_bytes=MAX_BODY_BYTES)
-            )
+            limits = HttpLimits(MAX_HEAD_BYTES, MAX_BODY_BYTES)
+            self._server = await serve(self.answer, address, limits)
         else:
             self._server = await serve_stuttering(self.answer, address, self.stutter)
         self._task = asyncio.create_task(self._announce())
--- a/rosemarydeal/node/caller_limits.py
+++ b/rosemarydeal/node/caller_limits.py
@@ -5,7 +5,7 @@
 from rosemarydeal.core.fleet import CallerLimits
 from rosemarydeal.proxy import HttpLimits
 
-__all__ = ["DEFAULT_LIMITS", "http_limits"]
+__all__ = ["DEFAULT_LIMITS", "UNCONFIGURED_LIMITS", "http_limits"]
 
 # All callers of a VM may come from one address. A process has 4,100 file
 # descriptors or more.
@@ -27,5 +27,12 @@
     )
 
 
-# Of the internal ports, and of the callers' until there is a configuration.
+# Of the internal ports.
 DEFAULT_LIMITS = HttpLimits(connections_per_address=CALLER_CONNECTIONS)
+# Of the callers' port until there is a configuration: above the limits that operators
+# set. Bodies are not read until then.
+UNCONFIGURED_LIMITS = HttpLimits(
+    header_bytes=65_536,
+    body_bytes=1 << 40,
+    connections_per_address=CALLER_CONNECTIONS,
+)
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -42,7 +42,6 @@
 
 __all__ = ["Entry"]
 
-NOT_CONFIGURED = NotServed("not-configured", 0.5)
 NO_ROUTE = NotServed("route-not-found")
 PARK_STEP_S = 0.02
 
@@ -76,7 +75,7 @@
         )
         self._metrics = metrics
         self._configuration: Configuration | None = None
-        self._route_index: RouteIndex | None = None
+        self._route_index = RouteIndex({})
         self._random = random.Random()
         self._split_start = self._random.random()
         self._route_counts: dict[str, int] = {}
@@ -147,8 +146,6 @@
         self, caller: CallerRequest, arrived_at: float
     ) -> tuple[RequestOutcome, Progress | None]:
         """Finds the route of a request and makes attempts until it is decided."""
-        if self._route_index is None:
-            return NOT_CONFIGURED, None
         route = self._route_index.find(caller.host, caller.target)
         if route is None:
             return NO_ROUTE, None
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -26,7 +26,7 @@
     serve,
 )
 
-from .caller_limits import DEFAULT_LIMITS, http_limits
+from .caller_limits import DEFAULT_LIMITS, UNCONFIGURED_LIMITS, http_limits
 from .entry import Entry
 from .guard import ZONE_OUT, Guard, GuardHooks
 from .health import UpstreamHealth
@@ -165,7 +165,7 @@
         ):
             self._servers.append(await serve(handler, address, DEFAULT_LIMITS))
         self._callers = await serve(
-            self._entry.handle, identity.callers, DEFAULT_LIMITS
+            self._entry.handle, identity.callers, UNCONFIGURED_LIMITS
         )
         await self._links.start(identity.peer)
         self._records.subscribe(self._on_records_changed)
--- a/rosemarydeal/node/request_reader.py
+++ b/rosemarydeal/node/request_reader.py
@@ -6,7 +6,7 @@
 
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import Configuration
-from rosemarydeal.core.requests import CallerRequest
+from rosemarydeal.core.requests import CallerRequest, NotServed
 from rosemarydeal.platform import callers
 from rosemarydeal.platform.errors import Unreadable
 from rosemarydeal.policy.requests import attempts
@@ -17,8 +17,8 @@
 
 __all__ = ["RequestReader"]
 
-# Body limit while there is no configuration.
-UNCONFIGURED_BODY_BYTES = 1_048_576
+# The configuration is usually known a moment after the start.
+NOT_CONFIGURED = NotServed("not-configured", 0.5)
 
 _log = structlog.get_logger()
 
@@ -47,18 +47,17 @@
 
         Args:
             request: The request.
-            configuration: Has the limit of bodies; None if it is not known yet.
+            configuration: Has the limit of bodies; None if it is not known yet, and
+                then the request is refused unread, as it may be within the limits.
             room: Room of its body.
 
         Returns:
             The request, or the response that refuses it.
         """
         arrived_at = now()
-        body_limit = (
-            configuration.limits.body_bytes
-            if configuration
-            else UNCONFIGURED_BODY_BYTES
-        )
+        if configuration is None:
+            return self._refuse_unread(request)
+        body_limit = configuration.limits.body_bytes
         try:
             return await callers.decode_request(request, body_limit, room)
         except Unreadable as error:
@@ -67,6 +66,14 @@
         except NoBodyRoom as error:
             return self._refuse_body(callers.request_id(request), error, arrived_at)
 
+    def _refuse_unread(self, request: Request) -> Response:
+        """Refuses a request while its route and its limits are not known."""
+        request_id = callers.request_id(request)
+        label, code = attempts.outcome_labels(NOT_CONFIGURED)
+        self._metrics.count_request("", "", label, code, 0.0)
+        _log.info("request", request_id=request_id, outcome=label, code=code)
+        return callers.respond(request_id, NOT_CONFIGURED)
+
     def _refuse_body(
         self, request_id: str, error: NoBodyRoom, arrived_at: float
     ) -> Response:
