Apply a changed limit of heads to the connections that are open

Callers: after the operator had raised the limit of heads, a longer head was answered 431 on each connection opened before (DENIED); a lowered limit was not applied to them.

Cause: the limit was given to the parser when a connection opened.

Change: the limit holds from the next request of a connection on; the parser is replaced between two requests and gets the bytes that were received.

--- a/features/proper_requests.feature
+++ b/features/proper_requests.feature
@@ -13,3 +13,20 @@
       | a body of 2 MB    |
       | a body of 20 MB   |
       | a head of 40 kB   |
+
+  Scenario Outline: A connection that was opened <when> carries a longer head than before
+    Given a deployment of 1 VM
+    When a caller opens a connection <when>
+    And the operator allows heads of 60 kB
+    Then a request with a head of 40 kB is served on that connection
+
+    Examples:
+      | when                       |
+      | and sends nothing yet      |
+      | and has one request served |
+
+  Scenario: A connection that is open carries no head above a limit that was lowered
+    Given a deployment of 1 VM
+    When a caller opens a connection and has one request served
+    And the operator allows heads of 8 kB
+    Then a request with a head of 10 kB is answered 431 on that connection
--- a/rosemarydeal/proxy/http_stream.py
+++ b/rosemarydeal/proxy/http_stream.py
@@ -78,7 +78,10 @@
         writer: asyncio.StreamWriter,
         header_bytes: int,
     ) -> None:
+        self._role = role
         self._h11 = h11.Connection(role, max_incomplete_event_size=header_bytes)
+        # Limit that holds from the next exchange on.
+        self._next_header_bytes = header_bytes
         self._reader = reader
         self._writer = writer
         self._header_bytes = header_bytes
@@ -134,6 +137,15 @@
         """Returns whether bytes were received that are not parsed yet."""
         return bool(self._h11.trailing_data[0])
 
+    def set_header_bytes(self, header_bytes: int) -> None:
+        """Changes the maximum size of a head, from the next exchange on.
+
+        An exchange of which nothing has been received counts as the next one.
+        """
+        self._next_header_bytes = header_bytes
+        if self._h11.their_state is h11.IDLE and not self.has_unparsed_bytes:
+            self._apply_header_bytes()
+
     async def wait_for_bytes(self) -> bool:
         """Waits for the first bytes of the next message.
 
@@ -251,6 +263,25 @@
         """Resets the state for the next exchange on the connection."""
         self._pieces = self._body_bytes = 0
         self._h11.start_next_cycle()
+        self._apply_header_bytes()
+
+    def _apply_header_bytes(self) -> None:
+        """Puts a changed limit of heads in force between two exchanges.
+
+        h11 takes it only for a new state machine, which gets the received bytes.
+        """
+        if self._next_header_bytes == self._header_bytes:
+            return
+        self._header_bytes = self._next_header_bytes
+        received, closed = self._h11.trailing_data
+        self._h11 = h11.Connection(
+            self._role, max_incomplete_event_size=self._header_bytes
+        )
+        if received:
+            self._feed(received)
+            self._consumed_bytes -= len(received)
+        if closed:
+            self._feed(b"")
 
     def _check_piece(self, length: int) -> None:
         """Counts a piece of the body.
--- a/rosemarydeal/proxy/server.py
+++ b/rosemarydeal/proxy/server.py
@@ -98,7 +98,7 @@
     def set_limits(self, limits: HttpLimits) -> None:
         """Applies changed limits, also to the connections that are open.
 
-        The size of a head is fixed when a connection opens.
+        A head that is being received keeps the limit that it began under.
         """
         self._limits = limits
         for connection in self._connections:
--- a/rosemarydeal/proxy/server_connection.py
+++ b/rosemarydeal/proxy/server_connection.py
@@ -143,6 +143,7 @@
     def set_limits(self, limits: HttpLimits) -> None:
         """Applies changed limits."""
         self._limits = limits
+        self._stream.set_header_bytes(limits.header_bytes)
 
     def close_gracefully(self) -> None:
         """Closes the connection after the request that is running or in transit.
