Let an answer hold room in the memory until its caller has received it

Cause: an answer was counted while it was read from the upstream, and no longer while it waited for its caller, for up to 30 s.

Change: answers hold room in a second budget of 16 MB until their callers have received them; one takes three quarters of it at most. An answer without room becomes a 502.

--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -23,6 +23,8 @@
 # machine.
 LOAD_PAUSE_S = 0.03
 MIN_REQUESTS = 201
+# Above the largest answer in the tests.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 def a_configuration(version=1, service="box-office", prefix="/a/", timeout_ms=4000):
@@ -68,6 +70,8 @@
 class Deployment:
     """Runs nodes with their upstreams; every VM has a loopback address."""
 
+    endpoint_type = StandInEndpoint
+
     def __init__(
         self, count, work_s=0.01, carrier=GrantCarrier.CALL, stutter_seed=None
     ):
@@ -105,7 +109,7 @@
         await self.nodes[name].start()
 
     async def start_endpoint(self, name):
-        endpoint = StandInEndpoint(
+        endpoint = self.endpoint_type(
             *(name, self.hosts[name], "box-office", self.zone(name), self._work_s),
             by_heartbeat=self.carrier is GrantCarrier.HEARTBEAT,
         )
@@ -176,7 +180,7 @@
         request = Request(method, path.encode(), headers, BytesBody(body), address)
         sent_at = asyncio.get_running_loop().time()
         response = await self._pool.send(address, request, 5.0)
-        body = await read_bytes(response.body, 1 << 20)
+        body = await read_bytes(response.body, MAX_ANSWER_BYTES)
         seconds = asyncio.get_running_loop().time() - sent_at
         return Answer(response.status, body, dict(response.headers), seconds)
 
--- a/features/standin_store.py
+++ b/features/standin_store.py
@@ -53,9 +53,9 @@
         self._changed = asyncio.Event()
         self._server = None
 
-    async def start(self, host):
-        """Starts to listen on a free port and returns its address."""
-        self._server = await serve(self.answer, Address(host, 0), HttpLimits())
+    async def start(self, host, port=0):
+        """Starts to listen, on a free port unless one is given; returns its address."""
+        self._server = await serve(self.answer, Address(host, port), HttpLimits())
         return self._server.address
 
     async def move(self):
--- a/features/standin_stutter.py
+++ b/features/standin_stutter.py
@@ -10,7 +10,7 @@
 from rosemarydeal.core import Address
 from rosemarydeal.proxy import BytesBody, Request, find_header
 
-__all__ = ["Stutter", "StutterShares", "serve_stuttering"]
+__all__ = ["Stutter", "StutterShares", "read_request", "serve_stuttering"]
 
 # The next request of a busy connection follows within such a time.
 MAX_PAUSE_S = 0.03
@@ -110,7 +110,7 @@
     """Serves the exchanges of a connection, one after the other."""
     answers, pending = [], b""
     while True:
-        request = await _read_request(reader)
+        request = await read_request(reader)
         plan = stutter.draw_plan()
         if plan.not_run:
             status, headers, body = 503, _refusal_headers(request), b""
@@ -133,7 +133,7 @@
             return
 
 
-async def _read_request(reader):
+async def read_request(reader):
     """Reads a request, whose body has a length."""
     head = await reader.readuntil(b"\r\n\r\n")
     first, *lines = head[:-4].split(b"\r\n")
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -29,7 +29,14 @@
 from rosemarydeal.policy.routing.leaving import LeavingUpstreams, may_accept
 from rosemarydeal.policy.routing.request_profiles import RequestProfiles
 from rosemarydeal.policy.routing.route_index import RouteIndex, choose_service
-from rosemarydeal.proxy import BodyBuffers, BodyRoom, Request, Response
+from rosemarydeal.proxy import (
+    BodyBuffers,
+    BodyRoom,
+    HeldBody,
+    NoBodyRoom,
+    Request,
+    Response,
+)
 
 from .guard import Guard
 from .health import UpstreamHealth
@@ -60,8 +67,10 @@
         health: UpstreamHealth,
         metrics: Metrics,
         bodies: BodyBuffers,
+        answers: BodyBuffers,
     ) -> None:
         self._reader = RequestReader(bodies, metrics)
+        self._answers = answers
         self._identity = identity
         self._records = records
         self._links = links
@@ -136,12 +145,25 @@
             raise
         finally:
             self._open_requests -= 1
-        self._record_outcome(caller, outcome, progress, now() - arrived_at)
         response = callers.respond(caller.request_id, outcome)
+        try:
+            response = self._hold_answer(response)
+        except NoBodyRoom:
+            outcome = OutcomeUnknown("no-memory")
+            response = callers.respond(caller.request_id, outcome)
+        self._record_outcome(caller, outcome, progress, now() - arrived_at)
         # The next attempt of a rejected caller should find another process.
         close = self._stop.planned and isinstance(outcome, NotServed)
         return replace(response, close=True) if close else response
 
+    def _hold_answer(self, response: Response) -> Response:
+        """Lets an answer hold room in the memory until its caller has received it.
+
+        Raises:
+            NoBodyRoom: If other answers, whose callers do not read them, have it.
+        """
+        return replace(response, body=HeldBody(response.body.data, self._answers))
+
     async def _serve(
         self, caller: CallerRequest, arrived_at: float
     ) -> tuple[RequestOutcome, Progress | None]:
--- a/rosemarydeal/node/memory.py
+++ b/rosemarydeal/node/memory.py
@@ -11,12 +11,14 @@
 from rosemarydeal.platform.upstream import ANSWER_BUDGET_BYTES
 from rosemarydeal.proxy import BodyBuffers
 
-__all__ = ["NO_MEMORY", "request_bodies"]
+__all__ = ["NO_MEMORY", "request_bodies", "unread_answers"]
 
 # Code, records of a large fleet and buffers of connections.
 PROCESS_BYTES = 80 * 1000 * 1000
 # An answer is copied when it is passed on.
 ANSWER_COPIES = 2
+# Memory for answers that wait for callers who read slowly; each is held twice.
+UNREAD_BUDGET_BYTES = 16 * 1024 * 1024
 # A body is received in pieces, joined, encoded and buffered for sending: 4.2 times its
 # size at the peak, and the memory allocator keeps more.
 REQUEST_COPIES = 5
@@ -31,3 +33,8 @@
     answer_bytes = ANSWER_COPIES * ANSWER_BUDGET_BYTES
     left_bytes = identity.memory_bytes - PROCESS_BYTES - answer_bytes
     return BodyBuffers(max(0, left_bytes) // REQUEST_COPIES, FREE_BYTES)
+
+
+def unread_answers() -> BodyBuffers:
+    """Returns the room of all answers that their callers have not received yet."""
+    return BodyBuffers(UNREAD_BUDGET_BYTES)
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -32,7 +32,7 @@
 from .health import UpstreamHealth
 from .links import LinkHooks, Links
 from .membership import Membership
-from .memory import request_bodies
+from .memory import request_bodies, unread_answers
 from .messages import CrashSuspects, LoadReport, Pong, SuspectCleared
 from .metrics import Metrics
 from .ownership import Ownership
@@ -78,6 +78,7 @@
         self._health = UpstreamHealth()
         self._client = UpstreamClient(identity.upstream, UPSTREAM_CONNECTIONS)
         self._bodies = request_bodies(identity)
+        self._answers = unread_answers()
         self._links = Links(
             identity.node,
             self._process,
@@ -125,6 +126,7 @@
             self._health,
             self._metrics,
             self._bodies,
+            self._answers,
         )
         self._membership = Membership(
             identity,
@@ -428,6 +430,7 @@
             ("store_era", self._store.era),
             ("starts_unconfirmed", self._start_check.refused),
             ("body_room_bytes", self._bodies.left_bytes),
+            ("answer_room_bytes", self._answers.left_bytes),
         ):
             self._metrics.set_gauge(name, value)
         self._metrics.count_store_calls(self._store.calls)
--- a/rosemarydeal/proxy/__init__.py
+++ b/rosemarydeal/proxy/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 server for callers and client for upstreams, using h11 and asyncio."""
 
-from .buffering import BodyBuffers, BodyRoom
+from .buffering import BodyBuffers, BodyRoom, HeldBody
 from .client import Pool, PoolSettings
 from .client_connection import ConnectionSettings
 from .errors import (
@@ -44,6 +44,7 @@
     "Framing",
     "Handler",
     "Headers",
+    "HeldBody",
     "HttpLimits",
     "HttpServer",
     "NoBodyRoom",
--- a/rosemarydeal/proxy/buffering.py
+++ b/rosemarydeal/proxy/buffering.py
@@ -13,10 +13,12 @@
 from .errors import BodyTooLarge, NoBodyRoom
 from .message import BytesBody, close_body
 
-__all__ = ["BodyBuffers", "BodyRoom"]
+__all__ = ["BodyBuffers", "BodyRoom", "HeldBody"]
 
 # Most answers are smaller than this.
 FREE_BYTES = 256 * 1024
+# Share of the budget that one body that must not be refused for its length may take.
+LARGEST_SHARE = 0.75
 
 
 class BodyBuffers:
@@ -30,6 +32,7 @@
                 that each may always hold.
             free_bytes: That amount.
         """
+        self._budget_bytes = budget_bytes
         self._left = budget_bytes
         self._free_bytes = free_bytes
 
@@ -38,6 +41,11 @@
         """Returns the unused part of the budget."""
         return self._left
 
+    @property
+    def largest_room_bytes(self) -> int:
+        """Returns what one body may take, so that shorter ones find room as well."""
+        return int(LARGEST_SHARE * self._budget_bytes) + self._free_bytes
+
     def room(self) -> BodyRoom:
         """Returns the room of one body, which holds nothing yet."""
         return BodyRoom(self)
@@ -102,5 +110,32 @@
         return self
 
     def __exit__(self, *_error: object) -> None:
+        self.give_back()
+
+    def give_back(self) -> None:
+        """Gives back what is held."""
         held_bytes, self._held_bytes = self._held_bytes, 0
         self._buffers.give_back(held_bytes)
+
+
+class HeldBody(BytesBody):
+    """Body in memory that holds its room until it is closed.
+
+    Load pattern: callers that read their answers slowly, or not at all.
+    """
+
+    __slots__ = ("_room",)
+
+    def __init__(self, data: bytes, buffers: BodyBuffers) -> None:
+        """Takes the room of a body, at most the largest room of one body.
+
+        Raises:
+            NoBodyRoom: If too little of the budget is left.
+        """
+        super().__init__(data)
+        self._room = buffers.room()
+        self._room.grow_to(min(len(data), buffers.largest_room_bytes))
+
+    async def aclose(self) -> None:
+        """Gives back the room."""
+        self._room.give_back()
