Wait longer for a listing after one that timed out

Callers: a process that started while the store took more than 0.3 s for an answer, and reached no peer, answered 503 for as long as that lasted.

Cause: each listing had the same timeout of 0.3 s, however often it had run out.

Evidence: 'Each answer of the store takes longer than calls usually wait' (0.5 s) failed before: not ready within 4 s.

Change: the timeout of the listings of a kind doubles with each that runs out, up to 1.2 s.

--- a/features/store_silent.feature
+++ b/features/store_silent.feature
@@ -15,3 +15,8 @@
     And all open connections to the store fall silent
     And the operator takes perth-a out of service
     Then all processes know within 4.5 seconds that only perth-a is out
+
+  Scenario: Each answer of the store takes longer than calls usually wait
+    Given a deployment of 2 VMs
+    When each answer of the store takes 0.5 seconds, and a VM starts that reaches no other
+    Then it is ready within 4.0 seconds
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -70,11 +70,14 @@
     Attributes:
         address: Address of the store.
         timeout_s: Timeout of a call, 75 times the usual response time.
+        longest_list_timeout_s: Longest timeout of a listing, after others have timed
+            out.
         watch_slack_s: Time added to the wait of a watch to get its timeout.
     """
 
     address: Address
     timeout_s: float = 0.3
+    longest_list_timeout_s: float = 1.2
     watch_slack_s: float = 1.0
 
 
@@ -126,6 +129,8 @@
         self._pools: dict[str, Pool] = {}
         self._calls: Counter[StoreCall] = Counter()
         self._era = 0
+        # By kind, after listings that timed out.
+        self._list_timeouts_s: dict[str, float] = {}
 
     @property
     def era(self) -> int:
@@ -148,7 +153,7 @@
         after, era = "", None
         while True:
             query = f"?after={_quoted(after)}" if after else ""
-            reply = await self._call("list", kind, b"GET", query)
+            reply = await self._call_list(kind, query)
             async with self._checked(kind):
                 page = decode_list(reply, ListBody)
             if era is not None and era != reply.era:
@@ -166,6 +171,21 @@
                 raise StoreError(f"{kind}: no readable name follows {after!r}")
             after = last
 
+    async def _call_list(self, kind: str, query: str) -> Reply:
+        """Asks for a page of a listing; waits longer after one that took too long.
+
+        Without a listing, a process would not serve at all while the store is slow.
+        """
+        timeout_s = self._list_timeouts_s.get(kind, self._settings.timeout_s)
+        try:
+            reply = await self._call("list", kind, b"GET", query, wait=timeout_s)
+        except StoreTimeout:
+            longest_s = self._settings.longest_list_timeout_s
+            self._list_timeouts_s[kind] = min(longest_s, 2.0 * timeout_s)
+            raise
+        self._list_timeouts_s.pop(kind, None)
+        return reply
+
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Returns the current object, or None if there is none."""
         reply = await self._call("read", kind, b"GET", f"/{_quoted(name)}")
