Withhold the fixed retries only from a process that follows another one

Callers: in the ten seconds after the start of a deployment, a request whose first answer could not be used got a 502 although a retry was due.

Cause: withheld the fixed part of the retry budget from every process that had just started; only one that follows another on its VM can repeat what that has spent.

'A process that follows another one on its VM retries as if it were the first' fails if the former process is not noted (trial).

Change: a process that finds the member of a former process under its node has no part of the slack for a window after its start. Two scenarios' steps share the start of programs.

--- a/features/builders_node_programs.py
+++ b/features/builders_node_programs.py
@@ -10,9 +10,9 @@
 import time
 from pathlib import Path
 
-from features.builders_node import Deployment
+from features.builders_node import Deployment, run
 
-__all__ = ["NodeProgram", "ProgramDeployment"]
+__all__ = ["NodeProgram", "ProgramDeployment", "start_programs"]
 
 GRACE_S = 6.0
 # A busy machine ends a process a little later.
@@ -152,3 +152,18 @@
         lines = (self._directory / f"{name}.log").read_text("utf-8").splitlines()
         entries = [json.loads(line) for line in lines if line.startswith("{")]
         return [entry for entry in entries if entry["event"] == event]
+
+
+def start_programs(context, deployment):
+    """Starts a deployment of programs, which is closed with the scenario."""
+
+    def close():
+        run(context, deployment.close())
+        # Connections of a closed deployment end meanwhile.
+        run(context, asyncio.sleep(0.05))
+        context.loop.close()
+
+    context.loop = asyncio.new_event_loop()
+    context.deployment = deployment
+    run(context, deployment.start())
+    context.add_cleanup(close)
--- a/features/node.feature
+++ b/features/node.feature
@@ -14,6 +14,13 @@
     When an upstream answers an idempotent request without a signature
     Then its caller receives its own answer
 
+  Scenario: A process that follows another one on its VM retries as if it were the first
+    Given a deployment of 2 VMs
+    Then vm-a may spend its part of the fixed retries
+    When the process of vm-a starts again
+    Then vm-a may spend none of the fixed retries
+    And vm-b may spend its part of the fixed retries
+
   Scenario: An unknown route gets 404, and a process without a configuration answers 503
     Given a deployment of 1 VM
     When a request has a path without a route
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.builders_node import a_configuration, run
+from features.builders_node_programs import start_programs
 from features.builders_processes import new_log_directory
 from features.endless_bytes import (
     MEMORY_MB,
@@ -26,16 +27,7 @@
     "two programs with a memory of 200 MB each, whose upstreams may send without end"
 )
 def step_programs(context):
-    context.loop = asyncio.new_event_loop()
-    context.deployment = EndlessDeployment(2, new_log_directory())
-    run(context, context.deployment.start())
-    context.add_cleanup(close, context)
-
-
-def close(context):
-    run(context, context.deployment.close())
-    run(context, asyncio.sleep(0.05))
-    context.loop.close()
+    start_programs(context, EndlessDeployment(2, new_log_directory()))
 
 
 def key_of(deployment, name):
--- a/features/steps/node_steps.py
+++ b/features/steps/node_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.builders_node import load, run, start_deployment
+from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import GrantCarrier
 from rosemarydeal.core.requests import Failed
 from rosemarydeal.node import store_watch
@@ -336,3 +337,23 @@
     assert statuses == [503] * count, statuses
     ran = [r for e in context.deployment.endpoints.values() for r in e.ran]
     assert not [r for r in ran if r.startswith("waiting")], ran
+
+
+@when("the process of vm-a starts again")
+def step_starts_again(context):
+    deployment = context.deployment
+
+    async def start_again():
+        await deployment.nodes["vm-a"].close()
+        await deployment.start_node("vm-a")
+        node = deployment.nodes["vm-a"]
+        await deployment.wait(lambda: node.ready and node._records.complete)
+
+    run(context, start_again())
+
+
+@then("{name} may spend {part} of the fixed retries")
+def step_fixed_retries(context, name, part):
+    budget = context.deployment.nodes[name]._entry._budget("box-office")
+    spent = budget.try_spend(now(), processes=2, share=1.0)
+    assert spent == (part == "its part"), spent
--- a/features/steps/settings_changes_steps.py
+++ b/features/steps/settings_changes_steps.py
@@ -10,7 +10,11 @@
 
 from features.builders_fleet_types import an_identity
 from features.builders_node import a_configuration, run
-from features.builders_node_programs import MEMORY_MB, ProgramDeployment
+from features.builders_node_programs import (
+    MEMORY_MB,
+    ProgramDeployment,
+    start_programs,
+)
 from features.builders_processes import new_log_directory
 from rosemarydeal.core import Address
 from rosemarydeal.node.settings_watch import follow_settings
@@ -30,16 +34,7 @@
 
 @given("a deployment of {count:d} node programs")
 def step_programs(context, count):
-    context.loop = asyncio.new_event_loop()
-    context.deployment = ProgramDeployment(count, new_log_directory())
-    run(context, context.deployment.start())
-    context.add_cleanup(close, context)
-
-
-def close(context):
-    run(context, context.deployment.close())
-    run(context, asyncio.sleep(0.05))
-    context.loop.close()
+    start_programs(context, ProgramDeployment(count, new_log_directory()))
 
 
 @when("the store moves, and the settings files change {signalled}")
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from dataclasses import replace
 
@@ -90,6 +91,8 @@
         self._route_counts: dict[str, int] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._started_at = now()
+        # Since when no other process on this VM has spent a part of the budgets.
+        self._sole_since = -math.inf
         self._returning = RecentRejections()
         self._incarnations_tried: dict[str, str] = {}
         self._profiles = RequestProfiles()
@@ -114,6 +117,12 @@
         for budget in self._budgets.values():
             budget.set_bounds(settings.bounds)
 
+    def note_predecessor(self) -> None:
+        """Notes that a former process on this VM may have spent retries lately."""
+        self._sole_since = self._started_at
+        for budget in self._budgets.values():
+            budget.set_sole_since(self._started_at)
+
     def begin_stop(self, stop: PlannedStop) -> None:
         """Passes requests on, from now on, only if they are answered before a stop."""
         self._stop = stop
@@ -397,7 +406,7 @@
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(self._identity.bounds, self._started_at)
+            budget = RetryBudget(self._identity.bounds, self._sole_since)
             self._budgets[service] = budget
         return budget
 
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -71,6 +71,12 @@
         self._changed = asyncio.Event()
         self._stopping = False
 
+    @property
+    def has_predecessor(self) -> bool:
+        """Returns whether the own member is still that of a former process."""
+        published = self._records.stored_member(self._identity.node)
+        return published is not None and published.process != self._process
+
     def publish(self) -> None:
         """Schedules a write of the own member after a change."""
         self._changed.set()
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -339,6 +339,8 @@
             self._on_zones_changed()
         elif kind == MEMBERS:
             self._links.set_members(self._records.members)
+            if self._membership.has_predecessor:
+                self._entry.note_predecessor()
             self._membership.republish_if_changed()
         elif kind == RANGES:
             self._ownership.on_table_changed()
--- a/rosemarydeal/policy/dispatch/retry_budget.py
+++ b/rosemarydeal/policy/dispatch/retry_budget.py
@@ -4,8 +4,8 @@
 while retries would double the load on the others. The deployment's budget covers
 all processes together. Each process limits its retries to the ratio of its own
 requests plus an equal part of the fixed slack, so the sum never exceeds the budget.
-A process that has just started has no part of the slack for one window, since the
-former process of its VM may have spent it.
+A process that has followed another one on its VM has no part of the slack for one
+window, since the former one may have spent it.
 """
 
 from __future__ import annotations
@@ -21,15 +21,15 @@
 class RetryBudget:
     """Retry budget of one service at one process, over a sliding window."""
 
-    def __init__(self, bounds: Bounds, started_at: float = -math.inf) -> None:
+    def __init__(self, bounds: Bounds, sole_since: float = -math.inf) -> None:
         """Creates an unused budget.
 
         Args:
             bounds: Bounds of all processes together.
-            started_at: When this process started.
+            sole_since: Since when no other process on the VM spends its share.
         """
         self._bounds = bounds
-        self._started_at = started_at
+        self._sole_since = sole_since
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
@@ -37,6 +37,10 @@
         """Applies changed bounds."""
         self._bounds = bounds
 
+    def set_sole_since(self, sole_since: float) -> None:
+        """Sets since when no other process on the VM spends its share."""
+        self._sole_since = sole_since
+
     def record_request(self, now: float) -> None:
         """Records a request, which raises the budget."""
         self._requests.append(now)
@@ -56,7 +60,7 @@
         """
         self._trim(now)
         allowed = self._bounds.retry_ratio * len(self._requests)
-        if now - self._started_at >= self._bounds.retry_window_s:
+        if now - self._sole_since >= self._bounds.retry_window_s:
             allowed += self._bounds.retry_slack / max(1, processes)
         if len(self._retries) + 1 > allowed * share:
             return False
