Name the table and the lease that granted keys rest on in the log

Change: grants are decided with GrantTerms (lease, longest hold, revision and origin of the table, time of the decision), which both carriers log. `keys_granted` is written after each lapse, not only for the first grant of a range. Records keep from where each object came. No grant or duration changes.

--- a/features/steps/earlier_starts_steps.py
+++ b/features/steps/earlier_starts_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from features.builders_fleet_types import a_routed_request
+from features.builders_grants import grant_terms
 from features.builders_node import run
 from features.builders_rate_limit import a_limited_guard, an_announcement
 from rosemarydeal.core import Address
@@ -216,7 +217,7 @@
             lambda: None,
             lambda: None,
         )
-        carrier.update([KEYS], hold_s)
+        carrier.update([KEYS], grant_terms(hold_s))
         await asyncio.sleep(2 * hold_s)
         state.alive, state.silent = False, True
         carrier.clear(silent=True)
@@ -257,7 +258,7 @@
             lambda: None,
             lambda: None,
         )
-        carrier.update([KEYS], 1.0)
+        carrier.update([KEYS], grant_terms(1.0))
         await asyncio.sleep(CALL_S)
         latest = max(grant.may_hold_until for grant in carrier._grants.values())
         context.may_hold = latest > now()
--- a/features/steps/grants_steps.py
+++ b/features/steps/grants_steps.py
@@ -10,6 +10,7 @@
 
 from behave import given, then, when
 
+from features.builders_grants import grant_terms
 from features.grants_machine import check_grants
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import Announcement, HeldKeys, KeyRange, ReleasedKeys
@@ -161,7 +162,7 @@
 @when("the release of its keys begins")
 def step_begins(context):
     async def release():
-        context.carrier.update([a_range(0, 99)], 0.0)
+        context.carrier.update([a_range(0, 99)], grant_terms(0.0))
         started = time.monotonic()
         context.parts = await context.carrier.release(a_range(0, 99))
         context.seconds = time.monotonic() - started
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 
+from features.builders_grants import grant_terms
 from features.builders_node import run
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import KeyRange
@@ -109,7 +110,7 @@
 @when("a range is granted to it for {hold_s:d} second and then released")
 def step_grant_and_release(context, hold_s):
     async def make_calls(carrier):
-        carrier.update([KEYS], float(hold_s))
+        carrier.update([KEYS], grant_terms(float(hold_s)))
         await carrier.release(KEYS)
 
     release_from(context, hold_s, make_calls)
@@ -120,11 +121,11 @@
     parts = [replace(KEYS, last=4), replace(KEYS, first=5)]
 
     async def make_calls(carrier):
-        carrier.update([KEYS], LATE_S)
+        carrier.update([KEYS], grant_terms(LATE_S))
         await asyncio.sleep(0.05)
-        carrier.update(parts, LATE_S)
+        carrier.update(parts, grant_terms(LATE_S))
         release = asyncio.create_task(carrier.release(parts[1]))
-        carrier.update(parts[:1], LATE_S)
+        carrier.update(parts[:1], grant_terms(LATE_S))
         await release
 
     release_from(context, LATE_S, make_calls)
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -28,6 +28,7 @@
     "KeyRange",
     "Member",
     "NodeIdentity",
+    "ObjectOrigin",
     "RangeTable",
     "ReleasedKeys",
     "Revision",
@@ -440,6 +441,30 @@
     restored_token: int = 0
 
 
+class ObjectOrigin(Enum):
+    """From where a process has an object.
+
+    Attributes:
+        STORE: A read or a listing of the store by this process.
+        WATCH: A watch of the store by this process.
+        WRITE: This process wrote it.
+        RELAYED: A peer called the store on behalf of this process.
+        PEER_OBJECT: The peer that wrote it sent it.
+        PEER_DELTA: The peer that wrote it sent the difference from its base.
+        PEER_CHANGES: The reader of the zone sent the changes of its watch.
+        PEER_LISTING: A peer sent all objects of the kind.
+    """
+
+    STORE = "store"
+    WATCH = "watch"
+    WRITE = "write"
+    RELAYED = "relayed"
+    PEER_OBJECT = "peer-object"
+    PEER_DELTA = "peer-delta"
+    PEER_CHANGES = "peer-changes"
+    PEER_LISTING = "peer-listing"
+
+
 @dataclass(frozen=True, slots=True)
 class StoredObject:
     """Object of the store.
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -23,6 +23,7 @@
 )
 from rosemarydeal.policy.keyranges import ownership_lease
 from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges.grant_terms import GrantTerms
 
 from .upstream import UpstreamWatch
 
@@ -117,15 +118,16 @@
             grant.valid_until = 0.0
             grant.renew_at = 0.0
 
-    def update(self, ranges: Sequence[KeyRange], hold_s: float) -> None:
+    def update(self, ranges: Sequence[KeyRange], terms: GrantTerms) -> None:
         """Grants new ranges and renews the grants that are due.
 
         Args:
             ranges: All ranges that the upstream is to hold.
-            hold_s: Duration of a grant, in seconds.
+            terms: The lease and the table under which it is to hold them.
         """
         self._retain(ranges)
         state = self._watch.state
+        hold_s = terms.duration_s(now())
         if state is None or not state.alive or hold_s < 2 * HOLD_MARGIN_S:
             return
         moment = now()
@@ -134,7 +136,7 @@
                 continue
             if moment >= grant.renew_at:
                 grant.call_pending = True
-                call = asyncio.create_task(self._call_grant(grant, hold_s))
+                call = asyncio.create_task(self._call_grant(grant, hold_s, terms))
                 self._calls[call] = grant
                 call.add_done_callback(self._calls.pop)
 
@@ -225,18 +227,18 @@
                         _inherit(grant, previous)
             self._grants[_grant_key(keys)] = grant
 
-    async def _call_grant(self, grant: Grant, hold_s: float) -> None:
+    async def _call_grant(self, grant: Grant, hold_s: float, terms: GrantTerms) -> None:
         """Sends a grant to the upstream and records how long it holds."""
         sent_at = now()
-        first = grant.valid_until == 0.0
+        lapsed = grant.valid_until < sent_at
         answered, arrived = False, True
         try:
             await self._client.grant(grant.keys, hold_s, GRANT_TIMEOUT_S)
             answered = True
             grant.valid_until = max(grant.valid_until, sent_at + hold_s)
             grant.renew_at = sent_at + RENEW_AFTER_S
-            if first:
-                _log_granted(grant.keys, hold_s)
+            if lapsed:
+                _log_granted(grant.keys, hold_s, terms, sent_at)
         except GrantRefused as error:
             answered = True
             _log.warning("grant_refused", detail=error.detail)
@@ -291,8 +293,10 @@
     return keys.first, keys.last, keys.token
 
 
-def _log_granted(keys: KeyRange, hold_s: float) -> None:
-    """Logs the first grant of a range."""
+def _log_granted(
+    keys: KeyRange, hold_s: float, terms: GrantTerms, sent_at: float
+) -> None:
+    """Logs a grant of keys that the upstream did not certainly hold."""
     _log.info(
         "keys_granted",
         first=keys.first,
@@ -300,4 +304,5 @@
         token=keys.token,
         handover=bool(keys.handover),
         hold_s=hold_s,
+        **terms.log_fields(sent_at),
     )
--- a/rosemarydeal/node/heartbeat_grants.py
+++ b/rosemarydeal/node/heartbeat_grants.py
@@ -9,6 +9,7 @@
 
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import Announcement, GrantStatement, KeyRange
+from rosemarydeal.policy.keyranges.grant_terms import GrantTerms
 from rosemarydeal.policy.keyranges.heartbeat_grants import (
     DELIVERY_S,
     HeartbeatGrants,
@@ -47,6 +48,7 @@
         self._on_granted = on_granted
         self._on_refused = on_refused
         self._grants = HeartbeatGrants(now(), max_hold_s)
+        self._terms: GrantTerms | None = None
         self._hold_s = 0.0
         self._logged: frozenset[KeyRange] = frozenset()
         self._heartbeat_answered = asyncio.Event()
@@ -72,15 +74,16 @@
         self._grants.forget()
         self._heartbeat_answered.set()
 
-    def update(self, ranges: Sequence[KeyRange], hold_s: float) -> None:
+    def update(self, ranges: Sequence[KeyRange], terms: GrantTerms) -> None:
         """Sets all ranges that the upstream is to hold, and for how long.
 
         Args:
             ranges: The ranges.
-            hold_s: Duration of a grant issued now, in seconds.
+            terms: The lease and the table under which it is to hold them.
         """
         self._grants.set_wanted(ranges)
-        self._hold_s = hold_s
+        self._terms = terms
+        self._hold_s = terms.duration_s(now())
 
     def invalidate(self, parts: Sequence[KeyRange]) -> None:
         """Does nothing: the next answer states all ranges anew."""
@@ -152,5 +155,6 @@
             added=sorted(stated - self._logged),
             left_out=sorted(self._logged - stated),
             hold_s=round(statement.hold_s, 2),
+            **(self._terms.log_fields(now()) if self._terms is not None else {}),
         )
         self._logged = stated
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -39,6 +39,7 @@
     proposals,
 )
 from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges.grant_terms import GrantTerms
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
 from rosemarydeal.policy.keyranges.suspicion_backoff import SuspicionBackoff
 from rosemarydeal.policy.keyranges.table_changes import TableBase, TableChange
@@ -361,9 +362,17 @@
         ranges = self._restored.usable(owned, now())
         for moving in self._moving:
             ranges = [rest for keys in ranges for rest in tables.subtract(keys, moving)]
-        max_hold_s = self._identity.bounds.max_hold_s
-        self._grants.update(
-            ranges, ownership_lease.grant_duration(self._lease, now(), max_hold_s)
+        self._grants.update(ranges, self._grant_terms())
+
+    def _grant_terms(self) -> GrantTerms:
+        """Returns the lease and the table that grants decided now rest on."""
+        name = table_name(self._identity.service)
+        return GrantTerms(
+            self._lease,
+            self._identity.bounds.max_hold_s,
+            self._records.stored_revision(RANGES, name),
+            self._records.origin(RANGES, name),
+            now(),
         )
 
     def _advance_guard(self) -> None:
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -24,6 +24,7 @@
     NO_REVISION,
     Configuration,
     Member,
+    ObjectOrigin,
     RangeTable,
     Revision,
     StoredObject,
@@ -63,6 +64,7 @@
         last_change: Revision of the last change received.
         listed: Whether a full listing was applied.
         carried: Objects of a former era, by name, that the present one may lack.
+        origins: From where this process has each object, by name.
     """
 
     objects: dict[str, StoredObject] = field(default_factory=dict)
@@ -70,6 +72,7 @@
     last_change: Revision = NO_REVISION
     listed: bool = False
     carried: dict[str, StoredObject] = field(default_factory=dict)
+    origins: dict[str, ObjectOrigin] = field(default_factory=dict)
 
     @property
     def known(self) -> dict[str, StoredObject]:
@@ -182,6 +185,10 @@
         """Returns an object of the present era; a deleted one has no content."""
         return self._kinds[kind].objects.get(name)
 
+    def origin(self, kind: str, name: str) -> ObjectOrigin | None:
+        """Returns from where this process has an object, None if it has none."""
+        return self._kinds[kind].origins.get(name)
+
     def stored_revision(self, kind: str, name: str) -> Revision:
         """Returns the revision of an object, NO_REVISION if it does not exist."""
         stored = self.stored(kind, name)
@@ -226,13 +233,19 @@
         """Registers a function that is called with the kind after each change."""
         self._listeners.append(listener)
 
-    def apply(self, stored: StoredObject, changed: bool = False) -> bool:
+    def apply(
+        self,
+        stored: StoredObject,
+        changed: bool = False,
+        origin: ObjectOrigin = ObjectOrigin.STORE,
+    ) -> bool:
         """Stores an object if it is newer; returns whether it was stored.
 
         Args:
             stored: The object.
             changed: Whether it is known to have been written in its era; an object
                 that was read may be part of the copy.
+            origin: From where this process has it.
         """
         kind_state = self._kinds[stored.kind]
         if stored.unreadable or not stored.name:
@@ -249,6 +262,7 @@
             if old.revision > stored.revision:
                 return False
         kind_state.objects[stored.name] = stored
+        kind_state.origins[stored.name] = origin
         kind_state.last_change = max(kind_state.last_change, stored.revision)
         self._refresh(stored.kind)
         return True
@@ -260,6 +274,7 @@
             self.apply(
                 StoredObject(update.kind, state.name, state.revision, state.content),
                 changed=True,
+                origin=ObjectOrigin.PEER_OBJECT,
             )
 
     def apply_peer_listing(self, peer_listing: ObjectListing) -> None:
@@ -279,7 +294,7 @@
         _log.info(
             "objects_from_peer", kind=peer_listing.kind, revision=peer_listing.revision
         )
-        self.apply_listing(peer_listing.kind, listing)
+        self.apply_listing(peer_listing.kind, listing, ObjectOrigin.PEER_LISTING)
         kind_state.last_change = max(kind_state.last_change, peer_listing.last_change)
 
     def listing(self, kind: str) -> ObjectListing:
@@ -297,10 +312,12 @@
         )
         return ObjectListing(kind, kind_state.revision, kind_state.last_change, objects)
 
-    def apply_changes(self, kind: str, listing: Listing) -> None:
+    def apply_changes(
+        self, kind: str, listing: Listing, origin: ObjectOrigin = ObjectOrigin.WATCH
+    ) -> None:
         """Applies the changes that a watch of a kind returned."""
         for stored in listing.objects:
-            self.apply(stored, changed=True)
+            self.apply(stored, changed=True, origin=origin)
         kind_state = self._kinds[kind]
         kind_state.revision = max(kind_state.revision, listing.revision)
 
@@ -313,7 +330,9 @@
         self._pending_deltas.add(delta)
         self._apply_pending_delta(delta.service)
 
-    def apply_listing(self, kind: str, listing: Listing) -> None:
+    def apply_listing(
+        self, kind: str, listing: Listing, origin: ObjectOrigin = ObjectOrigin.STORE
+    ) -> None:
         """Applies a full listing; objects that it lacks were deleted.
 
         An unreadable object leaves what is known of it unchanged. If the name is
@@ -335,6 +354,7 @@
                 old is None or old.revision < stored.revision
             ):
                 kind_state.objects[stored.name] = stored
+                kind_state.origins[stored.name] = origin
                 kind_state.last_change = max(kind_state.last_change, stored.revision)
         kind_state.revision = max(kind_state.revision, listing.revision)
         kind_state.listed = True
@@ -358,6 +378,7 @@
         if kind in CARRIED_KINDS:
             kind_state.carried = kind_state.known
         kind_state.objects = {}
+        kind_state.origins = {}
         kind_state.revision = kind_state.last_change = Revision(era, 0)
         kind_state.listed = False
         if kind == RANGES:
@@ -491,7 +512,8 @@
         if delta is None:
             return
         content = contents.encode_table(delta.apply(table))
-        self.apply(StoredObject(RANGES, name, delta.revision, content))
+        stored = StoredObject(RANGES, name, delta.revision, content)
+        self.apply(stored, origin=ObjectOrigin.PEER_DELTA)
 
 
 def _era_fields(kind_state: _KindState) -> dict[str, object]:
--- a/rosemarydeal/node/store_access.py
+++ b/rosemarydeal/node/store_access.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from rosemarydeal.core.fleet import NO_REVISION, Revision, StoredObject
+from rosemarydeal.core.fleet import NO_REVISION, ObjectOrigin, Revision, StoredObject
 from rosemarydeal.platform.errors import StoreConflict, StoreError
 from rosemarydeal.platform.store import StoreClient
 from rosemarydeal.policy.keyranges import ownership_lease
@@ -133,10 +133,10 @@
             call = StoreRelayRequest(0, kind, name, content, expected)
             stored, done = await self._relay_through_peer(call, error)
             if stored is not None:
-                self._records.apply(stored, changed=done)
+                self._records.apply(stored, done, ObjectOrigin.RELAYED)
             if not done or stored is None:
                 raise StoreConflict(f"{kind}/{name}: revision has changed") from error
-        self._records.apply(stored, changed=True)
+        self._records.apply(stored, changed=True, origin=ObjectOrigin.WRITE)
         return stored
 
     async def relay(self, call: StoreRelayRequest) -> StoreRelayReply | None:
@@ -187,7 +187,7 @@
         call = StoreRelayRequest(0, kind, name)
         stored, _ = await self._relay_through_peer(call, error)
         if stored is not None:
-            self._records.apply(stored)
+            self._records.apply(stored, origin=ObjectOrigin.RELAYED)
         return stored
 
     def _apply_reply(
@@ -198,7 +198,7 @@
         if state is None:
             return None
         stored = StoredObject(call.kind, state.name, state.revision, state.content)
-        self._records.apply(stored)
+        self._records.apply(stored, origin=ObjectOrigin.RELAYED)
         return stored
 
     def _shared_read_delay_s(self) -> float:
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -20,7 +20,12 @@
 import structlog
 
 from rosemarydeal.core.clock import now
-from rosemarydeal.core.fleet import NodeIdentity, Revision, StoredObject
+from rosemarydeal.core.fleet import (
+    NodeIdentity,
+    ObjectOrigin,
+    Revision,
+    StoredObject,
+)
 from rosemarydeal.platform.errors import HistoryGone, StoreError
 from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
 from rosemarydeal.platform.store import Listing, StoreClient
@@ -205,7 +210,9 @@
                 StoredObject(kind, state.name, state.revision, state.content)
                 for state in changes.objects
             )
-            self._records.apply_changes(kind, Listing(objects, changes.revision))
+            self._records.apply_changes(
+                kind, Listing(objects, changes.revision), ObjectOrigin.PEER_CHANGES
+            )
 
     def on_known_revisions(
         self, node: str, known_revisions: tuple[Revision, ...]
