Compute the duration of a grant when its call is written

What callers saw: none of it for certain.

Cause: the duration of a grant was computed in the step that decided it, and its call was sent by a task a turn of the loop later, or when a connection stood. The upstream counts it from the arrival. A process that stood still in between granted keys beyond its lease, for as long as it had stood still; a range that was split or given away while the connection was opened was still granted. Class: a duration that is used as if it were a point in time.

Change: carriers get the lease (GrantTerms), not a duration. The client asks for the duration once a connection stands, right before the bytes are written; nothing is sent if the lease has less than 0.2 s left, the range is not to be granted any more, or the upstream has changed (`grant_withheld`, gauge `grants_withheld`). The uses of a grant count from that moment, too. Between the last look at the clock and the kernel's write lies the encoding of one call; pauses of up to 0.3 s there are covered by the margin of the lease.

--- a/features/late_grants.feature
+++ b/features/late_grants.feature
@@ -9,3 +9,27 @@
       | VMs                                   | line         |
       | VMs                                   | keys_granted |
       | VMs whose heartbeats carry the grants | keys_stated  |
+
+  Scenario Outline: A process that stands still between a decision and its grant grants beyond its lease
+    Given an upstream that takes grants
+    When keys are to be granted with <left> s left of the lease, and the process stands still for <pause> s <moment>
+    Then the upstream holds the keys until the end of the lease at the latest
+    And the process uses them until then at the latest
+
+    Examples:
+      | left | pause | moment                           |
+      | 1.5  | 0.8   | before the call                  |
+      | 1.0  | 0.8   | before the call                  |
+      | 1.0  | 1.3   | before the call                  |
+      | 1.0  | 0.35  | while the connection is opened   |
+      | 0.5  | 0.35  | while the connection is opened   |
+
+  Scenario: A process that stands still between a decision and the answer to a heartbeat states too long a hold
+    Given a process whose upstream is to hold keys, with 1.5 s left of its lease
+    When it stands still for 0.8 s, and then answers a heartbeat
+    Then the hold that it states ends with the lease at the latest
+
+  Scenario: A grant is sent for a range that was given away while its connection was opened
+    Given an upstream that takes grants
+    When keys are to be granted, and another owner gets them while the connection is opened
+    Then the upstream takes no keys, and a withheld grant is counted
--- a/features/steps/earlier_starts_steps.py
+++ b/features/steps/earlier_starts_steps.py
@@ -191,7 +191,7 @@
     """A client whose upstream answers grants, and no release."""
 
     async def grant(self, keys, hold_s, timeout_s):
-        return
+        hold_s()
 
     async def release(self, keys, timeout_s):
         await asyncio.sleep(timeout_s)
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -368,7 +368,7 @@
         async with context.upstream.client() as client:
             match call:
                 case "grant":
-                    await client.grant(KEYS, HOLD_S, TIMEOUT_S)
+                    await client.grant(KEYS, lambda: HOLD_S, TIMEOUT_S)
                 case "probe":
                     await client.probe("/healthz", TIMEOUT_S)
                 case "release":
@@ -400,9 +400,9 @@
 def step_two_grants(context):
     async def go():
         async with context.upstream.client() as client:
-            await client.grant(KEYS, HOLD_S, TIMEOUT_S)
+            await client.grant(KEYS, lambda: HOLD_S, TIMEOUT_S)
             try:
-                await client.grant(OTHER_KEYS, HOLD_S, TIMEOUT_S)
+                await client.grant(OTHER_KEYS, lambda: HOLD_S, TIMEOUT_S)
             except GrantRefused:
                 context.refused = True
 
--- a/features/steps/late_grants_steps.py
+++ b/features/steps/late_grants_steps.py
@@ -3,14 +3,36 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import time
+from dataclasses import replace
+from types import SimpleNamespace
 
-from behave import then, when
+from behave import given, then, when
 
+from features.builders_addresses import a_loopback_host
+from features.builders_grants import terms_with_lease_left, upstream_state
 from features.builders_node import run
 from features.builders_rate_limit import captured_logs
-from rosemarydeal.core.fleet import ObjectOrigin
-from rosemarydeal.policy.keyranges.ownership_lease import LEASE_S
+from rosemarydeal.core import Address
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import KeyRange, ObjectOrigin
+from rosemarydeal.node.grants import CallGrantCarrier
+from rosemarydeal.node.heartbeat_grants import HeartbeatGrantCarrier
+from rosemarydeal.platform.upstream import UpstreamClient
+from rosemarydeal.policy.keyranges.ownership_lease import (
+    CLOCK_DRIFT,
+    LEASE_S,
+    lease_expiry,
+)
+from rosemarydeal.proxy import HttpLimits, bytes_response, read_bytes, serve
 
+KEYS = KeyRange(0, 9, "vm-a", "i-1@1", 1)
+PORT = 9000
+MAX_CALL_BYTES = 4096
+CALL_TIME_S = 0.6
+# From the last look at the clock to the arrival at an upstream on the same machine.
+ON_THE_WAY_S = 0.1
 LINE_TIME_S = 0.3
 ORIGINS = {origin.value for origin in ObjectOrigin}
 
@@ -48,3 +70,120 @@
         assert line["origin"] in ORIGINS, line
         assert 0.0 <= line["lease_age_s"] < LEASE_S, line
         assert 0.0 <= line["decided_ago_s"] < 1.0, line
+
+
+class GrantTaker:
+    """An upstream that takes each grant and notes when it ends by a slow clock."""
+
+    def __init__(self):
+        self.ends = []
+
+    async def answer(self, request):
+        body = await read_bytes(request.body, MAX_CALL_BYTES)
+        held_s = json.loads(body)["hold_ms"] / 1000 * (1 + CLOCK_DRIFT)
+        self.ends.append(now() + held_s)
+        return bytes_response(200, b"")
+
+
+@given("an upstream that takes grants")
+def step_taker(context):
+    context.taker = GrantTaker()
+
+
+def grant_from(context, terms, after_decision):
+    """Updates a carrier whose calls go to the taker; runs a function afterwards."""
+
+    async def go():
+        address = Address(a_loopback_host(1), PORT)
+        server = await serve(context.taker.answer, address, HttpLimits())
+        client = UpstreamClient(address, 1)
+        watch = SimpleNamespace(state=upstream_state(KEYS))
+        context.carrier = CallGrantCarrier(
+            client, watch, 0.0, lambda: None, lambda: None
+        )
+        context.carrier.update([KEYS], terms)
+        after_decision()
+        await asyncio.sleep(CALL_TIME_S)
+        context.grants = list(context.carrier._grants.values())
+        await context.carrier.close()
+        await client.close()
+        await server.close()
+
+    asyncio.run(go())
+
+
+def stand_still(seconds, moment):
+    """Blocks the event loop at once, or when a connection is being opened."""
+    if moment == "before the call":
+        time.sleep(seconds)
+        return
+    # The call's task runs first, up to the opening of its connection.
+    asyncio.get_running_loop().call_soon(time.sleep, seconds)
+
+
+@when(
+    "keys are to be granted with {left_s:g} s left of the lease,"
+    " and the process stands still for {pause_s:g} s {moment}"
+)
+def step_stand_still(context, left_s, pause_s, moment):
+    terms = terms_with_lease_left(left_s)
+    context.lease_end = lease_expiry(terms.lease)
+    grant_from(context, terms, lambda: stand_still(pause_s, moment))
+
+
+@then("the upstream holds the keys until the end of the lease at the latest")
+def step_held_until(context):
+    late_s = [end - context.lease_end for end in context.taker.ends]
+    assert all(late <= ON_THE_WAY_S for late in late_s), late_s
+
+
+@then("the process uses them until then at the latest")
+def step_used_until(context):
+    late_s = [grant.valid_until - context.lease_end for grant in context.grants]
+    assert all(late <= 0 for late in late_s), late_s
+
+
+@when(
+    "keys are to be granted, and another owner gets them while the connection is opened"
+)
+def step_given_away(context):
+    terms = terms_with_lease_left(5.0)
+    loop_turn = lambda: asyncio.get_running_loop().call_soon(  # noqa: E731
+        lambda: context.carrier.update([], terms)
+    )
+    grant_from(context, terms, loop_turn)
+
+
+@then("the upstream takes no keys, and a withheld grant is counted")
+def step_none(context):
+    assert not context.taker.ends, context.taker.ends
+    assert context.carrier.withheld == 1, context.carrier.withheld
+
+
+@given("a process whose upstream is to hold keys, with {left_s:g} s left of its lease")
+def step_stating(context, left_s):
+    async def update():
+        context.carrier.update([KEYS], terms)
+
+    terms = terms_with_lease_left(left_s)
+    context.lease_end = lease_expiry(terms.lease)
+    watch = SimpleNamespace(state=upstream_state(KEYS))
+    context.carrier = HeartbeatGrantCarrier(watch, 0.0, lambda: None, lambda: None)
+    asyncio.run(update())
+
+
+@when("it stands still for {pause_s:g} s, and then answers a heartbeat")
+def step_answer_late(context, pause_s):
+    async def answer():
+        heartbeat = replace(context.carrier._watch.state.announcement, holds=())
+        context.answered_at = now()
+        context.statement = context.carrier.answer(heartbeat)
+
+    time.sleep(pause_s)
+    asyncio.run(answer())
+
+
+@then("the hold that it states ends with the lease at the latest")
+def step_stated_end(context):
+    hold_s = context.statement.hold_s * (1 + CLOCK_DRIFT)
+    assert context.answered_at + hold_s <= context.lease_end + ON_THE_WAY_S
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -67,6 +67,7 @@
         self._unanswered = unanswered
 
     async def grant(self, keys, hold_s, timeout_s):
+        hold_s()
         self._unanswered -= 1
         if self._unanswered < 0:
             return
--- a/features/steps/stated_answers_steps.py
+++ b/features/steps/stated_answers_steps.py
@@ -57,7 +57,7 @@
     async def go():
         async with context.upstream.client() as client:
             try:
-                await client.grant(KEYS, HOLD_S, TIMEOUT_S)
+                await client.grant(KEYS, lambda: HOLD_S, TIMEOUT_S)
             except UpstreamCallFailed as error:
                 return error
             return None
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -11,9 +11,11 @@
 import asyncio
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
+from functools import partial
 
 import structlog
 
+from rosemarydeal.core import CodedError
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import Announcement, GrantStatement, KeyRange
 from rosemarydeal.platform.upstream import (
@@ -27,7 +29,7 @@
 
 from .upstream import UpstreamWatch
 
-__all__ = ["CallGrantCarrier", "Grant"]
+__all__ = ["CallGrantCarrier", "Grant", "GrantWithheld"]
 
 GRANT_TIMEOUT_S = 0.4
 # A third of a grant's hold, so that two renewals may be lost.
@@ -38,6 +40,8 @@
 RELEASE_TIMEOUT_S = 1.5
 # Covers the delay between the check of a grant and the start of a request.
 HOLD_MARGIN_S = 0.1
+# Shorter grants would serve nothing.
+MIN_HOLD_S = 2 * HOLD_MARGIN_S
 
 _log = structlog.get_logger()
 
@@ -64,6 +68,31 @@
     unanswered_until: float = 0.0
 
 
+@dataclass(slots=True)
+class _GrantCall:
+    """One grant call.
+
+    Attributes:
+        grant: What it grants or renews.
+        sent_at: When it was written, None if it was not.
+        hold_s: How long it lets the upstream hold the keys, from its arrival.
+        lapsed: Whether the upstream did not certainly hold the keys at that time.
+        terms: What it rests on.
+    """
+
+    grant: Grant
+    sent_at: float | None = None
+    hold_s: float = 0.0
+    lapsed: bool = False
+    terms: GrantTerms | None = None
+
+
+class GrantWithheld(CodedError):
+    """A grant was decided, and must not be sent any more."""
+
+    code = "grant-withheld"
+
+
 class CallGrantCarrier:
     """Grants the ranges that the upstream serves by calling it."""
 
@@ -91,6 +120,8 @@
         self._on_refused = on_refused
         self._predecessor_until = now() + max_hold_s * (1 + ownership_lease.CLOCK_DRIFT)
         self._held_until = self._predecessor_until
+        self._terms: GrantTerms | None = None
+        self._withheld = 0
         self._grants: dict[tuple[int, int, int], Grant] = {}
         self._calls: dict[asyncio.Task[None], Grant] = {}
 
@@ -99,6 +130,11 @@
         """Returns whether the upstream may hold any key."""
         return bool(self._calls) or now() <= self._held_until
 
+    @property
+    def withheld(self) -> int:
+        """Returns how many grants were decided and not sent."""
+        return self._withheld
+
     def allows(self, key: int, token: int) -> bool:
         """Returns whether the upstream certainly holds a key under a token."""
         for grant in self._grants.values():
@@ -125,18 +161,18 @@
             ranges: All ranges that the upstream is to hold.
             terms: The lease and the table under which it is to hold them.
         """
+        self._terms = terms
         self._retain(ranges)
         state = self._watch.state
-        hold_s = terms.duration_s(now())
-        if state is None or not state.alive or hold_s < 2 * HOLD_MARGIN_S:
-            return
         moment = now()
+        if state is None or not state.alive or terms.duration_s(moment) < MIN_HOLD_S:
+            return
         for grant in self._grants.values():
             if grant.keys.incarnation != state.incarnation or grant.call_pending:
                 continue
             if moment >= grant.renew_at:
                 grant.call_pending = True
-                call = asyncio.create_task(self._call_grant(grant, hold_s, terms))
+                call = asyncio.create_task(self._call_grant(grant))
                 self._calls[call] = grant
                 call.add_done_callback(self._calls.pop)
 
@@ -227,18 +263,20 @@
                         _inherit(grant, previous)
             self._grants[_grant_key(keys)] = grant
 
-    async def _call_grant(self, grant: Grant, hold_s: float, terms: GrantTerms) -> None:
+    async def _call_grant(self, grant: Grant) -> None:
         """Sends a grant to the upstream and records how long it holds."""
-        sent_at = now()
-        lapsed = grant.valid_until < sent_at
+        call = _GrantCall(grant)
         answered, arrived = False, True
         try:
-            await self._client.grant(grant.keys, hold_s, GRANT_TIMEOUT_S)
+            await self._client.grant(
+                grant.keys, partial(self._issue, call), GRANT_TIMEOUT_S
+            )
             answered = True
-            grant.valid_until = max(grant.valid_until, sent_at + hold_s)
-            grant.renew_at = sent_at + RENEW_AFTER_S
-            if lapsed:
-                _log_granted(grant.keys, hold_s, terms, sent_at)
+            self._apply_granted(call)
+        except GrantWithheld as error:
+            self._withheld += 1
+            _log.warning("grant_withheld", reason=error.detail, token=grant.keys.token)
+            grant.renew_at = now() + GRANT_RETRY_S
         except GrantRefused as error:
             answered = True
             _log.warning("grant_refused", detail=error.detail)
@@ -252,20 +290,49 @@
                 self._watch.report_call_refused()
         finally:
             grant.call_pending = False
-            if arrived:
-                self._note_latest_end(grant, hold_s, answered)
+            if call.sent_at is not None and arrived:
+                self._note_latest_end(call, answered)
         self._on_call_ended()
 
-    def _note_latest_end(self, grant: Grant, hold_s: float, answered: bool) -> None:
+    def _issue(self, call: _GrantCall) -> float:
+        """Returns the duration of a grant that is written now, in seconds.
+
+        The process may have stood still since the grant was decided, and the range
+        may have been given away or split while the connection was opened.
+
+        Raises:
+            GrantWithheld: The upstream is not to hold the range any more.
+        """
+        keys, state, moment = call.grant.keys, self._watch.state, now()
+        if self._grants.get(_grant_key(keys)) is not call.grant:
+            raise GrantWithheld("range-changed")
+        if not state.alive or state.incarnation != keys.incarnation:
+            raise GrantWithheld("upstream-changed")
+        hold_s = self._terms.duration_s(moment)
+        if hold_s < MIN_HOLD_S:
+            raise GrantWithheld("lease-expired")
+        call.sent_at, call.hold_s, call.terms = moment, hold_s, self._terms
+        call.lapsed = call.grant.valid_until < moment
+        return hold_s
+
+    def _apply_granted(self, call: _GrantCall) -> None:
+        """Records that the upstream has taken a grant."""
+        grant = call.grant
+        grant.valid_until = max(grant.valid_until, call.sent_at + call.hold_s)
+        grant.renew_at = call.sent_at + RENEW_AFTER_S
+        if call.lapsed:
+            _log_granted(call)
+
+    def _note_latest_end(self, call: _GrantCall, answered: bool) -> None:
         """Records how long a grant whose call has ended may be in effect.
 
         The call may have arrived just now, and the upstream's clock be slow. The range
         may have been split during the call, so that other grants have its keys now.
         """
-        latest_end = now() + hold_s * (1.0 + ownership_lease.CLOCK_DRIFT)
+        latest_end = now() + call.hold_s * (1.0 + ownership_lease.CLOCK_DRIFT)
         self._held_until = max(self._held_until, latest_end)
-        for current in (grant, *self._grants.values()):
-            if not tables.overlaps(current.keys, grant.keys):
+        for current in (call.grant, *self._grants.values()):
+            if not tables.overlaps(current.keys, call.grant.keys):
                 continue
             current.may_hold_until = max(current.may_hold_until, latest_end)
             if not answered:
@@ -293,16 +360,15 @@
     return keys.first, keys.last, keys.token
 
 
-def _log_granted(
-    keys: KeyRange, hold_s: float, terms: GrantTerms, sent_at: float
-) -> None:
+def _log_granted(call: _GrantCall) -> None:
     """Logs a grant of keys that the upstream did not certainly hold."""
+    keys = call.grant.keys
     _log.info(
         "keys_granted",
         first=keys.first,
         last=keys.last,
         token=keys.token,
         handover=bool(keys.handover),
-        hold_s=hold_s,
-        **terms.log_fields(sent_at),
+        hold_s=call.hold_s,
+        **call.terms.log_fields(call.sent_at),
     )
--- a/rosemarydeal/node/heartbeat_grants.py
+++ b/rosemarydeal/node/heartbeat_grants.py
@@ -49,7 +49,6 @@
         self._on_refused = on_refused
         self._grants = HeartbeatGrants(now(), max_hold_s)
         self._terms: GrantTerms | None = None
-        self._hold_s = 0.0
         self._logged: frozenset[KeyRange] = frozenset()
         self._heartbeat_answered = asyncio.Event()
 
@@ -58,6 +57,11 @@
         """Returns whether the upstream may hold any key."""
         return self._grants.may_hold(now())
 
+    @property
+    def withheld(self) -> int:
+        """Returns 0: an answer states the keys of the moment at which it is built."""
+        return 0
+
     def allows(self, key: int, token: int) -> bool:
         """Returns whether the upstream certainly holds a key under a token."""
         return self._grants.allows(key, token, now())
@@ -83,7 +87,6 @@
         """
         self._grants.set_wanted(ranges)
         self._terms = terms
-        self._hold_s = terms.duration_s(now())
 
     def invalidate(self, parts: Sequence[KeyRange]) -> None:
         """Does nothing: the next answer states all ranges anew."""
@@ -93,9 +96,9 @@
         state = self._watch.state
         if state is None or not state.alive:
             return None
-        statement = self._grants.answer(
-            heartbeat, state.incarnation, self._hold_s, now()
-        )
+        moment = now()
+        hold_s = self._terms.duration_s(moment) if self._terms is not None else 0.0
+        statement = self._grants.answer(heartbeat, state.incarnation, hold_s, moment)
         self._heartbeat_answered.set()
         self._heartbeat_answered = asyncio.Event()
         if statement is not None:
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -149,6 +149,11 @@
         """Returns the number of suspicions of this process that were refuted."""
         return self._suspicion_backoff.refuted_count
 
+    @property
+    def grants_withheld(self) -> int:
+        """Returns the number of grants that were decided and not sent."""
+        return self._grants.withheld
+
     @property
     def owned(self) -> tuple[KeyRange, ...]:
         """Returns the ranges that the table assigns to this node."""
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -427,6 +427,7 @@
             ("sent_per_s", self._guard.sent_per_s),
             ("key_ranges", len(self._ownership.owned)),
             ("suspicions_refuted", self._ownership.suspicions_refuted),
+            ("grants_withheld", self._ownership.grants_withheld),
             ("peer_links", len(self._links.up)),
             ("store_reachable", self._access.reachable),
             ("store_era", self._store.era),
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -6,6 +6,8 @@
 import itertools
 import math
 import secrets
+from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 import structlog
@@ -116,9 +118,18 @@
         self._call_numbers = itertools.count(1)
         self._buffers = BodyBuffers(ANSWER_BUDGET_BYTES)
 
-    async def grant(self, keys: KeyRange, hold_s: float, timeout_s: float) -> None:
+    async def grant(
+        self, keys: KeyRange, hold_s: Callable[[], float], timeout_s: float
+    ) -> None:
         """Grants a range of keys, or renews the grant.
 
+        Args:
+            keys: The range.
+            hold_s: Returns how long the upstream may hold the keys from now on, in
+                seconds. Called when a connection stands, right before the call is
+                written; an error that it raises is passed on, and nothing is sent.
+            timeout_s: Time limit of the call.
+
         Raises:
             GrantRefused: The upstream has seen a higher token.
             UpstreamCallFailed: No answer; the grant may still take effect.
@@ -127,11 +138,16 @@
             "from": keys.first,
             "to": keys.last,
             "fence": keys.token,
-            "hold_ms": int(hold_s * MS_PER_S),
         }
         if keys.handover:
             body["handover"] = keys.handover
-        response = await self._call(names.GRANT_PATH, body, timeout_s)
+
+        def complete(request: Request) -> Request:
+            """Adds the duration, which counts from the arrival of the call."""
+            timed = body | {"hold_ms": int(hold_s() * MS_PER_S)}
+            return replace(request, body=BytesBody(msgspec.json.encode(timed)))
+
+        response = await self._call(names.GRANT_PATH, body, timeout_s, complete)
         if response.status == CONFLICT:
             raise GrantRefused(f"keys {keys.first}-{keys.last}, token {keys.token}")
         if response.status != OK:
@@ -227,7 +243,11 @@
         await self._calls.close()
 
     async def _call(
-        self, path: bytes, body: dict[str, object] | None, timeout_s: float
+        self,
+        path: bytes,
+        body: dict[str, object] | None,
+        timeout_s: float,
+        complete: Callable[[Request], Request] | None = None,
     ) -> Response:
         """Makes a call, as POST if it has a body, and reads its whole answer.
 
@@ -249,7 +269,9 @@
         try:
             # The connection's own deadline tells whether the call was sent.
             async with asyncio.timeout(timeout_s + DEADLINE_MARGIN_S):
-                response = await self._calls.send(self._address, request, timeout_s)
+                response = await self._calls.send(
+                    self._address, request, timeout_s, complete=complete
+                )
                 await read_bytes(response.body, MAX_CALL_ANSWER_BYTES)
         except (ProxyError, TimeoutError) as error:
             sent = getattr(error, "sent", True)
--- a/rosemarydeal/proxy/client.py
+++ b/rosemarydeal/proxy/client.py
@@ -82,6 +82,7 @@
         request: Request,
         timeout_s: float,
         max_idle_s: float | None = None,
+        complete: Callable[[Request], Request] | None = None,
     ) -> Response:
         """Sends a request and returns the response once its head has arrived.
 
@@ -94,6 +95,9 @@
             max_idle_s: Idle time above which a connection is not reused; a new
                 one is opened instead if the limit of connections allows it.
                 None reuses any idle connection.
+            complete: Returns the request as it is to be sent. Called once a
+                connection stands, right before the bytes are written; if it raises
+                an error, nothing is sent.
 
         Returns:
             The response.
@@ -111,6 +115,8 @@
             if connection.stale:
                 connection.abort()
                 continue
+            if complete is not None:
+                request = self._completed(request, complete, connection)
             return await connection.exchange(request, deadline)
 
     async def close(self) -> None:
@@ -151,6 +157,19 @@
             self._release_slot(address, pool)
             raise
 
+    def _completed(
+        self,
+        request: Request,
+        complete: Callable[[Request], Request],
+        connection: ClientConnection,
+    ) -> Request:
+        """Completes a request; the connection stays idle if it is not to be sent."""
+        try:
+            return complete(request)
+        except BaseException:
+            self._return_idle(connection)
+            raise
+
     async def _wait_for_slot(self, pool: AddressPool, deadline: float) -> None:
         """Waits until a connection becomes idle or a slot becomes free."""
         waiter = asyncio.get_running_loop().create_future()
