Name the instance that a grant is meant for

What callers could see: an upstream that has just started holds keys under the token of its predecessor before it has announced itself, while the table may name another owner (OWNER).

Cause: a grant was sent to an address. After an upstream had ended, its process retried the grant each 0.15 s for up to three periods of announcements; announcements that had waited in a stopped process's sockets made an ended upstream current again. The next one that listened at the address took the grant. Class: an address taken for an identity.

Change: a grant names its instance, and a 421 counts as an upstream that does not listen. Since a successor may have the same name, no grant follows a refused connection before the next announcement. Releases name none: whatever listens there must hold none of the keys. The stand-in answers 421 as the platform does.

--- a/features/late_grants.feature
+++ b/features/late_grants.feature
@@ -33,3 +33,19 @@
     Given an upstream that takes grants
     When keys are to be granted, and another owner gets them while the connection is opened
     Then the upstream takes no keys, and a withheld grant is counted
+
+  Scenario Outline: A grant meant for an upstream that has ended is taken by the next one at its address
+    Given an upstream that ends after it has announced itself
+    When its keys are to be granted, and <seconds> s later the next one listens there under <id>
+    Then the next one takes no keys within 1 s, as long as it has not announced itself
+
+    Examples:
+      | seconds | id          |
+      | 0       | another id  |
+      | 0.3     | another id  |
+      | 0.3     | the same id |
+
+  Scenario: An upstream that listens after its announcement gets its keys after the next one
+    Given an upstream that ends after it has announced itself
+    When its keys are to be granted, and 0.3 s later the next one listens there under the same id
+    Then the next one takes its keys once an announcement has arrived
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -162,6 +162,9 @@
         if self.by_heartbeat and request.target.startswith(b"/v1/"):
             return bytes_response(404, b"")
         if request.target == b"/v1/grant":
+            expected = find_header(request.headers, b"target-instance")
+            if expected not in (None, self.instance.encode()):
+                return bytes_response(421, b"")
             return self._grant(json.loads(body))
         if request.target == b"/v1/release":
             return await self._release(json.loads(body))
--- a/features/steps/earlier_starts_steps.py
+++ b/features/steps/earlier_starts_steps.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 from types import SimpleNamespace
 
 from behave import given, then, when
 
 from features.builders_fleet_types import a_routed_request
-from features.builders_grants import grant_terms
+from features.builders_grants import grant_terms, upstream_state
 from features.builders_node import run
 from features.builders_rate_limit import a_limited_guard, an_announcement
 from rosemarydeal.core import Address
@@ -27,7 +28,7 @@
 ACKNOWLEDGED = 200
 REFUSED = 409
 LATE_HEARTBEATS_S = 1.5
-KEYS = KeyRange(0, 9, "vm-a", "i-1", 1)
+KEYS = KeyRange(0, 9, "vm-a", "i-1@1", 1)
 # A queue that is shorter than this accepts no connection.
 CONNECTIONS = 3
 # Longer than a call waits for an answer.
@@ -190,7 +191,7 @@
 class UnreleasingUpstream:
     """A client whose upstream answers grants, and no release."""
 
-    async def grant(self, keys, hold_s, timeout_s):
+    async def grant(self, keys, instance, hold_s, timeout_s):
         hold_s()
 
     async def release(self, keys, timeout_s):
@@ -209,17 +210,17 @@
 )
 def step_granted_and_silent(context, hold_s):
     async def go():
-        state = SimpleNamespace(alive=True, incarnation="i-1", silent=False)
+        watch = SimpleNamespace(state=upstream_state(KEYS))
         carrier = CallGrantCarrier(
             context.upstream,
-            SimpleNamespace(state=state),
+            watch,
             0.0,
             lambda: None,
             lambda: None,
         )
         carrier.update([KEYS], grant_terms(hold_s))
         await asyncio.sleep(2 * hold_s)
-        state.alive, state.silent = False, True
+        watch.state = replace(watch.state, alive=False, silent=True)
         carrier.clear(silent=True)
         started = now()
         await carrier.release(KEYS)
@@ -250,10 +251,10 @@
 def step_grant_unsent(context):
     async def go():
         client = UpstreamClient(context.address, 1)
-        state = SimpleNamespace(alive=True, incarnation="i-1", silent=False)
+        watch = SimpleNamespace(state=upstream_state(KEYS))
         carrier = CallGrantCarrier(
             client,
-            SimpleNamespace(state=state),
+            watch,
             0.0,
             lambda: None,
             lambda: None,
--- a/features/steps/late_copies_steps.py
+++ b/features/steps/late_copies_steps.py
@@ -42,6 +42,7 @@
 KEYS = KeyRange(0, 9, "n", "l", 1)
 OTHER_KEYS = KeyRange(10, 19, "n", "l", 2)
 HOLD_S = 4.0
+INSTANCE = "i-1"
 # Work on released keys, which the answer to their release waits for.
 RELEASE_S = 0.2
 FIRST = an_answer("r1", BODY)
@@ -368,7 +369,7 @@
         async with context.upstream.client() as client:
             match call:
                 case "grant":
-                    await client.grant(KEYS, lambda: HOLD_S, TIMEOUT_S)
+                    await client.grant(KEYS, INSTANCE, lambda: HOLD_S, TIMEOUT_S)
                 case "probe":
                     await client.probe("/healthz", TIMEOUT_S)
                 case "release":
@@ -400,9 +401,9 @@
 def step_two_grants(context):
     async def go():
         async with context.upstream.client() as client:
-            await client.grant(KEYS, lambda: HOLD_S, TIMEOUT_S)
+            await client.grant(KEYS, INSTANCE, lambda: HOLD_S, TIMEOUT_S)
             try:
-                await client.grant(OTHER_KEYS, lambda: HOLD_S, TIMEOUT_S)
+                await client.grant(OTHER_KEYS, INSTANCE, lambda: HOLD_S, TIMEOUT_S)
             except GrantRefused:
                 context.refused = True
 
--- a/features/steps/late_grants_steps.py
+++ b/features/steps/late_grants_steps.py
@@ -14,11 +14,13 @@
 from features.builders_grants import terms_with_lease_left, upstream_state
 from features.builders_node import run
 from features.builders_rate_limit import captured_logs
+from features.standin_endpoint import StandInEndpoint
 from rosemarydeal.core import Address
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import KeyRange, ObjectOrigin
 from rosemarydeal.node.grants import CallGrantCarrier
 from rosemarydeal.node.heartbeat_grants import HeartbeatGrantCarrier
+from rosemarydeal.node.upstream import UpstreamState
 from rosemarydeal.platform.upstream import UpstreamClient
 from rosemarydeal.policy.keyranges.ownership_lease import (
     CLOCK_DRIFT,
@@ -29,6 +31,9 @@
 
 KEYS = KeyRange(0, 9, "vm-a", "i-1@1", 1)
 PORT = 9000
+UPSTREAM_PORT = 9001
+STEP_S = 0.1
+STEPS_S = 1.0
 MAX_CALL_BYTES = 4096
 CALL_TIME_S = 0.6
 # From the last look at the clock to the arrival at an upstream on the same machine.
@@ -187,3 +192,71 @@
 def step_stated_end(context):
     hold_s = context.statement.hold_s * (1 + CLOCK_DRIFT)
     assert context.answered_at + hold_s <= context.lease_end + ON_THE_WAY_S
+
+
+@given("an upstream that ends after it has announced itself")
+def step_ended(context):
+    context.endpoint = StandInEndpoint("vm-a", a_loopback_host(1), "box-office", "a")
+    announcement = upstream_state(KEYS).announcement
+    named = replace(announcement, instance=context.endpoint.instance)
+    keys = replace(KEYS, incarnation=named.incarnation)
+    state = UpstreamState(named, now(), None, True)
+    context.keys, context.watch = keys, UpstreamWatchStandIn(state)
+
+
+class UpstreamWatchStandIn:
+    """A watch whose state a test sets."""
+
+    def __init__(self, state):
+        self.state = state
+
+    def report_call_refused(self):
+        """Changes nothing, as announcements arrived a short time ago."""
+
+
+@when(
+    "its keys are to be granted, and {seconds:g} s later the next one listens there"
+    " under {same}"
+)
+def step_next_listens(context, seconds, same):
+    async def go():
+        endpoint = context.endpoint
+        if same == "another id":
+            endpoint.instance += "-next"
+        client = UpstreamClient(Address(a_loopback_host(1), UPSTREAM_PORT), 1)
+        carrier = CallGrantCarrier(
+            client, context.watch, 0.0, lambda: None, lambda: None
+        )
+        terms = terms_with_lease_left(8.0)
+        started = now()
+        server = None
+        context.taken_after = {}
+        for announced in (False, True):
+            until = now() + STEPS_S
+            while now() < until:
+                if server is None and now() >= started + seconds:
+                    server = await serve(
+                        endpoint.answer,
+                        Address(a_loopback_host(1), UPSTREAM_PORT),
+                        HttpLimits(),
+                    )
+                carrier.update([context.keys], terms)
+                await asyncio.sleep(STEP_S)
+            context.taken_after[announced] = len(endpoint.taken)
+            context.watch.state = replace(context.watch.state, last_heartbeat_at=now())
+        await carrier.close()
+        await client.close()
+        await server.close()
+
+    asyncio.run(go())
+
+
+@then("the next one takes no keys within 1 s, as long as it has not announced itself")
+def step_none_before(context):
+    assert not context.taken_after[False], context.endpoint.taken
+
+
+@then("the next one takes its keys once an announcement has arrived")
+def step_after(context):
+    assert not context.taken_after[False], context.endpoint.taken
+    assert context.taken_after[True], context.endpoint.taken
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -9,7 +9,7 @@
 
 from behave import given, then, when
 
-from features.builders_grants import grant_terms
+from features.builders_grants import grant_terms, upstream_state
 from features.builders_node import run
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import KeyRange
@@ -19,7 +19,7 @@
 from rosemarydeal.policy.keyranges.table_changes import TableChange
 
 LATE_S = 1.0
-KEYS = KeyRange(0, 9, "vm-a", "i-1", 1)
+KEYS = KeyRange(0, 9, "vm-a", "i-1@1", 1)
 # By how much the clock of an upstream may run slow.
 CLOCK_DRIFT = 0.02
 
@@ -66,7 +66,7 @@
         self.applied_at = 0.0
         self._unanswered = unanswered
 
-    async def grant(self, keys, hold_s, timeout_s):
+    async def grant(self, keys, instance, hold_s, timeout_s):
         hold_s()
         self._unanswered -= 1
         if self._unanswered < 0:
@@ -96,7 +96,7 @@
     """Makes calls of a carrier whose last one is a release; notes when it ends."""
 
     async def go():
-        watch = SimpleNamespace(state=SimpleNamespace(alive=True, incarnation="i-1"))
+        watch = SimpleNamespace(state=upstream_state(KEYS))
         carrier = CallGrantCarrier(
             context.upstream, watch, 0.0, lambda: None, lambda: None
         )
--- a/features/steps/stated_answers_steps.py
+++ b/features/steps/stated_answers_steps.py
@@ -20,6 +20,7 @@
 LENGTH = b"Content-Length: %d" % len(BODY)
 KEYS = KeyRange(0, 9, "n", "l", 1)
 HOLD_S = 4.0
+INSTANCE = "i-1"
 SIGNATURE = b"Response-Signature: s"
 LACKING = {
     "no signature": b"\r\n".join(
@@ -57,7 +58,7 @@
     async def go():
         async with context.upstream.client() as client:
             try:
-                await client.grant(KEYS, lambda: HOLD_S, TIMEOUT_S)
+                await client.grant(KEYS, INSTANCE, lambda: HOLD_S, TIMEOUT_S)
             except UpstreamCallFailed as error:
                 return error
             return None
--- a/features/stutter_machine.py
+++ b/features/stutter_machine.py
@@ -344,7 +344,7 @@
         try:
             match call:
                 case "grant":
-                    await self.client.grant(keys, lambda: 4.0, limit_s)
+                    await self.client.grant(keys, "i-1", lambda: 4.0, limit_s)
                     return 200
                 case "release":
                     return await self.client.release(keys, limit_s)
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -2,13 +2,17 @@
 
 Renews grants well before they expire and releases keys before they move to
 another upstream. A call without an answer may still have taken effect, so each
-grant also records how long the upstream may hold its keys. What listens at the address
-takes a grant whichever incarnation it was meant for.
+grant also records how long the upstream may hold its keys.
+
+What listens at the address may be a successor that has not announced itself yet. A
+grant names the instance that it is meant for. A successor may have the same name, so
+after a refused connection no grant is sent before the next announcement.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -122,6 +126,8 @@
         self._held_until = self._predecessor_until
         self._terms: GrantTerms | None = None
         self._withheld = 0
+        # When a call last found that the upstream does not listen.
+        self._refused_at = -math.inf
         self._grants: dict[tuple[int, int, int], Grant] = {}
         self._calls: dict[asyncio.Task[None], Grant] = {}
 
@@ -167,6 +173,8 @@
         moment = now()
         if state is None or not state.alive or terms.duration_s(moment) < MIN_HOLD_S:
             return
+        if state.last_heartbeat_at <= self._refused_at:
+            return
         for grant in self._grants.values():
             if grant.keys.incarnation != state.incarnation or grant.call_pending:
                 continue
@@ -269,7 +277,10 @@
         answered, arrived = False, True
         try:
             await self._client.grant(
-                grant.keys, partial(self._issue, call), GRANT_TIMEOUT_S
+                grant.keys,
+                self._watch.state.announcement.instance,
+                partial(self._issue, call),
+                GRANT_TIMEOUT_S,
             )
             answered = True
             self._apply_granted(call)
@@ -287,6 +298,7 @@
             grant.renew_at = now() + GRANT_RETRY_S
             arrived = error.sent
             if error.refused:
+                self._refused_at = now()
                 self._watch.report_call_refused()
         finally:
             grant.call_pending = False
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -81,7 +81,8 @@
 
     Attributes:
         sent: Whether the call may have reached the upstream.
-        refused: Whether nothing listens at the upstream's address.
+        refused: Whether the upstream does not listen at its address: nothing does, or
+            another instance.
     """
 
     code = "upstream-call-failed"
@@ -119,12 +120,17 @@
         self._buffers = BodyBuffers(ANSWER_BUDGET_BYTES)
 
     async def grant(
-        self, keys: KeyRange, hold_s: Callable[[], float], timeout_s: float
+        self,
+        keys: KeyRange,
+        instance: str,
+        hold_s: Callable[[], float],
+        timeout_s: float,
     ) -> None:
         """Grants a range of keys, or renews the grant.
 
         Args:
             keys: The range.
+            instance: The instance that is to hold it; no other one takes it.
             hold_s: Returns how long the upstream may hold the keys from now on, in
                 seconds. Called when a connection stands, right before the call is
                 written; an error that it raises is passed on, and nothing is sent.
@@ -147,7 +153,11 @@
             timed = body | {"hold_ms": int(hold_s() * MS_PER_S)}
             return replace(request, body=BytesBody(msgspec.json.encode(timed)))
 
-        response = await self._call(names.GRANT_PATH, body, timeout_s, complete)
+        named = ((names.EXPECTED_INSTANCE, instance.encode("ascii")),)
+        response = await self._call(names.GRANT_PATH, body, timeout_s, named, complete)
+        if response.status == MISDIRECTED:
+            detail = f"grant: another instance than {instance} answers"
+            raise UpstreamCallFailed(detail, sent=False, refused=True)
         if response.status == CONFLICT:
             raise GrantRefused(f"keys {keys.first}-{keys.last}, token {keys.token}")
         if response.status != OK:
@@ -247,6 +257,7 @@
         path: bytes,
         body: dict[str, object] | None,
         timeout_s: float,
+        named: Headers = (),
         complete: Callable[[Request], Request] | None = None,
     ) -> Response:
         """Makes a call, as POST if it has a body, and reads its whole answer.
@@ -259,6 +270,7 @@
         headers = [
             (b"host", str(self._address).encode("ascii")),
             (names.REQUEST_ID, call_id.encode("ascii")),
+            *named,
         ]
         if body is not None:
             method, encoded = b"POST", msgspec.json.encode(body)
