Restore a replaced table before anything else is written in its place

Callers could have seen two owners of a key: an upstream took keys again under the token under which it had lost them.

Cause: while the store holds something that is no table (damaged or removed by another writer), proposals only restore the table as this process knew it, which makes other owners wait and issues tokens above those of changes that it may have missed. The write of a hand-over and the renewal of refused tokens did not look at this: they wrote the known table under the revision of what had replaced it, so that a hand-over that this process had missed was undone, under the old token and with tokens issued twice.

Evidence: vm-a misses a hand-over of vm-c's keys to vm-b, the table is damaged (or removed), and vm-a writes a hand-over of its own, or renews its tokens.

Change: a change applies to a base that is not current only if it restores it. The check is the one that each write of a table passes, so that it holds for all reasons. A hand-over goes on to try, and ends once the restored table, which has other tokens, is there.

--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -156,10 +156,19 @@
 
 @when("vm-a misses a hand-over after which the table is {replaced} by another writer")
 def step_replaced(context, replaced):
+    ownership = context.deployment.nodes["vm-a"]._ownership
+    run(context, context.deployment.wait(lambda: not ownership._writing))
+    step_replaced_meanwhile(context, replaced)
+
+
+@when(
+    "vm-a misses a hand-over meanwhile after which the table is {replaced}"
+    " by another writer"
+)
+def step_replaced_meanwhile(context, replaced):
     async def go():
         deployment = context.deployment
         store, nodes = deployment.store, deployment.nodes
-        await deployment.wait(lambda: not nodes["vm-a"]._ownership._writing)
         table = nodes["vm-a"]._records.table("box-office")
         keys = tables.owned_by(table, "vm-c")[0]
         member = nodes["vm-a"]._records.members["vm-b"]
@@ -184,6 +193,41 @@
     run(context, go())
 
 
+@given("vm-a can't write the new owners of keys that it has released")
+def step_unwritten_hand_over(context):
+    async def go():
+        deployment = context.deployment
+        node, endpoint = deployment.nodes["vm-a"], deployment.endpoints["vm-a"]
+        ownership = node._ownership
+        await deployment.wait(lambda: not ownership._writing)
+        deployment.store.rejects_writes = True
+        keys = ownership.owned[0]
+        new_owner = node._records.members["vm-b"]
+        ownership._start_hand_over(((keys, new_owner),))
+        await deployment.wait(lambda: not endpoint.held(keys.first))
+
+    run(context, go())
+
+
+@when("the store accepts writes again")
+def step_writes_accepted(context):
+    context.deployment.store.rejects_writes = False
+
+
+@given("vm-a renews its tokens once it knows that the table was replaced")
+def step_renew_when_replaced(context):
+    node = context.deployment.nodes["vm-a"]
+    ownership, records = node._ownership, node._records
+
+    def renew(_kind):
+        if records.is_table_outdated("box-office") and not context.renewed:
+            context.renewed = True
+            ownership._tasks.spawn("token-renewal", ownership._renew_token())
+
+    context.renewed = False
+    records.subscribe(renew)
+
+
 @then("all processes know the same table within {seconds:d} seconds")
 def step_same_table(context, seconds):
     deployment = context.deployment
--- a/features/table_writes.feature
+++ b/features/table_writes.feature
@@ -44,6 +44,33 @@
       | damaged  |
       | removed  |
 
+  Scenario Outline: A hand-over is written over something else than the table that it changes
+    Given a deployment of 3 VMs
+    And vm-a can't write the new owners of keys that it has released
+    When vm-a misses a hand-over meanwhile after which the table is <replaced> by another writer
+    And the store accepts writes again
+    Then all processes know the same table within 3 seconds
+    And no table undid the change of another
+    And the keys of the hand-over are granted to one upstream at most for 3 seconds
+
+    Examples:
+      | replaced |
+      | damaged  |
+      | removed  |
+
+  Scenario Outline: Tokens are renewed in something else than the table
+    Given a deployment of 3 VMs
+    And vm-a renews its tokens once it knows that the table was replaced
+    When vm-a misses a hand-over after which the table is <replaced> by another writer
+    Then all processes know the same table within 3 seconds
+    And no table undid the change of another
+    And the keys of the hand-over are granted to one upstream at most for 3 seconds
+
+    Examples:
+      | replaced |
+      | damaged  |
+      | removed  |
+
   Scenario: A process that starts writes a first table over something else
     Given nodes a, b and c of which none knows a table, and something else in its place
     When the members have been stable for 2.0 seconds
--- a/rosemarydeal/policy/keyranges/table_changes.py
+++ b/rosemarydeal/policy/keyranges/table_changes.py
@@ -53,6 +53,19 @@
         old = self.base.table
         return old is not None and self.table.top_token < old.top_token
 
+    @property
+    def restores(self) -> bool:
+        """Returns whether it makes owners wait that may have lost their keys."""
+        old = self.base.table
+        issued = old.top_token if old is not None else 0
+        return self.table.restored_token > issued
+
     def applies_to(self, base: TableBase) -> bool:
-        """Returns whether it was computed from the table that is known now."""
+        """Returns whether it was computed from the table that is known now.
+
+        What is known may lack changes while the store holds no table of its era: then
+        the table is restored before anything else is changed.
+        """
+        if not base.current and not self.restores:
+            return False
         return self.base.revision == base.revision and self.table.era == base.era
