Withhold keys whose reassignment has no answer when the upstream is back

Callers could have seen two owners of a key: an upstream that was taken for gone resumed and took its keys again under their old token, while the store still carried out the write that gave them to others.

Cause: only a hand-over withheld its keys until the table showed the result of its write. The other write that gives own keys away, for an upstream that is gone ("upstream-gone"), did not: as soon as the upstream announced itself again, its process granted it the keys of the table that it knew, and a call to the store without an answer may be carried out seconds later.

Evidence: the upstream of vm-b falls silent while no peer is reachable, its grants expire, and the write that gives its keys away has no answer and is carried out a second later; the upstream announces itself again after 0.2 s.

Change: each write that takes keys from the own node withholds them from before it is sent until the table has a later revision, under which the write has been carried out or fails. If nothing else is to be written by then, the table is written again with the same assignments, as the start barrier does, so that a write that was lost does not leave its keys unserved (third new scenario).

--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -35,3 +35,20 @@
     Given a deployment of 3 VMs
     When vm-a drains while the store rejects writes, and vm-b ends before they succeed
     Then the keys that vm-a released are assigned to vm-c within 2 seconds
+
+  Scenario Outline: An upstream takes keys again while the write that gives them away has no answer
+    Given a deployment of 3 <VMs>
+    When the upstream of vm-b resumes while the write that gives its keys away has no answer
+    Then all keys are served again within 4 seconds
+    And no key was ever held by two upstreams
+
+    Examples:
+      | VMs                                   |
+      | VMs                                   |
+      | VMs whose heartbeats carry the grants |
+
+  Scenario: Keys stay unserved after a write that gives them away was lost
+    Given a deployment of 3 VMs
+    When the upstream of vm-b resumes while the write that gives its keys away has no effect
+    Then all keys are served again within 4 seconds
+    And no key was ever held by two upstreams
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -13,11 +13,16 @@
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import KeyRange
 from rosemarydeal.node.grants import CallGrantCarrier
+from rosemarydeal.node.records import RANGES
 from rosemarydeal.platform.upstream import UpstreamCallFailed
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.table_changes import TableChange
 
 LATE_S = 1.0
+UNREACHABLE_S = 60.0
+# Later than the end of the scenario.
+LOST_S = 60.0
+RESUMES_AFTER_S = 0.2
 KEYS = KeyRange(0, 9, "vm-a", "i-1", 1)
 # By how much the clock of an upstream may run slow.
 CLOCK_DRIFT = 0.02
@@ -209,3 +214,37 @@
 
     assert context.released
     run(context, deployment.wait(assigned, seconds))
+
+
+@when(
+    "the upstream of vm-b resumes while the write that gives its keys away"
+    " has no {result}"
+)
+def step_resumes_in_write(context, result):
+    late_s = {"answer": LATE_S, "effect": LOST_S}[result]
+
+    async def go():
+        deployment = context.deployment
+        node, endpoint = deployment.nodes["vm-b"], deployment.endpoints["vm-b"]
+        ownership, links, store = node._ownership, node._links, deployment.store
+        await deployment.wait(lambda: not ownership._writing)
+        # Nobody takes the keys before the upstream has ceased to hold them.
+        unreachable_since = links.unreachable_since
+        loop_now = asyncio.get_running_loop().time()
+        links.unreachable_since = lambda _: loop_now - UNREACHABLE_S
+        endpoint.fall_silent()
+        await deployment.wait(lambda: not node._watch.state.alive)
+        await deployment.wait(lambda: not ownership.may_hold_silently)
+        # Peers that call the store instead have no answer from it either.
+        store.late_writes_s[RANGES] = late_s
+        links.relay_store_call = no_reply
+        links.unreachable_since = unreachable_since
+        await deployment.wait(lambda: not store.late_writes_s)
+        endpoint.pause_announcing(RESUMES_AFTER_S)
+        await asyncio.sleep(2 * LATE_S)
+
+    run(context, go())
+
+
+async def no_reply(*_):
+    return None
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -11,6 +11,7 @@
 import random
 import secrets
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 import structlog
 
@@ -121,6 +122,8 @@
         self._grants = self._grant_carrier(client)
         self._restored = RestoredRanges(identity.node)
         self._moving: list[KeyRange] = []
+        # The last write that gives own keys away, until its result is known.
+        self._unsettled: TableChange | None = None
         self._writing = False
         self._tasks = Tasks(failures)
         self._barrier = StartBarrier(
@@ -179,7 +182,7 @@
         if moment > ownership_lease.lease_expiry(self._lease):
             return Admission.WAIT
         by_call = self._identity.grant_carrier is GrantCarrier.CALL
-        if by_call and any(key in moving for moving in self._moving):
+        if by_call and any(key in moving for moving in self._withheld):
             # A call releases the keys at once; a heartbeat's answer does so later.
             return Admission.WAIT
         granted = self._grants.allows(key, keys.token)
@@ -251,6 +254,7 @@
         moment = now()
         lease_valid = moment < ownership_lease.lease_expiry(self._lease)
         self._restored.update(self.table, self._is_outdated(), lease_valid, moment)
+        self._settle_transfer()
         self._note_refutations(moment)
         if self._is_keyed() and self._watch.state is not None:
             self._step()
@@ -359,13 +363,35 @@
         """Grants the own ranges to the upstream, except those that move."""
         owned = () if self._retired else self.owned
         ranges = self._restored.usable(owned, now())
-        for moving in self._moving:
+        for moving in self._withheld:
             ranges = [rest for keys in ranges for rest in tables.subtract(keys, moving)]
         max_hold_s = self._identity.bounds.max_hold_s
         self._grants.update(
             ranges, ownership_lease.grant_duration(self._lease, now(), max_hold_s)
         )
 
+    @property
+    def _withheld(self) -> tuple[KeyRange, ...]:
+        """Returns the ranges that others may own by a write without a known result."""
+        unsettled = self._unsettled
+        if unsettled is None:
+            return tuple(self._moving)
+        lost = tables.lost_by(
+            self._identity.node, unsettled.base.table, unsettled.table
+        )
+        return (*self._moving, *lost)
+
+    def _settle_transfer(self) -> None:
+        """Ends the wait for a write once the table shows its result.
+
+        Under a later revision it has been carried out, or fails.
+        """
+        base, unsettled = self._table_base(), self._unsettled
+        if unsettled is None or not base.current:
+            return
+        if base.revision > unsettled.base.revision:
+            self._unsettled = None
+
     def _advance_guard(self) -> None:
         """Starts queued requests that waited for a grant."""
         if self._guard is not None:
@@ -408,14 +434,24 @@
         proposal = proposals.propose(base.table, view)
         match proposal:
             case proposals.WriteTable(changed, reason):
-                self._writing = True
-                change = TableChange(base, changed, reason)
-                self._tasks.spawn("table-write", self._write_proposal(change))
+                self._start_write(TableChange(base, changed, reason))
             case proposals.HandOver(transfers):
                 self._start_hand_over(transfers)
+            case None if self._unsettled is not None and base.current:
+                # The lost write may still be carried out until another one is.
+                unchanged = replace(base.table, writer=_writer())
+                self._start_write(TableChange(base, unchanged, "transfer-unanswered"))
             case None:
                 self._balance(moment, view)
 
+    def _start_write(self, change: TableChange) -> None:
+        """Starts to write a proposed table."""
+        self._writing = True
+        old = change.base.table
+        if old is not None and tables.lost_by(self._identity.node, old, change.table):
+            self._unsettled = change
+        self._tasks.spawn("table-write", self._write_proposal(change))
+
     def _table_base(self) -> TableBase:
         """Returns the own service's table with the revision that the store holds."""
         return self._records.table_base(self._identity.service)
--- a/rosemarydeal/policy/keyranges/table.py
+++ b/rosemarydeal/policy/keyranges/table.py
@@ -25,6 +25,7 @@
     "covers",
     "initial_table",
     "lookup",
+    "lost_by",
     "move_ranges",
     "new_ranges",
     "overlaps",
@@ -128,6 +129,14 @@
     return tuple(keys for keys in table.ranges if keys.node == node)
 
 
+def lost_by(node: str, old: RangeTable, new: RangeTable) -> tuple[KeyRange, ...]:
+    """Returns the keys that a node owns in an old table and not in a new one."""
+    lost = list(owned_by(old, node))
+    for keys in owned_by(new, node):
+        lost = [rest for part in lost for rest in subtract(part, keys)]
+    return tuple(lost)
+
+
 def move_ranges(
     table: RangeTable, parts: Sequence[tuple[KeyRange, Member, str]], writer: str
 ) -> RangeTable:
