Keep the member of an owner that one peer can't reach

Callers could have seen two owners of a key for up to the time of a grant.

Cause: the reachable process with the lowest node name removes a member that it has not reached for 25 s, judging by its own links alone. The others take the keys of a removed member at once, without the wait for its lease, as a member is otherwise removed only by its own process, which has ceased to grant. An owner that just this one peer can't reach refutes the suspicions against it, keeps its lease, and still granted the keys that the others had taken.

Evidence: vm-a can't reach vm-b, which vm-c and the store do reach, with the 25 s shortened to 1 s.

Change: an unreachable member is removed only while it owns no keys. Keys that are assigned to the member between the check and its removal are not covered.

--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -52,3 +52,14 @@
     When the upstream of vm-b resumes while the write that gives its keys away has no effect
     Then all keys are served again within 4 seconds
     And no key was ever held by two upstreams
+
+  Scenario: An owner that one peer can't reach is removed with its keys while it holds them
+    Given a deployment of 3 VMs
+    When vm-a can't reach vm-b for as long as members are kept
+    Then no key was ever held by two upstreams
+    And all keys are served again within 3 seconds
+
+  Scenario: A member that has ended is never removed
+    Given a deployment of 3 VMs
+    When vm-b ends without notice, and its keys are taken over
+    Then vm-a removes the member of vm-b
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import replace
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import given, then, when
 
@@ -13,7 +14,7 @@
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import KeyRange
 from rosemarydeal.node.grants import CallGrantCarrier
-from rosemarydeal.node.records import RANGES
+from rosemarydeal.node.records import MEMBERS, RANGES
 from rosemarydeal.platform.upstream import UpstreamCallFailed
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.table_changes import TableChange
@@ -23,6 +24,11 @@
 # Later than the end of the scenario.
 LOST_S = 60.0
 RESUMES_AFTER_S = 0.2
+# In place of the time after which unreachable members are removed.
+REMOVE_AFTER_S = 1.0
+REMOVE_AFTER = "rosemarydeal.node.membership.REMOVE_AFTER_S"
+REMOVAL_CHECK_S = 2.4
+TAKEOVER_S = 20.0
 KEYS = KeyRange(0, 9, "vm-a", "i-1", 1)
 # By how much the clock of an upstream may run slow.
 CLOCK_DRIFT = 0.02
@@ -248,3 +254,47 @@
 
 async def no_reply(*_):
     return None
+
+
+@when("vm-a can't reach vm-b for as long as members are kept")
+def step_unreachable_for_long(context):
+    async def go():
+        links = context.deployment.nodes["vm-a"]._links
+        unreachable_since = links.unreachable_since
+        since = asyncio.get_running_loop().time()
+
+        def unreachable(node):
+            return since if node == "vm-b" else unreachable_since(node)
+
+        links.unreachable_since = unreachable
+        await asyncio.sleep(REMOVE_AFTER_S + 2 * REMOVAL_CHECK_S)
+        links.unreachable_since = unreachable_since
+
+    with mock.patch(REMOVE_AFTER, REMOVE_AFTER_S):
+        run(context, go())
+
+
+@when("vm-b ends without notice, and its keys are taken over")
+def step_ended(context):
+    async def go():
+        deployment = context.deployment
+        await deployment.nodes.pop("vm-b").close()
+        await deployment.endpoints.pop("vm-b").stop()
+        await deployment.wait(
+            lambda: all(map(deployment.serves, deployment.sample())), TAKEOVER_S
+        )
+
+    run(context, go())
+
+
+@then("vm-a removes the member of vm-b")
+def step_member_removed(context):
+    deployment = context.deployment
+    with mock.patch(REMOVE_AFTER, REMOVE_AFTER_S):
+        run(
+            context,
+            deployment.wait(
+                lambda: (MEMBERS, "vm-b") not in deployment.store.objects,
+                2 * REMOVAL_CHECK_S,
+            ),
+        )
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -3,7 +3,8 @@
 Each process writes one object about itself whenever its content changes. Objects
 in the store do not expire: a process removes its own when its upstream does not
 come back, and the reachable process with the lowest node name removes members
-that have been unreachable for long.
+that have been unreachable for long. Others may reach one of them: it stays while it
+owns keys, which are taken from an owner only after its lease has expired.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from rosemarydeal.core.fleet import Member, NodeIdentity
 from rosemarydeal.platform.errors import StoreError
 from rosemarydeal.platform.upstream import UpstreamCallFailed, UpstreamClient
+from rosemarydeal.policy.keyranges import table as tables
 
 from .guard import Guard
 from .links import Links
@@ -149,11 +151,13 @@
         self._changed.set()
 
     async def _remove_if_unreachable(self, node: str) -> None:
-        """Removes a member if it has been unreachable for long."""
+        """Removes a member that owns no keys if it has been unreachable for long."""
         unreachable_since = self._links.unreachable_since(node)
         loop_now = asyncio.get_running_loop().time()
         if unreachable_since is None or loop_now - unreachable_since < REMOVE_AFTER_S:
             return
+        if self._owns_keys(node):
+            return
         revision = self._records.stored_revision(MEMBERS, node)
         try:
             await self._access.remove(MEMBERS, node, revision)
@@ -161,6 +165,12 @@
         except StoreError as error:
             _log.info("unreachable_member_not_removed", detail=error.detail)
 
+    def _owns_keys(self, node: str) -> bool:
+        """Returns whether the table of a member's service assigns keys to it."""
+        member = self._records.members.get(node)
+        table = self._records.table(member.service) if member is not None else None
+        return table is not None and bool(tables.owned_by(table, node))
+
     async def _write(self, member: Member) -> None:
         """Writes the own member unless the store already holds it."""
         if self._records.stored_member(member.node) == member:
