Renew the watches of a zone once one of its readers finds a silent connection

Cause: only the first reader of a zone ends its watches early and so finds out that its connection is silent. It kept that to itself. The second reader's watch was started with the time-out of 25 s, which did not change when it became the first.

The readers then start all watches again over new connections, also those of members and tables, which stayed on silent ones for up to 25 s before. An ended watch of this sort keeps its listing.

--- a/features/steps/store_silent_steps.py
+++ b/features/steps/store_silent_steps.py
@@ -2,14 +2,45 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from behave import then, when
 
 from features.builders_node import run
+from rosemarydeal.platform.names import CONFIGURATION_KIND, ZONES_OUT_KIND
+
+
+def watches_by_node(context):
+    return Counter(
+        {
+            (name, call.kind): count
+            for name, node in context.deployment.nodes.items()
+            for call, count in node.store.calls.items()
+            if call.operation == "watch"
+        }
+    )
 
 
 @when("all open connections to the store fall silent")
 def step_silent(context):
     context.deployment.store.silence_connections()
+    context.earlier = watches_by_node(context)
+
+
+@when("the first reader of each zone stops")
+def step_first_readers_stop(context):
+    nodes = context.deployment.nodes
+    first = [name for name in nodes if nodes[name]._store_watcher.shared_reader is None]
+    assert {context.deployment.zone(name) for name in first} == {"perth-a", "perth-b"}
+    for name in first:
+        run(context, nodes.pop(name).close())
+
+
+@then("all four readers have asked anew for the operators' changes")
+def step_asked_anew(context):
+    later = watches_by_node(context) - context.earlier
+    for kind in (CONFIGURATION_KIND, ZONES_OUT_KIND):
+        assert len([1 for _, watched in later if watched == kind]) == 4, later
 
 
 @when(
--- a/features/store_silent.feature
+++ b/features/store_silent.feature
@@ -16,6 +16,29 @@
     And the operator takes perth-a out of service
     Then all processes know within 4.5 seconds that only perth-a is out
 
+  Scenario: The first reader of each zone stops after all open connections fell silent
+    Given a deployment of 4 VMs
+    When 3 seconds pass
+    And all open connections to the store fall silent
+    And 3 seconds pass
+    And the first reader of each zone stops
+    Then the operator's next configuration is in force everywhere within 2.0 seconds
+
+  Scenario: The first reader of each zone stops as all open connections fall silent
+    Given a deployment of 4 VMs
+    When 3 seconds pass
+    And all open connections to the store fall silent
+    And the first reader of each zone stops
+    And 1 seconds pass
+    Then the operator's next configuration is in force everywhere within 2.0 seconds
+
+  Scenario: The second reader of each zone learns that open connections fell silent
+    Given a deployment of 6 VMs
+    When 3 seconds pass
+    And all open connections to the store fall silent
+    And 3 seconds pass
+    Then all four readers have asked anew for the operators' changes
+
   Scenario: Each answer of the store takes longer than calls usually wait
     Given a deployment of 2 VMs
     When each answer of the store takes 0.5 seconds, and a VM starts that reaches no other
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -70,6 +70,8 @@
         on_table_delta: Called with a table delta that a peer sent.
         on_crash_suspects: Called with the requests suspected of a peer's crash.
         on_suspect_cleared: Called with a suspect that has succeeded at a peer.
+        on_store_silence: Called when a process of the zone had a silent connection
+            to the store.
         relay_store_call: Calls the store on behalf of a peer.
     """
 
@@ -85,6 +87,7 @@
     on_table_delta: Callable[[TableDelta], None]
     on_crash_suspects: Callable[[CrashSuspects], None]
     on_suspect_cleared: Callable[[SuspectCleared], None]
+    on_store_silence: Callable[[], None]
     relay_store_call: Callable[[StoreRelayRequest], Awaitable[StoreRelayReply | None]]
 
 
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -448,10 +448,12 @@
                 self._hooks.on_object_update(message)
             case ObjectChanges():
                 self._hooks.on_object_changes(connection.peer, message)
-            case StoreReachability(reads_store):
+            case StoreReachability(reads_store, after_silence):
                 link = self._links.get(connection.peer)
                 if link is not None:
                     link.reads_store = reads_store
+                if after_silence:
+                    self._hooks.on_store_silence()
             case TableDelta():
                 self._hooks.on_table_delta(message)
             case CrashSuspects():
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -258,9 +258,13 @@
 
 
 class StoreReachability(_Base, tag=19):
-    """Tells the processes of the zone whether the sender's store calls succeed."""
+    """Tells the processes of the zone whether the sender's store calls succeed.
+
+    With `after_silence`, one of its connections had fallen silent, and a new one works.
+    """
 
     reads_store: bool
+    after_silence: bool = False
 
 
 class CrashSuspects(_Base, tag=12):
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -289,6 +289,7 @@
             on_suspect_cleared=lambda cleared: self._guard.clear_suspect(
                 cleared.fingerprint
             ),
+            on_store_silence=lambda: self._store_watcher.renew_watches(),
             relay_store_call=lambda call: self._access.relay(call),
         )
 
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -40,7 +40,8 @@
 WATCH_TIMEOUT_S = 25.0
 # A connection may fall silent without a reset, which only the end of a watch shows.
 # The first reader of a zone ends the watches of operators' changes early: in force
-# within two seconds, and within five, are due three seconds after such a fault.
+# within two seconds, and within five, are due three seconds after such a fault. It
+# tells the other reader, so that this one needs no more calls in a steady state.
 CHECKED_WATCH_TIMEOUT_S = {CONFIGURATION_KIND: 1.5, ZONES_OUT_KIND: 3.0}
 # Delay between a change and the next call, which then returns several changes.
 # Operators' changes must be in force within two seconds; tables arrive earlier
@@ -78,6 +79,24 @@
 _log = structlog.get_logger()
 
 
+@dataclass(slots=True)
+class _Watch:
+    """A watch that waits for changes.
+
+    Attributes:
+        timeout: Ends it early.
+        lists_anew: Whether its kind is listed anew after an early end.
+    """
+
+    timeout: asyncio.Timeout
+    lists_anew: bool = False
+
+    def end(self) -> None:
+        """Ends the watch."""
+        if not self.timeout.expired():
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+
+
 @dataclass(frozen=True, slots=True)
 class _Lag:
     """A change that a peer has and this process lacks, and since when."""
@@ -122,7 +141,7 @@
         self._was_reader = False
         self._records_changed = asyncio.Event()
         self._fetched_at: dict[str, float] = {}
-        self._watches: dict[str, asyncio.Timeout] = {}
+        self._watches: dict[str, _Watch] = {}
         self._first_listings: dict[str, Revision] = {}
         self._carry_timer: asyncio.TimerHandle | None = None
         records.subscribe(self._on_records_changed)
@@ -173,6 +192,7 @@
             self._tasks.keep_running(
                 f"watch-{kind}", partial(self._list_and_watch, kind)
             )
+        self._tasks.keep_running("reader-role", self._follow_role)
 
     def end_watches(self) -> None:
         """Ends all watches, after which their kinds are listed anew.
@@ -180,8 +200,15 @@
         The store was restored from a copy, or has another address.
         """
         for watch in self._watches.values():
-            if not watch.expired():
-                watch.reschedule(asyncio.get_running_loop().time())
+            watch.lists_anew = True
+            watch.end()
+
+    def renew_watches(self) -> None:
+        """Starts all watches again over new connections.
+
+        Connections to the store may have fallen silent.
+        """
+        self._tasks.spawn("renew-watches", self._renew_watches())
 
     async def close(self) -> None:
         """Stops all tasks."""
@@ -263,7 +290,8 @@
                     await self._obtain_listing(kind)
                 if not await self._is_reader_of(kind):
                     continue
-                await self._watch(kind)
+                if not await self._watch(kind):
+                    continue
                 pause = RETRY_MIN_S
             except HistoryGone as error:
                 _log.info(
@@ -283,6 +311,26 @@
                 continue
             self._note_result(True)
 
+    async def _renew_watches(self) -> None:
+        """Closes the connections to the store and starts all watches again."""
+        await self._store.close_idle()
+        _log.info("watches_renewed", kinds=sorted(self._watches))
+        for watch in self._watches.values():
+            watch.end()
+
+    async def _follow_role(self) -> None:
+        """Renews the watches when this process becomes the first reader of its zone.
+
+        The former one may have stopped before it found out that connections are silent.
+        """
+        was_first = self.shared_reader is None
+        while True:
+            await asyncio.sleep(ROLE_CHECK_S)
+            is_first = self.shared_reader is None
+            if is_first and not was_first:
+                await self._renew_watches()
+            was_first = is_first
+
     def _note_result(self, success: bool, detail: str = "") -> None:
         """Records whether a store call succeeded; notifies the zone of a change."""
         self._access.note_reachable(success, detail)
@@ -336,25 +384,36 @@
         await asyncio.sleep(ROLE_CHECK_S)
         return False
 
-    async def _watch(self, kind: str) -> None:
-        """Waits for changes of a kind and applies them."""
+    async def _watch(self, kind: str) -> bool:
+        """Waits for changes of a kind and applies them.
+
+        Returns whether the store answered; false if the watch was ended early.
+        """
         revision = self._records.revision(kind)
         allow_stale = kind in SCALED_KINDS and self._is_large_fleet
+        timeout = asyncio.timeout(None)
+        watch = self._watches[kind] = _Watch(timeout)
         try:
-            async with asyncio.timeout(None) as self._watches[kind]:
+            async with timeout:
                 listing = await self._store.watch(
                     kind, revision, self._watch_timeout_s(kind), allow_stale
                 )
         except TimeoutError as error:
+            if not watch.lists_anew:
+                return False
             raise HistoryGone(f"{kind}: restored since {revision}") from error
         finally:
             del self._watches[kind]
+        if listing.after_silence:
+            self._send_to_zone(StoreReachability(True, after_silence=True))
+            self.renew_watches()
         self._records.apply_changes(kind, listing)
         since = self._spans.extend(kind, revision, listing.revision)
         if listing.objects:
             self._push(kind, since, listing)
             # Further changes are then returned by one call.
             await asyncio.sleep(self._delay_s(kind))
+        return True
 
     def _watch_timeout_s(self, kind: str) -> float:
         """Returns how long a watch of a kind waits for changes, in seconds."""
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -88,10 +88,12 @@
     Attributes:
         objects: The objects; deleted ones have no content.
         revision: Revision of the store that the listing reflects.
+        after_silence: Whether a connection had fallen silent, and another brought it.
     """
 
     objects: tuple[StoredObject, ...]
     revision: Revision
+    after_silence: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,12 +218,14 @@
         if stale:
             query += STALE_QUERY
         slack_s = self._settings.watch_slack_s
+        after_silence = False
         try:
             reply = await self._call(
                 "watch", kind, b"GET", query, wait=wait_s + slack_s
             )
         except StoreTimeout:
             # Only the connection may have fallen silent; this takes a new one.
+            after_silence = True
             query = f"?watch={revision.number}&wait_ms=0"
             reply = await self._call("watch", kind, b"GET", query, wait=slack_s)
         if reply.status == GONE:
@@ -234,7 +238,8 @@
             for event in answer.events
         ]
         self._report_unreadable(changes)
-        return Listing(tuple(changes), Revision(reply.era, answer.current_rev))
+        revision = Revision(reply.era, answer.current_rev)
+        return Listing(tuple(changes), revision, after_silence)
 
     async def create(self, kind: str, name: str, content: bytes) -> StoredObject:
         """Creates an object.
@@ -289,6 +294,10 @@
         self._settings = replace(self._settings, address=address)
         await self._close_pools()
 
+    async def close_idle(self) -> None:
+        """Closes the idle connections, as any of them may have fallen silent."""
+        await self._close_pools()
+
     async def close(self) -> None:
         """Closes all connections."""
         await self._close_pools()
