Reject a table whose highest token leaves none for later changes

What was seen: a table of another writer with the highest token that 64 bits hold was accepted by all processes.

Cause: a table was checked field by field. Its highest token had no bound but that of the type, and a range or suspicion could have a token above it.

Change: a table is rejected if its highest token is above what its revision allows (10^12 tokens, 100,000 for each revision, ten million for each era), or if a range, a suspicion or a restore has a token above the highest one. A rejected table is treated as a damaged one: logged with name and reason, counted, and the former one is written again.

Why it is safe: the bound follows from the content and the revision alone, so that all processes judge a table alike, also those that have just started. The table that is written again gets tokens above those issued, by the means that stand for damaged tables. A bound above the table that a process knows was dropped: processes would differ.

--- a/features/builders_odd_entries.py
+++ b/features/builders_odd_entries.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from rosemarydeal.core.decoding import MAX_INTEGER
+
 __all__ = [
     "ODD_CONFIGURATIONS",
     "ODD_HEARTBEATS",
@@ -126,6 +128,8 @@
     "an unknown field nested 5000 levels": {"extra": msgspec.Raw(nested(DEEP))},
     "an unknown field nested 100 levels": {"extra": msgspec.Raw(nested(SHALLOW))},
     "a highest token beyond 64 bits": {"top_token": HUGE},
+    "the highest token that 64 bits hold": {"top_token": MAX_INTEGER},
+    "a token above its highest": {"ranges": [[0, 0, MAX_INTEGER]]},
     "a negative highest token": {"top_token": -1},
     "a token beyond 64 bits": {"ranges": [[0, 0, HUGE]]},
     "a negative token": {"ranges": [[0, 0, -5]]},
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -136,6 +136,8 @@
       | an unknown field nested 5000 levels |
       | an unknown field nested 100 levels |
       | a highest token beyond 64 bits |
+      | the highest token that 64 bits hold |
+      | a token above its highest |
       | a negative highest token |
       | a token beyond 64 bits |
       | a negative token |
--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -18,8 +18,9 @@
     written_tables,
 )
 from rosemarydeal.core.clock import now
+from rosemarydeal.core.decoding import MAX_INTEGER
 from rosemarydeal.core.fleet import Revision, StoredObject
-from rosemarydeal.node.contents import encode_table, table_name
+from rosemarydeal.node.contents import decode_table, encode_table, table_name
 from rosemarydeal.node.records import MEMBERS, RANGES, Records
 from rosemarydeal.platform.errors import StoreConflict, StoreUnavailable
 from rosemarydeal.policy.dispatch.queue import Admission
@@ -125,6 +126,68 @@
     run(context, go())
 
 
+@when("another writer gives the table the highest possible token")
+def step_highest_possible(context):
+    async def go():
+        deployment = context.deployment
+        await deployment.wait(
+            lambda: not any(n._ownership._writing for n in deployment.nodes.values())
+        )
+        table = written_tables(deployment.store)[-1]
+        put_table(
+            deployment.store,
+            replace(table, top_token=MAX_INTEGER, writer="another-writer"),
+        )
+        context.replaced_at = deployment.store.revision
+
+    run(context, go())
+
+
+@then("a process has written a table in its place within {seconds:d} seconds")
+def step_written_again(context, seconds):
+    store = context.deployment.store
+
+    def written():
+        later = written_tables(store, context.replaced_at)
+        return later and later[-1].top_token < MAX_INTEGER
+
+    run(context, context.deployment.wait(written, seconds))
+
+
+@given("a table with the highest token that is accepted at revision {number:d}")
+def step_highest_accepted(context, number):
+    table = tables.initial_table(SERVICE, [a_member("a")], "first", 1)
+
+    def accepted(token):
+        stored = _stored(replace(table, top_token=token), number)
+        return decode_table(stored) is not None
+
+    lowest, highest = 1, MAX_INTEGER
+    assert accepted(lowest) and not accepted(highest)
+    while highest - lowest > 1:
+        middle = (lowest + highest) // 2
+        lowest, highest = (middle, highest) if accepted(middle) else (lowest, middle)
+    context.known_table = replace(table, top_token=lowest)
+    context.number = number
+
+
+@when("a process writes a change of it with the next token")
+def step_next_change(context):
+    context.written = tables.add_suspicion(context.known_table, "a", "b", "writer")
+
+
+@when("a process writes a change of it as a table that was restored")
+def step_restored_change(context):
+    known = context.known_table
+    context.written = tables.restore(known, known.top_token, 1, "writer")
+
+
+@then("that table is accepted")
+def step_accepted(context):
+    stored = _stored(context.written, context.number + 1)
+    assert decode_table(stored) == context.written
+
+
 @then("the write is refused as a conflict")
 def step_refused_as_conflict(context):
     assert context.conflict is not None
@@ -171,6 +234,9 @@
             spec = {"service": "box-office", "odd": True}
             last = store.put(RANGES, "box-office", spec)
             last = stored_table(last["metadata"]["rev"], spec, store.era)
+        elif replaced == "given a token too high":
+            too_high = replace(moved, top_token=MAX_INTEGER, writer="a-third-writer")
+            last = put_table(store, too_high)
         else:
             store.remove(RANGES, "box-office")
             revision = Revision(store.era, store.revision)
--- a/features/table_writes.feature
+++ b/features/table_writes.feature
@@ -40,9 +40,32 @@
     And the keys of the hand-over are granted to one upstream at most for 3 seconds
 
     Examples:
-      | replaced |
-      | damaged  |
-      | removed  |
+      | replaced               |
+      | damaged                |
+      | removed                |
+      | given a token too high |
+
+  Scenario: A table with the highest possible token leaves none for later changes
+    Given a deployment of 3 VMs
+    When another writer gives the table the highest possible token
+    Then a process has written a table in its place within 5 seconds
+    And no table undid the change of another
+    When the upstream of vm-c crashes
+    Then all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+    And each upstream took keys with tokens above those of all others
+
+  Scenario Outline: A table with the highest token that is accepted leaves none for later changes
+    Given a table with the highest token that is accepted at revision <revision>
+    When a process writes a change of it <written>
+    Then that table is accepted
+
+    Examples:
+      | revision | written                        |
+      | 2        | with the next token            |
+      | 2        | as a table that was restored   |
+      | 1000000  | with the next token            |
+      | 1000000  | as a table that was restored   |
 
   Scenario: A process that starts writes a first table over something else
     Given nodes a, b and c of which none knows a table, and something else in its place
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -1,8 +1,9 @@
 """Encodes and decodes the contents of the store's objects.
 
 A malformed object is reported and ignored, also one with a number, address or name
-out of bounds, since other tasks rely on them. A member or table that is stored under
-another name than its own is ignored too.
+out of bounds, since other tasks rely on them. So is a table whose highest token leaves
+none for later changes; all processes judge it alike, by its revision. A member or table
+that is stored under another name than its own is ignored too.
 """
 
 from __future__ import annotations
@@ -38,6 +39,7 @@
 from rosemarydeal.platform.errors import Unreadable
 from rosemarydeal.platform.operator import ConfigurationDecoder
 from rosemarydeal.platform.rejected_objects import RejectedObjects
+from rosemarydeal.policy.keyranges.table import max_token
 
 __all__ = [
     "configuration_of",
@@ -133,7 +135,7 @@
 
         Raises:
             ValueError: If the ranges don't cover all keys in order, or refer to
-                an owner that is not listed.
+                an owner that is not listed, or a token is above the highest one.
         """
         firsts = [stored.first for stored in self.ranges]
         owners = [stored.owner for stored in self.ranges]
@@ -143,6 +145,10 @@
             raise ValueError("range beyond the last key, or negative owner index")
         if max(owners) >= len(self.owners):
             raise ValueError("range with an owner index beyond the list of owners")
+        tokens = [stored.token for stored in self.ranges]
+        tokens += [suspicion.number for suspicion in self.suspicions]
+        if max(*tokens, self.restored_token) > self.top_token:
+            raise ValueError("token above the highest token issued")
 
     def to_table(self) -> RangeTable:
         """Returns the table, with the last key of each range added."""
@@ -299,8 +305,11 @@
         table = decode_json(stored.content, _StoredTable).to_table()
     except Malformed as error:
         return error
-    fits = table_name(table.service) == stored.name
-    return table if fits else _misnamed(table.service)
+    if table_name(table.service) != stored.name:
+        return _misnamed(table.service)
+    if table.top_token > max_token(stored.revision):
+        return Malformed(f"highest token {table.top_token} at {stored.revision}")
+    return table
 
 
 def _misnamed(name: str) -> Malformed:
--- a/rosemarydeal/policy/keyranges/table.py
+++ b/rosemarydeal/policy/keyranges/table.py
@@ -15,6 +15,7 @@
     KeyRange,
     Member,
     RangeTable,
+    Revision,
     Suspicion,
 )
 
@@ -25,6 +26,7 @@
     "covers",
     "initial_table",
     "lookup",
+    "max_token",
     "move_ranges",
     "new_ranges",
     "overlaps",
@@ -46,6 +48,8 @@
 TOKENS_PER_ERA = 10_000_000
 # Era of a store that was never restored.
 FIRST_ERA = 1
+# More tokens than writes can issue in decades, at a few hundred a second.
+MAX_ISSUED_TOKENS = 10**12
 
 
 def initial_table(
@@ -94,6 +98,16 @@
     return RangeTable(known.service, ranges, token, (), writer, era, token)
 
 
+def max_token(revision: Revision) -> int:
+    """Returns the highest token that a table stored at a revision may have.
+
+    It is far above those that are issued, and rises with each write by as much as one
+    write issues at most, so that a table with this token can still be changed.
+    """
+    issued = MAX_ISSUED_TOKENS + LOST_TOKENS * revision.number
+    return _first_token(revision.era) + issued
+
+
 def overlaps(one: KeyRange, other: KeyRange) -> bool:
     """Returns whether two ranges share a key."""
     return one.first <= other.last and other.first <= one.last
