Merge a carved slice back only after the window of ids

Cause: the base slice's owner extends the range of tickets that its ledger covers up to the token of the merged row. The tokens of the carved slice's former owners lie in that range; the record that some of them were lost without a hand-over ends with the carved slice. An unrecorded repeat of an order that ran at a lost owner then counts as one that never ran.

Evidence: features/merged_slices.feature (virtual time, control policies and guards). Change: a carved slice is merged only once its row has not changed for ledger.window_s; a loss always changes the row. The scenario of a hot key expected the merge within 120 s; that is too early now. It expects the carved slices on their base's owner by then (new), and merged after 120 s more.

--- a/features/control.feature
+++ b/features/control.feature
@@ -83,6 +83,8 @@
     When the control group serves two hot keys in one slice for 60 seconds
     Then the control group has a carved slice on another owner than its base
     When the control group serves even load for 120 seconds
+    Then the control group has carved slices only on the owner of their base
+    When the control group serves even load for 120 seconds
     Then the control group has no carved slice
 
   Scenario: Zones and upstreams that are out lose their slices and regain some later
@@ -103,3 +105,6 @@
 
   Scenario: Every lease setting reaches the ownership policy
     Then the ownership policy uses every value of the lease settings
+
+  Scenario: Slices are merged back before the configured window of ids has passed
+    Then the placement waits for the configured window of ids before it merges slices
--- a/features/mutant_list_requests.py
+++ b/features/mutant_list_requests.py
@@ -7,6 +7,7 @@
 __all__ = ["MUTANTS"]
 
 FUZZ = ("-m", "features.requests_budget")
+MERGED = ("-m", "features.run", "features/merged_slices.feature")
 POLICY = "rosemarydeal/policy"
 
 MUTANTS = (
@@ -143,4 +144,11 @@
         "CRASHES_TO_BLOCK = 3",
         FUZZ,
     ),
+    Mutant(
+        "merge before the ids of a lost owner expire",
+        f"{POLICY}/rebalance.py",
+        "elif now - state.carved_rows[row.slice][1] > settings.merge_quiet_s:",
+        "else:",
+        MERGED,
+    ),
 )
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -201,6 +201,13 @@
     assert carved and any(owners[c] != owners[HOT] for c in carved), carved
 
 
+@then("the control group has carved slices only on the owner of their base")
+def step_carved_at_base(context):
+    owners = context.group.owners()
+    carved = carved_slices(context.group)
+    assert carved and all(owners[c] == owners[HOT] for c in carved), carved
+
+
 @then("the control group has no carved slice")
 def step_merged(context):
     assert not carved_slices(context.group), carved_slices(context.group)
--- a/features/steps/ownership_settings_steps.py
+++ b/features/steps/ownership_settings_steps.py
@@ -2,8 +2,18 @@
 
 from behave import then
 
-from rosemarydeal.daemon.configuration import ownership_settings
-from rosemarydeal.settings import Effective, Ownership
+from rosemarydeal.daemon.configuration import (
+    ActiveConfiguration,
+    control_settings,
+    ownership_settings,
+)
+from rosemarydeal.settings import (
+    Effective,
+    HeaderKey,
+    Ledger,
+    Ownership,
+    ServiceSettings,
+)
 
 
 @then("the ownership policy uses every value of the lease settings")
@@ -14,3 +24,11 @@
         expected = getattr(group, field.name)
         assert expected != getattr(Ownership(), field.name), field.name
         assert getattr(policy_settings, field.name) == expected, field.name
+
+
+@then("the placement waits for the configured window of ids before it merges slices")
+def step_window(context):
+    own = Effective(ledger=Ledger(window_s=321.0))
+    service = ServiceSettings("box-office", 80, HeaderKey("x-seat"), 256, ())
+    placement = control_settings(ActiveConfiguration(own=own), service)
+    assert placement.rebalance.merge_quiet_s == 321.0, placement.rebalance
--- a/rosemarydeal/daemon/configuration.py
+++ b/rosemarydeal/daemon/configuration.py
@@ -119,7 +119,10 @@
     """
     if not own.keyed:
         return None
-    moves = RebalanceSettings(moves_per_minute=configuration.own.moves.per_minute)
+    moves = RebalanceSettings(
+        moves_per_minute=configuration.own.moves.per_minute,
+        merge_quiet_s=configuration.own.ledger.window_s,
+    )
     return ControlSettings(own.name, own.slices, rebalance=moves)
 
 
--- a/rosemarydeal/policy/rebalance.py
+++ b/rosemarydeal/policy/rebalance.py
@@ -52,6 +52,8 @@
             member load.
         merge_share: Largest load of a carved slice to merge back, as a share of the
             mean member load.
+        merge_quiet_s: Seconds without a change of its row after which a carved slice
+            may be merged back; the time for which callers may resend an id.
     """
 
     start_ratio: float = 1.10
@@ -69,6 +71,7 @@
     min_reliable_share: float = 0.6
     carve_share: float = 0.10
     merge_share: float = 0.02
+    merge_quiet_s: float = 120.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +113,8 @@
         active: Whether moves continue until `stop_ratio` is reached.
         moved_at: Time of each slice's recent move.
         known_since: Time at which each member was first seen.
+        carved_rows: Row of each carved slice, and the time since which it is known
+            to be unchanged.
     """
 
     budget: float = 0.0
@@ -120,6 +125,7 @@
     active: bool = False
     moved_at: Map[SliceId, float] = Map()
     known_since: Map[Incarnation, float] = Map()
+    carved_rows: Map[SliceId, tuple[Row, float]] = Map()
 
 
 def rebalance(
@@ -144,6 +150,7 @@
         The new state and the steps, the most urgent first.
     """
     state = _advance(view, state, settings, now)
+    state = _record_carved_rows(view, domain, state, now)
     reliable = {
         name for name in view.eligible() if load_estimates.is_reliable(name, now)
     }
@@ -153,7 +160,7 @@
     shares = Shares(view, domain, load_estimates, settings.straggler_s, now)
     state = _update_active(shares, state, settings, now)
     if not state.active:
-        return state, _choose_merges(shares, settings)
+        return state, _choose_merges(shares, state, settings, now)
     selector = _MoveSelector(view, load_estimates, state, settings, reliable, now)
     steps = selector.choose(shares)
     moved_at = state.moved_at.mutate()
@@ -189,6 +196,19 @@
     )
 
 
+def _record_carved_rows(
+    view: FleetView, domain: int, state: RebalanceState, now: float
+) -> RebalanceState:
+    """Records the rows of the carved slices, and since when each is unchanged."""
+    carved_rows = {}
+    for row in view.domain_rows(domain):
+        if row.slice.carved >= 0:
+            known = state.carved_rows.get(row.slice)
+            unchanged = known is not None and known[0] == row
+            carved_rows[row.slice] = known if unchanged else (row, now)
+    return replace(state, carved_rows=Map(carved_rows))
+
+
 def _update_active(
     shares: Shares, state: RebalanceState, settings: RebalanceSettings, now: float
 ) -> RebalanceState:
@@ -210,11 +230,17 @@
     return replace(state, excess=excess, excess_at=now, active=active)
 
 
-def _choose_merges(shares: Shares, settings: RebalanceSettings) -> tuple[Step, ...]:
+def _choose_merges(
+    shares: Shares, state: RebalanceState, settings: RebalanceSettings, now: float
+) -> tuple[Step, ...]:
     """Returns the merge of a carved key that is no longer hot.
 
     Called only while no moves for balance are active. If the base slice has another
     owner, the carved slice is first moved there.
+
+    A former owner of the carved slice may have run orders whose ids are missing in the
+    ledger of the base slice's owner, so it is merged only once these have expired.
+    Such a loss always changes the carved slice's row.
     """
     limit = max(settings.merge_share * _mean_load(shares), shares.mean_slice_load())
     bases: Mapping[SliceId, Row] = {
@@ -231,10 +257,10 @@
                 continue
             if row.retiring or base.retiring:
                 continue
-            same_owner = base.owner == row.owner
-            steps.append(
-                Merge(row.slice) if same_owner else Move(row.slice, base.owner)
-            )
+            if base.owner != row.owner:
+                steps.append(Move(row.slice, base.owner))
+            elif now - state.carved_rows[row.slice][1] > settings.merge_quiet_s:
+                steps.append(Merge(row.slice))
     return tuple(steps[:1])
 
 
