Hand the ids of merged slices over with their base slice

Cause: ids are recorded with the slice under which their order ran. A base slice's hand-over sent the ids of that slice only and waited for its own requests only, though its covered tickets include those of a carved slice that was merged back. The next owner then took a repeat for an order that never ran; an order that still ran did not delay the release.

Evidence: features/merged_slices.feature, with no loss at all. Change: a base slice sends the ids of its carved slices that are not owned here, waits for their running requests, and clears what their records cover. A mutant of each.

--- a/features/merged_slices.feature
+++ b/features/merged_slices.feature
@@ -8,3 +8,17 @@
     And the order is sent again each second for 119 seconds of even load
     Then the order has run once, and the outcome of each repeat is unknown
     And 60 seconds later its slice is merged back
+
+  Scenario: An order of a merged slice runs again after the base slice is handed over
+    Given a guard that runs an order under a slice that is then merged back
+    When the upstream of the merged slice answers the order
+    And the base slice is handed over to another guard
+    And the order of the merged slice is sent again to that guard
+    Then the order of the merged slice has run once
+
+  Scenario: The base slice is released while an order of a merged slice runs
+    Given a guard that runs an order under a slice that is then merged back
+    When the base slice is to be handed over
+    Then the base slice is not reported idle
+    When the upstream of the merged slice answers the order
+    Then the base slice is reported idle, and the order is handed over with it
--- a/features/mutant_list_requests.py
+++ b/features/mutant_list_requests.py
@@ -151,4 +151,18 @@
         "else:",
         MERGED,
     ),
+    Mutant(
+        "ids of a merged slice not handed over with its base",
+        f"{POLICY}/completions.py",
+        "sources = {slice, _base(slice), *merged}",
+        "sources = {slice, _base(slice)}",
+        MERGED,
+    ),
+    Mutant(
+        "base slice released while an order of a merged slice runs",
+        f"{POLICY}/completions.py",
+        "if any(each in state.running_by_slice for each in merged):",
+        "if False:",
+        MERGED,
+    ),
 )
--- a/features/steps/merged_slices_steps.py
+++ b/features/steps/merged_slices_steps.py
@@ -6,10 +6,16 @@
 
 from features.builders_control import NORMAL_LOAD
 from features.builders_merged_slices import FollowingGuards
+from features.builders_requests import SLICE, GuardDriver
 from features.steps.control_steps import HOT
-from rosemarydeal.core import MemberPhase, Unknown
+from rosemarydeal.core import TOKEN_RANKS, MemberPhase, SliceId, Unknown
+from rosemarydeal.policy import guard
 
 ORDER = "order-1"
+CARVED = SliceId(SLICE.service, SLICE.index, 259)
+BASE_TOKEN, CARVED_TOKEN, MERGED_TOKEN, NEXT_TOKEN = (
+    version * TOKEN_RANKS for version in (1, 2, 3, 4)
+)
 
 
 def even_load(node, slice_id):
@@ -56,3 +62,57 @@
     assert context.carved in context.following.owned, "merged too early"
     context.group.run(seconds, even_load)
     assert context.carved not in context.following.owned, context.following.owned
+
+
+@given("a guard that runs an order under a slice that is then merged back")
+def step_runs_merged(context):
+    context.guard = GuardDriver(token=BASE_TOKEN)
+    context.guard.feed(guard.OwnershipGained(CARVED, CARVED_TOKEN))
+    context.guard.arrive(1, ORDER, slice=CARVED, ticket=CARVED_TOKEN)
+    context.guard.feed(guard.OwnershipGained(SLICE, MERGED_TOKEN, BASE_TOKEN))
+    context.guard.feed(guard.OwnershipLost(CARVED))
+
+
+@when("the upstream of the merged slice answers the order")
+def step_merged_answered(context):
+    context.guard.answer(ORDER)
+
+
+@when("the base slice is to be handed over")
+def step_base_stops(context):
+    context.guard.feed(guard.StopAdmitting(SLICE))
+
+
+@when("the base slice is handed over to another guard")
+def step_base_handed_over(context):
+    step_base_stops(context)
+    (action,) = context.guard.of(guard.HandOverLedger)
+    context.guard.feed(guard.OwnershipLost(SLICE))
+    context.next_guard = GuardDriver(token=0)
+    context.next_guard.feed(guard.LedgerReceived(action.ledger))
+    context.next_guard.feed(guard.OwnershipGained(SLICE, NEXT_TOKEN, MERGED_TOKEN))
+
+
+@when("the order of the merged slice is sent again to that guard")
+def step_merged_sent_again(context):
+    context.next_guard.arrive(1, ORDER, ticket=CARVED_TOKEN, resent=True)
+
+
+@then("the order of the merged slice has run once")
+def step_merged_ran_once(context):
+    assert len(context.guard.of(guard.Dispatch)) == 1
+    again = context.next_guard.of(guard.Dispatch)
+    assert not again, again
+    assert isinstance(context.next_guard.outcome_of(1), Unknown)
+
+
+@then("the base slice is not reported idle")
+def step_base_not_idle(context):
+    assert not context.guard.of(guard.ReportIdle), "released while an order runs"
+
+
+@then("the base slice is reported idle, and the order is handed over with it")
+def step_base_idle(context):
+    assert context.guard.of(guard.ReportIdle) == [guard.ReportIdle(SLICE)]
+    (action,) = context.guard.of(guard.HandOverLedger)
+    assert [record.request_id for record in action.ledger.entries] == [ORDER]
--- a/rosemarydeal/policy/completions.py
+++ b/rosemarydeal/policy/completions.py
@@ -240,6 +240,20 @@
     )
 
 
+def _base(slice: SliceId) -> SliceId:
+    """Returns the base slice of a carved slice, or the base slice itself."""
+    return replace(slice, carved=-1)
+
+
+def _merged_slices(state: GuardState, slice: SliceId) -> tuple[SliceId, ...]:
+    """Returns the carved slices that may have been merged back into a base slice."""
+    return tuple(
+        each
+        for each, ownership in state.ownerships.items()
+        if each.carved >= 0 and _base(each) == slice and not ownership.owned
+    )
+
+
 def _has_base_requests(state: GuardState, slice: SliceId, carved_at: float) -> bool:
     """Returns whether live requests of the base slice precede the carving."""
     base = replace(slice, carved=-1)
@@ -258,12 +272,12 @@
         now: The current time, in seconds.
 
     Returns:
-        The new state, and the hand-overs of the slice and of the slices carved out
-        of it.
+        The new state, and the hand-overs of the slice, of its base slice and of the
+        slices carved out of the same base slice.
     """
     actions: list[GuardAction] = []
     for stopping_slice in sorted(state.stopping):
-        if slice in (stopping_slice, replace(stopping_slice, carved=-1)):
+        if slice is not None and _base(slice) == _base(stopping_slice):
             state, more = _hand_over_if_idle(state, stopping_slice, now)
             actions.extend(more)
     return state, tuple(actions)
@@ -276,13 +290,14 @@
         return state, ()
     if slice.carved >= 0 and _has_base_requests(state, slice, ownership.gained_at):
         return state, ()
+    merged = _merged_slices(state, slice)
+    if any(each in state.running_by_slice for each in merged):
+        return state, ()
     if not ownership.owned:
         # The ownership expired in the meantime, so there is no ledger to hand over.
         return replace(state, stopping=state.stopping - {slice}), (ReportIdle(slice),)
-    records = ledger.slice_records(state.ledger, slice, now)
-    if slice.carved >= 0:
-        base = replace(slice, carved=-1)
-        records = (*records, *ledger.slice_records(state.ledger, base, now))
+    sources = {slice, _base(slice), *merged}
+    records = ledger.records_of(state.ledger, sources, now)
     hand_over = LedgerHandOver(
         slice,
         ownership.token,
@@ -290,9 +305,8 @@
         now - ownership.complete_since,
         records,
     )
-    state = replace(
-        state,
-        ownerships=state.ownerships.set(slice, tickets.transfer_ledger(ownership)),
-        stopping=state.stopping - {slice},
-    )
+    ownerships = state.ownerships.set(slice, tickets.transfer_ledger(ownership))
+    for each in merged:
+        ownerships = ownerships.set(each, tickets.transfer_ledger(ownerships[each]))
+    state = replace(state, ownerships=ownerships, stopping=state.stopping - {slice})
     return state, (HandOverLedger(slice, hand_over), ReportIdle(slice))
--- a/rosemarydeal/policy/ledger.py
+++ b/rosemarydeal/policy/ledger.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
@@ -27,8 +28,8 @@
     "merge",
     "record",
     "record_outcome",
+    "records_of",
     "remove",
-    "slice_records",
 ]
 
 
@@ -228,10 +229,10 @@
     return ledger, tuple(dropped)
 
 
-def slice_records(
-    ledger: Ledger, slice: SliceId, now: float
+def records_of(
+    ledger: Ledger, slices: Collection[SliceId], now: float
 ) -> tuple[LedgerRecord, ...]:
-    """Returns the records of a slice, for its hand-over."""
+    """Returns the records of some slices, for a hand-over."""
     return tuple(
         LedgerRecord(
             entry.request_id,
@@ -241,7 +242,7 @@
             entry.status,
         )
         for entry in ledger.entries.values()
-        if entry.slice == slice
+        if entry.slice in slices
     )
 
 
