Take over the base's tickets only as a slice is carved out

Cause: a carved slice without a record at a guard took over the covered tickets of its base at any time. The tokens of both slices are numbered from the same start. The base's owner that gained the carved slice after the loss of its owner took tickets of the lost owner for covered ones, and ran a repeat as an order that never ran.

Evidence: features/merged_slices.feature, the guard alone; found by reading. Change: the base's record is taken over only with a gain under the base's own token, which is the gain of a key that was just carved out. The builder of the first scenario of that file now gains carved slices in this way, as the ownership policy does.

--- a/features/builders_merged_slices.py
+++ b/features/builders_merged_slices.py
@@ -75,10 +75,15 @@
             self._driver(node).feed(guard.OwnershipLost(slice_id))
 
     def _follow(self, row: Row) -> None:
-        """Makes the guard of a row's owner the owner of its slice."""
+        """Makes the guard of a row's owner the owner of its slice.
+
+        The base slice's owner goes on serving a key that is carved out under its token.
+        """
         token = row.version * TOKEN_RANKS
+        if row.slice.carved >= 0 and row.slice not in self.owned:
+            token = self.owned[self._base][1]
         former, former_token = self.owned.get(row.slice, (row.owner.node, -1))
-        if token == former_token:
+        if token <= former_token:
             return
         new = self._driver(row.owner.node)
         if former != row.owner.node:
--- a/features/merged_slices.feature
+++ b/features/merged_slices.feature
@@ -1,4 +1,4 @@
-Feature: Orders run once although the slice of their key is carved out and merged back
+Feature: Orders run once although the slice of their key is carved out or merged back
 
   Scenario: An order runs twice after its carved slice lost its owner and was merged back
     Given a control group of 6 processes over 256 slices
@@ -22,3 +22,15 @@
     Then the base slice is not reported idle
     When the upstream of the merged slice answers the order
     Then the base slice is reported idle, and the order is handed over with it
+
+  Scenario: An order of a carved slice runs again at the base's owner after its own was lost
+    Given a guard that owns a base slice under tokens 256 to 1024
+    When it gains a carved slice under token 769 after the loss of its owner
+    And an order with ticket 768 is sent to it again for the carved slice
+    Then the order of the carved slice is not run, and its outcome is unknown
+
+  Scenario: A carved slice keeps the tickets of the base slice that it is carved out of
+    Given a guard that owns a base slice under tokens 256 to 1024
+    When it gains a carved slice under token 1024, that of the base slice
+    And an order with ticket 512 is sent to it again for the carved slice
+    Then the order of the carved slice is run
--- a/features/mutant_list_requests.py
+++ b/features/mutant_list_requests.py
@@ -165,4 +165,11 @@
         "if False:",
         MERGED,
     ),
+    Mutant(
+        "carved slice takes over tickets of its base after other owners",
+        f"{POLICY}/guard_state.py",
+        "if base is not None and base.owned and base.token == gained.token:",
+        "if base is not None and base.owned:",
+        MERGED,
+    ),
 )
--- a/features/steps/merged_slices_steps.py
+++ b/features/steps/merged_slices_steps.py
@@ -9,6 +9,7 @@
 from features.builders_requests import SLICE, GuardDriver
 from features.steps.control_steps import HOT
 from rosemarydeal.core import TOKEN_RANKS, MemberPhase, SliceId, Unknown
+from rosemarydeal.core.messages import LedgerHandOver, TokenRange
 from rosemarydeal.policy import guard
 
 ORDER = "order-1"
@@ -116,3 +117,35 @@
     assert context.guard.of(guard.ReportIdle) == [guard.ReportIdle(SLICE)]
     (action,) = context.guard.of(guard.HandOverLedger)
     assert [record.request_id for record in action.ledger.entries] == [ORDER]
+
+
+@given("a guard that owns a base slice under tokens {first:d} to {last:d}")
+def step_owns_base(context, first, last):
+    context.guard = GuardDriver(token=0)
+    ledger = LedgerHandOver(SLICE, first, (TokenRange(first, first),), 60.0, ())
+    context.guard.feed(guard.LedgerReceived(ledger))
+    middle = (first + last) // 2 // TOKEN_RANKS * TOKEN_RANKS
+    context.guard.feed(guard.OwnershipGained(SLICE, middle, first))
+    context.guard.feed(guard.OwnershipGained(SLICE, last, middle))
+
+
+@when("it gains a carved slice under token {token:d} after the loss of its owner")
+@when("it gains a carved slice under token {token:d}, that of the base slice")
+def step_gains_carved(context, token):
+    context.guard.feed(guard.OwnershipGained(CARVED, token))
+
+
+@when("an order with ticket {ticket:d} is sent to it again for the carved slice")
+def step_carved_sent_again(context, ticket):
+    context.guard.arrive(1, ORDER, slice=CARVED, ticket=ticket, resent=True)
+
+
+@then("the order of the carved slice is not run, and its outcome is unknown")
+def step_carved_unknown(context):
+    assert not context.guard.of(guard.Dispatch), "an order ran again"
+    assert isinstance(context.guard.outcome_of(1), Unknown)
+
+
+@then("the order of the carved slice is run")
+def step_carved_run(context):
+    assert len(context.guard.of(guard.Dispatch)) == 1, context.guard.outcome_of(1)
--- a/rosemarydeal/policy/guard.py
+++ b/rosemarydeal/policy/guard.py
@@ -53,6 +53,7 @@
     cold_share,
     detect_cold_start,
     load_hint,
+    ownership_before_gain,
     ownership_of,
     put_live,
     start,
@@ -167,9 +168,8 @@
     """Applies a change in the ownership of a slice."""
     match event:
         case OwnershipGained():
-            ownership = tickets.record_gained(
-                ownership_of(state, event.slice), event, now
-            )
+            before = ownership_before_gain(state, event)
+            ownership = tickets.record_gained(before, event, now)
             return _set_ownership(state, ownership), ()
         case OwnershipLost():
             ownership = tickets.record_lost(ownership_of(state, event.slice))
--- a/rosemarydeal/policy/guard_state.py
+++ b/rosemarydeal/policy/guard_state.py
@@ -14,6 +14,7 @@
 from .crash_suspects import Suspects, is_blocked
 from .fairqueue import FairQueue, QueuedRequest
 from .guard_interface import GuardSettings, RequestArrived
+from .interface import OwnershipGained
 from .ledger import Ledger
 from .tickets import OwnershipRecord, carve
 
@@ -27,6 +28,7 @@
     "earlier_run_possible",
     "include_earlier_attempts",
     "load_hint",
+    "ownership_before_gain",
     "ownership_of",
     "put_live",
     "start",
@@ -154,12 +156,25 @@
 
 
 def ownership_of(state: GuardState, slice: SliceId) -> OwnershipRecord:
-    """Returns the record of a slice; a carved slice inherits that of its base."""
+    """Returns the record of a slice."""
     ownership = state.ownerships.get(slice)
-    if ownership is not None:
-        return ownership
-    base = state.ownerships.get(replace(slice, carved=-1))
-    return OwnershipRecord(slice) if base is None else carve(base, slice)
+    return OwnershipRecord(slice) if ownership is None else ownership
+
+
+def ownership_before_gain(
+    state: GuardState, gained: OwnershipGained
+) -> OwnershipRecord:
+    """Returns the record to which a gain applies.
+
+    A slice that is gained under the token of its base slice was served under the base
+    slice until now and takes its record over. Under another token, other owners may
+    have served the carved slice, whose tokens can lie among those of the base slice.
+    """
+    if gained.slice.carved >= 0:
+        base = state.ownerships.get(replace(gained.slice, carved=-1))
+        if base is not None and base.owned and base.token == gained.token:
+            return carve(base, gained.slice)
+    return ownership_of(state, gained.slice)
 
 
 def cold_share(state: GuardState, now: float) -> float:
--- a/rosemarydeal/policy/tickets.py
+++ b/rosemarydeal/policy/tickets.py
@@ -139,9 +139,7 @@
 
 
 def carve(base: OwnershipRecord, slice: SliceId) -> OwnershipRecord:
-    """Returns the record of a slice carved out of a base slice."""
-    if not base.owned:
-        return OwnershipRecord(slice)
+    """Returns the record of a slice carved out of an owned base slice."""
     return OwnershipRecord(
         slice, covers=base.covers, complete_since=base.complete_since
     )
