--- a/features/mutant_list_requests.py
+++ b/features/mutant_list_requests.py
@@ -7,6 +7,7 @@
 __all__ = ["MUTANTS"]
 
 FUZZ = ("-m", "features.requests_budget")
+MERGED = ("-m", "features.run", "features/merged_slices.feature")
 POLICY = "rosemarydeal/policy"
 
 MUTANTS = (
@@ -143,4 +144,32 @@
         "CRASHES_TO_BLOCK = 3",
         FUZZ,
     ),
+    Mutant(
+        "merge before the ids of a lost owner expire",
+        f"{POLICY}/rebalance.py",
+        "elif now - state.carved_rows[row.slice][1] > settings.merge_quiet_s:",
+        "else:",
+        MERGED,
+    ),
+    Mutant(
+        "ids of a merged slice not handed over with its base",
+        f"{POLICY}/completions.py",
+        "sources = {slice, _base(slice), *merged}",
+        "sources = {slice, _base(slice)}",
+        MERGED,
+    ),
+    Mutant(
+        "base slice released while an order of a merged slice runs",
+        f"{POLICY}/completions.py",
+        "if any(each in state.running_by_slice for each in merged):",
+        "if False:",
+        MERGED,
+    ),
+    Mutant(
+        "carved slice takes over tickets of its base after other owners",
+        f"{POLICY}/guard_state.py",
+        "if base is not None and base.owned and base.token == gained.token:",
+        "if base is not None and base.owned:",
+        MERGED,
+    ),
 )
