Wait for former leases with keys whose hand-over a restored store may have lost

Callers could have seen two owners of a key after a restore of the store.

Cause: after a restore, an owner whose lease is valid goes on with the keys that it used before, and the others wait until all leases of the former era have expired. An owner that had released keys for a hand-over whose write had no answer counted them among the keys that it used. The store may have carried that write out, told the new owner, and lost it with the restore: both held the keys then.

Evidence: vm-a misses the result of a hand-over to vm-b, and the store is restored from a copy before it.

Change: keys withheld for a write without a known result aren't retained. The cost: if no write had been carried out, they stay unserved until the former leases have expired (12 s), as a call that was not answered can't be told from one that had no effect.

--- a/features/restored_world.py
+++ b/features/restored_world.py
@@ -137,7 +137,8 @@
     def update(self, now):
         self.barrier.note_table(self.base.revision)
         valid = now < ownership_lease.lease_expiry(self.lease)
-        self.restored.update(self.table, self.is_outdated(), valid, now)
+        withheld = [keys for keys, _ in self.moving]
+        self.restored.update(self.table, self.is_outdated(), valid, now, withheld)
 
     def usable(self, now) -> list[KeyRange]:
         if self.table is None:
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -9,8 +9,10 @@
 from features.builders_node import a_configuration, load, run, start_deployment
 from features.restored_world import KEYS, RestoredWorld
 from rosemarydeal.core.fleet import GrantCarrier
+from rosemarydeal.node.records import RANGES
 
 DOWN_S = 0.4
+SETTLE_S = 3.0
 # A failed request reveals a crash sooner than missed heartbeats.
 LOAD_S = 0.3
 # Changes reach all processes within this time.
@@ -114,6 +116,30 @@
     run(context, go())
 
 
+@when("vm-a misses the result of its hand-over, and the store is restored")
+def step_missed_result(context):
+    async def go():
+        deployment = context.deployment
+        node, endpoint = deployment.nodes["vm-a"], deployment.endpoints["vm-b"]
+        ownership, records = node._ownership, node._records
+        await deployment.wait(lambda: not ownership._writing)
+        era, apply = deployment.store.era, records.apply
+
+        def apply_unless_missed(stored, changed=False):
+            missed = stored.kind == RANGES and stored.revision.era == era
+            return not missed and apply(stored, changed)
+
+        records.apply = apply_unless_missed
+        deployment.store.lose_answers = 1
+        keys = ownership.owned[0]
+        ownership._start_hand_over(((keys, records.members["vm-b"]),))
+        await deployment.wait(lambda: endpoint.held(keys.first))
+        await restore(deployment)
+        await asyncio.sleep(SETTLE_S)
+
+    run(context, go())
+
+
 @when("the upstream of vm-c crashes")
 def step_other_crash(context):
     run(context, context.deployment.endpoints.pop("vm-c").stop())
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -34,6 +34,13 @@
     And no key was ever held by two upstreams
     And each upstream took keys with tokens above those of all others
 
+  Scenario: A hand-over without an answer, which the store has lost since, is undone while its keys are held
+    Given a deployment of 3 VMs, of whose store a copy is taken
+    When vm-a misses the result of its hand-over, and the store is restored
+    Then no key was ever held by two upstreams
+    And all keys are served again within 14 seconds
+    And no key was ever held by two upstreams
+
   Scenario: A zone that was taken out is used again after the store was restored
     Given a deployment of 2 VMs, of whose store a copy is taken
     When perth-b is taken out, the store is restored, and a second later it is taken out again
--- a/rosemarydeal/policy/keyranges/restored_ranges.py
+++ b/rosemarydeal/policy/keyranges/restored_ranges.py
@@ -3,7 +3,8 @@
 The restored table is what one process knew. An owner whose lease is valid used the
 keys before, and goes on. Another one may have been named by mistake, as the store has
 lost the change that took the keys from it: it waits until any lease of the former era
-has expired.
+has expired. The same holds for keys that it was giving away: the store may have lost a
+write without an answer, of which the new owner had heard.
 """
 
 from __future__ import annotations
@@ -41,7 +42,12 @@
         return None if self._outdated_since is None else now - self._outdated_since
 
     def update(
-        self, table: RangeTable | None, outdated: bool, lease_valid: bool, now: float
+        self,
+        table: RangeTable | None,
+        outdated: bool,
+        lease_valid: bool,
+        now: float,
+        withheld: Sequence[KeyRange] = (),
     ) -> None:
         """Applies a change of the table.
 
@@ -50,6 +56,7 @@
             outdated: Whether it was not written in the present era of the store.
             lease_valid: Whether the ownership lease of this node is valid.
             now: The current time.
+            withheld: Own keys that others may own by a write without a known result.
         """
         if table is None:
             return
@@ -62,7 +69,10 @@
         restored_token = former.restored_token if former is not None else 0
         if table.restored_token and table.restored_token != restored_token:
             owned = tables.owned_by(former, self._node) if former is not None else ()
-            self._retained = _joined(self.usable(owned, now)) if lease_valid else ()
+            used = self.usable(owned, now)
+            for keys in withheld:
+                used = [rest for part in used for rest in tables.subtract(part, keys)]
+            self._retained = _joined(used) if lease_valid else ()
             self._restored_at = now
         self._table = table
 
