Follow the retained ranges in the list of deliberate defects

The defect "keys retained over a restore without a valid lease" named the text of the line before the last change. It removes the same condition as before.

--- a/features/mutant_list_restored.py
+++ b/features/mutant_list_restored.py
@@ -15,8 +15,8 @@
     Mutant(
         "keys retained over a restore without a valid lease",
         f"{RANGES}/restored_ranges.py",
-        "_joined(self.usable(owned, now)) if lease_valid else ()",
-        "_joined(self.usable(owned, now))",
+        "_joined(used) if lease_valid else ()",
+        "_joined(used)",
         RESTORED,
     ),
     Mutant(
