Check in a deployment that the next life of an upstream gets new tokens

Change: the scenario, its steps, and a stand-in that can listen without an announcement. A step that drops tables of a former era passes on every argument.

--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -63,3 +63,9 @@
     Given a deployment of 3 VMs
     When vm-b ends without notice, and its keys are taken over
     Then vm-a removes the member of vm-b
+
+  Scenario: The next life of an upstream takes keys under the token of the former one
+    Given a deployment of 3 VMs
+    When the upstream of vm-b refuses a grant, and listens again before it announces its next life
+    Then its next life has taken no keys under a token of the former one
+    And all keys are served again within 3 seconds
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -77,21 +77,29 @@
         self._pool = Pool(PoolSettings())
 
     async def start(self):
+        await self.listen()
+        self._task = asyncio.create_task(self._announce())
+
+    async def listen(self):
+        """Accepts connections, without an announcement."""
         address = Address(self._host, 9001)
         if self.stutter is None:
             limits = HttpLimits(MAX_HEAD_BYTES, MAX_BODY_BYTES)
             self._server = await serve(self.answer, address, limits)
         else:
             self._server = await serve_stuttering(self.answer, address, self.stutter)
-        self._task = asyncio.create_task(self._announce())
 
     async def stop(self):
         """Stops as a crashed upstream does, without a departure."""
         self._task.cancel()
+        await self.stop_listening()
+        await self._pool.close()
+
+    async def stop_listening(self):
+        """Closes all connections, and refuses new ones."""
         closing = self._server.close()
         if closing is not None:
             await closing
-        await self._pool.close()
 
     def restart(self, born_change=1, renamed=True):
         """Starts a new incarnation, which holds no keys and announces itself."""
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -30,6 +30,8 @@
 REMOVE_AFTER = "rosemarydeal.node.membership.REMOVE_AFTER_S"
 REMOVAL_CHECK_S = 2.4
 TAKEOVER_S = 20.0
+DOWN_S = 0.3
+UNANNOUNCED_S = 0.5
 KEYS = KeyRange(0, 9, "vm-a", "i-1@1", 1)
 # By how much the clock of an upstream may run slow.
 CLOCK_DRIFT = 0.02
@@ -300,3 +302,36 @@
                 2 * REMOVAL_CHECK_S,
             ),
         )
+
+
+@when(
+    "the upstream of vm-b refuses a grant,"
+    " and listens again before it announces its next life"
+)
+def step_next_life(context):
+    async def go():
+        deployment = context.deployment
+        endpoint = deployment.endpoints["vm-b"]
+        grants = deployment.nodes["vm-b"]._ownership._grants
+        endpoint.fall_silent()
+        await endpoint.stop_listening()
+        endpoint.holds = []
+        for grant in grants._grants.values():
+            grant.renew_at = 0.0
+        await asyncio.sleep(DOWN_S)
+        context.former = {token for _, _, _, token in endpoint.taken}
+        endpoint.taken.clear()
+        await endpoint.listen()
+        await asyncio.sleep(UNANNOUNCED_S)
+        endpoint.restart()
+
+    run(context, go())
+
+
+@then("its next life has taken no keys under a token of the former one")
+def step_new_tokens(context):
+    deployment = context.deployment
+    endpoint = deployment.endpoints["vm-b"]
+    run(context, deployment.wait(lambda: endpoint.taken, 3.0))
+    tokens = {token for _, _, _, token in endpoint.taken}
+    assert context.former and not tokens & context.former, tokens
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -125,9 +125,9 @@
         await deployment.wait(lambda: not ownership._writing)
         era, apply = deployment.store.era, records.apply
 
-        def apply_unless_missed(stored, changed=False):
+        def apply_unless_missed(stored, *details, **named_details):
             missed = stored.kind == RANGES and stored.revision.era == era
-            return not missed and apply(stored, changed)
+            return not missed and apply(stored, *details, **named_details)
 
         records.apply = apply_unless_missed
         deployment.store.lose_answers = 1
