Take no process as its own only witness while others may run

Cause: witnesses that don't answer are excluded for 10 s. Once all others were excluded, the process itself was the only witness left, as in a service with one process. Nobody could then prove the end of its lease: if it was paused or lost, its slices had no owner until it returned.

Evidence: features/ownership.feature. Change: if all others are excluded, those that may still run are candidates again, unless none has answered since the start of the process.

--- a/features/mutant_list_ownership.py
+++ b/features/mutant_list_ownership.py
@@ -152,4 +152,11 @@
         "    if rank != 0 or row.version < state.released_below.get(slice_id, 0):",
         SCENARIOS,
     ),
+    Mutant(
+        "process becomes its own only witness while others run",
+        f"{POLICY}/incarnation.py",
+        "if available or (timed_out and not state.witness_set_complete):",
+        "if True:",
+        SCENARIOS,
+    ),
 )
--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -49,6 +49,14 @@
     Then every key of the ownership simulation is served again within 2.5 seconds
     And the isolated process owns nothing
 
+  Scenario: No process can take over from an owner that was isolated for seconds before
+    Given an ownership simulation after start-up
+    When the owner of slice 0 is isolated from all other processes
+    And 4 seconds of the ownership simulation pass
+    And the isolated process is reachable again and is given slice 0
+    And the owner of slice 0 is lost
+    Then every key of the ownership simulation is served again within 5 seconds
+
   Scenario: An owner isolated from the platform keeps its slices
     Given an ownership simulation after start-up
     When the owner of slice 0 is isolated from the platform
--- a/features/ownership_proposer.py
+++ b/features/ownership_proposer.py
@@ -11,7 +11,7 @@
 from rosemarydeal.policy import interface as api
 from rosemarydeal.policy import ownership, rows
 
-__all__ = ["carve", "merge", "move", "propose"]
+__all__ = ["carve", "merge", "move", "propose", "up_members"]
 
 
 def propose(world, name: str) -> None:
@@ -19,7 +19,7 @@
     node = world.nodes[name]
     if not node.alive or world.now < node.paused_until:
         return
-    up = _up_members(node)
+    up = up_members(node)
     if not up:
         return
     chunk = _chunk(node)
@@ -32,7 +32,7 @@
 def move(world, name: str, slice_id: SliceId, shift: int) -> None:
     """Lets a node propose another owner of a slice, selected by `shift`."""
     node = world.nodes[name]
-    up = _up_members(node) if node.alive else []
+    up = up_members(node) if node.alive else []
     row = node.state.row(slice_id) if node.alive else None
     if row is None or not up:
         return
@@ -71,7 +71,7 @@
     _write_rows(world, node, _chunk(node), [merged], (carved.slice,))
 
 
-def _up_members(node) -> list[Incarnation]:
+def up_members(node) -> list[Incarnation]:
     """Returns the incarnations that may own slices, from a node's member objects."""
     members = ownership.known_members(node.state)
     return sorted(m.incarnation for m in members if m.witnesses and m.phase == "up")
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -5,7 +5,10 @@
 from behave import given, then, when
 
 from features.builders import incarnation
+from features.ownership_constants import SERVICE
+from features.ownership_proposer import move, up_members
 from features.ownership_scenarios import Scene
+from rosemarydeal.core import SliceId
 from rosemarydeal.core.messages import LeaseRequest, PromiseRequest
 from rosemarydeal.policy import witness
 from rosemarydeal.policy.ownership import OwnershipSettings
@@ -149,6 +152,24 @@
     assert not context.scene.world.nodes[context.victim].state.serving
 
 
+@when("the isolated process is reachable again and is given slice {index:d}")
+def give_to_isolated(context, index):
+    world, victim = context.scene.world, context.victim
+    world.blocked.clear()
+    proposer = next(name for name in world.nodes if name != victim)
+    for _ in range(30):
+        world.advance(0.1)
+        up = [name.node for name in up_members(world.nodes[proposer])]
+        if victim in up:
+            break
+    move(world, proposer, SliceId(SERVICE, index), up.index(victim))
+    for _ in range(40):
+        world.advance(0.1)
+        if context.scene.owner(index) == victim:
+            break
+    assert context.scene.owner(index) == victim, context.scene.row(index)
+
+
 @when("the owner of slice {index:d} is isolated from the platform")
 def isolate_from_platform(context, index):
     context.scene.world.off_platform.add(context.scene.owner(index))
--- a/rosemarydeal/policy/incarnation.py
+++ b/rosemarydeal/policy/incarnation.py
@@ -302,14 +302,26 @@
 
 
 def _witness_candidates(state: OwnershipState, now: float) -> list[Member]:
-    """Returns the other members that may be chosen as witnesses."""
+    """Returns the other members that may be chosen as witnesses.
+
+    If all are excluded, those that may still run are candidates again: nobody could
+    prove the expiry of a lease that only the process itself has granted. A process
+    that none of them has answered since its start may be the only one left.
+    """
     ended = (MemberPhase.LOST, MemberPhase.GONE)
-    return [
+    others = [
         known.member
         for node, known in state.members.items()
-        if node != state.node
-        and known.member.phase not in ended
-        and state.excluded_until.get(node, 0.0) <= now
+        if node != state.node and known.member.phase not in ended
+    ]
+    available = [
+        member for member in others if state.excluded_until.get(member.node, 0.0) <= now
+    ]
+    timed_out = now >= state.started_at + WITNESS_SET_TIMEOUT_S
+    if available or (timed_out and not state.witness_set_complete):
+        return available
+    return [
+        member for member in others if member.incarnation not in state.proven_expiry
     ]
 
 
