Make keys of an unanswered write wait after a restore of the table

Callers could have seen two owners of a key: a process took keys again at once when the table was restored, although its own write, of which it had no answer, had given them to another upstream before it was lost.

Cause: keys of a write without a known result are withheld until the table has a later revision. A restored table has one, but does not show the result: the write may have been carried out, have been acted upon, and have been lost by the restore. The ranges that an owner keeps using after a restore included those keys.

Evidence: the upstream of vm-a falls silent, the write that gives its keys away is carried out without an answer, vm-b is granted them, and the store is restored from a copy (or the table damaged) before vm-a learns of it. vm-a restores the table as it knows it.

Change: keys that are withheld when a restored table arrives are not retained; they wait until all leases of the former era have expired, as those of other owners do.

--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -63,3 +63,15 @@
     Given a deployment of 3 VMs
     When vm-b ends without notice, and its keys are taken over
     Then vm-a removes the member of vm-b
+
+  Scenario Outline: An upstream takes keys again that others got by a write which was lost
+    Given a deployment of 3 VMs
+    When a write that gives keys of vm-a away is carried out without an answer
+    And <lost>, so that vm-a never learns of that write
+    Then all keys are served again within 14 seconds
+    And no key was ever held by two upstreams
+
+    Examples:
+      | lost                  |
+      | the store is restored |
+      | the table is damaged  |
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -30,6 +30,8 @@
 REMOVE_AFTER = "rosemarydeal.node.membership.REMOVE_AFTER_S"
 REMOVAL_CHECK_S = 2.4
 TAKEOVER_S = 20.0
+# Covers the restore of the table and the end of the grants that were made before.
+RESTORE_S = 6.0
 KEYS = KeyRange(0, 9, "vm-a", "i-1@1", 1)
 # By how much the clock of an upstream may run slow.
 CLOCK_DRIFT = 0.02
@@ -300,3 +302,59 @@
                 2 * REMOVAL_CHECK_S,
             ),
         )
+
+
+@when("a write that gives keys of vm-a away is carried out without an answer")
+def step_carried_out(context):
+    async def go():
+        deployment = context.deployment
+        node, endpoint = deployment.nodes["vm-a"], deployment.endpoints["vm-a"]
+        ownership, links, store = node._ownership, node._links, deployment.store
+        await deployment.wait(lambda: not ownership._writing)
+        unreachable_since = links.unreachable_since
+        loop_now = asyncio.get_running_loop().time()
+        links.unreachable_since = lambda _: loop_now - UNREACHABLE_S
+        endpoint.fall_silent()
+        await deployment.wait(lambda: not node._watch.state.alive)
+        await deployment.wait(lambda: not ownership.may_hold_silently)
+        store.take_copy()
+        context.given_away = ownership.owned[0].first
+        store.late_writes_s[RANGES] = RESUMES_AFTER_S
+        links.relay_store_call = no_reply
+        links.unreachable_since = unreachable_since
+        await deployment.wait(lambda: not store.late_writes_s)
+        context.missing = miss_tables(node._records)
+        endpoint.pause_announcing(RESUMES_AFTER_S)
+        await deployment.wait(lambda: deployment.holders(context.given_away))
+
+    run(context, go())
+
+
+def miss_tables(records):
+    """Makes records miss the tables of this era; returns what ends that."""
+    apply, known = records.apply, records.table_base("box-office")
+
+    def apply_others(stored, *args, **kwargs):
+        missed = stored.kind == RANGES and stored.revision.era == known.era
+        return False if missed else apply(stored, *args, **kwargs)
+
+    records.apply = apply_others
+
+    def end():
+        records.apply = apply
+
+    return end
+
+
+@when("{lost}, so that vm-a never learns of that write")
+def step_write_lost(context, lost):
+    async def go():
+        store = context.deployment.store
+        if lost == "the store is restored":
+            store.restore()
+        else:
+            context.missing()
+            store.put(RANGES, "box-office", {"service": "box-office", "odd": True})
+        await asyncio.sleep(RESTORE_S)
+
+    run(context, go())
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -259,7 +259,9 @@
         self._barrier.update()
         moment = now()
         lease_valid = moment < ownership_lease.lease_expiry(self._lease)
-        self._restored.update(self.table, self._is_outdated(), lease_valid, moment)
+        self._restored.update(
+            self.table, self._is_outdated(), lease_valid, moment, self._withheld
+        )
         self._settle_transfer()
         self._note_refutations(moment)
         if self._is_keyed() and self._watch.state is not None:
--- a/rosemarydeal/policy/keyranges/restored_ranges.py
+++ b/rosemarydeal/policy/keyranges/restored_ranges.py
@@ -41,7 +41,12 @@
         return None if self._outdated_since is None else now - self._outdated_since
 
     def update(
-        self, table: RangeTable | None, outdated: bool, lease_valid: bool, now: float
+        self,
+        table: RangeTable | None,
+        outdated: bool,
+        lease_valid: bool,
+        now: float,
+        withheld: Sequence[KeyRange] = (),
     ) -> None:
         """Applies a change of the table.
 
@@ -50,6 +55,8 @@
             outdated: Whether it was not written in the present era of the store.
             lease_valid: Whether the ownership lease of this node is valid.
             now: The current time.
+            withheld: Own ranges that a write without a known result gives away. It
+                may have been carried out and lost by the restore.
         """
         if table is None:
             return
@@ -62,6 +69,10 @@
         restored_token = former.restored_token if former is not None else 0
         if table.restored_token and table.restored_token != restored_token:
             owned = tables.owned_by(former, self._node) if former is not None else ()
+            for given_away in withheld:
+                owned = [
+                    part for keys in owned for part in tables.subtract(keys, given_away)
+                ]
             self._retained = _joined(self.usable(owned, now)) if lease_valid else ()
             self._restored_at = now
         self._table = table
