Restore a lost table also while all owners hand keys over

Callers could have seen the keys of a service unserved for good.

Cause: a hand-over keeps its process from proposing anything else until its new owners are written. While the store holds no table of its era, nothing but a restore of the table can be written, so the hand-over waits for it. If every process that could restore the table is in a hand-over, none does.

Evidence: two VMs hand keys over to each other while the store rejects writes, and the table is damaged, or the store restored from a copy. Before the change no key was served and both processes still waited 18 s after the store accepted writes again (damaged).

Change: a waiting hand-over restores the table if that is due in its process. The restored table has other tokens, so that the hand-over ends.

--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -359,3 +359,33 @@
 @then("its tokens are above {token:d}")
 def step_tokens_above(context, token):
     assert all(keys.token > token for keys in context.proposal.table.ranges)
+
+
+@given("each hands keys over to the other while the store rejects writes")
+def step_each_hands_over(context):
+    async def go():
+        deployment = context.deployment
+        nodes, store = deployment.nodes, deployment.store
+        ownerships = {name: node._ownership for name, node in nodes.items()}
+        await deployment.wait(lambda: not any(o._writing for o in ownerships.values()))
+        store.take_copy()
+        store.rejects_writes = True
+        for name, other in (("vm-a", "vm-b"), ("vm-b", "vm-a")):
+            new_owner = nodes[name]._records.members[other]
+            keys = ownerships[name].owned[0]
+            ownerships[name]._start_hand_over(((keys, new_owner),))
+        await deployment.wait(
+            lambda: not any(map(deployment.holders, deployment.sample()))
+        )
+
+    run(context, go())
+
+
+@when("the table is {lost}, and the store accepts writes again")
+def step_table_lost(context, lost):
+    store = context.deployment.store
+    if lost == "restored":
+        store.restore()
+    else:
+        store.put(RANGES, "box-office", {"service": "box-office", "odd": True})
+    store.rejects_writes = False
--- a/features/table_writes.feature
+++ b/features/table_writes.feature
@@ -78,3 +78,15 @@
     When the members have been stable for 4.0 seconds
     Then a proposes a table whose owners wait until former leases have expired
     And its tokens are above 100000
+
+  Scenario Outline: All owners have hand-overs in progress as the table is lost
+    Given a deployment of 2 VMs
+    And each hands keys over to the other while the store rejects writes
+    When the table is <lost>, and the store accepts writes again
+    Then all processes know the same table within 10 seconds
+    And all keys are served again within 14 seconds
+
+    Examples:
+      | lost     |
+      | damaged  |
+      | restored |
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -623,6 +623,9 @@
         pause = WRITE_RETRY_FIRST_S
         while True:
             base = self._table_base()
+            if not base.current:
+                await self._write_restored(base)
+                base = self._table_base()
             moved = [
                 (keys, new_owner, handover)
                 for (_, new_owner), parts in zip(transfers, released, strict=True)
@@ -639,6 +642,16 @@
             await asyncio.sleep(pause * random.uniform(0.7, 1.3))
             pause = min(WRITE_RETRY_MAX_S, 2 * pause)
 
+    async def _write_restored(self, base: TableBase) -> None:
+        """Restores the table if that is due here.
+
+        A hand-over keeps other proposals from being made, and can't end before.
+        """
+        proposal = proposals.propose(base.table, self._view(now()))
+        if isinstance(proposal, proposals.WriteTable):
+            change = TableChange(base, proposal.table, proposal.reason)
+            await self._table_writer.write(change)
+
     async def _write_proposal(self, change: TableChange) -> None:
         """Writes a proposed table; the next proposal may follow."""
         try:
