--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -69,3 +69,15 @@
     When the upstream of vm-b refuses a grant, and listens again before it announces its next life
     Then its next life has taken no keys under a token of the former one
     And all keys are served again within 3 seconds
+
+  Scenario Outline: An upstream takes keys again that others got by a write which was lost
+    Given a deployment of 3 VMs
+    When a write that gives keys of vm-a away is carried out without an answer
+    And <lost>, so that vm-a never learns of that write
+    Then all keys are served again within 14 seconds
+    And no key was ever held by two upstreams
+
+    Examples:
+      | lost                  |
+      | the store is restored |
+      | the table is damaged  |
