Keep the refusal of a former upstream's grant from holding back its successor

Cause: a refused grant marked the time of the refusal, and no grant followed before the next announcement, also if the call was meant for an upstream that had been replaced meanwhile.

Evidence: features/late_grants.feature, "A refusal that a former upstream caused ..."; failed before (no grant), passes since.

Change: only a refusal of the current incarnation counts. The steps of a merged scenario run again.

--- a/features/late_grants.feature
+++ b/features/late_grants.feature
@@ -49,3 +49,8 @@
     Given an upstream that ends after it has announced itself
     When its keys are to be granted, and 0.3 s later the next one listens there under the same id
     Then the next one takes its keys once an announcement has arrived
+
+  Scenario: A refusal that a former upstream caused holds back the grants of its successor
+    Given an upstream whose connection takes 0.3 s to be refused
+    When its successor announces itself meanwhile
+    Then the successor is granted its keys after the refusal without a further announcement
--- a/features/mutant_list_calls.py
+++ b/features/mutant_list_calls.py
@@ -7,7 +7,7 @@
 __all__ = ["MUTANTS"]
 
 LATE = ("-m", "features.run", "features/late_grants.feature")
-RELEASED = ("-m", "features.run", "features/released_keys.feature")
+RELEASED = ("-m", "features.run", "features/released_keys.feature", "--name")
 GRANTS = "rosemarydeal/node/grants.py"
 
 MUTANTS = (
@@ -44,20 +44,20 @@
         "rosemarydeal/node/ownership.py",
         "            self._unsettled = change\n",
         "            pass\n",
-        RELEASED,
+        (*RELEASED, "while the write that gives them away has no answer"),
     ),
     Mutant(
         "a write without an answer waited for without an end",
         "rosemarydeal/node/ownership.py",
         "case None if self._unsettled is not None and base.current:",
         "case None if False:",
-        RELEASED,
+        (*RELEASED, "Keys stay unserved"),
     ),
     Mutant(
         "an owner removed because one peer can't reach it",
         "rosemarydeal/node/membership.py",
         "if self._owns_keys(node):",
         "if False:",
-        RELEASED,
+        (*RELEASED, "one peer can't reach"),
     ),
 )
--- a/features/steps/late_grants_steps.py
+++ b/features/steps/late_grants_steps.py
@@ -21,7 +21,7 @@
 from rosemarydeal.node.grants import CallGrantCarrier
 from rosemarydeal.node.heartbeat_grants import HeartbeatGrantCarrier
 from rosemarydeal.node.upstream import UpstreamState
-from rosemarydeal.platform.upstream import UpstreamClient
+from rosemarydeal.platform.upstream import UpstreamCallFailed, UpstreamClient
 from rosemarydeal.policy.keyranges.ownership_lease import (
     CLOCK_DRIFT,
     LEASE_S,
@@ -210,6 +210,9 @@
     def __init__(self, state):
         self.state = state
 
+    def is_current(self, incarnation):
+        return self.state.incarnation == incarnation
+
     def report_call_refused(self):
         """Changes nothing, as announcements arrived a short time ago."""
 
@@ -260,3 +263,53 @@
 def step_after(context):
     assert not context.taken_after[False], context.endpoint.taken
     assert context.taken_after[True], context.endpoint.taken
+
+
+class RefusedOnce:
+    """A client whose first grant is refused after a while."""
+
+    def __init__(self, delay_s):
+        self.granted = []
+        self._delay_s = delay_s
+
+    async def grant(self, keys, instance, hold_s, timeout_s):
+        if not self._delay_s:
+            hold_s()
+            self.granted.append(keys)
+            return
+        delay_s, self._delay_s = self._delay_s, 0.0
+        await asyncio.sleep(delay_s)
+        raise UpstreamCallFailed("refused", sent=False, refused=True)
+
+
+@given("an upstream whose connection takes {seconds:g} s to be refused")
+def step_refused_late(context, seconds):
+    context.client = RefusedOnce(seconds)
+    context.watch = UpstreamWatchStandIn(upstream_state(KEYS))
+
+
+@when("its successor announces itself meanwhile")
+def step_successor(context):
+    async def go():
+        carrier = CallGrantCarrier(
+            context.client, context.watch, 0.0, lambda: None, lambda: None
+        )
+        terms = terms_with_lease_left(8.0)
+        carrier.update([KEYS], terms)
+        await asyncio.sleep(STEP_S)
+        context.successor_keys = replace(KEYS, incarnation="i-2@2", token=2)
+        context.watch.state = upstream_state(context.successor_keys)
+        # The table names the successor after the refusal.
+        await asyncio.sleep(CALL_TIME_S)
+        carrier.update([context.successor_keys], terms)
+        await asyncio.sleep(STEP_S)
+        await carrier.close()
+
+    asyncio.run(go())
+
+
+@then(
+    "the successor is granted its keys after the refusal without a further announcement"
+)
+def step_successor_granted(context):
+    assert context.client.granted == [context.successor_keys], context.client.granted
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -327,6 +327,8 @@
         await asyncio.sleep(UNANNOUNCED_S)
         endpoint.restart()
 
+    run(context, go())
+
 
 @then("its next life has taken no keys under a token of the former one")
 def step_new_tokens(context):
--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -297,7 +297,7 @@
             _log.info("grant_unanswered", detail=error.detail)
             grant.renew_at = now() + GRANT_RETRY_S
             arrived = error.sent
-            if error.refused:
+            if error.refused and self._watch.is_current(grant.keys.incarnation):
                 self._refused_at = now()
                 self._watch.report_call_refused()
         finally:
