End a new process's wait only under a table of the present era

What callers could have seen: two owners of a key after a restore of the store.

Cause: a new process waits for a table with a later revision than its first read found, as a write of its predecessor may follow. The copy that a restore brings has a later era, and ended the wait, though the restore may have lost that write after it had been acted upon. A lease that had been renewed during the wait then counted as one under which the process had used the keys, and it went on with them.

Change: only a table that is current ends the wait, and the lease is looked at before. The simulated owners follow both.

--- a/features/restored_world.py
+++ b/features/restored_world.py
@@ -148,8 +148,9 @@
         return self.records.is_table_outdated(SERVICE)
 
     def update(self, now):
-        self.barrier.note_table(self.base.revision)
         valid = now < ownership_lease.lease_expiry(self.lease)
+        if self.base.current:
+            self.barrier.note_table(self.base.revision)
         self.restored.update(self.table, self.is_outdated(), valid, now, self.withheld)
         self.settle_transfer()
 
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -256,9 +256,10 @@
     def on_table_changed(self) -> None:
         """Applies a change of the table without waiting for the next step."""
         self._changed.set()
-        self._barrier.update()
         moment = now()
+        # Before the barrier is passed, this process has used none of its keys.
         lease_valid = moment < ownership_lease.lease_expiry(self._lease)
+        self._barrier.update()
         self._restored.update(
             self.table, self._is_outdated(), lease_valid, moment, self._withheld
         )
--- a/rosemarydeal/node/start_barrier.py
+++ b/rosemarydeal/node/start_barrier.py
@@ -75,13 +75,15 @@
         listing = self._first_listing()
         if listing is not None:
             self._barrier.note_position(listing)
-        revision = self._records.table_base(self._identity.service).revision
-        self._barrier.note_table(revision)
+        base = self._records.table_base(self._identity.service)
+        if base.current:
+            # A copy that a restore brings does not show a predecessor's write.
+            self._barrier.note_table(base.revision)
         if self.passed:
             after_s = round(now() - self._created_at, 3)
             _log.info(
                 "start_barrier_passed",
-                revision=revision,
+                revision=base.revision,
                 writes=self._writes,
                 after_s=after_s,
             )
