--- a/rosemarydeal/node/grants.py
+++ b/rosemarydeal/node/grants.py
@@ -309,7 +309,7 @@
     def _issue(self, call: _GrantCall) -> float:
         """Returns the duration of a grant that is written now, in seconds.
 
-        The process may have stood still since the grant was decided, and the range
+        The process may have been paused since the grant was decided, and the range
         may have been given away or split while the connection was opened.
 
         Raises:
