Log the runs that an upstream cut off, and whom a crash is charged to

Change: run_lost, crash_suspect_cleared, and the fingerprints in upstream_crashed, which is written also when nothing is charged.

--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -469,6 +469,11 @@
                 if status in SUCCESSES and self._crash_suspects.clear(
                     active.fingerprint
                 ):
+                    _log.info(
+                        "crash_suspect_cleared",
+                        request_id=active.request.request_id,
+                        fingerprint=active.fingerprint,
+                    )
                     self._hooks.on_suspect_cleared(active.fingerprint)
                 if load is not None:
                     self._slowdown += SLOWDOWN_WEIGHT * (load.slowdown - self._slowdown)
@@ -485,6 +490,13 @@
                     if refused:
                         self._watch.report_connect_failed(incarnation)
                     return NotServed(code, elsewhere=True)
+                _log.info(
+                    "run_lost",
+                    request_id=active.request.request_id,
+                    fingerprint=active.fingerprint,
+                    incarnation=incarnation,
+                    code=code,
+                )
                 return OutcomeUnknown(code, timed_out)
 
     def _record_crash(self) -> None:
@@ -494,8 +506,8 @@
             for active in self._active.values()
             if active.task is not None and not active.unsent
         )
+        _log.warning("upstream_crashed", fingerprints=fingerprints)
         if fingerprints:
-            _log.warning("upstream_crashed", running=len(fingerprints))
             self._crash_suspects.record_crash(fingerprints, now())
             self._hooks.on_crash(fingerprints)
 
