--- a/features/builders_node_programs.py
+++ b/features/builders_node_programs.py
@@ -22,7 +22,7 @@
 node_name = "{name}"
 zone = "{zone}"
 zones = ["perth-a", "perth-b"]
-service = "box-office"
+service = "{service}"
 ip = "{host}"
 app_addr = "{host}:9001"
 internal_ports = [9005, 9006]
@@ -139,6 +139,7 @@
             "name": name,
             "zone": self.zone(name),
             "host": self.hosts[name],
+            "service": "box-office",
             "store": self.address,
             "grants": self.carrier.name.lower(),
             "grace_s": GRACE_S,
