Charge a crash to the runs that the upstream cut off, and stop their request

What callers saw: one request that comes each 0.4 s ended upstreams for as long as it came; lookups of others got 502 and 503 meanwhile.

Cause: a crash was charged to the requests that were active when the process learnt of it, by a refused connection or the next incarnation. The run that had crashed the upstream had left them before, when its connection closed, so that nothing or bystanders were charged. The count was sent once, to the peers that could be reached; the fingerprint had no caller; and an idempotent request went on to the next upstream within milliseconds.

Change: runs whose connection the upstream closed stay on record until a new connection, the next incarnation or an answer shows whether it crashed (policy/dispatch/lost_runs.py, node/crash_watch.py); the outcome waits for that, 0.3 s at most. Suspects run at one upstream, one at a time; three crashes, one of them in turn, condemn a request until it has not come for ten minutes. Records are sets of crashed incarnations, sent on each new link too. An upstream that accepts no connection after it cut off runs is sent nothing more until it is heard; its keys count as held (silent).

Tests changed: two crashes alone rejected a request before, which let bystanders of two crashes be rejected; the scenarios in dispatch.feature ask for three, one in turn, and that one which ran beside others at all three still runs. The 5000 suspects are kept to the same number; the condemned one is now kept for ten minutes. node.feature clears after two crashes and sees a third.

--- a/features/builders_rate_limit.py
+++ b/features/builders_rate_limit.py
@@ -12,6 +12,7 @@
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import Announcement, Service
 from rosemarydeal.core.requests import Answered, UpstreamNotice
+from rosemarydeal.node.crash_watch import CrashHooks
 from rosemarydeal.node.guard import Guard, GuardHooks
 from rosemarydeal.node.metrics import Metrics
 from rosemarydeal.node.upstream import UpstreamWatch
@@ -70,8 +71,7 @@
     hooks = GuardHooks(
         lambda key: Admission.RUN,
         lambda: False,
-        lambda fingerprints: None,
-        lambda fingerprint: None,
+        CrashHooks(lambda records: None, lambda fingerprint: None),
         lambda: SERVICE,
     )
     watch = UpstreamWatch(
--- a/features/builders_slots.py
+++ b/features/builders_slots.py
@@ -30,6 +30,9 @@
         self.open = {}
         self.sent = 0
 
+    async def check_listens(self, timeout_s):
+        """Accepts the connection."""
+
     async def run(self, upstream_request):
         self.sent += 1
         request_id = upstream_request.request.request_id
@@ -75,7 +78,7 @@
 
     def fail(self, request_id):
         """Cuts the connection of a request that the upstream has."""
-        self._end(request_id, Failed("send-failed", sent=True))
+        self._end(request_id, Failed("send-failed", sent=True, closed=True))
 
     def restart_upstream(self):
         """Has a new incarnation of the upstream announce itself."""
--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -43,15 +43,37 @@
   Scenario: Processes that start again repeat their share of the fixed retries
     Then 9 processes of ratio 0.2 and slack 58 that start again each 3 seconds stay in budget
 
-  Scenario: A request that ran during two crashes of upstreams is rejected
-    Given a request that ran when two upstreams crashed
+  Scenario: A request that was running at three crashes of upstreams is rejected
+    Given a request that was running at three crashes, at the last as the only suspect
     Then the crash suspect is rejected
-    But a request that succeeded after the first crash is not
+    But a request that was answered after the first crash is not
+    And one that ran beside other suspects at all three crashes runs in its turn
+
+  Scenario: A crash that a process is told of more than once counts once
+    Given a request that was running at two crashes, which three processes report
+    Then the request runs in its turn
+
+  Scenario: A condemned request that keeps coming is forgotten after a minute
+    Given a request that was running at three crashes, at the last as the only suspect
+    When it comes every 30 seconds for 40 minutes
+    Then it is rejected each time
+    And it may run again 10 minutes after it came last
+
+  Scenario: A process that starts does not know the suspects of its peers
+    Given a request that was running at three crashes, at the last as the only suspect
+    When another process is sent the records
+    Then that process rejects the request
+
+  Scenario: A reset of connections is taken for a crash of the upstream
+    Given runs that an upstream lost, and an answer to a request that it was sent later
+    When the upstream ends
+    Then only the runs that were lost after that are charged
 
   Scenario: More crash suspects than a process keeps, and some that are outdated
-    Given 5000 requests that ran when upstreams crashed, the last of them twice
+    Given 5000 requests that ran when upstreams crashed, the last of them at three
     Then the process keeps 4096 of them and rejects the last
-    And after 61 seconds it rejects none of them and keeps none
+    And after 61 seconds it keeps only the one that it rejects
+    And after 601 seconds it rejects none of them and keeps none
 
   Scenario: Claims of crash suspects without a crash are kept for ever
     Given 300 claims of crash suspects by another process
--- a/features/steps/node_parts_steps.py
+++ b/features/steps/node_parts_steps.py
@@ -14,10 +14,11 @@
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import Announcement, Service
 from rosemarydeal.core.requests import Answered, NotServed
+from rosemarydeal.node.crash_watch import CrashHooks, fingerprint_of
 from rosemarydeal.node.guard import Guard, GuardHooks
 from rosemarydeal.node.metrics import Metrics
 from rosemarydeal.node.upstream import UpstreamWatch
-from rosemarydeal.policy.dispatch.crash_suspects import request_fingerprint
+from rosemarydeal.policy.dispatch.crash_suspects import SuspectRecord
 from rosemarydeal.policy.dispatch.queue import Admission
 from rosemarydeal.proxy import HttpLimits, bytes_response, serve
 
@@ -74,8 +75,7 @@
     hooks = GuardHooks(
         lambda key: Admission.RUN,
         lambda: False,
-        lambda fingerprints: None,
-        on_suspect_cleared,
+        CrashHooks(lambda records: None, on_suspect_cleared),
         lambda: services[0] if services else None,
     )
     watch = UpstreamWatch(
@@ -119,10 +119,7 @@
     context.loop = asyncio.new_event_loop()
     context.add_cleanup(context.loop.close)
     context.request = a_routed_request()
-    request = context.request
-    context.fingerprint = request_fingerprint(
-        request.method, request.target, request.body
-    )
+    context.fingerprint = fingerprint_of(context.request)
 
     async def make_guards():
         other = a_guard([SERVICE], [])
@@ -130,7 +127,9 @@
 
     context.guards = run(context, make_guards())
     for guard in context.guards:
-        guard.add_crash_suspects((context.fingerprint,))
+        guard.add_crash_suspects(
+            [SuspectRecord(context.fingerprint, ("i-1@1", "i-2@1"), in_turn=True)]
+        )
 
 
 @when("the request succeeds at one guard and the other upstream crashes on it again")
@@ -138,7 +137,7 @@
     outcome = run(context, context.guards[0].serve(context.request))
     assert isinstance(outcome, Answered), outcome
     for guard in context.guards:
-        guard.add_crash_suspects((context.fingerprint,))
+        guard.add_crash_suspects([SuspectRecord(context.fingerprint, ("i-3@1",))])
 
 
 @then("the other guard still runs the request")
--- a/rosemarydeal/core/requests.py
+++ b/rosemarydeal/core/requests.py
@@ -167,12 +167,14 @@
         sent: Whether the upstream may have received, and run, the request.
         timed_out: Whether the time ran out.
         refused: Whether nothing listens at the upstream's address.
+        closed: Whether the upstream closed the connection before its answer ended.
     """
 
     code: str
     sent: bool
     timed_out: bool = False
     refused: bool = False
+    closed: bool = False
 
 
 UpstreamResult = Answered | Rejected | Failed
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -20,7 +20,12 @@
     RoutedRequest,
 )
 from rosemarydeal.platform import callers
-from rosemarydeal.policy.dispatch.crash_suspects import request_fingerprint
+from rosemarydeal.policy.dispatch.crash_suspects import (
+    Verdict,
+    request_fingerprint,
+    suspect_fingerprint,
+    turn_node,
+)
 from rosemarydeal.policy.dispatch.retry_budget import RetryBudget
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.requests import attempts, planned_stop
@@ -39,6 +44,7 @@
     Response,
 )
 
+from .crash_watch import SUSPECT
 from .guard import Guard
 from .health import UpstreamHealth
 from .links import Links
@@ -210,6 +216,8 @@
             if self._stop.too_near(moment):
                 log_rejection_at_entry(progress, self._stop)
                 return planned_stop.rejection(False, progress.deadline - moment)
+            if self._verdict(progress) is Verdict.CONDEMNED:
+                return SUSPECT
             node = await self._find_node(progress, tried)
             if isinstance(node, NotServed):
                 return node
@@ -282,6 +290,29 @@
         except TimeoutError:
             return OutcomeUnknown("timeout", timed_out=True)
 
+    def _verdict(self, progress: Progress) -> Verdict:
+        """Returns how a request may run."""
+        suspects = self._guard.crash_suspects
+        if not suspects.any:
+            return Verdict.CLEAR
+        moment = now()
+        fingerprint = self._suspect_fingerprint(progress)
+        verdict = suspects.verdict(fingerprint, moment)
+        if verdict is Verdict.CONDEMNED:
+            suspects.note_rejected(fingerprint, moment)
+        return verdict
+
+    def _suspect_fingerprint(self, progress: Progress) -> str:
+        """Returns the fingerprint under which a request is a suspect."""
+        request = progress.request
+        return suspect_fingerprint(
+            progress.service,
+            self._identity.service,
+            request.method,
+            request.target,
+            request.body,
+        )
+
     def _find_owner(self, service: str, key: int) -> str | None:
         """Returns the node that owns a key, or None if it can't be reached."""
         table = self._records.table(service)
@@ -307,12 +338,17 @@
             ]
             for members in self._accepting_members(progress.service)
         )
-        candidates = map(
-            self._candidate,
-            shortlist(same_zone_members, other_zone_members, self._random),
-        )
-        profile = self._profiles.profile(progress.route)
-        node = choose(candidates, profile, self._random.random())
+        if self._verdict(progress) is Verdict.SUSPECT:
+            members = (*same_zone_members, *other_zone_members)
+            fingerprint = self._suspect_fingerprint(progress)
+            node = turn_node(fingerprint, (member.node for member in members))
+        else:
+            candidates = map(
+                self._candidate,
+                shortlist(same_zone_members, other_zone_members, self._random),
+            )
+            profile = self._profiles.profile(progress.route)
+            node = choose(candidates, profile, self._random.random())
         if node is not None:
             self._incarnations_tried[node] = self._records.members[node].incarnation
         return node
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 import structlog
@@ -29,10 +29,7 @@
 )
 from rosemarydeal.platform.upstream import UpstreamClient
 from rosemarydeal.policy.dispatch.cold_start import ColdStartLimiter
-from rosemarydeal.policy.dispatch.crash_suspects import (
-    CrashSuspectCounter,
-    request_fingerprint,
-)
+from rosemarydeal.policy.dispatch.crash_suspects import KnownSuspects, SuspectRecord
 from rosemarydeal.policy.dispatch.queue import (
     Admission,
     Decision,
@@ -46,6 +43,7 @@
 from rosemarydeal.policy.requests.planned_stop import CODE_STOP_TOO_NEAR, PlannedStop
 from rosemarydeal.policy.routing import leaving
 
+from .crash_watch import CODE_SUSPECT, SUSPECT, CrashHooks, CrashWatch
 from .metrics import Metrics
 from .slots import DispatchSlots
 from .stop_log import log_rejection_at_guard
@@ -66,8 +64,6 @@
 ZONE_OUT = NotServed("zone-out", elsewhere=True)
 # A restarted process is back after about 0.8 s.
 PROCESS_ENDING = NotServed("process-ending", 0.8)
-SUSPECT = NotServed("crash-suspect")
-SUCCESSES = range(200, 300)
 
 _log = structlog.get_logger()
 
@@ -79,17 +75,13 @@
     Attributes:
         admits: Returns whether requests for a key may run here now.
         zone_out: Returns whether operators took this zone out.
-        on_crash: Called with the fingerprints of the requests that ran when the
-            upstream crashed.
-        on_suspect_cleared: Called with the fingerprint of a crash suspect that
-            has succeeded.
+        crashes: Tell the peers of requests that crash the upstream.
         service: Returns the settings of this upstream's service.
     """
 
     admits: Callable[[int], Admission]
     zone_out: Callable[[], bool]
-    on_crash: Callable[[tuple[str, ...]], None]
-    on_suspect_cleared: Callable[[str], None]
+    crashes: CrashHooks
     service: Callable[[], Service | None]
 
 
@@ -98,16 +90,15 @@
     """A request that is queued or running here.
 
     Attributes:
-        unsent: Whether its attempt has ended before anything was sent.
+        in_turn: Whether it runs as the only suspect of a crash.
     """
 
     request: RoutedRequest
-    fingerprint: str
+    in_turn: bool
     arrived_at: float
     deadline: float
     future: asyncio.Future[RequestOutcome]
     task: asyncio.Task[None] | None = None
-    unsent: bool = False
 
 
 class Guard:
@@ -135,7 +126,7 @@
             self._cold_limiter, self._rate_limiter, hooks.admits
         )
         self._dispatch_slots = DispatchSlots(self._queue, self._apply_decisions)
-        self._crash_suspects = CrashSuspectCounter()
+        self._crash_watch = CrashWatch(client, watch, hooks.crashes)
         self._active: dict[int, _ActiveRequest] = {}
         self._last_number = 0
         self._slowdown = 1.0
@@ -164,6 +155,11 @@
         """Returns the owner of the slots that are in use."""
         return self._dispatch_slots
 
+    @property
+    def crash_suspects(self) -> KnownSuspects:
+        """Returns the requests that may crash upstreams."""
+        return self._crash_watch.suspects
+
     @property
     def demand(self) -> float:
         """Returns the work that arrives, as a share of the slots' capacity."""
@@ -229,6 +225,13 @@
 
     async def serve(self, request: RoutedRequest) -> RequestOutcome:
         """Runs a request at the upstream, or returns why it was not run."""
+        outcome = await self._crash_watch.run(request, self._serve)
+        if isinstance(outcome, NotServed) and outcome.code == CODE_SUSPECT:
+            self._record_outcome(request, "refused", CODE_SUSPECT, 0.0)
+        return outcome
+
+    async def _serve(self, request: RoutedRequest, in_turn: bool) -> RequestOutcome:
+        """Runs a request that is no suspect of a crash, or whose turn it is."""
         rejection = self._rejection(request)
         if rejection is not None:
             self._record_outcome(request, "refused", rejection.code, 0.0)
@@ -238,14 +241,11 @@
         moment = now()
         active = _ActiveRequest(
             request,
-            request_fingerprint(request.method, request.target, request.body),
+            in_turn,
             moment,
             moment + request.time_left_s,
             asyncio.get_running_loop().create_future(),
         )
-        if self._crash_suspects.is_suspect(active.fingerprint, moment):
-            self._record_outcome(request, "refused", SUSPECT.code, 0.0)
-            return SUSPECT
         self._active[number] = active
         if request.key is not None:
             self._arrivals.append((moment, request.key))
@@ -286,12 +286,7 @@
             self._rate_limiter.reset()
         if state.alive:
             self._cold_limiter.set_cold(moment + cold_left_s, cold_per_s)
-        if (
-            old is not None
-            and old.alive
-            and (not state.alive or old.incarnation != state.incarnation)
-        ):
-            self._record_crash()
+        self._crash_watch.note_state(state, old)
         if state.accepting:
             self._queue.open()
             self.advance()
@@ -321,13 +316,13 @@
             self._queue.open()
             self.advance()
 
-    def add_crash_suspects(self, fingerprints: tuple[str, ...]) -> None:
-        """Counts a crash of a peer's upstream against the requests it was running."""
-        self._crash_suspects.record_crash(fingerprints, now())
+    def add_crash_suspects(self, records: Iterable[SuspectRecord]) -> None:
+        """Adds requests that may crash upstreams, which a peer knows."""
+        self._crash_watch.merge(records)
 
     def clear_suspect(self, fingerprint: str) -> None:
-        """Clears a crash suspect, since the request succeeded at a peer."""
-        self._crash_suspects.clear(fingerprint)
+        """Clears a suspect of a crash, since it was answered at a peer."""
+        self._crash_watch.clear(fingerprint)
 
     def runs_in(self, first: int, last: int) -> int:
         """Returns the number of running requests for the keys of a range."""
@@ -391,7 +386,7 @@
         self._schedule()
 
     def _start(self, number: int) -> list[Decision]:
-        """Runs a request, or withdraws it if its caller left in the same turn.
+        """Runs a request, unless its caller has left or it was condemned meanwhile.
 
         Returns:
             What the queue decides when a request is withdrawn.
@@ -400,6 +395,9 @@
         if active is None or active.future.done():
             self._remove_left()
             return self._queue.withdraw(number, now())
+        if self._crash_watch.is_condemned(active.request):
+            self._reject(number, SUSPECT)
+            return self._queue.withdraw(number, now())
         active.task = self._dispatch_slots.start(number, self._run(number, active))
         return []
 
@@ -445,6 +443,11 @@
             )
             result = await self._client.run(upstream_request)
             self._notices.apply(result, incarnation, started)
+            if isinstance(result, Failed) and result.sent and result.closed:
+                # Nothing more is sent meanwhile in the place of this request.
+                await self._crash_watch.confirm(
+                    active.request, incarnation, active.in_turn
+                )
         except Exception as error:
             # The caller waits for an outcome, and the request may have been sent.
             self._failures.note("dispatch", error)
@@ -452,7 +455,11 @@
         finally:
             completed = isinstance(result, Answered)
             self._dispatch_slots.finish(number, completed)
-        outcome = self._outcome(active, result, incarnation)
+        if isinstance(result, Answered):
+            self._crash_watch.note_answer(
+                active.request, result.status, incarnation, started
+            )
+        outcome = self._outcome(result, incarnation)
         load = result.load if isinstance(result, Answered | Rejected) else None
         self._record_outcome(
             active.request, *attempts.outcome_labels(outcome), now() - started, load
@@ -460,21 +467,10 @@
         if not active.future.done():
             active.future.set_result(outcome)
 
-    def _outcome(
-        self, active: _ActiveRequest, result: UpstreamResult, incarnation: str
-    ) -> RequestOutcome:
+    def _outcome(self, result: UpstreamResult, incarnation: str) -> RequestOutcome:
         """Converts the result of an incarnation of the upstream into an outcome."""
         match result:
-            case Answered(status, load=load, notice=notice):
-                if status in SUCCESSES and self._crash_suspects.clear(
-                    active.fingerprint
-                ):
-                    _log.info(
-                        "crash_suspect_cleared",
-                        request_id=active.request.request_id,
-                        fingerprint=active.fingerprint,
-                    )
-                    self._hooks.on_suspect_cleared(active.fingerprint)
+            case Answered(load=load, notice=notice):
                 if load is not None:
                     self._slowdown += SLOWDOWN_WEIGHT * (load.slowdown - self._slowdown)
                 if notice is not None and notice.leaving:
@@ -486,31 +482,11 @@
                 )
             case Failed(code, sent, timed_out, refused):
                 if not sent:
-                    active.unsent = True
                     if refused:
                         self._watch.report_connect_failed(incarnation)
                     return NotServed(code, elsewhere=True)
-                _log.info(
-                    "run_lost",
-                    request_id=active.request.request_id,
-                    fingerprint=active.fingerprint,
-                    incarnation=incarnation,
-                    code=code,
-                )
                 return OutcomeUnknown(code, timed_out)
 
-    def _record_crash(self) -> None:
-        """Counts a crash against the running requests, here and at the peers."""
-        fingerprints = tuple(
-            active.fingerprint
-            for active in self._active.values()
-            if active.task is not None and not active.unsent
-        )
-        _log.warning("upstream_crashed", fingerprints=fingerprints)
-        if fingerprints:
-            self._crash_suspects.record_crash(fingerprints, now())
-            self._hooks.on_crash(fingerprints)
-
     def _discard(self, number: int, active: _ActiveRequest) -> None:
         """Removes a request and cancels it if it still runs."""
         self._active.pop(number, None)
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -68,6 +68,8 @@
         on_object_update: Called with a changed object that a peer sent.
         on_object_changes: Called with a node and the changes that it sent.
         on_table_delta: Called with a table delta that a peer sent.
+        crash_suspects: Returns the suspects of crashes, for a peer that may know none;
+            None if there are none.
         on_crash_suspects: Called with the requests suspected of a peer's crash.
         on_suspect_cleared: Called with a suspect that has succeeded at a peer.
         on_store_silence: Called when a process of the zone had a silent connection
@@ -85,6 +87,7 @@
     on_object_update: Callable[[ObjectUpdate], None]
     on_object_changes: Callable[[str, ObjectChanges], None]
     on_table_delta: Callable[[TableDelta], None]
+    crash_suspects: Callable[[], CrashSuspects | None]
     on_crash_suspects: Callable[[CrashSuspects], None]
     on_suspect_cleared: Callable[[SuspectCleared], None]
     on_store_silence: Callable[[], None]
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -347,6 +347,9 @@
         link.connection = connection
         connection.peer = link.node
         connection.send(Hello(self._node, self._process, link.node))
+        suspects = self._hooks.crash_suspects()
+        if suspects is not None:
+            connection.send(suspects)
         link.leaving = False
         link.reads_store = True
         link.unreachable_since = None
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -26,6 +26,7 @@
     RequestOutcome,
     RoutedRequest,
 )
+from rosemarydeal.policy.dispatch.crash_suspects import SuspectRecord
 from rosemarydeal.policy.keyranges import table as tables
 
 __all__ = [
@@ -268,9 +269,20 @@
 
 
 class CrashSuspects(_Base, tag=12):
-    """Fingerprints of the requests that were running when an upstream crashed."""
+    """Requests that may crash upstreams.
+
+    Processes of an earlier version send the fingerprints alone, without the crashes.
+    """
 
     fingerprints: tuple[str, ...]
+    records: tuple[SuspectRecord, ...] = ()
+
+    def to_records(self) -> tuple[SuspectRecord, ...]:
+        """Returns what the sender knows of the requests."""
+        unnamed = ("unnamed",)
+        return self.records or tuple(
+            SuspectRecord(fingerprint, unnamed) for fingerprint in self.fingerprints
+        )
 
 
 class SuspectCleared(_Base, tag=17):
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -27,6 +27,7 @@
 )
 
 from .caller_limits import DEFAULT_LIMITS, UNCONFIGURED_LIMITS, http_limits
+from .crash_watch import CrashHooks
 from .entry import Entry
 from .guard import ZONE_OUT, Guard, GuardHooks
 from .health import UpstreamHealth
@@ -283,8 +284,9 @@
                 self._store_watcher.apply_peer_changes(node, changes)
             ),
             on_table_delta=lambda delta: self._records.apply_table_delta(delta),
+            crash_suspects=self._shared_suspects,
             on_crash_suspects=lambda suspects: self._guard.add_crash_suspects(
-                suspects.fingerprints
+                suspects.to_records()
             ),
             on_suspect_cleared=lambda cleared: self._guard.clear_suspect(
                 cleared.fingerprint
@@ -298,15 +300,24 @@
         return GuardHooks(
             admits=self._ownership.admits,
             zone_out=self._is_zone_out,
-            on_crash=lambda fingerprints: self._links.broadcast(
-                CrashSuspects(fingerprints)
-            ),
-            on_suspect_cleared=lambda fingerprint: self._links.broadcast(
-                SuspectCleared(fingerprint)
+            crashes=CrashHooks(
+                on_crash=lambda records: self._links.broadcast(
+                    CrashSuspects(
+                        tuple(record.fingerprint for record in records), tuple(records)
+                    )
+                ),
+                on_cleared=lambda fingerprint: self._links.broadcast(
+                    SuspectCleared(fingerprint)
+                ),
             ),
             service=self._own_service,
         )
 
+    def _shared_suspects(self) -> CrashSuspects | None:
+        """Returns the known suspects of crashes, None if there are none."""
+        records = self._guard.crash_suspects.shared_records(now())
+        return CrashSuspects((), tuple(records)) if records else None
+
     def _load(self) -> LoadReport:
         """Returns the load of the own upstream."""
         return LoadReport(
@@ -432,6 +443,8 @@
             ("peer_links", len(self._links.up)),
             ("store_reachable", self._access.reachable),
             ("store_era", self._store.era),
+            ("crash_suspects", self._guard.crash_suspects.count),
+            ("crash_suspects_condemned", self._guard.crash_suspects.condemned_count),
             ("starts_unconfirmed", self._start_check.refused),
             ("body_room_bytes", self._bodies.left_bytes),
             ("answer_room_bytes", self._answers.left_bytes),
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -151,6 +151,13 @@
             )
             self._update(replace(state, alive=False, silent=False))
 
+    def report_unreachable(self, incarnation: str) -> None:
+        """Marks an incarnation as gone that accepts no connection but may still run."""
+        state = self._state
+        if self.is_current(incarnation) and state.alive:
+            _log.warning("upstream_gone", incarnation=incarnation, reason="unreachable")
+            self._update(replace(state, alive=False, silent=True))
+
     def report_call_refused(self) -> None:
         """Marks the upstream as gone if it has missed announcements as well."""
         state = self._state
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -37,6 +37,7 @@
     ProxyTimeout,
     Request,
     Response,
+    SendFailed,
     find_header,
     read_bytes,
 )
@@ -202,6 +203,19 @@
         instance = find_header(response.headers, names.INSTANCE) or b""
         return instance.decode("ascii", "replace")
 
+    async def check_listens(self, timeout_s: float) -> None:
+        """Checks that the upstream accepts a connection, which requests use later.
+
+        Raises:
+            UpstreamCallFailed: It does not listen, or accepted none in time.
+        """
+        try:
+            await self._pool.prepare(self._address, timeout_s)
+        except ConnectFailed as error:
+            raise UpstreamCallFailed(repr(error), False, error.refused) from error
+        except ProxyTimeout as error:
+            raise UpstreamCallFailed(repr(error), False) from error
+
     async def run(self, upstream_request: UpstreamRequest) -> UpstreamResult:
         """Sends a request and reads its whole answer.
 
@@ -237,7 +251,10 @@
                 detail=error.detail,
             )
             refused = isinstance(error, ConnectFailed) and error.refused
-            return Failed(error.code, getattr(error, "sent", True), refused=refused)
+            closed = isinstance(error, SendFailed) or getattr(error, "closed", False)
+            return Failed(
+                error.code, getattr(error, "sent", True), refused=refused, closed=closed
+            )
         result = _classify_answer(response, body)
         if (
             isinstance(result, Failed)
--- a/rosemarydeal/policy/dispatch/crash_suspects.py
+++ b/rosemarydeal/policy/dispatch/crash_suspects.py
@@ -1,91 +1,236 @@
 """Detection of requests that crash the upstreams which run them.
 
-Load pattern: a request that crashes every upstream that runs it, and that is
-retried at any process after each crash. Every request that was running when an
-upstream crashed becomes a suspect. A request that was running during two crashes,
-at any process, and has succeeded nowhere since, is rejected for a while. A popular
-request that many callers send runs during many crashes without causing them; it
-soon succeeds at another upstream, and all processes are notified that it is
-cleared.
+Load pattern: a request that crashes every upstream that runs it, and that its caller
+sends again at any process. Each run whose connection the upstream closed when it
+crashed is charged with that crash, and makes its request a suspect at all processes.
+
+A suspect runs at one upstream at a time: all processes choose the same one, and its
+process runs one suspect after the other. One that is answered is cleared everywhere.
+One that was running at several crashes, and was the only suspect running at one of
+these, is condemned: it is rejected for as long as it keeps coming. A popular request
+that runs beside the crashes of another one is answered when its turn comes.
+
+Records are sets of crashed incarnations, so that they can be sent more than once and
+in any order.
 """
 
 from __future__ import annotations
 
 import hashlib
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum, auto
+
+__all__ = [
+    "KnownSuspects",
+    "SuspectRecord",
+    "Verdict",
+    "request_fingerprint",
+    "suspect_fingerprint",
+    "turn_node",
+]
+
+# The platform allows three crashes under one request.
+CRASHES_TO_CONDEMN = 3
+# What a caller sends again after a minute is a new request, which may run again.
+SUSPECT_TTL_S = 60.0
+# In a large fleet each process is sent a small part of the repetitions.
+CONDEMNED_TTL_S = 600.0
+# Bounds the memory if many upstreams crash within that time; the oldest go first.
+MAX_SUSPECTS = 4096
+# Bounds the memory of a request that is in use everywhere during a series of crashes.
+MAX_CRASHES = 8
+# Bounds what a process that starts is sent by each of its peers.
+MAX_SHARED = 256
 
-__all__ = ["CrashSuspectCounter", "request_fingerprint"]
 
-CRASHES_TO_REJECT = 2
-# A request is retried within its deadline, of seconds. What a caller sends again after
-# a minute is a new request, which may run again.
-ENTRY_TTL_S = 60.0
-# Bounds the memory if many upstreams crash within that time; the oldest go first.
-MAX_ENTRIES = 4096
+class Verdict(Enum):
+    """How a request may run.
 
+    Attributes:
+        CLEAR: Like any other.
+        SUSPECT: When it is its turn among the suspects.
+        CONDEMNED: Not at all.
+    """
 
-def request_fingerprint(method: bytes, target: bytes, body: bytes) -> str:
-    """Returns a digest that is the same for all attempts of a request."""
-    digest = hashlib.blake2b(digest_size=12)
-    for part in (method, target, body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
+    CLEAR = auto()
+    SUSPECT = auto()
+    CONDEMNED = auto()
 
 
-@dataclass(slots=True)
-class _Entry:
-    """Number of crashes during which a request was running.
+@dataclass(frozen=True, slots=True)
+class SuspectRecord:
+    """The crashes that a request is charged with.
 
     Attributes:
-        crashes: Number of crashes.
-        last_at: Time of the last one.
+        fingerprint: The request.
+        crashes: The incarnations that crashed while they ran it.
+        in_turn: Whether it was the only suspect running at one of them.
+        age_s: Time since the last crash, or since a condemned one came last.
     """
 
-    crashes: int
+    fingerprint: str
+    crashes: tuple[str, ...]
+    in_turn: bool = False
+    age_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """A record, with the time from which its age counts."""
+
+    crashes: frozenset[str]
+    in_turn: bool
     last_at: float
 
+    @property
+    def condemned(self) -> bool:
+        """Returns whether the request is rejected."""
+        return self.in_turn and len(self.crashes) >= CRASHES_TO_CONDEMN
+
 
-class CrashSuspectCounter:
-    """Crash counts by request fingerprint, in bounded memory."""
+def request_fingerprint(method: bytes, target: bytes, body: bytes) -> str:
+    """Returns a digest that is the same for all attempts of a request."""
+    return _digest(method, target, body)
+
+
+def suspect_fingerprint(
+    service: str, caller_service: str, method: bytes, target: bytes, body: bytes
+) -> str:
+    """Returns a digest that is the same whenever a caller sends a request again.
+
+    Args:
+        service: Service that runs it.
+        caller_service: Service on the VM from which it comes. The same request of
+            another caller may be harmless.
+        method: HTTP method.
+        target: Path and query.
+        body: Complete body.
+    """
+    return _digest(service.encode(), caller_service.encode(), method, target, body)
+
+
+def turn_node(fingerprint: str, nodes: Iterable[str]) -> str | None:
+    """Returns the node that runs a suspect, the same at all processes.
+
+    Args:
+        fingerprint: The suspect.
+        nodes: Nodes that can run it.
+    """
+    marked = fingerprint.encode()
+    return max(nodes, key=lambda node: _digest(marked, node.encode()), default=None)
+
+
+class KnownSuspects:
+    """The suspects that a process knows, in bounded memory."""
 
     def __init__(self) -> None:
-        # In the order of their last crashes.
-        self._entries: OrderedDict[str, _Entry] = OrderedDict()
+        # Both in the order of their times.
+        self._suspects: OrderedDict[str, _Entry] = OrderedDict()
+        self._condemned: OrderedDict[str, _Entry] = OrderedDict()
+
+    @property
+    def any(self) -> bool:
+        """Returns whether there are suspects; without, no fingerprint is needed."""
+        return bool(self._suspects or self._condemned)
 
     @property
     def count(self) -> int:
-        """Returns the number of requests with a crash that counts."""
-        return len(self._entries)
-
-    def record_crash(self, running: tuple[str, ...], now: float) -> None:
-        """Counts a crash for each request that was running."""
-        self._expire(now)
-        for fingerprint in running:
-            entry = self._entries.pop(fingerprint, None) or _Entry(0, now)
-            self._entries[fingerprint] = _Entry(entry.crashes + 1, now)
-        while len(self._entries) > MAX_ENTRIES:
-            self._entries.popitem(last=False)
+        """Returns the number of suspects that are not condemned."""
+        return len(self._suspects)
+
+    @property
+    def condemned_count(self) -> int:
+        """Returns the number of requests that are rejected."""
+        return len(self._condemned)
+
+    def verdict(self, fingerprint: str, now: float) -> Verdict:
+        """Returns how a request that comes now may run."""
+        self.expire(now)
+        if fingerprint in self._condemned:
+            return Verdict.CONDEMNED
+        return Verdict.SUSPECT if fingerprint in self._suspects else Verdict.CLEAR
+
+    def note_rejected(self, fingerprint: str, now: float) -> None:
+        """Notes that a condemned request has come again."""
+        entry = self._condemned.pop(fingerprint, None)
+        if entry is not None:
+            self._put(fingerprint, _Entry(entry.crashes, entry.in_turn, now))
+
+    def merge(self, records: Iterable[SuspectRecord], now: float) -> None:
+        """Adds crashes, which may be known already."""
+        self.expire(now)
+        for record in records:
+            fingerprint = record.fingerprint
+            known = self._condemned.get(fingerprint) or self._suspects.get(fingerprint)
+            crashes, in_turn = frozenset(record.crashes), record.in_turn
+            last_at = now - record.age_s
+            if known is not None:
+                crashes, in_turn = crashes | known.crashes, in_turn or known.in_turn
+                last_at = max(last_at, known.last_at)
+            kept = frozenset(sorted(crashes)[:MAX_CRASHES])
+            self._condemned.pop(fingerprint, None)
+            self._suspects.pop(fingerprint, None)
+            self._put(fingerprint, _Entry(kept, in_turn, last_at))
+        for entries in (self._suspects, self._condemned):
+            while len(entries) > MAX_SUSPECTS:
+                entries.popitem(last=False)
 
     def clear(self, fingerprint: str) -> bool:
-        """Removes a request that has succeeded at an upstream.
+        """Removes a request that an upstream has answered.
 
         Returns:
-            Whether any crash was counted for it.
+            Whether any crash was charged to it.
         """
-        return self._entries.pop(fingerprint, None) is not None
-
-    def is_suspect(self, fingerprint: str, now: float) -> bool:
-        """Returns whether a request is to be rejected."""
-        self._expire(now)
-        entry = self._entries.get(fingerprint)
-        return entry is not None and entry.crashes >= CRASHES_TO_REJECT
-
-    def _expire(self, now: float) -> None:
-        """Removes the requests whose last crash was too long ago."""
-        while self._entries:
-            oldest = next(iter(self._entries))
-            if now - self._entries[oldest].last_at <= ENTRY_TTL_S:
-                return
-            del self._entries[oldest]
+        suspect = self._suspects.pop(fingerprint, None)
+        return (self._condemned.pop(fingerprint, None) or suspect) is not None
+
+    def records(self, fingerprints: Iterable[str], now: float) -> list[SuspectRecord]:
+        """Returns the records of some requests."""
+        known = {**self._suspects, **self._condemned}
+        return [
+            _record(fingerprint, known[fingerprint], now)
+            for fingerprint in fingerprints
+            if fingerprint in known
+        ]
+
+    def shared_records(self, now: float) -> list[SuspectRecord]:
+        """Returns the latest records, for a process that may know none."""
+        self.expire(now)
+        latest = [*self._suspects, *self._condemned][-MAX_SHARED:]
+        return self.records(latest, now)
+
+    def expire(self, now: float) -> None:
+        """Removes the records that are too old."""
+        for entries, ttl_s in (
+            (self._suspects, SUSPECT_TTL_S),
+            (self._condemned, CONDEMNED_TTL_S),
+        ):
+            while entries and now - next(iter(entries.values())).last_at > ttl_s:
+                entries.popitem(last=False)
+
+    def _put(self, fingerprint: str, entry: _Entry) -> None:
+        """Adds an entry, keeping the order of times."""
+        entries = self._condemned if entry.condemned else self._suspects
+        newest = next(reversed(entries.values()), None)
+        entries[fingerprint] = entry
+        if newest is not None and newest.last_at > entry.last_at:
+            ordered = sorted(entries.items(), key=lambda item: item[1].last_at)
+            entries.clear()
+            entries.update(ordered)
+
+
+def _record(fingerprint: str, entry: _Entry, now: float) -> SuspectRecord:
+    """Returns an entry as it is sent to other processes."""
+    crashes = tuple(sorted(entry.crashes))
+    return SuspectRecord(fingerprint, crashes, entry.in_turn, now - entry.last_at)
+
+
+def _digest(*parts: bytes) -> str:
+    """Returns a digest of a sequence of byte strings."""
+    digest = hashlib.blake2b(digest_size=12)
+    for part in parts:
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
--- a/rosemarydeal/proxy/client.py
+++ b/rosemarydeal/proxy/client.py
@@ -119,6 +119,22 @@
                 request = self._completed(request, complete, connection)
             return await connection.exchange(request, deadline)
 
+    async def prepare(self, address: Address, timeout_s: float) -> None:
+        """Opens a connection for a later request, unless as many as allowed are open.
+
+        Args:
+            address: Where to connect to.
+            timeout_s: Time limit.
+
+        Raises:
+            ConnectFailed: If no connection could be opened.
+            ProxyTimeout: If none was accepted in time.
+        """
+        pool = self._pools.setdefault(address, AddressPool())
+        if pool.open_count < self._settings.connections_per_address:
+            deadline = asyncio.get_running_loop().time() + timeout_s
+            self._return_idle(await self._open_counted(address, pool, deadline))
+
     async def close(self) -> None:
         """Closes idle connections; those in use close when their exchange ends."""
         self._closed = True
@@ -150,6 +166,12 @@
                 # All idle connections have carried the request; its slot is freed.
                 pool.idle.popleft()[0].abort()
             await self._wait_for_slot(pool, deadline)
+        return await self._open_counted(address, pool, deadline)
+
+    async def _open_counted(
+        self, address: Address, pool: AddressPool, deadline: float
+    ) -> ClientConnection:
+        """Opens a connection that takes a slot of its address."""
         pool.open_count += 1
         try:
             return await self._open(address, deadline)
