Check which runs are charged with a crash, and the turns of suspects, by defects

Cause: the scenarios with real processes are coarse; a defect in one rule of the charges may leave them green. Evidence: of ten deliberate defects one survived the first scenarios (a suspect that is not judged again when its turn comes), as the guard judges it again before it is sent. Change: features/crash_watch.feature with the guard alone, and a list of ten defects; a scenario for the survivor.

--- a/features/builders_rate_limit.py
+++ b/features/builders_rate_limit.py
@@ -65,13 +65,13 @@
     )
 
 
-def a_limited_guard(client):
+def a_limited_guard(client, on_crash=lambda records: None):
     """Returns a guard that owns all keys, beside an upstream that is not cold."""
     identity = an_identity("vm-a", "127.0.0.1", Address("127.0.0.1", 1))
     hooks = GuardHooks(
         lambda key: Admission.RUN,
         lambda: False,
-        CrashHooks(lambda records: None, lambda fingerprint: None),
+        CrashHooks(on_crash, lambda fingerprint: None),
         lambda: SERVICE,
     )
     watch = UpstreamWatch(
--- /dev/null
+++ b/features/crash_watch.feature
@@ -0,0 +1,63 @@
+Feature: Which runs are charged with the end of an upstream, and how suspects run
+
+  Scenario Outline: An upstream closes the connection of a run
+    Given a guard whose upstream closes the connection of a run
+    When <what shows then>
+    Then the run is <charged> with a crash
+    And the upstream is <state>
+
+    Examples:
+      | what shows then                                     | charged     | state                |
+      | the upstream refuses a new connection               | charged     | gone                 |
+      | the upstream accepts no connection in time          | charged     | gone, and may hold   |
+      | it accepts none in time but announces itself        | not charged | in use               |
+      | it accepts a connection and answers the next run    | not charged | in use               |
+      | it accepts a connection, and its successor comes    | charged     | in use               |
+      | its successor has come before the run is lost       | charged     | in use               |
+      | it was leaving, and refuses a new connection        | not charged | gone                 |
+      | the caller leaves before the upstream is gone       | charged     | gone                 |
+
+  Scenario: A run that the upstream survived is charged with its later end
+    Given a guard whose upstream closes the connection of a run
+    When it accepts a connection and answers the next run
+    And the upstream ends later
+    Then the run is not charged with a crash
+
+  Scenario: Suspects run beside each other at an upstream
+    Given a guard that runs a suspect, at which another suspect arrives
+    When the first one is answered
+    Then the second one was sent only after that
+
+  Scenario: A suspect that waits for its turn keeps the turn of those that follow
+    Given a guard that runs a suspect, at which another suspect arrives
+    When the caller of the second one leaves, and a third one arrives
+    And the first one is answered
+    Then the third one is sent
+
+  Scenario: A suspect that waits is sent although it was condemned meanwhile
+    Given a guard that runs a suspect, at which another suspect arrives
+    When a peer condemns the second one
+    And the first one is answered
+    Then the second one is rejected as not run
+
+  Scenario: A suspect that was condemned while it waited for its turn is queued
+    Given a guard with a full queue, in which a suspect runs and another waits its turn
+    When a peer condemns the second one
+    And the first one is answered
+    Then the second one is rejected at once
+
+  Scenario: A request that waits in the queue is sent although it was condemned meanwhile
+    Given a guard with a full queue, in which a request waits
+    When a peer condemns the request
+    And the running requests are answered
+    Then the request is rejected as not run
+    And no slot is in use
+
+  Scenario: A request that was not sent in time is sent although its turn came late
+    Given a guard that runs a suspect, at which another suspect arrives
+    When the first one is not answered for 2 seconds
+    Then the second one is rejected with a time after which to retry
+
+  Scenario: A peer of an earlier version sends suspects without the crashes
+    Given a guard that is sent suspects without crashes, three times
+    Then the suspect still runs in its turn
--- /dev/null
+++ b/features/mutant_list_crashes.py
@@ -0,0 +1,85 @@
+"""Deliberate defects of the charges for crashes, and of the turns of suspects."""
+
+from __future__ import annotations
+
+from features.mutants import Mutant
+
+__all__ = ["MUTANTS"]
+
+WATCH = ("-m", "features.run", "features/crash_watch.feature")
+DISPATCH = ("-m", "features.run", "features/dispatch.feature")
+CRASH_WATCH = "rosemarydeal/node/crash_watch.py"
+SUSPECTS = "rosemarydeal/policy/dispatch/crash_suspects.py"
+
+MUTANTS = (
+    Mutant(
+        "a run that is forgotten when its connection closes",
+        CRASH_WATCH,
+        "        self._lost.add(lost)\n",
+        "",
+        WATCH,
+    ),
+    Mutant(
+        "a run that is lost after the end of its upstream was known",
+        CRASH_WATCH,
+        "            self._charge(incarnation)\n            return\n",
+        "            return\n",
+        WATCH,
+    ),
+    Mutant(
+        "a check of the connection that ends with its first caller",
+        CRASH_WATCH,
+        "await asyncio.shield(self._check)",
+        "await self._check",
+        WATCH,
+    ),
+    Mutant(
+        "an upstream that is heard counted as unreachable",
+        CRASH_WATCH,
+        "elif max(state.last_heartbeat_at, self._answered_at) < began_at:",
+        "else:",
+        WATCH,
+    ),
+    Mutant(
+        "an upstream that leaves counted as crashed",
+        CRASH_WATCH,
+        " or old.leaving_since is not None:",
+        ":",
+        WATCH,
+    ),
+    Mutant(
+        "a suspect that is not judged again when its turn comes",
+        CRASH_WATCH,
+        "if verdict is Verdict.CONDEMNED:\n                return self._reject(",
+        "if False:\n                return self._reject(",
+        WATCH,
+    ),
+    Mutant(
+        "a queued request that is not judged again when it is sent",
+        "rosemarydeal/node/guard.py",
+        "if self._crash_watch.is_condemned(active.request):",
+        "if False:",
+        WATCH,
+    ),
+    Mutant(
+        "a run charged although the upstream has answered since",
+        "rosemarydeal/policy/dispatch/lost_runs.py",
+        "run.incarnation != incarnation or run.lost_at >= sent_at",
+        "True",
+        DISPATCH,
+    ),
+    Mutant(
+        "a bystander of three crashes condemned",
+        SUSPECTS,
+        "return self.in_turn and len(self.crashes)",
+        "return len(self.crashes)",
+        DISPATCH,
+    ),
+    Mutant(
+        "a condemned request forgotten although it keeps coming",
+        SUSPECTS,
+        "self._put(fingerprint, _Entry(entry.crashes, entry.in_turn, now))",
+        "self._put(fingerprint, entry)",
+        DISPATCH,
+    ),
+)
--- /dev/null
+++ b/features/steps/crash_watch_steps.py
@@ -0,0 +1,246 @@
+"""Steps for runs that an upstream cuts off, and for suspects of its crashes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from features.builders_crash_watch import LOST, REFUSED, UNANSWERED, CrashWorld
+from features.builders_node import run
+from features.builders_slots import SLOTS
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.requests import Answered, NotServed
+from rosemarydeal.node.messages import CrashSuspects
+from rosemarydeal.policy.dispatch.crash_suspects import Verdict
+
+
+def new_world(context):
+    """Creates a guard within an event loop of its own."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+
+    async def create():
+        return CrashWorld()
+
+    context.world = run(context, create())
+    context.guard = context.world.guard
+    context.add_cleanup(lambda: run(context, context.world.close()))
+
+
+def outcome(context, request_id):
+    """Returns the outcome of a request that has one."""
+    task = context.world.outcomes[request_id]
+    assert task.done(), f"{request_id} has no outcome"
+    return task.result()
+
+
+@given("a guard whose upstream closes the connection of a run")
+def step_guard(context):
+    new_world(context)
+    run(context, context.world.arrive("r1"))
+
+
+@when("the upstream refuses a new connection")
+def step_refuses(context):
+    run(context, context.world.end("r1", LOST))
+    run(context, context.world.end_check(REFUSED))
+
+
+@when("the upstream accepts no connection in time")
+def step_unanswered(context):
+    run(context, context.world.end("r1", LOST))
+    run(context, context.world.end_check(UNANSWERED))
+
+
+@when("it accepts none in time but announces itself")
+def step_announces(context):
+    run(context, context.world.end("r1", LOST))
+    run(context, context.world.announce(sequence=2))
+    run(context, context.world.end_check(UNANSWERED))
+
+
+@when("it accepts a connection and answers the next run")
+def step_answers(context):
+    run(context, context.world.end("r1", LOST))
+    run(context, context.world.end_check())
+    run(context, context.world.arrive("r2"))
+    run(context, context.world.end("r2"))
+
+
+@when("it accepts a connection, and its successor comes")
+def step_successor(context):
+    run(context, context.world.end("r1", LOST))
+    run(context, context.world.end_check())
+    run(context, context.world.announce("j", 2))
+
+
+@when("its successor has come before the run is lost")
+def step_late(context):
+    run(context, context.world.announce("j", 2))
+    run(context, context.world.end("r1", LOST))
+
+
+@when("it was leaving, and refuses a new connection")
+def step_leaving(context):
+    run(context, context.world.announce(sequence=2, draining=True))
+    step_refuses(context)
+
+
+@when("the caller leaves before the upstream is gone")
+def step_caller_leaves(context):
+    run(context, context.world.end("r1", LOST))
+    context.world.outcomes["r1"].cancel()
+    run(context, context.world.settle())
+    run(context, context.world.end_check(REFUSED))
+
+
+@when("the upstream ends later")
+def step_ends_later(context):
+    run(context, context.world.announce("j", 2))
+
+
+@then("the run is {charged} with a crash")
+def step_charged(context, charged):
+    expected = {context.world.fingerprint("r1")} if charged == "charged" else set()
+    assert context.world.charged == expected, context.world.charged
+
+
+@then("the upstream is in use")
+def step_in_use(context):
+    assert context.world.state.alive
+
+
+@then("the upstream is gone, and may hold")
+def step_silent(context):
+    state = context.world.state
+    assert (state.alive, state.silent) == (False, True), state
+
+
+@given("a guard that runs a suspect, at which another suspect arrives")
+def step_two_suspects(context):
+    new_world(context)
+    for request_id in ("r1", "r2", "r3"):
+        context.world.suspect(request_id)
+    run(context, context.world.arrive("r1"))
+    run(context, context.world.arrive("r2"))
+    assert list(context.world.client.open) == ["r1"], context.world.client.open
+
+
+@when("the first one is answered")
+def step_first_answered(context):
+    run(context, context.world.end("r1"))
+
+
+@then("the second one was sent only after that")
+def step_second_sent(context):
+    assert list(context.world.client.open) == ["r2"], context.world.client.open
+
+
+@when("the caller of the second one leaves, and a third one arrives")
+def step_second_leaves(context):
+    context.world.outcomes["r2"].cancel()
+    run(context, context.world.arrive("r3"))
+
+
+@then("the third one is sent")
+def step_third_sent(context):
+    assert list(context.world.client.open) == ["r3"], context.world.client.open
+
+
+@when("a peer condemns the second one")
+def step_condemned(context):
+    context.world.condemn("r2")
+
+
+@then("the second one is rejected as not run")
+def step_rejected(context):
+    assert outcome(context, "r2") == NotServed("crash-suspect"), outcome(context, "r2")
+    assert context.world.client.sent == 1, context.world.client.sent
+
+
+@when("the first one is not answered for {seconds:d} seconds")
+def step_unanswered_long(context, seconds):
+    run(context, asyncio.sleep(seconds))
+
+
+@then("the second one is rejected with a time after which to retry")
+def step_waited(context):
+    rejection = outcome(context, "r2")
+    assert rejection.code == "crash-suspect", rejection
+    assert rejection.retry_after_s > 0, rejection
+
+
+def fill(context, *request_ids):
+    """Has requests run in all slots of an upstream, and others wait for these."""
+    run(context, context.world.arrive("first"))
+    run(context, context.world.end("first"))
+    free = SLOTS - context.world.guard.running
+    context.running = [f"running-{number}" for number in range(free)]
+    for request_id in (*context.running, *request_ids):
+        run(context, context.world.arrive(request_id))
+
+
+@given("a guard with a full queue, in which a suspect runs and another waits its turn")
+def step_full_suspects(context):
+    new_world(context)
+    run(context, context.world.arrive("warm-up"))
+    run(context, context.world.end("warm-up"))
+    for request_id in ("r1", "r2"):
+        context.world.suspect(request_id)
+    run(context, context.world.arrive("r1"))
+    fill(context, "waits", "r2")
+    assert context.world.guard.waiting == 1, context.world.guard.waiting
+
+
+@then("the second one is rejected at once")
+def step_rejected_at_once(context):
+    assert outcome(context, "r2") == NotServed("crash-suspect"), outcome(context, "r2")
+    assert "waits" in context.world.client.open
+
+
+@given("a guard with a full queue, in which a request waits")
+def step_full(context):
+    new_world(context)
+    fill(context, "r2")
+    assert context.world.guard.waiting == 1, context.world.guard.waiting
+
+
+@when("a peer condemns the request")
+def step_waiting_condemned(context):
+    context.world.condemn("r2")
+
+
+@when("the running requests are answered")
+def step_all_answered(context):
+    for request_id in context.running:
+        run(context, context.world.end(request_id))
+        assert isinstance(outcome(context, request_id), Answered)
+
+
+@then("the request is rejected as not run")
+def step_waiting_rejected(context):
+    assert outcome(context, "r2") == NotServed("crash-suspect"), outcome(context, "r2")
+    assert "r2" not in context.world.client.open
+    assert context.world.client.sent == 1 + SLOTS, context.world.client.sent
+
+
+@then("no slot is in use")
+def step_no_slot(context):
+    guard = context.world.guard
+    assert (guard.running, guard.waiting) == (0, 0), (guard.running, guard.waiting)
+
+
+@given("a guard that is sent suspects without crashes, three times")
+def step_earlier_version(context):
+    new_world(context)
+    context.fingerprint = context.world.fingerprint("r1")
+    for _ in range(3):
+        message = CrashSuspects((context.fingerprint,))
+        context.world.guard.add_crash_suspects(message.to_records())
+
+
+@then("the suspect still runs in its turn")
+def step_still_runs(context):
+    verdict = context.world.guard.crash_suspects.verdict(context.fingerprint, now())
+    assert verdict is Verdict.SUSPECT, verdict
