Check that a process that starts is told of condemned requests

Cause: the scenario with restarted processes stays green without the message on new links, as one run more after each restart is within its bounds. Evidence: the defect 'a process that starts told nothing of the suspects' is caught by the new scenario (not by features/crashing_requests.feature, by its bounds). Change: one scenario, one defect.

--- a/features/crash_watch.feature
+++ b/features/crash_watch.feature
@@ -61,3 +61,8 @@
   Scenario: A peer of an earlier version sends suspects without the crashes
     Given a guard that is sent suspects without crashes, three times
     Then the suspect still runs in its turn
+
+  Scenario: A process that has just started sends on what its peers have condemned
+    Given a deployment of three VMs, two of which have condemned a request
+    When the process of the third one starts again
+    Then the third one rejects the request as well
--- a/features/mutant_list_crashes.py
+++ b/features/mutant_list_crashes.py
@@ -82,4 +82,11 @@
         "self._put(fingerprint, entry)",
         DISPATCH,
     ),
+    Mutant(
+        "a process that starts told nothing of the suspects",
+        "rosemarydeal/node/links.py",
+        "if suspects is not None:",
+        "if False:",
+        WATCH,
+    ),
 )
--- a/features/steps/crash_watch_steps.py
+++ b/features/steps/crash_watch_steps.py
@@ -6,13 +6,24 @@
 
 from behave import given, then, when
 
-from features.builders_crash_watch import LOST, REFUSED, UNANSWERED, CrashWorld
-from features.builders_node import run
+from features.builders_crash_watch import (
+    CONDEMNING,
+    LOST,
+    REFUSED,
+    UNANSWERED,
+    CrashWorld,
+)
+from features.builders_fleet_types import a_routed_request
+from features.builders_node import run, start_deployment
 from features.builders_slots import SLOTS
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.requests import Answered, NotServed
+from rosemarydeal.node.crash_watch import fingerprint_of
 from rosemarydeal.node.messages import CrashSuspects
-from rosemarydeal.policy.dispatch.crash_suspects import Verdict
+from rosemarydeal.policy.dispatch.crash_suspects import SuspectRecord, Verdict
+
+# The peers open their links to a new process after its own.
+LINKED_S = 1.0
 
 
 def new_world(context):
@@ -244,3 +255,33 @@
 def step_still_runs(context):
     verdict = context.world.guard.crash_suspects.verdict(context.fingerprint, now())
     assert verdict is Verdict.SUSPECT, verdict
+
+
+@given("a deployment of three VMs, two of which have condemned a request")
+def step_deployment(context):
+    start_deployment(context, 3)
+    context.request = a_routed_request()
+    record = SuspectRecord(fingerprint_of(context.request), CONDEMNING, True)
+    for name in ("vm-a", "vm-b"):
+        context.deployment.nodes[name]._guard.add_crash_suspects([record])
+
+
+@when("the process of the third one starts again")
+def step_third_restarts(context):
+    deployment = context.deployment
+
+    async def restart():
+        await deployment.nodes["vm-c"].close()
+        await deployment.start_node("vm-c")
+        links = deployment.nodes["vm-c"]._links
+        await deployment.wait(lambda: {"vm-a", "vm-b"} <= links.up)
+        await asyncio.sleep(LINKED_S)
+
+    run(context, restart())
+
+
+@then("the third one rejects the request as well")
+def step_third_rejects(context):
+    guard = context.deployment.nodes["vm-c"]._guard
+    outcome = run(context, guard.serve(context.request))
+    assert outcome == NotServed("crash-suspect"), outcome
