Let all processes of a large service send a suspect to the same upstream

Cause: the upstream of a suspect was chosen among those drawn at random for a request, 16 at most in the own zone and elsewhere, so that it was not the same one in services of more upstreams; copies of a suspect ran at several at a time. Change: all usable upstreams are considered for a suspect.

--- a/features/builders_crash_watch.py
+++ b/features/builders_crash_watch.py
@@ -4,16 +4,26 @@
 
 import asyncio
 import math
+from types import SimpleNamespace
 
-from features.builders_fleet_types import a_routed_request
+from features.builders_fleet_types import a_routed_request, an_identity
 from features.builders_rate_limit import a_limited_guard, an_announcement
 from features.builders_slots import SETTLE_TURNS, HeldClient
-from rosemarydeal.core.requests import Answered, Failed, UpstreamNotice
+from rosemarydeal.core import Address
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import Route
+from rosemarydeal.core.requests import Answered, CallerRequest, Failed, UpstreamNotice
 from rosemarydeal.node.crash_watch import fingerprint_of
+from rosemarydeal.node.entry import Entry
+from rosemarydeal.node.health import UpstreamHealth
+from rosemarydeal.node.metrics import Metrics
+from rosemarydeal.node.progress import Progress
 from rosemarydeal.platform.upstream import UpstreamCallFailed
-from rosemarydeal.policy.dispatch.crash_suspects import SuspectRecord
+from rosemarydeal.policy.dispatch.crash_suspects import KnownSuspects, SuspectRecord
+from rosemarydeal.policy.requests.attempts import Attempts
+from rosemarydeal.proxy import BodyBuffers
 
-__all__ = ["CrashWorld"]
+__all__ = ["CrashWorld", "an_entry"]
 
 ANSWER = Answered(200, (), b"", None, UpstreamNotice(math.inf))
 LOST = Failed("send-failed", sent=True, closed=True)
@@ -24,6 +34,44 @@
 CONDEMNING = ("i-7@1", "i-8@1", "i-9@1")
 
 
+def an_entry(members, node, zone):
+    """Returns an entry that reaches all members, and the progress of a suspect there.
+
+    Args:
+        members: The members by node.
+        node: Node of the entry.
+        zone: Its availability zone.
+    """
+    identity = an_identity(node, "127.0.0.1", Address("127.0.0.1", 1), zone=zone)
+    request = a_routed_request(caller_service=identity.service)
+    known = KnownSuspects()
+    known.merge([SuspectRecord(fingerprint_of(request), CRASHES)], now())
+    records = SimpleNamespace(members=members, zones_out=frozenset())
+    links = SimpleNamespace(
+        is_up=lambda node: True,
+        is_leaving=lambda node: False,
+        peer_state=lambda node: None,
+        outstanding=lambda node: 0,
+        limit_delay_s=lambda node: 0.0,
+    )
+    guard = SimpleNamespace(
+        crash_suspects=known, running=0, waiting=0, slowdown=1.0, limit_delay_s=0.0
+    )
+    buffers = BodyBuffers(1)
+    entry = Entry(
+        *(identity, records, links, guard, UpstreamHealth(), Metrics()),
+        *(buffers, buffers),
+    )
+    caller = CallerRequest(
+        *("r1", "h.example", request.method, request.target, (), request.body, 1.0),
+        key=None,
+    )
+    route = Route("r", "h.example", "/a/", (), True, 3, 1.0, 0.6, 2)
+    limits = Attempts(True, 3)
+    progress = Progress(caller, route, request.service, 0.0, None, math.inf, limits)
+    return entry, progress
+
+
 class CheckedClient(HeldClient):
     """Client whose checks of the connection wait until a test ends them."""
 
--- a/features/crash_watch.feature
+++ b/features/crash_watch.feature
@@ -59,6 +59,11 @@
     When the first one is not answered for 2 seconds
     Then the second one is rejected with a time after which to retry
 
+  Scenario: Processes of a large service send a suspect to different upstreams
+    Given ten entries in three zones that know 60 upstreams and a suspect
+    When each of them chooses the upstream of the suspect, and again after one is tried
+    Then all of them choose the same upstream, and then the same other one
+
   Scenario: A peer of an earlier version sends suspects without the crashes
     Given a guard that is sent suspects without crashes, three times
     Then the suspect still runs in its turn
--- a/features/steps/crash_watch_steps.py
+++ b/features/steps/crash_watch_steps.py
@@ -12,8 +12,9 @@
     REFUSED,
     UNANSWERED,
     CrashWorld,
+    an_entry,
 )
-from features.builders_fleet_types import a_routed_request
+from features.builders_fleet_types import a_member, a_routed_request
 from features.builders_node import run, start_deployment
 from features.builders_slots import SLOTS
 from rosemarydeal.core.clock import now
@@ -292,3 +293,28 @@
     guard = context.deployment.nodes["vm-c"]._guard
     outcome = run(context, guard.serve(context.request))
     assert outcome == NotServed("crash-suspect"), outcome
+
+
+@given("ten entries in three zones that know 60 upstreams and a suspect")
+def step_entries(context):
+    zones = ("perth-a", "perth-b", "perth-c")
+    members = {
+        f"vm-{n}": a_member(f"vm-{n}", zone=zones[n % len(zones)]) for n in range(60)
+    }
+    context.entries = [
+        an_entry(members, f"vm-{n}", zones[n % len(zones)]) for n in range(10)
+    ]
+
+
+@when("each of them chooses the upstream of the suspect, and again after one is tried")
+def step_choose(context):
+    context.chosen = []
+    for entry, progress in context.entries:
+        first = entry._choose_node(progress, set())
+        context.chosen.append((first, entry._choose_node(progress, {first})))
+
+
+@then("all of them choose the same upstream, and then the same other one")
+def step_same(context):
+    assert len(set(context.chosen)) == 1, context.chosen
+    assert len(set(context.chosen[0])) == 2, context.chosen
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -330,6 +330,8 @@
 
     def _choose_node(self, progress: Progress, tried: set[str]) -> str | None:
         """Chooses the node for a request without a key; None if there is none."""
+        if self._verdict(progress) is Verdict.SUSPECT:
+            return self._choose_turn_node(progress, tried)
         same_zone_members, other_zone_members = (
             [
                 member
@@ -338,21 +340,28 @@
             ]
             for members in self._accepting_members(progress.service)
         )
-        if self._verdict(progress) is Verdict.SUSPECT:
-            members = (*same_zone_members, *other_zone_members)
-            fingerprint = self._suspect_fingerprint(progress)
-            node = turn_node(fingerprint, (member.node for member in members))
-        else:
-            candidates = map(
-                self._candidate,
-                shortlist(same_zone_members, other_zone_members, self._random),
-            )
-            profile = self._profiles.profile(progress.route)
-            node = choose(candidates, profile, self._random.random())
+        candidates = map(
+            self._candidate,
+            shortlist(same_zone_members, other_zone_members, self._random),
+        )
+        profile = self._profiles.profile(progress.route)
+        node = choose(candidates, profile, self._random.random())
         if node is not None:
             self._incarnations_tried[node] = self._records.members[node].incarnation
         return node
 
+    def _choose_turn_node(self, progress: Progress, tried: set[str]) -> str | None:
+        """Chooses the node for a suspect, the same one as all other processes."""
+        same_zone_members, other_zone_members = self._accepting_members(
+            progress.service
+        )
+        nodes = [
+            member.node
+            for member in (*same_zone_members, *other_zone_members)
+            if member.node not in tried and self._is_usable(member)
+        ]
+        return turn_node(self._suspect_fingerprint(progress), nodes)
+
     def _accepting_members(
         self, service: str
     ) -> tuple[tuple[Member, ...], tuple[Member, ...]]:
