Merge only the suspects that a peer knows better

Cause: merging a record that is known sorts all records again; each peer of a process sends 256 of them over each new link. Evidence: 256 known records merged into 4,096 took 562 to 577 ms (three times). Change: records that add nothing are skipped.

--- a/rosemarydeal/policy/dispatch/crash_suspects.py
+++ b/rosemarydeal/policy/dispatch/crash_suspects.py
@@ -167,6 +167,8 @@
             crashes, in_turn = frozenset(record.crashes), record.in_turn
             last_at = now - record.age_s
             if known is not None:
+                if crashes <= known.crashes and in_turn <= known.in_turn:
+                    continue
                 crashes, in_turn = crashes | known.crashes, in_turn or known.in_turn
                 last_at = max(last_at, known.last_at)
             kept = frozenset(sorted(crashes)[:MAX_CRASHES])
