State in two test builders that a process has no suspects to send

Cause: two builders give Links a mock of its hooks; the mock's crash_suspects is no message, and the links of these tests ended when they sent it. Change: the two builders return None, as a process without suspects does. No check changes.

--- a/features/steps/answers_peers_steps.py
+++ b/features/steps/answers_peers_steps.py
@@ -196,6 +196,7 @@
     server = await context.peer.start()
     address = Address(*server.sockets[0].getsockname()[:2])
     hooks = MagicMock()
+    hooks.crash_suspects.return_value = None
     hooks.known_revisions = lambda: ()
     links = Links("a", "a-1", hooks)
     links.set_members({"b": SimpleNamespace(peer=address)})
--- a/features/steps/monitors_steps.py
+++ b/features/steps/monitors_steps.py
@@ -88,6 +88,7 @@
 
 async def start_links(node, port, members):
     hooks = MagicMock()
+    hooks.crash_suspects.return_value = None
     hooks.known_revisions = lambda: ()
     hooks.pong = lambda: Pong((), IDLE)
     links = Links(node, f"{node}-1", hooks)
