Log from where a process has the configuration in force

Cause: the report on CONFIG has no record; when a request is answered by an older version, the log must tell from where and when its process had each version. Evidence: the line of a version in force named version and revision only; the new scenarios find no origin in it on the code before. Change: configuration_in_force has the origin, as keys_granted has.

--- a/features/records.feature
+++ b/features/records.feature
@@ -12,6 +12,17 @@
     When the store returns the table after the first delta
     Then the records hold the table after the third delta
 
+  Scenario Outline: The log does not tell from where a process has a configuration
+    Given records that have version 1 of the configuration from the store
+    When version 2 comes <from where>
+    Then the log names the origin <origin> of version 2
+
+    Examples:
+      | from where                | origin       |
+      | with a watch              | watch        |
+      | in a listing of a peer    | peer-listing |
+      | with changes of a reader  | peer-changes |
+
   Scenario: A table delta stays small in a large fleet
     Given a table of 40 owners and a transfer of one range
     Then the delta takes less than 230 bytes
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
 
 from behave import given, then, when
+from structlog.testing import capture_logs
 
 from features.builders_fleet_types import SERVICE, a_member
-from rosemarydeal.core.fleet import Revision, StoredObject
+from features.builders_node import a_configuration
+from rosemarydeal.core.fleet import ObjectOrigin, Revision, StoredObject
 from rosemarydeal.node import messages
 from rosemarydeal.node.contents import decode_table, encode_table, table_name
-from rosemarydeal.node.messages import TableDelta
+from rosemarydeal.node.messages import ObjectListing, ObjectState, TableDelta
 from rosemarydeal.node.records import RANGES, Records
+from rosemarydeal.platform.store import Listing
 from rosemarydeal.policy.keyranges import table as tables
 
 FIRST_NUMBER = 10
@@ -131,3 +135,43 @@
         content = template % (SERVICE.encode(), ranges)
         broken = StoredObject(RANGES, table_name(SERVICE), FIRST_REVISION, content)
         assert decode_table(broken) is None, ranges
+
+
+def stored_configuration(version, step):
+    """Returns a version of the configuration as the store holds it."""
+    content = json.dumps(a_configuration(version)).encode()
+    return StoredObject("config", "main", revision(step), content)
+
+
+@given("records that have version 1 of the configuration from the store")
+def step_first_version(context):
+    context.records = Records()
+    context.records.apply_listing(
+        "config", Listing((stored_configuration(1, 0),), revision(0))
+    )
+
+
+@when("version 2 comes {from_where}")
+def step_next_version(context, from_where):
+    stored = stored_configuration(2, 1)
+    listing = Listing((stored,), stored.revision)
+    state = ObjectState(stored.name, stored.revision, stored.content)
+    with capture_logs() as context.lines:
+        match from_where:
+            case "with a watch":
+                context.records.apply_changes("config", listing)
+            case "with changes of a reader":
+                origin = ObjectOrigin.PEER_CHANGES
+                context.records.apply_changes("config", listing, origin)
+            case "in a listing of a peer":
+                context.records.apply_peer_listing(
+                    ObjectListing("config", stored.revision, stored.revision, (state,))
+                )
+
+
+@then("the log names the origin {origin} of version 2")
+def step_origin(context, origin):
+    (line,) = [
+        line for line in context.lines if line["event"] == "configuration_in_force"
+    ]
+    assert (line["version"], line["origin"]) == (2, origin), line
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -419,6 +419,7 @@
             version=configuration.version,
             before=old.version if old else None,
             revision=stored.revision,
+            origin=self.origin(CONFIGURATION_KIND, CONFIGURATION_NAME).value,
         )
         return True
 
