Count the rejection of a request that was condemned in the queue once

Cause: the guard counted it when it withdrew the request, and again as its outcome. Evidence: rosemarydeal_dispatches counted two for one request (the new step failed). Change: only the outcome is counted.

--- a/features/crash_watch.feature
+++ b/features/crash_watch.feature
@@ -52,6 +52,7 @@
     When a peer condemns the request
     And the running requests are answered
     Then the request is rejected as not run
+    And one rejection is counted
     And no slot is in use
 
   Scenario: A request that was not sent in time is sent although its turn came late
--- a/features/steps/crash_watch_steps.py
+++ b/features/steps/crash_watch_steps.py
@@ -244,6 +244,12 @@
     assert context.world.client.sent == 1 + SLOTS, context.world.client.sent
 
 
+@then("one rejection is counted")
+def step_counted(context):
+    counts = context.guard._metrics._dispatches
+    assert [n for labels, n in counts.items() if "crash-suspect" in labels] == [1]
+
+
 @then("no slot is in use")
 def step_no_slot(context):
     guard = context.world.guard
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -396,7 +396,8 @@
             self._remove_left()
             return self._queue.withdraw(number, now())
         if self._crash_watch.is_condemned(active.request):
-            self._reject(number, SUSPECT)
+            # Whoever waits for this outcome counts it.
+            active.future.set_result(SUSPECT)
             return self._queue.withdraw(number, now())
         active.task = self._dispatch_slots.start(number, self._run(number, active))
         return []
