Give the settings template its service in the scenario of the memory's limits

Cause: the template of the settings files got a field for the service; this scenario fills it by itself and failed with a KeyError. Change: the scenario fills the field. No check changes.

--- a/features/steps/uploads_steps.py
+++ b/features/steps/uploads_steps.py
@@ -191,6 +191,7 @@
             name=FIRST,
             zone="perth-a",
             host="127.0.0.1",
+            service="box-office",
             store="127.0.0.1:9000",
             grants="call",
             grace_s=6.0,
