Capture the lines of the configuration's origin whatever level was set before

Cause: an earlier scenario of the same run had set the level above the line. Change: the scenario uses captured_logs, as those of the rate limit do. No check changes.

--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -6,10 +6,10 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from structlog.testing import capture_logs
 
 from features.builders_fleet_types import SERVICE, a_member
 from features.builders_node import a_configuration
+from features.builders_rate_limit import captured_logs
 from rosemarydeal.core.fleet import ObjectOrigin, Revision, StoredObject
 from rosemarydeal.node import messages
 from rosemarydeal.node.contents import decode_table, encode_table, table_name
@@ -156,7 +156,7 @@
     stored = stored_configuration(2, 1)
     listing = Listing((stored,), stored.revision)
     state = ObjectState(stored.name, stored.revision, stored.content)
-    with capture_logs() as context.lines:
+    with captured_logs() as context.lines:
         match from_where:
             case "with a watch":
                 context.records.apply_changes("config", listing)
