Hash the body of a request once in each process while suspects are known

Cause: while any suspect was known, which is up to ten minutes after a request was blocked, the entry and the guard computed a request's fingerprint anew at each step, over its body. Change: the suspect's fingerprint is made of the digest that the entry has anyway; the guard keeps it with the request (TrackedRequest).

--- a/features/builders_crash_watch.py
+++ b/features/builders_crash_watch.py
@@ -19,7 +19,11 @@
 from rosemarydeal.node.metrics import Metrics
 from rosemarydeal.node.progress import Progress
 from rosemarydeal.platform.upstream import UpstreamCallFailed
-from rosemarydeal.policy.dispatch.crash_suspects import KnownSuspects, SuspectRecord
+from rosemarydeal.policy.dispatch.crash_suspects import (
+    KnownSuspects,
+    SuspectRecord,
+    request_fingerprint,
+)
 from rosemarydeal.policy.requests.attempts import Attempts
 from rosemarydeal.proxy import BodyBuffers
 
@@ -31,7 +35,7 @@
 UNANSWERED = UpstreamCallFailed("no connection in time", sent=False)
 # Both have one crash, and run in turn.
 CRASHES = ("i-9@1",)
-CONDEMNING = ("i-7@1", "i-8@1", "i-9@1")
+BLOCKING = ("i-7@1", "i-8@1", "i-9@1")
 
 
 def an_entry(members, node, zone):
@@ -68,7 +72,10 @@
     )
     route = Route("r", "h.example", "/a/", (), True, 3, 1.0, 0.6, 2)
     limits = Attempts(True, 3)
-    progress = Progress(caller, route, request.service, 0.0, None, math.inf, limits)
+    fingerprint = request_fingerprint(request.method, request.target, request.body)
+    progress = Progress(
+        caller, fingerprint, route, request.service, 0.0, None, math.inf, limits
+    )
     return entry, progress
 
 
@@ -138,14 +145,14 @@
         self.guard._watch.apply_confirmed(announcement)
         await self.settle()
 
-    def suspect(self, request_id, crashes=CRASHES, in_turn=False):
+    def suspect(self, request_id, crashes=CRASHES, exclusive=False):
         """Makes a request a suspect."""
-        record = SuspectRecord(self.fingerprint(request_id), crashes, in_turn)
+        record = SuspectRecord(self.fingerprint(request_id), crashes, exclusive)
         self.guard.add_crash_suspects([record])
 
-    def condemn(self, request_id):
+    def block(self, request_id):
         """Makes a request one that is rejected."""
-        self.suspect(request_id, CONDEMNING, in_turn=True)
+        self.suspect(request_id, BLOCKING, exclusive=True)
 
     async def settle(self):
         """Runs the event loop until all events have had their consequences."""
--- a/features/crash_watch.feature
+++ b/features/crash_watch.feature
@@ -35,21 +35,21 @@
     And the first one is answered
     Then the third one is sent
 
-  Scenario: A suspect that waits is sent although it was condemned meanwhile
+  Scenario: A suspect that waits is sent although it was blocked meanwhile
     Given a guard that runs a suspect, at which another suspect arrives
-    When a peer condemns the second one
+    When a peer blocks the second one
     And the first one is answered
     Then the second one is rejected as not run
 
-  Scenario: A suspect that was condemned while it waited for its turn is queued
+  Scenario: A suspect that was blocked while it waited for its turn is queued
     Given a guard with a full queue, in which a suspect runs and another waits its turn
-    When a peer condemns the second one
+    When a peer blocks the second one
     And the first one is answered
     Then the second one is rejected at once
 
-  Scenario: A request that waits in the queue is sent although it was condemned meanwhile
+  Scenario: A request that waits in the queue is sent although it was blocked meanwhile
     Given a guard with a full queue, in which a request waits
-    When a peer condemns the request
+    When a peer blocks the request
     And the running requests are answered
     Then the request is rejected as not run
     And one rejection is counted
@@ -69,7 +69,12 @@
     Given a guard that is sent suspects without crashes, three times
     Then the suspect still runs in its turn
 
-  Scenario: A process that has just started sends on what its peers have condemned
-    Given a deployment of three VMs, two of which have condemned a request
+  Scenario: A process that has just started sends on what its peers have blocked
+    Given a deployment of three VMs, two of which have blocked a request
     When the process of the third one starts again
     Then the third one rejects the request as well
+
+  Scenario: The body of a request is hashed again at each step while suspects are known
+    Given a deployment of three VMs, two of which have blocked a request
+    When another request with a body is answered by the VM that it is sent to
+    Then its body was hashed once by the entry and once by the guard
--- a/features/dispatch.feature
+++ b/features/dispatch.feature
@@ -53,7 +53,7 @@
     Given a request that was running at two crashes, which three processes report
     Then the request runs in its turn
 
-  Scenario: A condemned request that keeps coming is forgotten after a minute
+  Scenario: A blocked request that keeps coming is forgotten after a minute
     Given a request that was running at three crashes, at the last as the only suspect
     When it comes every 30 seconds for 40 minutes
     Then it is rejected each time
--- a/features/mutant_list_crashes.py
+++ b/features/mutant_list_crashes.py
@@ -1,4 +1,4 @@
-"""Deliberate defects of the charges for crashes, and of the turns of suspects."""
+"""Deliberate defects of what crashes are charged to, and of the runs of suspects."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
     Mutant(
         "a run that is forgotten when its connection closes",
         CRASH_WATCH,
-        "        self._lost.add(lost)\n",
+        "        self._lost.add(LostRun(fingerprint, incarnation, exclusive, now()))\n",
         "",
         WATCH,
     ),
@@ -50,14 +50,14 @@
     Mutant(
         "a suspect that is not judged again when its turn comes",
         CRASH_WATCH,
-        "if verdict is Verdict.CONDEMNED:\n                return self._reject(",
-        "if False:\n                return self._reject(",
+        "case SuspectStatus.BLOCKED:\n                    return",
+        "case None:\n                    return",
         WATCH,
     ),
     Mutant(
         "a queued request that is not judged again when it is sent",
         "rosemarydeal/node/guard.py",
-        "if self._crash_watch.is_condemned(active.request):",
+        "if self._crash_watch.is_blocked(active.tracked):",
         "if False:",
         WATCH,
     ),
@@ -69,16 +69,16 @@
         DISPATCH,
     ),
     Mutant(
-        "a bystander of three crashes condemned",
+        "a bystander of three crashes blocked",
         SUSPECTS,
-        "return self.in_turn and len(self.crashes)",
+        "return self.exclusive and len(self.crashes)",
         "return len(self.crashes)",
         DISPATCH,
     ),
     Mutant(
-        "a condemned request forgotten although it keeps coming",
+        "a blocked request forgotten although it keeps coming",
         SUSPECTS,
-        "self._put(fingerprint, _Entry(entry.crashes, entry.in_turn, now))",
+        "self._put(fingerprint, _Entry(entry.crashes, entry.exclusive, now))",
         "self._put(fingerprint, entry)",
         DISPATCH,
     ),
--- a/features/steps/crash_watch_steps.py
+++ b/features/steps/crash_watch_steps.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
+from unittest import mock
 
 from behave import given, then, when
 
 from features.builders_crash_watch import (
-    CONDEMNING,
+    BLOCKING,
     LOST,
     REFUSED,
     UNANSWERED,
@@ -21,10 +23,11 @@
 from rosemarydeal.core.requests import Answered, NotServed
 from rosemarydeal.node.crash_watch import fingerprint_of
 from rosemarydeal.node.messages import CrashSuspects
-from rosemarydeal.policy.dispatch.crash_suspects import SuspectRecord, Verdict
+from rosemarydeal.policy.dispatch.crash_suspects import SuspectRecord, SuspectStatus
 
 # The peers open their links to a new process after its own.
 LINKED_S = 1.0
+BODY = b"a body that is hashed"
 
 
 def new_world(context):
@@ -167,9 +170,9 @@
     assert list(context.world.client.open) == ["r3"], context.world.client.open
 
 
-@when("a peer condemns the second one")
-def step_condemned(context):
-    context.world.condemn("r2")
+@when("a peer blocks the second one")
+def step_blocked(context):
+    context.world.block("r2")
 
 
 @then("the second one is rejected as not run")
@@ -225,9 +228,9 @@
     assert context.world.guard.waiting == 1, context.world.guard.waiting
 
 
-@when("a peer condemns the request")
-def step_waiting_condemned(context):
-    context.world.condemn("r2")
+@when("a peer blocks the request")
+def step_waiting_blocked(context):
+    context.world.block("r2")
 
 
 @when("the running requests are answered")
@@ -267,15 +270,15 @@
 
 @then("the suspect still runs in its turn")
 def step_still_runs(context):
-    verdict = context.world.guard.crash_suspects.verdict(context.fingerprint, now())
-    assert verdict is Verdict.SUSPECT, verdict
+    status = context.world.guard.crash_suspects.status(context.fingerprint, now())
+    assert status is SuspectStatus.SUSPECT, status
 
 
-@given("a deployment of three VMs, two of which have condemned a request")
+@given("a deployment of three VMs, two of which have blocked a request")
 def step_deployment(context):
     start_deployment(context, 3)
     context.request = a_routed_request()
-    record = SuspectRecord(fingerprint_of(context.request), CONDEMNING, True)
+    record = SuspectRecord(fingerprint_of(context.request), BLOCKING, True)
     for name in ("vm-a", "vm-b"):
         context.deployment.nodes[name]._guard.add_crash_suspects([record])
 
@@ -324,3 +327,33 @@
 def step_same(context):
     assert len(set(context.chosen)) == 1, context.chosen
     assert len(set(context.chosen[0])) == 2, context.chosen
+
+
+@when("another request with a body is answered by the VM that it is sent to")
+def step_with_body(context):
+    deployment = context.deployment
+    key = next(
+        key for key in deployment.sample() if deployment.endpoints["vm-a"].held(key)
+    )
+    hashed = hashlib.blake2b
+    context.updates = []
+
+    class CountedHash:
+        def __init__(self, **settings):
+            self._hash = hashed(**settings)
+
+        def update(self, part):
+            context.updates.append(part)
+            self._hash.update(part)
+
+        def hexdigest(self):
+            return self._hash.hexdigest()
+
+    with mock.patch("hashlib.blake2b", CountedHash):
+        answer = run(context, deployment.send_request("vm-a", key, body=BODY))
+    assert answer.status == 200, answer
+
+
+@then("its body was hashed once by the entry and once by the guard")
+def step_hashed_twice(context):
+    assert context.updates.count(BODY) == 2, context.updates.count(BODY)
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -16,7 +16,7 @@
 from rosemarydeal.policy.dispatch.crash_suspects import (
     KnownSuspects,
     SuspectRecord,
-    Verdict,
+    SuspectStatus,
 )
 from rosemarydeal.policy.dispatch.lost_runs import LostRun, LostRuns
 from rosemarydeal.policy.dispatch.queue import Admission, Reject, Start
@@ -232,15 +232,15 @@
         assert 0 < len(window) <= ratio * len(owed) + slack, (start, len(window))
 
 
-def a_crash(known, incarnation, in_turn=(), beside=(), moment=1.0):
+def a_crash(known, incarnation, exclusive=(), beside=(), moment=1.0):
     """Charges a crash to requests that ran in turn, and to others beside them."""
-    records = [SuspectRecord(f, (incarnation,), in_turn=True) for f in in_turn]
+    records = [SuspectRecord(f, (incarnation,), exclusive=True) for f in exclusive]
     records += [SuspectRecord(f, (incarnation,)) for f in beside]
     known.merge(records, moment)
 
 
 @given("a request that was running at three crashes, at the last as the only suspect")
-def step_condemned(context):
+def step_blocked(context):
     context.known = KnownSuspects()
     a_crash(context.known, "i-1@1", beside=("bad", "popular", "good"))
     context.known.clear("good")
@@ -250,17 +250,17 @@
 
 @then("the crash suspect is rejected")
 def step_suspect_rejected(context):
-    assert context.known.verdict("bad", 6.0) is Verdict.CONDEMNED
+    assert context.known.status("bad", 6.0) is SuspectStatus.BLOCKED
 
 
 @then("a request that was answered after the first crash is not")
 def step_cleared_served(context):
-    assert context.known.verdict("good", 6.0) is Verdict.SUSPECT
+    assert context.known.status("good", 6.0) is SuspectStatus.SUSPECT
 
 
 @then("one that ran beside other suspects at all three crashes runs in its turn")
 def step_popular_served(context):
-    assert context.known.verdict("popular", 6.0) is Verdict.SUSPECT
+    assert context.known.status("popular", 6.0) is SuspectStatus.SUSPECT
 
 
 @given("a request that was running at two crashes, which three processes report")
@@ -273,29 +273,29 @@
 
 @then("the request runs in its turn")
 def step_in_turn(context):
-    assert context.known.verdict("bad", 4.0) is Verdict.SUSPECT
+    assert context.known.status("bad", 4.0) is SuspectStatus.SUSPECT
 
 
 @when("it comes every {period:d} seconds for {minutes:d} minutes")
 def step_keeps_coming(context, period, minutes):
     moments = range(6, 6 + 60 * minutes, period)
-    context.verdicts = []
+    context.statuses = []
     for moment in moments:
-        context.verdicts.append(context.known.verdict("bad", moment))
+        context.statuses.append(context.known.status("bad", moment))
         context.known.note_rejected("bad", moment)
     context.last_at = moments[-1]
 
 
 @then("it is rejected each time")
 def step_rejected_each_time(context):
-    assert set(context.verdicts) == {Verdict.CONDEMNED}, context.verdicts
+    assert set(context.statuses) == {SuspectStatus.BLOCKED}, context.statuses
 
 
 @then("it may run again {minutes:d} minutes after it came last")
 def step_runs_again(context, minutes):
     until = context.last_at + 60 * minutes
-    assert context.known.verdict("bad", until) is Verdict.CONDEMNED
-    assert context.known.verdict("bad", until + 1.0) is Verdict.CLEAR
+    assert context.known.status("bad", until) is SuspectStatus.BLOCKED
+    assert context.known.status("bad", until + 1.0) is SuspectStatus.CLEAR
 
 
 @when("another process is sent the records")
@@ -307,8 +307,8 @@
 
 @then("that process rejects the request")
 def step_other_rejects(context):
-    assert context.other.verdict("bad", 101.0) is Verdict.CONDEMNED
-    assert context.other.verdict("popular", 101.0) is Verdict.SUSPECT
+    assert context.other.status("bad", 101.0) is SuspectStatus.BLOCKED
+    assert context.other.status("popular", 101.0) is SuspectStatus.SUSPECT
 
 
 @given("runs that an upstream lost, and an answer to a request that it was sent later")
@@ -347,20 +347,22 @@
 @then("the process keeps {kept:d} of them and rejects the last")
 def step_keeps(context, kept):
     known = context.known
-    assert known.count + known.condemned_count == kept, known.count
-    assert known.verdict(context.fingerprint, 2.0) is Verdict.CONDEMNED
+    assert known.count + known.blocked_count == kept, known.count
+    assert known.status(context.fingerprint, 2.0) is SuspectStatus.BLOCKED
 
 
 @then("after {seconds:d} seconds it keeps only the one that it rejects")
 def step_keeps_one(context, seconds):
     known = context.known
     known.expire(1.0 + seconds)
-    assert (known.count, known.condemned_count) == (0, 1)
+    assert (known.count, known.blocked_count) == (0, 1)
 
 
 @then("after {seconds:d} seconds it rejects none of them and keeps none")
 def step_expired(context, seconds):
-    assert context.known.verdict(context.fingerprint, 1.0 + seconds) is Verdict.CLEAR
+    assert (
+        context.known.status(context.fingerprint, 1.0 + seconds) is SuspectStatus.CLEAR
+    )
     assert not context.known.any
 
 
--- a/features/steps/earlier_starts_steps.py
+++ b/features/steps/earlier_starts_steps.py
@@ -20,7 +20,7 @@
 from rosemarydeal.node.crash_watch import fingerprint_of
 from rosemarydeal.node.grants import CallGrantCarrier
 from rosemarydeal.platform.upstream import UpstreamCallFailed, UpstreamClient
-from rosemarydeal.policy.dispatch.crash_suspects import Verdict
+from rosemarydeal.policy.dispatch.crash_suspects import SuspectStatus
 
 JUMP_MS = 500
 LATER_MS = 10_000
@@ -329,8 +329,8 @@
 @then("the request is no crash suspect")
 def step_no_suspect(context):
     fingerprint = fingerprint_of(a_routed_request("r1"))
-    verdict = context.guard.crash_suspects.verdict(fingerprint, now())
-    assert verdict is Verdict.CLEAR, verdict
+    status = context.guard.crash_suspects.status(fingerprint, now())
+    assert status is SuspectStatus.CLEAR, status
 
 
 @then("the upstream is gone")
--- a/features/steps/node_parts_steps.py
+++ b/features/steps/node_parts_steps.py
@@ -128,7 +128,7 @@
     context.guards = run(context, make_guards())
     for guard in context.guards:
         guard.add_crash_suspects(
-            [SuspectRecord(context.fingerprint, ("i-1@1", "i-2@1"), in_turn=True)]
+            [SuspectRecord(context.fingerprint, ("i-1@1", "i-2@1"), exclusive=True)]
         )
 
 
--- a/rosemarydeal/node/crash_watch.py
+++ b/rosemarydeal/node/crash_watch.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, replace
+from functools import cached_property
 
 import structlog
 
@@ -20,25 +21,33 @@
 from rosemarydeal.policy.dispatch.crash_suspects import (
     KnownSuspects,
     SuspectRecord,
-    Verdict,
+    SuspectStatus,
+    request_fingerprint,
     suspect_fingerprint,
 )
 from rosemarydeal.policy.dispatch.lost_runs import LostRun, LostRuns
 
 from .upstream import FORMER_INCARNATIONS, UpstreamState, UpstreamWatch
 
-__all__ = ["CODE_SUSPECT", "SUSPECT", "CrashHooks", "CrashWatch", "fingerprint_of"]
+__all__ = [
+    "CODE_SUSPECT",
+    "SUSPECT",
+    "CrashHooks",
+    "CrashWatch",
+    "TrackedRequest",
+    "fingerprint_of",
+]
 
 # An upstream on the same VM accepts a connection within milliseconds.
 CONNECT_TIME_S = 0.3
 # Limits of the time that a suspect waits for its turn; the rest is for its run.
-MAX_TURN_WAIT_S = 1.0
-TURN_WAIT_SHARE = 0.5
+MAX_SUSPECT_WAIT_S = 1.0
+SUSPECT_WAIT_SHARE = 0.5
 SERVER_ERROR = 500
 CODE_SUSPECT = "crash-suspect"
 SUSPECT = NotServed(CODE_SUSPECT)
-# Its turn may come by then, unless another suspect is condemned first.
-TURN_TAKEN = NotServed(CODE_SUSPECT, MAX_TURN_WAIT_S)
+# Its turn may come by then, unless another suspect is blocked first.
+SUSPECT_BUSY = NotServed(CODE_SUSPECT, MAX_SUSPECT_WAIT_S)
 
 _log = structlog.get_logger()
 
@@ -56,6 +65,24 @@
     on_cleared: Callable[[str], None]
 
 
+class TrackedRequest:
+    """A request at the guard, whose fingerprint is computed when it is first needed.
+
+    Attributes:
+        request: The request.
+        exclusive: Whether it runs as the only suspect.
+    """
+
+    def __init__(self, request: RoutedRequest) -> None:
+        self.request = request
+        self.exclusive = False
+
+    @cached_property
+    def fingerprint(self) -> str:
+        """Returns the fingerprint under which it is a suspect."""
+        return fingerprint_of(self.request)
+
+
 class CrashWatch:
     """Charges the crashes of the upstream to the requests that it was running."""
 
@@ -67,7 +94,7 @@
         self._hooks = hooks
         self._suspects = KnownSuspects()
         self._lost = LostRuns()
-        self._turn = asyncio.Lock()
+        self._suspect_runs = asyncio.Lock()
         self._check: asyncio.Task[None] | None = None
         self._answered_at = 0.0
         self._left: deque[str] = deque(maxlen=FORMER_INCARNATIONS)
@@ -80,43 +107,40 @@
     async def run(
         self,
         request: RoutedRequest,
-        serve: Callable[[RoutedRequest, bool], Awaitable[RequestOutcome]],
+        serve: Callable[[TrackedRequest], Awaitable[RequestOutcome]],
     ) -> RequestOutcome:
         """Runs a request at the upstream: a suspect in its turn, others at once.
 
         Args:
             request: The request.
-            serve: Runs it; its second argument tells whether it runs in turn.
+            serve: Runs it.
         """
+        tracked = TrackedRequest(request)
         if not self._suspects.any:
-            return await serve(request, False)
-        fingerprint, arrived_at = fingerprint_of(request), now()
-        verdict = self._suspects.verdict(fingerprint, arrived_at)
-        if verdict is Verdict.SUSPECT:
-            return await self._run_suspect(request, fingerprint, serve)
-        if verdict is Verdict.CONDEMNED:
-            return self._reject(request, fingerprint)
-        return await serve(request, False)
-
-    async def confirm(
-        self, request: RoutedRequest, incarnation: str, in_turn: bool
-    ) -> None:
+            return await serve(tracked)
+        match self._suspects.status(tracked.fingerprint, now()):
+            case SuspectStatus.SUSPECT:
+                return await self._run_suspect(tracked, serve)
+            case SuspectStatus.BLOCKED:
+                return self._reject(tracked)
+        return await serve(tracked)
+
+    async def confirm(self, tracked: TrackedRequest, incarnation: str) -> None:
         """Waits until it is known whether the upstream crashed under a request.
 
         Args:
-            request: A request whose connection the upstream has closed.
+            tracked: A request whose connection the upstream has closed.
             incarnation: Incarnation that ran it.
-            in_turn: Whether it ran as the only suspect.
         """
-        lost = LostRun(fingerprint_of(request), incarnation, in_turn, now())
+        fingerprint, exclusive = tracked.fingerprint, tracked.exclusive
         _log.info(
             "run_lost",
-            request_id=request.request_id,
-            fingerprint=lost.fingerprint,
+            request_id=tracked.request.request_id,
+            fingerprint=fingerprint,
             incarnation=incarnation,
-            in_turn=in_turn,
+            exclusive=exclusive,
         )
-        self._lost.add(lost)
+        self._lost.add(LostRun(fingerprint, incarnation, exclusive, now()))
         if not self._is_running(incarnation):
             if incarnation not in self._left:
                 self._charge(incarnation)
@@ -127,12 +151,12 @@
         await asyncio.shield(self._check)
 
     def note_answer(
-        self, request: RoutedRequest, status: int, incarnation: str, sent_at: float
+        self, tracked: TrackedRequest, status: int, incarnation: str, sent_at: float
     ) -> None:
         """Clears a suspect that the upstream has answered.
 
         Args:
-            request: The request.
+            tracked: The request.
             status: Status of the answer.
             incarnation: Incarnation that gave it.
             sent_at: When the request was sent.
@@ -141,14 +165,13 @@
         self._lost.note_answer(incarnation, sent_at)
         if status >= SERVER_ERROR or not self._suspects.any:
             return
-        fingerprint = fingerprint_of(request)
-        if self._suspects.clear(fingerprint):
+        if self._suspects.clear(tracked.fingerprint):
             _log.info(
                 "crash_suspect_cleared",
-                request_id=request.request_id,
-                fingerprint=fingerprint,
+                request_id=tracked.request.request_id,
+                fingerprint=tracked.fingerprint,
             )
-            self._hooks.on_cleared(fingerprint)
+            self._hooks.on_cleared(tracked.fingerprint)
 
     def note_state(self, state: UpstreamState, old: UpstreamState | None) -> None:
         """Charges a crash if the upstream has ended without having left."""
@@ -161,12 +184,12 @@
         else:
             self._left.append(old.incarnation)
 
-    def is_condemned(self, request: RoutedRequest) -> bool:
+    def is_blocked(self, tracked: TrackedRequest) -> bool:
         """Returns whether a request is rejected as it crashes upstreams."""
-        if not self._suspects.condemned_count:
+        if not self._suspects.blocked_count:
             return False
-        verdict = self._suspects.verdict(fingerprint_of(request), now())
-        return verdict is Verdict.CONDEMNED
+        status = self._suspects.status(tracked.fingerprint, now())
+        return status is SuspectStatus.BLOCKED
 
     def merge(self, records: Iterable[SuspectRecord]) -> None:
         """Adds suspects that a peer knows."""
@@ -178,37 +201,37 @@
 
     async def _run_suspect(
         self,
-        request: RoutedRequest,
-        fingerprint: str,
-        serve: Callable[[RoutedRequest, bool], Awaitable[RequestOutcome]],
+        tracked: TrackedRequest,
+        serve: Callable[[TrackedRequest], Awaitable[RequestOutcome]],
     ) -> RequestOutcome:
         """Runs a suspect when no other one runs here."""
-        arrived_at = now()
-        wait_s = min(MAX_TURN_WAIT_S, TURN_WAIT_SHARE * request.time_left_s)
+        arrived_at, request = now(), tracked.request
+        wait_s = min(MAX_SUSPECT_WAIT_S, SUSPECT_WAIT_SHARE * request.time_left_s)
         try:
             async with asyncio.timeout(wait_s):
-                await self._turn.acquire()
+                await self._suspect_runs.acquire()
         except TimeoutError:
             _log.info("crash_suspect_waited", request_id=request.request_id)
-            return TURN_TAKEN
+            return SUSPECT_BUSY
         try:
-            verdict = self._suspects.verdict(fingerprint, now())
-            if verdict is Verdict.CONDEMNED:
-                return self._reject(request, fingerprint)
-            delayed = _delayed(request, now() - arrived_at)
-            if verdict is Verdict.SUSPECT:
-                return await serve(delayed, True)
+            tracked.request = _delayed(request, now() - arrived_at)
+            match self._suspects.status(tracked.fingerprint, now()):
+                case SuspectStatus.BLOCKED:
+                    return self._reject(tracked)
+                case SuspectStatus.SUSPECT:
+                    tracked.exclusive = True
+                    return await serve(tracked)
         finally:
-            self._turn.release()
-        return await serve(delayed, False)
+            self._suspect_runs.release()
+        return await serve(tracked)
 
-    def _reject(self, request: RoutedRequest, fingerprint: str) -> NotServed:
-        """Rejects a condemned request."""
-        self._suspects.note_rejected(fingerprint, now())
+    def _reject(self, tracked: TrackedRequest) -> NotServed:
+        """Rejects a blocked request."""
+        self._suspects.note_rejected(tracked.fingerprint, now())
         _log.info(
             "crash_suspect_rejected",
-            request_id=request.request_id,
-            fingerprint=fingerprint,
+            request_id=tracked.request.request_id,
+            fingerprint=tracked.fingerprint,
         )
         return SUSPECT
 
@@ -237,12 +260,12 @@
             "upstream_crashed",
             incarnation=incarnation,
             fingerprints=fingerprints,
-            in_turn=[run.fingerprint for run in lost if run.in_turn],
+            exclusive=[run.fingerprint for run in lost if run.exclusive],
         )
         if not lost:
             return
         self._suspects.merge(
-            [SuspectRecord(r.fingerprint, (incarnation,), r.in_turn) for r in lost],
+            [SuspectRecord(r.fingerprint, (incarnation,), r.exclusive) for r in lost],
             moment,
         )
         self._hooks.on_crash(self._suspects.records(fingerprints, moment))
@@ -253,9 +276,7 @@
     return suspect_fingerprint(
         request.service,
         request.caller_service,
-        request.method,
-        request.target,
-        request.body,
+        request_fingerprint(request.method, request.target, request.body),
     )
 
 
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -21,10 +21,10 @@
 )
 from rosemarydeal.platform import callers
 from rosemarydeal.policy.dispatch.crash_suspects import (
-    Verdict,
+    SuspectStatus,
     request_fingerprint,
     suspect_fingerprint,
-    turn_node,
+    suspect_node,
 )
 from rosemarydeal.policy.dispatch.retry_budget import RetryBudget
 from rosemarydeal.policy.keyranges import table as tables
@@ -193,6 +193,7 @@
         fingerprint = request_fingerprint(caller.method, caller.target, caller.body)
         progress = Progress(
             caller,
+            fingerprint,
             route,
             service,
             arrived_at,
@@ -216,7 +217,7 @@
             if self._stop.too_near(moment):
                 log_rejection_at_entry(progress, self._stop)
                 return planned_stop.rejection(False, progress.deadline - moment)
-            if self._verdict(progress) is Verdict.CONDEMNED:
+            if self._suspect_status(progress) is SuspectStatus.BLOCKED:
                 return SUSPECT
             node = await self._find_node(progress, tried)
             if isinstance(node, NotServed):
@@ -290,27 +291,22 @@
         except TimeoutError:
             return OutcomeUnknown("timeout", timed_out=True)
 
-    def _verdict(self, progress: Progress) -> Verdict:
+    def _suspect_status(self, progress: Progress) -> SuspectStatus:
         """Returns how a request may run."""
         suspects = self._guard.crash_suspects
         if not suspects.any:
-            return Verdict.CLEAR
+            return SuspectStatus.CLEAR
         moment = now()
         fingerprint = self._suspect_fingerprint(progress)
-        verdict = suspects.verdict(fingerprint, moment)
-        if verdict is Verdict.CONDEMNED:
+        status = suspects.status(fingerprint, moment)
+        if status is SuspectStatus.BLOCKED:
             suspects.note_rejected(fingerprint, moment)
-        return verdict
+        return status
 
     def _suspect_fingerprint(self, progress: Progress) -> str:
         """Returns the fingerprint under which a request is a suspect."""
-        request = progress.request
         return suspect_fingerprint(
-            progress.service,
-            self._identity.service,
-            request.method,
-            request.target,
-            request.body,
+            progress.service, self._identity.service, progress.fingerprint
         )
 
     def _find_owner(self, service: str, key: int) -> str | None:
@@ -330,8 +326,8 @@
 
     def _choose_node(self, progress: Progress, tried: set[str]) -> str | None:
         """Chooses the node for a request without a key; None if there is none."""
-        if self._verdict(progress) is Verdict.SUSPECT:
-            return self._choose_turn_node(progress, tried)
+        if self._suspect_status(progress) is SuspectStatus.SUSPECT:
+            return self._choose_suspect_node(progress, tried)
         same_zone_members, other_zone_members = (
             [
                 member
@@ -350,7 +346,7 @@
             self._incarnations_tried[node] = self._records.members[node].incarnation
         return node
 
-    def _choose_turn_node(self, progress: Progress, tried: set[str]) -> str | None:
+    def _choose_suspect_node(self, progress: Progress, tried: set[str]) -> str | None:
         """Chooses the node for a suspect, the same one as all other processes."""
         same_zone_members, other_zone_members = self._accepting_members(
             progress.service
@@ -360,7 +356,7 @@
             for member in (*same_zone_members, *other_zone_members)
             if member.node not in tried and self._is_usable(member)
         ]
-        return turn_node(self._suspect_fingerprint(progress), nodes)
+        return suspect_node(self._suspect_fingerprint(progress), nodes)
 
     def _accepting_members(
         self, service: str
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -43,7 +43,7 @@
 from rosemarydeal.policy.requests.planned_stop import CODE_STOP_TOO_NEAR, PlannedStop
 from rosemarydeal.policy.routing import leaving
 
-from .crash_watch import CODE_SUSPECT, SUSPECT, CrashHooks, CrashWatch
+from .crash_watch import CODE_SUSPECT, SUSPECT, CrashHooks, CrashWatch, TrackedRequest
 from .metrics import Metrics
 from .slots import DispatchSlots
 from .stop_log import log_rejection_at_guard
@@ -90,16 +90,20 @@
     """A request that is queued or running here.
 
     Attributes:
-        in_turn: Whether it runs as the only suspect of a crash.
+        tracked: The request, for the case that it crashes the upstream.
     """
 
-    request: RoutedRequest
-    in_turn: bool
+    tracked: TrackedRequest
     arrived_at: float
     deadline: float
     future: asyncio.Future[RequestOutcome]
     task: asyncio.Task[None] | None = None
 
+    @property
+    def request(self) -> RoutedRequest:
+        """Returns the request."""
+        return self.tracked.request
+
 
 class Guard:
     """Runs requests of this process and of its peers at the upstream."""
@@ -230,8 +234,9 @@
             self._record_outcome(request, "refused", CODE_SUSPECT, 0.0)
         return outcome
 
-    async def _serve(self, request: RoutedRequest, in_turn: bool) -> RequestOutcome:
+    async def _serve(self, tracked: TrackedRequest) -> RequestOutcome:
         """Runs a request that is no suspect of a crash, or whose turn it is."""
+        request = tracked.request
         rejection = self._rejection(request)
         if rejection is not None:
             self._record_outcome(request, "refused", rejection.code, 0.0)
@@ -240,8 +245,7 @@
         number = self._last_number
         moment = now()
         active = _ActiveRequest(
-            request,
-            in_turn,
+            tracked,
             moment,
             moment + request.time_left_s,
             asyncio.get_running_loop().create_future(),
@@ -386,7 +390,7 @@
         self._schedule()
 
     def _start(self, number: int) -> list[Decision]:
-        """Runs a request, unless its caller has left or it was condemned meanwhile.
+        """Runs a request, unless its caller has left or it was blocked meanwhile.
 
         Returns:
             What the queue decides when a request is withdrawn.
@@ -395,7 +399,7 @@
         if active is None or active.future.done():
             self._remove_left()
             return self._queue.withdraw(number, now())
-        if self._crash_watch.is_condemned(active.request):
+        if self._crash_watch.is_blocked(active.tracked):
             # Whoever waits for this outcome counts it.
             active.future.set_result(SUSPECT)
             return self._queue.withdraw(number, now())
@@ -446,9 +450,7 @@
             self._notices.apply(result, incarnation, started)
             if isinstance(result, Failed) and result.sent and result.closed:
                 # Nothing more is sent meanwhile in the place of this request.
-                await self._crash_watch.confirm(
-                    active.request, incarnation, active.in_turn
-                )
+                await self._crash_watch.confirm(active.tracked, incarnation)
         except Exception as error:
             # The caller waits for an outcome, and the request may have been sent.
             self._failures.note("dispatch", error)
@@ -458,7 +460,7 @@
             self._dispatch_slots.finish(number, completed)
         if isinstance(result, Answered):
             self._crash_watch.note_answer(
-                active.request, result.status, incarnation, started
+                active.tracked, result.status, incarnation, started
             )
         outcome = self._outcome(result, incarnation)
         load = result.load if isinstance(result, Answered | Rejected) else None
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -444,7 +444,7 @@
             ("store_reachable", self._access.reachable),
             ("store_era", self._store.era),
             ("crash_suspects", self._guard.crash_suspects.count),
-            ("crash_suspects_condemned", self._guard.crash_suspects.condemned_count),
+            ("crash_suspects_blocked", self._guard.crash_suspects.blocked_count),
             ("starts_unconfirmed", self._start_check.refused),
             ("body_room_bytes", self._bodies.left_bytes),
             ("answer_room_bytes", self._answers.left_bytes),
--- a/rosemarydeal/node/progress.py
+++ b/rosemarydeal/node/progress.py
@@ -17,6 +17,7 @@
 
     Attributes:
         request: The request.
+        fingerprint: Digest of its method, target and body.
         route: Its route.
         service: Service that runs it.
         arrived_at: Time of its arrival.
@@ -26,6 +27,7 @@
     """
 
     request: CallerRequest
+    fingerprint: str
     route: Route
     service: str
     arrived_at: float
--- a/rosemarydeal/policy/dispatch/crash_suspects.py
+++ b/rosemarydeal/policy/dispatch/crash_suspects.py
@@ -7,7 +7,7 @@
 A suspect runs at one upstream at a time: all processes choose the same one, and its
 process runs one suspect after the other. One that is answered is cleared everywhere.
 One that was running at several crashes, and was the only suspect running at one of
-these, is condemned: it is rejected for as long as it keeps coming. A popular request
+these, is blocked: it is rejected for as long as it keeps coming. A popular request
 that runs beside the crashes of another one is answered when its turn comes.
 
 Records are sets of crashed incarnations, so that they can be sent more than once and
@@ -25,18 +25,18 @@
 __all__ = [
     "KnownSuspects",
     "SuspectRecord",
-    "Verdict",
+    "SuspectStatus",
     "request_fingerprint",
     "suspect_fingerprint",
-    "turn_node",
+    "suspect_node",
 ]
 
 # The platform allows three crashes under one request.
-CRASHES_TO_CONDEMN = 3
+CRASHES_TO_BLOCK = 3
 # What a caller sends again after a minute is a new request, which may run again.
 SUSPECT_TTL_S = 60.0
 # In a large fleet each process is sent a small part of the repetitions.
-CONDEMNED_TTL_S = 600.0
+BLOCKED_TTL_S = 600.0
 # Bounds the memory if many upstreams crash within that time; the oldest go first.
 MAX_SUSPECTS = 4096
 # Bounds the memory of a request that is in use everywhere during a series of crashes.
@@ -45,18 +45,18 @@
 MAX_SHARED = 256
 
 
-class Verdict(Enum):
+class SuspectStatus(Enum):
     """How a request may run.
 
     Attributes:
         CLEAR: Like any other.
         SUSPECT: When it is its turn among the suspects.
-        CONDEMNED: Not at all.
+        BLOCKED: Not at all.
     """
 
     CLEAR = auto()
     SUSPECT = auto()
-    CONDEMNED = auto()
+    BLOCKED = auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,13 +66,13 @@
     Attributes:
         fingerprint: The request.
         crashes: The incarnations that crashed while they ran it.
-        in_turn: Whether it was the only suspect running at one of them.
-        age_s: Time since the last crash, or since a condemned one came last.
+        exclusive: Whether it was the only suspect running at one of them.
+        age_s: Time since the last crash, or since a blocked one came last.
     """
 
     fingerprint: str
     crashes: tuple[str, ...]
-    in_turn: bool = False
+    exclusive: bool = False
     age_s: float = 0.0
 
 
@@ -81,13 +81,13 @@
     """A record, with the time from which its age counts."""
 
     crashes: frozenset[str]
-    in_turn: bool
+    exclusive: bool
     last_at: float
 
     @property
-    def condemned(self) -> bool:
+    def blocked(self) -> bool:
         """Returns whether the request is rejected."""
-        return self.in_turn and len(self.crashes) >= CRASHES_TO_CONDEMN
+        return self.exclusive and len(self.crashes) >= CRASHES_TO_BLOCK
 
 
 def request_fingerprint(method: bytes, target: bytes, body: bytes) -> str:
@@ -95,23 +95,19 @@
     return _digest(method, target, body)
 
 
-def suspect_fingerprint(
-    service: str, caller_service: str, method: bytes, target: bytes, body: bytes
-) -> str:
+def suspect_fingerprint(service: str, caller_service: str, request: str) -> str:
     """Returns a digest that is the same whenever a caller sends a request again.
 
     Args:
         service: Service that runs it.
         caller_service: Service on the VM from which it comes. The same request of
             another caller may be harmless.
-        method: HTTP method.
-        target: Path and query.
-        body: Complete body.
+        request: Digest of its method, target and body.
     """
-    return _digest(service.encode(), caller_service.encode(), method, target, body)
+    return _digest(service.encode(), caller_service.encode(), request.encode())
 
 
-def turn_node(fingerprint: str, nodes: Iterable[str]) -> str | None:
+def suspect_node(fingerprint: str, nodes: Iterable[str]) -> str | None:
     """Returns the node that runs a suspect, the same at all processes.
 
     Args:
@@ -128,54 +124,61 @@
     def __init__(self) -> None:
         # Both in the order of their times.
         self._suspects: OrderedDict[str, _Entry] = OrderedDict()
-        self._condemned: OrderedDict[str, _Entry] = OrderedDict()
+        self._blocked: OrderedDict[str, _Entry] = OrderedDict()
 
     @property
     def any(self) -> bool:
         """Returns whether there are suspects; without, no fingerprint is needed."""
-        return bool(self._suspects or self._condemned)
+        return bool(self._suspects or self._blocked)
 
     @property
     def count(self) -> int:
-        """Returns the number of suspects that are not condemned."""
+        """Returns the number of suspects that are not blocked."""
         return len(self._suspects)
 
     @property
-    def condemned_count(self) -> int:
+    def blocked_count(self) -> int:
         """Returns the number of requests that are rejected."""
-        return len(self._condemned)
+        return len(self._blocked)
 
-    def verdict(self, fingerprint: str, now: float) -> Verdict:
+    def status(self, fingerprint: str, now: float) -> SuspectStatus:
         """Returns how a request that comes now may run."""
         self.expire(now)
-        if fingerprint in self._condemned:
-            return Verdict.CONDEMNED
-        return Verdict.SUSPECT if fingerprint in self._suspects else Verdict.CLEAR
+        if fingerprint in self._blocked:
+            return SuspectStatus.BLOCKED
+        return (
+            SuspectStatus.SUSPECT
+            if fingerprint in self._suspects
+            else SuspectStatus.CLEAR
+        )
 
     def note_rejected(self, fingerprint: str, now: float) -> None:
-        """Notes that a condemned request has come again."""
-        entry = self._condemned.pop(fingerprint, None)
+        """Notes that a blocked request has come again."""
+        entry = self._blocked.pop(fingerprint, None)
         if entry is not None:
-            self._put(fingerprint, _Entry(entry.crashes, entry.in_turn, now))
+            self._put(fingerprint, _Entry(entry.crashes, entry.exclusive, now))
 
     def merge(self, records: Iterable[SuspectRecord], now: float) -> None:
         """Adds crashes, which may be known already."""
         self.expire(now)
         for record in records:
             fingerprint = record.fingerprint
-            known = self._condemned.get(fingerprint) or self._suspects.get(fingerprint)
-            crashes, in_turn = frozenset(record.crashes), record.in_turn
+            known = self._blocked.get(fingerprint) or self._suspects.get(fingerprint)
+            crashes, exclusive = frozenset(record.crashes), record.exclusive
             last_at = now - record.age_s
             if known is not None:
-                if crashes <= known.crashes and in_turn <= known.in_turn:
+                if crashes <= known.crashes and exclusive <= known.exclusive:
                     continue
-                crashes, in_turn = crashes | known.crashes, in_turn or known.in_turn
+                crashes, exclusive = (
+                    crashes | known.crashes,
+                    exclusive or known.exclusive,
+                )
                 last_at = max(last_at, known.last_at)
             kept = frozenset(sorted(crashes)[:MAX_CRASHES])
-            self._condemned.pop(fingerprint, None)
+            self._blocked.pop(fingerprint, None)
             self._suspects.pop(fingerprint, None)
-            self._put(fingerprint, _Entry(kept, in_turn, last_at))
-        for entries in (self._suspects, self._condemned):
+            self._put(fingerprint, _Entry(kept, exclusive, last_at))
+        for entries in (self._suspects, self._blocked):
             while len(entries) > MAX_SUSPECTS:
                 entries.popitem(last=False)
 
@@ -186,11 +189,11 @@
             Whether any crash was charged to it.
         """
         suspect = self._suspects.pop(fingerprint, None)
-        return (self._condemned.pop(fingerprint, None) or suspect) is not None
+        return (self._blocked.pop(fingerprint, None) or suspect) is not None
 
     def records(self, fingerprints: Iterable[str], now: float) -> list[SuspectRecord]:
         """Returns the records of some requests."""
-        known = {**self._suspects, **self._condemned}
+        known = {**self._suspects, **self._blocked}
         return [
             _record(fingerprint, known[fingerprint], now)
             for fingerprint in fingerprints
@@ -200,21 +203,21 @@
     def shared_records(self, now: float) -> list[SuspectRecord]:
         """Returns the latest records, for a process that may know none."""
         self.expire(now)
-        latest = [*self._suspects, *self._condemned][-MAX_SHARED:]
+        latest = [*self._suspects, *self._blocked][-MAX_SHARED:]
         return self.records(latest, now)
 
     def expire(self, now: float) -> None:
         """Removes the records that are too old."""
         for entries, ttl_s in (
             (self._suspects, SUSPECT_TTL_S),
-            (self._condemned, CONDEMNED_TTL_S),
+            (self._blocked, BLOCKED_TTL_S),
         ):
             while entries and now - next(iter(entries.values())).last_at > ttl_s:
                 entries.popitem(last=False)
 
     def _put(self, fingerprint: str, entry: _Entry) -> None:
         """Adds an entry, keeping the order of times."""
-        entries = self._condemned if entry.condemned else self._suspects
+        entries = self._blocked if entry.blocked else self._suspects
         newest = next(reversed(entries.values()), None)
         entries[fingerprint] = entry
         if newest is not None and newest.last_at > entry.last_at:
@@ -226,7 +229,7 @@
 def _record(fingerprint: str, entry: _Entry, now: float) -> SuspectRecord:
     """Returns an entry as it is sent to other processes."""
     crashes = tuple(sorted(entry.crashes))
-    return SuspectRecord(fingerprint, crashes, entry.in_turn, now - entry.last_at)
+    return SuspectRecord(fingerprint, crashes, entry.exclusive, now - entry.last_at)
 
 
 def _digest(*parts: bytes) -> str:
--- a/rosemarydeal/policy/dispatch/lost_runs.py
+++ b/rosemarydeal/policy/dispatch/lost_runs.py
@@ -26,13 +26,13 @@
     Attributes:
         fingerprint: The request.
         incarnation: Incarnation of the upstream that ran it.
-        in_turn: Whether it ran as the only suspect.
+        exclusive: Whether it ran as the only suspect.
         lost_at: When the connection was closed.
     """
 
     fingerprint: str
     incarnation: str
-    in_turn: bool
+    exclusive: bool
     lost_at: float
 
 
