Name the older daemon's containment of crashing requests after its claims

Cause: policy/crash_suspects.py and policy/dispatch/crash_suspects.py had one name and answer the same question by different rules; a reader could not tell which one a node uses. Evidence: the older one blocks after two crashes and lets processes claim a suspect, the newer one blocks after three and lets all processes choose one upstream. Change: the older one is claimed_suspects.py (ClaimedSuspects). Behaviour is the same.

--- a/features/mutant_list_requests.py
+++ b/features/mutant_list_requests.py
@@ -125,7 +125,7 @@
     ),
     Mutant(
         "suspect run by several processes at once",
-        f"{POLICY}/crash_suspects.py",
+        f"{POLICY}/claimed_suspects.py",
         "if current is None or current.node != node:",
         "if current is None:",
         FUZZ,
@@ -139,7 +139,7 @@
     ),
     Mutant(
         "blocked after three crashes",
-        f"{POLICY}/crash_suspects.py",
+        f"{POLICY}/claimed_suspects.py",
         "CRASHES_TO_BLOCK = 2",
         "CRASHES_TO_BLOCK = 3",
         FUZZ,
--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -11,7 +11,7 @@
 from features.builders_fleet_types import a_queue, a_queued_request, a_route
 from rosemarydeal.core.fleet import Bounds
 from rosemarydeal.core.requests import Answered, NotServed, OutcomeUnknown
-from rosemarydeal.policy import crash_suspects
+from rosemarydeal.policy import claimed_suspects
 from rosemarydeal.policy.dispatch.cold_start import ColdStartLimiter
 from rosemarydeal.policy.dispatch.crash_suspects import (
     KnownSuspects,
@@ -368,9 +368,9 @@
 
 @given("{count:d} claims of crash suspects by another process")
 def step_claims(context, count):
-    context.suspects = crash_suspects.Suspects()
+    context.suspects = claimed_suspects.ClaimedSuspects()
     for number in range(count):
-        context.suspects, _ = crash_suspects.claim(
+        context.suspects, _ = claimed_suspects.claim(
             context.suspects, "box-office", "vm-b", number, 1.0
         )
     assert len(context.suspects.claims) == count
@@ -378,7 +378,7 @@
 
 @then("after {seconds:d} seconds no claim is kept")
 def step_claims_ended(context, seconds):
-    expired = crash_suspects.expire(context.suspects, 1.0 + seconds, 60.0)
+    expired = claimed_suspects.expire(context.suspects, 1.0 + seconds, 60.0)
     assert not expired.claims, len(expired.claims)
 
 
--- a/rosemarydeal/daemon/status.py
+++ b/rosemarydeal/daemon/status.py
@@ -7,7 +7,7 @@
 from rosemarydeal.core import MemberPhase, SliceId
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.status import NodeStatus, SliceStatus
-from rosemarydeal.policy import crash_suspects, guard, ownership
+from rosemarydeal.policy import claimed_suspects, guard, ownership
 
 __all__ = ["slice_status", "with_guard", "with_ownership"]
 
@@ -29,7 +29,7 @@
         queued=figures.queued,
         limit=int(figures.limit),
         cold=figures.up and figures.cold_share < 1.0,
-        suspects=crash_suspects.suspected(state.suspects),
+        suspects=claimed_suspects.suspected(state.suspects),
     )
 
 
--- a/rosemarydeal/policy/arrivals.py
+++ b/rosemarydeal/policy/arrivals.py
@@ -8,7 +8,7 @@
 
 from . import fairqueue
 from .admission import expected_wait
-from .crash_suspects import is_blocked
+from .claimed_suspects import is_blocked
 from .guard_interface import GuardAction, ReplyAnswer, ReplyOutcome, RequestArrived
 from .guard_state import (
     GuardState,
--- a/rosemarydeal/policy/crash_suspects.py
+++ b/rosemarydeal/policy/claimed_suspects.py
@@ -1,4 +1,4 @@
-"""Containment of requests that crash the upstreams that run them.
+"""Containment of crashing requests, by claims of the processes that run them.
 
 Each fingerprint in flight at a crash of an upstream becomes a suspect of that
 crash and is broadcast to all processes of the service. A suspect of two crashes
@@ -8,6 +8,10 @@
 request is blocked. A request that gets an answer is cleared. Records are
 grow-only sets of crashes and clearances, so notices may be reordered and
 duplicated.
+
+Processes of other services are not told, so a suspect runs wherever they send it.
+In `dispatch.crash_suspects` they are told: all choose one upstream for a suspect, no
+process claims it, and three crashes block it.
 """
 
 from __future__ import annotations
@@ -21,7 +25,7 @@
 __all__ = [
     "Claim",
     "Record",
-    "Suspects",
+    "ClaimedSuspects",
     "apply_notice",
     "claim",
     "clear",
@@ -74,7 +78,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Suspects:
+class ClaimedSuspects:
     """Crash records, claims, and the notices to rebroadcast.
 
     Attributes:
@@ -94,35 +98,35 @@
     claims: immutables.Map[int, Claim] = field(default_factory=immutables.Map)
 
 
-def _uncleared_crashes(suspects: Suspects, fingerprint: int) -> frozenset[str]:
+def _uncleared_crashes(suspects: ClaimedSuspects, fingerprint: int) -> frozenset[str]:
     """Returns the crashes of which a fingerprint has not been cleared."""
     record = suspects.records.get(fingerprint)
     return record.uncleared_crashes if record else frozenset()
 
 
-def is_suspect(suspects: Suspects, fingerprint: int) -> bool:
+def is_suspect(suspects: ClaimedSuspects, fingerprint: int) -> bool:
     """Returns whether a fingerprint was in flight at a crash and is not cleared."""
     return bool(_uncleared_crashes(suspects, fingerprint))
 
 
-def is_blocked(suspects: Suspects, fingerprint: int) -> bool:
+def is_blocked(suspects: ClaimedSuspects, fingerprint: int) -> bool:
     """Returns whether requests with a fingerprint are rejected."""
     return len(_uncleared_crashes(suspects, fingerprint)) >= CRASHES_TO_BLOCK
 
 
-def suspected(suspects: Suspects) -> tuple[int, ...]:
+def suspected(suspects: ClaimedSuspects) -> tuple[int, ...]:
     """Returns all suspects, sorted."""
     return tuple(sorted(f for f in suspects.records if is_suspect(suspects, f)))
 
 
 def record_crash(
-    suspects: Suspects,
+    suspects: ClaimedSuspects,
     service: str,
     node: str,
     boot_id: int,
     in_flight: tuple[int, ...],
     now: float,
-) -> tuple[Suspects, CrashSuspectNotice]:
+) -> tuple[ClaimedSuspects, CrashSuspectNotice]:
     """Records a crash of the local upstream.
 
     Args:
@@ -144,8 +148,8 @@
 
 
 def _schedule_rebroadcast(
-    suspects: Suspects, notices: tuple[CrashSuspectNotice, ...], now: float
-) -> Suspects:
+    suspects: ClaimedSuspects, notices: tuple[CrashSuspectNotice, ...], now: float
+) -> ClaimedSuspects:
     """Adds notices to those that are rebroadcast; the oldest may be dropped."""
     kept = (*suspects.notices, *notices)[-OWN_NOTICES_MAX:]
     created_at = (*suspects.created_at, *(now for _ in notices))[-OWN_NOTICES_MAX:]
@@ -153,8 +157,8 @@
 
 
 def rebroadcast(
-    suspects: Suspects, now: float
-) -> tuple[Suspects, tuple[CrashSuspectNotice, ...]]:
+    suspects: ClaimedSuspects, now: float
+) -> tuple[ClaimedSuspects, tuple[CrashSuspectNotice, ...]]:
     """Returns the notices to rebroadcast now, if the period has passed."""
     if not suspects.notices or now - suspects.sent_at < REBROADCAST_PERIOD_S:
         return suspects, ()
@@ -168,8 +172,8 @@
 
 
 def apply_notice(
-    suspects: Suspects, notice: CrashSuspectNotice, now: float
-) -> Suspects:
+    suspects: ClaimedSuspects, notice: CrashSuspectNotice, now: float
+) -> ClaimedSuspects:
     """Merges a notice into the records."""
     if notice.crash_id.startswith(CLAIM_PREFIX):
         node = notice.crash_id.removeprefix(CLAIM_PREFIX)
@@ -188,15 +192,15 @@
     return _evict_excess(replace(suspects, records=records))
 
 
-def is_claimable(suspects: Suspects, fingerprint: int, now: float) -> bool:
+def is_claimable(suspects: ClaimedSuspects, fingerprint: int, now: float) -> bool:
     """Returns whether a suspect has no unexpired claim."""
     current = suspects.claims.get(fingerprint)
     return current is None or now - current.claimed_at > CLAIM_TTL_S
 
 
 def claim(
-    suspects: Suspects, service: str, node: str, fingerprint: int, now: float
-) -> tuple[Suspects, CrashSuspectNotice]:
+    suspects: ClaimedSuspects, service: str, node: str, fingerprint: int, now: float
+) -> tuple[ClaimedSuspects, CrashSuspectNotice]:
     """Claims a suspect for this process, so that no other process runs it.
 
     Returns:
@@ -207,8 +211,8 @@
 
 
 def _apply_claim(
-    suspects: Suspects, node: str, fingerprints: tuple[int, ...], now: float
-) -> Suspects:
+    suspects: ClaimedSuspects, node: str, fingerprints: tuple[int, ...], now: float
+) -> ClaimedSuspects:
     """Records a claim; of two concurrent claims the lower node name wins."""
     claims = suspects.claims
     for fingerprint in fingerprints:
@@ -219,7 +223,7 @@
     return replace(suspects, claims=claims)
 
 
-def may_run(suspects: Suspects, node: str, fingerprint: int, now: float) -> bool:
+def may_run(suspects: ClaimedSuspects, node: str, fingerprint: int, now: float) -> bool:
     """Returns whether this process holds a claim old enough to be uncontested.
 
     A concurrent claim of another process arrives within the settling time.
@@ -230,7 +234,7 @@
     return CLAIM_SETTLE_S <= now - current.claimed_at <= CLAIM_TTL_S
 
 
-def _evict_excess(suspects: Suspects) -> Suspects:
+def _evict_excess(suspects: ClaimedSuspects) -> ClaimedSuspects:
     """Evicts the oldest records beyond the limit, blocked fingerprints last."""
     excess = len(suspects.records) - RECORDS_MAX
     if excess <= 0:
@@ -249,8 +253,8 @@
 
 
 def clear(
-    suspects: Suspects, service: str, fingerprint: int, now: float
-) -> tuple[Suspects, tuple[CrashSuspectNotice, ...]]:
+    suspects: ClaimedSuspects, service: str, fingerprint: int, now: float
+) -> tuple[ClaimedSuspects, tuple[CrashSuspectNotice, ...]]:
     """Clears a fingerprint of all recorded crashes.
 
     Returns:
@@ -270,7 +274,7 @@
     return suspects, notices
 
 
-def expire(suspects: Suspects, now: float, window_s: float) -> Suspects:
+def expire(suspects: ClaimedSuspects, now: float, window_s: float) -> ClaimedSuspects:
     """Removes records without a crash within the window, and claims that have ended."""
     old = {
         f
--- a/rosemarydeal/policy/completions.py
+++ b/rosemarydeal/policy/completions.py
@@ -8,7 +8,7 @@
 from rosemarydeal.core.codes import SHED_CODE
 from rosemarydeal.core.messages import LedgerHandOver
 
-from . import admission, coldstart, crash_suspects, fairqueue, ledger, tickets
+from . import admission, claimed_suspects, coldstart, fairqueue, ledger, tickets
 from .guard_interface import (
     BroadcastCrashSuspects,
     DropAnswer,
@@ -134,7 +134,7 @@
 
 def _clear_suspect(state: GuardState, live: LiveRequest, now: float) -> Step:
     """Clears the fingerprint of an answered request of all crashes."""
-    suspects, notices = crash_suspects.clear(
+    suspects, notices = claimed_suspects.clear(
         state.suspects, state.settings.service, live.request.fingerprint, now
     )
     return replace(state, suspects=suspects), tuple(
@@ -211,7 +211,7 @@
         return state, ()
     in_flight = [x for x in state.live.values() if x.is_running and not x.crash_counted]
     settings = state.settings
-    suspects, notice = crash_suspects.record_crash(
+    suspects, notice = claimed_suspects.record_crash(
         state.suspects,
         settings.service,
         settings.node,
--- a/rosemarydeal/policy/guard.py
+++ b/rosemarydeal/policy/guard.py
@@ -11,7 +11,7 @@
 from rosemarydeal.core import NotRun, SliceId, Unknown
 from rosemarydeal.core.messages import CrashSuspectNotice
 
-from . import admission, coldstart, crash_suspects, fairqueue, ledger, tickets
+from . import admission, claimed_suspects, coldstart, fairqueue, ledger, tickets
 from .arrivals import handle_arrival
 from .completions import (
     drop_queued,
@@ -121,7 +121,7 @@
         case CrashSuspectsReceived():
             return _merge_suspects(state, event.notice, now)
         case ReleaseSuspect():
-            suspects, notices = crash_suspects.clear(
+            suspects, notices = claimed_suspects.clear(
                 state.suspects, state.settings.service, event.fingerprint, now
             )
             broadcasts = tuple(BroadcastCrashSuspects(notice) for notice in notices)
@@ -252,13 +252,13 @@
 
 def _merge_suspects(state: GuardState, notice: CrashSuspectNotice, now: float) -> Step:
     """Merges a notice and rejects the queued requests that are now blocked."""
-    suspects = crash_suspects.apply_notice(state.suspects, notice, now)
+    suspects = claimed_suspects.apply_notice(state.suspects, notice, now)
     state = replace(state, suspects=suspects)
     blocked = [
         live
         for live in state.live.values()
         if not live.is_running
-        and crash_suspects.is_blocked(suspects, live.request.fingerprint)
+        and claimed_suspects.is_blocked(suspects, live.request.fingerprint)
     ]
     outcome = NotRun("crash-suspect", "The same request was in flight at two crashes.")
     return _drop_all(state, blocked, outcome)
@@ -275,9 +275,9 @@
     """Expires ledger entries and crash records, and handles overrun deadlines."""
     settings = state.settings
     new_ledger, dropped = ledger.expire(state.ledger, now, settings.window_s)
-    suspects = crash_suspects.expire(state.suspects, now, settings.suspect_window_s)
+    suspects = claimed_suspects.expire(state.suspects, now, settings.suspect_window_s)
     running = [live for live in state.live.values() if live.is_running]
-    suspects, notices = crash_suspects.rebroadcast(suspects, now)
+    suspects, notices = claimed_suspects.rebroadcast(suspects, now)
     state = detect_cold_start(replace(state, ledger=new_ledger, suspects=suspects), now)
     actions: list[GuardAction] = [DropAnswer(i) for i in dropped]
     actions.extend(BroadcastCrashSuspects(notice) for notice in notices)
@@ -328,7 +328,7 @@
         return False
     return any(
         live.is_running
-        and crash_suspects.is_suspect(state.suspects, live.request.fingerprint)
+        and claimed_suspects.is_suspect(state.suspects, live.request.fingerprint)
         for live in state.live.values()
     )
 
@@ -338,11 +338,13 @@
 ) -> bool:
     """Returns whether a queued request may run beside the running requests."""
     fingerprint = state.live[request_id].request.fingerprint
-    if not crash_suspects.is_suspect(state.suspects, fingerprint):
+    if not claimed_suspects.is_suspect(state.suspects, fingerprint):
         return True
     if suspect_running:
         return False
-    return crash_suspects.may_run(state.suspects, state.settings.node, fingerprint, now)
+    return claimed_suspects.may_run(
+        state.suspects, state.settings.node, fingerprint, now
+    )
 
 
 def _claim_suspects(state: GuardState, now: float) -> Step:
@@ -354,13 +356,13 @@
     for live in state.live.values():
         fingerprint = live.request.fingerprint
         suspects = state.suspects
-        is_queued_suspect = not live.is_running and crash_suspects.is_suspect(
+        is_queued_suspect = not live.is_running and claimed_suspects.is_suspect(
             suspects, fingerprint
         )
-        if is_queued_suspect and crash_suspects.is_claimable(
+        if is_queued_suspect and claimed_suspects.is_claimable(
             suspects, fingerprint, now
         ):
-            suspects, notice = crash_suspects.claim(
+            suspects, notice = claimed_suspects.claim(
                 suspects, settings.service, settings.node, fingerprint, now
             )
             state = replace(state, suspects=suspects)
--- a/rosemarydeal/policy/guard_state.py
+++ b/rosemarydeal/policy/guard_state.py
@@ -10,8 +10,8 @@
 
 from . import coldstart
 from .admission import Admission, capacity
+from .claimed_suspects import ClaimedSuspects, is_blocked
 from .coldstart import ColdStart
-from .crash_suspects import Suspects, is_blocked
 from .fairqueue import FairQueue, QueuedRequest
 from .guard_interface import GuardSettings, RequestArrived
 from .interface import OwnershipGained
@@ -114,7 +114,7 @@
     stopping: frozenset[SliceId] = frozenset()
     queue: FairQueue = FairQueue()
     ledger: Ledger = Ledger()
-    suspects: Suspects = Suspects()
+    suspects: ClaimedSuspects = ClaimedSuspects()
     consecutive_failures: int = 0
 
 
