Take a peer for reachable once it has sent a message, not once it accepts

Callers saw: the keys of a process that stands still were unserved until it went on, as it was hardly ever suspected. Cause: the kernel of a paused process accepts connections; each one ended the time for which the process counted as unreachable, about every 0.7 s. Change: the time ends with the first message on a new connection.

--- a/features/monitors.feature
+++ b/features/monitors.feature
@@ -23,6 +23,13 @@
     Then the monitor has found the peer unreachable
     And the other process has found the peer unreachable
 
+  Scenario: A peer that accepts connections and answers nothing stays unreachable
+    Given links from a monitor and from another process to a peer
+    When the peer stops answering for 6 seconds
+    Then both processes have found the peer unreachable for long enough to suspect it
+    When the peer answers again for 2 seconds
+    Then both processes have found the peer reachable
+
   Scenario: Without a report, a peer that is not monitored is pinged rarely
     Given links from another process alone to a peer that answers
     When 2 seconds pass for the links
--- a/features/mutant_list_crashes.py
+++ b/features/mutant_list_crashes.py
@@ -8,6 +8,7 @@
 
 WATCH = ("-m", "features.run", "features/crash_watch.feature")
 DISPATCH = ("-m", "features.run", "features/dispatch.feature")
+MONITORS = ("-m", "features.run", "features/monitors.feature")
 CRASH_WATCH = "rosemarydeal/node/crash_watch.py"
 SUSPECTS = "rosemarydeal/policy/dispatch/crash_suspects.py"
 
@@ -110,6 +111,13 @@
         "status >= SERVER_ERROR",
         WATCH,
     ),
+    Mutant(
+        "accepted connection ends the time unreachable",
+        "rosemarydeal/node/links.py",
+        "        link.reads_store = True\n",
+        "        link.reads_store = True\n        link.unreachable_since = None\n",
+        MONITORS,
+    ),
     Mutant(
         "a suspect that is cleared by any number of answers",
         SUSPECTS,
--- a/features/steps/monitors_steps.py
+++ b/features/steps/monitors_steps.py
@@ -15,6 +15,7 @@
 from rosemarydeal.node.frames import FrameConnection
 from rosemarydeal.node.links import Links
 from rosemarydeal.node.messages import LoadReport, Ping, Pong
+from rosemarydeal.policy.keyranges.proposals import SUSPECT_AFTER_S
 from rosemarydeal.policy.membership.monitors import monitored_peers
 
 HOST = a_loopback_host(201)
@@ -150,6 +151,27 @@
     run(context, asyncio.sleep(seconds))
 
 
+@when("the peer answers again for {seconds:d} seconds")
+def step_answers_again(context, seconds):
+    context.answering = True
+    run(context, asyncio.sleep(seconds))
+
+
+@then("both processes have found the peer unreachable for long enough to suspect it")
+def step_unreachable_for(context):
+    loop_now = context.loop.time()
+    since = {n: links.unreachable_since("peer") for n, links in context.links.items()}
+    unreachable_s = {n: loop_now - (s or loop_now) for n, s in since.items()}
+    assert min(unreachable_s.values()) >= SUSPECT_AFTER_S, unreachable_s
+
+
+@then("both processes have found the peer reachable")
+def step_both_reachable(context):
+    for node, links in context.links.items():
+        assert links.is_up("peer"), node
+        assert links.unreachable_since("peer") is None, node
+
+
 @given("links from another process alone to a peer that answers")
 def step_alone(context):
     start(context, "b")
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -144,7 +144,10 @@
         return link is not None and link.reads_store
 
     def unreachable_since(self, node: str) -> float | None:
-        """Returns since when a node is unreachable, None while it is reachable."""
+        """Returns since when a node is unreachable, None while it is reachable.
+
+        The time ends with the first message of the node on a new connection.
+        """
         link = self._links.get(node)
         return link.unreachable_since if link is not None else None
 
@@ -352,7 +355,6 @@
             connection.send(suspects)
         link.leaving = False
         link.reads_store = True
-        link.unreachable_since = None
         _log.info("peer_link_up", peer=link.node)
         return True
 
@@ -360,7 +362,8 @@
         """Ends the requests pending on a closed link with unknown outcome."""
         link.connection = None
         link.peer_state = None
-        link.unreachable_since = asyncio.get_running_loop().time()
+        if link.unreachable_since is None:
+            link.unreachable_since = asyncio.get_running_loop().time()
         for future in link.pending_requests.values():
             if not future.done():
                 future.set_result(OutcomeUnknown("peer-lost"))
@@ -383,6 +386,8 @@
 
     def _on_reply(self, link: Link, message: Message) -> None:
         """Handles a message on a link that this process opened."""
+        # The kernel of a paused process accepts connections, but sends no message.
+        link.unreachable_since = None
         match message:
             case AnswerReply():
                 _record_load(link, message.load)
