Keep a part of the memory for bodies to short ones

Cause: bodies that grow took all of the room that bodies share, so that a short one found none. Change: a body that needs more than an eighth of the room leaves an eighth to shorter ones. A body that grows by nothing is not refused.

--- a/features/steps/uploads_steps.py
+++ b/features/steps/uploads_steps.py
@@ -177,6 +177,34 @@
     assert context.small_read
 
 
+def grow_until_refused(rooms):
+    """Lets bodies grow by a piece each in turn until all are refused."""
+    growing = dict.fromkeys(rooms, PIECE_BYTES)
+    while growing:
+        for room, length in list(growing.items()):
+            try:
+                room.grow_to(length)
+                growing[room] = length + PIECE_BYTES
+            except NoBodyRoom:
+                del growing[room]
+
+
+@when("two bodies grow in turn until both are refused, and keep what they have")
+def step_grow_until_refused(context):
+    context.left = context.buffers.left_bytes
+    context.rooms = [context.buffers.room() for _ in range(2)]
+    grow_until_refused(context.rooms)
+    assert context.buffers.left_bytes < context.left / 2
+
+
+@then("a body of {length:d} kB has room meanwhile")
+def step_short_room(context, length):
+    with context.buffers.room() as room:
+        room.grow_to(length * KB)
+    for room in context.rooms:
+        room.give_back()
+
+
 @then("the room of each body is free again after its end")
 def step_room_free(context):
     assert context.buffers.left_bytes == context.left
--- a/features/uploads.feature
+++ b/features/uploads.feature
@@ -33,6 +33,12 @@
     And a small body is read meanwhile
     And the room of each body is free again after its end
 
+  Scenario: A short body is refused while long ones use the memory
+    Given a budget of 1000 kB for bodies beyond 8 kB each
+    When two bodies grow in turn until both are refused, and keep what they have
+    Then a body of 100 kB has room meanwhile
+    And the room of each body is free again after its end
+
   Scenario Outline: The memory of a process is read from its settings
     Given a settings file with the limits "<limits>"
     Then the process has a memory of <bytes> bytes
--- a/rosemarydeal/proxy/buffering.py
+++ b/rosemarydeal/proxy/buffering.py
@@ -17,6 +17,9 @@
 
 # Most answers are smaller than this.
 FREE_BYTES = 256 * 1024
+# Bodies that need no more than this share of the budget may use all of it; longer ones
+# leave it to them.
+SHORT_SHARE = 0.125
 # Share of the budget that one body that must not be refused for its length may take.
 LARGEST_SHARE = 0.75
 
@@ -34,6 +37,7 @@
         """
         self._budget_bytes = budget_bytes
         self._left = budget_bytes
+        self._short_bytes = int(SHORT_SHARE * budget_bytes)
         self._free_bytes = free_bytes
 
     @property
@@ -81,7 +85,8 @@
             NoBodyRoom: If too little of the budget is left.
         """
         needed = max(held_bytes, length - self._free_bytes, 0)
-        if needed - held_bytes > self._left:
+        reserved_bytes = self._short_bytes if needed > self._short_bytes else 0
+        if needed > held_bytes and needed - held_bytes > self._left - reserved_bytes:
             raise NoBodyRoom(f"no memory for a body of {length} bytes")
         self._left -= needed - held_bytes
         return needed
