Let replies between processes wait for their turn behind large answers

Callers saw: 504 after 4 s for a short request, and an unknown outcome for an order that had run or been refused, while a peer sent answers of 24 MB over the same link. Cause: a connection accepted no message while more than 4 MB on it were unsent, and a reply is sent once; it was dropped without a log line. Change: replies wait on the connection, at most until the request's deadline, and hold room with the answers that callers have not read; without room the outcome is unknown (no-memory). Dropped messages are logged.

--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -21,13 +21,16 @@
 PAUSE_S = 0.1
 MB = 1_000_000
 ENDED_S = 6.0
+STARTED_S = 8.0
 
 
 @given(
     "two programs with a memory of 200 MB each, whose upstreams may send without end"
 )
 def step_programs(context):
-    start_programs(context, EndlessDeployment(2, new_log_directory()))
+    deployment = EndlessDeployment(2, new_log_directory())
+    start_programs(context, deployment)
+    run(context, wait_answered(deployment))
 
 
 def key_of(deployment, name):
@@ -35,6 +38,23 @@
     return next(key for key in deployment.sample() if deployment.holders(key) == [name])
 
 
+async def wait_answered(deployment):
+    """Waits until both VMs hold keys, and the first one reaches both holders."""
+
+    def each_holds():
+        holders = [deployment.holders(key) for key in deployment.sample()]
+        return all([name] in holders for name in deployment.nodes)
+
+    await deployment.wait(each_holds)
+    for name in deployment.nodes:
+        status = 0
+        async with asyncio.timeout(STARTED_S):
+            while status != 200:
+                await asyncio.sleep(PAUSE_S)
+                key = key_of(deployment, name)
+                status = await send(deployment, FIRST, key, "/a/1")
+
+
 async def send(deployment, name, key, path):
     """Sends a request from the first VM; returns the status of the answer."""
     try:
--- a/rosemarydeal/node/frames.py
+++ b/rosemarydeal/node/frames.py
@@ -19,7 +19,7 @@
 USER_TIMEOUT_MS = 2000
 # Limit until the peer has named itself, so that strangers use little memory.
 MAX_FIRST_MESSAGE_BYTES = 4096
-# With more unsent bytes than this, the peer is not reading; messages are dropped.
+# With more unsent bytes than this, messages that are not waited for are dropped.
 MAX_UNSENT_BYTES = 4 * 1024 * 1024
 
 _log = structlog.get_logger()
@@ -42,6 +42,9 @@
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._last_received_at = 0.0
+        self._turn = asyncio.Lock()
+        self._writable = asyncio.Event()
+        self._writable.set()
         self.peer = ""
 
     @property
@@ -54,12 +57,18 @@
         """Returns whether messages can be sent."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def congested(self) -> bool:
+        """Returns whether a message in turn has to wait."""
+        return self._turn.locked() or not self._writable.is_set()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the socket's options and reports the connection."""
         self._transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         self._last_received_at = asyncio.get_running_loop().time()
         self._on_open(self)
 
@@ -87,17 +96,45 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports the end of the connection."""
         self._transport = None
+        self._writable.set()
         self._on_closed(self)
 
+    def pause_writing(self) -> None:
+        """Lets messages in turn wait."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Lets the next message in turn be sent."""
+        self._writable.set()
+
+    async def send_in_turn(self, message: Message) -> bool:
+        """Sends a message once the peer has read most of those before it.
+
+        Load pattern: short answers behind a large one on the same link.
+
+        Returns:
+            Whether the connection accepted it; if not, it is never sent.
+        """
+        async with self._turn:
+            await self._writable.wait()
+            return self.send(message)
+
     def send(self, message: Message) -> bool:
-        """Sends a message.
+        """Sends a message now, unless much is unsent.
 
         Returns:
             Whether the connection accepted it; if not, it is never sent.
         """
         if not self.open:
             return False
-        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes > MAX_UNSENT_BYTES:
+            _log.warning(
+                "peer_message_dropped",
+                peer=self.peer,
+                kind=type(message).__name__,
+                unsent_bytes=unsent_bytes,
+            )
             return False
         frame = messages.encode(message)
         self._transport.write(frame)
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -57,6 +57,7 @@
     TableDelta,
     reply_of,
 )
+from .replies import Replies
 from .tasks import TaskFailures, Tasks
 
 __all__ = ["LinkHooks", "Links", "PeerState"]
@@ -83,6 +84,7 @@
         hooks: LinkHooks,
         failures: TaskFailures | None = None,
         bodies: BodyBuffers | None = None,
+        answers: BodyBuffers | None = None,
     ) -> None:
         """Creates links that are not started yet.
 
@@ -92,8 +94,10 @@
             hooks: Callbacks to the other tasks.
             failures: Failures of the process's tasks.
             bodies: Room that the bodies of all requests share; no limit without it.
+            answers: Room of the answers that wait for their receivers, likewise.
         """
         self._bodies = bodies or BodyBuffers(sys.maxsize)
+        self._replies = Replies(answers or BodyBuffers(sys.maxsize))
         self._node = node
         self._process = process
         self._hooks = hooks
@@ -476,11 +480,14 @@
         self, connection: FrameConnection, number: int, request: RoutedRequest
     ) -> None:
         """Runs a peer's request and sends its outcome."""
+        deadline = asyncio.get_running_loop().time() + request.time_left_s
         try:
             outcome = await self._serve_with_room(request)
-            connection.send(reply_of(number, outcome, self._hooks.load()))
+            reply = reply_of(number, outcome, self._hooks.load())
+            await self._replies.send(connection, reply, deadline)
         except Exception:
-            connection.send(OutcomeUnknownReply(number, PEER_FAILED))
+            reply = OutcomeUnknownReply(number, PEER_FAILED)
+            await self._replies.send(connection, reply, deadline)
             raise
 
     async def _serve_with_room(self, request: RoutedRequest) -> RequestOutcome:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -86,6 +86,7 @@
             self._link_hooks(),
             self._failures,
             self._bodies,
+            self._answers,
         )
         self._records = Records(self._rejected, identity.node)
         self._access = StoreAccess(self._store, self._records, self._links)
--- a/rosemarydeal/proxy/buffering.py
+++ b/rosemarydeal/proxy/buffering.py
@@ -111,6 +111,14 @@
         """
         self._held_bytes = self._buffers.take(self._held_bytes, length)
 
+    def grow_to_share(self, length: int) -> None:
+        """Takes room for a body that must not be refused for its length alone.
+
+        Raises:
+            NoBodyRoom: If other bodies have too much of the budget.
+        """
+        self.grow_to(min(length, self._buffers.largest_room_bytes))
+
     def __enter__(self) -> BodyRoom:
         return self
 
@@ -139,7 +147,7 @@
         """
         super().__init__(data)
         self._room = buffers.room()
-        self._room.grow_to(min(len(data), buffers.largest_room_bytes))
+        self._room.grow_to_share(len(data))
 
     async def aclose(self) -> None:
         """Gives back the room."""
