Log when the event loop of a process was late

Cause: a process that gets no processor time, or is paused, answers nothing; nothing in its log tells that from a lost link. Three failures of planned_stops and earlier_starts could not be traced for that. Evidence: the kept logs of those failures show a silence and no reason. The planned stops' check names the delays of the test's own process.

--- a/features/builders_planned_stops.py
+++ b/features/builders_planned_stops.py
@@ -26,6 +26,8 @@
 UPLOADS = 60
 KEPT_CALLERS = 6
 PAUSE_S = 0.05
+CHECK_PERIOD_S = 0.05
+MIN_LATE_S = 0.1
 SIGNAL_PAUSE_S = 1.0
 # Between the stops of two processes; the one before is back by then.
 TURN_S = 7.0
@@ -63,12 +65,16 @@
 
     Attributes:
         exchanges: The orders that were sent.
+        late: Delays of the event loop of the callers and upstreams: the times since
+            the first stop and the seconds.
     """
 
     def __init__(self, work_s, directory):
         self.deployment = ProgramDeployment(VMS, directory, work_s=work_s)
         self.exchanges = []
+        self.late = []
         self._stopped_at = {}
+        self._watch = None
 
     @property
     def ran(self):
@@ -92,9 +98,12 @@
             # Some wait for keys that move between the upstreams.
             answered = sum(answer.status == 200 for answer in answers)
             assert answered > len(answers) / 2, answers
+        self._watch = asyncio.create_task(self._watch_loop())
 
     async def close(self):
         """Ends the deployment."""
+        if self._watch is not None:
+            self._watch.cancel()
         await self.deployment.close()
         await asyncio.sleep(CLOSE_S)
 
@@ -134,6 +143,16 @@
         until.set()
         await asyncio.gather(*callers)
 
+    async def _watch_loop(self):
+        """Records when the event loop of this process was late."""
+        while True:
+            due_at = time.monotonic() + CHECK_PERIOD_S
+            await asyncio.sleep(CHECK_PERIOD_S)
+            late_s = time.monotonic() - due_at
+            if late_s > MIN_LATE_S and self._stopped_at:
+                since_s = time.monotonic() - min(self._stopped_at.values())
+                self.late.append((round(since_s, 2), round(late_s, 2)))
+
     async def _upload(self, name, number, end_s, begun):
         """Sends an order whose last byte is sent at a time after SIGTERM."""
         reader, writer = await asyncio.open_connection(self._host(name), 9002)
@@ -208,7 +227,7 @@
         read = entry.ended_s - entry.sent_s > LOSS_SLACK_S
         if (passed_on and not excused) or (read and not passed_on):
             cut.append(entry)
-    assert not cut, f"{len(cut)} of {len(trial.exchanges)}: {cut}"
+    assert not cut, f"{len(cut)} of {len(trial.exchanges)}: {cut}, late: {trial.late}"
     answered = sum(entry.status == 200 for entry in trial.exchanges)
     assert answered > 0.1 * len(trial.exchanges), answered
 
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -32,6 +32,7 @@
 from .guard import ZONE_OUT, Guard, GuardHooks
 from .health import UpstreamHealth
 from .links import LinkHooks, Links
+from .loop_watch import watch_loop
 from .membership import Membership
 from .memory import request_bodies, unread_answers
 from .messages import CrashSuspects, LoadReport, Pong, SuspectCleared
@@ -178,6 +179,7 @@
             ("ownership", self._ownership.run),
             ("heartbeat-check", self._guard.check_heartbeats),
             ("slot-check", self._guard.dispatch_slots.check_regularly),
+            ("loop-watch", watch_loop),
             ("member-writes", self._membership.run),
             ("member-removal", self._membership.remove_unreachable),
         ):
