--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -12,6 +12,10 @@
     Given the settings file from the platform's documentation
     Then grants are carried by calls unless the settings say heartbeat
 
+  Scenario: The settings say whether the deployment starts for the first time
+    Given the settings file from the platform's documentation
+    Then it is the first start only if the settings say so
+
   Scenario Outline: Wrong settings raise coded errors
     Given the settings file from the platform's documentation
     When the setting <field> is <broken>
@@ -22,6 +26,7 @@
       | app_addr       | missing   | settings-wrong      |
       | internal_ports | a word    | settings-wrong      |
       | bounds         | a word    | settings-wrong      |
+      | bootstrap      | a word    | settings-wrong      |
       | the file       | no TOML   | settings-unreadable |
 
   Scenario: A configuration is decoded with its split routes
--- a/features/builders_fleet_types.py
+++ b/features/builders_fleet_types.py
@@ -142,6 +142,7 @@
     service=SERVICE,
     zone="perth-a",
     carrier=GrantCarrier.CALL,
+    first_start=True,
 ):
     return NodeIdentity(
         node=node,
@@ -159,4 +160,5 @@
         bounds=bounds or Bounds(),
         grant_carrier=carrier,
         memory_bytes=MEMORY_BYTES,
+        first_start=first_start,
     )
--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -81,6 +81,8 @@
         self._work_s = work_s
         self.carrier = carrier
         self._stutter_seed = stutter_seed
+        # Processes that start later do not know that nothing was written before.
+        self.first_start = True
         self._pool = Pool(PoolSettings())
         self._count = 0
 
@@ -94,6 +96,7 @@
             self.hosts[name] = a_loopback_host(index + 1)
             await self.start_node(name)
             await self.start_endpoint(name)
+        self.first_start = False
         await self.wait(lambda: all(self.serves(key) for key in self.sample()))
 
     def zone(self, name):
@@ -104,6 +107,7 @@
             *(name, self.hosts[name], self.address),
             zone=self.zone(name),
             carrier=self.carrier,
+            first_start=self.first_start,
         )
         self.nodes[name] = NodeProcess(identity)
         await self.nodes[name].start()
--- a/features/builders_node_programs.py
+++ b/features/builders_node_programs.py
@@ -29,6 +29,7 @@
 heartbeat_ms = 300
 bounds = ["grace_s={grace_s}"]
 grants = "{grants}"
+bootstrap = {bootstrap}
 
 [listen]
 outbound = "{host}:9002"
@@ -142,6 +143,7 @@
             "service": "box-office",
             "store": self.address,
             "grants": self.carrier.name.lower(),
+            "bootstrap": str(self.first_start).lower(),
             "grace_s": GRACE_S,
             "memory_mb": MEMORY_MB,
         }
--- a/features/builders_tables.py
+++ b/features/builders_tables.py
@@ -15,7 +15,8 @@
 def stored_table(revision, spec, era=1):
     """Returns the object of a table at a revision."""
     content = msgspec.json.encode(spec)
-    return StoredObject(RANGES, table_name(SERVICE), Revision(era, revision), content)
+    name = table_name(SERVICE, era)
+    return StoredObject(RANGES, name, Revision(era, revision), content)
 
 
 def written_tables(store, after=0) -> list[RangeTable]:
@@ -24,13 +25,18 @@
     What else has been in their place is left out.
     """
     stored = [
-        stored_table(revision, event["object"]["spec"])
+        stored_table(revision, event["object"]["spec"], _era(event["object"]["spec"]))
         for revision, kind, event in store.events
         if kind == RANGES and revision > after
     ]
     return [table for table in map(decode_table, stored) if table is not None]
 
 
+def _era(spec) -> int:
+    """Returns the era in which a table was written."""
+    return spec.get("era", 1) if isinstance(spec, dict) else 1
+
+
 def undone_ranges(old: RangeTable, new: RangeTable) -> list[KeyRange]:
     """Returns the ranges that moved without a token above all that were issued."""
     return [
--- a/features/keyranges.feature
+++ b/features/keyranges.feature
@@ -112,6 +112,12 @@
     And a goes on with its keys if its lease was valid, and waits if it had expired
     And a process that has restarted since waits for 12 seconds
 
+  Scenario: An owner begins to use keys of a restored table while the table is outdated
+    Given a table of a former era in which a owns the keys, and one in which b owns them
+    When the store is restored, and a writes the table again as it knew it
+    And b learns that something else has replaced that table before its wait ends
+    Then b uses none of the keys while it knows no later table
+
   Scenario: After a restore of the store, nobody takes keys over before former leases have expired
     Given a table that was restored, whose owner b has been removed
     Then a proposes no takeover for 12 seconds, and one afterwards
@@ -125,6 +131,11 @@
     When the store is restored, and the table with both ranges joined
     Then it goes on with the joined range
 
+  Scenario: Keys are used again since the repetition of an unanswered write was not sent
+    Given an owner a, whose write that gives keys to b has no answer
+    When the same write is repeated, and is not sent
+    Then the keys are withheld until the table has a later revision
+
   Scenario: Suspicions that are refuted each time are written several times a second
     Given nodes a, b and c that own all keys
     When b refutes each suspicion of a at once, for 60 seconds
--- a/features/mutant_list_calls.py
+++ b/features/mutant_list_calls.py
@@ -8,7 +8,9 @@
 
 LATE = ("-m", "features.run", "features/late_grants.feature")
 RELEASED = ("-m", "features.run", "features/released_keys.feature", "--name")
+RESTORED = ("-m", "features.run", "features/store_restored.feature", "--name")
 GRANTS = "rosemarydeal/node/grants.py"
+UNSETTLED = "rosemarydeal/policy/keyranges/unsettled_transfers.py"
 
 MUTANTS = (
     Mutant(
@@ -42,17 +44,66 @@
     Mutant(
         "keys used while the write that gives them away has no answer",
         "rosemarydeal/node/ownership.py",
-        "            self._unsettled = change\n",
-        "            pass\n",
+        "        self._unsettled.begin(change)\n        self._tasks",
+        "        self._tasks",
         (*RELEASED, "while the write that gives them away has no answer"),
     ),
     Mutant(
         "a write without an answer waited for without an end",
         "rosemarydeal/node/ownership.py",
-        "case None if self._unsettled is not None and base.current:",
+        "case None if self._unsettled.pending and base.current:",
         "case None if False:",
         (*RELEASED, "Keys stay unserved"),
     ),
+    Mutant(
+        "a write without an answer taken for one without effect",
+        UNSETTLED,
+        "if result is not WriteResult.NOT_WRITTEN or write not in self._writes:",
+        "if result is WriteResult.WRITTEN or write not in self._writes:",
+        (*RELEASED, "while the write that gives them away has no answer"),
+    ),
+    Mutant(
+        "an unanswered write forgotten once its repetition was not sent",
+        UNSETTLED,
+        "self._writes[write] -= 1",
+        "self._writes[write] = 0",
+        ("-m", "features.run", "features/keyranges.feature", "--name", "repetition"),
+    ),
+    Mutant(
+        "keys withheld for a write that was not sent",
+        "rosemarydeal/node/ownership.py",
+        "        self._unsettled.end(change, result)\n",
+        "",
+        (*RESTORED, "A write that was never sent"),
+    ),
+    Mutant(
+        "a hand-over without an answer forgotten by a restore",
+        "rosemarydeal/node/ownership.py",
+        "            self._unsettled.begin(change)\n            if await",
+        "            if await",
+        (*RESTORED, "A hand-over without an answer"),
+    ),
+    Mutant(
+        "a proposal of its own written as a part of a restore",
+        "rosemarydeal/node/ownership.py",
+        "            if base.current:\n                return\n",
+        "",
+        (*RESTORED, "Keys are given away without a note"),
+    ),
+    Mutant(
+        "a write that a restored store has refused taken for one without an answer",
+        "rosemarydeal/platform/store.py",
+        "if reply.era > revision.era:",
+        "if False:",
+        (*RESTORED, "A write of the table that meets"),
+    ),
+    Mutant(
+        "a write of a former era taken for one without effect",
+        "rosemarydeal/node/table_writer.py",
+        "era=changed.era)\n            return WriteResult.UNKNOWN",
+        "era=changed.era)\n            return WriteResult.NOT_WRITTEN",
+        (*RESTORED, "A write of the table that meets"),
+    ),
     Mutant(
         "an owner removed because one peer can't reach it",
         "rosemarydeal/node/membership.py",
--- a/features/odd_entries_property.py
+++ b/features/odd_entries_property.py
@@ -62,7 +62,9 @@
         member = msgspec.to_builtins(a_member(name, slots=1 + number))
         return {**member, "peer": {"host": "127.0.0.1", "port": port}}
     if kind == RANGES:
-        table = tables.initial_table(name, [a_member("vm-a")], f"w{number}", 1)
+        table = tables.initial_table(
+            name, [a_member("vm-a")], f"w{number}", Revision(1, 0)
+        )
         return msgspec.json.decode(encode_table(table))
     if kind == CONFIGURATION_KIND:
         return a_configuration(number + 1)
--- a/features/released_keys.feature
+++ b/features/released_keys.feature
@@ -56,7 +56,8 @@
   Scenario: An owner that one peer can't reach is removed with its keys while it holds them
     Given a deployment of 3 VMs
     When vm-a can't reach vm-b for as long as members are kept
-    Then no key was ever held by two upstreams
+    Then the member of vm-b was never removed
+    And no key was ever held by two upstreams
     And all keys are served again within 3 seconds
 
   Scenario: A member that has ended is never removed
--- a/features/restored_world.py
+++ b/features/restored_world.py
@@ -5,9 +5,11 @@
 each other, learn of writes late, also between the computation of a change and its
 write, and the store carries writes out late, also those of a process that has ended.
 In some fleets, upstreams fall silent, lose their keys to others once their grants
-have run out, and are back at any time, also while that write has no answer.
+have run out, and are back at any time, also while that write has no answer. In some,
+another writer damages or removes the table.
 The world checks that no key is held by two upstreams, that each upstream takes keys
-with a token above those of all others, and that no accepted write undoes another.
+with a token above those of all others, that no accepted write undoes another, and
+that none of a former era replaces the table of the present one.
 """
 
 from __future__ import annotations
@@ -17,22 +19,64 @@
 
 from features.builders_fleet_types import SERVICE, a_member, a_view
 from features.builders_tables import undone_ranges
-from rosemarydeal.core.fleet import KeyRange, RangeTable, Revision, StoredObject
-from rosemarydeal.node.contents import decode_table, encode_table, table_name
+from rosemarydeal.core.fleet import (
+    KeyRange,
+    RangeTable,
+    Revision,
+    StoredObject,
+)
+from rosemarydeal.node.contents import (
+    decode_table,
+    encode_reservation,
+    encode_table,
+    table_name,
+)
 from rosemarydeal.node.records import RANGES, Records
 from rosemarydeal.platform.store import Listing
 from rosemarydeal.policy.keyranges import ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
 from rosemarydeal.policy.keyranges.start_barrier import StartBarrier
-from rosemarydeal.policy.keyranges.table_changes import TableChange
+from rosemarydeal.policy.keyranges.table_changes import TableChange, WriteResult
+from rosemarydeal.policy.keyranges.unsettled_transfers import UnsettledTransfers
 
 NODES = ("a", "b", "c")
 KEYS = range(0, 65536, 4096)
-STEP_S = 0.25
 MAX_HOLD_S = 10.0
-# Probability of a silence per step, while there is none.
-SILENT_PART = 0.1
+# Content that is no table.
+DAMAGED = b"{}"
+
+
+@dataclass(frozen=True)
+class Pace:
+    """How often events happen in a fleet; parts are probabilities per step.
+
+    Attributes:
+        step_s: Mean length of a step, about.
+        restore_part: An outage of the store, after which it is restored.
+        restart_part: A process restarts.
+        cut_part: A process stands still, or is cut off.
+        silent_part: An upstream falls silent, while none is.
+        damaged_part: Another writer damages the table.
+        removed_part: Another writer removes the table, once all processes have had one.
+        reverted_part: Another writer puts back the content before the last one, once
+            all processes have had a table.
+        late: Parts of the writes that are carried out late, and that are sent late;
+            None for one of two pairs by the seed.
+    """
+
+    step_s: float = 0.25
+    restore_part: float = 0.01
+    restart_part: float = 0.01
+    cut_part: float = 0.02
+    silent_part: float = 0.1
+    damaged_part: float = 0.0
+    removed_part: float = 0.0
+    reverted_part: float = 0.0
+    late: tuple[float, float] | None = None
+
+
+DEFAULT_PACE = Pace()
 
 
 @dataclass
@@ -44,53 +88,66 @@
 
 
 class Store:
-    """The table in the store, its history position, and a copy."""
+    """The tables in the store by name, its history position, and a copy."""
 
     def __init__(self):
         self.era, self.number, self.up = 1, 1, True
-        self.content, self.written_at = None, 0
-        self.copy = (1, None, 0)
+        self.objects: dict[str, StoredObject] = {}
+        self.copy = (1, {})
+        # Contents before the last ones, by name.
+        self.former: dict[str, bytes] = {}
+
+    @property
+    def table(self) -> RangeTable | None:
+        """Returns the table in force, None if there is none."""
+        stored = self.objects.get(table_name(SERVICE, self.era))
+        table = decode_table(stored) if stored is not None else None
+        return table if table is not None and table.era == self.era else None
 
     def take_copy(self):
-        self.copy = (self.number, self.content, self.written_at)
+        self.copy = (self.number, dict(self.objects))
 
     def restore(self):
-        self.number, self.content, self.written_at = self.copy
+        self.number, objects = self.copy
         self.era += 1
+        self.objects = {
+            name: replace(stored, revision=Revision(self.era, stored.revision.number))
+            for name, stored in objects.items()
+        }
         self.up = True
 
     def listing(self):
-        objects = ()
-        if self.content is not None:
-            revision = Revision(self.era, self.written_at)
-            objects = (
-                StoredObject(RANGES, table_name(SERVICE), revision, self.content),
-            )
-        return Listing(objects, Revision(self.era, self.number))
-
-    def write(self, content, number):
+        revision = Revision(self.era, self.number)
+        return Listing(tuple(self.objects.values()), revision)
+
+    def write(self, name, content, number):
         """Writes if the stored revision number is the given one; ignores the era."""
-        if (self.written_at if self.content is not None else 0) != number:
+        old = self.objects.get(name)
+        if (old.revision.number if old is not None else 0) != number:
             return None
-        old = self.object()
-        self.number += 1
-        self.content, self.written_at = content, self.number
-        self.check(old, self.object())
-        return self.object()
+        new = self.put(name, content)
+        self.check(old, new)
+        return new
 
-    def object(self):
-        """Returns the object of the table, None if there is none."""
-        if self.content is None:
-            return None
-        revision = Revision(self.era, self.written_at)
-        return StoredObject(RANGES, table_name(SERVICE), revision, self.content)
+    def put(self, name, content):
+        """Writes an object, or removes it without a content, under no condition."""
+        self.number += 1
+        stored = StoredObject(RANGES, name, Revision(self.era, self.number), content)
+        replaced = self.objects.pop(name, None)
+        if replaced is not None:
+            self.former[name] = replaced.content
+        if content is not None:
+            self.objects[name] = stored
+        return stored
 
     def check(self, old, new):
         """Checks that a write of the present era undoes no other one."""
         if old is None:
             return
         old_table, table = decode_table(old), decode_table(new)
-        if not old_table.era == table.era == self.era:
+        if new.name == table_name(SERVICE, self.era) and table is not None:
+            assert table.era == self.era, (old.revision, "a write of a former era")
+        if old_table is None or old_table.era != self.era:
             return
         assert table.top_token >= old_table.top_token, (old.revision, table)
         undone = undone_ranges(old_table, table)
@@ -108,8 +165,11 @@
 
     def __post_init__(self):
         self.restart(0.0)
+        self.first_start = True
 
     def restart(self, now):
+        self.started_at = now
+        self.first_start = False
         self.records = Records()
         self.restored = RestoredRanges(self.name)
         self.renewed_lease = ownership_lease.OwnershipLease()
@@ -118,8 +178,7 @@
         self.renew_at = 0.0
         # Released ranges with their new owners, which are not written yet.
         self.moving = ()
-        # The last write that gives own keys away, until its result is known.
-        self.unsettled = None
+        self.unsettled = UnsettledTransfers(self.name)
         # Whether the upstream has announced itself, and is not silent.
         self.heard = self.alive = now >= self.silent_until
         # The upstream may hold keys that a predecessor of the process granted.
@@ -151,25 +210,15 @@
         valid = now < ownership_lease.lease_expiry(self.lease)
         if self.base.current:
             self.barrier.note_table(self.base.revision)
-        self.restored.update(self.table, self.is_outdated(), valid, now, self.withheld)
-        self.settle_transfer()
+        self.restored.update(
+            self.table, self.is_outdated(), valid, now, self.unsettled.keys
+        )
+        self.unsettled.settle(self.base)
 
     @property
     def withheld(self) -> tuple[KeyRange, ...]:
-        """Returns the ranges that others may own by a write without a known result."""
-        moving = tuple(keys for keys, _ in self.moving)
-        if self.unsettled is None:
-            return moving
-        old, new = self.unsettled.base.table, self.unsettled.table
-        return (*moving, *tables.lost_by(self.name, old, new))
-
-    def settle_transfer(self):
-        """Ends the wait for a write once the table is of a later revision."""
-        base, unsettled = self.base, self.unsettled
-        if unsettled is None or not base.current:
-            return
-        if base.revision > unsettled.base.revision:
-            self.unsettled = None
+        """Returns the own ranges that are not granted now."""
+        return (*(keys for keys, _ in self.moving), *self.unsettled.keys)
 
     def usable(self, now) -> list[KeyRange]:
         if self.table is None:
@@ -196,28 +245,32 @@
 class RestoredWorld:
     """Three owners, their store, and the oracle."""
 
-    def __init__(self, seed, silences=False):
+    def __init__(self, seed, silences=False, pace=DEFAULT_PACE):
         """Creates a fleet.
 
         Args:
             seed: Seed of all events.
             silences: Whether upstreams fall silent, and writers wait for late answers.
+            pace: How often events happen.
         """
         self.rng = random.Random(seed)
+        self.pace = pace
         # Few late writes, so that more of the other events meet, or many.
-        self.late_part, self.delay_part = self.rng.choice(((0.01, 0.05), (0.15, 0.5)))
+        late = self.rng.choice(((0.01, 0.05), (0.15, 0.5)))
+        self.late_part, self.delay_part = pace.late or late
         self.silences = silences
         self.now = 100.0
         self.store = Store()
         self.nodes = {name: Node(name) for name in NODES}
         self.members = [a_member(name) for name in NODES]
         self.highest = {}
-        self.restores = self.handovers = self.served = 0
+        self.restores = self.handovers = self.served = self.replaced = 0
         # Upstreams whose keys were given away, and those that were back before the
         # result of the write was known.
         self.reassigned = self.back_unsettled = 0
         self.deliveries = []
-        # Writes that the store carries out later: time, content, number of the base.
+        # Writes that the store carries out later: time, name, content, number of the
+        # base.
         self.late = []
         self.late_accepted = self.late_refused = 0
         self.down_until = None
@@ -226,7 +279,7 @@
 
     def run(self, steps):
         for _ in range(steps):
-            self.now += STEP_S * self.rng.uniform(0.2, 1.5)
+            self.now += self.pace.step_s * self.rng.uniform(0.2, 1.5)
             self.disturb()
             self.carry_out_late()
             for _, name, stored in [d for d in self.deliveries if d[0] <= self.now]:
@@ -247,20 +300,34 @@
                 self.down_until = None
                 self.store.restore()
                 self.restores += 1
-        elif rng.random() < 0.01:
+        elif rng.random() < self.pace.restore_part:
             self.store.up = False
             self.down_until = self.now + rng.choice((0.3, 2.0, 6.0, 14.0))
         if self.store.up and rng.random() < 0.05:
             self.store.take_copy()
-        if rng.random() < 0.01:
+        if rng.random() < self.pace.restart_part:
             rng.choice(list(self.nodes.values())).restart(self.now)
-        if rng.random() < 0.02:
+        if rng.random() < self.pace.cut_part:
             node = rng.choice(list(self.nodes.values()))
             node.cut_until = self.now + rng.choice((1.0, 4.0, 20.0))
+        if self.pace.damaged_part and rng.random() < self.pace.damaged_part:
+            self.replace_table(DAMAGED)
+        known = all(node.table is not None for node in self.nodes.values())
+        if self.pace.removed_part and known and rng.random() < self.pace.removed_part:
+            self.replace_table(None)
+        if self.pace.reverted_part and known and rng.random() < self.pace.reverted_part:
+            former = self.store.former.get(table_name(SERVICE, self.store.era), DAMAGED)
+            self.replace_table(former)
         all_alive = all(node.alive for node in self.nodes.values())
-        if self.silences and all_alive and rng.random() < SILENT_PART:
+        if self.silences and all_alive and rng.random() < self.pace.silent_part:
             self.silence()
 
+    def replace_table(self, content):
+        """Lets another writer replace or remove the table, of which most learn."""
+        if self.store.up and self.store.table is not None:
+            self.replaced += 1
+            self.tell(self.store.put(table_name(SERVICE, self.store.era), content))
+
     def silence(self):
         """Lets an upstream fall silent, mostly while its process stands still."""
         rng = self.rng
@@ -302,7 +369,7 @@
     def hear(self, node):
         """Notices that the upstream has announced itself, or is silent."""
         alive = self.now >= node.silent_until
-        if alive and not node.alive and node.unsettled is not None:
+        if alive and not node.alive and node.unsettled.pending:
             self.back_unsettled += 1
         node.alive = alive
         node.heard = node.heard or alive
@@ -316,11 +383,13 @@
             node.update(self.now)
         elif self.now >= node.renew_at and node.table is not None:
             node.renew_at = self.now + ownership_lease.renewal_period(len(NODES))
-            for stored in listing.objects:
+            name = node.records.table_name(SERVICE)
+            found = [stored for stored in listing.objects if stored.name == name]
+            for stored in found:
                 node.barrier.note_position(stored.revision)
                 node.records.apply(stored)
             node.update(self.now)
-            if not node.is_outdated():
+            if found and not node.is_outdated():
                 node.renewed_lease = ownership_lease.renew(
                     node.renewed_lease, node.table, node.name, self.now
                 )
@@ -366,7 +435,7 @@
             ),
             writer=f"w{self.rng.random()}",
             restored=proposals.RestoredTable(
-                node.records.era(RANGES),
+                node.records.table_position(SERVICE),
                 outdated_s,
                 node.records.stored_top_token(SERVICE),
                 node.restored.remembered,
@@ -378,10 +447,7 @@
     def propose(self, node):
         """Carries out the change that is due, or a hand-over for balance."""
         if node.table is None:
-            first = tables.initial_table(
-                SERVICE, self.members, "first", node.records.era(RANGES)
-            )
-            self.compute(node, first)
+            self.propose_first(node)
             return
         if node.moving:
             self.write_new_owners(node)
@@ -394,14 +460,12 @@
         match proposals.propose(node.table, view):
             case proposals.WriteTable(changed, reason):
                 self.reassigned += reason == "upstream-gone"
-                self.start_write(node, changed)
+                self.compute(node, changed)
             case proposals.HandOver(parts):
                 self.hand_over(node, parts)
-            case None if node.unsettled is not None and node.base.current:
+            case None if node.unsettled.pending and node.base.current:
                 # The lost write may still be carried out until another one is.
-                self.start_write(
-                    node, replace(node.table, writer=f"u{self.rng.random()}")
-                )
+                self.compute(node, replace(node.table, writer=f"u{self.rng.random()}"))
             case None:
                 outdated = view.restored.outdated_s is not None
                 if outdated or view.restored.unusable or self.rng.random() > 0.1:
@@ -411,12 +475,21 @@
                     part = (self.rng.choice(owned), self.rng.choice(eligible))
                     self.hand_over(node, (part,))
 
-    def start_write(self, node, changed):
-        """Withholds the keys that a change takes from the node, and computes it."""
-        change = TableChange(node.base, changed, "simulated")
-        if tables.lost_by(node.name, node.table, changed):
-            node.unsettled = change
-        self.compute(node, changed)
+    def propose_first(self, node):
+        """Proposes a first table after the waits of a process that knows none."""
+        replaced = node.records.is_table_replaced(SERVICE, node.first_start)
+        view = a_view(
+            node.name,
+            [replace(m, accepting=self.nodes[m.node].alive) for m in self.members],
+            members_stable_s=self.now - node.started_at,
+            writer=f"w{self.rng.random()}",
+            restored=proposals.RestoredTable(
+                node.records.table_position(SERVICE), replaced=replaced
+            ),
+        )
+        match proposals.propose(None, view):
+            case proposals.WriteTable(first):
+                self.compute(node, first)
 
     def hand_over(self, node, parts):
         """Releases ranges from the upstream, then writes their new owners."""
@@ -431,6 +504,9 @@
         """
         if node.may_hold(self.now):
             return
+        if not node.base.current:
+            self.write_restored(node)
+            return
         node.moving = tuple(
             (keys, owner)
             for keys, owner in node.moving
@@ -444,9 +520,16 @@
             writer = f"h{self.rng.random()}"
             self.compute(node, tables.move_ranges(node.table, moved, writer))
 
+    def write_restored(self, node):
+        """Restores the table if that is due, as a hand-over can't end before."""
+        match proposals.propose(node.table, self.view(node)):
+            case proposals.WriteTable(changed):
+                self.compute(node, changed)
+
     def compute(self, node, changed):
         """Computes a change; the node may learn of others before it is sent."""
         node.change = TableChange(node.base, changed, "simulated")
+        node.unsettled.begin(node.change)
         node.send_at = self.now
         if self.rng.random() < self.delay_part:
             node.send_at += self.rng.choice((0.3, 1.0))
@@ -456,34 +539,41 @@
     def send(self, node):
         """Writes the change of a node under the revision that it was computed from."""
         change, node.change = node.change, None
-        if not self.reaches_store(node) or change.table.era != node.base.era:
+        outdated = not node.base.current and not change.restores
+        other_era = change.table.era != node.base.era
+        if not self.reaches_store(node) or other_era or outdated:
+            node.unsettled.end(change, WriteResult.NOT_WRITTEN)
             return
+        name = table_name(SERVICE, change.table.era)
         number = change.base.revision.number
-        content = encode_table(change.table)
+        reservation = encode_reservation(change.restores)
+        content = encode_table(change.table) if number else reservation
         late_part = 0.5 if self.now < self.slow_until else self.late_part
         if self.rng.random() < late_part:
             late_s = self.rng.uniform(0.5, 6.0)
-            self.late.append((self.now + late_s, content, number))
+            self.late.append((self.now + late_s, name, content, number))
             # Its writer is killed before the answer, or waits for it in vain.
-            if self.rng.random() < 0.3:
+            if self.rng.random() < 0.3 and self.pace.restart_part:
                 node.restart(self.now)
             elif self.silences:
                 node.answer_until = self.now + self.rng.choice((0.5, 3.0))
             return
-        stored = self.store.write(content, number)
+        stored = self.store.write(name, content, number)
         if stored is None:
+            node.unsettled.end(change, WriteResult.NOT_WRITTEN)
             return
         node.records.apply(stored, changed=True)
         node.update(self.now)
-        node.moving = ()
+        if number and not change.restores:
+            node.moving = ()
         self.tell(stored, node.name)
 
     def carry_out_late(self):
         """Carries out the late writes that are due, if the store still permits it."""
         due = [write for write in self.late if write[0] <= self.now]
         self.late = [write for write in self.late if write[0] > self.now]
-        for _, content, number in due:
-            stored = self.store.write(content, number) if self.store.up else None
+        for _, *write in due:
+            stored = self.store.write(*write) if self.store.up else None
             if stored is None:
                 self.late_refused += 1
                 continue
--- a/features/settings_changes.feature
+++ b/features/settings_changes.feature
@@ -46,3 +46,8 @@
       | upstream          | pending  |
       | callers           | pending  |
       | zone              | pending  |
+
+  Scenario: The settings file of a process that runs no longer states a first start
+    Given the settings of a process that runs
+    When its file states no first start
+    Then no setting is followed or pending
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -31,6 +31,7 @@
 zone = "bergen-a"
 internal_ports = [7660,7675]
 heartbeat_ms = 870
+bootstrap = true
 bounds = ["drain_ms=2000","grace_s=6","retry_budget_slack=58","exact=true"]
 app_addr = "10.1.0.35:8147"
 [zones]
@@ -209,3 +210,12 @@
     except SettingsWrong:
         return
     raise AssertionError("an unknown carrier was accepted")
+
+
+@then("it is the first start only if the settings say so")
+def step_first_start(context):
+    stated = "bootstrap = true\n"
+    assert parse_identity(context.toml).first_start
+    later = context.toml.replace(stated, "bootstrap = false\n")
+    assert not parse_identity(later).first_start
+    assert not parse_identity(context.toml.replace(stated, "")).first_start
--- a/features/steps/keyranges_steps.py
+++ b/features/steps/keyranges_steps.py
@@ -16,6 +16,12 @@
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.balance import OwnerLoad
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
+from rosemarydeal.policy.keyranges.table_changes import (
+    TableBase,
+    TableChange,
+    WriteResult,
+)
+from rosemarydeal.policy.keyranges.unsettled_transfers import UnsettledTransfers
 
 
 def check_complete(table):
@@ -506,13 +512,14 @@
 
 
 ERA = 2
+FORMER, RESTORED = Revision(ERA - 1, 0), Revision(ERA, 1)
 # When the former era's tables and the restored one are received.
 BEFORE, RESTORED_AT = 10.0, 20.0
 TAKEOVER_S = ownership_lease.takeover_wait()
 
 
 def a_restored_table(known):
-    return tables.restore(known, known.top_token, ERA, "w")
+    return tables.restore(known, known.top_token, RESTORED, "w")
 
 
 def ranges_of(node, former, restored, lease_valid=True):
@@ -532,7 +539,7 @@
 @given("a table of a former era in which a owns the keys, and one in which b owns them")
 def step_two_tables(context):
     a, b = a_member("a"), a_member("b")
-    context.owned_by_a = tables.initial_table(SERVICE, [a], "w", ERA - 1)
+    context.owned_by_a = tables.initial_table(SERVICE, [a], "w", FORMER)
     context.owned_by_b = tables.reassign(
         context.owned_by_a, context.owned_by_a.ranges, [b], "w"
     )
@@ -552,6 +559,19 @@
     assert usable(ranges, context.restored_to_b, "b", late) != []
 
 
+@when("b learns that something else has replaced that table before its wait ends")
+def step_replaced_before_end(context):
+    context.ranges = ranges_of("b", context.owned_by_a, context.restored_to_b)
+    replaced_at = RESTORED_AT + TAKEOVER_S - 1.0
+    context.ranges.update(context.restored_to_b, True, True, replaced_at)
+
+
+@then("b uses none of the keys while it knows no later table")
+def step_none_while_outdated(context):
+    late = RESTORED_AT + 2 * TAKEOVER_S
+    assert usable(context.ranges, context.restored_to_b, "b", late) == []
+
+
 @then("a goes on with its keys if its lease was valid, and waits if it had expired")
 def step_a_goes_on(context):
     for lease_valid in (True, False):
@@ -569,7 +589,7 @@
 @given("a table that was restored, whose owner b has been removed")
 def step_restored_removed(context):
     context.members = [a_member("a")]
-    owned_by_b = tables.initial_table(SERVICE, [a_member("b")], "w", ERA - 1)
+    owned_by_b = tables.initial_table(SERVICE, [a_member("b")], "w", FORMER)
     context.restored = a_restored_table(owned_by_b)
     context.ranges = ranges_of("a", owned_by_b, context.restored)
 
@@ -578,7 +598,7 @@
 def step_no_takeover(context, seconds):
     def proposed(now):
         state = proposals.RestoredTable(
-            ERA, settled=context.ranges.is_settled(now), remembered=True
+            RESTORED, settled=context.ranges.is_settled(now), remembered=True
         )
         view = a_view("a", context.members, removed=frozenset("b"), restored=state)
         return proposals.propose(context.restored, view)
@@ -593,13 +613,13 @@
 @given("a restored table with a suspicion against a, which may not use its keys yet")
 def step_restored_suspected(context):
     context.members = [a_member(node) for node in "abc"]
-    known = tables.initial_table(SERVICE, context.members, "w", ERA - 1)
+    known = tables.initial_table(SERVICE, context.members, "w", FORMER)
     context.restored = tables.add_suspicion(a_restored_table(known), "a", "b", "w")
 
 
 @then("a hands nothing over although it reaches few peers")
 def step_hands_nothing_over(context):
-    state = proposals.RestoredTable(ERA, settled=False, unusable=True)
+    state = proposals.RestoredTable(RESTORED, settled=False, unusable=True)
     view = a_view("a", context.members, links_up=0, restored=state)
     assert proposals.propose(context.restored, view) is None
     usable_state = replace(state, unusable=False)
@@ -610,7 +630,7 @@
 @given("an owner of two adjacent ranges with different tokens")
 def step_two_ranges(context):
     a, b = a_member("a"), a_member("b")
-    table = tables.initial_table(SERVICE, [a, b], "w", ERA - 1)
+    table = tables.initial_table(SERVICE, [a, b], "w", FORMER)
     moving = [(keys, a, "") for keys in tables.owned_by(table, "b")]
     context.former = tables.move_ranges(table, moving, "w")
     assert len(context.former.ranges) == 2
@@ -627,3 +647,33 @@
 def step_joined_used(context):
     ranges = ranges_of("a", context.former, context.restored)
     assert usable(ranges, context.restored, "a", RESTORED_AT) != []
+
+
+@given("an owner a, whose write that gives keys to b has no answer")
+def step_unanswered_write(context):
+    a, b = a_member("a"), a_member("b")
+    table = tables.initial_table(SERVICE, [a, b], "w", FORMER)
+    context.keys = tables.owned_by(table, "a")
+    moved = tables.move_ranges(table, [(keys, b, "") for keys in context.keys], "w1")
+    context.change = TableChange(TableBase(table, FORMER, FORMER.era), moved, "test")
+    context.unsettled = UnsettledTransfers("a")
+    context.unsettled.begin(context.change)
+    context.unsettled.end(context.change, WriteResult.UNKNOWN)
+
+
+@when("the same write is repeated, and is not sent")
+def step_repeated_write(context):
+    repeated = replace(context.change, table=replace(context.change.table, writer="w2"))
+    context.unsettled.begin(repeated)
+    context.unsettled.end(repeated, WriteResult.NOT_WRITTEN)
+
+
+@then("the keys are withheld until the table has a later revision")
+def step_withheld_until_later(context):
+    base = context.change.base
+    context.unsettled.settle(base)
+    later = Revision(base.revision.era, base.revision.number + 1)
+    context.unsettled.settle(replace(base, revision=later, current=False))
+    assert context.unsettled.keys == context.keys, context.unsettled.keys
+    context.unsettled.settle(replace(base, revision=later))
+    assert not context.unsettled.pending and context.unsettled.keys == ()
--- a/features/steps/released_keys_steps.py
+++ b/features/steps/released_keys_steps.py
@@ -280,6 +280,16 @@
         run(context, go())
 
 
+@then("the member of vm-b was never removed")
+def step_never_removed(context):
+    removed = [
+        event["object"]["metadata"]["name"]
+        for _, kind, event in context.deployment.store.events
+        if kind == MEMBERS and event["deleted"]
+    ]
+    assert "vm-b" not in removed, removed
+
+
 @when("vm-b ends without notice, and its keys are taken over")
 def step_ended(context):
     async def go():
--- a/features/steps/settings_changes_steps.py
+++ b/features/steps/settings_changes_steps.py
@@ -17,7 +17,7 @@
 )
 from features.builders_processes import new_log_directory
 from rosemarydeal.core import Address
-from rosemarydeal.node.settings_watch import follow_settings
+from rosemarydeal.node.settings_watch import SettingsChange, follow_settings
 
 OTHER_SETTINGS = {
     "store": Address("127.0.0.1", 7999),
@@ -110,6 +110,18 @@
     context.stated = dataclasses.replace(context.current, **changed)
 
 
+@when("its file states no first start")
+def step_no_first_start(context):
+    assert context.current.first_start
+    context.stated = dataclasses.replace(context.current, first_start=False)
+
+
+@then("no setting is followed or pending")
+def step_nothing_changes(context):
+    change = follow_settings(context.current, context.stated)
+    assert change == SettingsChange(context.current, (), ()), change
+
+
 @then("the setting is {result}")
 def step_result(context, result):
     change = follow_settings(context.current, context.stated)
--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -20,23 +20,31 @@
 from rosemarydeal.core.clock import now
 from rosemarydeal.core.decoding import MAX_INTEGER
 from rosemarydeal.core.fleet import Revision, StoredObject
-from rosemarydeal.node.contents import decode_table, encode_table, table_name
+from rosemarydeal.node.contents import (
+    decode_table,
+    encode_reservation,
+    encode_table,
+    table_name,
+)
 from rosemarydeal.node.records import MEMBERS, RANGES, Records
 from rosemarydeal.platform.errors import StoreConflict, StoreUnavailable
+from rosemarydeal.platform.store import Listing
 from rosemarydeal.policy.dispatch.queue import Admission
 from rosemarydeal.policy.keyranges import ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
-from rosemarydeal.policy.keyranges.table_changes import TableChange
+from rosemarydeal.policy.keyranges.table_changes import TableChange, WriteResult
 
 UNREACHABLE_S = 60.0
 SETTLE_S = 1.0
+# A restored table is in force within this time.
+SERVED_S = 3.0
 
 
 def put_table(store, table):
     """Writes a table as another process does; returns the stored object."""
     spec = msgspec.json.decode(encode_table(table))
-    stored = store.put(RANGES, table_name(table.service), spec)
+    stored = store.put(RANGES, table_name(table.service, store.era), spec)
     return stored_table(stored["metadata"]["rev"], spec, store.era)
 
 
@@ -85,6 +93,121 @@
     assert tables.lookup(suspecting[0], first_key).token >= token
 
 
+@when("the store is restored from a copy of now")
+def step_restored_from_now(context):
+    context.deployment.store.take_copy()
+    context.deployment.store.restore()
+
+
+@then(
+    "the store has accepted a reservation that tells of {known} before, then the table"
+)
+def step_reserved_first(context, known):
+    store = context.deployment.store
+    name = table_name("box-office", store.era)
+
+    def specs():
+        return [
+            event["object"]["spec"]
+            for _, kind, event in store.events
+            if kind == RANGES and event["object"]["metadata"]["name"] == name
+        ]
+
+    run(context, context.deployment.wait(lambda: len(specs()) > 1, SERVED_S))
+    reservation, first = specs()[:2]
+    assert reservation == {"reserved": True, "replaced": known == "a table"}
+    assert "ranges" in first
+
+
+@given("a reservation that tells of {known} before")
+def step_reservation(context, known):
+    content = encode_reservation(known == "a table")
+    stored = StoredObject(RANGES, table_name(SERVICE), Revision(1, 5), content)
+    context.records = Records()
+    context.records.apply_listing(RANGES, Listing((stored,), stored.revision))
+
+
+@then("a process {starts} finds that {found} was replaced")
+def step_finds_replaced(context, starts, found):
+    first_start = starts == "of the first start"
+    replaced = context.records.is_table_replaced(SERVICE, first_start)
+    assert replaced == (found == "a table")
+    assert context.records.table(SERVICE) is None
+
+
+@when("a listing lacks it")
+def step_reservation_vanished(context):
+    context.records.apply_listing(RANGES, Listing((), Revision(1, 6)))
+
+
+@when(
+    "the member of vm-b, which owns keys, is removed, and written again"
+    " {late_s:g} s later"
+)
+def step_live_member_removed(context, late_s):
+    async def go():
+        deployment = context.deployment
+        deployment.store.late_writes_s[MEMBERS] = late_s
+        deployment.store.remove(MEMBERS, "vm-b")
+        await asyncio.sleep(late_s + SERVED_S)
+        assert (MEMBERS, "vm-b") in deployment.store.objects
+
+    run(context, go())
+
+
+@then("vm-b still owns its keys, and no suspicion remains")
+def step_still_owns(context):
+    table = context.deployment.nodes["vm-a"]._records.table(SERVICE)
+    assert tables.owned_by(table, "vm-b")
+    assert not table.suspicions, table.suspicions
+
+
+@when("vm-b ends, and its member is removed while it owns keys")
+def step_ended_removed(context):
+    async def go():
+        deployment = context.deployment
+        await deployment.endpoints.pop("vm-b").stop()
+        await deployment.nodes.pop("vm-b").close()
+        deployment.store.remove(MEMBERS, "vm-b")
+
+    run(context, go())
+
+
+@then("within {seconds:d} seconds a suspicion against vm-b is recorded")
+def step_suspected(context, seconds):
+    records = context.deployment.nodes["vm-a"]._records
+
+    def suspected():
+        return any(s.node == "vm-b" for s in records.table(SERVICE).suspicions)
+
+    run(context, context.deployment.wait(suspected, seconds))
+    assert tables.owned_by(records.table(SERVICE), "vm-b")
+
+
+@when("the table is removed while all processes restart")
+def step_removed_at_restart(context):
+    async def go():
+        deployment = context.deployment
+        for node in deployment.nodes.values():
+            await node.close()
+        deployment.store.remove(RANGES, SERVICE)
+        context.first_revision = deployment.store.revision
+        for name in deployment.nodes:
+            await deployment.start_node(name)
+
+    run(context, go())
+
+
+@then("the next table makes its owners wait until former leases have expired")
+def step_owners_wait(context):
+    def written():
+        return written_tables(context.deployment.store, context.first_revision)
+
+    run(context, context.deployment.wait(written))
+    first = written()[0]
+    assert first.restored_token == first.top_token > 0, first
+
+
 @when("a process writes a table computed from a revision that has passed")
 def step_passed_revision(context):
     async def go():
@@ -156,7 +279,7 @@
 
 @given("a table with the highest token that is accepted at revision {number:d}")
 def step_highest_accepted(context, number):
-    table = tables.initial_table(SERVICE, [a_member("a")], "first", 1)
+    table = _first_table()
 
     def accepted(token):
         stored = _stored(replace(table, top_token=token), number)
@@ -179,7 +302,9 @@
 @when("a process writes a change of it as a table that was restored")
 def step_restored_change(context):
     known = context.known_table
-    context.written = tables.restore(known, known.top_token, 1, "writer")
+    context.written = tables.restore(
+        known, known.top_token, Revision(1, context.number), "writer"
+    )
 
 
 @then("that table is accepted")
@@ -212,7 +337,7 @@
 
 @then("the store gets no write of a table")
 def step_no_table_written(context):
-    assert not context.written
+    assert context.written is WriteResult.NOT_WRITTEN
     written = written_tables(context.deployment.store, context.first_revision)
     assert all(table.writer != "low" for table in written)
 
@@ -331,7 +456,7 @@
 @given("records of a table whose highest token is {token:d}")
 def step_records(context, token):
     context.records = Records()
-    table = tables.initial_table(SERVICE, [a_member("a")], "first", 1)
+    table = _first_table()
     context.known_table = replace(table, top_token=token)
     context.records.apply(_stored(context.known_table, 5), changed=True)
 
@@ -341,13 +466,109 @@
     fallen = replace(context.known_table, top_token=token, writer="another-writer")
     other = StoredObject(RANGES, "other", Revision(1, 7), b"{}")
     logger = CapturingLogger()
-    with mock.patch("rosemarydeal.node.records._log", logger):
+    with mock.patch("rosemarydeal.node.known_tables._log", logger):
         context.records.apply(_stored(fallen, 6), changed=True)
         # Each change of the kind decodes all tables again.
         context.records.apply(other, changed=True)
     context.logged = logger.calls
 
 
+@when(
+    "a table with a suspicion of token {token:d} arrives, then one without it,"
+    " and then the former again"
+)
+def step_refuted_again(context, token):
+    suspecting = tables.add_suspicion(context.known_table, "a", "b", "suspecting")
+    assert suspecting.top_token == token
+    context.known_table = tables.remove_suspicion(suspecting, "a", "refuting")
+    context.records.apply(_stored(suspecting, 6), changed=True)
+    context.records.apply(_stored(context.known_table, 7), changed=True)
+    assert not context.records.is_table_outdated(SERVICE)
+    context.records.apply(_stored(suspecting, 8), changed=True)
+
+
+@when("the same table arrives at a later revision")
+def step_same_later(context):
+    context.records.apply(_stored(context.known_table, 6), changed=True)
+    assert context.records.stored_revision(RANGES, SERVICE) == Revision(1, 6)
+
+
+@when(
+    "a table of another writer arrives, whose highest token is {token:d},"
+    " and another change {seconds:f} seconds later"
+)
+def step_fallen_for(context, token, seconds):
+    fallen = replace(context.known_table, top_token=token, writer="another-writer")
+    other = StoredObject(RANGES, "other", Revision(1, 7), b"{}")
+    arrived_at = now()
+    with mock.patch("rosemarydeal.node.known_tables.now", lambda: arrived_at):
+        context.records.apply(_stored(fallen, 6), changed=True)
+    assert context.records.is_table_outdated(SERVICE)
+    with mock.patch("rosemarydeal.node.known_tables.now", lambda: arrived_at + seconds):
+        context.records.apply(other, changed=True)
+
+
+@then("the known table is outdated")
+def step_still_outdated(context):
+    assert context.records.is_table_outdated(SERVICE)
+
+
+@then("the known table is not outdated")
+def step_not_outdated(context):
+    assert not context.records.is_table_outdated(SERVICE)
+
+
+@when("a table of another writer arrives in its place, of another era")
+def step_other_era(context):
+    other = replace(context.known_table, era=0, writer="another-writer")
+    context.records.apply(_stored(other, 6), changed=True)
+
+
+@when("a listing of the restored store brings the copy of that table")
+def step_copy_listed(context):
+    copy = replace(_stored(context.known_table, 5), revision=Revision(2, 5))
+    context.records.apply_listing(RANGES, Listing((copy,), Revision(2, 6)))
+
+
+@then("the known table is outdated, and still known")
+def step_outdated(context):
+    assert context.records.is_table_outdated(SERVICE)
+    assert context.records.table(SERVICE) == context.known_table
+
+
+@when(
+    "keys of vm-a move to vm-b, and another writer puts the table before back {missed}"
+)
+def step_put_back(context, missed):
+    async def go():
+        deployment = context.deployment
+        store, node = deployment.store, deployment.nodes["vm-a"]
+        ownership, records = node._ownership, node._records
+        await deployment.wait(lambda: not ownership._writing)
+        former = written_tables(store)[-1]
+        keys = ownership.owned[0]
+        ownership._start_hand_over(((keys, records.members["vm-b"]),))
+        await deployment.wait(lambda: deployment.endpoints["vm-b"].held(keys.first))
+        context.handed_over = written_tables(store)[-1]
+        put_table(store, former)
+        if missed != "again":
+            # As a process does that has missed the hand-over.
+            vm_c = deployment.nodes["vm-c"]._records.members["vm-c"]
+            put_table(store, proposals.renew_tokens(former, vm_c, "c"))
+        # All processes hear of it, and act upon it.
+        await asyncio.sleep(SETTLE_S)
+
+    run(context, go())
+
+
+@then("no table in force undoes a change that the others know")
+def step_change_kept(context):
+    (table,) = {
+        node._records.table("box-office") for node in context.deployment.nodes.values()
+    }
+    assert not undone_ranges(context.handed_over, table), table
+
+
 @then("the next token of that table is {token:d}")
 def step_next_token(context, token):
     table = context.records.table(SERVICE)
@@ -357,7 +578,7 @@
 
 @then("the fall was logged once as an error")
 def step_fall_logged(context):
-    fallen = [call for call in context.logged if call.args == ("table_token_fell",)]
+    fallen = [call for call in context.logged if call.args == ("table_put_back",)]
     assert [call.method_name for call in fallen] == ["error"], context.logged
 
 
@@ -387,6 +608,12 @@
     assert (MEMBERS, "vm-b") in context.deployment.store.objects
 
 
+def _first_table():
+    """Returns a table of one owner, whose ranges have token 1."""
+    table = tables.initial_table(SERVICE, [a_member("a")], "first", Revision(1, 0))
+    return replace(table, ranges=tuple(replace(keys, token=1) for keys in table.ranges))
+
+
 def _stored(table, number):
     """Returns the object of a table."""
     content = encode_table(table)
@@ -400,7 +627,7 @@
 
 @when("the members have been stable for {seconds:g} seconds")
 def step_stable(context, seconds):
-    restored = proposals.RestoredTable(replaced=True)
+    restored = proposals.RestoredTable(Revision(1, 7), replaced=True)
     changes = {"members_stable_s": seconds, "restored": restored}
     view = a_view("a", context.members, **changes)
     context.proposal = proposals.propose(None, view)
@@ -422,9 +649,10 @@
     assert restored.usable(owned, wait_s + 0.1) == list(owned)
 
 
-@then("its tokens are above {token:d}")
-def step_tokens_above(context, token):
-    assert all(keys.token > token for keys in context.proposal.table.ranges)
+@then("its tokens are above all that the store had at revision {number:d}")
+def step_tokens_above(context, number):
+    highest = tables.max_token(Revision(1, number))
+    assert all(keys.token > highest for keys in context.proposal.table.ranges)
 
 
 @given("each hands keys over to the other while the store rejects writes")
--- a/features/steps/uploads_steps.py
+++ b/features/steps/uploads_steps.py
@@ -220,6 +220,7 @@
             zone="perth-a",
             host="127.0.0.1",
             service="box-office",
+            bootstrap="true",
             store="127.0.0.1:9000",
             grants="call",
             grace_s=6.0,
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -41,6 +41,35 @@
     And all keys are served again within 14 seconds
     And no key was ever held by two upstreams
 
+  Scenario Outline: A write that was never sent leaves keys unserved after a restore
+    Given a deployment of 3 VMs, of whose store a copy is taken
+    When the store is restored, and the upstream of vm-c <leaves> before the tables are listed
+    Then the other VMs serve all keys within 3 seconds
+    And no key was ever held by two upstreams
+    And each upstream took keys with tokens above those of all others
+
+    Examples:
+      | leaves  |
+      | crashes |
+      | drains  |
+
+  Scenario: Keys are given away without a note as a peer restores the table within a hand-over
+    Given a deployment of 3 VMs
+    When a peer restores the table before vm-a does so in a hand-over, as its upstream ends
+    Then vm-a writes nothing else as a part of the restore
+
+  Scenario Outline: A write of the table that meets a restored store counts as <wrongly>
+    Given a deployment of 3 VMs
+    When vm-a writes a table as the store is restored from a copy <copy>
+    Then the write counts as <result>
+
+    Examples:
+      | copy                         | result      | wrongly  |
+      | that vm-a has heard of       | not written | unknown  |
+      | from before the last table   | not written | unknown  |
+      | from before any table        | not written | unknown  |
+      | of now                       | unknown     | written  |
+
   Scenario: A zone that was taken out is used again after the store was restored
     Given a deployment of 2 VMs, of whose store a copy is taken
     When perth-b is taken out, the store is restored, and a second later it is taken out again
@@ -54,3 +83,21 @@
 
   Scenario: A new process uses keys that a restored copy gives back to it
     Then fleet 57 of those whose upstreams fall silent keeps one owner for each key
+
+  Scenario: A write without an answer replaces the table after the store was restored
+    Given a deployment of 3 VMs, of whose store a copy is taken
+    When the store is restored, and a write of the former era is carried out then
+    Then all VMs still know the table that was restored
+
+  Scenario: A write of a former era replaces the table of the present one
+    Then 60 simulated fleets whose store is restored often keep one owner for each key
+
+  Scenario Outline: A token is issued again after the table was <replaced>
+    Then 60 simulated fleets whose table is <replaced> keep one owner for each key
+
+    Examples:
+      | replaced      |
+      | damaged       |
+      | removed       |
+      | removed often |
+      | reverted      |
--- a/features/table_writes.feature
+++ b/features/table_writes.feature
@@ -6,6 +6,28 @@
     Then no table undid the change of another
     And the suspicion is recorded without undoing the hand-over
 
+  Scenario: The first write under the name of a table is the table
+    Given a deployment of 3 VMs
+    Then the store has accepted a reservation that tells of no table before, then the table
+    When the store is restored from a copy of now
+    Then the store has accepted a reservation that tells of a table before, then the table
+
+  Scenario Outline: A new process takes a reservation in the place of a table for the first one
+    Given a reservation that tells of <known> before
+    Then a process of the first start finds that <found>
+    And a process that starts later finds that a table was replaced
+
+    Examples:
+      | known    | found                 |
+      | a table  | a table was replaced  |
+      | no table | no table was replaced |
+
+  Scenario: Processes that restart write a first table without waits after it was removed
+    Given a deployment of 3 VMs
+    When the table is removed while all processes restart
+    Then the next table makes its owners wait until former leases have expired
+    And no key was ever held by two upstreams
+
   Scenario: A write over a revision that has passed succeeds
     Given a deployment of 3 VMs
     When a process writes a table computed from a revision that has passed
@@ -27,11 +49,72 @@
     Then the next token of that table is 10
     And the fall was logged once as an error
 
+  Scenario: A suspicion that was refuted comes back with a table that was put back
+    Given records of a table whose highest token is 9
+    When a table with a suspicion of token 10 arrives, then one without it, and then the former again
+    Then the known table is outdated, and still known
+
+  Scenario: A table counts as put back at a later revision of its object
+    Given records of a table whose highest token is 9
+    When the same table arrives at a later revision
+    Then the known table is not outdated
+
+  Scenario Outline: A process that can't restore a table keeps to it for good
+    Given records of a table whose highest token is 9
+    When a table of another writer arrives, whose highest token is 7, and another change <seconds> seconds later
+    Then the known table <state>
+    And the next token of that table is 10
+
+    Examples:
+      | seconds | state           |
+      | 11.9    | is outdated     |
+      | 12.1    | is not outdated |
+
+  Scenario Outline: A key goes back to its first owner under its old token as a table is put back
+    Given a deployment of 3 VMs
+    When keys of vm-a move to vm-b, and another writer puts the table before back <missed>
+    Then all processes know the same table within 3 seconds
+    And no table in force undoes a change that the others know
+    And no key was ever held by two upstreams
+    And each upstream took keys with tokens above those of all others
+    And all keys are served again within 3 seconds
+
+    Examples:
+      | missed                  |
+      | again                   |
+      | and vm-c writes over it |
+
+  Scenario: A table of another era in the place of a table hides that it was replaced
+    Given records of a table whose highest token is 9
+    When a table of another writer arrives in its place, of another era
+    Then the known table is outdated, and still known
+
+  Scenario: The copy of a table in a restored store is taken for a table of its era
+    Given records of a table whose highest token is 9
+    When a listing of the restored store brings the copy of that table
+    Then the known table is outdated, and still known
+
   Scenario: A member that was written again is removed on an earlier decision
     Given a deployment of 3 VMs
     When vm-a removes the member of vm-b as it was before its last write
     Then the member of vm-b is still there
 
+  Scenario: Keys of a live owner are taken as a removal of its member is carried out late
+    Given a deployment of 3 VMs
+    When the member of vm-b, which owns keys, is removed, and written again 1.5 s later
+    Then no key was ever held by two upstreams
+    And vm-b still owns its keys, and no suspicion remains
+
+  Scenario: Keys of an owner whose member was removed without a retirement stay unserved
+    Given a deployment of 3 VMs
+    When vm-b ends, and its member is removed while it owns keys
+    Then within 4 seconds a suspicion against vm-b is recorded
+
+  Scenario: A table without waits is written in the place of a reservation that vanished
+    Given a reservation that tells of no table before
+    When a listing lacks it
+    Then a process of the first start finds that a table was replaced
+
   Scenario Outline: A table that was <replaced> by another writer is written from an older one
     Given a deployment of 3 VMs
     When vm-a misses a hand-over after which the table is <replaced> by another writer
@@ -100,7 +183,7 @@
     Then a proposes no table
     When the members have been stable for 4.0 seconds
     Then a proposes a table whose owners wait until former leases have expired
-    And its tokens are above 100000
+    And its tokens are above all that the store had at revision 6
 
   Scenario Outline: All owners have hand-overs in progress as the table is lost
     Given a deployment of 2 VMs
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -61,6 +61,8 @@
 
 # Before all changes.
 NO_REVISION = Revision(0, 0)
+# Era of a store that was never restored.
+FIRST_ERA = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +126,8 @@
         bounds: Guarantees of the deployment.
         grant_carrier: How grants reach the upstream.
         memory_bytes: Memory above which the platform kills the process.
+        first_start: Whether the whole deployment starts for the first time, so that
+            nothing has been written to the store before.
     """
 
     node: str
@@ -141,6 +145,7 @@
     bounds: Bounds
     grant_carrier: GrantCarrier = GrantCarrier.CALL
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    first_start: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Iterable
 from functools import lru_cache
-from typing import TypeVar
+from typing import Literal, TypeVar
 
 import msgspec
 
@@ -28,6 +28,7 @@
     decode_json,
 )
 from rosemarydeal.core.fleet import (
+    FIRST_ERA,
     LAST_KEY,
     Configuration,
     KeyRange,
@@ -43,8 +44,11 @@
 
 __all__ = [
     "configuration_of",
+    "Reservation",
+    "encode_reservation",
     "encode_table",
     "decode_member",
+    "decode_reservation",
     "decode_table",
     "members_of",
     "names_of",
@@ -57,6 +61,9 @@
 # The tables of a few services are decoded again at each change of one of them.
 MAX_CACHED_TABLES = 16
 
+# Longer contents are no reservations.
+MAX_RESERVATION_BYTES = 100
+
 _Value = TypeVar("_Value")
 
 
@@ -98,6 +105,18 @@
         return Member(**{**fields, "peer": peer})
 
 
+class Reservation(msgspec.Struct, frozen=True):
+    """Content of an object in whose place a table will be written.
+
+    Attributes:
+        reserved: Always true.
+        replaced: Whether its writer knows of a table that was there before.
+    """
+
+    reserved: Literal[True]
+    replaced: bool = False
+
+
 class _StoredRange(msgspec.Struct, array_like=True):
     """A range up to the next one's first key; `owner` is an index into `owners`."""
 
@@ -279,9 +298,37 @@
     return _accepted(stored, _table_of(stored), rejected)
 
 
-def table_name(service: str) -> str:
-    """Returns the name of the object that holds a service's table."""
-    return service
+def encode_reservation(replaced: bool) -> bytes:
+    """Encodes the content of an object that reserves the name of a table.
+
+    Args:
+        replaced: Whether a table is known that was there before.
+    """
+    return msgspec.json.encode(Reservation(True, replaced))
+
+
+def decode_reservation(stored: StoredObject) -> Reservation | None:
+    """Returns the reservation in an object, None if it is something else."""
+    if stored.content is None or len(stored.content) > MAX_RESERVATION_BYTES:
+        return None
+    try:
+        return decode_json(stored.content, Reservation)
+    except Malformed:
+        return None
+
+
+def table_name(service: str, era: int = FIRST_ERA) -> str:
+    """Returns the name of the object that holds a service's table in an era.
+
+    The store may carry out a write without an answer seconds later, also in a later
+    era, where the revision that is its condition has been given out again. With a name
+    of its own, the table of the present era can't be reached by it.
+
+    Args:
+        service: Name of the service.
+        era: Era of the store.
+    """
+    return service if era <= FIRST_ERA else f"{service}.era-{era}"
 
 
 @lru_cache(maxsize=MAX_CACHED_MEMBERS)
@@ -299,13 +346,14 @@
 @lru_cache(maxsize=MAX_CACHED_TABLES)
 def _table_of(stored: StoredObject) -> RangeTable | Malformed | None:
     """Decodes a table; only new revisions of an object are decoded."""
-    if stored.content is None:
+    if stored.content is None or decode_reservation(stored) is not None:
         return None
     try:
         table = decode_json(stored.content, _StoredTable).to_table()
     except Malformed as error:
         return error
-    if table_name(table.service) != stored.name:
+    # Earlier versions wrote the tables of all eras under the name of the first one.
+    if stored.name not in (table.service, table_name(table.service, table.era)):
         return _misnamed(table.service)
     if table.top_token > max_token(stored.revision):
         return Malformed(f"highest token {table.top_token} at {stored.revision}")
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -118,6 +118,10 @@
     async def retire(self) -> None:
         """Removes the own member, because the upstream does not come back."""
         node = self._identity.node
+        published = self._records.stored_member(node)
+        if published is not None and published.accepting:
+            # The removal of a member that accepts work does not prove its end.
+            await self._write(self._own_member())
         try:
             await self._access.remove(
                 MEMBERS, node, self._records.stored_revision(MEMBERS, node)
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -43,10 +43,14 @@
 from rosemarydeal.policy.keyranges.grant_terms import GrantTerms
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
 from rosemarydeal.policy.keyranges.suspicion_backoff import SuspicionBackoff
-from rosemarydeal.policy.keyranges.table_changes import TableBase, TableChange
+from rosemarydeal.policy.keyranges.table_changes import (
+    TableBase,
+    TableChange,
+    WriteResult,
+)
+from rosemarydeal.policy.keyranges.unsettled_transfers import UnsettledTransfers
 
 from .balancer import Balancer
-from .contents import table_name
 from .grants import CallGrantCarrier
 from .guard import Guard
 from .heartbeat_grants import HeartbeatGrantCarrier
@@ -122,15 +126,18 @@
         self._renewing = False
         self._grants = self._grant_carrier(client)
         self._restored = RestoredRanges(identity.node)
+        self._unusable: tuple[KeyRange, ...] = ()
+        # Ranges in release, which are not granted; no one else has them before a write.
         self._moving: list[KeyRange] = []
-        # The last write that gives own keys away, until its result is known.
-        self._unsettled: TableChange | None = None
+        self._unsettled = UnsettledTransfers(identity.node)
         self._writing = False
         self._tasks = Tasks(failures)
         self._barrier = StartBarrier(
             identity, records, first_listing, self._write_unless_writing, self._tasks
         )
         self._suspicions: dict[tuple[str, int], float] = {}
+        # Owners whose members are missing from the store.
+        self._removed_since: dict[str, float] = {}
         self._suspicion_backoff = SuspicionBackoff(identity.node)
         self._propose_at = 0.0
         self._stopping = False
@@ -261,9 +268,10 @@
         lease_valid = moment < ownership_lease.lease_expiry(self._lease)
         self._barrier.update()
         self._restored.update(
-            self.table, self._is_outdated(), lease_valid, moment, self._withheld
+            self.table, self._is_outdated(), lease_valid, moment, self._unsettled.keys
         )
-        self._settle_transfer()
+        self._note_unusable(moment)
+        self._unsettled.settle(self._table_base())
         self._note_refutations(moment)
         if self._is_keyed() and self._watch.state is not None:
             self._step()
@@ -330,12 +338,13 @@
         nodes = len(self._records.members)
         self._propose_at = moment + STEP_S * max(0.5, nodes / STEP_FLEET)
         self._track_suspicions(moment)
+        self._track_removals(moment)
         self._propose(moment)
 
     async def _renew_lease(self) -> None:
         """Renews the lease by reading the table from the store."""
         requested_at = now()
-        name = table_name(self._identity.service)
+        name = self._records.table_name(self._identity.service)
         try:
             stored = await self._read_for_renewal(name)
             self._apply_renewal(stored, requested_at)
@@ -356,8 +365,9 @@
     def _apply_renewal(self, stored: StoredObject | None, requested_at: float) -> None:
         """Renews the lease with a table read from the store."""
         table = self.table
-        cached = self._records.stored(RANGES, table_name(self._identity.service))
-        if stored is None or table is None or cached is None:
+        name = self._records.table_name(self._identity.service)
+        cached = self._records.stored(RANGES, name)
+        if stored is None or table is None or cached is None or stored.name != name:
             return
         self._barrier.note_read(stored.revision)
         if cached.revision < stored.revision or self._is_outdated():
@@ -378,7 +388,7 @@
 
     def _grant_terms(self) -> GrantTerms:
         """Returns the lease and the table that grants decided now rest on."""
-        name = table_name(self._identity.service)
+        name = self._records.table_name(self._identity.service)
         return GrantTerms(
             self._lease,
             self._identity.bounds.max_hold_s,
@@ -389,25 +399,8 @@
 
     @property
     def _withheld(self) -> tuple[KeyRange, ...]:
-        """Returns the ranges that others may own by a write without a known result."""
-        unsettled = self._unsettled
-        if unsettled is None:
-            return tuple(self._moving)
-        lost = tables.lost_by(
-            self._identity.node, unsettled.base.table, unsettled.table
-        )
-        return (*self._moving, *lost)
-
-    def _settle_transfer(self) -> None:
-        """Ends the wait for a write once the table shows its result.
-
-        Under a later revision it has been carried out, or fails.
-        """
-        base, unsettled = self._table_base(), self._unsettled
-        if unsettled is None or not base.current:
-            return
-        if base.revision > unsettled.base.revision:
-            self._unsettled = None
+        """Returns the own ranges that are not granted now."""
+        return (*self._moving, *self._unsettled.keys)
 
     def _advance_guard(self) -> None:
         """Starts queued requests that waited for a grant."""
@@ -426,7 +419,20 @@
         if member is None:
             return
         changed = proposals.renew_tokens(base.table, member, _writer())
-        await self._table_writer.write(TableChange(base, changed, "token-refused"))
+        await self._write(TableChange(base, changed, "token-refused"))
+
+    def _note_unusable(self, moment: float) -> None:
+        """Logs which own ranges may not be used yet after a restore."""
+        owned = self.owned
+        usable = set(self._restored.usable(owned, moment))
+        unusable = tuple(keys for keys in owned if keys not in usable)
+        if unusable != self._unusable:
+            self._unusable = unusable
+            _log.info(
+                "keys_wait_after_restore",
+                ranges=[(keys.first, keys.last, keys.token) for keys in unusable],
+                given_away=[(k.first, k.last) for k in self._unsettled.keys],
+            )
 
     def _note_refutations(self, moment: float) -> None:
         """Delays further suspicions against owners that refuted an earlier one."""
@@ -454,7 +460,7 @@
                 self._start_write(TableChange(base, changed, reason))
             case proposals.HandOver(transfers):
                 self._start_hand_over(transfers)
-            case None if self._unsettled is not None and base.current:
+            case None if self._unsettled.pending and base.current:
                 # The lost write may still be carried out until another one is.
                 unchanged = replace(base.table, writer=_writer())
                 self._start_write(TableChange(base, unchanged, "transfer-unanswered"))
@@ -464,11 +470,20 @@
     def _start_write(self, change: TableChange) -> None:
         """Starts to write a proposed table."""
         self._writing = True
-        old = change.base.table
-        if old is not None and tables.lost_by(self._identity.node, old, change.table):
-            self._unsettled = change
+        self._unsettled.begin(change)
         self._tasks.spawn("table-write", self._write_proposal(change))
 
+    async def _write(self, change: TableChange) -> WriteResult:
+        """Writes a changed table; one that takes own keys has been noted before."""
+        result = await self._table_writer.write(change)
+        self._unsettled.end(change, result)
+        return result
+
+    @property
+    def _base_revision(self) -> Revision:
+        """Returns the revision of what the store holds for the own table."""
+        return self._table_base().revision
+
     def _table_base(self) -> TableBase:
         """Returns the own service's table with the revision that the store holds."""
         return self._records.table_base(self._identity.service)
@@ -495,6 +510,8 @@
                 member.node
             ):
                 unresponsive_s[member.node] = 0.0
+        for node, since in self._removed_since.items():
+            unresponsive_s[node] = moment - since
         lease_expired = frozenset(
             node
             for (node, _), since in self._suspicions.items()
@@ -508,7 +525,7 @@
             alive=state is not None and state.alive,
             may_hold=self.may_hold_silently,
             members=members,
-            removed=self._removed_owners(),
+            removed=frozenset(filter(self._has_ended, self._removed_since)),
             zones_out=zones_out,
             unresponsive_s=unresponsive_s,
             links_up=len(self._links.up),
@@ -528,24 +545,21 @@
         if outdated_s is not None:
             stored_top_token = self._records.stored_top_token(self._identity.service)
         return proposals.RestoredTable(
-            era=self._records.era(RANGES),
+            position=self._records.table_position(self._identity.service),
             outdated_s=outdated_s,
             stored_top_token=stored_top_token,
             remembered=self._restored.remembered,
             settled=self._restored.is_settled(moment),
             unusable=self._has_unusable(),
-            replaced=self._is_replaced(),
+            replaced=self._records.is_table_replaced(
+                self._identity.service, self._identity.first_start
+            ),
         )
 
     def _is_outdated(self) -> bool:
         """Returns whether the table was not written in the present era of the store."""
         return self._records.is_table_outdated(self._identity.service)
 
-    def _is_replaced(self) -> bool:
-        """Returns whether the store holds something else where a table was."""
-        base = self._table_base()
-        return base.table is None and base.revision != NO_REVISION
-
     def _has_unusable(self) -> bool:
         """Returns whether own ranges may not be used yet after a restore."""
         owned = self.owned
@@ -554,7 +568,8 @@
     def _removed_owners(self) -> frozenset[str]:
         """Returns the owners whose members have been removed from the store."""
         table = self.table
-        stored = self._records.stored(RANGES, table_name(self._identity.service))
+        name = self._records.table_name(self._identity.service)
+        stored = self._records.stored(RANGES, name)
         if table is None or stored is None:
             return frozenset()
         owners = {keys.node for keys in table.ranges}
@@ -562,17 +577,25 @@
             node
             for node in owners - self._records.members.keys()
             if self._records.is_member_removed(node, stored.revision)
-            and self._has_ended(node)
         )
 
+    def _track_removals(self, moment: float) -> None:
+        """Records since when owners are missing from the members."""
+        removed = self._removed_owners()
+        self._removed_since = {
+            node: self._removed_since.get(node, moment) for node in removed
+        }
+
     def _has_ended(self, node: str) -> bool:
-        """Returns whether no other process pretends to be at an owner's address.
+        """Returns whether an owner whose member is missing is certain to have ended.
 
-        Anyone may write a member with a foreign address, so a successor has to answer
-        there before it takes the owner's place.
+        It has retired, or another process answers at its address. Anyone may write a
+        member with a foreign address, so that the member alone proves nothing.
         """
         successor = self._records.successor(node)
-        return successor is None or self._links.is_confirmed(successor)
+        if successor is None:
+            return self._records.has_retired(node)
+        return self._links.is_confirmed(successor)
 
     def _balance(self, moment: float, view: proposals.OwnershipView) -> None:
         """Hands keys over if that balances the load."""
@@ -638,7 +661,9 @@
             eligible = proposals.eligible_owners(self._view(now()))
             moved = hand_over_targets.current_targets(base.table, moved, eligible)
             changed = tables.move_ranges(base.table, moved, _writer())
-            if await self._table_writer.write(TableChange(base, changed, "hand-over")):
+            change = TableChange(base, changed, "hand-over")
+            self._unsettled.begin(change)
+            if await self._write(change) is WriteResult.WRITTEN:
                 return
             await asyncio.sleep(pause * random.uniform(0.7, 1.3))
             pause = min(WRITE_RETRY_MAX_S, 2 * pause)
@@ -646,20 +671,35 @@
     async def _write_restored(self, base: TableBase) -> None:
         """Restores the table if that is due here.
 
-        A hand-over keeps other proposals from being made, and can't end before.
+        A hand-over keeps other proposals from being made, and can't end before. The
+        first of two writes may only reserve the table's name. Once a peer has restored
+        the table, its owner's next proposals are no part of the restore.
         """
-        proposal = proposals.propose(base.table, self._view(now()))
-        if isinstance(proposal, proposals.WriteTable):
+        for _ in range(2):
+            if base.current:
+                return
+            proposal = proposals.propose(base.table, self._view(now()))
+            if not isinstance(proposal, proposals.WriteTable):
+                return
             change = TableChange(base, proposal.table, proposal.reason)
-            await self._table_writer.write(change)
+            result = await self._write(change)
+            if result is WriteResult.WRITTEN or base.revision != NO_REVISION:
+                return
+            base = self._table_base()
 
     async def _write_proposal(self, change: TableChange) -> None:
         """Writes a proposed table; the next proposal may follow."""
+        reserved = False
         try:
-            if not await self._table_writer.write(change):
-                await asyncio.sleep(0.3 * random.uniform(0.5, 1.5))
+            if await self._write(change) is not WriteResult.WRITTEN:
+                reserved = change.base.revision == NO_REVISION != self._base_revision
+                if not reserved:
+                    await asyncio.sleep(0.3 * random.uniform(0.5, 1.5))
         finally:
             self._writing = False
+        if reserved:
+            self._propose_at = 0.0
+            self._step()
 
     async def _write_unless_writing(self, change: TableChange) -> None:
         """Writes a proposed table, unless another write is in progress."""
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -184,7 +184,12 @@
             ("member-removal", self._membership.remove_unreachable),
         ):
             self._tasks.keep_running(name, work)
-        _log.info("started", process=self._process, zone=identity.zone)
+        _log.info(
+            "started",
+            process=self._process,
+            zone=identity.zone,
+            first_start=identity.first_start,
+        )
 
     def follow_settings(self) -> None:
         """Follows the settings file from now on."""
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -9,13 +9,13 @@
 higher. Its objects are listed anew, but what this process knows may be newer than
 the copy: the version of the configuration never falls, members and zones that are
 out are carried over until their writers have had the time to write them again, and
-a table is carried over until one has been written in the new era.
+a table is carried over until one has been written in the new era, under another name.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import structlog
 
@@ -40,6 +40,7 @@
 from rosemarydeal.policy.keyranges.table_changes import TableBase
 
 from . import contents
+from .known_tables import KnownTables
 from .messages import ObjectListing, ObjectState, ObjectUpdate, TableDelta
 from .table_deltas import PendingDeltas
 
@@ -100,9 +101,11 @@
         self._decoder = ConfigurationDecoder()
         self._members: dict[str, Member] = {}
         self._members_changed_at = now()
-        self._tables: dict[str, RangeTable] = {}
-        # Services whose known table is not the one that the store holds.
-        self._outdated_tables: set[str] = set()
+        # Those that are no members any more, as they last were.
+        self._former_members: dict[str, Member] = {}
+        self._tables = KnownTables()
+        # Tables of former eras that were applied, by name and revision.
+        self._copies: set[tuple[str, Revision]] = set()
         self._zones_out: frozenset[str] = frozenset()
         self._pending_deltas = PendingDeltas()
 
@@ -145,9 +148,43 @@
         """Returns the table of a service."""
         return self._tables.get(service)
 
+    def table_name(self, service: str) -> str:
+        """Returns the name of a service's table in the present era of the store."""
+        return contents.table_name(service, self.era(RANGES))
+
+    def is_table_replaced(self, service: str, first_start: bool) -> bool:
+        """Returns whether a table unknown to this process may have been replaced.
+
+        The store holds something else in its place, other than a reservation for the
+        first one, or another writer may have removed it before this process started.
+
+        Args:
+            service: Name of the service.
+            first_start: Whether no process has run before those that started with this
+                one.
+        """
+        if self.table(service) is not None:
+            return False
+        stored = self.stored(RANGES, self.table_name(service))
+        if not first_start or stored is None:
+            return not first_start
+        if stored.content is None:
+            return True
+        reservation = contents.decode_reservation(stored)
+        return reservation is None or reservation.replaced
+
+    def table_position(self, service: str) -> Revision:
+        """Returns a revision of the store that is after those of all tables so far.
+
+        What the store holds at the name of the table, it holds since a later revision.
+        """
+        stored = self.stored(RANGES, self.table_name(service))
+        replaced = stored.revision if stored is not None else NO_REVISION
+        return max(self.revision(RANGES), replaced)
+
     def table_base(self, service: str) -> TableBase:
         """Returns the table of a service with the revision that the store holds."""
-        revision = self.stored_revision(RANGES, contents.table_name(service))
+        revision = self.stored_revision(RANGES, self.table_name(service))
         current = not self.is_table_outdated(service)
         return TableBase(self.table(service), revision, self.era(RANGES), current)
 
@@ -157,13 +194,15 @@
         The known one may lack changes that the store has lost and that are in force:
         it was written in a former era, or something else has taken its place.
         """
-        return service in self._outdated_tables
+        return self._tables.is_outdated(service)
 
     def stored_top_token(self, service: str) -> int:
-        """Returns the highest token of the stored table, which may be a copy."""
-        stored = self.stored(RANGES, contents.table_name(service))
-        table = contents.decode_table(stored) if stored is not None else None
-        return table.top_token if table is not None else 0
+        """Returns the highest token of the stored tables, which may be copies."""
+        stored_tables = map(contents.decode_table, self._kinds[RANGES].objects.values())
+        return max(
+            (t.top_token for t in stored_tables if t and t.service == service),
+            default=0,
+        )
 
     def era(self, kind: str) -> int:
         """Returns the era of the store in which a kind was last received."""
@@ -218,6 +257,15 @@
             return stored.content is None or superseded
         return self.listed(MEMBERS) and self.revision(MEMBERS) >= revision
 
+    def has_retired(self, node: str) -> bool:
+        """Returns whether a removed member is known to have accepted nothing before.
+
+        One that accepted work may be alive: a removal that was sent while it was
+        unreachable may be carried out after its return.
+        """
+        member = self._former_members.get(node)
+        return member is not None and not member.accepting
+
     def successor(self, node: str) -> str | None:
         """Returns the newest later member at a member's address, if there is one.
 
@@ -382,7 +430,8 @@
         kind_state.revision = kind_state.last_change = Revision(era, 0)
         kind_state.listed = False
         if kind == RANGES:
-            self._outdated_tables.update(self._tables)
+            self._tables.note_new_era()
+            self._copies.clear()
         _log.info("store_era_entered", kind=kind, **_era_fields(kind_state))
 
     def _refresh(self, kind: str, listed: bool = False) -> None:
@@ -439,73 +488,42 @@
         )
         if members == self._members:
             return False
+        former = {**self._former_members, **self._members}
+        self._former_members = {n: former[n] for n in former if n not in members}
         self._members = members
         self._members_changed_at = now()
         return True
 
     def _refresh_tables(self) -> bool:
         """Updates the tables that are well-formed, and applies pending deltas."""
+        services = {self.table_name(name): name for name in self._tables.services}
+        copies: list[tuple[int, Revision, RangeTable]] = []
         for stored in self._kinds[RANGES].objects.values():
+            if (stored.name, stored.revision) in self._copies:
+                continue
             table = contents.decode_table(stored, self._rejected)
+            if table is not None and (table.era, stored.name) == (
+                stored.revision.era,
+                self.table_name(table.service),
+            ):
+                self._tables.apply(table, stored.revision)
+                continue
+            if stored.name in services:
+                self._tables.note_replaced(services[stored.name], stored)
             if table is not None:
-                self._apply_table(table, stored.revision)
-            elif stored.name in self._tables:
-                self._note_replaced(stored)
-        for service in list(self._tables):
+                copies.append((table.era, stored.revision, table))
+                self._copies.add((stored.name, stored.revision))
+        for _, _, table in sorted(copies, key=lambda copy: copy[:2], reverse=True):
+            self._tables.apply_copy(table)
+        for service in self._tables.services:
             self._apply_pending_delta(service)
         return True
 
-    def _apply_table(self, table: RangeTable, revision: Revision) -> None:
-        """Applies a stored table; a copy does not replace a table that is known."""
-        service = table.service
-        if table.era == revision.era:
-            self._outdated_tables.discard(service)
-            self._tables[service] = self._with_highest_token(table, revision)
-            return
-        self._outdated_tables.add(service)
-        self._tables.setdefault(service, table)
-
-    def _note_replaced(self, stored: StoredObject) -> None:
-        """Notes that a table was removed or replaced by something else.
-
-        Changes of the table before that may not have been received.
-        """
-        if stored.name in self._outdated_tables:
-            return
-        self._outdated_tables.add(stored.name)
-        _log.error(
-            "table_replaced",
-            service=stored.name,
-            revision=stored.revision,
-            removed=stored.content is None,
-        )
-
-    def _with_highest_token(self, table: RangeTable, revision: Revision) -> RangeTable:
-        """Returns a table from which no token is issued a second time.
-
-        The highest token of a service never falls, unless a writer has overwritten
-        a change that it had not read.
-        """
-        known = self._tables.get(table.service)
-        if known is None or table.top_token >= known.top_token:
-            return table
-        raised = replace(table, top_token=known.top_token)
-        if raised != known:
-            _log.error(
-                "table_token_fell",
-                service=table.service,
-                revision=revision,
-                top_token=table.top_token,
-                highest=known.top_token,
-                writer=table.writer,
-            )
-        return raised
-
     def _apply_pending_delta(self, service: str) -> None:
         """Applies the delta for the table's current revision, if there is one."""
-        if service in self._outdated_tables:
+        if self._tables.is_outdated(service):
             return
-        name = contents.table_name(service)
+        name = self.table_name(service)
         stored, table = self.stored(RANGES, name), self._tables.get(service)
         if stored is None or table is None:
             return
--- a/rosemarydeal/node/settings_watch.py
+++ b/rosemarydeal/node/settings_watch.py
@@ -44,8 +44,10 @@
     """Returns which of the stated settings a running process takes over.
 
     Former grants may last as long as the former bound of grants allowed, so that the
-    process keeps waiting for their ends by that bound.
+    process keeps waiting for their ends by that bound. Whether it was started with the
+    whole deployment does not change any more.
     """
+    stated = replace(stated, first_start=current.first_start)
     bounds = replace(stated.bounds, max_hold_s=current.bounds.max_hold_s)
     settings = replace(
         current,
--- a/rosemarydeal/node/store_access.py
+++ b/rosemarydeal/node/store_access.py
@@ -11,7 +11,7 @@
 import structlog
 
 from rosemarydeal.core.fleet import NO_REVISION, ObjectOrigin, Revision, StoredObject
-from rosemarydeal.platform.errors import StoreConflict, StoreError
+from rosemarydeal.platform.errors import StoreConflict, StoreError, StoreRestored
 from rosemarydeal.platform.store import StoreClient
 from rosemarydeal.policy.keyranges import ownership_lease
 
@@ -115,6 +115,7 @@
 
         Raises:
             StoreConflict: It has changed; the new state has been read.
+            StoreRestored: The store was restored since that revision.
             StoreUnavailable: The outcome is unknown, or nothing was written.
         """
         try:
@@ -122,6 +123,9 @@
                 stored = await self._store.create(kind, name, content)
             else:
                 stored = await self._store.replace(kind, name, content, expected)
+        except StoreRestored as restored:
+            await self._apply_restored(kind, name, restored)
+            raise
         except StoreConflict as conflict:
             if conflict.current is not None and conflict.current.name == name:
                 self._records.apply(conflict.current)
@@ -168,6 +172,21 @@
             state = ObjectState(stored.name, stored.revision, content)
         return StoreRelayReply(call.number, call.kind, state, done, unchanged)
 
+    async def _apply_restored(
+        self, kind: str, name: str, restored: StoreRestored
+    ) -> None:
+        """Applies what a restored store holds; without an answer, it is listed later.
+
+        That nothing was written is certain without it.
+        """
+        if restored.current is not None:
+            self._records.apply(restored.current)
+            return
+        try:
+            await self.read(kind, name)
+        except StoreError as error:
+            _log.info("restored_object_not_read", name=name, detail=error.detail)
+
     async def _read_own(self, kind: str, name: str) -> StoredObject | None:
         """Reads an object by a call of this process."""
         try:
--- a/rosemarydeal/node/table_writer.py
+++ b/rosemarydeal/node/table_writer.py
@@ -4,11 +4,11 @@
 
 import structlog
 
-from rosemarydeal.core.fleet import StoredObject
-from rosemarydeal.platform.errors import StoreConflict, StoreError
-from rosemarydeal.policy.keyranges.table_changes import TableChange
+from rosemarydeal.core.fleet import NO_REVISION, StoredObject
+from rosemarydeal.platform.errors import StoreConflict, StoreError, StoreRestored
+from rosemarydeal.policy.keyranges.table_changes import TableChange, WriteResult
 
-from .contents import encode_table, table_name
+from .contents import encode_reservation, encode_table, table_name
 from .links import Links
 from .messages import ObjectState, ObjectUpdate, TableDelta
 from .records import RANGES, Records
@@ -34,32 +34,41 @@
         self._access = access
         self._links = links
 
-    async def write(self, change: TableChange) -> bool:
+    async def write(self, change: TableChange) -> WriteResult:
         """Writes a table over the revision of its base and sends it to the peers.
 
+        Where there is no object, the name is only reserved: the absence of an object
+        holds again as a condition once another writer has removed it, and a write that
+        is carried out late would bring a former table back.
+
         Returns:
-            Whether it is written. If not, it may be later, after a lost answer.
+            What is known of it. The name may have been reserved if it is not written.
+            A conflict that shows no later revision leaves the result unknown: the own
+            write may have been carried out before a peer repeated it.
         """
         if not self._may_write(change):
-            return False
+            return WriteResult.NOT_WRITTEN
         changed, reason = change.table, change.reason
-        name = table_name(changed.service)
+        name = table_name(changed.service, changed.era)
+        if change.base.revision == NO_REVISION:
+            await self._reserve(name, change.restores)
+            return WriteResult.NOT_WRITTEN
         try:
             stored = await self._access.write(
                 RANGES, name, encode_table(changed), change.base.revision
             )
-        except StoreConflict:
-            table = self._records.table(changed.service)
-            applied = table is not None and table.writer == changed.writer
-            _log.info("table_conflict", reason=reason, applied=applied)
-            return applied
+        except StoreRestored as error:
+            _log.info("table_write_before_restore", reason=reason, detail=error.detail)
+            return WriteResult.NOT_WRITTEN
+        except StoreConflict as conflict:
+            return self._result_of_conflict(change, conflict)
         except StoreError as error:
             _log.warning("table_not_written", reason=reason, detail=error.detail)
-            return False
+            return WriteResult.UNKNOWN
         if stored.revision.era != changed.era:
-            # The revision was given out again, for a table that was lost by this.
-            _log.warning("table_overwritten", reason=reason, era=changed.era)
-            return False
+            # The table of the present era has another name.
+            _log.warning("table_of_former_era_written", reason=reason, era=changed.era)
+            return WriteResult.UNKNOWN
         _log.info(
             "table_written",
             reason=reason,
@@ -68,7 +77,38 @@
             ranges=len(changed.ranges),
         )
         self._send_to_peers(change, stored)
-        return True
+        return WriteResult.WRITTEN
+
+    def _result_of_conflict(
+        self, change: TableChange, conflict: StoreConflict
+    ) -> WriteResult:
+        """Returns what a conflict tells of a write."""
+        table = self._records.table(change.table.service)
+        applied = table is not None and table.writer == change.table.writer
+        _log.info("table_conflict", reason=change.reason, applied=applied)
+        if applied:
+            return WriteResult.WRITTEN
+        current = conflict.current
+        if current is not None and current.revision > change.base.revision:
+            return WriteResult.NOT_WRITTEN
+        return WriteResult.UNKNOWN
+
+    async def _reserve(self, name: str, replaced: bool) -> None:
+        """Creates the object in whose place a table will be written.
+
+        Args:
+            name: Name of the table.
+            replaced: Whether a table is known that was there before.
+        """
+        content = encode_reservation(replaced)
+        try:
+            stored = await self._access.write(RANGES, name, content, NO_REVISION)
+        except StoreError as error:
+            _log.info("table_name_not_reserved", name=name, detail=error.detail)
+            return
+        _log.info("table_name_reserved", name=name, revision=stored.revision)
+        state = ObjectState(stored.name, stored.revision, stored.content)
+        self._links.broadcast(ObjectUpdate(RANGES, state))
 
     def _may_write(self, change: TableChange) -> bool:
         """Returns whether a change is still one of the table that is known now."""
--- a/rosemarydeal/platform/errors.py
+++ b/rosemarydeal/platform/errors.py
@@ -11,6 +11,7 @@
     "SettingsWrong",
     "StoreConflict",
     "StoreError",
+    "StoreRestored",
     "StoreTimeout",
     "StoreUnavailable",
     "Unreadable",
@@ -75,6 +76,15 @@
         self.current = current
 
 
+class StoreRestored(StoreConflict):
+    """The store was restored since the revision that a write expected.
+
+    Nothing was written: the write was not sent, or was refused.
+    """
+
+    code = "store-restored"
+
+
 class HistoryGone(StoreError):
     """The store has dropped the history after a watch's revision; list again."""
 
--- a/rosemarydeal/platform/node_settings.py
+++ b/rosemarydeal/platform/node_settings.py
@@ -96,6 +96,7 @@
         bounds=_bounds(fields["bounds"]),
         memory_bytes=_memory_bytes(fields.get("limits", {})),
         grant_carrier=GRANT_CARRIERS[fields.get("grants", DEFAULT_GRANTS)],
+        first_start=_flag(fields.get("bootstrap", False)),
     )
 
 
@@ -148,6 +149,13 @@
     return number
 
 
+def _flag(value: object) -> bool:
+    """Returns a setting that is true or false."""
+    if not isinstance(value, bool):
+        raise ValueError(f"{value!r} is neither true nor false")
+    return value
+
+
 def _identifier(value: object) -> str:
     """Returns a name that members, tables and headers carry."""
     return decode_identifier(_text(value).encode())
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -30,6 +30,7 @@
     HistoryGone,
     StoreConflict,
     StoreError,
+    StoreRestored,
     StoreTimeout,
     StoreUnavailable,
 )
@@ -259,22 +260,27 @@
         """Replaces an object if it is still at a revision.
 
         Raises:
-            StoreConflict: It has changed, was deleted, or the store was restored
-                since the revision was read.
+            StoreConflict: It has changed or was deleted.
+            StoreRestored: The store was restored since the revision was read.
             StoreUnavailable: The outcome is unknown, or the call was rejected.
         """
         self._check_condition(kind, name, revision)
         body = _body(name, content, revision.number)
         reply = await self._call("replace", kind, b"PUT", f"/{_quoted(name)}", body)
         async with self._checked(kind):
-            return decode_written(kind, name, reply, content, revision.number)
+            try:
+                return decode_written(kind, name, reply, content, revision.number)
+            except StoreConflict as conflict:
+                if reply.era > revision.era:
+                    raise StoreRestored(conflict.detail, conflict.current) from conflict
+                raise
 
     async def remove(self, kind: str, name: str, revision: Revision) -> None:
         """Removes an object if it is still at a revision or already deleted.
 
         Raises:
-            StoreConflict: It has changed, or the store was restored since the
-                revision was read.
+            StoreConflict: It has changed.
+            StoreRestored: The store was restored since the revision was read.
             StoreUnavailable: The outcome is unknown, or the call was rejected.
         """
         self._check_condition(kind, name, revision)
@@ -348,7 +354,7 @@
         """
         self._note_era(max(self._era, revision.era))
         if revision.era < self._era:
-            raise StoreConflict(f"{kind}/{name}: restored since {revision}")
+            raise StoreRestored(f"{kind}/{name}: restored since {revision}")
 
     async def _call(
         self,
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -16,7 +16,14 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
-from rosemarydeal.core.fleet import LAST_KEY, KeyRange, Member, RangeTable
+from rosemarydeal.core.fleet import (
+    LAST_KEY,
+    NO_REVISION,
+    KeyRange,
+    Member,
+    RangeTable,
+    Revision,
+)
 
 from . import table as tables
 
@@ -51,7 +58,7 @@
     """What a process knows of its table since the store was restored.
 
     Attributes:
-        era: Era of the store.
+        position: Revision of the store, after that of any table before.
         outdated_s: How long the table is known not to have been written in this era,
             None if it has been.
         stored_top_token: Highest token of the copy.
@@ -60,11 +67,11 @@
         settled: Whether all leases of the former era have expired since the table
             was restored.
         unusable: Whether own ranges may not be used until then.
-        replaced: Whether the store holds something that is no table, and this process
-            knows none.
+        replaced: Whether this process knows no table, and there may have been one: the
+            store holds something else in its place, or is not used for the first time.
     """
 
-    era: int = 0
+    position: Revision = NO_REVISION
     outdated_s: float | None = None
     stored_top_token: int = 0
     remembered: bool = False
@@ -85,8 +92,9 @@
         alive: Whether its upstream is running.
         may_hold: Whether its upstream, if it is not alive, may still hold keys.
         members: Members of the service, by node.
-        removed: Nodes whose members have been removed from the store. A node that
-            is just missing from the members may be one not heard of yet.
+        removed: Nodes whose members have been removed from the store, and that have
+            ended. One that is just missing from the members may not be heard of yet,
+            or be alive.
         zones_out: Availability zones that operators took out.
         unresponsive_s: How long members have been unreachable, by node.
         links_up: Number of other processes that are reachable, of all services.
@@ -228,7 +236,7 @@
     if view.members_stable_s < settle_s + rank * RANK_DELAY_S:
         return None
     table = tables.initial_table(
-        view.service, initial_owners, view.writer, restored.era, restored.replaced
+        view.service, initial_owners, view.writer, restored.position, restored.replaced
     )
     return WriteTable(table, "first-table")
 
@@ -242,7 +250,7 @@
     if not _is_my_turn(view, own, restored.outdated_s - wait_s):
         return None
     top_token = max(table.top_token, restored.stored_top_token)
-    changed = tables.restore(table, top_token, restored.era, view.writer)
+    changed = tables.restore(table, top_token, restored.position, view.writer)
     return WriteTable(changed, "store-restored")
 
 
--- a/rosemarydeal/policy/keyranges/restored_ranges.py
+++ b/rosemarydeal/policy/keyranges/restored_ranges.py
@@ -5,6 +5,9 @@
 lost the change that took the keys from it: it waits until any lease of the former era
 has expired. The same holds for keys that it was giving away: the store may have lost a
 write without an answer, of which the new owner had heard.
+
+While the table is outdated, an owner goes on with the ranges that it used, and begins
+to use no others: somebody else may have been given them since.
 """
 
 from __future__ import annotations
@@ -64,12 +67,12 @@
             if self._outdated_since is None:
                 self._outdated_since = now
             return
-        self._outdated_since = None
         former = self._table
+        owned = tables.owned_by(former, self._node) if former is not None else ()
+        used = self.usable(owned, now)
+        self._outdated_since = None
         restored_token = former.restored_token if former is not None else 0
         if table.restored_token and table.restored_token != restored_token:
-            owned = tables.owned_by(former, self._node) if former is not None else ()
-            used = self.usable(owned, now)
             for keys in withheld:
                 used = [rest for part in used for rest in tables.subtract(part, keys)]
             self._retained = _joined(used) if lease_valid else ()
@@ -86,7 +89,8 @@
         """Returns the own ranges that may be used now."""
         if self._table is None:
             return []
-        if self.is_settled(now):
+        known_until = now if self._outdated_since is None else self._outdated_since
+        if self.is_settled(known_until):
             return list(ranges)
         return [keys for keys in ranges if self._is_usable(keys)]
 
--- a/rosemarydeal/policy/keyranges/table.py
+++ b/rosemarydeal/policy/keyranges/table.py
@@ -2,6 +2,10 @@
 
 Invariants: the ranges cover all keys without overlap, and a range assigned to
 another owner or incarnation gets a token above all tokens issued before.
+
+A table that does not continue the one before it, as the store has lost or another
+writer has replaced that one, starts its tokens from the store's revision: each table
+that the store has accepted before has a lower one, and lower tokens, whoever knows it.
 """
 
 from __future__ import annotations
@@ -11,7 +15,9 @@
 from dataclasses import replace
 
 from rosemarydeal.core.fleet import (
+    FIRST_ERA,
     LAST_KEY,
+    NO_REVISION,
     KeyRange,
     Member,
     RangeTable,
@@ -24,6 +30,7 @@
     "apply_delta",
     "assign_evenly",
     "covers",
+    "first_token",
     "initial_table",
     "lookup",
     "lost_by",
@@ -37,27 +44,25 @@
     "renew_incarnation",
     "restore",
     "subtract",
+    "undoes",
 ]
 
 # Bounds how many new owners share one owner's keys, to keep the table short.
 MAX_NEW_OWNERS = 4
-# More tokens than can be issued in the seconds that a copy of the store lacks: each
-# one takes a write, and the store takes a few hundred a second.
-LOST_TOKENS = 100_000
-# Tokens set aside for each era, as a process that has restarted may know only a copy
-# that was taken several restores ago.
-TOKENS_PER_ERA = 10_000_000
-# Era of a store that was never restored.
-FIRST_ERA = 1
-# More tokens than writes can issue in decades, at a few hundred a second.
-MAX_ISSUED_TOKENS = 10**12
+# Tokens that one write may issue at most; each issues one.
+TOKENS_PER_WRITE = 1000
+# Earlier versions left out a hundred thousand tokens where a table had been replaced.
+LEFT_OUT_TOKENS = 1_000_000
+# The store reaches ten billion revisions in an era only after years of a few hundred
+# writes a second.
+TOKENS_PER_ERA = TOKENS_PER_WRITE * 10**10
 
 
 def initial_table(
     service: str,
     members: Sequence[Member],
     writer: str,
-    era: int = 0,
+    position: Revision = NO_REVISION,
     replaced: bool = False,
 ) -> RangeTable:
     """Returns the first table of a service, with ranges in proportion to weights.
@@ -69,44 +74,51 @@
         service: Name of the service.
         members: Members with an upstream; at least one.
         writer: Unique name of the write.
-        era: Era of the store.
-        replaced: Whether the store holds something else under its name, which has
-            replaced a table that no process knows any more.
+        position: Revision of the store, after that of any table before.
+        replaced: Whether there may have been a table that this process does not know.
     """
-    token = _first_token(era) + (LOST_TOKENS if replaced else 0)
+    token = first_token(position)
     ranges = tuple(
         KeyRange(first, last, member.node, member.incarnation, token)
         for member, first, last in _weighted_parts(members, 0, LAST_KEY)
     )
-    restored_token = token if era > FIRST_ERA or replaced else 0
-    return RangeTable(service, ranges, token, (), writer, era, restored_token)
+    restored_token = token if position.era > FIRST_ERA or replaced else 0
+    return RangeTable(service, ranges, token, (), writer, position.era, restored_token)
 
 
-def restore(known: RangeTable, top_token: int, era: int, writer: str) -> RangeTable:
+def restore(
+    known: RangeTable, top_token: int, position: Revision, writer: str
+) -> RangeTable:
     """Returns a table as it was known before the store lost its latest changes.
 
     All assignments get one token above those that may have been issued in the lost
     changes, of which this process may not have heard.
 
     Args:
-        known: The newest table of a former era that this process has.
+        known: The newest table that this process has.
         top_token: Highest token of any known table.
-        era: Era of the store.
+        position: Revision of the store, after that of any table before.
         writer: Unique name of the write.
     """
-    token = max(top_token + LOST_TOKENS, _first_token(era))
+    token = max(top_token + 1, first_token(position))
     ranges = tuple(replace(keys, token=token, handover="") for keys in known.ranges)
-    return RangeTable(known.service, ranges, token, (), writer, era, token)
+    return RangeTable(known.service, ranges, token, (), writer, position.era, token)
+
+
+def first_token(position: Revision) -> int:
+    """Returns a token above those of all tables stored before a revision."""
+    eras = max(0, position.era - FIRST_ERA)
+    issued = TOKENS_PER_ERA * eras + TOKENS_PER_WRITE * position.number
+    return 1 + LEFT_OUT_TOKENS + issued
 
 
 def max_token(revision: Revision) -> int:
     """Returns the highest token that a table stored at a revision may have.
 
-    It is far above those that are issued, and rises with each write by as much as one
-    write issues at most, so that a table with this token can still be changed.
+    It rises with each write by as much as one write issues at most, so that a table
+    with this token can still be changed.
     """
-    issued = MAX_ISSUED_TOKENS + LOST_TOKENS * revision.number
-    return _first_token(revision.era) + issued
+    return first_token(revision)
 
 
 def overlaps(one: KeyRange, other: KeyRange) -> bool:
@@ -193,6 +205,26 @@
     return tuple(keys for keys in new.ranges if keys not in known)
 
 
+def undoes(old: RangeTable, new: RangeTable) -> bool:
+    """Returns whether a table undoes changes that led to another one.
+
+    Each change of an assignment, each suspicion and each restore issues a token. In a
+    table that follows the old one, what differs has a later token.
+    """
+    known_suspicions = {suspicion.number for suspicion in old.suspicions}
+    issued = [suspicion.number for suspicion in new.suspicions]
+    if new.restored_token not in (0, old.restored_token):
+        issued.append(new.restored_token)
+    return (
+        new.top_token < old.top_token
+        or any(n <= old.top_token and n not in known_suspicions for n in issued)
+        or any(
+            keys.token <= old.top_token and not _has_assignment(old, keys)
+            for keys in new_ranges(old, new)
+        )
+    )
+
+
 def apply_delta(
     old: RangeTable, changed: Sequence[KeyRange], new: RangeTable
 ) -> RangeTable:
@@ -269,9 +301,14 @@
     return replace(table, suspicions=remaining, writer=writer)
 
 
-def _first_token(era: int) -> int:
-    """Returns the lowest token that may be issued in an era."""
-    return 1 + TOKENS_PER_ERA * max(0, era - FIRST_ERA)
+def _has_assignment(table: RangeTable, keys: KeyRange) -> bool:
+    """Returns whether a table assigns all keys of a range as the range does."""
+    return all(
+        (other.node, other.incarnation, other.token)
+        == (keys.node, keys.incarnation, keys.token)
+        for other in table.ranges
+        if overlaps(other, keys)
+    )
 
 
 def _split(ranges: Sequence[KeyRange], max_width: int) -> list[KeyRange]:
--- a/rosemarydeal/policy/keyranges/table_changes.py
+++ b/rosemarydeal/policy/keyranges/table_changes.py
@@ -8,10 +8,25 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from rosemarydeal.core.fleet import RangeTable, Revision
 
-__all__ = ["TableBase", "TableChange"]
+__all__ = ["TableBase", "TableChange", "WriteResult"]
+
+
+class WriteResult(Enum):
+    """What is known of a changed table that was to be written.
+
+    Attributes:
+        WRITTEN: It has been in force.
+        NOT_WRITTEN: It has not been in force, and never will be.
+        UNKNOWN: It may have been in force, or may be written later.
+    """
+
+    WRITTEN = auto()
+    NOT_WRITTEN = auto()
+    UNKNOWN = auto()
 
 
 @dataclass(frozen=True, slots=True)
