Keep a departure that arrives before the first announcement

Cause: a process that has just restarted answered the departure with success while it did not know its upstream, and kept nothing; the next announcement said ready. Change: the departure is kept with its time, by incarnation or, without a stated start, for the life that announces itself next. upstream_left is logged at once.

--- a/features/mutant_list_calls.py
+++ b/features/mutant_list_calls.py
@@ -9,10 +9,33 @@
 LATE = ("-m", "features.run", "features/late_grants.feature")
 RELEASED = ("-m", "features.run", "features/released_keys.feature", "--name")
 RESTORED = ("-m", "features.run", "features/store_restored.feature", "--name")
+LEAVING = ("-m", "features.run", "features/leaving.feature", "--name")
 GRANTS = "rosemarydeal/node/grants.py"
+UPSTREAM = "rosemarydeal/node/upstream.py"
 UNSETTLED = "rosemarydeal/policy/keyranges/unsettled_transfers.py"
 
 MUTANTS = (
+    Mutant(
+        "a departure before the first announcement forgotten",
+        UPSTREAM,
+        "                self._note_leaving(call.incarnation)\n",
+        "                pass\n",
+        (*LEAVING, "A departure that arrives"),
+    ),
+    Mutant(
+        "a departure forgotten with the state of its incarnation",
+        UPSTREAM,
+        "leaving_since = self._leaving.get(new.incarnation)\n",
+        "leaving_since = state.leaving_since if state is not None else None\n",
+        (*LEAVING, "A departure is forgotten as its"),
+    ),
+    Mutant(
+        "a departure without a start that binds each life",
+        UPSTREAM,
+        "self._departed_instances.pop(new.instance, -math.inf)",
+        "self._departed_instances.get(new.instance, -math.inf)",
+        (*LEAVING, "A departure that names no start"),
+    ),
     Mutant(
         "the duration of a grant computed when it was decided",
         GRANTS,
--- a/features/standin_endpoint.py
+++ b/features/standin_endpoint.py
@@ -76,6 +76,11 @@
         self._task = None
         self._pool = Pool(PoolSettings())
 
+    @property
+    def born_ms(self):
+        """Returns the start of its present life."""
+        return self._born
+
     async def start(self):
         await self.listen()
         self._task = asyncio.create_task(self._announce())
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -4,18 +4,23 @@
 
 import asyncio
 import math
+import time
 from dataclasses import replace
 
 from behave import given, then, when
 
-from features.builders_fleet_types import a_routed_request
+from features.builders_fleet_types import a_routed_request, an_identity
 from features.builders_node import load, run
 from features.builders_rate_limit import (
     LimitedClient,
     a_limited_guard,
     an_announcement,
 )
+from rosemarydeal.core import Address
+from rosemarydeal.core.clock import now
+from rosemarydeal.core.fleet import Departure
 from rosemarydeal.core.requests import Answered, NotServed, UpstreamNotice
+from rosemarydeal.node.upstream import CallResult, UpstreamWatch
 
 LOAD_S = 4.5
 RESTART_AFTER_S = 1.0
@@ -115,3 +120,120 @@
     assert sent_in_all == sent, (sent, sent_in_all)
     assert len(outcomes) == 16 - sent, outcomes
     assert all(isinstance(o, NotServed) and o.elsewhere for o in outcomes), outcomes
+
+
+@given("a process that does not know its upstream yet")
+def step_unknown_upstream(context):
+    context.identity = an_identity("vm-a", "127.0.0.1", Address("127.0.0.1", 1))
+    context.watch = UpstreamWatch(context.identity, lambda new, old: None)
+
+
+@when("the upstream departs, and announces itself as ready afterwards")
+def step_departs_first(context):
+    context.departed_at = now()
+    context.result = context.watch.apply(Departure("i", 1))
+    context.watch.apply(an_announcement(context.identity))
+
+
+@then("the process takes the upstream as leaving since then")
+def step_departure_kept(context):
+    assert context.result is CallResult.APPLIED, context.result
+    leaving_since = context.watch.state.leaving_since
+    assert leaving_since is not None, "acknowledged and forgotten"
+    assert leaving_since - context.departed_at < 0.1, leaving_since
+
+
+@then("not its next life under the same name")
+def step_next_life(context):
+    context.watch.apply_confirmed(an_announcement(context.identity, born_ms=2))
+    assert context.watch.state.leaving_since is None
+
+
+@when(
+    "the process of vm-b restarts,"
+    " and its upstream departs before it announces itself again"
+)
+def step_departs_after_restart(context):
+    deployment = context.deployment
+    endpoint = deployment.endpoints["vm-b"]
+
+    async def go():
+        endpoint.pause_announcing(RESTART_AFTER_S)
+        await deployment.nodes["vm-b"].close()
+        await deployment.start_node("vm-b")
+        status = await endpoint.call("deregister", {"born": endpoint.born_ms})
+        assert status == 200, status
+        endpoint.first_stated_at = time.monotonic()
+        entries = [name for name in deployment.nodes if name != "vm-b"]
+        await load(deployment, LOAD_S, entries)
+
+    run(context, go())
+
+
+@then("vm-b gets no request from {seconds:d} seconds after its departure")
+def step_no_late_departure(context, seconds):
+    step_no_late(context, seconds)
+
+
+@when(
+    "the upstream of vm-b departs {moment} its process stops,"
+    " and the next process starts"
+)
+def step_departs_around_stop(context, moment):
+    deployment = context.deployment
+    endpoint, node = deployment.endpoints["vm-b"], deployment.nodes["vm-b"]
+
+    async def depart():
+        status = await endpoint.call("deregister", {"born": endpoint.born_ms})
+        assert status == 200, status
+
+    async def go():
+        if moment == "shortly before":
+            await depart()
+            await asyncio.sleep(RESTART_AFTER_S)
+        stopping = asyncio.create_task(node.shut_down())
+        if moment == "shortly after":
+            await asyncio.sleep(RESTART_AFTER_S)
+            await depart()
+        await stopping
+        await deployment.start_node("vm-b")
+        watch = deployment.nodes["vm-b"]._watch
+        await deployment.wait(lambda: watch.state is not None)
+        await asyncio.sleep(RESTART_AFTER_S)
+
+    run(context, go())
+
+
+@then("the next process takes the upstream as leaving")
+def step_next_takes_leaving(context):
+    state = context.deployment.nodes["vm-b"]._watch.state
+    assert state.leaving_since is not None, "acknowledged and forgotten"
+
+
+@given("a process that knows its upstream")
+def step_known_upstream(context):
+    step_unknown_upstream(context)
+    context.watch.apply(an_announcement(context.identity))
+
+
+@when(
+    "the upstream departs, another one is taken, and the first one is confirmed again"
+)
+def step_taken_again(context):
+    context.departed_at = now()
+    context.result = context.watch.apply(Departure("i", 1))
+    context.watch.apply_confirmed(an_announcement(context.identity, "j", born_ms=2))
+    context.watch.apply_confirmed(an_announcement(context.identity, sequence=2))
+
+
+@when("a departure without a start arrives, and the upstream starts twice afterwards")
+def step_departs_without_start(context):
+    context.watch.apply(Departure("i", None))
+    context.watch.apply(an_announcement(context.identity))
+    assert not context.watch.state.accepting
+    context.watch.apply_confirmed(an_announcement(context.identity, born_ms=2))
+
+
+@then("the process takes the upstream as staying")
+def step_staying(context):
+    assert context.watch.state.accepting
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -293,11 +293,16 @@
     instance: str
     born_ms: int | None
 
+    @property
+    def incarnation(self) -> str:
+        """Returns the identifier of the incarnation, if its start is stated."""
+        return f"{self.instance}@{self.born_ms}"
+
     def is_from(self, incarnation: str) -> bool:
         """Returns whether it may come from an incarnation."""
         if self.born_ms is None:
             return incarnation.rpartition("@")[0] == self.instance
-        return incarnation == f"{self.instance}@{self.born_ms}"
+        return incarnation == self.incarnation
 
 
 @dataclass(frozen=True, slots=True)
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -30,6 +31,9 @@
 GONE_AFTER_PERIODS = 9.0
 # Calls of a former incarnation arrive seconds late at most.
 FORMER_INCARNATIONS = 32
+# An upstream lives on for many seconds at most after its departure. A departure that
+# does not state its start is that of the life that announces itself next, until then.
+EARLY_DEPARTURE_S = 30.0
 
 _log = structlog.get_logger()
 
@@ -113,6 +117,11 @@
         self._state: UpstreamState | None = None
         self._former: deque[str] = deque(maxlen=FORMER_INCARNATIONS)
         self._candidate: _Candidate | None = None
+        # When incarnations first announced that they leave, also before they were
+        # known: an acknowledgement binds whenever one becomes the current one.
+        self._leaving: dict[str, float] = {}
+        # Departures by instance of which the start is not known, with their times.
+        self._departed_instances: dict[str, float] = {}
 
     @property
     def state(self) -> UpstreamState | None:
@@ -169,7 +178,7 @@
         state = self._state
         if self.is_current(incarnation) and state.leaving_since is None:
             _log.info("upstream_leaving", incarnation=incarnation)
-            self._update(replace(state, leaving_since=now()))
+            self._update(replace(state, leaving_since=self._note_leaving(incarnation)))
 
     def check_heartbeat(self) -> None:
         """Marks the upstream as gone if it has missed too many announcements."""
@@ -237,26 +246,49 @@
         if state is not None and state.incarnation != new.incarnation:
             self._former.append(state.incarnation)
             state = None
-        leaving_since = state.leaving_since if state is not None else None
-        if new.draining and leaving_since is None:
-            leaving_since = now()
+        if new.draining and new.incarnation not in self._leaving:
+            self._note_leaving(new.incarnation)
             _log.info("upstream_draining", instance=new.instance)
+        departed_at = self._departed_instances.pop(new.instance, -math.inf)
+        if now() - departed_at < EARLY_DEPARTURE_S:
+            self._leaving.setdefault(new.incarnation, departed_at)
+        leaving_since = self._leaving.get(new.incarnation)
         self._update(UpstreamState(new, now(), leaving_since, True))
 
     def _apply_departure(self, call: Departure) -> CallResult:
-        """Applies a departure; changes nothing if the upstream already leaves."""
+        """Applies a departure; changes nothing if the upstream already leaves.
+
+        A process that has just started may receive one before it knows the upstream.
+        """
         state = self._state
         if state is None:
-            return CallResult.OUTDATED
+            _log.info("upstream_left", instance=call.instance, announced=False)
+            if call.born_ms is None:
+                self._departed_instances.setdefault(call.instance, now())
+                _keep_latest(self._departed_instances)
+            else:
+                self._note_leaving(call.incarnation)
+            return CallResult.APPLIED
         current = state.announcement
         if not call.is_from(current.incarnation):
-            former = any(map(call.is_from, self._former))
+            former = [known for known in self._former if call.is_from(known)]
+            for incarnation in former:
+                self._note_leaving(incarnation)
             return CallResult.OUTDATED if former else CallResult.UNCONFIRMED
         if state.leaving_since is None:
-            _log.info("upstream_left", instance=call.instance)
-            self._update(replace(state, last_heartbeat_at=now(), leaving_since=now()))
+            _log.info("upstream_left", instance=call.instance, announced=True)
+            leaving_since = self._note_leaving(current.incarnation)
+            self._update(
+                replace(state, last_heartbeat_at=now(), leaving_since=leaving_since)
+            )
         return CallResult.APPLIED
 
+    def _note_leaving(self, incarnation: str) -> float:
+        """Notes that an incarnation leaves; returns since when."""
+        leaving_since = self._leaving.setdefault(incarnation, now())
+        _keep_latest(self._leaving)
+        return leaving_since
+
     def _update(self, state: UpstreamState) -> None:
         """Sets the state and reports the change."""
         old, self._state = self._state, state
@@ -268,3 +300,9 @@
                 cold_left_s=state.announcement.cold_left_s,
             )
         self._on_change(state, old)
+
+
+def _keep_latest(times: dict[str, float]) -> None:
+    """Bounds the number of entries; the first one is removed."""
+    if len(times) > FORMER_INCARNATIONS:
+        del times[next(iter(times))]
