Ask the same process over the next link which requests it never began

Cause: an entry knows only that a link is gone, not what the peer did with each request. Change: the outcome of an order on a lost link is held; the entry asks the same process over the next link, which withdraws what waits and refuses what may arrive late (a fence), and states which orders never began. These are tried again. A request is passed on only over a link on which the peer's process has sent something.

--- a/features/builders_crash_watch.py
+++ b/features/builders_crash_watch.py
@@ -53,6 +53,7 @@
     records = SimpleNamespace(members=members, zones_out=frozenset())
     links = SimpleNamespace(
         is_up=lambda node: True,
+        answers=lambda node: True,
         is_leaving=lambda node: False,
         peer_state=lambda node: None,
         outstanding=lambda node: 0,
--- a/features/builders_slots.py
+++ b/features/builders_slots.py
@@ -58,13 +58,13 @@
         names = [task.get_coro().__qualname__ for task in asyncio.all_tasks()]
         return names.count("Guard._run")
 
-    def arrive(self, **changes):
-        """Has a caller send a request; returns its id."""
+    def arrive(self, permit=None, **changes):
+        """Has a caller send a request, or a peer with a permit; returns its id."""
         request_id = f"r{len(self.callers)}"
         # Equal requests would be taken for one that crashes the upstream.
         target = b"/a/%s" % request_id.encode()
         request = a_routed_request(request_id, target=target, **changes)
-        serving = self.guard.serve(request)
+        serving = self.guard.serve(request, permit)
         self.callers[request_id] = asyncio.get_running_loop().create_task(serving)
         return request_id
 
@@ -121,6 +121,7 @@
     """Returns how many peers' requests are served after each was withdrawn at once."""
     links = Links("vm-a", "vm-a-1", MagicMock())
     connection = MagicMock()
+    connection.closed_by_peer.return_value = False
     links._on_request(connection, Hello("vm-b", "vm-b-1", "vm-a"))
     for number in range(count):
         request = a_routed_request(f"r{number}")
--- a/features/steps/unread_replies_steps.py
+++ b/features/steps/unread_replies_steps.py
@@ -86,7 +86,7 @@
     hooks = MagicMock()
     hooks.load = lambda: LOAD
 
-    async def serve(request):
+    async def serve(request, _permit):
         outcome = OUTCOMES.get(request.request_id)
         if isinstance(outcome, Exception):
             raise outcome
--- a/rosemarydeal/node/entry.py
+++ b/rosemarydeal/node/entry.py
@@ -58,6 +58,9 @@
 
 NO_ROUTE = NotServed("route-not-found")
 PARK_STEP_S = 0.02
+# A process that stood still for a moment goes on within this time after its link was
+# lost; what is sent later would be lost with the next link.
+MAX_SILENCE_S = 0.5
 
 _log = structlog.get_logger()
 
@@ -250,7 +253,7 @@
         park_until = now() + attempts.max_owner_wait_s(progress.deadline - now())
         while True:
             if self._is_keyed(progress) and progress.request.key is not None:
-                node = self._find_owner(progress.service, progress.request.key)
+                node = self._find_owner(progress)
             else:
                 node = self._choose_node(progress, tried)
             if node is not None:
@@ -309,20 +312,18 @@
             progress.service, self._identity.service, progress.fingerprint
         )
 
-    def _find_owner(self, service: str, key: int) -> str | None:
-        """Returns the node that owns a key, or None if it can't be reached."""
-        table = self._records.table(service)
+    def _find_owner(self, progress: Progress) -> str | None:
+        """Returns the node that owns a request's key; None if it can't be reached."""
+        table = self._records.table(progress.service)
         if table is None:
             return None
-        keys = tables.lookup(table, key)
+        keys = tables.lookup(table, progress.request.key)
         node = keys.node
         leaving_for_s = self._leaving.leaving_for_s(node, keys.incarnation, now())
         drain_s = self._identity.bounds.drain_s
         if leaving_for_s is not None and not may_accept(leaving_for_s, drain_s):
             return None
-        if node == self._identity.node or self._links.is_up(node):
-            return node
-        return None
+        return node if self._is_reachable(node, progress) else None
 
     def _choose_node(self, progress: Progress, tried: set[str]) -> str | None:
         """Chooses the node for a request without a key; None if there is none."""
@@ -332,7 +333,7 @@
             [
                 member
                 for member in draw(members, self._random)
-                if member.node not in tried and self._is_usable(member)
+                if member.node not in tried and self._is_usable(member, progress)
             ]
             for members in self._accepting_members(progress.service)
         )
@@ -354,7 +355,7 @@
         nodes = [
             member.node
             for member in (*same_zone_members, *other_zone_members)
-            if member.node not in tried and self._is_usable(member)
+            if member.node not in tried and self._is_usable(member, progress)
         ]
         return suspect_node(self._suspect_fingerprint(progress), nodes)
 
@@ -387,14 +388,28 @@
             )
         return accepting
 
-    def _is_usable(self, member: Member) -> bool:
+    def _is_reachable(self, node: str, progress: Progress) -> bool:
+        """Returns whether a request can be sent to a node.
+
+        It is sent only over a link on which the node's process has answered, as its
+        outcome could not be settled otherwise. For a short time, one that may run again
+        and only there is sent in any case: the process may just stand still.
+        """
+        if node == self._identity.node or self._links.answers(node):
+            return True
+        if not progress.route.idempotent or not self._is_keyed(progress):
+            return False
+        return (
+            self._links.is_up(node) and self._links.unreachable_s(node) < MAX_SILENCE_S
+        )
+
+    def _is_usable(self, member: Member, progress: Progress) -> bool:
         """Returns whether new requests can be sent to a member."""
         node = member.node
         if self._leaving.leaving_for_s(node, member.incarnation, now()) is not None:
             return False
-        if node == self._identity.node:
-            return True
-        return self._links.is_up(node) and not self._links.is_leaving(node)
+        reachable = self._is_reachable(node, progress)
+        return reachable and not self._links.is_leaving(node)
 
     def _candidate(self, member: Member) -> Candidate:
         """Builds the routing candidate of a member that can be reached."""
--- a/rosemarydeal/node/frames.py
+++ b/rosemarydeal/node/frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 
@@ -46,6 +47,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self.peer = ""
+        self.process = ""
 
     @property
     def last_received_at(self) -> float:
@@ -141,6 +143,14 @@
         self._on_sent(message, len(frame))
         return True
 
+    def closed_by_peer(self) -> bool:
+        """Returns whether the peer has closed, even while its last data is unread."""
+        if self._transport is None:
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def abort(self) -> None:
         """Closes the connection without sending what is buffered."""
         if self._transport is not None:
--- a/rosemarydeal/node/guard.py
+++ b/rosemarydeal/node/guard.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
+from functools import partial
 
 import structlog
 
@@ -41,6 +42,7 @@
 from rosemarydeal.policy.dispatch.rate_limit import RateLimiter
 from rosemarydeal.policy.requests import attempts
 from rosemarydeal.policy.requests.planned_stop import CODE_STOP_TOO_NEAR, PlannedStop
+from rosemarydeal.policy.requests.settlement import NEVER_BEGUN, Permit
 from rosemarydeal.policy.routing import leaving
 
 from .crash_watch import CODE_SUSPECT, SUSPECT, CrashHooks, CrashWatch, TrackedRequest
@@ -91,9 +93,11 @@
 
     Attributes:
         tracked: The request, for the case that it crashes the upstream.
+        permit: Lets a peer's request begin; None for an own one.
     """
 
     tracked: TrackedRequest
+    permit: Permit | None
     arrived_at: float
     deadline: float
     future: asyncio.Future[RequestOutcome]
@@ -227,14 +231,23 @@
         """Rejects the queued requests, which the process won't live to run."""
         self.close_queue(PROCESS_ENDING)
 
-    async def serve(self, request: RoutedRequest) -> RequestOutcome:
-        """Runs a request at the upstream, or returns why it was not run."""
-        outcome = await self._crash_watch.run(request, self._serve)
+    async def serve(
+        self, request: RoutedRequest, permit: Permit | None = None
+    ) -> RequestOutcome:
+        """Runs a request at the upstream, or returns why it was not run.
+
+        Args:
+            request: The request.
+            permit: Lets a peer's request begin, until that is withdrawn.
+        """
+        outcome = await self._crash_watch.run(request, partial(self._serve, permit))
         if isinstance(outcome, NotServed) and outcome.code == CODE_SUSPECT:
             self._record_outcome(request, "refused", CODE_SUSPECT, 0.0)
         return outcome
 
-    async def _serve(self, tracked: TrackedRequest) -> RequestOutcome:
+    async def _serve(
+        self, permit: Permit | None, tracked: TrackedRequest
+    ) -> RequestOutcome:
         """Runs a request that is no suspect of a crash, or whose turn it is."""
         request = tracked.request
         rejection = self._rejection(request)
@@ -246,6 +259,7 @@
         moment = now()
         active = _ActiveRequest(
             tracked,
+            permit,
             moment,
             moment + request.time_left_s,
             asyncio.get_running_loop().create_future(),
@@ -403,6 +417,9 @@
             # Whoever waits for this outcome counts it.
             active.future.set_result(SUSPECT)
             return self._queue.withdraw(number, now())
+        if active.permit is not None and not active.permit.try_begin():
+            active.future.set_result(NEVER_BEGUN)
+            return self._queue.withdraw(number, now())
         active.task = self._dispatch_slots.start(number, self._run(number, active))
         return []
 
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -9,8 +9,10 @@
 from rosemarydeal.core import Address
 from rosemarydeal.core.fleet import Revision
 from rosemarydeal.core.requests import RequestOutcome, RoutedRequest
+from rosemarydeal.policy.requests.settlement import Permit
 
 from .frames import FrameConnection
+from .held_outcomes import PendingRequest
 from .messages import (
     CrashSuspects,
     LoadReport,
@@ -58,7 +60,7 @@
     """Callbacks from the links to the other tasks.
 
     Attributes:
-        serve: Runs a peer's request at the own upstream.
+        serve: Runs a peer's request at the own upstream, if its permit lets it begin.
         load: Returns the load of the own upstream.
         pong: Builds the reply to a ping.
         known_revisions: Returns the last known revision of each kind.
@@ -77,7 +79,7 @@
         relay_store_call: Calls the store on behalf of a peer.
     """
 
-    serve: Callable[[RoutedRequest], Awaitable[RequestOutcome]]
+    serve: Callable[[RoutedRequest, Permit], Awaitable[RequestOutcome]]
     load: Callable[[], LoadReport]
     pong: Callable[[], Pong]
     known_revisions: Callable[[], tuple[Revision, ...]]
@@ -101,7 +103,7 @@
         self.node = node
         self.address = address
         self.connection: FrameConnection | None = None
-        self.pending_requests: dict[int, asyncio.Future[RequestOutcome]] = {}
+        self.pending_requests: dict[int, PendingRequest] = {}
         self.pending_store_calls: dict[int, asyncio.Future[StoreRelayReply]] = {}
         self.task: asyncio.Task[None] | None = None
         self.disconnected = asyncio.Event()
@@ -112,6 +114,10 @@
         self.leaving = False
         self.reads_store = True
         self.unreachable_since: float | None = None
+        # Of the process at the other end of the present connection, empty until it
+        # has sent a pong that names it.
+        self.process = ""
+        self.heard = False
 
     def send(self, message: Message) -> None:
         """Sends a message if the link is up; delivery is not guaranteed."""
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -26,9 +26,11 @@
     RoutedRequest,
 )
 from rosemarydeal.policy.membership.monitors import monitored_peers
+from rosemarydeal.policy.requests.settlement import Permit, ReceivedRequests, Statement
 from rosemarydeal.proxy import BodyBuffers, NoBodyRoom
 
 from .frames import FrameConnection
+from .held_outcomes import HeldOutcomes, PendingRequest
 from .link import Link, LinkHooks, PeerState
 from .link_monitor import LinkMonitor
 from .memory import NO_MEMORY
@@ -50,6 +52,8 @@
     Ping,
     Pong,
     RunRequest,
+    SettledRequests,
+    SettleRequests,
     StoreReachability,
     StoreRelayReply,
     StoreRelayRequest,
@@ -103,6 +107,8 @@
         self._hooks = hooks
         self._links: dict[str, Link] = {}
         self._accepted: set[FrameConnection] = set()
+        self._received = ReceivedRequests()
+        self._held = HeldOutcomes()
         self._serving: dict[tuple[FrameConnection, int], asyncio.Task[None]] = {}
         self._failures = failures or TaskFailures()
         self._tasks = Tasks(self._failures)
@@ -137,6 +143,15 @@
         link = self._links.get(node)
         return link is not None and link.up
 
+    def answers(self, node: str) -> bool:
+        """Returns whether a node's process has sent a message on its present link.
+
+        The kernel of a paused process accepts connections, and what is sent on them
+        is lost or read much later.
+        """
+        link = self._links.get(node)
+        return link is not None and link.up and link.heard
+
     def is_leaving(self, node: str) -> bool:
         """Returns whether a node's process has announced that it is stopping."""
         link = self._links.get(node)
@@ -155,6 +170,11 @@
         link = self._links.get(node)
         return link.unreachable_since if link is not None else None
 
+    def unreachable_s(self, node: str) -> float:
+        """Returns for how long a node has been unreachable, in seconds."""
+        since = self.unreachable_since(node)
+        return 0.0 if since is None else asyncio.get_running_loop().time() - since
+
     def peer_state(self, node: str) -> PeerState | None:
         """Returns the load that a node last reported."""
         link = self._links.get(node)
@@ -230,25 +250,26 @@
         """Has a request run by a peer.
 
         Returns:
-            Its outcome; *unknown* if the link closed after it was sent.
+            Its outcome; if the link closed after it was sent, *not served* once the
+            peer states that it never began, and otherwise *unknown*.
         """
         link = self._links.get(node)
         if link is None or not link.up:
             return UNREACHABLE
         self._last_number += 1
         number = self._last_number
-        future: asyncio.Future[RequestOutcome] = (
-            asyncio.get_running_loop().create_future()
-        )
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[RequestOutcome] = loop.create_future()
         if not link.connection.send(RunRequest.of(number, request)):
             return UNREACHABLE
-        link.pending_requests[number] = future
+        link.pending_requests[number] = PendingRequest(future, request, loop.time())
         try:
             async with asyncio.timeout(request.time_left_s):
                 return await future
         except TimeoutError:
             return OutcomeUnknown("peer-timeout", timed_out=True)
         finally:
+            self._held.discard(number)
             if (
                 link.pending_requests.pop(number, None)
                 and not future.done()
@@ -293,8 +314,13 @@
         if self._serving:
             await asyncio.wait(list(self._serving.values()), timeout=timeout_s)
 
+    def stop_holding(self) -> None:
+        """Decides the requests on lost links at once, as this process is to end."""
+        self._held.close()
+
     async def close(self) -> None:
         """Closes all links."""
+        self._held.close()
         if self._listener is not None:
             self._listener.close()
         for node in list(self._links):
@@ -350,8 +376,12 @@
                 _log.warning("peer_address_wrong", peer=link.node, detail=str(error))
             if link.unreachable_since is None:
                 link.unreachable_since = loop.time()
+            if isinstance(error, ConnectionRefusedError):
+                self._held.on_refused(link.node)
             return False
         link.connection = connection
+        link.process = ""
+        link.heard = False
         connection.peer = link.node
         connection.send(Hello(self._node, self._process, link.node))
         suspects = self._hooks.crash_suspects()
@@ -363,14 +393,12 @@
         return True
 
     def _on_disconnect(self, link: Link) -> None:
-        """Ends the requests pending on a closed link with unknown outcome."""
+        """Holds the outcomes of the requests that are pending on a closed link."""
         link.connection = None
         link.peer_state = None
         if link.unreachable_since is None:
             link.unreachable_since = asyncio.get_running_loop().time()
-        for future in link.pending_requests.values():
-            if not future.done():
-                future.set_result(OutcomeUnknown("peer-lost"))
+        self._held.lose(link.node, link.process, link.pending_requests)
         link.pending_requests.clear()
         link.disconnected.set()
         link.check_requested.set()
@@ -392,6 +420,7 @@
         """Handles a message on a link that this process opened."""
         # The kernel of a paused process accepts connections, but sends no message.
         link.unreachable_since = None
+        link.heard = True
         match message:
             case AnswerReply():
                 _record_load(link, message.load)
@@ -403,6 +432,8 @@
                 self._complete(link, number, outcome)
             case Pong():
                 self._on_pong(link, message)
+            case SettledRequests(never, begun):
+                self._held.on_statement(Statement(never, begun))
             case ObjectListing():
                 self._hooks.on_object_listing(message)
             case ObjectUpdate():
@@ -416,13 +447,18 @@
 
     def _complete(self, link: Link, number: int, outcome: RequestOutcome) -> None:
         """Sets the outcome of a request that was sent to a peer."""
-        future = link.pending_requests.get(number)
-        if future is not None and not future.done():
-            future.set_result(outcome)
+        pending = link.pending_requests.get(number)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(outcome)
 
     def _on_pong(self, link: Link, pong: Pong) -> None:
         """Records the load and the known revisions that a peer reports."""
         _record_load(link, pong.load)
+        if pong.process != link.process or not pong.process:
+            link.process = pong.process
+            numbers = self._held.on_named(link.node, pong.process)
+            if numbers:
+                link.send(SettleRequests(numbers, self._last_number))
         link.reads_store = pong.reads_store
         self._hooks.on_known_revisions(link.node, pong.known_revisions)
 
@@ -431,24 +467,24 @@
         match message:
             case Hello():
                 connection.peer = message.node
+                connection.process = message.process
                 if message.intended_node != self._node:
                     _log.warning(
                         "peer_expected_other_node", intended_node=message.intended_node
                     )
                     connection.abort()
-            case RunRequest(number):
-                request = message.to_request()
-                work = self._serve(connection, number, request)
-                task = self._tasks.spawn("peer-request", work)
-                self._serving[connection, number] = task
-                task.add_done_callback(partial(self._on_served, (connection, number)))
+            case RunRequest():
+                self._accept(connection, message)
+            case SettleRequests(numbers, fence):
+                self._settle(connection, numbers, fence)
             case CancelRequest(number):
                 task = self._serving.get((connection, number))
                 if task is not None:
                     task.cancel()
             case Ping():
                 self._hooks.on_known_revisions(connection.peer, message.known_revisions)
-                connection.send(self._hooks.pong())
+                pong = self._hooks.pong()
+                connection.send(msgspec.structs.replace(pong, process=self._process))
             case PeerUnresponsive(node):
                 link = self._links.get(node)
                 if link is not None:
@@ -476,13 +512,46 @@
                 work = self._relay_store_call(connection, message)
                 self._tasks.spawn("store-relay", work)
 
+    def _accept(self, connection: FrameConnection, message: RunRequest) -> None:
+        """Serves a peer's request, unless the peer has given it up already."""
+        number, request = message.number, message.to_request()
+        if connection.closed_by_peer():
+            permit = None
+        else:
+            permit = self._received.receive(connection.process, number)
+        if permit is None:
+            _log.info(
+                "late_request_ignored",
+                request_id=request.request_id,
+                peer=connection.peer,
+            )
+            return
+        work = self._serve(connection, number, request, permit)
+        task = self._tasks.spawn("peer-request", work)
+        self._serving[connection, number] = task
+        task.add_done_callback(partial(self._on_served, (connection, number), permit))
+
+    def _settle(
+        self, connection: FrameConnection, numbers: tuple[int, ...], fence: int
+    ) -> None:
+        """States which requests of former links of a peer never begin."""
+        statement = self._received.settle(connection.process, numbers, fence)
+        for former in list(self._accepted):
+            if former is not connection and former.process == connection.process:
+                former.abort()
+        connection.send(SettledRequests(statement.never, statement.begun))
+
     async def _serve(
-        self, connection: FrameConnection, number: int, request: RoutedRequest
+        self,
+        connection: FrameConnection,
+        number: int,
+        request: RoutedRequest,
+        permit: Permit,
     ) -> None:
         """Runs a peer's request and sends its outcome."""
         deadline = asyncio.get_running_loop().time() + request.time_left_s
         try:
-            outcome = await self._serve_with_room(request)
+            outcome = await self._serve_with_room(request, permit)
             reply = reply_of(number, outcome, self._hooks.load())
             await self._replies.send(connection, reply, deadline)
         except Exception:
@@ -490,7 +559,9 @@
             await self._replies.send(connection, reply, deadline)
             raise
 
-    async def _serve_with_room(self, request: RoutedRequest) -> RequestOutcome:
+    async def _serve_with_room(
+        self, request: RoutedRequest, permit: Permit
+    ) -> RequestOutcome:
         """Runs a peer's request, unless its body does not fit into the memory now."""
         with self._bodies.room() as room:
             try:
@@ -503,12 +574,16 @@
                     left_bytes=self._bodies.left_bytes,
                 )
                 return NO_MEMORY
-            return await self._hooks.serve(request)
+            return await self._hooks.serve(request, permit)
 
     def _on_served(
-        self, served: tuple[FrameConnection, int], task: asyncio.Task[None]
+        self,
+        served: tuple[FrameConnection, int],
+        permit: Permit,
+        task: asyncio.Task[None],
     ) -> None:
         """Forgets a peer's request, whose task may have ended before its first step."""
+        permit.end()
         if self._serving.get(served) is task:
             del self._serving[served]
 
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -49,6 +49,8 @@
     "Pong",
     "Reply",
     "RunRequest",
+    "SettleRequests",
+    "SettledRequests",
     "StoreReachability",
     "StoreRelayReply",
     "StoreRelayRequest",
@@ -201,11 +203,34 @@
 
 
 class Pong(_Base, tag=8):
-    """Reply to a ping; carries the sender's load and known revisions."""
+    """Reply to a ping; carries the sender's load and known revisions.
+
+    A sender that names its process can settle requests (`SettleRequests`); processes
+    of an earlier version do not name it.
+    """
 
     known_revisions: tuple[Revision, ...]
     load: LoadReport
     reads_store: bool = True
+    process: str = ""
+
+
+class SettleRequests(_Base, tag=21):
+    """Asks which requests that were sent over a former link have begun.
+
+    No request up to the number `fence` that arrives later may begin. Sent only to a
+    process that has named itself.
+    """
+
+    numbers: tuple[int, ...]
+    fence: int
+
+
+class SettledRequests(_Base, tag=22):
+    """States which requests never began and never will, and which have begun."""
+
+    never: tuple[int, ...]
+    begun: tuple[int, ...]
 
 
 class PeerUnresponsive(_Base, tag=20):
@@ -403,6 +428,8 @@
 Message = (
     Hello
     | RunRequest
+    | SettleRequests
+    | SettledRequests
     | CancelRequest
     | AnswerReply
     | NotServedReply
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -225,6 +225,7 @@
         reject_in_s = max(0.0, deadline - now() - REJECTION_TIME_S)
         loop = asyncio.get_running_loop()
         loop.call_later(reject_in_s, self._guard.reject_waiting)
+        loop.call_later(reject_in_s, self._links.stop_holding)
         await self._callers.drain(max(0.1, deadline - now() - 0.3))
         await self._links.wait_idle(max(0.0, deadline - now()))
         await self._callers.wait_closed(max(0.0, deadline - now()))
@@ -278,7 +279,7 @@
     def _link_hooks(self) -> LinkHooks:
         """Builds the callbacks of the links."""
         return LinkHooks(
-            serve=lambda request: self._guard.serve(request),
+            serve=lambda request, permit: self._guard.serve(request, permit),
             load=self._load,
             pong=self._pong,
             known_revisions=lambda: self._records.known_revisions,
