Keep a departure over the stop of the process that acknowledged it

Callers would see (rule DRAIN): requests sent to an upstream for longer than 2 s after its departure was acknowledged, when its process is restarted about then. Cause: the member in the store is the only record of a departure that outlives a process. A process that stops wrote its member no more, and removed it if its upstream had departed and owned no keys, though that was still running. The next process heard it announce itself as ready and took it as staying. Change: while its upstream is alive and leaves, the member of a process that stops is still written, and is not removed.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -40,11 +40,13 @@
     Given a deployment of 3 VMs
     When the upstream of vm-b departs <when> its process stops, and the next process starts
     Then the next process takes the upstream as leaving
+    And the member of vm-b was never removed
 
     Examples:
       | when           |
       | shortly after  |
       | shortly before |
+      | 1.8 s after    |
 
   Scenario: A departure is forgotten as its upstream is the current one again
     Given a process that knows its upstream
--- a/features/mutant_list_calls.py
+++ b/features/mutant_list_calls.py
@@ -36,6 +36,20 @@
         "self._departed_instances.get(new.instance, -math.inf)",
         (*LEAVING, "A departure that names no start"),
     ),
+    Mutant(
+        "a departure during the stop of the process not written",
+        "rosemarydeal/node/membership.py",
+        "return leaves or not self._stopping",
+        "return not self._stopping",
+        (*LEAVING, "A departure is forgotten with the process"),
+    ),
+    Mutant(
+        "the member of a departed upstream removed while that is alive",
+        "rosemarydeal/node/membership.py",
+        "        if alive:\n            return\n",
+        "",
+        (*LEAVING, "A departure is forgotten with the process"),
+    ),
     Mutant(
         "the duration of a grant computed when it was decided",
         GRANTS,
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -24,6 +24,8 @@
 
 LOAD_S = 4.5
 RESTART_AFTER_S = 1.0
+# Of a departure after the stop of the process has begun.
+DEPARTS_AFTER_S = {"shortly after": 1.0, "1.8 s after": 1.8}
 # Longer than the time within which the requests must be rejected.
 TIME_LEFT_S = 5.0
 
@@ -192,8 +194,8 @@
             await depart()
             await asyncio.sleep(RESTART_AFTER_S)
         stopping = asyncio.create_task(node.shut_down())
-        if moment == "shortly after":
-            await asyncio.sleep(RESTART_AFTER_S)
+        if moment in DEPARTS_AFTER_S:
+            await asyncio.sleep(DEPARTS_AFTER_S[moment])
             await depart()
         await stopping
         await deployment.start_node("vm-b")
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -73,6 +73,17 @@
         self._changed = asyncio.Event()
         self._stopping = False
 
+    @property
+    def _may_write(self) -> bool:
+        """Returns whether the own member is written after a change.
+
+        While the process stops, it is written only if the upstream leaves, which the
+        next process has to know.
+        """
+        state = self._watch.state
+        leaves = state is not None and state.alive and state.leaving_since is not None
+        return leaves or not self._stopping
+
     @property
     def has_predecessor(self) -> bool:
         """Returns whether the own member is still that of a former process."""
@@ -98,7 +109,7 @@
             self._watch.report_leaving(published.incarnation)
 
     def stop(self) -> None:
-        """Stops writing the own member."""
+        """Stops writing the own member, unless its upstream leaves."""
         self._stopping = True
 
     async def run(self) -> None:
@@ -109,19 +120,25 @@
             if self._slowdown is None and self._watch.state is not None:
                 self._slowdown = await self._probe_slowdown()
                 self._guard.set_slowdown(self._slowdown)
-            if self._stopping or not self._records.complete:
+            if not self._may_write or not self._records.complete:
                 await asyncio.sleep(PUBLISH_RETRY_S / 3)
                 self._changed.set()
                 continue
             await self._write(self._own_member())
 
     async def retire(self) -> None:
-        """Removes the own member, because the upstream does not come back."""
+        """Removes the own member, because the upstream does not come back.
+
+        While the upstream is alive, the member tells the next process that it leaves.
+        """
         node = self._identity.node
         published = self._records.stored_member(node)
-        if published is not None and published.accepting:
+        alive = self._watch.state is not None and self._watch.state.alive
+        if alive or (published is not None and published.accepting):
             # The removal of a member that accepts work does not prove its end.
             await self._write(self._own_member())
+        if alive:
+            return
         try:
             await self._access.remove(
                 MEMBERS, node, self._records.stored_revision(MEMBERS, node)
