--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -127,7 +127,7 @@
             await self._write(self._own_member())
 
     async def retire(self) -> None:
-        """Removes the own member, because the upstream does not come back.
+        """Removes the own member if the upstream has ended and does not come back.
 
         While the upstream is alive, the member tells the next process that it leaves.
         """
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -228,7 +228,7 @@
                 await asyncio.sleep(IDLE_STEP_S)
 
     def retire(self) -> None:
-        """Grants no keys any more, as this process is about to remove its member.
+        """Grants no keys any more, as this process is about to retire its member.
 
         The others take the keys of a removed member at once, also those that were
         assigned to it by processes that had not learned of its removal.
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -248,7 +248,7 @@
         await self._store.close()
 
     def _may_retire(self) -> bool:
-        """Returns whether the own member may be removed.
+        """Returns whether the own member may be removed once its upstream has ended.
 
         The others take the keys of a removed member at once, so it must not be
         removed while its upstream may hold some. An upstream that has not announced
