Log when readers send an operators' change, and when a process first hears of one

Cause: the log of a process that is late with a configuration has only the origin of what it obtained in the end. It does not tell whether a reader's message was lost, since when the process knew of a newer revision, or from whom.

Evidence: the hypotheses in the postmortem can't be told apart by the logs.

Change: change_sent at readers, newer_revision_known at the others, for the kinds that operators write.

--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -61,6 +61,7 @@
 # for each change, and accept stale replies; peers send changes in the meantime.
 FULL_WATCH_RATE_NODES = 20
 SCALED_KINDS = (MEMBERS, RANGES)
+OPERATOR_KINDS = (CONFIGURATION_KIND, ZONES_OUT_KIND)
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.6
 # A watch returns a peer's changes within the coalescing delay and this time.
@@ -256,10 +257,24 @@
             lag = self._lags.get(kind)
             if lag is None or own_revision >= lag.peer_revision:
                 self._lags[kind] = _Lag(peer_revision, moment)
+                self._log_newer_revision(kind, node, peer_revision)
             elif moment - lag.since >= self._delay_s(kind) + self._lag_limit_s(node):
                 self._lags[kind] = _Lag(peer_revision, moment)
                 self._links.send(node, FetchObjects(kind))
 
+    def _log_newer_revision(
+        self, kind: str, node: str, peer_revision: Revision
+    ) -> None:
+        """Logs that a peer has an operators' change that this process lacks."""
+        if kind in OPERATOR_KINDS:
+            _log.info(
+                "newer_revision_known",
+                kind=kind,
+                peer=node,
+                revision=peer_revision,
+                held=self._records.last_change(kind),
+            )
+
     def _fetch_after_restore(self, kind: str, node: str) -> None:
         """Fetches a kind from a peer that knows of a higher era, once in a while."""
         moment = now()
@@ -439,6 +454,10 @@
         complete = _content_bytes(objects) <= MAX_PUSHED_BYTES
         if not complete:
             objects = ()
+        if kind in OPERATOR_KINDS:
+            _log.info(
+                "change_sent", kind=kind, revision=listing.revision, complete=complete
+            )
         self._send_to_zone(
             ObjectChanges(kind, since, listing.revision, objects, complete)
         )
