Add scenarios of changes that are written as links between processes fall silent

Cause: not mended yet. What a reader sends to its zone is sent once, over links that count as up for 1.8 s after they fell silent.

--- a/features/builders_node_programs.py
+++ b/features/builders_node_programs.py
@@ -53,6 +53,8 @@
         killed: Whether it was killed.
     """
 
+    arguments = ("-m", "rosemarydeal.node.main")
+
     def __init__(self, settings: Path, log: Path) -> None:
         self._settings = settings
         self._log = log
@@ -84,7 +86,7 @@
         environment = os.environ | {"ROSEMARYDEAL_NODE_FILE": str(self._settings)}
         with self._log.open("ab") as log:
             self._child = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "rosemarydeal.node.main"),
+                *(sys.executable, *self.arguments),
                 env=environment,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
@@ -116,13 +118,15 @@
 class ProgramDeployment(Deployment):
     """A deployment whose node processes are programs of their own."""
 
+    program_type = NodeProgram
+
     def __init__(self, count, directory: Path, **settings) -> None:
         super().__init__(count, **settings)
         self._directory = directory
 
     async def start_node(self, name):
         """Starts a life of the process of a VM."""
-        program = NodeProgram(
+        program = self.program_type(
             self.write_settings(name), self._directory / f"{name}.log"
         )
         await program.start()
--- /dev/null
+++ b/features/silent_links.feature
@@ -0,0 +1,25 @@
+Feature: Operators' changes are in force in time although links between processes are silent
+
+  A link may stay open and deliver nothing any more, without a reset, while new ones
+  work. A reader's message to the processes of its zone is then lost.
+
+  Scenario: Programs follow a configuration that is written as links fall silent
+    Given 9 programs whose links can fall silent
+    When the open links of 9 programs fall silent, and a route is added 0.05, 0.3, 0.6 and 1.0 seconds later
+    Then each change is in force everywhere within 2.0 seconds
+
+  Scenario: Programs follow a configuration that is written as the links of some fall silent
+    Given 9 programs whose links can fall silent
+    When the open links of 6 programs fall silent, and a route is added 0.02, 0.1 and 0.2 seconds later
+    Then each change is in force everywhere within 2.0 seconds
+
+  Scenario: A configuration is in force within a second of the silence of all links
+    Given a deployment of 8 VMs whose links can fall silent
+    When all open links fall silent
+    Then the operator's next configuration is in force everywhere within 1.0 seconds
+
+  Scenario: A zone is out within a second of the silence of all links
+    Given a deployment of 8 VMs whose links can fall silent
+    When all open links fall silent
+    And the operator takes perth-a out of service
+    Then all processes know within 1.0 seconds that only perth-a is out
