Confirm operators' changes, and ask for lacking ones over the connection that told

What callers saw: a 404 for a route that had been added more than two seconds before.

Cause: what was sent over a link that isn't shown to be alive was taken for delivered. A reader sent a change to its zone once, over links that count as up for 1.8 s after they fell silent (up to 24 s if the peer isn't monitored). A process that heard of a newer revision waited 0.65 to 0.95 s, and then asked over its own link to that peer, which may be the silent one, once.

Change: a ping follows each change of the operators' kinds. Without its answer in 0.25 s the change goes out again over a connection of its own; if the peer answers there, the link is checked at once. A process that hears of a newer revision asks the one that told, over the same connection, after 0.2 s, and then the store. A pong counts for what was sent before it on its connection, as a connection keeps the order.

A step of readers.feature let a process miss a change by ignoring the reader's message alone; pings bring it now within the 0.3 s, so the step withholds these as well. What is checked after it is unchanged.

--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -119,14 +119,15 @@
 def step_miss(context):
     name = of_zone(context, "perth-a")[-1]
     watcher = context.deployment.nodes[name]._store_watcher
-    original = watcher.apply_peer_changes
-    watcher.apply_peer_changes = lambda node, changes: None
+    original = watcher.apply_peer_changes, watcher.on_known_revisions
+    watcher.apply_peer_changes = lambda source, changes: None
+    watcher.on_known_revisions = lambda source, revisions: None
     context.missing = name
 
     async def miss():
         context.deployment.store.put(ZONES_OUT_KIND, "perth-b", {})
         await asyncio.sleep(0.3)
-        watcher.apply_peer_changes = original
+        watcher.apply_peer_changes, watcher.on_known_revisions = original
 
     run(context, miss())
     records = context.deployment.nodes[name]._records
--- a/rosemarydeal/node/frames.py
+++ b/rosemarydeal/node/frames.py
@@ -151,6 +151,11 @@
         poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def close(self) -> None:
+        """Closes the connection once what is buffered has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
     def abort(self) -> None:
         """Closes the connection without sending what is buffered."""
         if self._transport is not None:
--- a/rosemarydeal/node/link.py
+++ b/rosemarydeal/node/link.py
@@ -20,6 +20,7 @@
     ObjectChanges,
     ObjectListing,
     ObjectUpdate,
+    Ping,
     Pong,
     StoreRelayReply,
     StoreRelayRequest,
@@ -27,7 +28,7 @@
     TableDelta,
 )
 
-__all__ = ["Link", "LinkHooks", "PeerState"]
+__all__ = ["Link", "LinkHooks", "PeerState", "PingReceipt"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,11 +65,13 @@
         load: Returns the load of the own upstream.
         pong: Builds the reply to a ping.
         known_revisions: Returns the last known revision of each kind.
-        on_known_revisions: Called with a node and its last known revisions.
+        on_known_revisions: Called with the connection to a peer and the last revisions
+            that it knows.
         fetch: Returns all objects of a kind.
         on_object_listing: Called with all objects of a kind, as a peer has them.
         on_object_update: Called with a changed object that a peer sent.
-        on_object_changes: Called with a node and the changes that it sent.
+        on_object_changes: Called with the connection to a peer and the changes that it
+            sent.
         on_table_delta: Called with a table delta that a peer sent.
         crash_suspects: Returns the suspects of crashes, for a peer that may know none;
             None if there are none.
@@ -83,11 +86,11 @@
     load: Callable[[], LoadReport]
     pong: Callable[[], Pong]
     known_revisions: Callable[[], tuple[Revision, ...]]
-    on_known_revisions: Callable[[str, tuple[Revision, ...]], None]
+    on_known_revisions: Callable[[FrameConnection, tuple[Revision, ...]], None]
     fetch: Callable[[str], ObjectListing]
     on_object_listing: Callable[[ObjectListing], None]
     on_object_update: Callable[[ObjectUpdate], None]
-    on_object_changes: Callable[[str, ObjectChanges], None]
+    on_object_changes: Callable[[FrameConnection, ObjectChanges], None]
     on_table_delta: Callable[[TableDelta], None]
     crash_suspects: Callable[[], CrashSuspects | None]
     on_crash_suspects: Callable[[CrashSuspects], None]
@@ -96,6 +99,32 @@
     relay_store_call: Callable[[StoreRelayRequest], Awaitable[StoreRelayReply | None]]
 
 
+@dataclass(slots=True)
+class _Pings:
+    """Pings on one connection, which the peer answers in order.
+
+    Attributes:
+        sent: Number of pings sent.
+        answered: Number of answers received.
+    """
+
+    sent: int = 0
+    answered: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PingReceipt:
+    """A ping that was sent, and with it all messages before it on its connection."""
+
+    pings: _Pings
+    number: int
+
+    @property
+    def answered(self) -> bool:
+        """Returns whether the peer has handled the ping and all messages before."""
+        return self.pings.answered >= self.number
+
+
 class Link:
     """A link that this process opened to a peer."""
 
@@ -118,6 +147,32 @@
         # has sent a pong that names it.
         self.process = ""
         self.heard = False
+        self._pings = _Pings()
+
+    def opened(self, connection: FrameConnection) -> None:
+        """Uses a new connection, on which nothing has been heard yet."""
+        self.connection = connection
+        self.process = ""
+        self.heard = False
+        self.leaving = False
+        self.reads_store = True
+        self._pings = _Pings()
+
+    def ping(self, known_revisions: tuple[Revision, ...]) -> PingReceipt | None:
+        """Sends a ping; returns None if the connection does not accept it."""
+        if self.connection is None or not self.connection.send(Ping(known_revisions)):
+            return None
+        self._pings.sent += 1
+        return PingReceipt(self._pings, self._pings.sent)
+
+    def note_pong(self) -> None:
+        """Counts an answer to a ping on the present connection."""
+        self._pings.answered += 1
+
+    def suspect(self) -> None:
+        """Has the link checked now: its peer answers elsewhere, and not on it."""
+        self.reported = True
+        self.check_requested.set()
 
     def send(self, message: Message) -> None:
         """Sends a message if the link is up; delivery is not guaranteed."""
--- a/rosemarydeal/node/link_monitor.py
+++ b/rosemarydeal/node/link_monitor.py
@@ -15,7 +15,7 @@
 from rosemarydeal.core.fleet import Revision
 
 from .link import Link
-from .messages import PeerUnresponsive, Ping
+from .messages import PeerUnresponsive
 
 __all__ = ["LinkMonitor"]
 
@@ -54,7 +54,7 @@
         while not link.disconnected.is_set():
             if unanswered_since is None:
                 unanswered_since = loop.time()
-            link.send(Ping(self._known_revisions()))
+            link.ping(self._known_revisions())
             if await _is_set_within(link.disconnected, PING_PERIOD_S):
                 return
             # After a pause of this process, answers are received before this runs.
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -29,9 +29,10 @@
 from rosemarydeal.policy.requests.settlement import Permit, ReceivedRequests, Statement
 from rosemarydeal.proxy import BodyBuffers, NoBodyRoom
 
+from .detour import Detour
 from .frames import FrameConnection
 from .held_outcomes import HeldOutcomes, PendingRequest
-from .link import Link, LinkHooks, PeerState
+from .link import Link, LinkHooks, PeerState, PingReceipt
 from .link_monitor import LinkMonitor
 from .memory import NO_MEMORY
 from .messages import (
@@ -304,6 +305,36 @@
         if link is not None:
             link.send(message)
 
+    def send_checked(self, node: str, message: Message) -> PingReceipt | None:
+        """Sends a message to a node, and a ping after it.
+
+        Returns:
+            The receipt of the ping, None if the node is not reachable.
+        """
+        link = self._links.get(node)
+        if link is None or not link.up:
+            return None
+        link.send(message)
+        return link.ping(self._hooks.known_revisions())
+
+    async def send_anew(self, node: str, message: Message) -> bool:
+        """Sends a message to a node over a connection of its own.
+
+        The link is suspected once the node has confirmed it, as it did not there.
+
+        Returns:
+            Whether the node has confirmed the message.
+        """
+        link = self._links.get(node)
+        if link is None:
+            return False
+        detour = Detour(self._hooks, self._count_sent)
+        hello = Hello(self._node, self._process, node)
+        confirmed = await detour.send(link.address, (hello, message))
+        if confirmed:
+            link.suspect()
+        return confirmed
+
     def broadcast(self, message: Message) -> None:
         """Sends a message to all reachable nodes."""
         for link in self._links.values():
@@ -379,16 +410,12 @@
             if isinstance(error, ConnectionRefusedError):
                 self._held.on_refused(link.node)
             return False
-        link.connection = connection
-        link.process = ""
-        link.heard = False
+        link.opened(connection)
         connection.peer = link.node
         connection.send(Hello(self._node, self._process, link.node))
         suspects = self._hooks.crash_suspects()
         if suspects is not None:
             connection.send(suspects)
-        link.leaving = False
-        link.reads_store = True
         _log.info("peer_link_up", peer=link.node)
         return True
 
@@ -438,6 +465,8 @@
                 self._hooks.on_object_listing(message)
             case ObjectUpdate():
                 self._hooks.on_object_update(message)
+            case FetchObjects():
+                link.send(self._hooks.fetch(message.kind))
             case Leaving():
                 link.leaving = True
             case StoreRelayReply():
@@ -453,6 +482,7 @@
 
     def _on_pong(self, link: Link, pong: Pong) -> None:
         """Records the load and the known revisions that a peer reports."""
+        link.note_pong()
         _record_load(link, pong.load)
         if pong.process != link.process or not pong.process:
             link.process = pong.process
@@ -460,7 +490,7 @@
             if numbers:
                 link.send(SettleRequests(numbers, self._last_number))
         link.reads_store = pong.reads_store
-        self._hooks.on_known_revisions(link.node, pong.known_revisions)
+        self._hooks.on_known_revisions(link.connection, pong.known_revisions)
 
     def _on_request(self, connection: FrameConnection, message: Message) -> None:
         """Handles a message on a link that a peer opened."""
@@ -482,20 +512,21 @@
                 if task is not None:
                     task.cancel()
             case Ping():
-                self._hooks.on_known_revisions(connection.peer, message.known_revisions)
+                self._hooks.on_known_revisions(connection, message.known_revisions)
                 pong = self._hooks.pong()
                 connection.send(msgspec.structs.replace(pong, process=self._process))
             case PeerUnresponsive(node):
                 link = self._links.get(node)
                 if link is not None:
-                    link.reported = True
-                    link.check_requested.set()
+                    link.suspect()
             case FetchObjects():
                 connection.send(self._hooks.fetch(message.kind))
+            case ObjectListing():
+                self._hooks.on_object_listing(message)
             case ObjectUpdate():
                 self._hooks.on_object_update(message)
             case ObjectChanges():
-                self._hooks.on_object_changes(connection.peer, message)
+                self._hooks.on_object_changes(connection, message)
             case StoreReachability(reads_store, after_silence):
                 link = self._links.get(connection.peer)
                 if link is not None:
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -283,14 +283,14 @@
             load=self._load,
             pong=self._pong,
             known_revisions=lambda: self._records.known_revisions,
-            on_known_revisions=lambda node, revisions: (
-                self._store_watcher.on_known_revisions(node, revisions)
+            on_known_revisions=lambda source, revisions: (
+                self._store_watcher.on_known_revisions(source, revisions)
             ),
             fetch=lambda kind: self._records.listing(kind),
             on_object_listing=lambda listing: self._records.apply_peer_listing(listing),
             on_object_update=lambda update: self._records.apply_update(update),
-            on_object_changes=lambda node, changes: (
-                self._store_watcher.apply_peer_changes(node, changes)
+            on_object_changes=lambda source, changes: (
+                self._store_watcher.apply_peer_changes(source, changes)
             ),
             on_table_delta=lambda delta: self._records.apply_table_delta(delta),
             crash_suspects=self._shared_suspects,
@@ -452,6 +452,8 @@
             ("peer_links", len(self._links.up)),
             ("store_reachable", self._access.reachable),
             ("store_era", self._store.era),
+            ("operator_changes_behind_seconds", self._store_watcher.behind_s),
+            ("operator_changes_repeated", self._store_watcher.changes_repeated),
             ("crash_suspects", self._guard.crash_suspects.count),
             ("crash_suspects_blocked", self._guard.crash_suspects.blocked_count),
             ("starts_unconfirmed", self._start_check.refused),
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -33,6 +33,9 @@
 from rosemarydeal.policy.membership.readers import ReaderCandidate, zone_readers
 from rosemarydeal.policy.membership.spans import ChangeSpans
 
+from .catch_up import CatchUp
+from .change_delivery import ChangeDelivery
+from .frames import FrameConnection
 from .links import Links
 from .messages import FetchObjects, ObjectChanges, ObjectState, StoreReachability
 from .records import KINDS, MEMBERS, RANGES, Records
@@ -150,6 +153,8 @@
         self._watches: dict[str, _Watch] = {}
         self._first_listings: dict[str, Revision] = {}
         self._carry_timer: asyncio.TimerHandle | None = None
+        self._delivery = ChangeDelivery(links, self._tasks)
+        self._catch_up = CatchUp(records, self._read_listing, self._tasks)
         records.subscribe(self._on_records_changed)
 
     @property
@@ -174,6 +179,19 @@
         candidates.append(ReaderCandidate(self._node, True, self.reads_store))
         return zone_readers(candidates)
 
+    @property
+    def changes_repeated(self) -> int:
+        """Returns how often an operators' change was sent again to a process."""
+        return self._delivery.repeated
+
+    @property
+    def behind_s(self) -> float:
+        """Returns for how long peers have had operators' changes that this one lacks.
+
+        In seconds, 0.0 if it lacks none.
+        """
+        return self._catch_up.behind_s
+
     @property
     def _is_large_fleet(self) -> bool:
         """Returns whether the fleet is large enough to accept stale replies."""
@@ -222,17 +240,24 @@
             self._carry_timer.cancel()
         await self._tasks.close()
 
-    def apply_peer_changes(self, node: str, changes: ObjectChanges) -> None:
-        """Applies the changes that a reader sent, or fetches what is missing."""
+    def apply_peer_changes(
+        self, source: FrameConnection, changes: ObjectChanges
+    ) -> None:
+        """Applies the changes that a reader sent, or fetches what is missing.
+
+        Args:
+            source: Connection that the changes came over, which has just worked.
+            changes: The changes.
+        """
         kind = changes.kind
         if kind not in KINDS or changes.revision <= self._records.revision(kind):
             return
         if not changes.complete:
-            self._tasks.spawn("read-change", self._read_large_change(kind, node))
+            self._tasks.spawn("read-change", self._read_large_change(kind, source))
         elif not self._records.listed(kind) or (
             self._records.revision(kind) < changes.since
         ):
-            self._links.send(node, FetchObjects(kind))
+            source.send(FetchObjects(kind))
         else:
             objects = tuple(
                 StoredObject(kind, state.name, state.revision, state.content)
@@ -243,44 +268,40 @@
             )
 
     def on_known_revisions(
-        self, node: str, known_revisions: tuple[Revision, ...]
+        self, source: FrameConnection, known_revisions: tuple[Revision, ...]
     ) -> None:
-        """Fetches a kind of which a peer has had a newer revision for a while."""
+        """Fetches a kind of which a peer has had a newer revision for a while.
+
+        Args:
+            source: Connection to the peer, which has just worked.
+            known_revisions: The last revision that it knows of each kind.
+        """
         moment = now()
         for kind, peer_revision in zip(KINDS, known_revisions, strict=False):
             own_revision = self._records.last_change(kind)
             if peer_revision <= own_revision:
                 continue
             if peer_revision.era > own_revision.era:
-                self._fetch_after_restore(kind, node)
+                self._fetch_after_restore(kind, source)
+                continue
+            if kind in OPERATOR_KINDS:
+                self._catch_up.note(kind, source, peer_revision)
                 continue
             lag = self._lags.get(kind)
             if lag is None or own_revision >= lag.peer_revision:
                 self._lags[kind] = _Lag(peer_revision, moment)
-                self._log_newer_revision(kind, node, peer_revision)
-            elif moment - lag.since >= self._delay_s(kind) + self._lag_limit_s(node):
+            elif moment - lag.since >= (
+                self._delay_s(kind) + self._lag_limit_s(source.peer)
+            ):
                 self._lags[kind] = _Lag(peer_revision, moment)
-                self._links.send(node, FetchObjects(kind))
+                source.send(FetchObjects(kind))
 
-    def _log_newer_revision(
-        self, kind: str, node: str, peer_revision: Revision
-    ) -> None:
-        """Logs that a peer has an operators' change that this process lacks."""
-        if kind in OPERATOR_KINDS:
-            _log.info(
-                "newer_revision_known",
-                kind=kind,
-                peer=node,
-                revision=peer_revision,
-                held=self._records.last_change(kind),
-            )
-
-    def _fetch_after_restore(self, kind: str, node: str) -> None:
+    def _fetch_after_restore(self, kind: str, source: FrameConnection) -> None:
         """Fetches a kind from a peer that knows of a higher era, once in a while."""
         moment = now()
         if moment - self._fetched_at.get(kind, -RETRY_MAX_S) >= RETRY_MAX_S:
             self._fetched_at[kind] = moment
-            self._links.send(node, FetchObjects(kind))
+            source.send(FetchObjects(kind))
 
     def _on_records_changed(self, _kind: str) -> None:
         """Wakes the tasks that wait for records, and limits how long they carry over.
@@ -454,28 +475,40 @@
         complete = _content_bytes(objects) <= MAX_PUSHED_BYTES
         if not complete:
             objects = ()
+        changes = ObjectChanges(kind, since, listing.revision, objects, complete)
         if kind in OPERATOR_KINDS:
-            _log.info(
-                "change_sent", kind=kind, revision=listing.revision, complete=complete
-            )
-        self._send_to_zone(
-            ObjectChanges(kind, since, listing.revision, objects, complete)
-        )
+            self._delivery.send(self._zone_peers, changes)
+        else:
+            self._send_to_zone(changes)
+
+    @property
+    def _zone_peers(self) -> list[str]:
+        """Returns the nodes of the other processes of the zone."""
+        return [
+            member.node
+            for member in self._records.members.values()
+            if member.zone == self._zone and member.node != self._node
+        ]
 
     def _send_to_zone(self, message: ObjectChanges | StoreReachability) -> None:
         """Sends a message to the other processes of the zone."""
-        for member in self._records.members.values():
-            if member.zone == self._zone and member.node != self._node:
-                self._links.send(member.node, message)
+        for node in self._zone_peers:
+            self._links.send(node, message)
 
-    async def _read_large_change(self, kind: str, node: str) -> None:
+    async def _read_large_change(self, kind: str, source: FrameConnection) -> None:
         """Lists a kind after a large change, or fetches it from its reader."""
         await asyncio.sleep(random.uniform(0.0, LARGE_CHANGE_JITTER_S))
+        if not await self._read_listing(kind):
+            source.send(FetchObjects(kind))
+
+    async def _read_listing(self, kind: str) -> bool:
+        """Lists a kind; returns whether the store answered."""
         try:
             self._records.apply_listing(kind, await self._store.list(kind))
         except StoreError as error:
             self._access.note_reachable(False, str(error))
-            self._links.send(node, FetchObjects(kind))
+            return False
+        return True
 
     def _delay_s(self, kind: str) -> float:
         """Returns the coalescing delay of a kind, in seconds."""
