Notice silent connections to the store within 1.4 s of the start of a watch

What callers saw: a change in force 2.5 s after it was confirmed, if it was written as a watch began on connections that fell silent.

Cause: the first reader of a zone ended its watch of the configuration after 1.5 s and waited one more second for the answer.

Evidence: features/store_silent.feature, one VM, connections silent as a watch begins: not in force after 1.7 s before; now it is.

Change: the watch ends after 1.0 s, and its answer is waited for 0.4 s. A new connection that takes longer than 0.2 s to answer shows a slow store and not a silent connection, so that slow answers don't have all watches of a zone started again (scenario added; it passed before, as the store had a second).

--- a/features/steps/store_silent_steps.py
+++ b/features/steps/store_silent_steps.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
+from functools import partial
 
 from behave import then, when
 
@@ -27,6 +29,40 @@
     context.earlier = watches_by_node(context)
 
 
+@when(
+    "all open connections to the store fall silent as a watch of the configuration"
+    " begins"
+)
+def step_silent_at_watch(context):
+    (node,) = context.deployment.nodes.values()
+    watches = node._store_watcher._watches
+    former = watches.get(CONFIGURATION_KIND)
+
+    async def silence():
+        await context.deployment.wait(
+            lambda: watches.get(CONFIGURATION_KIND) not in (None, former)
+        )
+        # The call has reached the store.
+        await asyncio.sleep(0.03)
+        context.deployment.store.silence_connections()
+
+    run(context, silence())
+
+
+@when("each answer of the store takes {seconds:f} seconds for {duration:d} seconds")
+def step_slow_answers(context, seconds, duration):
+    context.renewals = []
+    for name, node in context.deployment.nodes.items():
+        node._store_watcher.renew_watches = partial(context.renewals.append, name)
+    context.deployment.store.answer_s = seconds
+    run(context, asyncio.sleep(duration))
+
+
+@then("no process has renewed its watches")
+def step_not_renewed(context):
+    assert not context.renewals, context.renewals
+
+
 @when("the first reader of each zone stops")
 def step_first_readers_stop(context):
     nodes = context.deployment.nodes
--- a/features/store_silent.feature
+++ b/features/store_silent.feature
@@ -39,6 +39,18 @@
     And 3 seconds pass
     Then all four readers have asked anew for the operators' changes
 
+  Scenario: Connections to the store fall silent just after the only reader began to watch
+    Given a deployment of 1 VMs
+    When 1 seconds pass
+    And all open connections to the store fall silent as a watch of the configuration begins
+    Then the operator's next configuration is in force everywhere within 1.7 seconds
+
+  Scenario: A store that is slow is not taken for one whose connections are silent
+    Given a deployment of 2 VMs
+    When 1 seconds pass
+    And each answer of the store takes 0.6 seconds for 6 seconds
+    Then no process has renewed its watches
+
   Scenario: Each answer of the store takes longer than calls usually wait
     Given a deployment of 2 VMs
     When each answer of the store takes 0.5 seconds, and a VM starts that reaches no other
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -50,7 +50,10 @@
 # The first reader of a zone ends the watches of operators' changes early: in force
 # within two seconds, and within five, are due three seconds after such a fault. It
 # tells the other reader, so that this one needs no more calls in a steady state.
-CHECKED_WATCH_TIMEOUT_S = {CONFIGURATION_KIND: 1.5, ZONES_OUT_KIND: 3.0}
+CHECKED_WATCH_TIMEOUT_S = {CONFIGURATION_KIND: 1.0, ZONES_OUT_KIND: 3.0}
+# Longer than the store takes to answer, unless it is slow: then changes are asked for
+# once more, without a wait.
+CHECKED_WATCH_SLACK_S = 0.4
 # Delay between a change and the next call, which then returns several changes.
 # Operators' changes must be in force within two seconds; tables arrive earlier
 # from the peers that write them.
@@ -439,7 +442,11 @@
         try:
             async with timeout:
                 listing = await self._store.watch(
-                    kind, revision, self._watch_timeout_s(kind), allow_stale
+                    kind,
+                    revision,
+                    self._watch_timeout_s(kind),
+                    allow_stale,
+                    CHECKED_WATCH_SLACK_S if kind in OPERATOR_KINDS else None,
                 )
         except TimeoutError as error:
             if not watch.lists_anew:
--- a/rosemarydeal/platform/store.py
+++ b/rosemarydeal/platform/store.py
@@ -13,6 +13,7 @@
 import structlog
 
 from rosemarydeal.core import Address, CodedError
+from rosemarydeal.core.clock import now
 from rosemarydeal.core.fleet import Revision, StoredObject
 from rosemarydeal.proxy import (
     BytesBody,
@@ -73,13 +74,17 @@
         timeout_s: Timeout of a call, 75 times the usual response time.
         longest_list_timeout_s: Longest timeout of a listing, after others have timed
             out.
-        watch_slack_s: Time added to the wait of a watch to get its timeout.
+        watch_slack_s: Time added to the wait of a watch to get its timeout, unless the
+            caller names another.
+        fast_answer_s: A connection is taken for silent if a new one answers within
+            this time; otherwise the store may only be slow.
     """
 
     address: Address
     timeout_s: float = 0.3
     longest_list_timeout_s: float = 1.2
     watch_slack_s: float = 1.0
+    fast_answer_s: float = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,7 +203,12 @@
             return decode_object(kind, name, reply)
 
     async def watch(
-        self, kind: str, revision: Revision, wait_s: float, stale: bool = False
+        self,
+        kind: str,
+        revision: Revision,
+        wait_s: float,
+        stale: bool = False,
+        slack_s: float | None = None,
     ) -> Listing:
         """Waits for changes of a kind after a revision.
 
@@ -209,6 +219,7 @@
             revision: Revision up to which changes have been received.
             wait_s: Longest wait for a change, in seconds.
             stale: Whether changes may arrive seconds late, at a tenth of the cost.
+            slack_s: Longest time for the answer after the wait, in seconds.
 
         Raises:
             HistoryGone: The store has dropped the history after that revision, or
@@ -218,17 +229,17 @@
         query = f"?watch={revision.number}&wait_ms={int(wait_s * MS_PER_S)}"
         if stale:
             query += STALE_QUERY
-        slack_s = self._settings.watch_slack_s
+        longest_slack_s = self._settings.watch_slack_s
+        timeout_s = wait_s + (slack_s or longest_slack_s)
         after_silence = False
         try:
-            reply = await self._call(
-                "watch", kind, b"GET", query, wait=wait_s + slack_s
-            )
+            reply = await self._call("watch", kind, b"GET", query, wait=timeout_s)
         except StoreTimeout:
             # Only the connection may have fallen silent; this takes a new one.
-            after_silence = True
             query = f"?watch={revision.number}&wait_ms=0"
-            reply = await self._call("watch", kind, b"GET", query, wait=slack_s)
+            asked_at = now()
+            reply = await self._call("watch", kind, b"GET", query, wait=longest_slack_s)
+            after_silence = now() - asked_at < self._settings.fast_answer_s
         if reply.status == GONE:
             raise HistoryGone(f"{kind}: history since {revision} is gone")
         self._check_era(kind, revision)
