--- a/features/monitors.feature
+++ b/features/monitors.feature
@@ -47,5 +47,5 @@
 
   Scenario: A peer that answers nothing on any connection is not taken for a silent link
     Given links from another process alone to a peer that answers
-    When a request waits on the link for 1.2 seconds, as the peer answers nothing
+    When a request waits on the link for 1.7 seconds, as the peer answers nothing
     Then the link is still open, and was tested over another connection
