Ask the next link about lookups too before they count as attempts that may have run

What callers saw: 502 for lookups that reached no server.

Cause: a request that may run again was decided as undecided when its link was lost, and sent over another one at once. As many links fell silent together, the second was lost as well, and the limit of two attempts was reached within 0.1 s.

The scenario of a lookup that waits failed before.

Change: such a request is held for 0.3 s at most. The process at the other end states whether it began; if not, the next attempt costs nothing. A process that listens no more or was replaced ends the hold at once, as for orders.

--- a/features/builders_lost_links.py
+++ b/features/builders_lost_links.py
@@ -108,7 +108,7 @@
 
     async def send_order(self, request_id="r1", arrives=True, **changes):
         """Has the sender pass an order on; returns the task of its outcome."""
-        order = a_routed_request(request_id, idempotent=False, **changes)
+        order = a_routed_request(request_id, **{"idempotent": False} | changes)
         task = asyncio.create_task(self.sender.run_on_peer("guard", order))
         if arrives:
             await self.wait(lambda: request_id in self.permits)
--- a/features/settlement.feature
+++ b/features/settlement.feature
@@ -40,6 +40,18 @@
     Then it does not begin
     And the next order arrives over the new link, and can begin
 
+  Scenario: A lookup that waits when its link is lost may be sent elsewhere at no cost
+    Given a process that passes orders on over a link to another
+    When a lookup waits at the other process
+    And the link is lost
+    Then the order is soon decided as never begun
+
+  Scenario: A lookup is not held for long when its process answers no more
+    Given a process that passes orders on over a link to another
+    When a lookup waits at the other process
+    And the link is lost, and the other process answers no more
+    Then the order is soon undecided
+
   Scenario: An order that had begun stays undecided
     Given a process that passes orders on over a link to another
     When an order has begun at the other process
--- a/features/steps/settlement_links_steps.py
+++ b/features/steps/settlement_links_steps.py
@@ -10,10 +10,16 @@
 from features.builders_fleet_types import a_routed_request
 from features.builders_lost_links import IDLE, STEP_S, EarlierPong, LostLinks
 from features.builders_node import run
+from features.builders_silent_links import silence
 from features.builders_slots import SLOTS, SlotWorld
 from rosemarydeal.core.requests import NotServed, OutcomeUnknown
 from rosemarydeal.node import messages
-from rosemarydeal.node.messages import HEADER_BYTES, Pong, RunRequest
+from rosemarydeal.node.messages import (
+    HEADER_BYTES,
+    Pong,
+    RunRequest,
+    SettleRequests,
+)
 from rosemarydeal.policy.requests.settlement import (
     BEGUN,
     NEVER_BEGUN,
@@ -49,6 +55,41 @@
     context.links.begin()
 
 
+@when("a lookup waits at the other process")
+def step_lookup_waits(context):
+    context.order = run(context, context.links.send_order(idempotent=True))
+
+
+@when("the link is lost, but the other process has yet to read a question on it")
+def step_question_unread(context):
+    async def go():
+        links = context.links
+        (former,) = links.receiver._accepted
+        context.ask = lambda: links.receiver._on_request(
+            former, SettleRequests((), links.sender._last_number)
+        )
+        silence(former)
+        links.lose_link()
+        await links.wait(lambda: links.sender.answers("guard"))
+
+    run(context, go())
+
+
+@when("it reads the question")
+def step_reads_question(context):
+    async def go():
+        context.ask()
+        await asyncio.sleep(5 * STEP_S)
+
+    run(context, go())
+
+
+@then("the order is still running over the link")
+def step_still_running(context):
+    assert not context.order.done(), context.order
+    assert context.links.sender.is_up("guard")
+
+
 @when("an order waits there whose caller leaves in a second")
 def step_short(context):
     links = context.links
--- a/rosemarydeal/node/held_outcomes.py
+++ b/rosemarydeal/node/held_outcomes.py
@@ -26,6 +26,9 @@
 
 __all__ = ["HeldOutcomes", "PendingRequest"]
 
+# Enough to open the next link and to ask over it.
+IDEMPOTENT_HOLD_S = 0.3
+
 _DECISIONS = {NEVER_BEGUN: "never-begun", BEGUN: "begun", PEER_LOST: "unknown"}
 
 _log = structlog.get_logger()
@@ -76,7 +79,8 @@
     ) -> None:
         """Holds the outcomes of the requests that were pending on a link.
 
-        A request that may run again is decided at once, as it needs no statement.
+        One that may run again is held for a short time only: it can be sent elsewhere
+        without a statement, but then counts as an attempt that may have run.
 
         Args:
             node: Node of the peer.
@@ -92,7 +96,9 @@
             until = settlement.give_up_at(
                 pending.sent_at, request.time_left_s, request.cut_s
             )
-            if self._closed or not process or request.idempotent or until <= moment:
+            if request.idempotent:
+                until = min(until, moment + IDEMPOTENT_HOLD_S)
+            if self._closed or not process or until <= moment:
                 pending.future.set_result(PEER_LOST)
                 continue
             timer = loop.call_at(until, self._give_up, (number,), "too-late")
