End only links accepted before the one that asks about lost requests

What callers saw: nothing yet; orders that run on a link would be cut.

Cause: a question about lost requests ended all other links of its sender. If it is read late, over a link that the sender has given up, a newer one is among them.

Each hold of a lookup asks a question, which makes late ones likelier.

Change: links are kept in the order in which they were accepted, and only those before the asking one are ended.

--- a/features/settlement.feature
+++ b/features/settlement.feature
@@ -52,6 +52,13 @@
     And the link is lost, and the other process answers no more
     Then the order is soon undecided
 
+  Scenario: A question over a former link leaves the newer link open
+    Given a process that passes orders on over a link to another
+    When the link is lost, but the other process has yet to read a question on it
+    And an order has begun at the other process
+    And it reads the question
+    Then the order is still running over the link
+
   Scenario: An order that had begun stays undecided
     Given a process that passes orders on over a link to another
     When an order has begun at the other process
--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -108,7 +108,8 @@
         self._process = process
         self._hooks = hooks
         self._links: dict[str, Link] = {}
-        self._accepted: set[FrameConnection] = set()
+        # In the order in which they were accepted.
+        self._accepted: dict[FrameConnection, None] = {}
         self._received = ReceivedRequests()
         self._held = HeldOutcomes()
         self._serving: dict[tuple[FrameConnection, int], asyncio.Task[None]] = {}
@@ -227,7 +228,7 @@
         self._listener = await loop.create_server(
             lambda: FrameConnection(
                 partial(self._handle, self._on_request),
-                self._accepted.add,
+                self._on_accepted,
                 self._on_accepted_closed,
                 self._count_sent,
             ),
@@ -588,7 +589,10 @@
         """States which requests of former links of a peer never begin."""
         statement = self._received.settle(connection.process, numbers, fence)
         for former in list(self._accepted):
-            if former is not connection and former.process == connection.process:
+            # A question may be read after a newer link is up, on which requests run.
+            if former is connection:
+                break
+            if former.process == connection.process:
                 former.abort()
         connection.send(SettledRequests(statement.never, statement.begun))
 
@@ -646,9 +650,13 @@
         if reply is not None:
             connection.send(reply)
 
+    def _on_accepted(self, connection: FrameConnection) -> None:
+        """Keeps a connection that a peer has opened."""
+        self._accepted[connection] = None
+
     def _on_accepted_closed(self, connection: FrameConnection) -> None:
         """Cancels the requests that were served for a closed connection."""
-        self._accepted.discard(connection)
+        self._accepted.pop(connection, None)
         for (owner, _), task in list(self._serving.items()):
             if owner is connection:
                 task.cancel()
