Do not ask for operators' changes that a listing contains

What callers saw: nothing; each process that started after a zone came back would have called the store twice a second for good, since.

Cause: what a process lacks was told by the last change that it received. A listing does not tell when an object that it lacks was deleted, so that peers that saw the deletion seemed newer for good.

Change: a change up to the revision of the own listing isn't lacking.

--- a/features/mutant_list_silent_links.py
+++ b/features/mutant_list_silent_links.py
@@ -38,6 +38,13 @@
         "",
         _scenario("silent_links", "A process asks the store"),
     ),
+    Mutant(
+        "a change asked for that a listing contains",
+        "rosemarydeal/node/records.py",
+        "        return revision > kind_state.last_change and not contained\n",
+        "        return revision > kind_state.last_change\n",
+        _scenario("silent_links", "A process that started after a zone came back"),
+    ),
     Mutant(
         "no link checked for waiting requests",
         SILENCE_CHECK,
--- a/features/silent_links.feature
+++ b/features/silent_links.feature
@@ -35,6 +35,12 @@
     When vm-e gets no message of its readers, and no listing of a peer
     Then the operator's next configuration is in force everywhere within 1.6 seconds
 
+  Scenario: A process that started after a zone came back lacks nothing
+    Given a deployment of 4 VMs whose links can fall silent
+    When a zone is taken out and comes back, and vm-z joins 1 seconds later
+    And 2 seconds pass
+    Then vm-z lacks no change of the operators, and asks nobody for 2 seconds
+
   Scenario: Orders that are sent as links fall silent are answered before their deadline
     Given a deployment of 4 VMs whose links can fall silent
     When all open links fall silent
--- a/features/steps/silent_links_steps.py
+++ b/features/steps/silent_links_steps.py
@@ -18,6 +18,7 @@
 )
 from features.silent_links_soak import run_rounds
 from features.steps.node_store_steps import reject_store_calls
+from rosemarydeal.platform.names import ZONES_OUT_KIND
 
 SETTLE_S = 3.0
 
@@ -125,3 +126,31 @@
     orders = {r: count for r, count in ran.items() if r.startswith("order-")}
     assert set(orders.values()) == {1}, orders
     assert len(orders) == len(context.answers)
+
+
+@when("a zone is taken out and comes back, and vm-z joins {seconds:d} seconds later")
+def step_zone_came_back(context, seconds):
+    deployment = context.deployment
+
+    async def change():
+        deployment.store.put(ZONES_OUT_KIND, "perth-c", {})
+        await asyncio.sleep(seconds)
+        deployment.store.remove(ZONES_OUT_KIND, "perth-c")
+        await asyncio.sleep(seconds)
+        await deployment.join("vm-z")
+
+    run(context, change())
+
+
+@then("vm-z lacks no change of the operators, and asks nobody for {seconds:d} seconds")
+def step_lacks_nothing(context, seconds):
+    node = context.deployment.nodes["vm-z"]
+
+    def asked():
+        listings = {c: n for c, n in node.store.calls.items() if c.operation == "list"}
+        return node._links.sent["FetchObjects"], listings
+
+    before = asked()
+    run(context, asyncio.sleep(seconds))
+    assert node._store_watcher.behind_s == 0.0, node._store_watcher.behind_s
+    assert asked() == before, (asked(), before)
--- a/rosemarydeal/node/catch_up.py
+++ b/rosemarydeal/node/catch_up.py
@@ -95,7 +95,7 @@
 
     def _is_open(self, kind: str, gap: _Gap) -> bool:
         """Returns whether this process still lacks what closes a gap."""
-        return self._records.last_change(kind) < gap.revision
+        return self._records.lacks(kind, gap.revision)
 
     async def _close(self, kind: str, gap: _Gap) -> None:
         """Obtains a kind from peers and the store by turns."""
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -220,6 +220,16 @@
         """Returns the revision of the last change received of a kind."""
         return self._kinds[kind].last_change
 
+    def lacks(self, kind: str, revision: Revision) -> bool:
+        """Returns whether this process may lack the change of a kind at a revision.
+
+        A listing contains the changes before it, but does not tell when objects that
+        it lacks were deleted.
+        """
+        kind_state = self._kinds[kind]
+        contained = kind_state.listed and revision <= kind_state.revision
+        return revision > kind_state.last_change and not contained
+
     def stored(self, kind: str, name: str) -> StoredObject | None:
         """Returns an object of the present era; a deleted one has no content."""
         return self._kinds[kind].objects.get(name)
--- a/rosemarydeal/node/store_watch.py
+++ b/rosemarydeal/node/store_watch.py
@@ -288,7 +288,8 @@
                 self._fetch_after_restore(kind, source)
                 continue
             if kind in OPERATOR_KINDS:
-                self._catch_up.note(kind, source, peer_revision)
+                if self._records.lacks(kind, peer_revision):
+                    self._catch_up.note(kind, source, peer_revision)
                 continue
             lag = self._lags.get(kind)
             if lag is None or own_revision >= lag.peer_revision:
