--- a/features/builders_node.py
+++ b/features/builders_node.py
@@ -71,6 +71,8 @@
     """Runs nodes with their upstreams; every VM has a loopback address."""
 
     endpoint_type = StandInEndpoint
+    # Time until all keys are served after the start.
+    start_s = 8.0
 
     def __init__(
         self, count, work_s=0.01, carrier=GrantCarrier.CALL, stutter_seed=None
@@ -97,7 +99,8 @@
             await self.start_node(name)
             await self.start_endpoint(name)
         self.first_start = False
-        await self.wait(lambda: all(self.serves(key) for key in self.sample()))
+        served = lambda: all(self.serves(key) for key in self.sample())  # noqa: E731
+        await self.wait(served, self.start_s)
 
     def zone(self, name):
         return "perth-a" if self._names.index(name) % 2 == 0 else "perth-b"
--- a/features/builders_silent_links.py
+++ b/features/builders_silent_links.py
@@ -21,6 +21,7 @@
 
 SILENCE = signal.SIGUSR1
 POLL_S = 0.02
+START_S_PER_PROGRAM = 1.0
 
 
 def silence(connection: FrameConnection) -> None:
@@ -78,6 +79,8 @@
     def __init__(self, count, directory, **settings):
         super().__init__(count, directory, **settings)
         self._names = [f"vm-{number:02d}" for number in range(count)]
+        # The programs start one after the other on one machine.
+        self.start_s = max(self.start_s, START_S_PER_PROGRAM * count)
         self._version = 1
 
     def silence_links(self, count):
--- a/features/silent_links.feature
+++ b/features/silent_links.feature
@@ -46,3 +46,9 @@
     When all open links fall silent
     And each VM sends an order for a key of each other one, with 1.7 seconds left
     Then all orders are answered 200 and ran once
+
+  Scenario: An upstream that drains as links fall silent gets no later requests
+    Given a deployment of 4 VMs whose links can fall silent
+    When all open links fall silent
+    And requests continue while the upstream of vm-b drains
+    Then vm-b holds no key, and got no request from 2 seconds after its acknowledgement
