--- a/rosemarydeal/node/detour.py
+++ b/rosemarydeal/node/detour.py
@@ -62,7 +62,7 @@
             _log.info("peer_detour_failed", address=str(address), detail=repr(error))
             return False
         try:
-            # Frames of strangers are short.
+            # Named in log lines; the peer itself sends no name.
             connection.peer = str(address)
             for message in (*messages, Ping(self._hooks.known_revisions())):
                 connection.send(message)
