Name in the log on what proof keys are taken from an owner

Cause: table_written gave the reasons upstream-gone and owner-gone, each of which stands for several proofs of an end, without the time or the source of the proof.

Change: a change of the table carries its proofs: lease-expired, retired, address-taken, upstream-ended, grants-expired, with the member, the age and the source of each.

Evidence: features/end_proofs.feature, 3 of 3 rows pass; the field is new, so that all failed before.

--- /dev/null
+++ b/features/end_proofs.feature
@@ -0,0 +1,12 @@
+Feature: Keys are taken without a release only from owners that have ended
+
+  Scenario Outline: The line on a table that takes keys does not name what the end of their owner rests on
+    Given a deployment of 3 VMs
+    When keys are taken as <end>
+    Then the line "table_written" names vm-b, the basis "<basis>", its age and "<source>"
+
+    Examples:
+      | end                                        | basis          | source            |
+      | the upstream of vm-b crashes               | upstream-ended | its incarnation   |
+      | another VM joins at the address of vm-b    | address-taken  | vm-x              |
+      | the process and the upstream of vm-b crash | lease-expired  | the one suspecting |
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -40,6 +40,7 @@
     proposals,
 )
 from rosemarydeal.policy.keyranges import table as tables
+from rosemarydeal.policy.keyranges.end_proofs import EndBasis, EndProof
 from rosemarydeal.policy.keyranges.grant_terms import GrantTerms
 from rosemarydeal.policy.keyranges.restored_ranges import RestoredRanges
 from rosemarydeal.policy.keyranges.suspicion_backoff import SuspicionBackoff
@@ -457,7 +458,8 @@
         proposal = proposals.propose(base.table, view)
         match proposal:
             case proposals.WriteTable(changed, reason):
-                self._start_write(TableChange(base, changed, reason))
+                proofs = self._end_proofs(base.table, changed, reason, moment)
+                self._start_write(TableChange(base, changed, reason, proofs))
             case proposals.HandOver(transfers):
                 self._start_hand_over(transfers)
             case None if self._unsettled.pending and base.current:
@@ -467,6 +469,41 @@
             case None:
                 self._balance(moment, view)
 
+    def _end_proofs(
+        self, base: RangeTable | None, changed: RangeTable, reason: str, moment: float
+    ) -> tuple[EndProof, ...]:
+        """Returns why the owners that a change takes keys from have ended."""
+        if reason == proposals.UPSTREAM_GONE:
+            return (self._end_of_own_upstream(moment),)
+        if reason != proposals.OWNER_GONE:
+            return ()
+        remaining = {keys.node for keys in changed.ranges}
+        former = sorted({keys.node for keys in base.ranges} - remaining)
+        return tuple(self._end_of_owner(node, moment) for node in former)
+
+    def _end_of_own_upstream(self, moment: float) -> EndProof:
+        """Returns why the own upstream holds no keys any more."""
+        state = self._watch.state
+        basis = EndBasis.GRANTS_EXPIRED if state.silent else EndBasis.UPSTREAM_ENDED
+        age_s = moment - state.gone_at
+        return EndProof(self._identity.node, basis, age_s, state.incarnation)
+
+    def _end_of_owner(self, node: str, moment: float) -> EndProof:
+        """Returns why another owner does not use its keys any more."""
+        if node in self._removed_since and self._has_ended(node):
+            age_s = moment - self._removed_since[node]
+            successor = self._records.successor(node)
+            if successor is not None:
+                return EndProof(node, EndBasis.ADDRESS_TAKEN, age_s, successor)
+            return EndProof(node, EndBasis.RETIRED, age_s, node)
+        suspicions = self.table.suspicions if self.table is not None else ()
+        by = next((s.by for s in suspicions if s.node == node), "")
+        first = min(
+            (since for (name, _), since in self._suspicions.items() if name == node),
+            default=moment,
+        )
+        return EndProof(node, EndBasis.LEASE_EXPIRED, moment - first, by)
+
     def _start_write(self, change: TableChange) -> None:
         """Starts to write a proposed table."""
         self._writing = True
--- a/rosemarydeal/node/table_writer.py
+++ b/rosemarydeal/node/table_writer.py
@@ -63,7 +63,12 @@
         except StoreConflict as conflict:
             return self._result_of_conflict(change, conflict)
         except StoreError as error:
-            _log.warning("table_not_written", reason=reason, detail=error.detail)
+            _log.warning(
+                "table_not_written",
+                reason=reason,
+                detail=error.detail,
+                **_proof_fields(change),
+            )
             return WriteResult.UNKNOWN
         if stored.revision.era != changed.era:
             # The table of the present era has another name.
@@ -75,6 +80,7 @@
             revision=stored.revision,
             top_token=changed.top_token,
             ranges=len(changed.ranges),
+            **_proof_fields(change),
         )
         self._send_to_peers(change, stored)
         return WriteResult.WRITTEN
@@ -141,3 +147,10 @@
             return
         delta = TableDelta.of(base.revision, stored.revision, base.table, changed)
         self._links.broadcast(delta)
+
+
+def _proof_fields(change: TableChange) -> dict[str, object]:
+    """Returns the fields of a log line on what ends of owners a change rests on."""
+    if not change.proofs:
+        return {}
+    return {"proofs": [proof.log_fields() for proof in change.proofs]}
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -79,6 +79,7 @@
         alive: Whether it is considered to be running.
         silent: Whether it is considered to be gone only because it has missed
             announcements, so that it may still run.
+        gone_at: When it was found to be gone, None while it runs.
     """
 
     announcement: Announcement
@@ -86,6 +87,7 @@
     leaving_since: float | None
     alive: bool
     silent: bool = False
+    gone_at: float | None = None
 
     @property
     def incarnation(self) -> str:
@@ -158,14 +160,14 @@
             _log.warning(
                 "upstream_gone", incarnation=incarnation, reason="connect-failed"
             )
-            self._update(replace(state, alive=False, silent=False))
+            self._update(replace(state, alive=False, silent=False, gone_at=now()))
 
     def report_unreachable(self, incarnation: str) -> None:
         """Marks an incarnation as gone that accepts no connection but may still run."""
         state = self._state
         if self.is_current(incarnation) and state.alive:
             _log.warning("upstream_gone", incarnation=incarnation, reason="unreachable")
-            self._update(replace(state, alive=False, silent=True))
+            self._update(replace(state, alive=False, silent=True, gone_at=now()))
 
     def report_call_refused(self) -> None:
         """Marks the upstream as gone if it has missed announcements as well."""
@@ -192,7 +194,7 @@
                 reason="silent",
                 unresponsive_s=now() - state.last_heartbeat_at,
             )
-            self._update(replace(state, alive=False, silent=True))
+            self._update(replace(state, alive=False, silent=True, gone_at=now()))
 
     def _apply_announcement(self, new: Announcement) -> CallResult:
         """Applies an announcement unless it is old or another upstream's."""
--- a/rosemarydeal/policy/keyranges/proposals.py
+++ b/rosemarydeal/policy/keyranges/proposals.py
@@ -29,8 +29,10 @@
 
 __all__ = [
     "HandOver",
+    "OWNER_GONE",
     "OwnershipView",
     "RestoredTable",
+    "UPSTREAM_GONE",
     "WriteTable",
     "eligible_owners",
     "propose",
@@ -38,6 +40,9 @@
     "still_owned",
 ]
 
+# Reasons of changes that take keys from an owner without its release.
+UPSTREAM_GONE = "upstream-gone"
+OWNER_GONE = "owner-gone"
 # Members of a starting deployment appear within a second or two.
 STARTUP_SETTLE_S = 1.2
 # A restarted process is back sooner, and a healthy peer does not pause for longer.
@@ -302,7 +307,7 @@
         return None
     if not view.alive and not view.may_hold:
         changed = tables.reassign(table, owned, eligible, view.writer)
-        return WriteTable(changed, "upstream-gone")
+        return WriteTable(changed, UPSTREAM_GONE)
     return HandOver(tuple(tables.assign_evenly(table, owned, eligible)))
 
 
@@ -341,7 +346,7 @@
     changed = tables.reassign(table, orphaned, eligible, view.writer)
     for node in former_owners:
         changed = tables.remove_suspicion(changed, node, view.writer)
-    return WriteTable(changed, "owner-gone")
+    return WriteTable(changed, OWNER_GONE)
 
 
 def _suspect(table: RangeTable, view: OwnershipView, own: Member | None) -> Proposal:
--- a/rosemarydeal/policy/keyranges/table_changes.py
+++ b/rosemarydeal/policy/keyranges/table_changes.py
@@ -12,6 +12,8 @@
 
 from rosemarydeal.core.fleet import RangeTable, Revision
 
+from .end_proofs import EndProof
+
 __all__ = ["TableBase", "TableChange", "WriteResult"]
 
 
@@ -56,11 +58,14 @@
         base: What it was computed from.
         table: The changed table.
         reason: Why it is changed, for the log.
+        proofs: Why the owners that lose keys without a release are certain to have
+            ended.
     """
 
     base: TableBase
     table: RangeTable
     reason: str
+    proofs: tuple[EndProof, ...] = ()
 
     @property
     def lowers_token(self) -> bool:
