Take an upstream for ended only once it keeps no connection open

What callers could see: two upstreams hold the same keys while one of them is still at work on a request of these keys.

Cause: a refused connection counted as proof that the upstream has ended, so that its keys were given to others at once. An upstream that ends in order closes its listening socket first and completes its work. The grants that it held were forgotten, too.

Evidence: features/end_proofs.feature, "An upstream that works on behind a closed listening socket counts as ended": 2 of 2 rows failed before, 2 of 2 pass.

Change: after a refused connection the upstream may still run as long as any connection to it stands. A process that crashes loses all its connections with its listening socket.

--- a/features/end_proofs.feature
+++ b/features/end_proofs.feature
@@ -10,3 +10,15 @@
       | the upstream of vm-b crashes               | upstream-ended | its incarnation   |
       | another VM joins at the address of vm-b    | address-taken  | vm-x              |
       | the process and the upstream of vm-b crash | lease-expired  | the one suspecting |
+
+  Scenario Outline: An upstream that works on behind a closed listening socket counts as ended
+    Given a deployment of 3 <VMs>
+    When the upstream of vm-b closes its listening socket, and works on a request for 3 s
+    Then no key was ever held by two upstreams
+    And that request is answered
+    And all keys are served again within 8 seconds
+
+    Examples:
+      | VMs                                   |
+      | VMs                                   |
+      | VMs whose heartbeats carry the grants |
--- a/rosemarydeal/node/process.py
+++ b/rosemarydeal/node/process.py
@@ -99,7 +99,9 @@
             self._links,
             self._failures,
         )
-        self._watch = UpstreamWatch(identity, self._on_upstream_changed)
+        self._watch = UpstreamWatch(
+            identity, self._on_upstream_changed, lambda: self._client.is_connected
+        )
         self._ownership = Ownership(
             identity,
             self._records,
--- a/rosemarydeal/node/upstream.py
+++ b/rosemarydeal/node/upstream.py
@@ -77,8 +77,9 @@
         last_heartbeat_at: Time of its last announcement or departure.
         leaving_since: When it first announced that it leaves, None if it stays.
         alive: Whether it is considered to be running.
-        silent: Whether it is considered to be gone only because it has missed
-            announcements, so that it may still run.
+        silent: Whether it is considered to be gone and may still run: it has only
+            missed announcements, or keeps connections open.
+        refused: Whether it has refused a connection.
         gone_at: When it was found to be gone, None while it runs.
     """
 
@@ -87,6 +88,7 @@
     leaving_since: float | None
     alive: bool
     silent: bool = False
+    refused: bool = False
     gone_at: float | None = None
 
     @property
@@ -107,15 +109,18 @@
         self,
         identity: NodeIdentity,
         on_change: Callable[[UpstreamState, UpstreamState | None], None],
+        is_connected: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates a watch without an upstream.
 
         Args:
             identity: This process.
             on_change: Called with the new and the previous state.
+            is_connected: Returns whether the upstream keeps connections open.
         """
         self._identity = identity
         self._on_change = on_change
+        self._is_connected = is_connected
         self._state: UpstreamState | None = None
         self._former: deque[str] = deque(maxlen=FORMER_INCARNATIONS)
         self._candidate: _Candidate | None = None
@@ -154,13 +159,25 @@
         return CallResult.APPLIED
 
     def report_connect_failed(self, incarnation: str) -> None:
-        """Marks an incarnation as gone, since it refused a connection."""
+        """Marks an incarnation as gone, since it refused a connection.
+
+        One that has closed its listening socket completes its work first: it has ended
+        once it keeps no connection open.
+        """
         state = self._state
-        if self.is_current(incarnation) and (state.alive or state.silent):
-            _log.warning(
-                "upstream_gone", incarnation=incarnation, reason="connect-failed"
-            )
-            self._update(replace(state, alive=False, silent=False, gone_at=now()))
+        if not self.is_current(incarnation) or not (state.alive or state.silent):
+            return
+        connected = self._is_connected()
+        if connected and state.refused and not state.alive:
+            return
+        _log.warning(
+            "upstream_gone",
+            incarnation=incarnation,
+            reason="connect-failed",
+            connected=connected,
+        )
+        gone = replace(state, alive=False, silent=connected, refused=True)
+        self._update(replace(gone, gone_at=now()))
 
     def report_unreachable(self, incarnation: str) -> None:
         """Marks an incarnation as gone that accepts no connection but may still run."""
@@ -183,9 +200,16 @@
             self._update(replace(state, leaving_since=self._note_leaving(incarnation)))
 
     def check_heartbeat(self) -> None:
-        """Marks the upstream as gone if it has missed too many announcements."""
+        """Marks the upstream as gone if it has missed too many announcements.
+
+        One that has refused connections has ended once its last connection has.
+        """
         state = self._state
-        if state is None or not state.alive:
+        if state is None:
+            return
+        if not state.alive:
+            if state.silent and state.refused and not self._is_connected():
+                self.report_connect_failed(state.incarnation)
             return
         if self._missed_periods(state) > GONE_AFTER_PERIODS:
             _log.warning(
--- a/rosemarydeal/platform/upstream.py
+++ b/rosemarydeal/platform/upstream.py
@@ -120,6 +120,13 @@
         self._call_numbers = itertools.count(1)
         self._buffers = BodyBuffers(ANSWER_BUDGET_BYTES)
 
+    @property
+    def is_connected(self) -> bool:
+        """Returns whether the upstream keeps any connection open."""
+        return any(
+            pool.is_connected(self._address) for pool in (self._pool, self._calls)
+        )
+
     async def grant(
         self,
         keys: KeyRange,
--- a/rosemarydeal/proxy/client.py
+++ b/rosemarydeal/proxy/client.py
@@ -76,6 +76,16 @@
         pool = self._pools.get(address)
         return pool.open_count if pool is not None else 0
 
+    def is_connected(self, address: Address) -> bool:
+        """Returns whether any connection to an address was not ended by the peer.
+
+        One that is being opened counts.
+        """
+        pool = self._pools.get(address)
+        if pool is None:
+            return False
+        return pool.open_count > sum(idle.ended for idle, _ in pool.idle)
+
     async def send(
         self,
         address: Address,
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -130,10 +130,15 @@
         """Returns the upstream's address."""
         return self._address
 
+    @property
+    def ended(self) -> bool:
+        """Returns whether an idle connection was closed by either side."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
     @property
     def stale(self) -> bool:
         """Returns whether an idle connection was closed or received any bytes."""
-        if self._reader.at_eof() or self._writer.is_closing():
+        if self.ended:
             return True
         return self._exchanges > 0 and bool(self._poll.poll(0))
 
