Take a removed member for ended only if it has stated its end

What callers could see: two upstreams hold the same keys, as the owner of one drains and its member is removed by another writer, or late.

Cause: an owner whose member was removed counted as ended if the member did not accept work. One that drains doesn't either, and uses its keys until it has handed them over.

Change: a process that retires writes into its member that it has ended, and then removes it. Only the removal of such a member proves an end; any other one is suspected, and its keys are taken once its lease has run out. Price: one write to the store for each VM that leaves for good.

--- a/features/end_proofs.feature
+++ b/features/end_proofs.feature
@@ -22,3 +22,19 @@
       | VMs                                   |
       | VMs                                   |
       | VMs whose heartbeats carry the grants |
+
+  Scenario: An owner that drains counts as ended once another writer removes its member
+    Given a deployment of 3 VMs
+    When the member of vm-b is removed, while its upstream drains and it can't write it again for 4 s
+    Then no key was ever held by two upstreams
+    And all keys are served again within 8 seconds
+
+  Scenario: An upstream counts as ended as its VM is given another name
+    Given a deployment of 3 VMs
+    When the process of vm-b starts again under another name, beside the same upstream, which drains
+    Then no key was ever held by two upstreams
+    And all keys are served again within 14 seconds
+
+  Scenario: A process that starts with a lower longest hold does not wait for what its predecessor granted
+    When a process starts with a longest hold of 0.2 s in its settings
+    Then its upstream may hold keys of a predecessor for 5 s
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -341,6 +341,8 @@
         leaving: Whether the upstream has said that it leaves.
         renewals: How often it was written again because another member named its
             address.
+        ended: Whether its process has stated that it grants no keys any more, and
+            that its upstream holds none.
     """
 
     node: str
@@ -355,6 +357,7 @@
     pace: float = 1.0
     leaving: bool = False
     renewals: int = 0
+    ended: bool = False
 
     @property
     def weight(self) -> float:
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -97,6 +97,7 @@
     pace: Pace = 1.0
     leaving: bool = False
     renewals: Count = 0
+    ended: bool = False
 
     def to_member(self) -> Member:
         """Returns the member."""
--- a/rosemarydeal/node/membership.py
+++ b/rosemarydeal/node/membership.py
@@ -72,6 +72,7 @@
         self._renewed_at = -RENEWAL_PAUSE_S
         self._changed = asyncio.Event()
         self._stopping = False
+        self._ended = False
 
     @property
     def _may_write(self) -> bool:
@@ -132,11 +133,10 @@
         While the upstream is alive, the member tells the next process that it leaves.
         """
         node = self._identity.node
-        published = self._records.stored_member(node)
         alive = self._watch.state is not None and self._watch.state.alive
-        if alive or (published is not None and published.accepting):
-            # The removal of a member that accepts work does not prove its end.
-            await self._write(self._own_member())
+        self._ended = not alive
+        # The removal alone would not prove the end.
+        await self._write(self._own_member())
         if alive:
             return
         try:
@@ -229,6 +229,7 @@
             pace=self._slowdown or 1.0,
             leaving=state is not None and state.leaving_since is not None,
             renewals=self._renewals,
+            ended=self._ended,
         )
 
     async def _probe_slowdown(self) -> float:
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -268,13 +268,13 @@
         return self.listed(MEMBERS) and self.revision(MEMBERS) >= revision
 
     def has_retired(self, node: str) -> bool:
-        """Returns whether a removed member is known to have accepted nothing before.
+        """Returns whether a removed member had stated its end before.
 
-        One that accepted work may be alive: a removal that was sent while it was
-        unreachable may be carried out after its return.
+        Any other one may be alive, and use keys: a removal that was sent while it was
+        unreachable may be carried out after its return, also while it drains.
         """
         member = self._former_members.get(node)
-        return member is not None and not member.accepting
+        return member is not None and member.ended
 
     def successor(self, node: str) -> str | None:
         """Returns the newest later member at a member's address, if there is one.
