Take no upstream for ended because its VM has another name

What callers could see: two upstreams hold the same keys for up to 5 s after the process beside one of them has started again under another node name.

Cause: an owner counts as ended once another process answers at its address. That proves the end of its process, and not that of its upstream, which may be the same and hold what the former process granted.

Evidence: features/end_proofs.feature, "An upstream counts as ended as its VM is given another name" failed before and passes.

--- a/features/steps/end_proofs_steps.py
+++ b/features/steps/end_proofs_steps.py
@@ -152,8 +152,11 @@
         deployment.endpoints["vm-b"].state = "draining"
         deployment._names[deployment._names.index("vm-b")] = "vm-x"
         deployment.hosts["vm-x"] = deployment.hosts.pop("vm-b")
+        endpoint = deployment.endpoints["vm-b"]
         await deployment.start_node("vm-x")
         await asyncio.sleep(OBSERVED_S)
+        # Until its last grant has run out.
+        await deployment.wait(lambda: not any(map(endpoint.held, deployment.sample())))
 
     run(context, go())
 
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -627,12 +627,32 @@
         """Returns whether an owner whose member is missing is certain to have ended.
 
         It has retired, or another process answers at its address. Anyone may write a
-        member with a foreign address, so that the member alone proves nothing.
+        member with a foreign address, so that the member alone proves nothing. A VM
+        with a new name may still have the upstream to which the owner granted keys.
         """
         successor = self._records.successor(node)
         if successor is None:
             return self._records.has_retired(node)
-        return self._links.is_confirmed(successor)
+        if not self._links.is_confirmed(successor):
+            return False
+        if self._has_other_upstream(successor, node):
+            return True
+        longest_s = ownership_lease.longest_hold(self._identity.bounds.max_hold_s)
+        return now() - self._removed_since.get(node, now()) > longest_s
+
+    def _has_other_upstream(self, successor: str, node: str) -> bool:
+        """Returns whether the upstream of a successor is none that owns a node's keys.
+
+        It is not known before its first announcement.
+        """
+        member = self._records.members.get(successor)
+        table = self.table
+        if member is None or table is None or not member.incarnation:
+            return False
+        if member.service != table.service:
+            return True
+        owned = tables.owned_by(table, node)
+        return all(keys.incarnation != member.incarnation for keys in owned)
 
     def _balance(self, moment: float, view: proposals.OwnershipView) -> None:
         """Hands keys over if that balances the load."""
--- a/rosemarydeal/policy/keyranges/ownership_lease.py
+++ b/rosemarydeal/policy/keyranges/ownership_lease.py
@@ -19,9 +19,11 @@
 
 __all__ = [
     "LEASE_S",
+    "MAX_GRANT_S",
     "OwnershipLease",
     "grant_duration",
     "lease_expiry",
+    "longest_hold",
     "renew",
     "renewal_period",
     "shared_read_delay",
@@ -100,6 +102,16 @@
     return max(0.0, min(remaining_s, MAX_GRANT_S, max_hold_s))
 
 
+def longest_hold(max_hold_s: float) -> float:
+    """Returns how long an upstream may hold keys after a grant arrived, in seconds.
+
+    Args:
+        max_hold_s: Longest duration of a grant. Another process may have had a lower
+            or a higher one in its settings.
+    """
+    return max(max_hold_s, MAX_GRANT_S) * (1.0 + CLOCK_DRIFT)
+
+
 def takeover_wait() -> float:
     """Returns the age of a suspicion, in seconds, at which its keys may be taken."""
     return LEASE_S * (1.0 + CLOCK_DRIFT) + SAFETY_MARGIN_S
