--- a/features/end_proofs.feature
+++ b/features/end_proofs.feature
@@ -34,3 +34,7 @@
     When the process of vm-b starts again under another name, beside the same upstream, which drains
     Then no key was ever held by two upstreams
     And all keys are served again within 14 seconds
+
+  Scenario: A process that starts with a lower longest hold does not wait for what its predecessor granted
+    When a process starts with a longest hold of 0.2 s in its settings
+    Then its upstream may hold keys of a predecessor for 5 s
