Accept no answer with a status outside 200 to 599

Cause: the HTTP library accepts statuses up to 999, and nothing checked them after it. With Not-Executed, such an answer also counted as proof that the request has not run.

Change: the client of upstreams, which all other clients share, takes such a response for broken, so that the outcome is unknown (502). So is that of a peer's reply with one.

--- a/rosemarydeal/node/links.py
+++ b/rosemarydeal/node/links.py
@@ -472,7 +472,7 @@
         match message:
             case AnswerReply():
                 _record_load(link, message.load)
-                self._complete(link, message.number, message.to_answer())
+                self._complete(link, message.number, message.to_outcome())
             case NotServedReply(number, outcome, load) | OutcomeUnknownReply(
                 number, outcome, load
             ):
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -63,6 +63,7 @@
 
 HEADER_BYTES = 4
 MAX_MESSAGE_BYTES = 80 * 1024 * 1024
+FINAL_STATUSES = range(200, 600)
 
 
 class _Base(msgspec.Struct, frozen=True, array_like=True):
@@ -166,8 +167,13 @@
             answer.leaving_incarnation,
         )
 
-    def to_answer(self) -> Answered:
-        """Returns the answer, of whose load only the slowdown is transmitted."""
+    def to_outcome(self) -> Answered | OutcomeUnknown:
+        """Returns the answer, of whose load only the slowdown is transmitted.
+
+        One whose status is not valid is no answer.
+        """
+        if self.status not in FINAL_STATUSES:
+            return OutcomeUnknown("response-broken")
         load = None
         if self.slowdown_percent:
             load = UpstreamLoad(0, 0, 0, self.slowdown_percent / 100.0)
--- a/rosemarydeal/proxy/client_connection.py
+++ b/rosemarydeal/proxy/client_connection.py
@@ -41,6 +41,8 @@
 MAX_SKIPPED_RESPONSES = 16
 SWITCHING_PROTOCOLS = 101
 SUCCESSES = range(200, 300)
+# The library accepts up to 999; RFC 9110, section 15, defines none above 599.
+MAX_STATUS = 599
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,6 +311,8 @@
                 raise ConnectionResetError("the upstream closed the connection")
             head, headers = await self._stream.read_head()
             check_spliced_head(head.reason, headers)
+            if head.status_code > MAX_STATUS:
+                raise BadMessage(f"the status {head.status_code} is not valid")
             if type(head) is h11.Response:
                 if not self._is_late_copy(request, head, headers):
                     return head, headers
