Read the history of a table before it is used after a gap

What callers could see: a key goes to an upstream under a token that is not above the one under which another had it, or two upstreams hold it at once.

Cause: a process that has restarted, or has missed changes, takes whatever the store holds for the present table. If another writer has put a former content back, its owners take their keys again under old tokens; those that know the later table are not asked. Class: a state without proof that it follows the last known one is taken for the present one.

Change: each table names the revision that it was written over. A process that does not have that one, and has not been told of the write by the writer itself, reads the store's changes since the last table that it is sure of, before it renews its lease or writes a table; a peer reads them for it if the store rejects its calls. That keeps out what the content can't show, and costs one call after each gap. A store that has dropped the history is believed, as before (table_history_gone).

The expected tables in records_steps.py state their base, as the writer's do.

--- a/features/restored_world.py
+++ b/features/restored_world.py
@@ -21,6 +21,7 @@
 from features.builders_tables import undone_ranges
 from rosemarydeal.core.fleet import (
     KeyRange,
+    ObjectOrigin,
     RangeTable,
     Revision,
     StoredObject,
@@ -96,6 +97,8 @@
         self.copy = (1, {})
         # Contents before the last ones, by name.
         self.former: dict[str, bytes] = {}
+        # All changes of the present era.
+        self.history: list[StoredObject] = []
 
     @property
     def table(self) -> RangeTable | None:
@@ -110,6 +113,7 @@
     def restore(self):
         self.number, objects = self.copy
         self.era += 1
+        self.history = []
         self.objects = {
             name: replace(stored, revision=Revision(self.era, stored.revision.number))
             for name, stored in objects.items()
@@ -120,6 +124,11 @@
         revision = Revision(self.era, self.number)
         return Listing(tuple(self.objects.values()), revision)
 
+    def changes(self, since):
+        """Returns the changes of the present era since a revision."""
+        changes = [stored for stored in self.history if stored.revision > since]
+        return Listing(tuple(changes), Revision(self.era, self.number))
+
     def write(self, name, content, number):
         """Writes if the stored revision number is the given one; ignores the era."""
         old = self.objects.get(name)
@@ -133,6 +142,7 @@
         """Writes an object, or removes it without a content, under no condition."""
         self.number += 1
         stored = StoredObject(RANGES, name, Revision(self.era, self.number), content)
+        self.history.append(stored)
         replaced = self.objects.pop(name, None)
         if replaced is not None:
             self.former[name] = replaced.content
@@ -282,10 +292,12 @@
             self.now += self.pace.step_s * self.rng.uniform(0.2, 1.5)
             self.disturb()
             self.carry_out_late()
-            for _, name, stored in [d for d in self.deliveries if d[0] <= self.now]:
+            for _, name, stored, origin in [
+                d for d in self.deliveries if d[0] <= self.now
+            ]:
                 node = self.nodes[name]
                 if self.now >= node.cut_until:
-                    node.records.apply(stored, changed=True)
+                    node.records.apply(stored, changed=True, origin=origin)
                     node.update(self.now)
             self.deliveries = [d for d in self.deliveries if d[0] > self.now]
             for node in self.rng.sample(list(self.nodes.values()), len(NODES)):
@@ -350,6 +362,7 @@
         self.hear(node)
         if self.reaches_store(node):
             self.read(node)
+            self.read_history(node)
         if node.alive:
             self.grant(node)
         if node.change is not None:
@@ -364,6 +377,7 @@
             and self.now >= node.answer_until
             and self.reaches_store(node)
             and node.records.listed(RANGES)
+            and node.records.is_table_proved(SERVICE)
         )
 
     def hear(self, node):
@@ -389,11 +403,20 @@
                 node.barrier.note_position(stored.revision)
                 node.records.apply(stored)
             node.update(self.now)
-            if found and not node.is_outdated():
+            self.read_history(node)
+            proved = node.records.is_table_proved(SERVICE)
+            if found and proved and not node.is_outdated():
                 node.renewed_lease = ownership_lease.renew(
                     node.renewed_lease, node.table, node.name, self.now
                 )
 
+    def read_history(self, node):
+        """Reads the changes that are missing before the known table, if any."""
+        since = node.records.table_history_since(SERVICE)
+        if since is not None and since.era == self.store.era:
+            node.records.apply_table_history(SERVICE, self.store.changes(since))
+            node.update(self.now)
+
     def grant(self, node):
         """Grants the usable ranges to the upstream for as long as the lease allows."""
         hold_s = ownership_lease.grant_duration(node.lease, self.now, MAX_HOLD_S)
@@ -539,7 +562,8 @@
     def send(self, node):
         """Writes the change of a node under the revision that it was computed from."""
         change, node.change = node.change, None
-        outdated = not node.base.current and not change.restores
+        usable = node.base.current and node.base.proved
+        outdated = not usable and not change.restores
         other_era = change.table.era != node.base.era
         if not self.reaches_store(node) or other_era or outdated:
             node.unsettled.end(change, WriteResult.NOT_WRITTEN)
@@ -547,7 +571,8 @@
         name = table_name(SERVICE, change.table.era)
         number = change.base.revision.number
         reservation = encode_reservation(change.restores)
-        content = encode_table(change.table) if number else reservation
+        based = replace(change.table, base=number)
+        content = encode_table(based) if number else reservation
         late_part = 0.5 if self.now < self.slow_until else self.late_part
         if self.rng.random() < late_part:
             late_s = self.rng.uniform(0.5, 6.0)
@@ -562,7 +587,7 @@
         if stored is None:
             node.unsettled.end(change, WriteResult.NOT_WRITTEN)
             return
-        node.records.apply(stored, changed=True)
+        node.records.apply(stored, changed=True, origin=ObjectOrigin.WRITE)
         node.update(self.now)
         if number and not change.restores:
             node.moving = ()
@@ -582,10 +607,11 @@
 
     def tell(self, stored, writer=None):
         """Lets the others learn of a write, most of them and late."""
+        origin = ObjectOrigin.PEER_OBJECT if writer else ObjectOrigin.WATCH
         for name in NODES:
             if name != writer and self.rng.random() < 0.7:
                 delay_s = self.rng.choice((0.01, 0.5, 3.0))
-                self.deliveries.append((self.now + delay_s, name, stored))
+                self.deliveries.append((self.now + delay_s, name, stored, origin))
 
     def check(self):
         """Checks that no key is held by two upstreams."""
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -42,7 +42,8 @@
     members = [a_member(f"n{i}") for i in range(4)]
     context.tables = [tables.initial_table(SERVICE, members, "w")]
     for number in range(3):
-        context.tables.append(transferred(context.tables[-1], number, members[3]))
+        moved = transferred(context.tables[-1], number, members[3])
+        context.tables.append(replace(moved, base=revision(number).number))
     context.deltas = [
         TableDelta.of(revision(i), revision(i + 1), old, new)
         for i, (old, new) in enumerate(
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -34,8 +34,9 @@
 DAMAGED = Pace(damaged_part=0.01)
 REMOVED = Pace(removed_part=0.01)
 REMOVED_OFTEN = Pace(removed_part=0.03, late=(0.4, 0.5))
-# A process that has restarted since can't tell that the table was put back.
 REVERTED = Pace(reverted_part=0.01, restart_part=0.0)
+# Processes that restart, or are cut off, learn nothing of the change before.
+REVERTED_OFTEN = Pace(reverted_part=0.01, restore_part=0.0, late=(0.0, 0.0))
 # The lost writes are more than those after the restore.
 LOST_VERSION = 12
 
@@ -476,6 +477,7 @@
         "removed": REMOVED,
         "removed often": REMOVED_OFTEN,
         "reverted": REVERTED,
+        "reverted, and processes restart or are cut off": REVERTED_OFTEN,
     }[replaced]
     times = served = 0
     for seed in range(count):
--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -561,6 +561,75 @@
     run(context, go())
 
 
+@when(
+    "keys of vm-a move to vm-b,"
+    " and the table before is put back as the process of vm-a starts again"
+)
+def step_put_back_at_start(context):
+    async def go():
+        deployment = context.deployment
+        store, node = deployment.store, deployment.nodes["vm-a"]
+        await deployment.wait(lambda: not node._ownership._writing)
+        former = written_tables(store)[-1]
+        keys = node._ownership.owned[0]
+        to_vm_b = ((keys, node._records.members["vm-b"]),)
+        node._ownership._start_hand_over(to_vm_b)
+        await deployment.wait(lambda: deployment.endpoints["vm-b"].held(keys.first))
+        await deployment.nodes.pop("vm-a").close()
+        # Those that know the table can't restore it before the process acts on it.
+        store.turns_away |= {deployment.hosts["vm-b"], deployment.hosts["vm-c"]}
+        put_table(store, former)
+        await deployment.start_node("vm-a")
+        await asyncio.sleep(SETTLE_S)
+        store.turns_away.clear()
+
+    run(context, go())
+
+
+@when("the process of vm-a starts again, and the store has dropped its history")
+def step_start_without_history(context):
+    async def go():
+        deployment = context.deployment
+        await deployment.nodes.pop("vm-a").close()
+        deployment.store.drop_history()
+        await deployment.start_node("vm-a")
+
+    run(context, go())
+
+
+@then("vm-a uses its keys within {seconds:d} seconds")
+def step_uses_keys(context, seconds):
+    deployment = context.deployment
+    ownership = deployment.nodes["vm-a"]._ownership
+
+    def uses():
+        owned = ownership.owned
+        first = [keys.first for keys in owned]
+        return owned and {ownership.admits(k) for k in first} == {Admission.RUN}
+
+    run(context, deployment.wait(uses, seconds))
+
+
+@when("vm-a, which the store turns away, reads the history of the tables")
+def step_history_through_peer(context):
+    async def go():
+        deployment = context.deployment
+        since = Revision(deployment.store.era, 1)
+        deployment.store.turns_away.add(deployment.hosts["vm-a"])
+        context.histories = [
+            await deployment.nodes[name]._access.read_history(RANGES, since)
+            for name in ("vm-a", "vm-b")
+        ]
+
+    run(context, go())
+
+
+@then("it has the same changes as vm-b")
+def step_same_changes(context):
+    own, other = (listing.objects for listing in context.histories)
+    assert own and own == other, (own, other)
+
+
 @then("no table in force undoes a change that the others know")
 def step_change_kept(context):
     (table,) = {
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -101,3 +101,4 @@
       | removed       |
       | removed often |
       | reverted      |
+      | reverted, and processes restart or are cut off |
--- a/features/table_writes.feature
+++ b/features/table_writes.feature
@@ -84,6 +84,25 @@
       | again                   |
       | and vm-c writes over it |
 
+  Scenario: A process that starts takes a former table that was put back for the present one
+    Given a deployment of 3 VMs
+    When keys of vm-a move to vm-b, and the table before is put back as the process of vm-a starts again
+    Then no key was ever held by two upstreams
+    And each upstream took keys with tokens above those of all others
+    And all keys are served again within 14 seconds
+
+  Scenario: A process that starts serves no keys as the store has dropped its history
+    Given a deployment of 3 VMs
+    When the process of vm-a starts again, and the store has dropped its history
+    Then vm-a uses its keys within 3 seconds
+    And all keys are served again within 3 seconds
+    And no key was ever held by two upstreams
+
+  Scenario: A process that the store turns away does not learn what came before its table
+    Given a deployment of 3 VMs
+    When vm-a, which the store turns away, reads the history of the tables
+    Then it has the same changes as vm-b
+
   Scenario: A table of another era in the place of a table hides that it was replaced
     Given records of a table whose highest token is 9
     When a table of another writer arrives in its place, of another era
--- a/rosemarydeal/core/fleet.py
+++ b/rosemarydeal/core/fleet.py
@@ -443,6 +443,7 @@
         restored_token: Token of the assignments that were restored in this era from
             the records of a process; 0 if there are none, or once the leases of the
             former era have expired.
+        base: Number of the revision that it was written over, 0 if it is not known.
     """
 
     service: str
@@ -452,6 +453,7 @@
     writer: str = ""
     era: int = 0
     restored_token: int = 0
+    base: int = 0
 
 
 class ObjectOrigin(Enum):
--- a/rosemarydeal/node/contents.py
+++ b/rosemarydeal/node/contents.py
@@ -139,6 +139,7 @@
         writer: Identifier of the write that produced this content.
         era: Era of the store in which it was written.
         restored_token: Token of restored assignments, or 0.
+        base: Number of the revision that it was written over, or 0.
     """
 
     service: str
@@ -149,6 +150,7 @@
     writer: str = ""
     era: Integer64 = 0
     restored_token: Integer64 = 0
+    base: Integer64 = 0
 
     def __post_init__(self) -> None:
         """Checks constraints that the types can't express.
@@ -191,6 +193,7 @@
             self.writer,
             self.era,
             self.restored_token,
+            self.base,
         )
 
 
@@ -217,6 +220,7 @@
         table.writer,
         table.era,
         table.restored_token,
+        table.base,
     )
     return msgspec.json.encode(stored)
 
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -337,7 +337,8 @@
 
     Without content, it reads an object, if `shared` together with others that ask
     for it. With content, it writes one that is still at the revision, or creates it
-    if there is none.
+    if there is none. For the `history`, it asks for all changes of the kind since the
+    revision.
     """
 
     number: int
@@ -346,13 +347,15 @@
     content: bytes | None = None
     revision: Revision = NO_REVISION
     shared: bool = False
+    history: bool = False
 
 
 class StoreRelayReply(_Base, tag=15):
     """Reply with the object as the store held it after the call.
 
     `done` is false if the object to be written had another revision. An object that
-    was read and is `unchanged` since the caller's revision comes without content.
+    was read and is `unchanged` since the caller's revision comes without content. The
+    `changes` are those up to the revision `until`, which is given with a history only.
     """
 
     number: int
@@ -360,6 +363,8 @@
     state: ObjectState | None
     done: bool = True
     unchanged: bool = False
+    changes: tuple[ObjectState, ...] = ()
+    until: Revision = NO_REVISION
 
 
 class RangeFields(_Base):
@@ -427,6 +432,7 @@
             self.writer,
             self.era,
             self.restored_token,
+            self.base_revision.number,
         )
         return tables.apply_delta(old, ranges, header)
 
--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -28,7 +28,7 @@
     Revision,
     StoredObject,
 )
-from rosemarydeal.platform.errors import StoreError
+from rosemarydeal.platform.errors import HistoryGone, StoreError
 from rosemarydeal.platform.upstream import (
     UpstreamClient,
 )
@@ -75,6 +75,8 @@
 STEP_FLEET = 20
 WRITE_RETRY_FIRST_S = 0.05
 WRITE_RETRY_MAX_S = 0.5
+# Time between two reads of the history of a table.
+HISTORY_RETRY_S = 0.3
 
 _log = structlog.get_logger()
 
@@ -125,6 +127,8 @@
         self._renewed_lease = ownership_lease.OwnershipLease()
         self._renew_at = 0.0
         self._renewing = False
+        self._reading_history = False
+        self._history_at = 0.0
         self._grants = self._grant_carrier(client)
         self._restored = RestoredRanges(identity.node)
         self._unusable: tuple[KeyRange, ...] = ()
@@ -222,6 +226,7 @@
     async def run(self) -> None:
         """Runs a step at regular intervals, until cancelled."""
         while True:
+            self._check_history()
             if self._is_keyed() and self._watch.state is not None:
                 self._step()
                 await asyncio.sleep(STEP_S)
@@ -264,6 +269,7 @@
     def on_table_changed(self) -> None:
         """Applies a change of the table without waiting for the next step."""
         self._changed.set()
+        self._check_history()
         moment = now()
         # Before the barrier is passed, this process has used none of its keys.
         lease_valid = moment < ownership_lease.lease_expiry(self._lease)
@@ -332,11 +338,12 @@
     def _step(self) -> None:
         """Renews the lease and the grants, and starts a proposal if one is due."""
         moment = now()
-        if moment >= self._renew_at and not self._renewing and self.owned:
+        proved = self._records.is_table_proved(self._identity.service)
+        if moment >= self._renew_at and not self._renewing and self.owned and proved:
             self._renewing = True
             self._tasks.spawn("lease-renewal", self._renew_lease())
         self._update_grants()
-        if self._writing or moment < self._propose_at:
+        if self._writing or not proved or moment < self._propose_at:
             return
         nodes = len(self._records.members)
         self._propose_at = moment + STEP_S * max(0.5, nodes / STEP_FLEET)
@@ -344,6 +351,33 @@
         self._track_removals(moment)
         self._propose(moment)
 
+    def _check_history(self) -> None:
+        """Starts to read the history of the table if changes before it are missing."""
+        if self._reading_history or now() < self._history_at:
+            return
+        since = self._records.table_history_since(self._identity.service)
+        if since is not None:
+            self._reading_history = True
+            self._tasks.spawn("table-history", self._read_history(since))
+
+    async def _read_history(self, since: Revision) -> None:
+        """Reads the changes of the table since a revision from the store."""
+        service = self._identity.service
+        _log.info("table_history_read", since=since, revision=self._base_revision)
+        try:
+            listing = await self._access.read_history(RANGES, since)
+            self._records.apply_table_history(service, listing)
+        except HistoryGone as error:
+            # All leases under tables of that time have expired, if it lasts as stated.
+            _log.warning("table_history_gone", since=since, detail=error.detail)
+            self._records.accept_table(service)
+        except StoreError as error:
+            _log.info("table_history_not_read", since=since, detail=error.detail)
+        finally:
+            self._reading_history = False
+            if not self._records.is_table_proved(service):
+                self._history_at = now() + HISTORY_RETRY_S
+
     async def _renew_lease(self) -> None:
         """Renews the lease by reading the table from the store."""
         requested_at = now()
@@ -375,6 +409,8 @@
         self._barrier.note_read(stored.revision)
         if cached.revision < stored.revision or self._is_outdated():
             return
+        if not self._records.is_table_proved(self._identity.service):
+            return
         self._renewed_lease = ownership_lease.renew(
             self._renewed_lease, table, self._identity.node, requested_at
         )
--- a/rosemarydeal/node/records.py
+++ b/rosemarydeal/node/records.py
@@ -49,6 +49,12 @@
 MEMBERS = "rosemarydeal-members"
 RANGES = "rosemarydeal-ranges"
 KINDS = (CONFIGURATION_KIND, ZONES_OUT_KIND, MEMBERS, RANGES)
+# Whoever wrote an object tells of it: the store held the base until then.
+WRITER_ORIGINS = (
+    ObjectOrigin.WRITE,
+    ObjectOrigin.PEER_DELTA,
+    ObjectOrigin.PEER_OBJECT,
+)
 # Each of their objects has a writer, which writes it again if it still exists.
 CARRIED_KINDS = (ZONES_OUT_KIND, MEMBERS)
 
@@ -108,6 +114,8 @@
         self._copies: set[tuple[str, Revision]] = set()
         self._zones_out: frozenset[str] = frozenset()
         self._pending_deltas = PendingDeltas()
+        # What the table that is being applied has replaced, if its writer told of it.
+        self._written_over: StoredObject | None = None
 
     @property
     def configuration(self) -> Configuration | None:
@@ -186,7 +194,43 @@
         """Returns the table of a service with the revision that the store holds."""
         revision = self.stored_revision(RANGES, self.table_name(service))
         current = not self.is_table_outdated(service)
-        return TableBase(self.table(service), revision, self.era(RANGES), current)
+        proved = self._tables.is_proved(service)
+        return TableBase(
+            self.table(service), revision, self.era(RANGES), current, proved
+        )
+
+    def is_table_proved(self, service: str) -> bool:
+        """Returns whether no change is missing before the known table."""
+        return self._tables.is_proved(service)
+
+    def table_history_since(self, service: str) -> Revision | None:
+        """Returns after which revision changes of a table are to be read, if any."""
+        return self._tables.history_since(service)
+
+    def apply_table_history(self, service: str, listing: Listing) -> None:
+        """Applies the changes since the revision after which they were to be read.
+
+        Changes nothing if the known table is later than they are.
+        """
+        name = self.table_name(service)
+        if self.stored_revision(RANGES, name) > listing.revision:
+            return
+        changes = sorted(listing.objects, key=lambda stored: stored.revision)
+        written = [
+            (stored.revision, table)
+            for stored in changes
+            if stored.name == name
+            and (table := contents.decode_table(stored)) is not None
+            and table.era == stored.revision.era
+        ]
+        if self._tables.history_since(service) is not None:
+            self._tables.apply_history(service, written)
+            self._refresh(RANGES)
+
+    def accept_table(self, service: str) -> None:
+        """Takes the known table of a service for proved."""
+        self._tables.accept(service)
+        self._refresh(RANGES)
 
     def is_table_outdated(self, service: str) -> bool:
         """Returns whether the store does not hold a table in its present era.
@@ -322,7 +366,10 @@
         kind_state.objects[stored.name] = stored
         kind_state.origins[stored.name] = origin
         kind_state.last_change = max(kind_state.last_change, stored.revision)
+        if stored.kind == RANGES and origin in WRITER_ORIGINS:
+            self._written_over = old
         self._refresh(stored.kind)
+        self._written_over = None
         return True
 
     def apply_update(self, update: ObjectUpdate) -> None:
@@ -517,6 +564,7 @@
                 self.table_name(table.service),
             ):
                 self._tables.apply(table, stored.revision)
+                self._note_written_over(table)
                 continue
             if stored.name in services:
                 self._tables.note_replaced(services[stored.name], stored)
@@ -529,6 +577,18 @@
             self._apply_pending_delta(service)
         return True
 
+    def _note_written_over(self, table: RangeTable) -> None:
+        """Notes what an applied table has replaced, if that is its base."""
+        base = self._written_over
+        if base is None or base.name != self.table_name(table.service):
+            return
+        if base.revision != Revision(base.revision.era, table.base):
+            return
+        is_reserved = contents.decode_reservation(base) is not None
+        self._tables.note_written_over(
+            table.service, None if is_reserved else base.revision
+        )
+
     def _apply_pending_delta(self, service: str) -> None:
         """Applies the delta for the table's current revision, if there is one."""
         if self._tables.is_outdated(service):
--- a/rosemarydeal/node/start_barrier.py
+++ b/rosemarydeal/node/start_barrier.py
@@ -98,6 +98,8 @@
         if table is None or self.passed or not self._barrier.has_position:
             return False
         outdated = self._records.is_table_outdated(service)
+        if not self._records.is_table_proved(service):
+            return False
         return not outdated and bool(tables.owned_by(table, self._identity.node))
 
     async def _write_until_passed(self) -> None:
--- a/rosemarydeal/node/store_access.py
+++ b/rosemarydeal/node/store_access.py
@@ -11,8 +11,13 @@
 import structlog
 
 from rosemarydeal.core.fleet import NO_REVISION, ObjectOrigin, Revision, StoredObject
-from rosemarydeal.platform.errors import StoreConflict, StoreError, StoreRestored
-from rosemarydeal.platform.store import StoreClient
+from rosemarydeal.platform.errors import (
+    HistoryGone,
+    StoreConflict,
+    StoreError,
+    StoreRestored,
+)
+from rosemarydeal.platform.store import Listing, StoreClient
 from rosemarydeal.policy.keyranges import ownership_lease
 
 from .links import Links
@@ -101,6 +106,24 @@
         except StoreError as error:
             return await self._read_through_peer(kind, name, error)
 
+    async def read_history(self, kind: str, since: Revision) -> Listing:
+        """Reads all changes of a kind since a revision, through a peer if necessary.
+
+        Raises:
+            HistoryGone: The store has dropped the history after that revision, or
+                was restored since.
+            StoreError: Neither the store nor a peer gave a usable reply.
+        """
+        try:
+            listing = await self._store.watch(kind, since, 0.0)
+        except HistoryGone:
+            raise
+        except StoreError as error:
+            self.note_reachable(False, str(error))
+            return await self._read_history_through_peer(kind, since, error)
+        self.note_reachable(True)
+        return listing
+
     async def write(
         self, kind: str, name: str, content: bytes, expected: Revision
     ) -> StoredObject:
@@ -147,6 +170,8 @@
         """Calls the store on behalf of a peer; returns None if the call fails."""
         if call.kind not in (MEMBERS, RANGES):
             return None
+        if call.history:
+            return await self._relay_history(call)
         done = True
         try:
             if call.shared:
@@ -172,6 +197,41 @@
             state = ObjectState(stored.name, stored.revision, content)
         return StoreRelayReply(call.number, call.kind, state, done, unchanged)
 
+    async def _relay_history(self, call: StoreRelayRequest) -> StoreRelayReply | None:
+        """Reads changes on behalf of a peer; returns None if the call fails."""
+        try:
+            listing = await self._store.watch(call.kind, call.revision, 0.0)
+        except StoreError as error:
+            _log.info("relay_failed", name=call.kind, detail=error.detail)
+            return None
+        changes = tuple(
+            ObjectState(stored.name, stored.revision, stored.content)
+            for stored in listing.objects
+            if not stored.unreadable
+        )
+        return StoreRelayReply(
+            call.number, call.kind, None, changes=changes, until=listing.revision
+        )
+
+    async def _read_history_through_peer(
+        self, kind: str, since: Revision, error: StoreError
+    ) -> Listing:
+        """Reads changes by a call of a peer, after the own one failed."""
+        call = StoreRelayRequest(0, kind, "", None, since, history=True)
+        peers = sorted(self._links.up)
+        for node in random.sample(peers, min(RELAY_PEERS, len(peers))):
+            reply = await self._links.relay_store_call(node, call)
+            # Earlier versions answer as to a read.
+            if reply is None or reply.until == NO_REVISION:
+                continue
+            _log.info("store_called_by_peer", peer=node, name=kind)
+            objects = tuple(
+                StoredObject(kind, state.name, state.revision, state.content)
+                for state in reply.changes
+            )
+            return Listing(objects, reply.until)
+        raise error
+
     async def _apply_restored(
         self, kind: str, name: str, restored: StoreRestored
     ) -> None:
--- a/rosemarydeal/node/table_writer.py
+++ b/rosemarydeal/node/table_writer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import structlog
 
 from rosemarydeal.core.fleet import NO_REVISION, StoredObject
@@ -48,15 +50,14 @@
         """
         if not self._may_write(change):
             return WriteResult.NOT_WRITTEN
-        changed, reason = change.table, change.reason
+        base = change.base.revision
+        changed, reason = replace(change.table, base=base.number), change.reason
         name = table_name(changed.service, changed.era)
-        if change.base.revision == NO_REVISION:
+        if base == NO_REVISION:
             await self._reserve(name, change.restores)
             return WriteResult.NOT_WRITTEN
         try:
-            stored = await self._access.write(
-                RANGES, name, encode_table(changed), change.base.revision
-            )
+            stored = await self._access.write(RANGES, name, encode_table(changed), base)
         except StoreRestored as error:
             _log.info("table_write_before_restore", reason=reason, detail=error.detail)
             return WriteResult.NOT_WRITTEN
--- a/rosemarydeal/policy/keyranges/table_changes.py
+++ b/rosemarydeal/policy/keyranges/table_changes.py
@@ -42,12 +42,15 @@
         era: Era of the store.
         current: Whether that object is the table. It is not after a restore of the
             store, or if another writer has left something else in its place.
+        proved: Whether no change is missing between it and the tables known before, so
+            that it is none of them that was put back.
     """
 
     table: RangeTable | None
     revision: Revision
     era: int
     current: bool = True
+    proved: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +89,6 @@
         What is known may lack changes while the store holds no table of its era: then
         the table is restored before anything else is changed.
         """
-        if not base.current and not self.restores:
+        if not (base.current and base.proved) and not self.restores:
             return False
         return self.base.revision == base.revision and self.table.era == base.era
