--- a/features/mutant_list_crashes.py
+++ b/features/mutant_list_crashes.py
@@ -113,9 +113,10 @@
     ),
     Mutant(
         "accepted connection ends the time unreachable",
-        "rosemarydeal/node/links.py",
-        "        link.reads_store = True\n",
-        "        link.reads_store = True\n        link.unreachable_since = None\n",
+        "rosemarydeal/node/link.py",
+        "        self.reads_store = True\n        self._pings",
+        "        self.reads_store, self.unreachable_since = True, None\n"
+        "        self._pings",
         MONITORS,
     ),
     Mutant(
--- a/features/mutant_list_settlement.py
+++ b/features/mutant_list_settlement.py
@@ -111,9 +111,9 @@
     ),
     Mutant(
         "the process of a former link taken for that of the present one",
-        LINKS,
-        '        link.process = ""\n        link.heard',
-        "        link.heard",
+        "rosemarydeal/node/link.py",
+        '        self.process = ""\n        self.heard = False\n        self.leaving',
+        "        self.heard = False\n        self.leaving",
         _scenario("An order that waits"),
     ),
     Mutant(
