Believe a table whose history a peer finds gone

What callers could see: the keys of a process that starts while the store rejects its calls stay unserved, as long as the history of their table is gone.

Cause: a peer that reads the history for another process gave no answer when the store had dropped it, so that the process asked without end.

Change: the reply tells that the history is gone. So does one of a peer that can't read it.

The scenario of a table that is put back, and that of the relayed history, named callers by an address that all processes share, so that nothing was rejected. They reject the calls of single clients now. The former waited for keys that their former owners still held; it waits until vm-a uses its keys, which takes up to 16 s, as the restored table makes owners wait.

--- a/features/end_proofs.feature
+++ b/features/end_proofs.feature
@@ -23,6 +23,11 @@
       | VMs                                   |
       | VMs whose heartbeats carry the grants |
 
+  Scenario: An upstream behind a closed listening socket counts as ended once its last request was cut
+    Given a deployment of 3 VMs
+    When the upstream of vm-b closes its listening socket, and its only request is cut at its deadline
+    Then no key was ever held by two upstreams
+
   Scenario: An owner that drains counts as ended once another writer removes its member
     Given a deployment of 3 VMs
     When the member of vm-b is removed, while its upstream drains and it can't write it again for 4 s
--- a/features/mutant_list_proofs.py
+++ b/features/mutant_list_proofs.py
@@ -71,8 +71,9 @@
     Mutant(
         "a table proved whatever its history",
         KNOWN_TABLES,
-        "            self._tables[service] = known\n            self._note_former(",
-        "            self.accept(service)\n            tuple((",
+        "            self._tables[service] = known\n"
+        "            self._note_former(known, table, applied)\n",
+        "            self.accept(service)\n",
         REVERTED,
     ),
     Mutant(
@@ -89,6 +90,13 @@
         "pass",
         (*TABLES, "dropped its history"),
     ),
+    Mutant(
+        "a peer's word that the history is gone taken for no answer",
+        "rosemarydeal/node/store_access.py",
+        "return StoreRelayReply(call.number, call.kind, None, gone=True)",
+        "return None",
+        (*TABLES, "dropped its history"),
+    ),
     Mutant(
         "a table written without its base",
         "rosemarydeal/node/table_writer.py",
--- a/features/steps/end_proofs_steps.py
+++ b/features/steps/end_proofs_steps.py
@@ -23,6 +23,7 @@
 # Time for the others to take the keys, were the owner taken for ended.
 OBSERVED_S = 4.0
 LATE_S = 0.5
+CUT_MS = 700
 
 
 async def taken(context, lines):
@@ -111,6 +112,31 @@
     run(context, go())
 
 
+@when(
+    "the upstream of vm-b closes its listening socket,"
+    " and its only request is cut at its deadline"
+)
+def step_cut_behind_closed_listener(context):
+    async def go():
+        deployment = context.deployment
+        endpoint, node = deployment.endpoints["vm-b"], deployment.nodes["vm-b"]
+        key = next(key for key in deployment.sample() if endpoint.held(key))
+        endpoint.work_s = OBSERVED_S
+        cut = asyncio.create_task(
+            deployment.send_request("vm-b", key, time_left_ms=CUT_MS)
+        )
+        await deployment.wait(lambda: key in endpoint._running_keys)
+        endpoint.fall_silent()
+        endpoint._server._listener.close()
+        # The connection of the calls is idle, and an upstream that ends closes it.
+        await node._client._calls.close()
+        await asyncio.gather(cut, return_exceptions=True)
+        await deployment.send_request("vm-b", key)
+        await asyncio.sleep(OBSERVED_S)
+
+    run(context, go())
+
+
 @then("that request is answered")
 def step_answered(context):
     assert context.answer.status == 200, context.answer
--- a/features/steps/table_writes_steps.py
+++ b/features/steps/table_writes_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from dataclasses import replace
 from unittest import mock
 
@@ -12,6 +13,7 @@
 
 from features.builders_fleet_types import SERVICE, a_member, a_view
 from features.builders_node import run
+from features.builders_rate_limit import captured_logs
 from features.builders_tables import (
     stored_table,
     undone_ranges,
@@ -28,7 +30,7 @@
 )
 from rosemarydeal.node.records import MEMBERS, RANGES, Records
 from rosemarydeal.platform.errors import StoreConflict, StoreUnavailable
-from rosemarydeal.platform.store import Listing
+from rosemarydeal.platform.store import Listing, StoreClient
 from rosemarydeal.policy.dispatch.queue import Admission
 from rosemarydeal.policy.keyranges import ownership_lease, proposals
 from rosemarydeal.policy.keyranges import table as tables
@@ -37,6 +39,8 @@
 
 UNREACHABLE_S = 60.0
 SETTLE_S = 1.0
+# The store rejects the calls of a process that starts for so long.
+REJECTED_S = 4.0
 # A restored table is in force within this time.
 SERVED_S = 3.0
 
@@ -561,11 +565,44 @@
     run(context, go())
 
 
+@contextmanager
+def rejected_calls(is_rejected):
+    """Lets the store reject the calls of some processes, and of no others.
+
+    Args:
+        is_rejected: Returns whether the calls of a process's client are rejected.
+    """
+    call = StoreClient._call
+
+    async def call_unless_rejected(store, *arguments, **options):
+        if is_rejected(store):
+            raise StoreUnavailable("rejected by the test")
+        return await call(store, *arguments, **options)
+
+    with mock.patch.object(StoreClient, "_call", call_unless_rejected):
+        yield
+
+
 @when(
     "keys of vm-a move to vm-b,"
     " and the table before is put back as the process of vm-a starts again"
 )
 def step_put_back_at_start(context):
+    put_back_at_start(context)
+
+
+@when(
+    "the store drops its history, keys of vm-a move to vm-b,"
+    " and the table before is put back as the process of vm-a starts again"
+)
+def step_put_back_without_history(context):
+    context.deployment.store.drop_history()
+    put_back_at_start(context)
+
+
+def put_back_at_start(context):
+    """Puts back the table before a hand-over as its process starts again."""
+
     async def go():
         deployment = context.deployment
         store, node = deployment.store, deployment.nodes["vm-a"]
@@ -577,22 +614,35 @@
         await deployment.wait(lambda: deployment.endpoints["vm-b"].held(keys.first))
         await deployment.nodes.pop("vm-a").close()
         # Those that know the table can't restore it before the process acts on it.
-        store.turns_away |= {deployment.hosts["vm-b"], deployment.hosts["vm-c"]}
-        put_table(store, former)
-        await deployment.start_node("vm-a")
-        await asyncio.sleep(SETTLE_S)
-        store.turns_away.clear()
+        others = [other._store for other in deployment.nodes.values()]
+        with rejected_calls(others.__contains__):
+            put_table(store, former)
+            await deployment.start_node("vm-a")
+            await asyncio.sleep(SETTLE_S)
 
     run(context, go())
 
 
-@when("the process of vm-a starts again, and the store has dropped its history")
-def step_start_without_history(context):
+@when(
+    "the process of vm-a starts again,"
+    " and the store has dropped its history and {serves} it"
+)
+@when(
+    "the process of vm-a starts again,"
+    " and the store has dropped its history and {serves} its calls"
+)
+def step_start_without_history(context, serves):
     async def go():
         deployment = context.deployment
         await deployment.nodes.pop("vm-a").close()
         deployment.store.drop_history()
-        await deployment.start_node("vm-a")
+        if serves == "serves":
+            await deployment.start_node("vm-a")
+            return
+        others = [other._store for other in deployment.nodes.values()]
+        with rejected_calls(lambda store: store not in others):
+            await deployment.start_node("vm-a")
+            await deployment.wait(lambda: uses_keys(deployment), REJECTED_S)
 
     run(context, go())
 
@@ -600,34 +650,38 @@
 @then("vm-a uses its keys within {seconds:d} seconds")
 def step_uses_keys(context, seconds):
     deployment = context.deployment
-    ownership = deployment.nodes["vm-a"]._ownership
+    run(context, deployment.wait(lambda: uses_keys(deployment), seconds))
 
-    def uses():
-        owned = ownership.owned
-        first = [keys.first for keys in owned]
-        return owned and {ownership.admits(k) for k in first} == {Admission.RUN}
 
-    run(context, deployment.wait(uses, seconds))
+def uses_keys(deployment):
+    """Returns whether vm-a has keys, and requests for all of them may run there."""
+    ownership = deployment.nodes["vm-a"]._ownership
+    admissions = {ownership.admits(keys.first) for keys in ownership.owned}
+    return admissions == {Admission.RUN}
 
 
-@when("vm-a, which the store turns away, reads the history of the tables")
+@when("vm-a, whose calls the store rejects, reads the history of the tables")
 def step_history_through_peer(context):
     async def go():
-        deployment = context.deployment
-        since = Revision(deployment.store.era, 1)
-        deployment.store.turns_away.add(deployment.hosts["vm-a"])
-        context.histories = [
-            await deployment.nodes[name]._access.read_history(RANGES, since)
-            for name in ("vm-a", "vm-b")
-        ]
+        nodes = context.deployment.nodes
+        since = Revision(context.deployment.store.era, 1)
+        own = nodes["vm-a"]._store
+        with rejected_calls(lambda store: store is own), captured_logs() as lines:
+            context.histories = [
+                await nodes[name]._access.read_history(RANGES, since)
+                for name in ("vm-a", "vm-b")
+            ]
+        context.logged = lines
 
     run(context, go())
 
 
-@then("it has the same changes as vm-b")
+@then("it has the same changes as vm-b, by a peer's call")
 def step_same_changes(context):
     own, other = (listing.objects for listing in context.histories)
     assert own and own == other, (own, other)
+    called = [e for e in context.logged if e["event"] == "store_called_by_peer"]
+    assert len(called) == 1, context.logged
 
 
 @then("no table in force undoes a change that the others know")
--- a/features/table_writes.feature
+++ b/features/table_writes.feature
@@ -89,19 +89,29 @@
     When keys of vm-a move to vm-b, and the table before is put back as the process of vm-a starts again
     Then no key was ever held by two upstreams
     And each upstream took keys with tokens above those of all others
-    And all keys are served again within 14 seconds
+    And vm-a uses its keys within 16 seconds
+
+  Scenario: A process that starts takes a former table for the present one as the history is gone
+    Given a deployment of 3 VMs
+    When the store drops its history, keys of vm-a move to vm-b, and the table before is put back as the process of vm-a starts again
+    Then no key was ever held by two upstreams
 
-  Scenario: A process that starts serves no keys as the store has dropped its history
+  Scenario Outline: A process that starts serves no keys as the store has dropped its history
     Given a deployment of 3 VMs
-    When the process of vm-a starts again, and the store has dropped its history
+    When the process of vm-a starts again, and the store has dropped its history and <serves it>
     Then vm-a uses its keys within 3 seconds
     And all keys are served again within 3 seconds
     And no key was ever held by two upstreams
 
-  Scenario: A process that the store turns away does not learn what came before its table
+    Examples:
+      | serves it         |
+      | serves it         |
+      | rejects its calls |
+
+  Scenario: A process whose calls the store rejects does not learn what came before its table
     Given a deployment of 3 VMs
-    When vm-a, which the store turns away, reads the history of the tables
-    Then it has the same changes as vm-b
+    When vm-a, whose calls the store rejects, reads the history of the tables
+    Then it has the same changes as vm-b, by a peer's call
 
   Scenario: A table of another era in the place of a table hides that it was replaced
     Given records of a table whose highest token is 9
--- a/rosemarydeal/node/messages.py
+++ b/rosemarydeal/node/messages.py
@@ -355,7 +355,8 @@
 
     `done` is false if the object to be written had another revision. An object that
     was read and is `unchanged` since the caller's revision comes without content. The
-    `changes` are those up to the revision `until`, which is given with a history only.
+    `changes` are those up to the revision `until`, which is given with a history only;
+    `gone` tells that the store has dropped it.
     """
 
     number: int
@@ -365,6 +366,7 @@
     unchanged: bool = False
     changes: tuple[ObjectState, ...] = ()
     until: Revision = NO_REVISION
+    gone: bool = False
 
 
 class RangeFields(_Base):
--- a/rosemarydeal/node/store_access.py
+++ b/rosemarydeal/node/store_access.py
@@ -201,6 +201,8 @@
         """Reads changes on behalf of a peer; returns None if the call fails."""
         try:
             listing = await self._store.watch(call.kind, call.revision, 0.0)
+        except HistoryGone:
+            return StoreRelayReply(call.number, call.kind, None, gone=True)
         except StoreError as error:
             _log.info("relay_failed", name=call.kind, detail=error.detail)
             return None
@@ -221,10 +223,12 @@
         peers = sorted(self._links.up)
         for node in random.sample(peers, min(RELAY_PEERS, len(peers))):
             reply = await self._links.relay_store_call(node, call)
-            # Earlier versions answer as to a read.
-            if reply is None or reply.until == NO_REVISION:
+            if reply is None:
                 continue
             _log.info("store_called_by_peer", peer=node, name=kind)
+            # A peer of an earlier version answers as to a read.
+            if reply.gone or reply.until == NO_REVISION:
+                raise HistoryGone(f"{kind}: {node} has none since {since}") from error
             objects = tuple(
                 StoredObject(kind, state.name, state.revision, state.content)
                 for state in reply.changes
