--- a/rosemarydeal/node/ownership.py
+++ b/rosemarydeal/node/ownership.py
@@ -368,7 +368,7 @@
             listing = await self._access.read_history(RANGES, since)
             self._records.apply_table_history(service, listing)
         except HistoryGone as error:
-            # All leases under tables of that time have expired, if it lasts as stated.
+            # Nobody else can tell what came before the table.
             _log.warning("table_history_gone", since=since, detail=error.detail)
             self._records.accept_table(service)
         except StoreError as error:
