Replace the settings file at once in the scenario of an unreadable one

The scenario failed once in a run of the whole suite in parts, on: settings_unreadable was logged twice. Cause: the step emptied the file and then wrote half of the text, and the process read it in between, for another reason than afterwards. The step renames a finished file over it now; what is checked is unchanged.

--- a/features/steps/settings_changes_steps.py
+++ b/features/steps/settings_changes_steps.py
@@ -51,7 +51,10 @@
 def step_half(context):
     path = context.deployment.write_settings("vm-a")
     text = path.read_text("utf-8")
-    path.write_text(text[: len(text) // 2], "utf-8")
+    half = path.with_suffix(".half")
+    half.write_text(text[: len(text) // 2], "utf-8")
+    # A process must not read the file as it is being written.
+    half.replace(path)
 
 
 @when("the settings file of vm-a states another limit of its memory")
