Capture the lines on odd operators' orders whatever level was set before

The scenario failed in one of eight parts of the features, after a deployment's scenario had set the level of the log: fails after unread_replies.feature, passes after it now. What is checked is unchanged.

--- a/features/steps/alarms_steps.py
+++ b/features/steps/alarms_steps.py
@@ -4,8 +4,8 @@
 from behave import then
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from structlog.testing import capture_logs
 
+from features.builders_rate_limit import captured_logs
 from rosemarydeal.core import UPSTREAMS_KEY, ZONES_KEY, NodeStatus, Versioned
 from rosemarydeal.daemon.operators import OperatorExclusions, adopt_exclusions
 from rosemarydeal.policy.alarms import HOLD_S, AlarmState, alarms, observe
@@ -98,6 +98,6 @@
         assert orders.zones.names == expected[ZONES_KEY][1]
         assert orders.upstreams.names == expected[UPSTREAMS_KEY][1]
 
-    with capture_logs() as logs:
+    with captured_logs() as logs:
         check()
     assert {entry["event"] for entry in logs} == {"operators_object_malformed"}
