--- a/features/steps/end_proofs_steps.py
+++ b/features/steps/end_proofs_steps.py
@@ -13,7 +13,6 @@
 from features.builders_rate_limit import captured_logs
 from rosemarydeal.core import Address
 from rosemarydeal.core.clock import now
-from rosemarydeal.node.ownership import Ownership
 from rosemarydeal.node.process import NodeProcess
 from rosemarydeal.node.records import MEMBERS
 
@@ -200,7 +199,6 @@
 
 @then("its upstream may hold keys of a predecessor for {seconds:d} s")
 def step_predecessor(context, seconds):
-    assert isinstance(context.ownership, Ownership)
     later = context.started_at + seconds
     with mock.patch("rosemarydeal.node.grants.now", lambda: later):
         assert context.ownership._grants.may_hold
