--- a/features/odd_statuses.feature
+++ b/features/odd_statuses.feature
@@ -49,5 +49,16 @@
       | 16    | answered with the whole body       |
       | 17    | not answered, as it may have run   |
 
+  Scenario Outline: The client that the daemon and the caller library use takes an odd status for an answer
+    When the client without an id gets an answer with the status "<status>"
+    Then the result is "<result>"
+
+    Examples:
+      | status | result          |
+      | 000    | response-broken |
+      | 599    | answered        |
+      | 600    | response-broken |
+      | 999    | response-broken |
+
   Scenario: A peer's reply with a status outside 200 to 599 reaches the caller
     Then the replies of peers with the statuses 0, 99, 199, 600 and 999 leave open whether the request has run
--- a/features/steps/odd_statuses_steps.py
+++ b/features/steps/odd_statuses_steps.py
@@ -6,10 +6,18 @@
 
 from behave import given, then, when
 
+from features.builders_proxy import raw_upstream
 from features.builders_stutter import ScriptedUpstream, a_refusal, an_answer
 from rosemarydeal.core.requests import Answered, OutcomeUnknown
 from rosemarydeal.node.messages import AnswerReply
 from rosemarydeal.platform.upstream import UpstreamCallFailed
+from rosemarydeal.proxy import (
+    BytesBody,
+    Pool,
+    PoolSettings,
+    Request,
+    ResponseBroken,
+)
 
 BODY = b"the body of the answer"
 HEALTH_TIME_S = 1.0
@@ -54,6 +62,32 @@
     asyncio.run(go())
 
 
+@when('the client without an id gets an answer with the status "{status}"')
+def step_shared_client(context, status):
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(an_answer("", BODY, status.encode() + b" Odd"))
+        await writer.drain()
+
+    async def go():
+        async with raw_upstream(answer) as address:
+            pool = Pool(PoolSettings())
+            request = Request(b"GET", b"/", (), BytesBody(b""), address)
+            try:
+                await pool.send(address, request, HEALTH_TIME_S)
+                context.result = "answered"
+            except ResponseBroken as error:
+                context.result = error.code
+            await pool.close()
+
+    asyncio.run(go())
+
+
+@then('the result is "{result}"')
+def step_result(context, result):
+    assert context.result == result, context.result
+
+
 @then("it has not answered")
 def step_no_instance(context):
     assert isinstance(context.instance, UpstreamCallFailed), context.instance
